The whole path, thin, as separate processes

One binary serves entry nodes, stand-ins, operators and a demonstration. A request goes from a caller through an entry node, a place at the replica's owner, and a backend server back to the caller, streamed.

--- /dev/null
+++ b/internal/admission/budget.go
@@ -0,0 +1,42 @@
+package admission
+
+import "time"
+
+// Retry budget: retries may be a tenth of first tries, with a small reserve.
+const (
+	retryShare   = 0.1
+	retryReserve = 5.0
+	backoffBase  = 20 * time.Millisecond
+	backoffCap   = time.Second
+)
+
+// RetryBudget bounds retries to a share of first tries. It is not safe for
+// concurrent use.
+type RetryBudget struct {
+	tokens float64
+}
+
+// NewRetryBudget returns a budget with its reserve full.
+func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: retryReserve} }
+
+// First counts a first try.
+func (b *RetryBudget) First() { b.tokens = min(b.tokens+retryShare, retryReserve) }
+
+// Retry takes one retry from the budget and tells whether it was there.
+func (b *RetryBudget) Retry() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff returns the wait before the given retry, 1 for the first, with full
+// jitter; draw is a random number within 0 to 1.
+func Backoff(retry int, draw float64) time.Duration {
+	d := backoffBase
+	for i := 1; i < retry && d < backoffCap; i++ {
+		d *= 2
+	}
+	return time.Duration(draw * float64(min(d, backoffCap)))
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,284 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
+)
+
+// Paths of the engines' HTTP interface.
+const (
+	PathGenerate    = "/v1/generate"
+	PathLoad        = "/v1/load"
+	PathCacheEvents = "/v1/cache-events"
+	PathOrders      = "/v1/orders"
+	PathKV          = "/v1/kv/"
+)
+
+// Headers of calls to plain services.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderFencing        = "X-Fencing-Number"
+	HeaderErrorKind      = "X-Error-Kind"
+)
+
+const (
+	connectTimeout = 500 * time.Millisecond
+	maxReplyBytes  = 16 << 20
+	maxFrameBytes  = 1 << 20
+	idlePerHost    = 64
+)
+
+// HTTPDialer opens HTTP clients; all share one pool of connections. It is
+// safe for concurrent use.
+type HTTPDialer struct {
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[string]*httpClient
+}
+
+// NewHTTPDialer returns a dialer.
+func NewHTTPDialer() *HTTPDialer {
+	dial := &net.Dialer{Timeout: connectTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, &Error{Kind: KindConnect, Ran: outcome.RanNo, Message: err.Error()}
+			}
+			return conn, nil
+		},
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &HTTPDialer{http: &http.Client{Transport: transport}, clients: map[string]*httpClient{}}
+}
+
+// Engine implements Dialer.
+func (d *HTTPDialer) Engine(address string) Engine { return d.client(address) }
+
+// Service implements Dialer.
+func (d *HTTPDialer) Service(address string) Service { return d.client(address) }
+
+func (d *HTTPDialer) client(address string) *httpClient {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.clients[address]
+	if c == nil {
+		c = &httpClient{base: "http://" + address, http: d.http}
+		d.clients[address] = c
+	}
+	return c
+}
+
+// httpClient speaks to one backend server.
+type httpClient struct {
+	base string
+	http *http.Client
+}
+
+// send sends one request. A body is never sent a second time by the
+// transport, since a request with a body reader has no GetBody.
+func (c *httpClient) send(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: err.Error()}
+	}
+	req.ContentLength = int64(len(body))
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, asError(err)
+	}
+	return resp, nil
+}
+
+// asError keeps a typed error within err; any other failure happened after
+// the request may have left.
+func asError(err error) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: err.Error()}
+}
+
+// refusal reads a backend server's refusal.
+func refusal(resp *http.Response) *Error {
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes))
+	kind := Kind(resp.Header.Get(HeaderErrorKind))
+	switch {
+	case kind == KindBusy || kind == KindDraining || kind == KindNotLoaded || kind == KindFenced:
+		return &Error{Kind: kind, Ran: outcome.RanNo, Message: string(text)}
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: resp.Status + ": " + string(text)}
+	default:
+		return &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: resp.Status + ": " + string(text)}
+	}
+}
+
+// Generate implements Engine.
+func (c *httpClient) Generate(ctx context.Context, req GenerateRequest) (Stream, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: err.Error()}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.send(ctx, http.MethodPost, PathGenerate, body, http.Header{"Content-Type": {"application/json"}})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		cancel()
+		return nil, refusal(resp)
+	}
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(make([]byte, 0, 4096), maxFrameBytes)
+	return &httpStream{attempt: req.Attempt, body: resp.Body, scanner: scanner, cancel: cancel}, nil
+}
+
+// httpStream reads server-sent events, one frame each.
+type httpStream struct {
+	attempt string
+	body    io.Closer
+	scanner *bufio.Scanner
+	cancel  context.CancelFunc
+	done    bool
+}
+
+// Next implements Stream.
+func (s *httpStream) Next() (Frame, error) {
+	if s.done {
+		return Frame{}, io.EOF
+	}
+	for s.scanner.Scan() {
+		data, ok := strings.CutPrefix(s.scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var f Frame
+		if err := json.Unmarshal([]byte(data), &f); err != nil {
+			return Frame{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: "unreadable frame: " + err.Error()}
+		}
+		s.done = f.Final && f.Attempt == s.attempt
+		return f, nil
+	}
+	err := s.scanner.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return Frame{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: err.Error()}
+}
+
+// Close implements Stream.
+func (s *httpStream) Close() error {
+	s.cancel()
+	return s.body.Close()
+}
+
+// exchange sends a small request and returns the whole reply.
+func (c *httpClient) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	resp, err := c.send(ctx, method, path, body, nil)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return nil, asError(err)
+	}
+	return raw, nil
+}
+
+// Load implements Engine and Service.
+func (c *httpClient) Load(ctx context.Context) (LoadReport, error) {
+	var report LoadReport
+	raw, err := c.exchange(ctx, http.MethodGet, PathLoad, nil)
+	if err != nil {
+		return report, err
+	}
+	return report, errors.Wrap(json.Unmarshal(raw, &report), "decode load report")
+}
+
+// CacheEvents implements Engine.
+func (c *httpClient) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	raw, err := c.exchange(ctx, http.MethodGet, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil)
+	if err != nil {
+		return nil, err
+	}
+	var events []CacheEvent
+	return events, errors.Wrap(json.Unmarshal(raw, &events), "decode cache events")
+}
+
+// Order implements Engine.
+func (c *httpClient) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	_, err = c.exchange(ctx, http.MethodPost, PathOrders, body)
+	return err
+}
+
+// ExportKV implements Engine.
+func (c *httpClient) ExportKV(ctx context.Context, attempt string) ([]byte, error) {
+	return c.exchange(ctx, http.MethodGet, PathKV+url.PathEscape(attempt), nil)
+}
+
+// ImportKV implements Engine.
+func (c *httpClient) ImportKV(ctx context.Context, attempt string, kv []byte) error {
+	_, err := c.exchange(ctx, http.MethodPut, PathKV+url.PathEscape(attempt), kv)
+	return err
+}
+
+// Do implements Service.
+func (c *httpClient) Do(ctx context.Context, call Call) (Reply, error) {
+	header := http.Header{}
+	if call.ContentType != "" {
+		header.Set("Content-Type", call.ContentType)
+	}
+	if call.Key != "" {
+		header.Set(HeaderIdempotencyKey, call.Key)
+		header.Set(HeaderFencing, strconv.FormatUint(call.Fencing, 10))
+	}
+	path := call.Path
+	if call.Query != "" {
+		path += "?" + call.Query
+	}
+	resp, err := c.send(ctx, call.Method, path, call.Body, header)
+	if err != nil {
+		return Reply{}, err
+	}
+	if resp.Header.Get(HeaderErrorKind) != "" {
+		return Reply{}, refusal(resp)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return Reply{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: "the answer broke off: " + err.Error()}
+	}
+	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/internal/cli/demo.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/embedded"
+)
+
+func firstOrganisation(c *config.Config) string {
+	return slices.Sorted(maps.Keys(c.Organisations))[0]
+}
+
+func newDemo() *cobra.Command {
+	var example string
+	var requests int
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run an example deployment, send it a mixed load, and check every answer, bill and confirmation",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			f, err := startEmbedded(cmd.Context(), example, zap.NewNop())
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			report, err := embedded.RunLoad(cmd.Context(), f, requests)
+			if err != nil {
+				return err
+			}
+			return printDemo(cmd, report)
+		},
+	}
+	cmd.Flags().StringVar(&example, "example", embedded.Virtanen.Name, "which example: virtanen or turnoflor")
+	cmd.Flags().IntVar(&requests, "requests", 300, "number of requests")
+	return cmd
+}
+
+func printDemo(cmd *cobra.Command, r *embedded.Report) error {
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "RANK\tKIND\tSENT\tSERVED\tREFUSED\tFIRST ANSWER P50\tP99")
+	for _, line := range r.Lines {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%s\n", line.Rank, line.Kind, line.Sent, line.Served, line.Refused, line.P50, line.P99)
+	}
+	fmt.Fprintf(w, "\nbills stored: %d of %d served; confirmations run: %d of %d distinct\n", r.Bills, r.Served, r.Confirmed, r.Confirmations)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, fault := range r.Faults {
+		fmt.Fprintln(cmd.OutOrStdout(), "FAULT: "+fault)
+	}
+	if len(r.Faults) > 0 {
+		return errors.Errorf("%d checks failed", len(r.Faults))
+	}
+	_, err := fmt.Fprintln(cmd.OutOrStdout(), "every answer, bill and confirmation adds up")
+	return err
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,53 @@
+// Package cli holds the commands of the cowslipfall program.
+package cli
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// Run carries out one command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(stderr, "cowslipfall: "+err.Error())
+		return 1
+	}
+	return 0
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cowslipfall",
+		Short:         "A model-aware router for versions and cascades",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newServe(), newConfig(), newStatus(), newExplain(),
+		newDev(), newDemo(), newStandin(), newVersion(),
+	)
+	return root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of the program",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "cowslipfall "+version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/embedded"
+	"github.com/cowslipfall/cowslipfall/internal/node"
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// stopTimeout is how long a graceful stop may take.
+const stopTimeout = 2 * time.Minute
+
+func newServe() *cobra.Command {
+	var path string
+	var overrides map[string]string
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Run one entry VM's process",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := config.LoadSettings(path, append(os.Environ(), asEnvironment(overrides)...))
+			if err != nil {
+				return err
+			}
+			return serve(cmd, settings)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "TOML file with the process's settings")
+	cmd.Flags().StringToStringVar(&overrides, "set", nil, "override a setting, as key=value; may be repeated")
+	return cmd
+}
+
+// asEnvironment turns key=value overrides into environment entries, which
+// come last and so win.
+func asEnvironment(overrides map[string]string) []string {
+	var out []string
+	for key, value := range overrides {
+		out = append(out, config.EnvPrefix+key+"="+value)
+	}
+	return out
+}
+
+func serve(cmd *cobra.Command, settings config.Settings) error {
+	log, err := telemetry.NewLogger(settings)
+	if err != nil {
+		return err
+	}
+	listeners, err := embedded.Listen(&settings, settings.Listen, settings.InnerListen, settings.OperatorListen)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(node.Options{
+		Settings: settings, Listeners: listeners, Platform: platform.NewClient(settings.Platform, settings.PlatformTimeout.Std()),
+		Dialer: backend.NewHTTPDialer(), Dial: wire.TCP, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	n.Start()
+	log.Info("serving", zap.String("callers", settings.Listen), zap.String("inner", settings.InnerListen), zap.String("operators", settings.OperatorListen))
+	fmt.Fprintf(cmd.OutOrStdout(), "callers=%s inner=%s operators=%s\n", settings.Listen, settings.InnerListen, settings.OperatorListen)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err = n.Leave(ctx)
+	log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/config/publish.go
@@ -0,0 +1,180 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+)
+
+// Keys of the platform's services that hold the configuration.
+const (
+	// HeadKey is the table row with the newest revision.
+	HeadKey = "config/head"
+	// ObjectPrefix begins the names of the contents, by hash.
+	ObjectPrefix = "config-"
+)
+
+// RaceError means that another operator's change came first.
+type RaceError struct {
+	// Base is the revision that the change was made on, Newest the one in
+	// place.
+	Base   uint64
+	Newest *Revision
+}
+
+// Error implements error.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("revision %d is no longer the newest: %s made revision %d at %s (%s); nothing was applied; look at it with \"config show\" and \"config diff\", then apply again",
+		e.Base, e.Newest.Author, e.Newest.Number, e.Newest.At.Format(time.RFC3339), e.Newest.Note)
+}
+
+// Store keeps the accepted revisions on the platform.
+type Store struct {
+	table   platform.Table
+	objects platform.ObjectStore
+}
+
+// NewStore returns a store of revisions.
+func NewStore(table platform.Table, objects platform.ObjectStore) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Head returns the newest revision without its content, and its row's
+// version; revision 0 and version 0 if there is none.
+func (s *Store) Head(ctx context.Context) (*Revision, uint64, error) {
+	row, err := s.table.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return &Revision{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	rev := &Revision{}
+	if err := json.Unmarshal(row.Value, rev); err != nil {
+		return nil, 0, errors.Wrap(err, "decode revision")
+	}
+	return rev, row.Version, nil
+}
+
+// Content fetches a revision's configuration.
+func (s *Store) Content(ctx context.Context, hash string) (*Config, error) {
+	body, err := s.objects.GetObject(ctx, ObjectPrefix+hash)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeConfig(body, hash)
+}
+
+// Newest returns the newest revision with its content, or nil if there is
+// none.
+func (s *Store) Newest(ctx context.Context) (*Revision, error) {
+	rev, _, err := s.Head(ctx)
+	if err != nil || rev.Number == 0 {
+		return nil, err
+	}
+	rev.Config, err = s.Content(ctx, rev.Hash)
+	return rev, err
+}
+
+// Change is one change of the configuration.
+type Change struct {
+	// Base is the revision that the operator saw; the change is refused if
+	// it is no longer the newest.
+	Base uint64
+	// Author tells who makes the change, Note in a few words what it is.
+	Author string
+	Note   string
+	// Edit makes the new revision out of a copy of the newest; its content
+	// may be replaced, not altered.
+	Edit func(*Revision) error
+}
+
+// Apply makes a new revision by a conditional write. It returns *RaceError if
+// another change came first, and platform.ErrUnavailable if the outcome is
+// unknown; applying the same change again is then safe.
+func (s *Store) Apply(ctx context.Context, c Change) (*Revision, error) {
+	head, version, err := s.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if head.Number != c.Base {
+		return nil, &RaceError{Base: c.Base, Newest: head}
+	}
+	next, err := s.prepare(ctx, head, c)
+	if err != nil {
+		return nil, err
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode revision")
+	}
+	_, err = s.table.Commit(ctx, platform.Op{Key: HeadKey, Value: value, Expect: version})
+	if err == nil {
+		return next, nil
+	}
+	return s.settle(ctx, c, next, err)
+}
+
+// prepare edits a copy of the newest revision and stores its content.
+func (s *Store) prepare(ctx context.Context, head *Revision, c Change) (*Revision, error) {
+	next := *head
+	next.Stages = cloneMap(head.Stages)
+	next.Withdrawn = cloneMap(head.Withdrawn)
+	next.Config = &Config{}
+	if head.Number > 0 {
+		content, err := s.Content(ctx, head.Hash)
+		if err != nil {
+			return nil, err
+		}
+		next.Config = content
+	}
+	if err := c.Edit(&next); err != nil {
+		return nil, err
+	}
+	body, hash, err := next.Config.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if hash != head.Hash {
+		if err := s.objects.PutObject(ctx, ObjectPrefix+hash, body); err != nil {
+			return nil, err
+		}
+	}
+	next.Number = head.Number + 1
+	next.Hash = hash
+	next.Author = c.Author
+	next.Note = c.Note
+	next.At = time.Now().UTC()
+	return &next, nil
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	out := make(map[K]V, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// settle finds out what became of a write that failed or whose reply was
+// lost.
+func (s *Store) settle(ctx context.Context, c Change, next *Revision, cause error) (*Revision, error) {
+	head, _, err := s.Head(ctx)
+	if err != nil {
+		return nil, cause
+	}
+	mine := head.Number == next.Number && head.Hash == next.Hash && head.Author == next.Author && head.At.Equal(next.At)
+	switch {
+	case mine:
+		return next, nil
+	case head.Number >= next.Number:
+		return nil, &RaceError{Base: c.Base, Newest: head}
+	default:
+		return nil, cause
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/admission"
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
+	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// Places reaches the owners of replicas, this node included.
+type Places interface {
+	// Acquire asks owner for a place; it returns an error if the owner does
+	// not answer.
+	Acquire(ctx context.Context, owner string, args wire.AcquireArgs) (wire.AcquireReply, error)
+	// Release gives a place back; it does not wait for an answer.
+	Release(owner string, args wire.ReleaseArgs)
+}
+
+// Options are what a dispatcher works with.
+type Options struct {
+	// Node, Incarnation and DataCentre are the own node's.
+	Node        string
+	Incarnation uint64
+	DataCentre  string
+	// Config holds the revision in force, View the nodes and replicas.
+	Config *config.Holder
+	View   func() *membership.Snapshot
+	Places Places
+	Dialer backend.Dialer
+	Claims *ledger.Claims
+	Bills  *ledger.Bills
+	Pins   *ledger.Pins
+	Record *record.Log
+}
+
+// Dispatcher carries requests to backend servers. It is safe for concurrent
+// use.
+type Dispatcher struct {
+	Options
+	mu      sync.Mutex
+	budgets map[string]*admission.RetryBudget // guarded by mu, by organisation
+	pauses  map[string]chan struct{}          // guarded by mu, by grant
+}
+
+// New returns a dispatcher.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{Options: o, budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}}
+}
+
+// Request is what is common to all requests.
+type Request struct {
+	// ID identifies the request; its bill is stored under it.
+	ID string
+	// Organisation, Caller and Session tell whose it is.
+	Organisation string
+	Caller       string
+	Session      string
+	// Rank is the rank's order.
+	Rank int
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Fingerprint identifies organisation and content.
+	Fingerprint uint64
+}
+
+// NewID returns a random identifier of 32 hex digits.
+func NewID() string {
+	b := make([]byte, 16)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// place is a granted place on a replica.
+type place struct {
+	replica routing.Replica
+	grant   string
+	owner   string
+	paused  chan struct{}
+}
+
+const (
+	// maxPlaceTries bounds how many owners are asked for one attempt.
+	maxPlaceTries = 4
+	// noBackendRetry is the come-back time when no replica is there.
+	noBackendRetry = 2 * time.Second
+)
+
+// wish tells what kind of place a request needs.
+type wish struct {
+	target   config.Target
+	pool     string
+	tokens   int
+	prefixes []uint64
+	excluded []string
+	deadline time.Time
+}
+
+// acquire finds a place, asking one owner after the other.
+func (d *Dispatcher) acquire(ctx context.Context, req *Request, w wish) (*place, error) {
+	tried := append([]string(nil), w.excluded...)
+	var refusal *outcome.Refusal
+	for try := 0; try < maxPlaceTries; try++ {
+		wait := time.Until(w.deadline)
+		if wait <= 0 {
+			return nil, outcome.Refuse(outcome.CodeDeadline, minRetryAfter, "the deadline passed before a place was found: allow more time or come back later")
+		}
+		view := d.View()
+		at := routing.ChooseReplica(view.Replicas, routing.ReplicaRequest{
+			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Draw: mathrand.Uint64(),
+		})
+		if at < 0 {
+			break
+		}
+		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], wait)
+		switch {
+		case p != nil:
+			return p, nil
+		case ctx.Err() != nil:
+			return nil, outcome.Refuse(outcome.CodeCancelled, 0, "the caller went away before the request was sent")
+		case err == nil && !reply.NotOwner:
+			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
+			refusal = soonest(refusal, reply)
+		default:
+			d.Record.Add(req.ID, "owner %s of replica %s did not answer", view.Replicas[at].Owner, view.Replicas[at].ID)
+		}
+		tried = append(tried, view.Replicas[at].ID)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return nil, outcome.Refuse(outcome.CodeNoBackend, jitter(noBackendRetry), "no backend server can run the request now: come back later")
+}
+
+// soonest keeps the refusal with the shortest come-back time.
+func soonest(old *outcome.Refusal, reply wire.AcquireReply) *outcome.Refusal {
+	if old != nil && old.RetryAfter <= reply.RetryAfter {
+		return old
+	}
+	return outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
+}
+
+// ask asks one owner for a place.
+func (d *Dispatcher) ask(ctx context.Context, req *Request, w wish, r routing.Replica, wait time.Duration) (*place, wire.AcquireReply, error) {
+	p := &place{replica: r, grant: NewID(), owner: r.Owner, paused: make(chan struct{}, 1)}
+	args := wire.AcquireArgs{
+		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
+		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Wait: wait,
+		Fingerprint: req.Fingerprint, Prefixes: w.prefixes,
+	}
+	d.mu.Lock()
+	d.pauses[p.grant] = p.paused
+	d.mu.Unlock()
+	reply, err := d.Places.Acquire(ctx, r.Owner, args)
+	if err == nil && reply.Granted {
+		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
+		return p, reply, nil
+	}
+	d.forget(p)
+	if err != nil {
+		d.Places.Release(r.Owner, wire.ReleaseArgs{Grant: p.grant, Replica: r.ID})
+	}
+	return nil, reply, err
+}
+
+func (d *Dispatcher) forget(p *place) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.pauses, p.grant)
+}
+
+// release gives a place back with what was learned.
+func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
+	d.forget(p)
+	args.Grant = p.grant
+	args.Replica = p.replica.ID
+	d.Places.Release(p.owner, args)
+}
+
+// Pause tells the stream that holds the grant to pause.
+func (d *Dispatcher) Pause(grant string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ch := d.pauses[grant]; ch != nil {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// firstTry counts a request towards its organisation's retry budget.
+func (d *Dispatcher) firstTry(organisation string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.budgets[organisation]
+	if b == nil {
+		b = admission.NewRetryBudget()
+		d.budgets[organisation] = b
+	}
+	b.First()
+}
+
+// retry takes a retry from the budget and waits its backoff out. It tells
+// whether the request may be tried again.
+func (d *Dispatcher) retry(ctx context.Context, req *Request, n int) bool {
+	d.mu.Lock()
+	b := d.budgets[req.Organisation]
+	ok := b != nil && b.Retry()
+	d.mu.Unlock()
+	wait := admission.Backoff(n, mathrand.Float64())
+	if !ok || time.Until(req.Deadline) <= wait {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// backendError returns the typed failure within err.
+func backendError(err error) *backend.Error {
+	var typed *backend.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanMaybe, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// Status is what a node tells operators.
+type Status struct {
+	// Node is the answering node's name.
+	Node string `json:"node"`
+	// Revision is the configuration in force there, without its content.
+	Revision *config.Revision `json:"revision"`
+	// Nodes and Replicas are those it knows of.
+	Nodes    []membership.Node `json:"nodes"`
+	Replicas []routing.Replica `json:"replicas"`
+	// PendingBills is the number of bills not yet stored.
+	PendingBills int `json:"pending_bills"`
+}
+
+// Explanation is the fleet's account of one request.
+type Explanation struct {
+	Request string      `json:"request"`
+	Steps   []wire.Step `json:"steps"`
+}
+
+// operators returns the operators' HTTP handler.
+func (n *Node) operators() http.Handler {
+	r := chi.NewRouter()
+	r.Use(n.operatorKey)
+	r.Handle("/metrics", promhttp.HandlerFor(n.metrics.Registry, promhttp.HandlerOpts{}))
+	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	r.Get("/explain/{request}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, n.explain(r, chi.URLParam(r, "request")))
+	})
+	r.HandleFunc("/debug/pprof/*", pprof.Index)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return r
+}
+
+// operatorKey refuses callers without the operators' key.
+func (n *Node) operatorKey(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(key), []byte(n.options.Settings.OperatorKey)) != 1 {
+			http.Error(w, "send Authorization: Bearer with the operator_key of the settings", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Status returns the present view.
+func (n *Node) Status() Status {
+	view := n.members.Snapshot()
+	return Status{Node: n.options.Settings.ID, Revision: n.config.Current(), Nodes: view.Nodes, Replicas: view.Replicas, PendingBills: n.bills.Pending()}
+}
+
+// explain gathers a request's steps from all live nodes.
+func (n *Node) explain(r *http.Request, request string) Explanation {
+	steps := n.record.Steps(request)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, m := range n.members.Snapshot().Nodes {
+		if !m.Live || m.State.ID == n.options.Settings.ID {
+			continue
+		}
+		wg.Go(func() {
+			reply := &wire.ExplainReply{}
+			if n.call(r.Context(), m.State.ID, "Explain", wire.ExplainArgs{Request: request}, reply) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			steps = append(steps, reply.Steps...)
+		})
+	}
+	wg.Wait()
+	slices.SortStableFunc(steps, func(a, b wire.Step) int { return a.At.Compare(b.At) })
+	return Explanation{Request: request, Steps: steps}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+const (
+	releaseTimeout = 2 * time.Second
+	claimTimeout   = time.Second
+	holdTimeout    = time.Second
+	// acquireGrace is how much longer than its wait an owner may take to
+	// answer.
+	acquireGrace = 500 * time.Millisecond
+)
+
+// handler answers peers.
+type handler struct {
+	n *Node
+}
+
+var _ wire.Handler = (*handler)(nil)
+
+// Exchange implements wire.Handler.
+func (h *handler) Exchange(args wire.ExchangeArgs, reply *wire.ExchangeReply) error {
+	h.n.members.Merge(time.Now(), args.States)
+	reply.States = h.n.members.NewerThan(args.Known)
+	reply.Revision = h.n.config.Current().Number
+	return nil
+}
+
+// Revision implements wire.Handler.
+func (h *handler) Revision(args wire.RevisionArgs, reply *wire.RevisionReply) error {
+	rev := h.n.config.Current()
+	if rev.Number < args.Number {
+		return nil
+	}
+	var err error
+	if reply.Revision, err = json.Marshal(rev); err != nil {
+		return err
+	}
+	reply.Config, _, err = rev.Config.Encode()
+	return err
+}
+
+// Acquire implements wire.Handler.
+func (h *handler) Acquire(args wire.AcquireArgs, reply *wire.AcquireReply) error {
+	*reply = h.n.owner.Acquire(args)
+	return nil
+}
+
+// Release implements wire.Handler.
+func (h *handler) Release(args wire.ReleaseArgs, _ *wire.ReleaseReply) error {
+	h.n.owner.Release(args)
+	return nil
+}
+
+// Preempt implements wire.Handler.
+func (h *handler) Preempt(args wire.PreemptArgs, _ *wire.PreemptReply) error {
+	h.n.dispatcher.Pause(args.Grant)
+	return nil
+}
+
+// HoldBills implements wire.Handler.
+func (h *handler) HoldBills(args wire.HoldBillsArgs, _ *wire.HoldBillsReply) error {
+	h.n.bills.Hold(args)
+	return nil
+}
+
+// Claim implements wire.Handler.
+func (h *handler) Claim(args wire.ClaimArgs, reply *wire.ClaimReply) error {
+	*reply = h.n.claims.Ask(args)
+	return nil
+}
+
+// Explain implements wire.Handler.
+func (h *handler) Explain(args wire.ExplainArgs, reply *wire.ExplainReply) error {
+	reply.Steps = h.n.record.Steps(args.Request)
+	return nil
+}
+
+// call calls a node by its name.
+func (n *Node) call(ctx context.Context, id, method string, args, reply any) error {
+	other, ok := n.members.Snapshot().Node(id)
+	if !ok || !other.Live {
+		return wire.ErrPeer
+	}
+	return n.peers.Call(ctx, other.State.Inner, method, args, reply)
+}
+
+// places reaches owners, the own one without a call.
+type places struct {
+	n *Node
+}
+
+// Acquire implements dispatch.Places.
+func (p places) Acquire(ctx context.Context, owner string, args wire.AcquireArgs) (wire.AcquireReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+acquireGrace)
+	defer cancel()
+	if owner == p.n.options.Settings.ID {
+		return p.local(ctx, args)
+	}
+	reply := &wire.AcquireReply{}
+	if err := p.n.call(ctx, owner, "Acquire", args, reply); err != nil {
+		return wire.AcquireReply{}, err
+	}
+	return *reply, nil
+}
+
+func (p places) local(ctx context.Context, args wire.AcquireArgs) (wire.AcquireReply, error) {
+	done := make(chan wire.AcquireReply, 1)
+	go func() { done <- p.n.owner.Acquire(args) }()
+	select {
+	case reply := <-done:
+		return reply, nil
+	case <-ctx.Done():
+		return wire.AcquireReply{}, ctx.Err()
+	}
+}
+
+// Release implements dispatch.Places.
+func (p places) Release(owner string, args wire.ReleaseArgs) {
+	if owner == p.n.options.Settings.ID {
+		p.n.owner.Release(args)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = p.n.call(ctx, owner, "Release", args, &wire.ReleaseReply{})
+	}()
+}
+
+// pause tells the holder of a grant to pause its stream.
+func (n *Node) pause(node, grant string) {
+	if node == n.options.Settings.ID {
+		n.dispatcher.Pause(grant)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = n.call(ctx, node, "Preempt", wire.PreemptArgs{Grant: grant}, &wire.PreemptReply{})
+	}()
+}
+
+// askOwner asks the node that made a claim about it.
+func (n *Node) askOwner(ctx context.Context, id string, incarnation uint64, args wire.ClaimArgs) (wire.ClaimReply, error) {
+	if id == n.options.Settings.ID && incarnation == n.incarnation {
+		return n.claims.Ask(args), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply := &wire.ClaimReply{}
+	if err := n.call(ctx, id, "Claim", args, reply); err != nil {
+		return wire.ClaimReply{}, err
+	}
+	return *reply, nil
+}
+
+// holdBills hands copies to a second node, in another data centre if there is
+// one.
+func (n *Node) holdBills(ctx context.Context, args wire.HoldBillsArgs) {
+	args.Node = n.options.Settings.ID
+	holder := n.billHolder()
+	if holder == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
+		defer cancel()
+		_ = n.call(ctx, holder, "HoldBills", args, &wire.HoldBillsReply{})
+	}()
+}
+
+func (n *Node) billHolder() string {
+	var far, near []string
+	for _, m := range n.members.Snapshot().Nodes {
+		switch {
+		case !m.Live || m.State.Leaving || m.State.ID == n.options.Settings.ID:
+		case m.State.DataCentre != n.options.Settings.DataCentre:
+			far = append(far, m.State.ID)
+		default:
+			near = append(near, m.State.ID)
+		}
+	}
+	if len(far) == 0 {
+		far = near
+	}
+	return routing.Highest(far, "bills/"+n.options.Settings.ID)
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+)
+
+// Table is the platform's transactional table in memory. It is safe for
+// concurrent use.
+type Table struct {
+	// Faults is its state of failure.
+	Faults *Faults
+	mu     sync.Mutex
+	rows   map[string]platform.Row // guarded by mu
+	last   uint64                  // guarded by mu
+	reads  int                     // guarded by mu
+	writes int                     // guarded by mu
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{Faults: NewFaults(), rows: map[string]platform.Row{}} }
+
+// Counts returns how many reads and transactions were carried out.
+func (t *Table) Counts() (reads, writes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.writes
+}
+
+func (t *Table) enter(ctx context.Context) error {
+	if err := t.Faults.Enter(ctx); err != nil {
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// List implements platform.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	rows := []platform.Row{}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	if len(rows) > limit {
+		rows = rows[:limit]
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	versions, err := t.apply(ops)
+	if err == nil && t.Faults.LoseReply() {
+		return nil, errors.Wrap(platform.ErrUnavailable, "the reply was lost")
+	}
+	return versions, err
+}
+
+func (t *Table) apply(ops []platform.Op) ([]uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes++
+	for _, op := range ops {
+		if op.Expect != platform.AnyVersion && t.rows[op.Key].Version != op.Expect {
+			return nil, platform.ErrConflict
+		}
+	}
+	versions := make([]uint64, len(ops))
+	for i, op := range ops {
+		if op.Delete {
+			delete(t.rows, op.Key)
+			continue
+		}
+		t.last++
+		t.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: t.last}
+		versions[i] = t.last
+	}
+	return versions, nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,240 @@
+// Package wire is the protocol between the nodes: typed messages over
+// net/rpc on kept-open TCP connections, with a shared-secret handshake.
+package wire
+
+import (
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+)
+
+// ReplicaState is what a replica's owner publishes of it.
+type ReplicaState struct {
+	// ID is the replica's VM name, Address where it serves.
+	ID      string
+	Address string
+	// Pool is its pool or plain service, DataCentre where it stands.
+	Pool       string
+	DataCentre string
+	// Targets are the versions loaded.
+	Targets []config.Target
+	// Running counts granted streams, Limit how many may run.
+	Running int
+	Limit   int
+	// Waits is the predicted queue wait by rank order.
+	Waits []time.Duration
+	// Healthy is false once traffic or probes failed, Leaving once the VM or
+	// the backend server itself said so.
+	Healthy bool
+	Leaving bool
+}
+
+// NodeState is what a node publishes of itself.
+type NodeState struct {
+	// ID is the node's name; Incarnation rises with each start of a process.
+	ID          string
+	Incarnation uint64
+	// Sequence rises with each change within one incarnation.
+	Sequence uint64
+	// Address is for callers, Inner for nodes.
+	Address string
+	Inner   string
+	// DataCentre and Region tell where the node stands.
+	DataCentre string
+	Region     string
+	// Leaving tells that it takes no new callers.
+	Leaving bool
+	// Revision is the configuration revision in force there.
+	Revision uint64
+	// Replicas are those that the node owns.
+	Replicas []ReplicaState
+	// Suspects are fingerprints of requests seen at a crash.
+	Suspects []Suspect
+}
+
+// Suspect is the fingerprint of a request that ran where a replica died.
+type Suspect struct {
+	// Fingerprint identifies organisation and content.
+	Fingerprint uint64
+	// Crashes counts the replicas that died with it alone or among others.
+	Crashes int
+	// Convicted means that the request is refused everywhere.
+	Convicted bool
+	// Until is when the record lapses.
+	Until time.Time
+}
+
+// NodeVersion names the newest state that a node holds of another.
+type NodeVersion struct {
+	ID          string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// ExchangeArgs carries a node's news to a peer.
+type ExchangeArgs struct {
+	// From is the sender's name.
+	From string
+	// Known lists what the sender holds, so that the peer answers with what
+	// is newer.
+	Known []NodeVersion
+	// States are those that the sender thinks new to the peer.
+	States []NodeState
+}
+
+// ExchangeReply carries the peer's news back.
+type ExchangeReply struct {
+	States []NodeState
+	// Revision is the peer's configuration revision number.
+	Revision uint64
+}
+
+// RevisionArgs asks for a revision at or above Number.
+type RevisionArgs struct {
+	Number uint64
+}
+
+// RevisionReply carries a whole revision, as JSON; empty if the peer has
+// none that new.
+type RevisionReply struct {
+	Revision []byte
+	Config   []byte
+}
+
+// AcquireArgs asks the owner of a replica for a place on it. The call
+// returns when the place is granted or refused.
+type AcquireArgs struct {
+	// Grant identifies the request for a place; the asker makes it up.
+	Grant string
+	// Node is the asker's name, Incarnation its start number.
+	Node        string
+	Incarnation uint64
+	// Replica is the replica's name.
+	Replica string
+	// Target is the version to run, zero for plain services.
+	Target config.Target
+	// Organisation and Caller are charged for the work.
+	Organisation string
+	Caller       string
+	// Rank is the rank's order.
+	Rank int
+	// Tokens is the estimated cost in tokens.
+	Tokens int
+	// Wait is how long the asker can wait from now.
+	Wait time.Duration
+	// Fingerprint identifies the request's organisation and content.
+	Fingerprint uint64
+	// Prefixes are the prompt's block hashes, longest last.
+	Prefixes []uint64
+}
+
+// AcquireReply is the owner's answer.
+type AcquireReply struct {
+	// Granted tells that the place is the asker's until it releases it.
+	Granted bool
+	// NotOwner tells that another node owns the replica now.
+	NotOwner bool
+	// RetryAfter is when a place is likely, if refused.
+	RetryAfter time.Duration
+	// Reason tells why it was refused.
+	Reason string
+	// Queued is how long the request waited at the owner.
+	Queued time.Duration
+}
+
+// ReleaseArgs gives places back and reports what was learned.
+type ReleaseArgs struct {
+	Grant   string
+	Replica string
+	// Tokens is the true cost.
+	Tokens int
+	// FirstToken is the time from the grant to the first token.
+	FirstToken time.Duration
+	// TokenInterval is the mean time between tokens.
+	TokenInterval time.Duration
+	// Failed names a failure of the backend server, if any.
+	Failed backend.Kind
+}
+
+// ReleaseReply is empty.
+type ReleaseReply struct{}
+
+// PreemptArgs tells the holder of a grant to pause its stream.
+type PreemptArgs struct {
+	Grant string
+}
+
+// PreemptReply is empty.
+type PreemptReply struct{}
+
+// Bill is what one served request costs.
+type Bill struct {
+	// Request is the request's identity; a bill is stored once under it.
+	Request      string        `json:"request"`
+	Organisation string        `json:"organisation"`
+	Target       config.Target `json:"target"`
+	Service      string        `json:"service,omitempty"`
+	// PromptTokens and Tokens count input and output.
+	PromptTokens int `json:"prompt_tokens"`
+	Tokens       int `json:"tokens"`
+	// CostMicros is the price in micro-units of the operator's currency.
+	CostMicros int64     `json:"cost_micros"`
+	At         time.Time `json:"at"`
+}
+
+// HoldBillsArgs hands copies of unstored bills to a second node, or tells it
+// that bills are stored and the copies may go.
+type HoldBillsArgs struct {
+	Node   string
+	Hold   []Bill
+	Stored []string
+}
+
+// HoldBillsReply is empty.
+type HoldBillsReply struct{}
+
+// ClaimArgs asks the node that made a claim whether it ever sent the call.
+type ClaimArgs struct {
+	Claim string
+	Token string
+}
+
+// ClaimReply is the answer.
+type ClaimReply struct {
+	// NeverSent is true only if the node is sure, and has given the claim up.
+	NeverSent bool
+	// Running is true while the call is under way.
+	Running bool
+	// Outcome is the stored answer as JSON, if the node has it.
+	Outcome []byte
+}
+
+// Step is one line of a request's record.
+type Step struct {
+	At   time.Time
+	Node string
+	Text string
+}
+
+// ExplainArgs asks for the record of a request.
+type ExplainArgs struct {
+	Request string
+}
+
+// ExplainReply is the record; empty if the node has none.
+type ExplainReply struct {
+	Steps []Step
+}
+
+// Handler is what a node answers to its peers.
+type Handler interface {
+	Exchange(args ExchangeArgs, reply *ExchangeReply) error
+	Revision(args RevisionArgs, reply *RevisionReply) error
+	Acquire(args AcquireArgs, reply *AcquireReply) error
+	Release(args ReleaseArgs, reply *ReleaseReply) error
+	Preempt(args PreemptArgs, reply *PreemptReply) error
+	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
+	Claim(args ClaimArgs, reply *ClaimReply) error
+	Explain(args ExplainArgs, reply *ExplainReply) error
+}
