Whole nodes on a virtual clock, and the frame of the measure command

Tests in test/fleet run real node code in a synctest bubble over in-memory connections, with the stand-ins as fakes.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -31,7 +31,7 @@
 	}
 	root.AddCommand(
 		newServe(), newConfig(), newStatus(), newExplain(),
-		newDev(), newDemo(), newStandin(), newVersion(),
+		newDev(), newDemo(), newMeasure(), newStandin(), newVersion(),
 	)
 	return root
 }
--- /dev/null
+++ b/test/fleet/harness_test.go
@@ -0,0 +1,464 @@
+// Package fleet tests whole nodes on a virtual clock: real node code over
+// in-memory connections, with stand-ins as fakes at the interfaces.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/examples"
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/embedded"
+	"github.com/cowslipfall/cowslipfall/internal/node"
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/standin"
+)
+
+// virtual runs body in a bubble with a virtual clock. Failures are collected
+// in the bubble and reported from outside it.
+func virtual(t *testing.T, body func(f *faults)) {
+	t.Helper()
+	f := &faults{}
+	synctest.Test(t, func(*testing.T) { body(f) })
+	for _, text := range f.list {
+		t.Error(text)
+	}
+}
+
+// faults collects failures. It is safe for concurrent use.
+type faults struct {
+	mu   sync.Mutex
+	list []string // guarded by mu
+}
+
+func (f *faults) addf(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(f.list, fmt.Sprintf(format, args...))
+}
+
+// check notes a failure unless ok holds.
+func (f *faults) check(ok bool, format string, args ...any) {
+	if !ok {
+		f.addf(format, args...)
+	}
+}
+
+// network connects in-memory listeners and can cut hosts off each other.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener // guarded by mu, by address
+	cuts      map[[2]string]bool   // guarded by mu, by host names
+	conns     map[*link]bool       // guarded by mu
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, cuts: map[[2]string]bool{}, conns: map[*link]bool{}}
+}
+
+// listener accepts in-memory connections.
+type listener struct {
+	net     *network
+	address string
+	queue   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+type memAddr string
+
+func (a memAddr) Network() string { return "mem" }
+func (a memAddr) String() string  { return string(a) }
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		delete(l.net.listeners, l.address)
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return memAddr(l.address) }
+
+// listen opens an address of the form "host:service".
+func (n *network) listen(address string) *listener {
+	l := &listener{net: n, address: address, queue: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+// link is one connection with the hosts at its ends.
+type link struct {
+	net.Conn
+	net  *network
+	ends [2]string
+}
+
+func (c *link) Close() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func host(address string) string { return strings.Split(address, ":")[0] }
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// dial returns the Dial of one host.
+func (n *network) dial(from string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l := n.listeners[address]
+		cut := n.cuts[pair(from, host(address))]
+		n.mu.Unlock()
+		if l == nil || cut {
+			return nil, errors.Errorf("%s cannot reach %s", from, address)
+		}
+		near, far := net.Pipe()
+		c := &link{Conn: near, net: n, ends: pair(from, host(address))}
+		select {
+		case l.queue <- far:
+		case <-l.closed:
+			return nil, errors.Errorf("%s is closed", address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		n.mu.Lock()
+		n.conns[c] = true
+		n.mu.Unlock()
+		return c, nil
+	}
+}
+
+// cut separates two hosts, or joins them again.
+func (n *network) cut(a, b string, apart bool) {
+	n.mu.Lock()
+	n.cuts[pair(a, b)] = apart
+	var broken []*link
+	for c := range n.conns {
+		if apart && c.ends == pair(a, b) {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.Close()
+	}
+}
+
+// view is the platform as one node sees it; it can be cut off.
+type view struct {
+	*standin.Platform
+	mu   sync.Mutex
+	away bool // guarded by mu
+}
+
+func (v *view) setAway(away bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.away = away
+}
+
+func (v *view) reach() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.away {
+		return errors.Wrap(platform.ErrUnavailable, "cut off")
+	}
+	return nil
+}
+
+func (v *view) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := v.reach(); err != nil {
+		return platform.Row{}, err
+	}
+	return v.Platform.Get(ctx, key)
+}
+
+func (v *view) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := v.reach(); err != nil {
+		return nil, err
+	}
+	return v.Platform.List(ctx, prefix, after, limit)
+}
+
+func (v *view) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+	if err := v.reach(); err != nil {
+		return nil, err
+	}
+	return v.Platform.Commit(ctx, ops...)
+}
+
+func (v *view) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := v.reach(); err != nil {
+		return nil, err
+	}
+	return v.Platform.GetObject(ctx, name)
+}
+
+func (v *view) VMs(ctx context.Context) ([]platform.VM, error) {
+	if err := v.reach(); err != nil {
+		return nil, err
+	}
+	return v.Platform.VMs(ctx)
+}
+
+// dialer reaches the fakes of backend servers without a network.
+type dialer struct {
+	engines  map[string]*standin.Engine
+	services map[string]*standin.Service
+}
+
+func (d *dialer) Engine(address string) backend.Engine   { return d.engines[address] }
+func (d *dialer) Service(address string) backend.Service { return d.services[address] }
+
+// world is a whole deployment on the virtual clock.
+type world struct {
+	faults   *faults
+	net      *network
+	platform *standin.Platform
+	dialer   *dialer
+	vms      []platform.VM
+	config   *config.Config
+	shape    embedded.Deployment
+	nodes    map[string]*member
+}
+
+// member is one entry node of the world.
+type member struct {
+	node     *node.Node
+	settings config.Settings
+	platform *view
+	address  string
+}
+
+// worldOptions shape a world; zero values give three nodes, three engines and
+// two services of the Virtanen example, without quiet hours.
+type worldOptions struct {
+	nodes, engines, services int
+	engine                   standin.EngineOptions
+	edit                     func(c *config.Config)
+	platform                 standin.PlatformOptions
+}
+
+// newWorld starts a deployment and waits until it is settled. Close it before
+// the bubble ends.
+func newWorld(f *faults, o worldOptions) *world {
+	if o.nodes == 0 {
+		o.nodes = 3
+	}
+	if o.engines == 0 {
+		o.engines = 3
+	}
+	if o.services == 0 {
+		o.services = 2
+	}
+	w := &world{
+		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen,
+		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}, nodes: map[string]*member{},
+	}
+	w.loadConfig(o.edit)
+	for i := range o.engines {
+		w.addEngine(i, o.engine)
+	}
+	for i := range o.services {
+		w.addService(i)
+	}
+	w.platform.SetVMs(w.vms)
+	for i := range o.nodes {
+		w.addNode(fmt.Sprintf("entry-%d", i+1), w.shape.DataCentres[i%len(w.shape.DataCentres)])
+	}
+	w.sleep(5 * time.Second)
+	return w
+}
+
+func (w *world) loadConfig(edit func(c *config.Config)) {
+	folder, err := fs.Sub(examples.Folders, w.shape.Name)
+	w.faults.check(err == nil, "open example: %v", err)
+	c, err := config.LoadFS(folder, w.shape.Name)
+	w.faults.check(err == nil, "load example: %v", err)
+	c.QuietHours = nil
+	if edit != nil {
+		edit(c)
+	}
+	w.config = c
+	w.apply("start", func(r *config.Revision) { r.Config = c })
+}
+
+// apply makes a new configuration revision.
+func (w *world) apply(note string, edit func(r *config.Revision)) *config.Revision {
+	store := config.NewStore(w.platform, w.platform)
+	ctx := context.Background()
+	head, _, err := store.Head(ctx)
+	w.faults.check(err == nil, "read head: %v", err)
+	rev, err := store.Apply(ctx, config.Change{Base: head.Number, Author: "test", Note: note, Edit: func(r *config.Revision) error {
+		edit(r)
+		return nil
+	}})
+	w.faults.check(err == nil, "apply %s: %v", note, err)
+	return rev
+}
+
+func (w *world) addEngine(i int, o standin.EngineOptions) {
+	vm := w.shape.VM(w.shape.Pool, i, fmt.Sprintf("engine-%d", i+1))
+	o.ID = vm.ID
+	if o.Targets == nil {
+		o.Targets = w.shape.Targets(w.config)
+	}
+	if o.Quality == nil {
+		o.Quality = embedded.Qualities(w.config)
+	}
+	w.dialer.engines[vm.Address] = standin.NewEngine(o)
+	w.vms = append(w.vms, vm)
+}
+
+func (w *world) addService(i int) {
+	vm := w.shape.VM(w.shape.Service, i, fmt.Sprintf("service-%d", i+1))
+	w.dialer.services[vm.Address] = standin.NewService(vm.ID)
+	w.vms = append(w.vms, vm)
+}
+
+// addNode starts an entry node.
+func (w *world) addNode(id, dataCentre string) *member {
+	s := config.DefaultSettings()
+	s.ID = id
+	s.DataCentre = dataCentre
+	s.Region = w.shape.Region
+	s.InnerSecret = embedded.InnerSecret
+	s.OperatorKey = embedded.OperatorKey
+	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers"}
+	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
+	n, err := node.New(node.Options{Settings: s, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	if err != nil {
+		w.faults.addf("new node %s: %v", id, err)
+		return nil
+	}
+	n.Start()
+	m.node = n
+	w.nodes[id] = m
+	return m
+}
+
+// kill stops a node at once, as a crash would.
+func (w *world) kill(id string) {
+	w.nodes[id].node.Close()
+	delete(w.nodes, id)
+}
+
+// sleep lets virtual time pass.
+func (w *world) sleep(d time.Duration) { time.Sleep(d) }
+
+// close stops all nodes, so that the bubble can end.
+func (w *world) close() {
+	for _, id := range w.ids() {
+		w.kill(id)
+	}
+	time.Sleep(time.Minute)
+}
+
+// ids lists the running nodes in order.
+func (w *world) ids() []string {
+	out := []string{}
+	for id := range w.nodes {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// post sends one request as a caller of the given organisation.
+func (w *world) post(id, organisation, path, body string, header map[string]string) answer {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return w.net.dial("caller")(ctx, id+":callers")
+	}}
+	req, err := http.NewRequest(http.MethodPost, "http://"+id+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer demo-key-"+organisation)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
+}
+
+// Requests that most tests send.
+const (
+	org         = "virtanen-lahti"
+	chatPath    = "/v1/chat/completions"
+	confirmPath = "/v1/services/kirjauspalvelu/confirmations"
+)
+
+// chatBody asks for an answer.
+func chatBody(text string, tokens int) string {
+	return fmt.Sprintf(`{"model":"auto","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, text)
+}
+
+// calls returns how often each key was carried out, by all services.
+func (w *world) calls() map[string]int {
+	out := map[string]int{}
+	for _, s := range w.dialer.services {
+		for _, c := range s.Calls() {
+			out[c.Key]++
+		}
+	}
+	return out
+}
+
+// bills returns the keys of the bills stored.
+func (w *world) bills() []string {
+	rows, err := w.platform.List(context.Background(), "bill/", "", 100_000)
+	w.faults.check(err == nil, "list bills: %v", err)
+	out := []string{}
+	for _, r := range rows {
+		out = append(out, strings.TrimPrefix(r.Key, "bill/"))
+	}
+	return out
+}
