--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// attempt runs one try on a granted place. It returns the final frame, or
+// that another try should follow.
+func (d *Dispatcher) attempt(ctx context.Context, a *answer, p *place) (backend.Frame, bool, error) {
+	rev := d.Config.Current()
+	if !routing.Allowed(rev, a.req.Organisation, a.target) {
+		d.release(p, wire.ReleaseArgs{})
+		d.Record.Add(a.req.ID, "version %s is no longer allowed: choosing again", a.target)
+		return backend.Frame{}, true, nil
+	}
+	d.Record.Add(a.req.ID, "attempt on replica %s, version %s, from token %d, revision %d", p.replica.ID, a.target, a.offset, rev.Number)
+	start, offset := time.Now(), a.offset
+	var first time.Duration
+	final, paused, err := d.stream(ctx, a, p, func() { first = time.Since(start) })
+	used := wire.ReleaseArgs{Tokens: a.offset - offset, FirstToken: first}
+	if n := a.offset - offset; n > 1 {
+		used.TokenInterval = (time.Since(start) - first) / time.Duration(n-1)
+	}
+	switch {
+	case err == nil:
+		d.release(p, used)
+		if paused {
+			d.Record.Add(a.req.ID, "paused at token %d for more urgent work", a.offset)
+		}
+		return final, paused, nil
+	case ctx.Err() != nil:
+		d.release(p, used)
+		return backend.Frame{}, false, &outcome.Refusal{Code: outcome.CodeDeadline, Ran: outcome.Worse(a.ran, backendError(err).Ran), RetryAfter: minRetryAfter, Message: "the deadline passed or the caller went away while the answer was made"}
+	}
+	return d.failed(ctx, a, p, used, backendError(err))
+}
+
+// failed decides what follows a failed try.
+func (d *Dispatcher) failed(ctx context.Context, a *answer, p *place, used wire.ReleaseArgs, err *backend.Error) (backend.Frame, bool, error) {
+	used.Failed = err.Kind
+	d.release(p, used)
+	a.ran = outcome.Worse(a.ran, err.Ran)
+	a.excluded = append(a.excluded, p.replica.ID)
+	a.retries++
+	d.Record.Add(a.req.ID, "replica %s failed: %s", p.replica.ID, err)
+	if err.Retryable() && d.retry(ctx, &a.req.Request, a.retries) {
+		return backend.Frame{}, true, nil
+	}
+	return backend.Frame{}, false, &outcome.Refusal{Code: outcome.CodeBackendFailed, Ran: a.ran, RetryAfter: jitter(minRetryAfter), Message: "the backend server failed and no retry was left: send the request again"}
+}
+
+// stream copies one try's tokens to the sink, in order and without repeats.
+func (d *Dispatcher) stream(ctx context.Context, a *answer, p *place, first func()) (backend.Frame, bool, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	id := NewID()
+	s, err := d.Dialer.Engine(p.replica.Address).Generate(ctx, backend.GenerateRequest{
+		Attempt: id, Target: a.target, Prompt: a.req.Prompt, MaxTokens: a.req.MaxTokens, Priority: a.req.Rank, Offset: a.offset, Seed: a.req.Fingerprint,
+	})
+	if err != nil {
+		return backend.Frame{}, false, err
+	}
+	defer s.Close()
+	for {
+		select {
+		case <-p.paused:
+			return backend.Frame{}, true, nil
+		default:
+		}
+		f, err := s.Next()
+		if err != nil {
+			return backend.Frame{}, false, err
+		}
+		switch {
+		case f.Attempt != id || f.Offset < a.offset:
+			continue
+		case f.Offset > a.offset:
+			return backend.Frame{}, false, &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanYes, Message: "a frame is missing"}
+		case f.Final:
+			return f, false, nil
+		}
+		if !a.started {
+			first()
+		}
+		a.started = true
+		a.offset++
+		a.ran = outcome.RanYes
+		if err := a.sink.Token(f.Text); err != nil {
+			return backend.Frame{}, false, err
+		}
+	}
+}
