Calls of plain services leave at most once per send

Cause, found by reading net/http: http.Client follows a 302 or 303 with a second request, and a kept-open connection that the server closes under a POST ends as "may have run" although nothing was read. A body reader without GetBody is what keeps the transport from replaying a GET or a request with an Idempotency-Key; only a test holds that in place.

An engine's stream does not stop at a final frame that came early.

Seen failing: kept-open connections for claimed calls; redirects followed; a body with GetBody; the answer cut at the bound; no check for a connection. Each fails one test of internal/backend.

Ruled out: a read of the idle connection before each call, which leaves the race it is meant to close.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -49,8 +49,8 @@
 
 // Stream is a running answer.
 type Stream interface {
-	// Next returns the next frame. It returns io.EOF after the final frame
-	// and *Error on failure.
+	// Next returns the next frame as it came, perhaps out of order, or
+	// *Error on failure and once the stream has ended.
 	Next() (Frame, error)
 	// Close cancels the answer if it still runs.
 	Close() error
@@ -134,6 +134,9 @@
 	Key string
 	// Fencing is the claim's number, for services that check it.
 	Fencing uint64
+	// Once tells that the call may not be repeated: it goes out on a
+	// connection of its own, so that no kept-open connection can die under it.
+	Once bool
 }
 
 // Reply is a plain service's whole answer.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,12 +44,14 @@
 	idlePerHost    = 64
 )
 
-// HTTPDialer opens HTTP clients; all share one pool of connections. It is
-// safe for concurrent use.
+// HTTPDialer opens HTTP clients; all share one pool of connections, except
+// that calls which may not be repeated each use a connection of their own. It
+// is safe for concurrent use.
 type HTTPDialer struct {
 	http    *http.Client
+	once    *http.Client
 	mu      sync.Mutex
-	clients map[string]*httpClient
+	clients map[string]*httpClient // guarded by mu
 }
 
 // NewHTTPDialer returns a dialer.
@@ -65,7 +69,15 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &HTTPDialer{http: &http.Client{Transport: transport}, clients: map[string]*httpClient{}}
+	once := transport.Clone()
+	once.DisableKeepAlives = true
+	return &HTTPDialer{http: newClient(transport), once: newClient(once), clients: map[string]*httpClient{}}
+}
+
+// newClient returns a client that hands redirects to the caller: to follow
+// one would be to send the request a second time.
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Engine implements Dialer.
@@ -79,7 +91,7 @@
 	defer d.mu.Unlock()
 	c := d.clients[address]
 	if c == nil {
-		c = &httpClient{base: "http://" + address, http: d.http}
+		c = &httpClient{base: "http://" + address, http: d.http, once: d.once}
 		d.clients[address] = c
 	}
 	return c
@@ -89,12 +101,15 @@
 type httpClient struct {
 	base string
 	http *http.Client
+	once *http.Client
 }
 
-// send sends one request. A body is never sent a second time by the
-// transport, since a request with a body reader has no GetBody.
-func (c *httpClient) send(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, io.NopCloser(bytes.NewReader(body)))
+// send sends one request. The transport never sends it a second time, since a
+// request with a body reader has no GetBody.
+func send(ctx context.Context, client *http.Client, method, url string, body []byte, header http.Header) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: err.Error()}
 	}
@@ -102,13 +117,29 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
+	if err != nil && !connected.Load() {
+		return nil, &Error{Kind: KindConnect, Ran: outcome.RanNo, Message: err.Error()}
+	}
 	if err != nil {
 		return nil, asError(err)
 	}
 	return resp, nil
 }
 
+// readWhole reads a reply's body; one that is too large is an error, never
+// cut short.
+func readWhole(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxReplyBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "the answer broke off")
+	}
+	if len(body) > maxReplyBytes {
+		return nil, errors.Errorf("the answer is larger than %d bytes", maxReplyBytes)
+	}
+	return body, nil
+}
+
 // asError keeps a typed error within err; any other failure happened after
 // the request may have left.
 func asError(err error) *Error {
@@ -141,7 +172,7 @@
 		return nil, &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: err.Error()}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := c.send(ctx, http.MethodPost, PathGenerate, body, http.Header{"Content-Type": {"application/json"}})
+	resp, err := send(ctx, c.http, http.MethodPost, c.base+PathGenerate, body, http.Header{"Content-Type": {"application/json"}})
 	if err != nil {
 		cancel()
 		return nil, err
@@ -152,23 +183,18 @@
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 0, 4096), maxFrameBytes)
-	return &httpStream{attempt: req.Attempt, body: resp.Body, scanner: scanner, cancel: cancel}, nil
+	return &httpStream{body: resp.Body, scanner: scanner, cancel: cancel}, nil
 }
 
 // httpStream reads server-sent events, one frame each.
 type httpStream struct {
-	attempt string
 	body    io.Closer
 	scanner *bufio.Scanner
 	cancel  context.CancelFunc
-	done    bool
 }
 
 // Next implements Stream.
 func (s *httpStream) Next() (Frame, error) {
-	if s.done {
-		return Frame{}, io.EOF
-	}
 	for s.scanner.Scan() {
 		data, ok := strings.CutPrefix(s.scanner.Text(), "data: ")
 		if !ok {
@@ -178,7 +204,6 @@
 		if err := json.Unmarshal([]byte(data), &f); err != nil {
 			return Frame{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: "unreadable frame: " + err.Error()}
 		}
-		s.done = f.Final && f.Attempt == s.attempt
 		return f, nil
 	}
 	err := s.scanner.Err()
@@ -198,7 +223,7 @@
 func (c *httpClient) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
-	resp, err := c.send(ctx, method, path, body, nil)
+	resp, err := send(ctx, c.http, method, c.base+path, body, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -206,7 +231,7 @@
 		return nil, refusal(resp)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	raw, err := readWhole(resp.Body)
 	if err != nil {
 		return nil, asError(err)
 	}
@@ -268,7 +293,11 @@
 	if call.Query != "" {
 		path += "?" + call.Query
 	}
-	resp, err := c.send(ctx, call.Method, path, call.Body, header)
+	client := c.http
+	if call.Once {
+		client = c.once
+	}
+	resp, err := send(ctx, client, call.Method, c.base+path, call.Body, header)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -276,9 +305,9 @@
 		return Reply{}, refusal(resp)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := readWhole(resp.Body)
 	if err != nil {
-		return Reply{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: "the answer broke off: " + err.Error()}
+		return Reply{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: err.Error()}
 	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
