A call that may not be repeated: claim just before the send, outcome learned and stored with its bill

Causes, found by reading the thin code as a hostile caller: - a second try at the same node said "ran: no" while the first was running; - a caller that left, or a deadline, broke the call off and made it "may have run" for good: the send now outlasts its caller and stores what came; - the claim stood through the whole queue, so a node that died there left "may have run" for a call never sent: it is written once a place is held; - a restarted process under the same name answered for the old one's claims (unknown, so "may have run"); a token now names its process, which lets a live process say "never sent" of every token it does not hold, and keeps memory to the calls under way; - giving up deleted the row: a delete carried out late could hit a later claim if versions start again. The row stays, marked as given up; - the outcome's retry was a goroutine without end; bills were apart from outcomes: one transaction now stores both; - answers above 16 KiB filled rows: they go to the object store; - with the store away a node that knows the outcome now tells it, and the others say that an earlier try may have run (field "earlier").

New: GET /v1/outcomes/{service}/{key} for the caller's own organisation.

Seen failing with the mechanism broken: token not read back, no reservation, send allowed twice, unconditional insert and give-up, no process check, "in progress" as not run, running taken for never sent, send tied to its caller, outcome forgotten before stored, no memory of outcomes, failure taken for not run, no store loop, content unchecked, bill beside the outcome. Not proved: rows of calls that a dead node sent stay "may have run".

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -5,11 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -88,69 +85,10 @@
 	return wish{pool: req.Service, tokens: callTokens, excluded: excluded, deadline: req.Deadline}
 }
 
-// callOnce runs a call that may not be repeated: first a place, then the
-// claim, then one send.
-func (d *Dispatcher) callOnce(ctx context.Context, req *CallRequest) (*backend.Reply, error) {
-	if req.Call.Key == "" {
-		return nil, outcome.Refuse(outcome.CodeBadRequest, 0, "this call runs at most once: send an Idempotency-Key header")
-	}
-	content := xxhash.Sum64String(req.Call.Method + " " + req.Call.Path + "?" + req.Call.Query + "\n" + string(req.Call.Body))
-	claim, stored, err := d.Claims.Begin(ctx, req.Organisation, req.Service+"/"+req.Call.Key, content)
-	if err != nil {
-		return nil, err
-	}
-	if stored != nil {
-		d.Record.Add(req.ID, "answered with the stored outcome of an earlier run")
-		return stored, nil
-	}
-	var excluded []string
-	for n := 1; ; n++ {
-		p, err := d.acquire(ctx, &req.Request, d.callWish(req, excluded))
-		if err != nil {
-			d.Claims.Unsent(context.WithoutCancel(ctx), claim)
-			return nil, err
-		}
-		reply, failure := d.sendOnce(ctx, req, claim, p)
-		if failure == nil {
-			return reply, nil
-		}
-		if failure.Ran != outcome.RanNo {
-			d.Claims.Finish(context.WithoutCancel(ctx), claim, nil)
-			return nil, &outcome.Refusal{Code: outcome.CodeMayHaveRun, Ran: outcome.RanMaybe, Message: "the call was sent and no answer came: ask again with the same key, or check with the service"}
-		}
-		excluded = append(excluded, p.replica.ID)
-		if ctx.Err() != nil || !failure.Retryable() || !d.retry(ctx, &req.Request, n) {
-			d.Claims.Unsent(context.WithoutCancel(ctx), claim)
-			return nil, outcome.Refuse(outcome.CodeBackendFailed, jitter(minRetryAfter), "no backend server took the call: send it again with the same key")
-		}
-	}
-}
-
-// sendOnce sends a claimed call to one replica.
-func (d *Dispatcher) sendOnce(ctx context.Context, req *CallRequest, claim *ledger.Claim, p *place) (*backend.Reply, *backend.Error) {
-	if !d.Claims.Send(claim) {
-		d.release(p, wire.ReleaseArgs{})
-		return nil, &backend.Error{Kind: backend.KindRejected, Ran: outcome.RanNo, Message: "the claim was given up"}
-	}
-	call := req.Call
-	call.Fencing = claim.Fencing
-	d.Record.Add(req.ID, "sent once to replica %s", p.replica.ID)
-	reply, err := d.Dialer.Service(p.replica.Address).Do(ctx, call)
-	if err != nil {
-		failure := backendError(err)
-		d.release(p, wire.ReleaseArgs{Failed: failure.Kind})
-		d.Record.Add(req.ID, "replica %s failed: %s", p.replica.ID, failure)
-		if failure.Ran == outcome.RanNo {
-			d.Claims.Return(claim)
-		}
-		return nil, failure
-	}
-	d.release(p, wire.ReleaseArgs{Tokens: callTokens})
-	d.bill(ctx, req)
-	d.Claims.Finish(context.WithoutCancel(ctx), claim, &reply)
-	return &reply, nil
+func (d *Dispatcher) bill(ctx context.Context, req *CallRequest) {
+	d.Bills.Add(ctx, callBill(req))
 }
 
-func (d *Dispatcher) bill(ctx context.Context, req *CallRequest) {
-	d.Bills.Add(ctx, wire.Bill{Request: req.ID, Organisation: req.Organisation, Service: req.Service, At: time.Now()})
+func callBill(req *CallRequest) wire.Bill {
+	return wire.Bill{Request: req.ID, Organisation: req.Organisation, Service: req.Service, At: time.Now()}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,9 @@
 
 // Options are what a dispatcher works with.
 type Options struct {
+	// Life ends when the process stops at once; calls that outlast their
+	// caller run within it.
+	Life context.Context
 	// Node, Incarnation and DataCentre are the own node's.
 	Node        string
 	Incarnation uint64
@@ -164,6 +167,8 @@
 	d.mu.Lock()
 	d.pauses[p.grant] = p.paused
 	d.mu.Unlock()
+	ctx, stop := d.whileLive(ctx, r.Owner)
+	defer stop()
 	reply, err := d.Places.Acquire(ctx, r.Owner, args)
 	if err == nil && reply.Granted {
 		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
@@ -176,6 +181,31 @@
 	return nil, reply, err
 }
 
+// ownerCheck is how often a request that waits for a place looks whether the
+// owner is still live.
+const ownerCheck = 500 * time.Millisecond
+
+// whileLive returns a context that ends once the node is taken for dead. Stop
+// it when it is no longer needed.
+func (d *Dispatcher) whileLive(ctx context.Context, node string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(ownerCheck)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if n, known := d.View().Node(node); !known || !n.Live {
+					cancel()
+				}
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 func (d *Dispatcher) forget(p *place) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
@@ -54,8 +55,10 @@
 	View   func() *membership.Snapshot
 	// Dispatcher serves the requests.
 	Dispatcher *dispatch.Dispatcher
-	Metrics    *telemetry.Metrics
-	Tracer     *telemetry.Tracer
+	// Claims tells the outcomes of calls.
+	Claims  *ledger.Claims
+	Metrics *telemetry.Metrics
+	Tracer  *telemetry.Tracer
 	// Leaving tells that the node takes no new requests.
 	Leaving func() bool
 }
@@ -72,6 +75,7 @@
 	r.Get("/v1/addresses", g.addresses)
 	r.Post("/v1/chat/completions", g.chat)
 	r.HandleFunc("/v1/services/{name}/*", g.service)
+	r.Get("/v1/outcomes/{service}/{key}", g.outcome)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") })
 	r.Get("/readyz", g.ready)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
@@ -102,10 +106,11 @@
 	Ran          outcome.Ran  `json:"ran"`
 	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
 	StatusPath   string       `json:"status_path,omitempty"`
+	Earlier      outcome.Ran  `json:"earlier,omitempty"`
 }
 
 func detail(r *outcome.Refusal) errorBody {
-	return errorBody{errorDetail{Code: r.Code, Message: r.Message, Ran: r.Ran, RetryAfterMS: r.RetryAfter.Milliseconds(), StatusPath: r.StatusPath}}
+	return errorBody{errorDetail{Code: r.Code, Message: r.Message, Ran: r.Ran, RetryAfterMS: r.RetryAfter.Milliseconds(), StatusPath: r.StatusPath, Earlier: r.Earlier}}
 }
 
 // statuses gives the HTTP status of each refusal code.
--- a/internal/ledger/bill.go
+++ b/internal/ledger/bill.go
@@ -103,6 +103,12 @@
 	return nil
 }
 
+// billOp inserts a bill.
+func billOp(bill wire.Bill) (platform.Op, error) {
+	value, err := json.Marshal(bill)
+	return platform.Op{Key: BillKey(bill.Request), Value: value}, errors.Wrap(err, "encode bill")
+}
+
 func requests(batch []wire.Bill) []string {
 	ids := make([]string, len(batch))
 	for i, bill := range batch {
@@ -115,11 +121,11 @@
 func (b *Bills) store(ctx context.Context, batch []wire.Bill) error {
 	ops := make([]platform.Op, len(batch))
 	for i, bill := range batch {
-		value, err := json.Marshal(bill)
+		op, err := billOp(bill)
 		if err != nil {
-			return errors.Wrap(err, "encode bill")
+			return err
 		}
-		ops[i] = platform.Op{Key: BillKey(bill.Request), Value: value}
+		ops[i] = op
 	}
 	_, err := b.table.Commit(ctx, ops...)
 	if !errors.Is(err, platform.ErrConflict) {
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
@@ -20,77 +18,77 @@
 
 // Times of claims.
 const (
-	storeRetryAfter  = 2 * time.Second
-	runningRetry     = time.Second
-	outcomeBackoff   = 200 * time.Millisecond
-	outcomeBackoffTo = 5 * time.Second
+	storeRetryAfter = 2 * time.Second
+	runningRetry    = time.Second
+	// doubtRetry is when to ask again about a call whose sender does not
+	// answer.
+	doubtRetry = 5 * time.Second
 )
 
-// claimRow is what the table holds of a claim.
-type claimRow struct {
-	// Token is unique to the one attempt that may send.
-	Token string `json:"token"`
-	// Node and Incarnation tell who made the claim.
-	Node        string `json:"node"`
-	Incarnation uint64 `json:"incarnation"`
-	// Content is the hash of the call, so that a key used for another call is
-	// noticed.
-	Content uint64    `json:"content"`
-	At      time.Time `json:"at"`
-	// Reply is the stored answer once there is one.
-	Reply *backend.Reply `json:"reply,omitempty"`
-	// MayHaveRun is set once the sender gave up without an answer.
-	MayHaveRun bool `json:"may_have_run,omitempty"`
-}
-
-// AskOwner asks the node that made a claim about it. It returns an error if
+// AskSender asks the node that made a claim about it. It returns an error if
 // the node does not answer.
-type AskOwner func(ctx context.Context, node string, incarnation uint64, args wire.ClaimArgs) (wire.ClaimReply, error)
+type AskSender func(ctx context.Context, node string, args wire.ClaimArgs) (wire.ClaimReply, error)
 
-// state is what a node knows of its own claim.
-type state int
+// claimState is what a process knows of its own claim.
+type claimState int
 
 const (
-	stateClaiming state = iota
+	stateClaiming claimState = iota
 	stateSent
 	stateDone
-	stateGivenUp
 )
 
-// own is a claim made by this process.
-type own struct {
-	token string
-	state state
-	reply *backend.Reply
+// activeClaim is a claim of this process whose outcome is not stored yet.
+type activeClaim struct {
+	token   string
+	state   claimState
+	content uint64
+	reply   *backend.Reply
+}
+
+// ClaimsOptions are what the claims of one process work with.
+type ClaimsOptions struct {
+	// Table holds the claims, Objects the large answers.
+	Table   platform.Table
+	Objects platform.ObjectStore
+	// Node and Incarnation are the own node's.
+	Node        string
+	Incarnation uint64
+	// NewToken returns a random identifier.
+	NewToken func() string
+	// AskSender reaches the senders of other claims.
+	AskSender AskSender
 }
 
-// Claims makes sure that a non-idempotent call runs at most once. It is safe
+// Claims makes sure that a non-idempotent call runs at most once: only the
+// process that wrote the claim's row may send, once, and a claim is given up
+// only after that process said that it neither sent nor will send. It is safe
 // for concurrent use.
+//
+// A claim of this process stays in active from before its insert until it is
+// given up or its outcome is stored. So a token of this process that is not
+// there was never sent, or the row holds its outcome.
 type Claims struct {
-	table       platform.Table
-	node        string
-	incarnation uint64
-	ask         AskOwner
-	newToken    func() string
+	ClaimsOptions
+	process string
+	wake    chan struct{}
 
-	mu   sync.Mutex
-	owns map[string]*own // guarded by mu, by claim key
+	mu       sync.Mutex
+	active   map[string]*activeClaim // guarded by mu, by row
+	recent   *recentCalls            // guarded by mu
+	unstored []*Claim                // guarded by mu; outcomes that the table lacks
 }
 
 // NewClaims returns the claims of one process.
-func NewClaims(table platform.Table, node string, incarnation uint64, newToken func() string, ask AskOwner) *Claims {
-	return &Claims{table: table, node: node, incarnation: incarnation, newToken: newToken, ask: ask, owns: map[string]*own{}}
-}
-
-// ClaimKey returns the table key of a claim.
-func ClaimKey(organisation, key string) string {
-	return "claim/" + organisation + "/" + strconv.FormatUint(xxhash.Sum64String(key), 16) + "/" + key
+func NewClaims(o ClaimsOptions) *Claims {
+	return &Claims{ClaimsOptions: o, process: o.NewToken(), active: map[string]*activeClaim{}, recent: newRecentCalls(), wake: make(chan struct{}, 1)}
 }
 
 // Claim is the right to send one call once.
 type Claim struct {
 	// Fencing is the number to send along.
 	Fencing uint64
+	id      CallID
 	key     string
 	row     claimRow
 	version uint64
@@ -98,58 +96,69 @@
 
 // Begin claims the call. It returns either a claim, or the stored answer of
 // an earlier run, or a refusal.
-func (c *Claims) Begin(ctx context.Context, organisation, key string, content uint64) (*Claim, *backend.Reply, error) {
-	id := ClaimKey(organisation, key)
-	row := claimRow{Token: c.newToken(), Node: c.node, Incarnation: c.incarnation, Content: content, At: time.Now()}
-	if !c.reserve(id, row.Token) {
-		return nil, nil, outcome.Refuse(outcome.CodeInProgress, runningRetry, "the same call is under way on this node: ask again later for its outcome")
-	}
-	version, err := c.insert(ctx, id, row)
-	if err == nil {
-		return &Claim{key: id, row: row, version: version, Fencing: version}, nil, nil
+func (c *Claims) Begin(ctx context.Context, id CallID, content uint64) (*Claim, *backend.Reply, error) {
+	key := id.row()
+	row := claimRow{Token: c.NewToken(), Node: c.Node, Incarnation: c.Incarnation, Process: c.process, Content: content, At: time.Now()}
+	if !c.reserve(key, row) {
+		return nil, nil, inProgress(id)
 	}
-	c.giveUp(id, row.Token)
-	if !errors.Is(err, platform.ErrConflict) {
-		return nil, nil, outcome.Refuse(outcome.CodeStoreUnavailable, storeRetryAfter, "the call was not sent, since its claim could not be stored: send it again with the same key")
+	expect := uint64(0)
+	for range maxLookups {
+		version, err := c.insert(ctx, key, row, expect)
+		if err == nil {
+			return &Claim{Fencing: version, id: id, key: key, row: row, version: version}, nil, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			c.forget(key, row.Token)
+			return nil, nil, storeAway(id)
+		}
+		s, err := c.stored(ctx, id)
+		if err != nil || s.State != CallNone {
+			c.forget(key, row.Token)
+			reply, refusal := s.answer(id, content, err)
+			return nil, reply, refusal
+		}
+		expect = s.version
 	}
-	reply, err := c.existing(ctx, id, content)
-	return nil, reply, err
+	c.forget(key, row.Token)
+	return nil, nil, inProgress(id)
 }
 
-// reserve notes that this process is claiming id, unless it already holds a
-// claim that is not given up.
-func (c *Claims) reserve(id, token string) bool {
+// reserve enters a claim of this process, unless it has one for the same
+// call.
+func (c *Claims) reserve(key string, row claimRow) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.owns[id]; o != nil && (o.state == stateClaiming || o.state == stateSent) {
+	if c.active[key] != nil {
 		return false
 	}
-	c.owns[id] = &own{token: token}
+	c.active[key] = &activeClaim{token: row.Token, content: row.Content}
 	return true
 }
 
-func (c *Claims) giveUp(id, token string) {
+func (c *Claims) forget(key, token string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.owns[id]; o != nil && o.token == token {
-		o.state = stateGivenUp
+	if a := c.active[key]; a != nil && a.token == token {
+		delete(c.active, key)
 	}
 }
 
 // insert stores the claim. A lost reply is settled by reading the token back.
-func (c *Claims) insert(ctx context.Context, id string, row claimRow) (uint64, error) {
+// Expect is 0, or the version of the row of a claim that was given up.
+func (c *Claims) insert(ctx context.Context, key string, row claimRow, expect uint64) (uint64, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
-	versions, err := c.table.Commit(ctx, platform.Op{Key: id, Value: value})
+	versions, err := c.Table.Commit(ctx, platform.Op{Key: key, Value: value, Expect: expect})
 	if err == nil {
 		return versions[0], nil
 	}
 	if !errors.Is(err, platform.ErrUnavailable) {
 		return 0, err
 	}
-	got, readErr := c.table.Get(ctx, id)
+	got, readErr := c.Table.Get(ctx, key)
 	if readErr != nil {
 		return 0, err
 	}
@@ -160,145 +169,97 @@
 	return got.Version, nil
 }
 
-// existing answers a call whose key is already claimed.
-func (c *Claims) existing(ctx context.Context, id string, content uint64) (*backend.Reply, error) {
-	got, err := c.table.Get(ctx, id)
-	if err != nil {
-		return nil, outcome.Refuse(outcome.CodeStoreUnavailable, storeRetryAfter, "the call was not sent now; whether it ran before is not known while the store is away: ask again with the same key")
-	}
-	var row claimRow
-	if err := json.Unmarshal(got.Value, &row); err != nil {
-		return nil, errors.Wrap(err, "decode claim")
-	}
-	if row.Content != content {
-		return nil, outcome.Refuse(outcome.CodeConflict, 0, "the idempotency key was used for another call: use a new key for a new call")
-	}
-	if row.Reply != nil {
-		return row.Reply, nil
-	}
-	if row.MayHaveRun {
-		return nil, mayHaveRun()
-	}
-	reply, err := c.ask(ctx, row.Node, row.Incarnation, wire.ClaimArgs{Claim: id, Token: row.Token})
-	return c.settle(ctx, got, reply, err)
-}
-
-// settle acts on what the claim's owner said.
-func (c *Claims) settle(ctx context.Context, got platform.Row, reply wire.ClaimReply, err error) (*backend.Reply, error) {
-	switch {
-	case err != nil:
-		return nil, mayHaveRun()
-	case reply.Outcome != nil:
-		stored := &backend.Reply{}
-		if json.Unmarshal(reply.Outcome, stored) != nil {
-			return nil, mayHaveRun()
-		}
-		return stored, nil
-	case reply.Running:
-		return nil, &outcome.Refusal{Code: outcome.CodeInProgress, Ran: outcome.RanMaybe, RetryAfter: runningRetry, Message: "the same call is under way: ask again later with the same key for its outcome"}
-	case reply.NeverSent:
-		_, _ = c.table.Commit(ctx, platform.Op{Key: got.Key, Delete: true, Expect: got.Version})
-		return nil, outcome.Refuse(outcome.CodeInProgress, runningRetry, "an earlier try of this call was given up before it was sent: send it again with the same key")
-	default:
-		return nil, mayHaveRun()
-	}
+// Send marks the claim as used. The call may leave only after it returned
+// true, which it does once.
+func (c *Claims) Send(claim *Claim) bool {
+	return c.advance(claim, stateClaiming, stateSent)
 }
 
-func mayHaveRun() *outcome.Refusal {
-	return &outcome.Refusal{Code: outcome.CodeMayHaveRun, Ran: outcome.RanMaybe, Message: "the call may have run and its outcome is not known: check with the service before using a new key"}
+// Return takes the mark "sent" back, for a send that certainly did not reach
+// the backend server.
+func (c *Claims) Return(claim *Claim) {
+	c.advance(claim, stateSent, stateClaiming)
 }
 
-// Send marks the claim as used; it returns false if the claim was given up
-// in the meantime. The call may leave only after it returned true.
-func (c *Claims) Send(claim *Claim) bool {
+func (c *Claims) advance(claim *Claim, from, to claimState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.owns[claim.key]
-	if o == nil || o.token != claim.row.Token || o.state != stateClaiming {
+	a := c.active[claim.key]
+	if a == nil || a.token != claim.row.Token || a.state != from {
 		return false
 	}
-	o.state = stateSent
+	a.state = to
 	return true
 }
 
-// Unsent gives the claim up, for a call that certainly did not leave.
-func (c *Claims) Unsent(ctx context.Context, claim *Claim) {
-	c.giveUp(claim.key, claim.row.Token)
-	_, _ = c.table.Commit(ctx, platform.Op{Key: claim.key, Delete: true, Expect: claim.version})
+// GiveUp ends a claim whose call certainly did not leave. If that cannot be
+// stored now, the next try of the call stores it.
+func (c *Claims) GiveUp(ctx context.Context, claim *Claim) {
+	c.forget(claim.key, claim.row.Token)
+	_, _ = c.release(ctx, claim.key, claim.version)
 }
 
-// Finish stores the call's outcome; a nil reply means that it may have run.
-// It keeps trying in the background until the store has it.
-func (c *Claims) Finish(ctx context.Context, claim *Claim, reply *backend.Reply) {
-	c.mu.Lock()
-	if o := c.owns[claim.key]; o != nil && o.token == claim.row.Token {
-		o.state = stateDone
-		o.reply = reply
-	}
-	c.mu.Unlock()
-	claim.row.Reply = reply
-	claim.row.MayHaveRun = reply == nil
-	if c.storeOutcome(ctx, claim) {
-		return
-	}
-	go c.keepStoring(context.WithoutCancel(ctx), claim)
-}
-
-// storeOutcome tells whether nothing more is to be done.
-func (c *Claims) storeOutcome(ctx context.Context, claim *Claim) bool {
-	value, err := json.Marshal(claim.row)
+// release marks the row of a claim that was given up, and returns the row's
+// new version. The row stays, so that its version never starts again.
+func (c *Claims) release(ctx context.Context, key string, version uint64) (uint64, error) {
+	value, err := json.Marshal(claimRow{GivenUp: true})
 	if err != nil {
-		return true
-	}
-	_, err = c.table.Commit(ctx, platform.Op{Key: claim.key, Value: value, Expect: claim.version})
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		c.mu.Lock()
-		delete(c.owns, claim.key)
-		c.mu.Unlock()
-		return true
+		return 0, errors.Wrap(err, "encode claim")
 	}
-	return false
-}
-
-func (c *Claims) keepStoring(ctx context.Context, claim *Claim) {
-	for wait := outcomeBackoff; ; wait = min(2*wait, outcomeBackoffTo) {
-		time.Sleep(wait)
-		if c.storeOutcome(ctx, claim) {
-			return
-		}
+	versions, err := c.Table.Commit(ctx, platform.Op{Key: key, Value: value, Expect: version})
+	if err != nil {
+		return 0, err
 	}
+	return versions[0], nil
 }
 
-// Ask answers another node's question about a claim made here. To say "never
-// sent" is to give the claim up for good.
+// Ask answers another node's question about a claim made here.
 func (c *Claims) Ask(args wire.ClaimArgs) wire.ClaimReply {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	o := c.owns[args.Claim]
-	if o == nil || o.token != args.Token {
+	if args.Process != c.process {
 		return wire.ClaimReply{}
 	}
-	switch o.state {
-	case stateClaiming, stateGivenUp:
-		o.state = stateGivenUp
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.active[args.Claim]
+	if a == nil || a.token != args.Token {
 		return wire.ClaimReply{NeverSent: true}
-	case stateSent:
+	}
+	if a.state != stateDone {
 		return wire.ClaimReply{Running: true}
-	default:
-		body, _ := json.Marshal(o.reply)
-		if o.reply == nil {
-			body = nil
-		}
-		return wire.ClaimReply{Outcome: body}
 	}
+	if a.reply == nil {
+		return wire.ClaimReply{}
+	}
+	body, err := json.Marshal(a.reply)
+	if err != nil {
+		return wire.ClaimReply{}
+	}
+	return wire.ClaimReply{Outcome: body}
 }
 
-// Return takes the mark "sent" back, for a send that certainly did not reach
-// the backend server.
-func (c *Claims) Return(claim *Claim) {
+// Pending returns how many calls are under way or have an outcome that is
+// not stored.
+func (c *Claims) Pending() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.owns[claim.key]; o != nil && o.token == claim.row.Token && o.state == stateSent {
-		o.state = stateClaiming
-	}
+	return len(c.active)
+}
+
+// storeAway refuses a call that this node does not know, while the table
+// cannot tell whether another try of it was sent.
+func storeAway(id CallID) *outcome.Refusal {
+	refusal := outcome.Refuse(outcome.CodeStoreUnavailable, storeRetryAfter, "this request was not sent; whether another one with the same key ran is not known while the store is away: send it again with the same key")
+	refusal.Earlier = outcome.RanMaybe
+	refusal.StatusPath = id.StatusPath()
+	return refusal
+}
+
+func inProgress(id CallID) *outcome.Refusal {
+	return &outcome.Refusal{Code: outcome.CodeInProgress, Ran: outcome.RanMaybe, RetryAfter: runningRetry, StatusPath: id.StatusPath(), Message: "the same call is under way: ask again later with the same key for its outcome"}
+}
+
+// MayHaveRun returns the refusal of a call that was sent and has no answer;
+// retryAfter is when one may have come, zero if none will.
+func MayHaveRun(id CallID, retryAfter time.Duration) *outcome.Refusal {
+	return &outcome.Refusal{Code: outcome.CodeMayHaveRun, Ran: outcome.RanMaybe, RetryAfter: retryAfter, StatusPath: id.StatusPath(), Message: "the call may have run and its outcome is not known: ask the status address, and check with the service before using a new key"}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	mu          sync.Mutex
 	vms         []platform.VM     // guarded by mu
 	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
+	life        context.Context   // ends when the process stops at once
 	stop        context.CancelFunc
 	loops       sync.WaitGroup
 }
@@ -93,11 +94,15 @@
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
+	n.life, n.stop = context.WithCancel(context.Background())
 	n.owner = dispatch.NewOwner(n.pause)
-	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
+	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
+		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
+		NewToken: dispatch.NewID, AskSender: n.askSender,
+	})
 	n.bills = ledger.NewBills(o.Platform, n.holdBills)
 	n.dispatcher = dispatch.New(dispatch.Options{
-		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
+		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
 	})
@@ -107,11 +112,10 @@
 
 // Start serves callers, peers and operators, and starts the loops.
 func (n *Node) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
+	ctx := n.life
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
-		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
+		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher, Claims: n.claims,
 		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.leaving.Load,
 	})
 	n.serve(n.options.Listeners.Callers, callers)
@@ -130,6 +134,7 @@
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
+	n.loops.Go(func() { n.claims.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
 
@@ -192,7 +197,7 @@
 			first = errors.Wrap(err, "requests were still running")
 		}
 	}
-	for n.bills.Pending() > 0 && ctx.Err() == nil {
+	for n.claims.Pending()+n.bills.Pending() > 0 && ctx.Err() == nil {
 		_ = n.bills.Flush(ctx)
 		time.Sleep(flushWait)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -148,9 +148,9 @@
 	}()
 }
 
-// askOwner asks the node that made a claim about it.
-func (n *Node) askOwner(ctx context.Context, id string, incarnation uint64, args wire.ClaimArgs) (wire.ClaimReply, error) {
-	if id == n.options.Settings.ID && incarnation == n.incarnation {
+// askSender asks the node that made a claim about it.
+func (n *Node) askSender(ctx context.Context, id string, args wire.ClaimArgs) (wire.ClaimReply, error) {
+	if id == n.options.Settings.ID {
 		return n.claims.Ask(args), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -72,6 +72,9 @@
 	Message string
 	// StatusPath is where the caller can ask for the outcome, if anywhere.
 	StatusPath string
+	// Earlier is RanMaybe if an earlier request with the same idempotency key
+	// may have run; Ran speaks of this request only.
+	Earlier Ran
 }
 
 // Error implements error.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -31,7 +31,7 @@
 	// ChecksFencing refuses calls with an older number than one seen for the
 	// same key.
 	ChecksFencing bool
-	// WorkTime is how long a call takes.
+	// WorkTime is how long a call takes; a caller who leaves does not stop it.
 	WorkTime time.Duration
 
 	id       string
@@ -59,8 +59,12 @@
 		return backend.Reply{}, err
 	}
 	defer s.end()
-	if s.WorkTime > 0 {
-		time.Sleep(s.WorkTime)
+	timer := time.NewTimer(s.WorkTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return backend.Reply{}, &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanMaybe, Message: ctx.Err().Error()}
 	}
 	if s.Faults.LoseReply() {
 		return backend.Reply{}, &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanMaybe, Message: "the reply was lost"}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -194,15 +194,19 @@
 // HoldBillsReply is empty.
 type HoldBillsReply struct{}
 
-// ClaimArgs asks the node that made a claim whether it ever sent the call.
+// ClaimArgs asks the node that made a claim how far its call has come.
 type ClaimArgs struct {
+	// Claim is the key of the claim's row, Token the claim's own.
 	Claim string
 	Token string
+	// Process is the process that made the claim; another one knows nothing.
+	Process string
 }
 
-// ClaimReply is the answer.
+// ClaimReply is the answer; it is empty if the node does not know.
 type ClaimReply struct {
-	// NeverSent is true only if the node is sure, and has given the claim up.
+	// NeverSent tells that the call was not sent and will not be, or that its
+	// row has changed in the meantime.
 	NeverSent bool
 	// Running is true while the call is under way.
 	Running bool
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -372,8 +372,10 @@
 	return m
 }
 
-// kill stops a node at once, as a crash would.
+// kill stops a node at once, as a crash would: nothing that it still tries
+// reaches the platform.
 func (w *world) kill(id string) {
+	w.nodes[id].platform.setAway(true)
 	w.nodes[id].node.Close()
 	delete(w.nodes, id)
 }
