--- /dev/null
+++ b/internal/node/copies.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+const (
+	settleTimeout = time.Second
+	// copyTries is how many nodes are asked to keep a copy.
+	copyTries = 2
+)
+
+// copies hands copies of bills to other nodes, in another data centre if
+// there is one.
+type copies struct {
+	n *Node
+}
+
+var _ ledger.Copies = copies{}
+
+// Hold implements ledger.Copies.
+func (c copies) Hold(ctx context.Context, args wire.HoldBillsArgs) wire.Process {
+	args.From = c.n.process()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(settleTimeout)
+	}
+	share := time.Until(deadline) / copyTries
+	order := c.n.copyHolders()
+	for _, id := range order[:min(len(order), copyTries)] {
+		if holder := c.holdAt(ctx, id, args, share); holder != (wire.Process{}) {
+			return holder
+		}
+	}
+	return wire.Process{}
+}
+
+// holdAt asks one node to keep copies.
+func (c copies) holdAt(ctx context.Context, id string, args wire.HoldBillsArgs, wait time.Duration) wire.Process {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply := &wire.HoldBillsReply{}
+	if c.n.call(ctx, id, "HoldBills", args, reply) != nil {
+		return wire.Process{}
+	}
+	return reply.Holder
+}
+
+// Settle implements ledger.Copies.
+func (c copies) Settle(ctx context.Context, to wire.Process, args wire.HoldBillsArgs) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	args.From = c.n.process()
+	return c.n.call(ctx, to.Node, "HoldBills", args, &wire.HoldBillsReply{}) == nil
+}
+
+// Live implements ledger.Copies.
+func (c copies) Live(p wire.Process) bool { return c.n.alive(p.Node, p.Incarnation) }
+
+// process names the own process.
+func (n *Node) process() wire.Process {
+	return wire.Process{Node: n.options.Settings.ID, Incarnation: n.incarnation}
+}
+
+// copyHolders returns the nodes that may keep copies, the preferred first:
+// those of other data centres before those of the own.
+func (n *Node) copyHolders() []string {
+	var far, near []string
+	for _, m := range n.members.Snapshot().Nodes {
+		switch {
+		case !m.Live || m.State.Leaving || m.State.ID == n.options.Settings.ID:
+		case m.State.DataCentre != n.options.Settings.DataCentre:
+			far = append(far, m.State.ID)
+		default:
+			near = append(near, m.State.ID)
+		}
+	}
+	key := "bills/" + n.options.Settings.ID
+	return append(routing.Rendezvous(far, key), routing.Rendezvous(near, key)...)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
 		NewToken: dispatch.NewID, AskSender: n.askSender,
 	})
-	n.bills = ledger.NewBills(o.Platform, n.holdBills)
+	n.bills = ledger.NewBills(o.Platform, copies{n})
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,14 +5,12 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
 const (
 	releaseTimeout = 2 * time.Second
 	claimTimeout   = time.Second
-	holdTimeout    = time.Second
 	// acquireGrace is how much longer than its wait an owner may take to
 	// answer.
 	acquireGrace = 500 * time.Millisecond
@@ -66,9 +64,9 @@
 }
 
 // HoldBills implements wire.Handler.
-func (h *handler) HoldBills(args wire.HoldBillsArgs, _ *wire.HoldBillsReply) error {
-	h.n.bills.Hold(args)
-	return nil
+func (h *handler) HoldBills(args wire.HoldBillsArgs, reply *wire.HoldBillsReply) error {
+	reply.Holder = h.n.process()
+	return h.n.bills.Hold(args)
 }
 
 // Claim implements wire.Handler.
@@ -161,35 +159,3 @@
 	}
 	return *reply, nil
 }
-
-// holdBills hands copies to a second node, in another data centre if there is
-// one.
-func (n *Node) holdBills(ctx context.Context, args wire.HoldBillsArgs) {
-	args.Node = n.options.Settings.ID
-	holder := n.billHolder()
-	if holder == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
-		defer cancel()
-		_ = n.call(ctx, holder, "HoldBills", args, &wire.HoldBillsReply{})
-	}()
-}
-
-func (n *Node) billHolder() string {
-	var far, near []string
-	for _, m := range n.members.Snapshot().Nodes {
-		switch {
-		case !m.Live || m.State.Leaving || m.State.ID == n.options.Settings.ID:
-		case m.State.DataCentre != n.options.Settings.DataCentre:
-			far = append(far, m.State.ID)
-		default:
-			near = append(near, m.State.ID)
-		}
-	}
-	if len(far) == 0 {
-		far = near
-	}
-	return routing.Highest(far, "bills/"+n.options.Settings.ID)
-}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -183,16 +183,28 @@
 	At         time.Time `json:"at"`
 }
 
+// Process names one start of a node's process.
+type Process struct {
+	Node        string
+	Incarnation uint64
+}
+
 // HoldBillsArgs hands copies of unstored bills to a second node, or tells it
-// that bills are stored and the copies may go.
+// that bills are stored and their copies may go.
 type HoldBillsArgs struct {
-	Node   string
-	Hold   []Bill
-	Stored []string
+	// From is the process whose bills these are.
+	From Process
+	// Bills are numbered by From, the first of them First, without gaps.
+	First uint64
+	Bills []Bill
+	// StoredBelow tells that all bills with lower numbers are stored.
+	StoredBelow uint64
 }
 
-// HoldBillsReply is empty.
-type HoldBillsReply struct{}
+// HoldBillsReply names the process that keeps the copies.
+type HoldBillsReply struct {
+	Holder Process
+}
 
 // ClaimArgs asks the node that made a claim how far its call has come.
 type ClaimArgs struct {
