--- /dev/null
+++ b/internal/rollout/guard.go
@@ -0,0 +1,106 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+// Evidence is what is known of a version's answers.
+type Evidence struct {
+	// Rated counts verdicts of the rating service.
+	Rated Counts
+	// Served counts attempts that gave an answer and those that failed.
+	Served Counts
+	// Timely counts answers whose first token came within the rank's target
+	// and those that came later.
+	Timely Counts
+}
+
+// Plus adds two evidences.
+func (e Evidence) Plus(o Evidence) Evidence {
+	return Evidence{e.Rated.Plus(o.Rated), e.Served.Plus(o.Served), e.Timely.Plus(o.Timely)}
+}
+
+// Minus subtracts evidence seen before.
+func (e Evidence) Minus(o Evidence) Evidence {
+	return Evidence{e.Rated.Minus(o.Rated), e.Served.Minus(o.Served), e.Timely.Minus(o.Timely)}
+}
+
+// channels returns the three kinds of outcomes in their order.
+func (e Evidence) channels() [channelCount]Counts {
+	return [channelCount]Counts{e.Rated, e.Served, e.Timely}
+}
+
+// The channels, in the order of channelNames.
+const (
+	ratings = iota
+	_       // errors
+	_       // latency
+	channelCount
+)
+
+var channelNames = [channelCount]string{"ratings", "errors", "latency"}
+
+// margins are the losses, by channel, that are no fault.
+var margins = [channelCount]float64{0.0, 0.01, 0.05}
+
+const (
+	// FalseAlarmBound is the chance at most that a version which is not worse
+	// is ever withdrawn by a roll-out's guard.
+	FalseAlarmBound = 0.01
+	withdrawAt      = channelCount / FalseAlarmBound
+	suspectAt       = withdrawAt / 5
+	// HoldTime is how long a suspect version gets no new sessions.
+	HoldTime = 5 * time.Minute
+	// holdGrowth is by how much evidence must grow for another hold.
+	holdGrowth = 2
+)
+
+// Verdict is what a guard says of a version.
+type Verdict struct {
+	// HoldUntil is until when the version should get no new sessions; zero
+	// means no hold.
+	HoldUntil time.Time
+	// Withdraw tells that the bound is crossed.
+	Withdraw bool
+	// Reason tells the channel and the evidence.
+	Reason string
+}
+
+// Guard judges a new version against the one in place, sequentially.
+type Guard struct {
+	tests [channelCount]Test
+	held  float64
+	hold  time.Time
+}
+
+// NewGuard returns a guard that has seen nothing.
+func NewGuard() *Guard {
+	g := &Guard{}
+	for i := range g.tests {
+		g.tests[i].Margin = margins[i]
+	}
+	return g
+}
+
+// Observe takes what both versions did since the last call, and judges.
+func (g *Guard) Observe(old, next Evidence, now time.Time) Verdict {
+	a, b := old.channels(), next.channels()
+	worst, most := 0, 0.0
+	for i := range g.tests {
+		g.tests[i].Add(a[i], b[i])
+		if e := g.tests[i].Evidence(); e > most {
+			worst, most = i, e
+		}
+	}
+	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %.3g", channelNames[worst], most, float64(withdrawAt))}
+	v.Withdraw = most >= withdrawAt
+	if most >= suspectAt && most >= g.held*holdGrowth && !now.Before(g.hold) {
+		g.held = most
+		g.hold = now.Add(HoldTime)
+	}
+	if now.Before(g.hold) {
+		v.HoldUntil = g.hold
+	}
+	return v
+}
