--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -16,6 +16,7 @@
 	DefaultKVTokens      = 200_000
 	DefaultFirstToken    = 910 * time.Millisecond
 	DefaultDeadline      = 60 * time.Second
+	DefaultQuietMargin   = 2 * time.Second
 )
 
 var weekdays = []string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"}
@@ -42,6 +43,11 @@
 			s.Slots = DefaultSlots
 		}
 	}
+	for _, q := range c.QuietHours {
+		if q.Margin == 0 {
+			q.Margin = Duration(DefaultQuietMargin)
+		}
+	}
 	for _, r := range c.Ranks {
 		if r.FirstToken == 0 {
 			r.FirstToken = Duration(DefaultFirstToken)
@@ -243,6 +249,34 @@
 				return k.fault(key+".days", "%q is not a weekday%s", d, nearestHint(d, weekdays))
 			}
 		}
+		if q.Margin < 0 {
+			return k.fault(key+".margin", "is negative: write by how much clocks may be wrong, such as \"2s\"")
+		}
+		if err := k.quietScope(key, q); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// quietScope checks that what a window covers exists; a misspelt name would
+// leave the window without effect.
+func (k checker) quietScope(key string, q *QuietHours) error {
+	pools := append(sorted(k.c.Pools), sorted(k.c.Services)...)
+	for _, scope := range []struct {
+		field  string
+		listed []string
+		known  []string
+	}{
+		{"pools", q.Pools, pools},
+		{"models", q.Models, sorted(k.c.Models)},
+		{"organisations", q.Organisations, sorted(k.c.Organisations)},
+	} {
+		for _, name := range scope.listed {
+			if !slices.Contains(scope.known, name) {
+				return k.fault(key+"."+scope.field, "%q does not exist%s", name, nearestHint(name, scope.known))
+			}
+		}
 	}
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -168,7 +168,8 @@
 	Preempts bool `toml:"preempts" json:"preempts"`
 }
 
-// QuietHours is a daily window in which no work may run.
+// QuietHours is a daily window in which no work may run. Equal times make it
+// last for the whole day.
 type QuietHours struct {
 	// Zone is the IANA name of the time zone.
 	Zone string `toml:"zone" json:"zone"`
@@ -178,8 +179,11 @@
 	// Days lists weekdays on which the window begins, "mon" to "sun"; none
 	// means every day.
 	Days []string `toml:"days" json:"days"`
+	// Margin is by how much clocks may be wrong; the window is that much
+	// longer at both ends. Default 2s.
+	Margin Duration `toml:"margin" json:"margin"`
 	// DataCentres, Pools, Models and Organisations limit what the window
-	// covers; an empty list covers all.
+	// covers; an empty list covers all. Pools lists plain services as well.
 	DataCentres   []string `toml:"data_centres" json:"data_centres"`
 	Pools         []string `toml:"pools" json:"pools"`
 	Models        []string `toml:"models" json:"models"`
