Quiet hours are kept: version, replica, last moment, and work that runs

Cause: quiet hours were read and checked and then used nowhere. They now close versions and replicas for work expected to run into them, bound the wait for a place, are looked at again after the grant, and stop what still runs: an answer moves by its offset to a replica outside, or ends with quiet_hours and when to come back.

Breaking the replica check also showed a loop without end after the grant; a replica refused there is now left out of the next choice.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -61,14 +63,27 @@
 	var excluded []string
 	ran := outcome.RanNo
 	for n := 1; ; n++ {
-		p, err := d.acquire(ctx, &req.Request, d.callWish(req, excluded))
+		p, err := d.acquire(ctx, &req.Request, d.callWish(req, excluded, false))
 		if err != nil {
 			refusal := outcome.AsRefusal(err)
 			refusal.Ran = outcome.Worse(refusal.Ran, ran)
 			return nil, refusal
 		}
-		reply, err := d.Dialer.Service(p.replica.Address).Do(ctx, req.Call)
+		if _, closed := d.quietAt(callScope(req, p), d.callLength(req, false)); closed {
+			d.release(p, wire.ReleaseArgs{})
+			excluded = append(excluded, p.replica.ID)
+			continue
+		}
+		start := time.Now()
+		reply, err := d.do(ctx, req, req.Call, p)
+		if errors.Is(err, errQuietHours) {
+			d.release(p, wire.ReleaseArgs{})
+			d.Record.Add(req.ID, "stopped on replica %s: quiet hours began", p.replica.ID)
+			ran = outcome.Worse(ran, outcome.RanMaybe)
+			continue
+		}
 		if err == nil {
+			d.pace.called(req.Service, time.Since(start))
 			d.release(p, wire.ReleaseArgs{Tokens: callTokens})
 			d.bill(ctx, req)
 			return &reply, nil
@@ -84,8 +99,28 @@
 	}
 }
 
-func (d *Dispatcher) callWish(req *CallRequest, excluded []string) wish {
-	return wish{pool: req.Service, tokens: callTokens, excluded: excluded, deadline: req.Deadline}
+func (d *Dispatcher) callWish(req *CallRequest, excluded []string, once bool) wish {
+	return wish{pool: req.Service, tokens: callTokens, excluded: excluded, deadline: req.Deadline, length: d.callLength(req, once)}
+}
+
+// callLength estimates how long the call takes.
+func (d *Dispatcher) callLength(req *CallRequest, once bool) time.Duration {
+	return d.pace.callLength(req.Service, once, time.Until(req.Deadline))
+}
+
+func callScope(req *CallRequest, p *place) rollout.Scope {
+	return rollout.Scope{DataCentre: p.replica.DataCentre, Pool: p.replica.Pool, Organisation: req.Organisation}
+}
+
+// do sends a call, and ends it with errQuietHours when quiet hours reach it.
+func (d *Dispatcher) do(ctx context.Context, req *CallRequest, call backend.Call, p *place) (backend.Reply, error) {
+	ctx, stop := d.untilQuiet(ctx, callScope(req, p))
+	defer stop()
+	reply, err := d.Dialer.Service(p.replica.Address).Do(ctx, call)
+	if err != nil && context.Cause(ctx) == errQuietHours {
+		return reply, errors.Wrap(errQuietHours, err.Error())
+	}
+	return reply, err
 }
 
 // callOnce runs a call that may not be repeated: first a place, then the
@@ -105,7 +140,7 @@
 	}
 	var excluded []string
 	for n := 1; ; n++ {
-		p, err := d.acquire(ctx, &req.Request, d.callWish(req, excluded))
+		p, err := d.acquire(ctx, &req.Request, d.callWish(req, excluded, true))
 		if err != nil {
 			d.Claims.Unsent(context.WithoutCancel(ctx), claim)
 			return nil, err
@@ -128,6 +163,10 @@
 
 // sendOnce sends a claimed call to one replica.
 func (d *Dispatcher) sendOnce(ctx context.Context, req *CallRequest, claim *ledger.Claim, p *place) (*backend.Reply, *backend.Error) {
+	if _, closed := d.quietAt(callScope(req, p), d.callLength(req, true)); closed {
+		d.release(p, wire.ReleaseArgs{})
+		return nil, &backend.Error{Kind: backend.KindBusy, Ran: outcome.RanNo, Message: "quiet hours are too near"}
+	}
 	if !d.Claims.Send(claim) {
 		d.release(p, wire.ReleaseArgs{})
 		return nil, &backend.Error{Kind: backend.KindRejected, Ran: outcome.RanNo, Message: "the claim was given up"}
@@ -135,7 +174,7 @@
 	call := req.Call
 	call.Fencing = claim.Fencing
 	d.Record.Add(req.ID, "sent once to replica %s", p.replica.ID)
-	reply, err := d.Dialer.Service(p.replica.Address).Do(ctx, call)
+	reply, err := d.do(ctx, req, call, p)
 	if err != nil {
 		failure := backendError(err)
 		d.release(p, wire.ReleaseArgs{Failed: failure.Kind})
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -19,6 +22,8 @@
 	// Prompt is the whole input text, MaxTokens bounds the answer.
 	Prompt    string
 	MaxTokens int
+	// Kind is the kind of work that the caller names, or empty.
+	Kind string
 }
 
 // ChatResult describes a whole answer.
@@ -48,6 +53,7 @@
 	excluded []string
 	retries  int
 	ran      outcome.Ran
+	text     strings.Builder
 }
 
 // Chat serves one request for an answer.
@@ -83,7 +89,7 @@
 	for _, t := range targets {
 		p, err := d.acquire(ctx, &a.req.Request, wish{
 			target: t, tokens: a.req.MaxTokens - a.offset, excluded: a.excluded,
-			deadline: a.req.Deadline, prefixes: routing.PrefixHashes(a.req.Prompt),
+			deadline: a.req.Deadline, length: d.answerLength(a, t), prefixes: routing.PrefixHashes(a.req.Prompt),
 		})
 		if err == nil {
 			a.target = t
@@ -113,16 +119,51 @@
 			d.Record.Add(a.req.ID, "the session's version could not be read: %s", err)
 		}
 	}
-	targets := routing.Versions(rev, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: a.req.Session, Pin: pin})
+	rules, err := d.rules(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	targets := rules.plan.Versions(nil, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held})
 	if len(targets) == 0 {
 		return nil, outcome.Refuse(outcome.CodeNotAllowed, 0, "no version of %q is allowed and in force for organisation %q: ask its operator", a.req.Asked, a.req.Organisation)
 	}
+	if targets, err = d.withoutQuiet(a, targets); err != nil {
+		return nil, err
+	}
 	if a.req.Session != "" && pin != targets[0] {
 		return d.pin(ctx, a, pin, targets)
 	}
 	return targets, nil
 }
 
+// withoutQuiet drops the versions that quiet hours close everywhere.
+func (d *Dispatcher) withoutQuiet(a *answer, targets []config.Target) ([]config.Target, error) {
+	var until time.Time
+	open := targets[:0]
+	for _, t := range targets {
+		to, closed := d.quietAt(rollout.Scope{Model: t.Model, Organisation: a.req.Organisation}, d.answerLength(a, t))
+		switch {
+		case !closed:
+			open = append(open, t)
+		case until.IsZero() || to.Before(until):
+			until = to
+		}
+	}
+	if len(open) == 0 {
+		return nil, refuseQuiet(time.Now(), until)
+	}
+	return open, nil
+}
+
+// answerLength estimates how long the rest of the answer takes.
+func (d *Dispatcher) answerLength(a *answer, t config.Target) time.Duration {
+	return d.pace.answer(t, len(a.req.Prompt), a.req.MaxTokens-a.offset)
+}
+
+func answerScope(a *answer, p *place) rollout.Scope {
+	return rollout.Scope{DataCentre: p.replica.DataCentre, Pool: p.replica.Pool, Model: a.target.Model, Organisation: a.req.Organisation}
+}
+
 // pin puts a new session on its version, or moves one whose version was
 // withdrawn.
 func (d *Dispatcher) pin(ctx context.Context, a *answer, old config.Target, targets []config.Target) ([]config.Target, error) {
@@ -149,6 +190,12 @@
 		d.Record.Add(a.req.ID, "version %s is no longer allowed: choosing again", a.target)
 		return backend.Frame{}, true, nil
 	}
+	if _, closed := d.quietAt(answerScope(a, p), d.answerLength(a, a.target)); closed {
+		d.release(p, wire.ReleaseArgs{})
+		a.excluded = append(a.excluded, p.replica.ID)
+		d.Record.Add(a.req.ID, "quiet hours are too near at replica %s: choosing again", p.replica.ID)
+		return backend.Frame{}, true, nil
+	}
 	d.Record.Add(a.req.ID, "attempt on replica %s, version %s, from token %d, revision %d", p.replica.ID, a.target, a.offset, rev.Number)
 	start, offset := time.Now(), a.offset
 	var first time.Duration
@@ -156,12 +203,15 @@
 	used := wire.ReleaseArgs{Tokens: a.offset - offset, FirstToken: first}
 	if n := a.offset - offset; n > 1 {
 		used.TokenInterval = (time.Since(start) - first) / time.Duration(n-1)
+		d.pace.answered(a.target, used.TokenInterval)
 	}
 	switch {
 	case err == nil:
 		d.release(p, used)
 		if paused {
-			d.Record.Add(a.req.ID, "paused at token %d for more urgent work", a.offset)
+			d.Record.Add(a.req.ID, "paused at token %d for more urgent work or quiet hours", a.offset)
+		} else {
+			d.Observer.Tried(a.target, true, first, d.firstTokenTarget(a.req.Rank))
 		}
 		return final, paused, nil
 	case ctx.Err() != nil:
@@ -174,6 +224,9 @@
 // failed decides what follows a failed try.
 func (d *Dispatcher) failed(ctx context.Context, a *answer, p *place, used wire.ReleaseArgs, err *backend.Error) (backend.Frame, bool, error) {
 	used.Failed = err.Kind
+	if err.Kind == backend.KindBroken {
+		d.Observer.Tried(a.target, false, 0, 0)
+	}
 	d.release(p, used)
 	a.ran = outcome.Worse(a.ran, err.Ran)
 	a.excluded = append(a.excluded, p.replica.ID)
@@ -187,12 +240,16 @@
 
 // stream copies one try's tokens to the sink, in order and without repeats.
 func (d *Dispatcher) stream(ctx context.Context, a *answer, p *place, first func()) (backend.Frame, bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := d.untilQuiet(ctx, answerScope(a, p))
 	defer cancel()
 	id := NewID()
 	s, err := d.Dialer.Engine(p.replica.Address).Generate(ctx, backend.GenerateRequest{
 		Attempt: id, Target: a.target, Prompt: a.req.Prompt, MaxTokens: a.req.MaxTokens, Priority: a.req.Rank, Offset: a.offset, Seed: a.req.Fingerprint,
 	})
+	if err != nil && context.Cause(ctx) == errQuietHours {
+		a.ran = outcome.Worse(a.ran, outcome.RanMaybe)
+		return backend.Frame{}, true, nil
+	}
 	if err != nil {
 		return backend.Frame{}, false, err
 	}
@@ -204,6 +261,10 @@
 		default:
 		}
 		f, err := s.Next()
+		if err != nil && context.Cause(ctx) == errQuietHours {
+			a.ran = outcome.RanYes
+			return backend.Frame{}, true, nil
+		}
 		if err != nil {
 			return backend.Frame{}, false, err
 		}
@@ -221,12 +282,20 @@
 		a.started = true
 		a.offset++
 		a.ran = outcome.RanYes
+		a.keep(f.Text)
 		if err := a.sink.Token(f.Text); err != nil {
 			return backend.Frame{}, false, err
 		}
 	}
 }
 
+// keep notes the text for rating, within bounds.
+func (a *answer) keep(text string) {
+	if a.text.Len()+len(text) <= maxRatedBytes {
+		a.text.WriteString(text)
+	}
+}
+
 // settle bills a whole answer.
 func (d *Dispatcher) settle(ctx context.Context, a *answer, final backend.Frame) *ChatResult {
 	cost := int64(0)
@@ -237,6 +306,7 @@
 		Request: a.req.ID, Organisation: a.req.Organisation, Target: a.target,
 		PromptTokens: final.PromptTokens, Tokens: a.offset, CostMicros: cost, At: time.Now(),
 	})
+	d.Observer.Answered(Answered{Request: a.req.ID, Organisation: a.req.Organisation, Kind: a.req.Kind, Target: a.target, Text: a.text.String()})
 	d.Record.Add(a.req.ID, "answered by %s with %d tokens, billed %d", a.target, a.offset, cost)
 	return &ChatResult{Target: a.target, PromptTokens: final.PromptTokens, Tokens: a.offset, FinishReason: final.FinishReason}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	mathrand "math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -45,6 +47,10 @@
 	Bills  *ledger.Bills
 	Pins   *ledger.Pins
 	Record *record.Log
+	// Observer learns from attempts and answers; nil learns nothing.
+	Observer Observer
+	// Held tells which versions should get no new sessions; nil means none.
+	Held func(config.Target) bool
 }
 
 // Dispatcher carries requests to backend servers. It is safe for concurrent
@@ -54,11 +60,16 @@
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // guarded by mu, by organisation
 	pauses  map[string]chan struct{}          // guarded by mu, by grant
+	pace    *pace
+	worked  atomic.Pointer[versionRules]
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{Options: o, budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}}
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
+	return &Dispatcher{Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}}
 }
 
 // Request is what is common to all requests.
@@ -107,25 +118,38 @@
 	prefixes []uint64
 	excluded []string
 	deadline time.Time
+	length   time.Duration
+}
+
+// scope is where the work of the wish would run, without the replica's part.
+func (w *wish) scope(organisation string) rollout.Scope {
+	return rollout.Scope{Model: w.target.Model, Organisation: organisation}
 }
 
 // acquire finds a place, asking one owner after the other.
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, w wish) (*place, error) {
 	tried := append([]string(nil), w.excluded...)
 	var refusal *outcome.Refusal
+	var quiet quietChecks
 	for try := 0; try < maxPlaceTries; try++ {
 		wait := time.Until(w.deadline)
 		if wait <= 0 {
 			return nil, outcome.Refuse(outcome.CodeDeadline, minRetryAfter, "the deadline passed before a place was found: allow more time or come back later")
 		}
+		now := time.Now()
+		rules, err := d.rules(now)
+		if err != nil {
+			return nil, err
+		}
+		quiet = quietChecks{hours: rules.hours, now: now, scope: w.scope(req.Organisation), length: w.length, known: quiet.known[:0]}
 		view := d.View()
 		at := routing.ChooseReplica(view.Replicas, routing.ReplicaRequest{
-			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Draw: mathrand.Uint64(),
+			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Draw: mathrand.Uint64(), Closed: quiet.closed,
 		})
 		if at < 0 {
 			break
 		}
-		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], wait)
+		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], quiet.longest(view.Replicas[at], wait))
 		switch {
 		case p != nil:
 			return p, nil
@@ -139,8 +163,11 @@
 		}
 		tried = append(tried, view.Replicas[at].ID)
 	}
-	if refusal != nil {
+	switch {
+	case refusal != nil:
 		return nil, refusal
+	case !quiet.until.IsZero():
+		return nil, refuseQuiet(quiet.now, quiet.until)
 	}
 	return nil, outcome.Refuse(outcome.CodeNoBackend, jitter(noBackendRetry), "no backend server can run the request now: come back later")
 }
--- a/internal/rollout/quiet.go
+++ b/internal/rollout/quiet.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"time"
+	_ "time/tzdata" // zones are there on VMs without a zone database
 
 	"github.com/pkg/errors"
 
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
@@ -40,6 +41,8 @@
 	Rank int
 	// Excluded lists replicas that failed this request.
 	Excluded []string
+	// Closed tells where quiet hours forbid the work; may be nil.
+	Closed func(dataCentre, pool string) bool
 	// Draw is a random number that breaks ties.
 	Draw uint64
 	// Cached returns the number of prompt tokens cached at a replica; nil if
@@ -92,20 +95,13 @@
 	if req.Pool != "" && r.Pool != req.Pool {
 		return false
 	}
-	for _, id := range req.Excluded {
-		if id == r.ID {
-			return false
-		}
-	}
-	if req.Pool != "" {
-		return true
+	if req.Pool == "" && !slices.Contains(r.Targets, req.Target) {
+		return false
 	}
-	for _, t := range r.Targets {
-		if t == req.Target {
-			return true
-		}
+	if req.Closed != nil && req.Closed(r.DataCentre, r.Pool) {
+		return false
 	}
-	return false
+	return !slices.Contains(req.Excluded, r.ID)
 }
 
 // replicaCost estimates the time to the first token.
