--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,6 +19,12 @@
 		d.Record.Add(a.req.ID, "version %s is no longer allowed: choosing again", a.target)
 		return backend.Frame{}, true, nil
 	}
+	if _, closed := d.quietAt(answerScope(a, p), d.answerLength(a, a.target)); closed {
+		d.release(p, wire.ReleaseArgs{})
+		a.excluded = append(a.excluded, p.replica.ID)
+		d.Record.Add(a.req.ID, "quiet hours are too near at replica %s: choosing again", p.replica.ID)
+		return backend.Frame{}, true, nil
+	}
 	d.Record.Add(a.req.ID, "attempt on replica %s, version %s, from token %d, revision %d", p.replica.ID, a.target, a.offset, rev.Number)
 	start, offset := time.Now(), a.offset
 	var first time.Duration
@@ -26,12 +32,15 @@
 	used := wire.ReleaseArgs{Tokens: a.offset - offset, FirstToken: first}
 	if n := a.offset - offset; n > 1 {
 		used.TokenInterval = (time.Since(start) - first) / time.Duration(n-1)
+		d.pace.answered(a.target, used.TokenInterval)
 	}
 	switch {
 	case err == nil:
 		d.release(p, used)
 		if paused {
-			d.Record.Add(a.req.ID, "paused at token %d for more urgent work", a.offset)
+			d.Record.Add(a.req.ID, "paused at token %d for more urgent work or quiet hours", a.offset)
+		} else {
+			d.Observer.Tried(a.target, true, first, d.firstTokenTarget(a.req.Rank))
 		}
 		return final, paused, nil
 	case ctx.Err() != nil:
@@ -44,6 +53,9 @@
 // failed decides what follows a failed try.
 func (d *Dispatcher) failed(ctx context.Context, a *answer, p *place, used wire.ReleaseArgs, err *backend.Error) (backend.Frame, bool, error) {
 	used.Failed = err.Kind
+	if err.Kind == backend.KindBroken {
+		d.Observer.Tried(a.target, false, 0, 0)
+	}
 	d.release(p, used)
 	a.ran = outcome.Worse(a.ran, err.Ran)
 	a.excluded = append(a.excluded, p.replica.ID)
@@ -57,12 +69,16 @@
 
 // stream copies one try's tokens to the sink, in order and without repeats.
 func (d *Dispatcher) stream(ctx context.Context, a *answer, p *place, first func()) (backend.Frame, bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := d.untilQuiet(ctx, answerScope(a, p))
 	defer cancel()
 	id := NewID()
 	s, err := d.Dialer.Engine(p.replica.Address).Generate(ctx, backend.GenerateRequest{
 		Attempt: id, Target: a.target, Prompt: a.req.Prompt, MaxTokens: a.req.MaxTokens, Priority: a.req.Rank, Offset: a.offset, Seed: a.req.Fingerprint,
 	})
+	if err != nil && context.Cause(ctx) == errQuietHours {
+		a.ran = outcome.Worse(a.ran, outcome.RanMaybe)
+		return backend.Frame{}, true, nil
+	}
 	if err != nil {
 		return backend.Frame{}, false, err
 	}
@@ -74,6 +90,10 @@
 		default:
 		}
 		f, err := s.Next()
+		if err != nil && context.Cause(ctx) == errQuietHours {
+			a.ran = outcome.RanYes
+			return backend.Frame{}, true, nil
+		}
 		if err != nil {
 			return backend.Frame{}, false, err
 		}
@@ -91,6 +111,7 @@
 		a.started = true
 		a.offset++
 		a.ran = outcome.RanYes
+		a.keep(f.Text)
 		if err := a.sink.Token(f.Text); err != nil {
 			return backend.Frame{}, false, err
 		}
