Exchange only changes between nodes, heartbeats within a data centre

Cause: each exchange carried the versions of all nodes and whole states of each that had raised its heartbeat, to three peers twice a second; a view was rebuilt at every merge.

--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,101 @@
+// Package membership keeps, as soft state, which nodes, replicas and VMs are
+// there and who owns which replica, and answers callers which nodes to use.
+//
+// Nodes tell each other only what changed: each keeps a log in which every
+// item holds the place of its newest change, and remembers how far each peer
+// has read. Heartbeats travel within a data centre; other data centres hear
+// the heartbeats of a few nodes that stand for the whole, and of each change.
+package membership
+
+import (
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// Times of the exchange between nodes.
+const (
+	// HeartbeatInterval is how often a node raises its heartbeat and
+	// exchanges news with its neighbours.
+	HeartbeatInterval = time.Second
+	// SuspectAfter is how long a node may stay silent before the others of
+	// its data centre take it for dead.
+	SuspectAfter = 4 * time.Second
+	// SilentAfter is how long a whole data centre may stay silent before the
+	// nodes elsewhere take it for unreachable.
+	SilentAfter = 7 * time.Second
+	// ForgetAfter is how long the state of a node that is not live is kept,
+	// so that it is found again after a long cut.
+	ForgetAfter = 2 * time.Hour
+	// coarseInterval is how often other regions hear of a replica's load.
+	coarseInterval = 10 * time.Second
+	// rebuildInterval bounds how often mere changes of load make a new view.
+	rebuildInterval = 200 * time.Millisecond
+)
+
+// Sizes of the exchange between nodes.
+const (
+	// bridgesPerDataCentre is how many nodes of a data centre exchange news
+	// with other data centres.
+	bridgesPerDataCentre = 3
+	// maxLoadNews bounds the mere changes of load in one message.
+	maxLoadNews = 24
+)
+
+// Node is one node as another sees it.
+type Node struct {
+	// State is the newest that is known.
+	State wire.NodeState
+	// Live is false once the node or its data centre has been silent for too
+	// long.
+	Live bool
+}
+
+// Snapshot is an immutable view of all nodes and replicas.
+type Snapshot struct {
+	// Nodes are sorted by ID; the own node is among them.
+	Nodes []Node
+	// Replicas are sorted by ID.
+	Replicas []routing.Replica
+	byID     map[string]int
+	replicas map[string]int
+	assigned map[string][]platform.VM
+	bridges  map[string]bool
+}
+
+// Node returns the node with the given ID.
+func (s *Snapshot) Node(id string) (Node, bool) {
+	i, ok := s.byID[id]
+	if !ok {
+		return Node{}, false
+	}
+	return s.Nodes[i], true
+}
+
+// Replica returns the replica with the given ID.
+func (s *Snapshot) Replica(id string) (routing.Replica, bool) {
+	i, ok := s.replicas[id]
+	if !ok {
+		return routing.Replica{}, false
+	}
+	return s.Replicas[i], true
+}
+
+// Assigned returns the VMs of the replicas that a node should own.
+func (s *Snapshot) Assigned(node string) []platform.VM { return s.assigned[node] }
+
+// Live returns the number of live nodes.
+func (s *Snapshot) Live() int {
+	n := 0
+	for _, node := range s.Nodes {
+		if node.Live {
+			n++
+		}
+	}
+	return n
+}
+
+// Bridge tells whether a node exchanges news with other data centres.
+func (s *Snapshot) Bridge(node string) bool { return s.bridges[node] }
--- /dev/null
+++ b/internal/membership/neighbours.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+// bridges returns the live nodes that exchange news with other data centres:
+// a few of each, with the highest scores.
+func bridges(nodes []Node) map[string]bool {
+	centres := map[string][]string{}
+	for _, n := range nodes {
+		if n.Live {
+			centres[n.State.DataCentre] = append(centres[n.State.DataCentre], n.State.ID)
+		}
+	}
+	out := map[string]bool{}
+	for centre, ids := range centres {
+		order := routing.Rendezvous(ids, "bridge/"+centre)
+		for _, id := range order[:min(len(order), bridgesPerDataCentre)] {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// Neighbours returns the peers with which the named node starts exchanges:
+// two of its data centre, one of which closes a ring; and, if it is a bridge,
+// one of each other data centre of its region and of each other region.
+func (s *Snapshot) Neighbours(id string) []Peer {
+	self, ok := s.Node(id)
+	if !ok {
+		return nil
+	}
+	var ring []string
+	centres, regions := map[string][]string{}, map[string][]string{}
+	for _, n := range s.Nodes {
+		switch {
+		case !n.Live && n.State.ID != id:
+		case n.State.DataCentre == self.State.DataCentre:
+			ring = append(ring, n.State.ID)
+		case n.State.Region == self.State.Region:
+			centres[n.State.DataCentre] = append(centres[n.State.DataCentre], n.State.ID)
+		default:
+			regions[n.State.Region] = append(regions[n.State.Region], n.State.ID)
+		}
+	}
+	chosen := map[string]bool{}
+	s.inRing(id, ring, chosen)
+	if s.bridges[id] {
+		for _, far := range []map[string][]string{centres, regions} {
+			for _, ids := range far {
+				chosen[routing.Highest(ids, "link/"+id)] = true
+			}
+		}
+	}
+	var out []Peer
+	for _, name := range slices.Sorted(maps.Keys(chosen)) {
+		state := s.Nodes[s.byID[name]].State
+		out = append(out, Peer{Name: name, Inner: state.Inner, DataCentre: state.DataCentre, Region: state.Region})
+	}
+	return out
+}
+
+// inRing chooses the next node of the ring and one more.
+func (s *Snapshot) inRing(id string, ring []string, chosen map[string]bool) {
+	if len(ring) < 2 {
+		return
+	}
+	order := routing.Rendezvous(ring, "ring")
+	next := order[(slices.Index(order, id)+1)%len(order)]
+	chosen[next] = true
+	others := slices.DeleteFunc(slices.Clone(ring), func(other string) bool { return other == id || other == next })
+	if other := routing.Highest(others, "link/"+id); other != "" {
+		chosen[other] = true
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,90 +1,118 @@
-// Package membership keeps, as soft state, which nodes and replicas are there
-// and who owns which replica, and answers callers which nodes to use.
 package membership
 
 import (
-	"cmp"
-	"slices"
+	"reflect"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cowslipfall/cowslipfall/internal/platform"
-	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// Times of the exchange between nodes.
-const (
-	// HeartbeatInterval is how often a node raises its own sequence number.
-	HeartbeatInterval = 500 * time.Millisecond
-	// SuspectAfter is how long a node may stay silent before others take it
-	// for dead.
-	SuspectAfter = 3 * time.Second
-	// ForgetAfter is how long a dead node's state is kept.
-	ForgetAfter = time.Minute
-)
-
-// Node is one node as another sees it.
-type Node struct {
-	// State is the newest that is known.
-	State wire.NodeState
-	// Live is false once the node has been silent for SuspectAfter.
-	Live bool
-}
-
-// Snapshot is an immutable view of all nodes and replicas.
-type Snapshot struct {
-	// Nodes are sorted by ID; the own node is among them.
-	Nodes []Node
-	// Replicas are sorted by ID.
-	Replicas []routing.Replica
-	byID     map[string]int
-	replicas map[string]int
-}
-
-// Node returns the node with the given ID.
-func (s *Snapshot) Node(id string) (Node, bool) {
-	i, ok := s.byID[id]
-	if !ok {
-		return Node{}, false
-	}
-	return s.Nodes[i], true
+// nodeItem is a node's state with its places in the log.
+type nodeItem struct {
+	state wire.NodeState
+	beat  uint32
+	down  bool
+	// heard is when the heartbeat last rose here.
+	heard time.Time
+	// index, beatIndex and revisionIndex are the places of the newest change
+	// of state, heartbeat and revision.
+	index         uint64
+	beatIndex     uint64
+	revisionIndex uint64
+	// from, beatFrom and revisionFrom name the peers that told of them.
+	from         string
+	beatFrom     string
+	revisionFrom string
 }
 
-// Replica returns the replica with the given ID.
-func (s *Snapshot) Replica(id string) (routing.Replica, bool) {
-	i, ok := s.replicas[id]
-	if !ok {
-		return routing.Replica{}, false
-	}
-	return s.Replicas[i], true
+// replicaItem is an owner's account of a replica.
+type replicaItem struct {
+	news wire.ReplicaNews
+	// index is the place of the newest change, coarse of the newest that
+	// other regions hear of.
+	index    uint64
+	coarse   uint64
+	coarseAt time.Time
+	from     string
 }
 
-// member is a node's state with when it last showed a sign of life.
-type member struct {
-	state wire.NodeState
-	heard time.Time
+// vmItem is an entry of the list of VMs.
+type vmItem struct {
+	news    wire.VMNews
+	changed time.Time
+	index   uint64
+	from    string
 }
 
 // Table merges what nodes tell of themselves. It is safe for concurrent use.
 type Table struct {
+	id          string
+	incarnation uint64
+
 	mu       sync.Mutex
-	self     wire.NodeState     // guarded by mu
-	members  map[string]*member // guarded by mu; without the own node
-	vms      []platform.VM      // guarded by mu
+	index    uint64                   // guarded by mu
+	nodes    map[string]*nodeItem     // guarded by mu; the own node's included
+	hashes   map[uint64]*nodeItem     // guarded by mu
+	replicas map[string]*replicaItem  // guarded by mu
+	vms      map[string]*vmItem       // guarded by mu
+	centres  map[string]time.Time     // guarded by mu; when data centres were last heard
+	have     map[string]wire.Position // guarded by mu; what is held of each peer's log
+	told     map[string]wire.Position // guarded by mu; what each peer holds of the own log
+	ticked   time.Time                // guarded by mu
+	built    time.Time                // guarded by mu
+	stale    bool                     // guarded by mu; the view lacks a change of load
+	urgent   bool                     // guarded by mu; the view lacks another change
+	live     []string                 // guarded by mu; the nodes that own replicas, as of the last view
+	owners   map[string]string        // guarded by mu; by VM, as of the last view
 	snapshot atomic.Pointer[Snapshot]
 }
 
 // NewTable returns a table that knows only the own node.
 func NewTable(self wire.NodeState) *Table {
-	t := &Table{self: self, members: map[string]*member{}}
+	t := &Table{
+		id: self.ID, incarnation: self.Incarnation,
+		nodes: map[string]*nodeItem{}, hashes: map[uint64]*nodeItem{}, replicas: map[string]*replicaItem{}, vms: map[string]*vmItem{},
+		centres: map[string]time.Time{}, have: map[string]wire.Position{}, told: map[string]wire.Position{},
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rebuild(time.Now())
+	now := time.Now()
+	t.ticked = now
+	t.addNode(&nodeItem{state: self, beat: 1, heard: now})
+	t.rebuild(now)
 	return t
 }
 
+// nodeHash identifies one incarnation of a node in heartbeats.
+func nodeHash(id string, incarnation uint64) uint64 {
+	return xxhash.Sum64String(id + "/" + strconv.FormatUint(incarnation, 10))
+}
+
+// next returns the place of a new change. The caller holds mu.
+func (t *Table) next() uint64 {
+	t.index++
+	return t.index
+}
+
+// addNode takes a new node or incarnation. The caller holds mu.
+func (t *Table) addNode(n *nodeItem) {
+	if old := t.nodes[n.state.ID]; old != nil {
+		delete(t.hashes, nodeHash(old.state.ID, old.state.Incarnation))
+	}
+	n.index = t.next()
+	n.beatIndex = n.index
+	n.revisionIndex = n.index
+	t.nodes[n.state.ID] = n
+	t.hashes[nodeHash(n.state.ID, n.state.Incarnation)] = n
+	t.urgent = true
+}
+
 // Snapshot returns the present view; it must not be changed.
 func (t *Table) Snapshot() *Snapshot { return t.snapshot.Load() }
 
@@ -92,175 +120,185 @@
 func (t *Table) Self() wire.NodeState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.self
+	return t.nodes[t.id].state
 }
 
-// Update changes the own node's state and raises its sequence number.
+// Update changes the own node's state; replicas are left to Publish. The
+// sequence number rises only if something changed that peers must hear of.
 func (t *Table) Update(now time.Time, change func(*wire.NodeState)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	change(&t.self)
-	t.self.Sequence++
-	t.rebuild(now)
+	self := t.nodes[t.id]
+	before := self.state
+	after := before
+	change(&after)
+	if after.Revision != before.Revision {
+		self.state.Revision = after.Revision
+		self.revisionIndex = t.next()
+		t.stale = true
+	}
+	after.Replicas = nil
+	after.Revision = before.Revision
+	if !reflect.DeepEqual(after, before) {
+		after.Sequence++
+		after.Revision = self.state.Revision
+		self.state = after
+		self.index = t.next()
+		t.urgent = true
+	}
+	t.refresh(now)
 }
 
-// SetVMs takes the platform's list of VMs.
-func (t *Table) SetVMs(now time.Time, vms []platform.VM) {
+// Down tells that the own node stops now, so that peers need not wait for its
+// heartbeat.
+func (t *Table) Down(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms = vms
-	t.rebuild(now)
+	self := t.nodes[t.id]
+	self.down = true
+	self.index = t.next()
+	t.urgent = true
+	t.refresh(now)
 }
 
-// Merge takes states heard from peers; older ones are ignored.
-func (t *Table) Merge(now time.Time, states []wire.NodeState) {
+// SetVMs takes the platform's list of VMs, read no earlier than began. Entries
+// that changed here since are left alone, as the answer may be the older. An
+// empty list is taken for a fault of the platform.
+func (t *Table) SetVMs(began, now time.Time, vms []platform.VM) {
+	if len(vms) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
-	for _, s := range states {
-		changed = t.mergeOne(now, s) || changed
-	}
-	if changed {
-		t.rebuild(now)
-	}
-}
-
-func (t *Table) mergeOne(now time.Time, s wire.NodeState) bool {
-	if s.ID == t.self.ID {
-		return false
-	}
-	m := t.members[s.ID]
-	if m == nil {
-		t.members[s.ID] = &member{state: s, heard: now}
-		return true
+	seen := map[string]bool{}
+	for _, vm := range vms {
+		seen[vm.ID] = true
+		t.setVM(began, now, wire.VMNews{VM: vm})
 	}
-	if !newer(s.Incarnation, s.Sequence, m.state.Incarnation, m.state.Sequence) {
-		return false
+	for id, item := range t.vms {
+		if !seen[id] && !item.news.Gone {
+			t.setVM(began, now, wire.VMNews{VM: item.news.VM, Gone: true})
+		}
 	}
-	m.state = s
-	m.heard = now
-	return true
+	t.refresh(now)
 }
 
-func newer(incarnation, sequence, oldIncarnation, oldSequence uint64) bool {
-	if incarnation != oldIncarnation {
-		return incarnation > oldIncarnation
+// setVM takes one entry as read from the list. The caller holds mu.
+func (t *Table) setVM(began, now time.Time, news wire.VMNews) {
+	item := t.vms[news.VM.ID]
+	if item == nil {
+		item = &vmItem{}
+		t.vms[news.VM.ID] = item
+	} else if item.changed.After(began) || (item.news.VM == news.VM && item.news.Gone == news.Gone) {
+		return
 	}
-	return sequence > oldSequence
+	news.Version = item.news.Version + 1
+	*item = vmItem{news: news, changed: now, index: t.next()}
+	t.urgent = true
 }
 
-// Tick forgets nodes that are long dead and refreshes the view.
+// Tick raises the own heartbeat, takes silent nodes of the own data centre
+// for dead, and forgets what is long gone.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, m := range t.members {
-		if now.Sub(m.heard) > ForgetAfter {
-			delete(t.members, id)
+	t.forgive(now)
+	self := t.nodes[t.id]
+	self.beat++
+	self.beatIndex = t.next()
+	self.heard = now
+	t.centres[self.state.DataCentre] = now
+	for id, n := range t.nodes {
+		if id == t.id {
+			continue
+		}
+		silent := now.Sub(n.heard)
+		if n.state.DataCentre == self.state.DataCentre && !n.down && silent > SuspectAfter {
+			n.down = true
+			n.index = t.next()
+			n.from = ""
+			t.urgent = true
+		}
+		if silent > ForgetAfter && !t.isLive(n, now) {
+			t.forget(n)
 		}
 	}
-	t.rebuild(now)
-}
-
-// Known lists the newest versions held, the own node's included.
-func (t *Table) Known() []wire.NodeVersion {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := []wire.NodeVersion{{ID: t.self.ID, Incarnation: t.self.Incarnation, Sequence: t.self.Sequence}}
-	for _, m := range t.members {
-		out = append(out, wire.NodeVersion{ID: m.state.ID, Incarnation: m.state.Incarnation, Sequence: m.state.Sequence})
+	for id, item := range t.vms {
+		if item.news.Gone && now.Sub(item.changed) > ForgetAfter {
+			delete(t.vms, id)
+			delete(t.replicas, id)
+		}
 	}
-	return out
+	t.urgent = true
+	t.refresh(now)
 }
 
-// NewerThan returns the states that are newer than those listed, and those
-// not listed.
-func (t *Table) NewerThan(known []wire.NodeVersion) []wire.NodeState {
-	held := make(map[string]wire.NodeVersion, len(known))
-	for _, k := range known {
-		held[k.ID] = k
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []wire.NodeState
-	consider := func(s wire.NodeState) {
-		k, ok := held[s.ID]
-		if !ok || newer(s.Incarnation, s.Sequence, k.Incarnation, k.Sequence) {
-			out = append(out, s)
+// forgive restarts all waits after this process itself was stopped for a
+// while, since the silence was its own. The caller holds mu.
+func (t *Table) forgive(now time.Time) {
+	if now.Sub(t.ticked) > SuspectAfter/2 {
+		for _, n := range t.nodes {
+			if !n.down {
+				n.heard = now
+			}
+		}
+		for centre := range t.centres {
+			t.centres[centre] = now
 		}
 	}
-	consider(t.self)
-	for _, m := range t.members {
-		consider(m.state)
-	}
-	return out
+	t.ticked = now
 }
 
-// rebuild publishes a new snapshot. The caller holds mu.
-func (t *Table) rebuild(now time.Time) {
-	s := &Snapshot{byID: map[string]int{}, replicas: map[string]int{}}
-	s.Nodes = append(s.Nodes, Node{State: t.self, Live: true})
-	for _, m := range t.members {
-		s.Nodes = append(s.Nodes, Node{State: m.state, Live: now.Sub(m.heard) <= SuspectAfter})
-	}
-	slices.SortFunc(s.Nodes, func(a, b Node) int { return cmp.Compare(a.State.ID, b.State.ID) })
-	for i, n := range s.Nodes {
-		s.byID[n.State.ID] = i
-	}
-	s.Replicas = replicas(s.Nodes, t.vms)
-	for i, r := range s.Replicas {
-		s.replicas[r.ID] = i
+// forget removes a node. The caller holds mu.
+func (t *Table) forget(n *nodeItem) {
+	delete(t.nodes, n.state.ID)
+	delete(t.hashes, nodeHash(n.state.ID, n.state.Incarnation))
+	delete(t.have, n.state.ID)
+	delete(t.told, n.state.ID)
+	t.urgent = true
+}
+
+// isLive tells whether a node is taken for live. The caller holds mu.
+func (t *Table) isLive(n *nodeItem, now time.Time) bool {
+	switch {
+	case n.state.ID == t.id:
+		return true
+	case n.down:
+		return false
+	case n.state.DataCentre == t.nodes[t.id].state.DataCentre:
+		return now.Sub(n.heard) <= SuspectAfter
+	default:
+		return now.Sub(t.centres[n.state.DataCentre]) <= SilentAfter
 	}
-	t.snapshot.Store(s)
 }
 
-// replicas joins the platform's list with what the owners publish.
-func replicas(nodes []Node, vms []platform.VM) []routing.Replica {
-	published := map[string]wire.ReplicaState{}
-	for _, n := range nodes {
-		for _, r := range n.State.Replicas {
-			if n.Live {
-				published[n.State.ID+"/"+r.ID] = r
-			}
+// Publish takes the own account of the owned replicas. Peers hear of the
+// changes that matter.
+func (t *Table) Publish(now time.Time, states []wire.ReplicaState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mine := map[string]bool{}
+	for _, s := range states {
+		mine[s.ID] = true
+		s.Address = ""
+		s.Pool = ""
+		s.DataCentre = ""
+		item := t.replicas[s.ID]
+		if item == nil || item.news.Owner != t.id || significant(item.news.State, s) {
+			t.takeReplica(now, wire.ReplicaNews{Owner: t.id, Version: item.version() + 1, State: s}, "")
 		}
 	}
-	var out []routing.Replica
-	for _, vm := range vms {
-		if vm.Role != platform.RoleBackend {
-			continue
+	for id, item := range t.replicas {
+		if item.news.Owner == t.id && !mine[id] {
+			t.takeReplica(now, wire.ReplicaNews{Version: item.version() + 1, State: wire.ReplicaState{ID: id}}, "")
 		}
-		owner := ownerOf(nodes, vm)
-		r := routing.Replica{ID: vm.ID, Address: vm.Address, Pool: vm.Pool, DataCentre: vm.DataCentre, Owner: owner}
-		if p, ok := published[owner+"/"+vm.ID]; ok {
-			r.Targets = p.Targets
-			r.Running = p.Running
-			r.Limit = p.Limit
-			r.Waits = p.Waits
-			r.Usable = p.Healthy && !p.Leaving && !vm.Leaving
-		}
-		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b routing.Replica) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	t.refresh(now)
 }
 
-// ownerOf returns the node that queues for a replica: the one with the
-// highest score among the live nodes of its data centre, else of its region,
-// else of all.
-func ownerOf(nodes []Node, vm platform.VM) string {
-	for _, near := range []func(wire.NodeState) bool{
-		func(s wire.NodeState) bool { return s.DataCentre == vm.DataCentre },
-		func(s wire.NodeState) bool { return s.Region == vm.Region },
-		func(wire.NodeState) bool { return true },
-	} {
-		var ids []string
-		for _, n := range nodes {
-			if n.Live && !n.State.Leaving && near(n.State) {
-				ids = append(ids, n.State.ID)
-			}
-		}
-		if owner := routing.Highest(ids, vm.ID); owner != "" {
-			return owner
-		}
+func (i *replicaItem) version() uint64 {
+	if i == nil {
+		return 0
 	}
-	return ""
+	return i.news.Version
 }
--- /dev/null
+++ b/internal/node/exchange.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+const (
+	exchangeTimeout = time.Second
+	// kickGap is the least time between two rounds of exchange.
+	kickGap = 50 * time.Millisecond
+	// strayInterval is how often a node tries one address that it does not
+	// know to be live.
+	strayInterval = 2 * time.Second
+	// maxConfigBytes bounds a configuration taken from a peer.
+	maxConfigBytes = 64 << 20
+)
+
+// exchanger runs the exchange of news with the neighbours.
+type exchanger struct {
+	kick  chan struct{}
+	mu    sync.Mutex
+	busy  map[string]bool // guarded by mu; addresses with an exchange under way
+	ended bool            // guarded by mu
+	stray time.Time       // used by the loop alone
+	wg    sync.WaitGroup
+}
+
+func newExchanger() *exchanger {
+	return &exchanger{kick: make(chan struct{}, 1), busy: map[string]bool{}}
+}
+
+// kickPeers starts a round of exchange soon.
+func (n *Node) kickPeers() {
+	select {
+	case n.exchanger.kick <- struct{}{}:
+	default:
+	}
+}
+
+// runExchange exchanges news at each heartbeat and when kicked.
+func (n *Node) runExchange(ctx context.Context) {
+	defer n.exchanger.end()
+	ticker := time.NewTicker(membership.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.heartbeat()
+			n.round(ctx)
+		case <-n.exchanger.kick:
+			n.round(ctx)
+			pause(ctx, kickGap)
+		}
+	}
+}
+
+// end refuses further exchanges and waits for those under way.
+func (e *exchanger) end() {
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
+	e.wg.Wait()
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// heartbeat raises the own heartbeat and acts on who is gone.
+func (n *Node) heartbeat() {
+	now := time.Now()
+	n.members.Publish(now, n.owner.Published())
+	n.members.Tick(now)
+	n.owner.Drop(n.alive)
+	n.own()
+	n.peers.Sweep()
+}
+
+// round exchanges news with the neighbours, and now and then with an address
+// that is not known to be live.
+func (n *Node) round(ctx context.Context) {
+	for _, to := range n.members.Snapshot().Neighbours(n.options.Settings.ID) {
+		n.begin(to.Inner, func() { n.exchangeWith(ctx, to) })
+	}
+	if time.Since(n.exchanger.stray) < strayInterval {
+		return
+	}
+	n.exchanger.stray = time.Now()
+	if address := n.pickStray(); address != "" {
+		n.begin(address, func() { n.introduce(ctx, address) })
+	}
+}
+
+// begin runs an exchange in the background, unless one with the same address
+// is under way.
+func (n *Node) begin(address string, do func()) {
+	e := n.exchanger
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended || e.busy[address] {
+		return
+	}
+	e.busy[address] = true
+	e.wg.Go(func() {
+		do()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.busy, address)
+	})
+}
+
+// pickStray returns an address at which a node may be that is not known to be
+// live: from the settings, the table, or of nodes lost from sight.
+func (n *Node) pickStray() string {
+	live := map[string]bool{n.members.Self().Inner: true}
+	var list []string
+	for _, m := range n.members.Snapshot().Nodes {
+		switch {
+		case m.Live:
+			live[m.State.Inner] = true
+		case !m.State.Leaving:
+			list = append(list, m.State.Inner)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range n.seeds {
+		list = append(list, address)
+	}
+	list = append(list, n.options.Settings.Peers...)
+	var strays []string
+	for _, address := range list {
+		if address != "" && !live[address] {
+			strays = append(strays, address)
+		}
+	}
+	if len(strays) == 0 {
+		return ""
+	}
+	return strays[rand.IntN(len(strays))]
+}
+
+// introduce tells an address of the own node and takes all that it knows.
+func (n *Node) introduce(ctx context.Context, address string) {
+	n.exchangeNews(ctx, address, n.members.Introduce(n.config.Current().Number))
+}
+
+func (n *Node) exchangeWith(ctx context.Context, to membership.Peer) {
+	n.exchangeNews(ctx, to.Inner, n.members.Compose(to, n.config.Current().Number))
+}
+
+func (n *Node) exchangeNews(ctx context.Context, address string, news wire.News) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply := &wire.ExchangeReply{}
+	if n.peers.Call(ctx, address, "Exchange", news, reply) != nil {
+		return
+	}
+	n.members.Take(time.Now(), *reply)
+	n.fetchRevision(ctx, address, reply.Revision)
+}
+
+// fetchRevision takes a revision from a peer that has a newer one.
+func (n *Node) fetchRevision(ctx context.Context, address string, number uint64) {
+	current := n.config.Current()
+	if number <= current.Number {
+		return
+	}
+	reply := &wire.RevisionReply{}
+	if n.peers.Call(ctx, address, "Revision", wire.RevisionArgs{Number: number, Hash: current.Hash}, reply) != nil {
+		return
+	}
+	rev := &config.Revision{}
+	if json.Unmarshal(reply.Revision, rev) != nil {
+		return
+	}
+	content := current.Config
+	if rev.Hash != current.Hash {
+		body, err := unpack(reply.Config)
+		if err != nil {
+			return
+		}
+		if content, err = config.DecodeConfig(body, rev.Hash); err != nil {
+			return
+		}
+	}
+	rev.Config = content
+	n.take(rev)
+}
+
+// pack compresses a configuration, unpack undoes it.
+func pack(body []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(body); err != nil {
+		return nil, errors.Wrap(err, "compress configuration")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress configuration")
+	}
+	return b.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack configuration")
+	}
+	body, err := io.ReadAll(io.LimitReader(r, maxConfigBytes))
+	return body, errors.Wrap(err, "unpack configuration")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,9 @@
 	servers     []*http.Server
 	inner       *wire.Server
 	mu          sync.Mutex
-	vms         []platform.VM     // guarded by mu
+	exchanger   *exchanger
+	configRead  time.Time         // used by the configuration's loop alone
+	vmsRead     time.Time         // used by the VM list's loop alone
 	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
 	stop        context.CancelFunc
 	loops       sync.WaitGroup
@@ -87,7 +89,7 @@
 	n := &Node{
 		options: o, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: telemetry.NewMetrics(), tracer: tracer, seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: telemetry.NewMetrics(), tracer: tracer, exchanger: newExchanger(), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
@@ -122,14 +124,14 @@
 		every time.Duration
 		do    func(context.Context)
 	}{
-		{membership.HeartbeatInterval, n.exchange},
-		{configInterval, n.followConfig},
-		{vmInterval, n.followVMs},
+		{loopTick, n.followConfig},
+		{loopTick, n.followVMs},
 		{probeInterval, n.probe},
 		{registerInterval, n.register},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
+	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
 
@@ -137,9 +139,12 @@
 func (n *Node) refresh(ctx context.Context) {
 	n.followConfig(ctx)
 	n.followVMs(ctx)
-	n.exchange(ctx)
+	if address := n.pickStray(); address != "" {
+		n.introduce(ctx, address)
+	}
 	n.own()
 	n.probe(ctx)
+	n.round(ctx)
 }
 
 // every calls do at each interval until ctx ends.
@@ -179,7 +184,7 @@
 // It returns when ctx ends at the latest.
 func (n *Node) Leave(ctx context.Context) error {
 	n.members.Update(time.Now(), func(s *wire.NodeState) { s.Leaving = true })
-	n.exchange(ctx)
+	n.kickPeers()
 	n.options.Log.Info("leaving: serving on until callers have heard")
 	select {
 	case <-time.After(drainNotice):
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -27,9 +27,19 @@
 
 // Exchange implements wire.Handler.
 func (h *handler) Exchange(args wire.ExchangeArgs, reply *wire.ExchangeReply) error {
-	h.n.members.Merge(time.Now(), args.States)
-	reply.States = h.n.members.NewerThan(args.Known)
-	reply.Revision = h.n.config.Current().Number
+	n := h.n
+	before := n.members.Snapshot()
+	*reply = n.members.Answer(time.Now(), args, n.config.Current().Number)
+	if args.Revision > n.config.Current().Number {
+		n.begin("revision/"+args.Inner, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+			defer cancel()
+			n.fetchRevision(ctx, args.Inner, args.Revision)
+		})
+	}
+	if n.members.Snapshot().Live() != before.Live() {
+		n.kickPeers()
+	}
 	return nil
 }
 
@@ -40,10 +50,14 @@
 		return nil
 	}
 	var err error
-	if reply.Revision, err = json.Marshal(rev); err != nil {
+	if reply.Revision, err = json.Marshal(rev); err != nil || rev.Hash == args.Hash {
+		return err
+	}
+	body, _, err := rev.Config.Encode()
+	if err != nil {
 		return err
 	}
-	reply.Config, _, err = rev.Config.Encode()
+	reply.Config, err = pack(body)
 	return err
 }
 
--- /dev/null
+++ b/internal/wire/exchange.go
@@ -0,0 +1,79 @@
+package wire
+
+import "github.com/cowslipfall/cowslipfall/internal/platform"
+
+// Position is a place in a node's log of changes.
+type Position struct {
+	// Incarnation is the start number of the process that keeps the log.
+	Incarnation uint64
+	// Index counts its changes.
+	Index uint64
+}
+
+// Beat is a node's heartbeat.
+type Beat struct {
+	// Node is the hash of the node's name and incarnation; see membership.
+	Node uint64
+	// Count rises with each heartbeat of one incarnation.
+	Count uint32
+	// Revision is the configuration revision in force there.
+	Revision uint64
+}
+
+// NodeNews is a node's state as one peer tells it to another.
+type NodeNews struct {
+	State NodeState
+	// Beat is the newest heartbeat known.
+	Beat uint32
+	// Down tells that nodes of its data centre heard no heartbeat after Beat.
+	Down bool
+}
+
+// ReplicaNews is an owner's account of a replica. What the list of VMs tells
+// is left out.
+type ReplicaNews struct {
+	// Owner is the node that queues for the replica.
+	Owner string
+	// Version rises with each account, also of another owner.
+	Version uint64
+	State   ReplicaState
+}
+
+// VMNews is an entry of the platform's list of VMs.
+type VMNews struct {
+	VM platform.VM
+	// Version rises with each change that a node sees in the list.
+	Version uint64
+	// Gone tells that the list no longer has the entry.
+	Gone bool
+}
+
+// News is what one side of an exchange tells the other: all changes of its
+// log after Base, up to Next.
+type News struct {
+	// From is the sender's name, Inner its address for peers.
+	From  string
+	Inner string
+	// DataCentre and Region tell where the sender stands.
+	DataCentre string
+	Region     string
+	// Base and Next bound the changes told, in the sender's log.
+	Base Position
+	Next Position
+	// Have is what the sender holds of the receiver's log.
+	Have Position
+	// Revision is the configuration revision in force at the sender.
+	Revision uint64
+
+	Beats    []Beat
+	Nodes    []NodeNews
+	Replicas []ReplicaNews
+	VMs      []VMNews
+}
+
+// ExchangeArgs carries a node's news to a peer, ExchangeReply the peer's news
+// back.
+type (
+	ExchangeArgs  = News
+	ExchangeReply = News
+)
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	serviceName = "Node"
+	linkName    = "Link"
+	// maxConns bounds the connections that a node accepts from peers.
+	maxConns = 2048
+)
+
+// Link answers whether a connection still works.
+type Link struct{}
+
+// Empty is a message without content.
+type Empty struct{}
+
+// Ping answers at once.
+func (Link) Ping(Empty, *Empty) error { return nil }
+
+// Server answers peers on one listener.
+type Server struct {
+	secret   []byte
+	rpc      *rpc.Server
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{} // guarded by mu
+	closed   bool                  // guarded by mu
+}
+
+// NewServer returns a server that answers with h on listener.
+func NewServer(listener net.Listener, secret string, h Handler) (*Server, error) {
+	s := &Server{secret: []byte(secret), rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]struct{}{}}
+	if err := s.rpc.RegisterName(serviceName, h); err != nil {
+		return nil, errors.Wrap(err, "register handler")
+	}
+	return s, errors.Wrap(s.rpc.RegisterName(linkName, Link{}), "register link")
+}
+
+// Serve accepts peers until the listener is closed.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.add(conn) {
+			conn.Close()
+			continue
+		}
+		go s.serveConn(conn)
+	}
+}
+
+// add counts a connection; it refuses those above maxConns.
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConns {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.remove(conn)
+	if err := challenge(conn, s.secret); err != nil {
+		conn.Close()
+		return
+	}
+	s.rpc.ServeCodec(newServerCodec(conn))
+}
+
+// Close stops accepting and cuts the connections.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.Close()
+	}
+	return err
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,7 +35,8 @@
 	// ID is the node's name; Incarnation rises with each start of a process.
 	ID          string
 	Incarnation uint64
-	// Sequence rises with each change within one incarnation.
+	// Sequence rises with each change within one incarnation; heartbeats and
+	// the revision are not among the changes.
 	Sequence uint64
 	// Address is for callers, Inner for nodes.
 	Address string
@@ -65,41 +66,20 @@
 	Until time.Time
 }
 
-// NodeVersion names the newest state that a node holds of another.
-type NodeVersion struct {
-	ID          string
-	Incarnation uint64
-	Sequence    uint64
-}
-
-// ExchangeArgs carries a node's news to a peer.
-type ExchangeArgs struct {
-	// From is the sender's name.
-	From string
-	// Known lists what the sender holds, so that the peer answers with what
-	// is newer.
-	Known []NodeVersion
-	// States are those that the sender thinks new to the peer.
-	States []NodeState
-}
-
-// ExchangeReply carries the peer's news back.
-type ExchangeReply struct {
-	States []NodeState
-	// Revision is the peer's configuration revision number.
-	Revision uint64
-}
-
 // RevisionArgs asks for a revision at or above Number.
 type RevisionArgs struct {
 	Number uint64
+	// Hash is that of the content which the asker holds.
+	Hash string
 }
 
 // RevisionReply carries a whole revision, as JSON; empty if the peer has
 // none that new.
 type RevisionReply struct {
 	Revision []byte
-	Config   []byte
+	// Config is the content's canonical JSON, compressed by gzip; empty if the
+	// asker holds it already.
+	Config []byte
 }
 
 // AcquireArgs asks the owner of a replica for a place on it. The call
