Check every key of the folder and the settings

Cause: the parser takes keys in any case and any number, so "Floor" next to "floor" and "floor = nan" passed; rank orders with a gap reached the queue as an index out of range; faults of quiet hours and settings were looked for in the order of a map, so the same file could give different messages; an address such as 0.0.0.0 was accepted and then handed to callers.

Ruled out: the parser's own list of undecoded keys, which ignores case and names neither the level nor the type.

Now one walk compares each file with the Go types before decoding; every fault is a *FolderError with file (and line for syntax), key and remedy; steps and names have a fixed order. New: names are restricted, ranks are numbered from 0, pools must serve the default and rolled-out versions, quiet hours name known pools, models and organisations, weights and prices have bounds. "config check" warns of overlapping quiet hours, organisations without a key and versions without a pool.

docs/reference.md lists every key, type and default; a test compares it with the code.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -36,6 +36,7 @@
 			if err != nil {
 				return err
 			}
+			printWarnings(cmd, c)
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "ok: %d organisations, %d models, %d pools, %d services, %d ranks, %d quiet hours, %d roll-outs; hash %.12s\n",
 				len(c.Organisations), len(c.Models), len(c.Pools), len(c.Services), len(c.Ranks), len(c.QuietHours), len(c.Rollouts), hash)
 			return err
@@ -43,6 +44,14 @@
 	}
 }
 
+// printWarnings tells what a folder without a fault allows but an operator
+// hardly means.
+func printWarnings(cmd *cobra.Command, c *config.Config) {
+	for _, w := range c.Warnings() {
+		fmt.Fprintln(cmd.ErrOrStderr(), "warning: "+w)
+	}
+}
+
 // author names the operator who makes a change.
 func author() string {
 	if u, err := user.Current(); err == nil {
@@ -69,6 +78,7 @@
 			if err != nil {
 				return err
 			}
+			printWarnings(cmd, c)
 			client := platform.NewClient(base, platformTimeout)
 			rev, err := apply(cmd.Context(), client, c, revision, note)
 			if err != nil {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -25,34 +25,30 @@
 
 func newServe() *cobra.Command {
 	var path string
+	var check bool
 	var overrides map[string]string
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one entry VM's process",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := config.LoadSettings(path, append(os.Environ(), asEnvironment(overrides)...))
+			settings, err := config.LoadSettings(path, os.Environ(), overrides)
 			if err != nil {
 				return err
 			}
+			if check {
+				_, err := fmt.Fprintf(cmd.OutOrStdout(), "ok: settings of node %s in %s\n", settings.ID, settings.DataCentre)
+				return err
+			}
 			return serve(cmd, settings)
 		},
 	}
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	cmd.Flags().StringVar(&path, "settings", "", "TOML file with the process's settings")
 	cmd.Flags().StringToStringVar(&overrides, "set", nil, "override a setting, as key=value; may be repeated")
 	return cmd
 }
 
-// asEnvironment turns key=value overrides into environment entries, which
-// come last and so win.
-func asEnvironment(overrides map[string]string) []string {
-	var out []string
-	for key, value := range overrides {
-		out = append(out, config.EnvPrefix+key+"="+value)
-	}
-	return out
-}
-
 func serve(cmd *cobra.Command, settings config.Settings) error {
 	log, err := telemetry.NewLogger(settings)
 	if err != nil {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -18,7 +19,17 @@
 	DefaultDeadline      = 60 * time.Second
 )
 
-var weekdays = []string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"}
+// Bounds of values.
+const (
+	// MaxDeadline is the longest time that a request may take.
+	MaxDeadline = 10 * time.Minute
+	minWeight   = 0.001
+	maxWeight   = 1000.0
+	maxSlots    = 4096
+	maxCost     = 1_000_000_000_000
+	keySumBytes = 32
+	timeOfDay   = "15:04"
+)
 
 func (c *Config) applyDefaults() {
 	for _, o := range c.Organisations {
@@ -77,11 +88,12 @@
 	return ""
 }
 
-// check returns the first fault of the merged configuration, in the order of
-// the names so that the same folder always gives the same message.
+// check returns the first fault of the merged configuration as a
+// *FolderError. Steps and names have a fixed order, so that the same folder
+// always gives the same message.
 func (c *Config) check(from origins) error {
 	k := checker{c: c, from: from}
-	for _, step := range []func() error{k.ranks, k.models, k.pools, k.services, k.organisations, k.quietHours, k.rollouts} {
+	for _, step := range []func() error{k.names, k.ranks, k.models, k.pools, k.services, k.served, k.organisations, k.quietHours, k.rollouts} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -91,23 +103,56 @@
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
+// within tells whether a number is finite and inside its bounds.
+func within(v, low, high float64) bool {
+	return !math.IsNaN(v) && v >= low && v <= high
+}
+
+// names checks the names of all tables.
+func (k checker) names() error {
+	for _, table := range []struct {
+		key   string
+		names []string
+	}{
+		{"rank", sorted(k.c.Ranks)}, {"model", sorted(k.c.Models)}, {"pool", sorted(k.c.Pools)},
+		{"service", sorted(k.c.Services)}, {"organisation", sorted(k.c.Organisations)},
+		{"quiet_hours", sorted(k.c.QuietHours)}, {"rollout", sorted(k.c.Rollouts)},
+	} {
+		if err := k.namesOf(table.key, table.names); err != nil {
+			return err
+		}
+	}
+	for _, name := range sorted(k.c.Models) {
+		if err := k.namesOf("model."+name+".version", sorted(k.c.Models[name].Versions)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k checker) namesOf(table string, names []string) error {
+	for _, name := range names {
+		if !validName(name) {
+			return k.fault(table+"."+name, "%q is not a name: %s", name, nameRule)
+		}
+	}
+	return nil
+}
+
 func (k checker) ranks() error {
-	if len(k.c.Ranks) == 0 {
+	names := sorted(k.c.Ranks)
+	if len(names) == 0 {
 		return k.fault("rank", "no rank is defined: add at least one [rank.NAME] table")
 	}
 	sum := 0.0
 	orders := map[int]string{}
-	for _, name := range sorted(k.c.Ranks) {
+	for _, name := range names {
 		r := k.c.Ranks[name]
-		key := "rank." + name
-		if r.Floor < 0 || r.Floor > 1 {
-			return k.fault(key+".floor", "%g is outside 0 to 1: write the share of a replica that the rank keeps", r.Floor)
+		if err := k.rank("rank."+name, r, len(names)); err != nil {
+			return err
 		}
 		if other, ok := orders[r.Order]; ok {
-			return k.fault(key+".order", "%d is also the order of rank %s: give each rank its own", r.Order, other)
-		}
-		if r.Deadline < 0 || r.FirstToken < 0 {
-			return k.fault(key, "a duration is negative: write one above zero")
+			return k.fault("rank."+name+".order", "%d is also the order of rank %s: give each rank its own", r.Order, other)
 		}
 		orders[r.Order] = name
 		sum += r.Floor
@@ -118,32 +163,54 @@
 	return nil
 }
 
+func (k checker) rank(key string, r *Rank, count int) error {
+	if r.Order < 0 || r.Order >= count {
+		return k.fault(key+".order", "%d is out of range: number the ranks from 0, the most urgent, to %d", r.Order, count-1)
+	}
+	if !within(r.Floor, 0, 1) {
+		return k.fault(key+".floor", "%g is outside 0 to 1: write the share of a replica that the rank keeps", r.Floor)
+	}
+	if d := r.Deadline.Std(); d < 0 || d > MaxDeadline {
+		return k.fault(key+".deadline", "%s is out of range: write more than 0s and at most %s", d, MaxDeadline)
+	}
+	if r.FirstToken < 0 || r.FirstToken > r.Deadline {
+		return k.fault(key+".first_token", "%s is out of range: write more than 0s and at most the deadline, %s", r.FirstToken.Std(), r.Deadline.Std())
+	}
+	return nil
+}
+
 func (k checker) models() error {
 	for _, name := range sorted(k.c.Models) {
 		m := k.c.Models[name]
 		key := "model." + name
-		if strings.ContainsAny(name, "@/ ") {
-			return k.fault(key, "a model's name holds no \"@\", \"/\" or space: rename it")
-		}
 		if len(m.Versions) == 0 {
 			return k.fault(key, "has no version: add [%s.version.NAME]", key)
 		}
+		if m.Default == "" {
+			return k.fault(key+".default", "is missing: name one of %s", strings.Join(sorted(m.Versions), ", "))
+		}
 		if m.Versions[m.Default] == nil {
 			return k.fault(key+".default", "version %q does not exist%s", m.Default, nearestHint(m.Default, sorted(m.Versions)))
 		}
 		for _, version := range sorted(m.Versions) {
-			v := m.Versions[version]
-			if v.Quality < 0 || v.Quality > 1 {
-				return k.fault(key+".version."+version+".quality", "%g is outside 0 to 1: write the chance that an answer passes", v.Quality)
-			}
-			if v.CostPerMillionTokens < 0 {
-				return k.fault(key+".version."+version+".cost_per_million_tokens", "is negative: write a price of 0 or more")
+			if err := k.version(key+".version."+version, m.Versions[version]); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+func (k checker) version(key string, v *Version) error {
+	if !within(v.Quality, 0, 1) {
+		return k.fault(key+".quality", "%g is outside 0 to 1: write the chance that an answer passes", v.Quality)
+	}
+	if v.CostPerMillionTokens < 0 || v.CostPerMillionTokens > maxCost {
+		return k.fault(key+".cost_per_million_tokens", "%d is out of range: write a price of 0 to %d", v.CostPerMillionTokens, int64(maxCost))
+	}
+	return nil
+}
+
 // target checks that t names a known model and, if any, a known version.
 func (k checker) target(key string, t Target, needVersion bool) error {
 	m := k.c.Models[t.Model]
@@ -163,13 +230,22 @@
 	for _, name := range sorted(k.c.Pools) {
 		p := k.c.Pools[name]
 		key := "pool." + name
-		if p.Slots < 0 || p.KVTokens < 0 {
-			return k.fault(key, "slots and kv_tokens must be above zero")
+		if p.Slots < 0 || p.Slots > maxSlots {
+			return k.fault(key+".slots", "%d is out of range: write 1 to %d", p.Slots, maxSlots)
+		}
+		if p.KVTokens < 0 {
+			return k.fault(key+".kv_tokens", "%d is negative: write the number of tokens that fit", p.KVTokens)
 		}
-		for _, t := range p.Targets {
+		if len(p.Targets) == 0 {
+			return k.fault(key+".targets", "is empty: list the versions that the pool may load, as \"model@version\"")
+		}
+		for i, t := range p.Targets {
 			if err := k.target(key+".targets", t, true); err != nil {
 				return err
 			}
+			if slices.Contains(p.Targets[:i], t) {
+				return k.fault(key+".targets", "%s stands twice: remove one", t)
+			}
 		}
 	}
 	return nil
@@ -179,94 +255,49 @@
 	for _, name := range sorted(k.c.Services) {
 		s := k.c.Services[name]
 		key := "service." + name
-		if s.Slots < 0 {
-			return k.fault(key+".slots", "must be above zero")
+		if k.c.Pools[name] != nil {
+			return k.fault(key, "is also the name of a pool: rename one")
+		}
+		if s.Slots < 0 || s.Slots > maxSlots {
+			return k.fault(key+".slots", "%d is out of range: write 1 to %d", s.Slots, maxSlots)
 		}
 		for _, call := range s.OnceCalls {
-			method, path, ok := strings.Cut(call, " ")
-			if !ok || method == "" || !strings.HasPrefix(path, "/") {
-				return k.fault(key+".once_calls", "%q is not a call: write \"METHOD /path\"", call)
+			if !validCall(call) {
+				return k.fault(key+".once_calls", "%q is not a call: write \"METHOD /path\", such as \"POST /seats/*\"", call)
 			}
 		}
 	}
 	return nil
 }
 
-func (k checker) organisations() error {
-	owner := map[string]string{}
-	for _, name := range sorted(k.c.Organisations) {
-		o := k.c.Organisations[name]
-		key := "organisation." + name
-		for _, sum := range o.KeysSHA256 {
-			if len(sum) != 64 {
-				return k.fault(key+".keys_sha256", "a key's sum has %d characters: write the 64 hex digits of its SHA-256", len(sum))
-			}
-			if other, ok := owner[sum]; ok {
-				return k.fault(key+".keys_sha256", "organisation %s has the same key: give each its own", other)
-			}
-			owner[sum] = name
-		}
-		for _, t := range o.Allow {
-			if err := k.target(key+".allow", t, false); err != nil {
-				return err
-			}
-		}
-		for _, s := range o.Services {
-			if k.c.Services[s] == nil {
-				return k.fault(key+".services", "service %q does not exist%s", s, nearestHint(s, sorted(k.c.Services)))
-			}
-		}
-		if k.c.Ranks[o.DefaultRank] == nil {
-			return k.fault(key+".default_rank", "rank %q does not exist%s", o.DefaultRank, nearestHint(o.DefaultRank, sorted(k.c.Ranks)))
-		}
-		if o.Weight < 0 || o.QualityTarget < 0 || o.QualityTarget > 1 {
-			return k.fault(key, "weight must be above 0 and quality_target within 0 to 1")
-		}
+// validCall tells whether a call names a method in capitals and a path whose
+// only "*", if any, is its last character.
+func validCall(call string) bool {
+	method, path, ok := strings.Cut(call, " ")
+	if !ok || method == "" || strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" {
+		return false
 	}
-	return nil
+	star := strings.Index(path, "*")
+	return strings.HasPrefix(path, "/") && !strings.ContainsAny(path, " ?#") && (star < 0 || star == len(path)-1)
 }
 
-func (k checker) quietHours() error {
-	for _, name := range sorted(k.c.QuietHours) {
-		q := k.c.QuietHours[name]
-		key := "quiet_hours." + name
-		if _, err := time.LoadLocation(q.Zone); err != nil || q.Zone == "" {
-			return k.fault(key+".zone", "%q is not a time zone: write an IANA name such as \"Europe/Helsinki\"", q.Zone)
-		}
-		for field, value := range map[string]string{"from": q.From, "to": q.To} {
-			if _, err := time.Parse("15:04", value); err != nil {
-				return k.fault(key+"."+field, "%q is not a time of day: write hours and minutes, such as \"22:30\"", value)
-			}
-		}
-		for _, d := range q.Days {
-			if !slices.Contains(weekdays, d) {
-				return k.fault(key+".days", "%q is not a weekday%s", d, nearestHint(d, weekdays))
-			}
+// served checks that some pool serves each model's default version.
+func (k checker) served() error {
+	for _, name := range sorted(k.c.Models) {
+		t := Target{Model: name, Version: k.c.Models[name].Default}
+		if !k.inPool(t) {
+			return k.fault("model."+name+".default", "no pool serves %s: add it to the targets of a pool", t)
 		}
 	}
 	return nil
 }
 
-func (k checker) rollouts() error {
-	for _, name := range sorted(k.c.Rollouts) {
-		r := k.c.Rollouts[name]
-		key := "rollout." + name
-		if err := k.target(key+".from", Target{r.Model, r.From}, true); err != nil {
-			return err
-		}
-		if err := k.target(key+".to", Target{r.Model, r.To}, true); err != nil {
-			return err
-		}
-		last := 0.0
-		for _, s := range r.Stages {
-			if s.Percent < last || s.Percent > 100 {
-				return k.fault(key+".stages", "percent %g: stages rise from 0 to 100 and never fall", s.Percent)
-			}
-			last = s.Percent
-		}
-		if len(r.Stages) == 0 {
-			return k.fault(key+".stages", "is empty: add at least one stage")
+// inPool tells whether some pool may load t.
+func (k checker) inPool(t Target) bool {
+	for _, p := range k.c.Pools {
+		if slices.Contains(p.Targets, t) {
+			return true
 		}
 	}
-	return nil
+	return false
 }
--- a/internal/config/folder.go
+++ b/internal/config/folder.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
 	"io/fs"
 	"os"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -13,6 +16,7 @@
 
 const (
 	maxFileBytes = 1 << 20
+	maxFiles     = 1000
 	fileSuffix   = ".toml"
 )
 
@@ -41,9 +45,9 @@
 // origins tells which file last set a key, by its dotted name.
 type origins map[string]string
 
-// LoadFolder reads all *.toml files of dir in the order of their names,
-// merges them so that a later file overrides an earlier one key by key, and
-// checks the result.
+// LoadFolder reads all *.toml files of dir but for hidden ones in the order of
+// their names, merges them so that a later file overrides an earlier one key
+// by key, and checks the result. Its error is a *FolderError.
 func LoadFolder(dir string) (*Config, error) { return LoadFS(os.DirFS(dir), dir) }
 
 // LoadFS does the same for the top folder of a file system; name is used in
@@ -51,14 +55,18 @@
 func LoadFS(folder fs.FS, dir string) (*Config, error) {
 	entries, err := fs.ReadDir(folder, ".")
 	if err != nil {
-		return nil, &FolderError{File: dir, Remedy: "cannot read the folder (" + err.Error() + "): check its path and permissions"}
+		return nil, unreadable(dir, err)
 	}
 	names := []string{}
 	for _, e := range entries {
-		if !e.IsDir() && strings.HasSuffix(e.Name(), fileSuffix) {
+		hidden := strings.HasPrefix(e.Name(), ".")
+		if !e.IsDir() && !hidden && strings.HasSuffix(e.Name(), fileSuffix) {
 			names = append(names, e.Name())
 		}
 	}
+	if len(names) > maxFiles {
+		return nil, &FolderError{File: dir, Remedy: fmt.Sprintf("holds %d files: join them to at most %d", len(names), maxFiles)}
+	}
 	if len(names) == 0 {
 		return nil, &FolderError{File: dir, Remedy: "holds no *.toml file: add at least one"}
 	}
@@ -77,35 +85,65 @@
 
 // readFile parses one file and checks it for unknown keys and wrong types.
 func readFile(folder fs.FS, name string) (map[string]any, error) {
-	body, err := fs.ReadFile(folder, name)
+	body, err := readBounded(folder, name)
 	if err != nil {
-		return nil, &FolderError{File: name, Remedy: "cannot read the file (" + err.Error() + "): check its permissions"}
+		return nil, err
 	}
-	if len(body) > maxFileBytes {
-		return nil, &FolderError{File: name, Remedy: "is larger than 1 MiB: split it into smaller files"}
+	return parseTOML(name, body, reflect.TypeFor[Config]())
+}
+
+// readBounded reads a file of at most maxFileBytes.
+func readBounded(folder fs.FS, name string) ([]byte, error) {
+	f, err := folder.Open(name)
+	if err != nil {
+		return nil, unreadable(name, err)
 	}
-	alone := &Config{}
-	meta, err := toml.Decode(string(body), alone)
+	defer f.Close()
+	body, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
 	if err != nil {
-		return nil, &FolderError{File: name, Remedy: describeTOML(err)}
+		return nil, unreadable(name, err)
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		key := unknown[0].String()
-		return nil, &FolderError{File: name, Key: key, Remedy: "is unknown" + nearestHint(lastKeyPart(key), folderKeys)}
+	if len(body) > maxFileBytes {
+		return nil, &FolderError{File: name, Remedy: "is larger than 1 MiB: split it into smaller files"}
 	}
+	return body, nil
+}
+
+func unreadable(name string, err error) error {
+	return &FolderError{File: name, Remedy: "cannot be read (" + err.Error() + "): check its path and permissions"}
+}
+
+// parseTOML parses one file's text and checks it against the struct t.
+func parseTOML(file string, body []byte, t reflect.Type) (map[string]any, error) {
 	tree := map[string]any{}
 	if _, err := toml.Decode(string(body), &tree); err != nil {
-		return nil, &FolderError{File: name, Remedy: describeTOML(err)}
+		return nil, syntaxError(file, err)
+	}
+	if err := checkTree(tree, t, ""); err != nil {
+		return nil, inFile(file, err)
 	}
 	return tree, nil
 }
 
-func describeTOML(err error) string {
+// inFile adds the file to a fault that has none.
+func inFile(file string, err error) error {
+	var fault *FolderError
+	if !errors.As(err, &fault) {
+		return &FolderError{File: file, Remedy: err.Error()}
+	}
+	fault.File = file
+	return fault
+}
+
+func syntaxError(file string, err error) error {
 	var pe toml.ParseError
-	if errors.As(err, &pe) {
-		return "is not valid TOML, mend it here: " + strings.TrimSpace(pe.ErrorWithPosition())
+	if !errors.As(err, &pe) {
+		return &FolderError{File: file, Remedy: "is not valid TOML (" + err.Error() + "): correct it"}
+	}
+	return &FolderError{
+		File: fmt.Sprintf("%s:%d", file, pe.Position.Line), Key: pe.LastKey,
+		Remedy: "is not valid TOML (" + strings.TrimSuffix(pe.Message, ".") + "): correct this line",
 	}
-	return err.Error() + ": correct the value's type"
 }
 
 // mergeTree lays src over dst, table by table, and notes where each key came
@@ -143,7 +181,7 @@
 	}
 	c := &Config{}
 	if _, err := toml.Decode(buf.String(), c); err != nil {
-		return nil, &FolderError{Remedy: "the merged files do not fit together: " + describeTOML(err)}
+		return nil, &FolderError{Remedy: "the merged files do not fit together (" + err.Error() + "): make the types of the same key agree in all files"}
 	}
 	c.applyDefaults()
 	if err := c.check(from); err != nil {
--- a/internal/config/nearest.go
+++ b/internal/config/nearest.go
@@ -1,59 +1,35 @@
 package config
 
 import (
-	"reflect"
-	"sort"
+	"slices"
 	"strings"
 )
 
 // maxTypoDistance is the largest edit distance at which a name is suggested.
 const maxTypoDistance = 3
 
-// folderKeys lists every key that a folder's file may hold.
-var folderKeys = structKeys(reflect.TypeFor[Config](), map[reflect.Type]bool{})
-
-// structKeys collects the TOML names of t's fields and of all types below.
-func structKeys(t reflect.Type, seen map[reflect.Type]bool) []string {
-	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Map || t.Kind() == reflect.Slice {
-		t = t.Elem()
-	}
-	if t.Kind() != reflect.Struct || seen[t] {
-		return nil
-	}
-	seen[t] = true
-	keys := []string{}
-	for i := range t.NumField() {
-		f := t.Field(i)
-		if name := f.Tag.Get("toml"); name != "" {
-			keys = append(keys, name)
-		}
-		keys = append(keys, structKeys(f.Type, seen)...)
-	}
-	return keys
-}
-
-func lastKeyPart(key string) string {
-	return key[strings.LastIndex(key, ".")+1:]
-}
+// mostListed is the largest number of known names that a message lists.
+const mostListed = 12
 
 // nearestHint returns a remedy that names the known word closest to got.
 func nearestHint(got string, known []string) string {
+	list := slices.Sorted(slices.Values(known))
 	best, distance := "", maxTypoDistance+1
-	for _, k := range known {
-		if d := editDistance(got, k); d < distance {
+	for _, k := range list {
+		if d := editDistance(strings.ToLower(got), strings.ToLower(k)); d < distance && d < len(k) {
 			best, distance = k, d
 		}
 	}
-	if best != "" {
-		return ": did you mean " + strings.ToLower(best) + "?"
-	}
-	list := append([]string(nil), known...)
-	sort.Strings(list)
-	const few = 12
-	if len(list) > few {
-		return ": remove it, or see docs/reference.md for the known keys"
+	switch {
+	case best != "":
+		return ": did you mean " + best + "?"
+	case len(list) == 0:
+		return ": remove it"
+	case len(list) > mostListed:
+		return ": remove it, or see docs/reference.md for the known ones"
+	default:
+		return ": use one of " + strings.Join(list, ", ")
 	}
-	return ": use one of " + strings.Join(list, ", ")
 }
 
 // editDistance returns the Levenshtein distance of a and b.
--- /dev/null
+++ b/internal/config/reference_test.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// section is one heading of the reference with the struct that it describes.
+type section struct {
+	heading  string
+	of       reflect.Type
+	defaults any
+}
+
+// row is one line of a section's table.
+type row struct{ key, typ, preset string }
+
+var rowPattern = regexp.MustCompile("^\\| `([a-z0-9_]+)` \\|([^|]*)\\|([^|]*)\\|")
+
+// referenceRows reads the tables of docs/reference.md by heading.
+func referenceRows(t *testing.T) map[string][]row {
+	t.Helper()
+	raw, err := os.ReadFile("../../docs/reference.md")
+	is.New(t).NoErr(err)
+	out := map[string][]row{}
+	heading := ""
+	for line := range strings.SplitSeq(string(raw), "\n") {
+		if strings.HasPrefix(line, "#") {
+			heading = strings.TrimLeft(line, "# ")
+		}
+		if m := rowPattern.FindStringSubmatch(line); m != nil {
+			out[heading] = append(out[heading], row{m[1], strings.TrimSpace(m[2]), strings.Trim(strings.TrimSpace(m[3]), "`")})
+		}
+	}
+	return out
+}
+
+func referenceType(t reflect.Type) string {
+	switch t {
+	case reflect.TypeFor[Duration]():
+		return "duration"
+	case reflect.TypeFor[Target]():
+		return "target"
+	}
+	switch t.Kind() {
+	case reflect.Int, reflect.Int64:
+		return "integer"
+	case reflect.Float64:
+		return "number"
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Struct && t.Elem() != reflect.TypeFor[Target]() {
+			return "list of [[rollout.NAME.stages]]"
+		}
+		return "list of " + referenceType(t.Elem())
+	case reflect.Map:
+		return "table of [model.NAME.version.NAME]"
+	default:
+		return t.Kind().String()
+	}
+}
+
+func presetOf(v reflect.Value) string {
+	if v.IsZero() {
+		return ""
+	}
+	if d, ok := v.Interface().(Duration); ok {
+		return d.Std().String()
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// The reference page lists the keys, types and defaults that the program has,
+// and no others.
+func TestReferencePage(t *testing.T) {
+	c := &Config{
+		Organisations: map[string]*Organisation{"x": {}}, Pools: map[string]*Pool{"x": {}},
+		Services: map[string]*Service{"x": {}}, Ranks: map[string]*Rank{"x": {}},
+	}
+	c.applyDefaults()
+	rows := referenceRows(t)
+	sections := []section{
+		{"Settings of a process", reflect.TypeFor[Settings](), DefaultSettings()},
+		{"[organisation.NAME]", reflect.TypeFor[Organisation](), *c.Organisations["x"]},
+		{"[model.NAME]", reflect.TypeFor[Model](), Model{}},
+		{"[model.NAME.version.NAME]", reflect.TypeFor[Version](), Version{}},
+		{"[pool.NAME]", reflect.TypeFor[Pool](), *c.Pools["x"]},
+		{"[service.NAME]", reflect.TypeFor[Service](), *c.Services["x"]},
+		{"[rank.NAME]", reflect.TypeFor[Rank](), *c.Ranks["x"]},
+		{"[quiet_hours.NAME]", reflect.TypeFor[QuietHours](), QuietHours{}},
+		{"[rollout.NAME]", reflect.TypeFor[Rollout](), Rollout{}},
+		{"[[rollout.NAME.stages]]", reflect.TypeFor[Stage](), Stage{}},
+	}
+	for _, s := range sections {
+		t.Run(s.heading, func(t *testing.T) {
+			var want []row
+			for _, key := range tomlKeys(s.of) {
+				f, _ := fieldByKey(s.of, key)
+				preset := presetOf(reflect.ValueOf(s.defaults).FieldByIndex(f.Index))
+				want = append(want, row{key, referenceType(f.Type), preset})
+			}
+			is.New(t).Equal(rows[s.heading], want)
+		})
+	}
+	is.New(t).Equal(len(rows), len(sections)) // no table of something unknown
+	is.New(t).Equal(len(tomlKeys(reflect.TypeFor[Config]())), 7)
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,11 +1,9 @@
 package config
 
 import (
-	"net"
-	"net/url"
 	"os"
+	"path/filepath"
 	"reflect"
-	"slices"
 	"strings"
 	"time"
 
@@ -51,19 +49,17 @@
 	TraceEndpoint string `toml:"trace_endpoint"`
 }
 
-const (
-	minSecretLength        = 16
-	defaultPlatformTimeout = time.Second
-)
+const defaultPlatformTimeout = time.Second
 
 // DefaultSettings returns the settings of a process that is told nothing.
 func DefaultSettings() Settings {
 	return Settings{PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none"}
 }
 
-// LoadSettings reads a TOML file, lays the environment over it, and checks
-// the result. An empty path reads the environment only.
-func LoadSettings(path string, environ []string) (Settings, error) {
+// LoadSettings reads a TOML file, lays the environment and then the overrides
+// over it, and checks the result. An empty path reads no file. Its error is a
+// *FolderError.
+func LoadSettings(path string, environ []string, overrides map[string]string) (Settings, error) {
 	s := DefaultSettings()
 	if path != "" {
 		if err := s.readFile(path); err != nil {
@@ -73,27 +69,30 @@
 	if err := s.readEnvironment(environ); err != nil {
 		return s, err
 	}
+	for _, key := range sorted(overrides) {
+		if err := s.Set(key, overrides[key]); err != nil {
+			return s, inFile("command line", err)
+		}
+	}
 	return s, s.Check(path)
 }
 
 func (s *Settings) readFile(path string) error {
-	body, err := os.ReadFile(path)
+	body, err := readBounded(os.DirFS(filepath.Dir(path)), filepath.Base(path))
 	if err != nil {
-		return &FolderError{File: path, Remedy: "cannot read the settings (" + err.Error() + "): check the path and permissions"}
+		return inFile(path, err)
 	}
-	meta, err := toml.Decode(string(body), s)
-	if err != nil {
-		return &FolderError{File: path, Remedy: describeTOML(err)}
+	if _, err := parseTOML(path, body, reflect.TypeFor[Settings]()); err != nil {
+		return err
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		key := unknown[0].String()
-		return &FolderError{File: path, Key: key, Remedy: "is unknown" + nearestHint(key, SettingKeys())}
+	if _, err := toml.Decode(string(body), s); err != nil {
+		return syntaxError(path, err)
 	}
 	return nil
 }
 
 // SettingKeys lists the keys of the settings file.
-func SettingKeys() []string { return structKeys(reflect.TypeFor[Settings](), map[reflect.Type]bool{}) }
+func SettingKeys() []string { return tomlKeys(reflect.TypeFor[Settings]()) }
 
 // readEnvironment takes COWSLIPFALL_* variables; lists are separated by
 // commas.
@@ -105,68 +104,37 @@
 			continue
 		}
 		if err := s.Set(strings.ToLower(key), value); err != nil {
-			return &FolderError{File: "environment", Key: name, Remedy: err.Error()}
+			return inFile("environment variable "+name, err)
 		}
 	}
 	return nil
 }
 
-// Set changes one setting by its key.
+// Set changes one setting by its key; lists are separated by commas.
 func (s *Settings) Set(key, value string) error {
-	v := reflect.ValueOf(s).Elem()
-	for i := range v.NumField() {
-		if v.Type().Field(i).Tag.Get("toml") != key {
-			continue
-		}
-		switch field := v.Field(i).Addr().Interface().(type) {
-		case *string:
-			*field = value
-		case *[]string:
-			*field = strings.Split(value, ",")
-		case *Duration:
-			return field.UnmarshalText([]byte(value))
+	field, ok := fieldByKey(reflect.TypeFor[Settings](), key)
+	if !ok {
+		return &FolderError{Key: key, Remedy: "is unknown" + nearestHint(key, SettingKeys())}
+	}
+	switch target := reflect.ValueOf(s).Elem().FieldByIndex(field.Index).Addr().Interface().(type) {
+	case *string:
+		*target = value
+	case *[]string:
+		*target = splitList(value)
+	case *Duration:
+		if err := target.UnmarshalText([]byte(value)); err != nil {
+			return &FolderError{Key: key, Remedy: err.Error()}
 		}
-		return nil
 	}
-	return &FolderError{Key: key, Remedy: "is unknown" + nearestHint(key, SettingKeys())}
+	return nil
 }
 
-// Check returns the first fault of the settings, naming file, key and remedy.
-func (s *Settings) Check(file string) error {
-	fault := func(key, remedy string) error { return &FolderError{File: file, Key: key, Remedy: remedy} }
-	for key, value := range map[string]string{"id": s.ID, "data_centre": s.DataCentre, "region": s.Region} {
-		if value == "" {
-			return fault(key, "is missing: set it")
+func splitList(value string) []string {
+	var out []string
+	for item := range strings.SplitSeq(value, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			out = append(out, item)
 		}
 	}
-	for key, value := range map[string]string{"listen": s.Listen, "inner_listen": s.InnerListen, "operator_listen": s.OperatorListen} {
-		if _, _, err := net.SplitHostPort(value); err != nil {
-			return fault(key, "is not an address: write IP:port, such as \"10.0.0.1:8080\"")
-		}
-	}
-	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" {
-		return fault("platform", "is not a URL: write one such as \"http://10.0.0.9:7000\"")
-	}
-	if len(s.InnerSecret) < minSecretLength {
-		return fault("inner_secret", "is too short: write at least 16 characters, the same on all nodes")
-	}
-	if len(s.OperatorKey) < minSecretLength {
-		return fault("operator_key", "is too short: write at least 16 characters")
-	}
-	for key, choice := range map[string]struct {
-		value string
-		known []string
-	}{
-		"log_level":      {s.LogLevel, []string{"debug", "info", "warn", "error"}},
-		"log_format":     {s.LogFormat, []string{"json", "console"}},
-		"trace_exporter": {s.TraceExporter, []string{"none", "stdout", "otlp"}},
-	} {
-		if !slices.Contains(choice.known, choice.value) {
-			return fault(key, "is "+choice.value+": use one of "+strings.Join(choice.known, ", "))
-		}
-	}
-	if s.PlatformTimeout <= 0 {
-		return fault("platform_timeout", "must be above zero")
-	}
-	return nil
+	return out
 }
--- /dev/null
+++ b/internal/config/settings_check.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	minSecretLength    = 16
+	maxPlatformTimeout = 30 * time.Second
+)
+
+// Choices of the settings that take one of a few words.
+var (
+	logLevels      = []string{"debug", "info", "warn", "error"}
+	logFormats     = []string{"json", "console"}
+	traceExporters = []string{"none", "stdout", "otlp"}
+)
+
+// Check returns the first fault of the settings as a *FolderError, always the
+// same for the same settings.
+func (s *Settings) Check(file string) error {
+	for _, step := range []func() error{s.checkIdentity, s.checkAddresses, s.checkPlatform, s.checkSecrets, s.checkTelemetry} {
+		if err := step(); err != nil {
+			return inFile(file, err)
+		}
+	}
+	return nil
+}
+
+func settingFault(key, format string, args ...any) error {
+	return &FolderError{Key: key, Remedy: fmt.Sprintf(format, args...)}
+}
+
+func (s *Settings) checkIdentity() error {
+	for _, f := range []struct{ key, value string }{
+		{"id", s.ID}, {"data_centre", s.DataCentre}, {"region", s.Region},
+	} {
+		if f.value == "" {
+			return settingFault(f.key, "is missing: set it")
+		}
+		if !validName(f.value) {
+			return settingFault(f.key, "%q is not a name: %s", f.value, nameRule)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkAddresses() error {
+	used := map[string]string{}
+	for _, f := range []struct{ key, value string }{
+		{"listen", s.Listen}, {"inner_listen", s.InnerListen}, {"operator_listen", s.OperatorListen},
+	} {
+		address, err := checkAddress(f.key, f.value)
+		if err != nil {
+			return err
+		}
+		if other, ok := used[f.value]; ok && address.Port() != 0 {
+			return settingFault(f.key, "%s is also the address of %s: give each its own port", f.value, other)
+		}
+		used[f.value] = f.key
+	}
+	for i, peer := range s.Peers {
+		if _, err := checkAddress(fmt.Sprintf("peers[%d]", i), peer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkAddress reads IP:port; others connect to it, so it names one address.
+func checkAddress(key, value string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return address, settingFault(key, "%q is not an address: write IP:port, such as \"10.0.0.1:8080\"", value)
+	}
+	if address.Addr().IsUnspecified() {
+		return address, settingFault(key, "%q stands for every address: write the VM's own IP, which others connect to", value)
+	}
+	return address, nil
+}
+
+func checkURL(key, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return settingFault(key, "%q is not a URL: write one such as \"http://10.0.0.9:7000\"", value)
+	}
+	return nil
+}
+
+func (s *Settings) checkPlatform() error {
+	if err := checkURL("platform", s.Platform); err != nil {
+		return err
+	}
+	if d := s.PlatformTimeout.Std(); d <= 0 || d > maxPlatformTimeout {
+		return settingFault("platform_timeout", "%s is out of range: write more than 0s and at most %s", d, maxPlatformTimeout)
+	}
+	return nil
+}
+
+func (s *Settings) checkSecrets() error {
+	if len(s.InnerSecret) < minSecretLength {
+		return settingFault("inner_secret", "has %d characters: write at least %d, the same on all nodes", len(s.InnerSecret), minSecretLength)
+	}
+	if len(s.OperatorKey) < minSecretLength {
+		return settingFault("operator_key", "has %d characters: write at least %d", len(s.OperatorKey), minSecretLength)
+	}
+	if s.InnerSecret == s.OperatorKey {
+		return settingFault("operator_key", "is the same as inner_secret: choose another")
+	}
+	return nil
+}
+
+func (s *Settings) checkTelemetry() error {
+	for _, f := range []struct {
+		key, value string
+		known      []string
+	}{
+		{"log_level", s.LogLevel, logLevels},
+		{"log_format", s.LogFormat, logFormats},
+		{"trace_exporter", s.TraceExporter, traceExporters},
+	} {
+		if !slices.Contains(f.known, f.value) {
+			return settingFault(f.key, "is %q: use one of %s", f.value, strings.Join(f.known, ", "))
+		}
+	}
+	if s.TraceExporter == "otlp" {
+		return checkURL("trace_endpoint", s.TraceEndpoint)
+	}
+	return nil
+}
