--- a/internal/config/check_policy.go
+++ b/internal/config/check_policy.go
@@ -104,6 +104,9 @@
 			return k.fault(key+"."+f.key, "%q is not a time of day: write hours and minutes, such as \"22:30\"", f.value)
 		}
 	}
+	if q.Margin < 0 {
+		return k.fault(key+".margin", "is negative: write by how much clocks may be wrong, such as \"2s\"")
+	}
 	if q.From == q.To {
 		return k.fault(key+".to", "%q is also when the window begins: write another time, \"00:00\" to \"23:59\" for nearly a whole day", q.To)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -168,8 +168,7 @@
 	Preempts bool `toml:"preempts" json:"preempts"`
 }
 
-// QuietHours is a daily window in which no work may run. Equal times make it
-// last for the whole day.
+// QuietHours is a daily window in which no work may run.
 type QuietHours struct {
 	// Zone is the IANA name of the time zone.
 	Zone string `toml:"zone" json:"zone"`
