--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -19,6 +22,8 @@
 	// Prompt is the whole input text, MaxTokens bounds the answer.
 	Prompt    string
 	MaxTokens int
+	// Kind is the kind of work that the caller names, or empty.
+	Kind string
 }
 
 // ChatResult describes a whole answer.
@@ -48,13 +53,16 @@
 	excluded []string
 	retries  int
 	ran      outcome.Ran
+	text     strings.Builder
 }
 
 // Chat serves one request for an answer.
 func (d *Dispatcher) Chat(ctx context.Context, req *ChatRequest, sink Sink) (*ChatResult, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	d.firstTry(req.Organisation)
+	if err := d.admit(&req.Request); err != nil {
+		return nil, err
+	}
 	a := &answer{req: req, sink: sink, ran: outcome.RanNo}
 	for {
 		p, err := d.placeFor(ctx, a)
@@ -83,7 +91,7 @@
 	for _, t := range targets {
 		p, err := d.acquire(ctx, &a.req.Request, wish{
 			target: t, tokens: a.req.MaxTokens - a.offset, excluded: a.excluded,
-			deadline: a.req.Deadline, prefixes: routing.PrefixHashes(a.req.Prompt),
+			deadline: a.req.Deadline, length: d.answerLength(a, t), prefixes: routing.PrefixHashes(a.req.Prompt),
 		})
 		if err == nil {
 			a.target = t
@@ -113,16 +121,58 @@
 			d.Record.Add(a.req.ID, "the session's version could not be read: %s", err)
 		}
 	}
-	targets := routing.Versions(rev, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: a.req.Session, Pin: pin})
+	rules, err := d.rules(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	targets := rules.plan.Versions(nil, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held})
 	if len(targets) == 0 {
 		return nil, outcome.Refuse(outcome.CodeNotAllowed, 0, "no version of %q is allowed and in force for organisation %q: ask its operator", a.req.Asked, a.req.Organisation)
 	}
+	if targets, err = d.withoutQuiet(a, targets); err != nil {
+		return nil, err
+	}
 	if a.req.Session != "" && pin != targets[0] {
 		return d.pin(ctx, a, pin, targets)
 	}
 	return targets, nil
 }
 
+// withoutQuiet drops the versions that quiet hours close everywhere.
+func (d *Dispatcher) withoutQuiet(a *answer, targets []config.Target) ([]config.Target, error) {
+	var until time.Time
+	open := targets[:0]
+	for _, t := range targets {
+		to, closed := d.quietAt(rollout.Scope{Model: t.Model, Organisation: a.req.Organisation}, d.answerLength(a, t))
+		switch {
+		case !closed:
+			open = append(open, t)
+		case until.IsZero() || to.Before(until):
+			until = to
+		}
+	}
+	if len(open) == 0 {
+		return nil, refuseQuiet(time.Now(), until)
+	}
+	return open, nil
+}
+
+// answerLength estimates how long the rest of the answer takes.
+func (d *Dispatcher) answerLength(a *answer, t config.Target) time.Duration {
+	return d.pace.answer(t, len(a.req.Prompt), a.req.MaxTokens-a.offset)
+}
+
+func answerScope(a *answer, p *place) rollout.Scope {
+	return rollout.Scope{DataCentre: p.replica.DataCentre, Pool: p.replica.Pool, Model: a.target.Model, Organisation: a.req.Organisation}
+}
+
+// keep notes the text for rating, within bounds.
+func (a *answer) keep(text string) {
+	if a.text.Len()+len(text) <= maxRatedBytes {
+		a.text.WriteString(text)
+	}
+}
+
 // settle bills a whole answer.
 func (d *Dispatcher) settle(ctx context.Context, a *answer, final backend.Frame) *ChatResult {
 	cost := int64(0)
@@ -133,6 +183,7 @@
 		Request: a.req.ID, Organisation: a.req.Organisation, Target: a.target,
 		PromptTokens: final.PromptTokens, Tokens: a.offset, CostMicros: cost, At: time.Now(),
 	})
+	d.Observer.Answered(Answered{Request: a.req.ID, Organisation: a.req.Organisation, Kind: a.req.Kind, Target: a.target, Text: a.text.String()})
 	d.Record.Add(a.req.ID, "answered by %s with %d tokens, billed %d", a.target, a.offset, cost)
 	return &ChatResult{Target: a.target, PromptTokens: final.PromptTokens, Tokens: a.offset, FinishReason: final.FinishReason}
 }
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -44,7 +44,7 @@
 	if err != nil || stored != nil {
 		return d.earlier(o, stored), err
 	}
-	p, err := d.acquire(ctx, &req.Request, d.callWish(req, nil))
+	p, err := d.acquire(ctx, &req.Request, d.callWish(req, nil, true))
 	if err != nil {
 		return d.notSent(ctx, o, err)
 	}
@@ -105,7 +105,7 @@
 		excluded = append(excluded, p.replica.ID)
 		err := error(outcome.Refuse(outcome.CodeBackendFailed, jitter(minRetryAfter), "no backend server took the call: send it again with the same key"))
 		if ctx.Err() == nil && result.failure.Retryable() && d.retry(ctx, &o.req.Request, n) {
-			p, err = d.acquire(ctx, &o.req.Request, d.callWish(o.req, excluded))
+			p, err = d.acquire(ctx, &o.req.Request, d.callWish(o.req, excluded, true))
 			if err == nil {
 				continue
 			}
@@ -118,6 +118,10 @@
 // sendOnce sends a claimed call to one replica. The send goes on when the
 // caller stops waiting; it then returns false.
 func (d *Dispatcher) sendOnce(ctx context.Context, o *onceCall, claim *ledger.Claim, p *place) (sent, bool) {
+	if _, closed := d.quietAt(callScope(o.req, p), d.callLength(o.req, true)); closed {
+		d.release(p, wire.ReleaseArgs{})
+		return sent{failure: &backend.Error{Kind: backend.KindBusy, Ran: outcome.RanNo, Message: "quiet hours are too near"}}, true
+	}
 	if ctx.Err() != nil || !d.Claims.Send(claim) {
 		d.release(p, wire.ReleaseArgs{})
 		return sent{failure: &backend.Error{Kind: backend.KindRejected, Ran: outcome.RanNo, Message: "the caller went away"}}, true
@@ -154,7 +158,7 @@
 	call.Fencing = claim.Fencing
 	call.Once = true
 	d.Record.Add(o.req.ID, "sent once to replica %s", p.replica.ID)
-	reply, err := d.Dialer.Service(p.replica.Address).Do(ctx, call)
+	reply, err := d.do(ctx, o.req, call, p)
 	if err == nil {
 		d.release(p, wire.ReleaseArgs{Tokens: callTokens})
 		bill := callBill(o.req)
--- a/internal/ledger/bill.go
+++ b/internal/ledger/bill.go
@@ -61,18 +61,18 @@
 	flushing sync.Mutex
 
 	mu      sync.Mutex
-	pending []pendingBill               // guarded by mu; numbered from first without gaps
-	first   uint64                      // guarded by mu; number of pending[0], or of the next bill
-	holders map[wire.Process]uint64     // guarded by mu; the highest number copied to each
-	held    map[wire.Process]*heldBills // guarded by mu; copies for others
-	kept    int                         // guarded by mu; copies in held
+	pending []pendingBill                // guarded by mu; numbered from first without gaps
+	first   uint64                       // guarded by mu; number of pending[0], or of the next bill
+	holders map[wire.Process]*copyHolder // guarded by mu; who has copies
+	held    map[wire.Process]*heldBills  // guarded by mu; copies for others
+	kept    int                          // guarded by mu; copies in held
 }
 
 // NewBills returns an empty buffer of bills.
 func NewBills(table platform.Table, copies Copies) *Bills {
 	return &Bills{
 		table: table, copies: copies, wake: make(chan struct{}, 1), first: 1,
-		holders: map[wire.Process]uint64{}, held: map[wire.Process]*heldBills{},
+		holders: map[wire.Process]*copyHolder{}, held: map[wire.Process]*heldBills{},
 	}
 }
 
--- a/internal/ledger/claim_test.go
+++ b/internal/ledger/claim_test.go
@@ -69,6 +69,14 @@
 	return versions, err
 }
 
+// carryLate carries the late writes out.
+func (f *flakyTable) carryLate() {
+	for _, ops := range f.late {
+		_, _ = f.Table.Commit(context.Background(), ops...)
+	}
+	f.late = nil
+}
+
 // claimWorld is a few processes that try the same calls.
 type claimWorld struct {
 	table     *flakyTable
@@ -178,12 +186,7 @@
 				w.try(t, process.Draw(t, "process"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key"))
 			},
 			"step": w.step,
-			"late": func(*rapid.T) {
-				for _, ops := range w.table.late {
-					_, _ = w.table.Table.Commit(context.Background(), ops...)
-				}
-				w.table.late = nil
-			},
+			"late": func(*rapid.T) { w.table.carryLate() },
 			"store": func(t *rapid.T) {
 				for _, p := range w.processes {
 					p.storeAll(context.Background())
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -16,11 +16,22 @@
 	copyBatch = 500
 	// refreshWait bounds one refresh of the copies.
 	refreshWait = 2 * time.Second
+	// maxSettles is how often a holder that does not answer is told that its
+	// copies may go.
+	maxSettles = 300
 )
 
 // ErrFull means that no more copies of bills can be kept here.
 var ErrFull = errors.New("too many bills wait for the table: hand the copies to another node")
 
+// copyHolder is what a process knows of one that keeps copies for it.
+type copyHolder struct {
+	// last is the highest number copied.
+	last uint64
+	// tries counts messages that told it that all its copies may go.
+	tries int
+}
+
 // heldBills are the copies kept for one process, by number.
 type heldBills struct {
 	bills map[uint64]wire.Bill
@@ -42,7 +53,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	last := number + uint64(len(bills)) - 1
-	b.holders[holder] = max(b.holders[holder], last)
+	h := b.holders[holder]
+	if h == nil {
+		h = &copyHolder{}
+		b.holders[holder] = h
+	}
+	h.last = max(h.last, last)
+	h.tries = 0
 	for n := max(number, b.first); n <= last; n++ {
 		b.pending[n-b.first].copy = holder
 	}
@@ -65,22 +82,25 @@
 		number, bills = b.uncopied(number + uint64(len(bills)))
 	}
 	b.mu.Lock()
-	holders := maps.Clone(b.holders)
-	below := b.first
+	holders := slices.Collect(maps.Keys(b.holders))
+	args := wire.HoldBillsArgs{StoredBelow: b.first}
 	b.mu.Unlock()
-	for holder, last := range holders {
-		heard := b.copies.Settle(ctx, holder, wire.HoldBillsArgs{StoredBelow: below})
-		if last < below && (heard || !b.copies.Live(holder)) {
-			b.letGo(holder, last)
-		}
+	for _, holder := range holders {
+		b.settled(holder, args.StoredBelow, b.copies.Settle(ctx, holder, args))
 	}
 }
 
-// letGo forgets a holder of which nothing is expected any more.
-func (b *Bills) letGo(holder wire.Process, last uint64) {
+// settled notes whether a holder has heard which bills are stored, and
+// forgets it when nothing is expected of it any more.
+func (b *Bills) settled(holder wire.Process, below uint64, heard bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.holders[holder] == last {
+	h := b.holders[holder]
+	if h == nil || h.last >= below {
+		return
+	}
+	h.tries++
+	if heard || h.tries >= maxSettles {
 		delete(b.holders, holder)
 	}
 }
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -83,3 +83,23 @@
 	key := "bills/" + n.options.Settings.ID
 	return append(routing.Rendezvous(far, key), routing.Rendezvous(near, key)...)
 }
+
+// flushWait is how often a leaving node tries to store what it has.
+const flushWait = 100 * time.Millisecond
+
+// closeBooks stores outcomes and bills before the process ends, the copies
+// kept for others included. Bills that the table does not take are left to
+// the nodes that have copies.
+func (n *Node) closeBooks(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.bills.Adopt(func(wire.Process) bool { return false })
+		err := n.bills.Flush(ctx)
+		if n.claims.Pending() == 0 && (n.bills.Pending() == 0 || (err != nil && n.bills.Uncopied() == 0)) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(flushWait):
+		}
+	}
+}
