Measure what control costs a node: the capacity command

Found by a property over lost messages and restarts: two nodes that read different lists of VMs at once kept both versions for good; now all keep the same. Seen failing with the mechanism broken: no check of gaps (agreement), no pardon after the own process was stopped (frozen node), no heartbeat of the data centre (agreement, regions), late answers taken (list of VMs).

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -31,7 +31,7 @@
 	}
 	root.AddCommand(
 		newServe(), newConfig(), newStatus(), newExplain(),
-		newDev(), newDemo(), newMeasure(), newStandin(), newVersion(),
+		newDev(), newDemo(), newMeasure(), newCapacity(), newStandin(), newVersion(),
 	)
 	return root
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -4,7 +4,7 @@
 // Nodes tell each other only what changed: each keeps a log in which every
 // item holds the place of its newest change, and remembers how far each peer
 // has read. Heartbeats travel within a data centre; other data centres hear
-// the heartbeats of a few nodes that stand for the whole, and of each change.
+// one heartbeat for the whole of it, and of each change.
 package membership
 
 import (
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,9 +15,6 @@
 	// Name is the peer's node name, Inner its address.
 	Name  string
 	Inner string
-	// DataCentre and Region tell where it stands.
-	DataCentre string
-	Region     string
 }
 
 // Introduce returns the first message to an address of which nothing is
@@ -34,7 +32,7 @@
 func (t *Table) Compose(to Peer, revision uint64) wire.News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.compose(to, revision)
+	return t.compose(to.Name, revision)
 }
 
 // Answer takes a peer's news and returns what the peer does not yet hold.
@@ -42,7 +40,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.take(now, news)
-	return t.compose(Peer{Name: news.From, DataCentre: news.DataCentre, Region: news.Region}, revision)
+	return t.compose(news.From, revision)
 }
 
 // Take takes a peer's news.
@@ -54,8 +52,7 @@
 
 // envelope returns a message without news. The caller holds mu.
 func (t *Table) envelope(revision uint64) wire.News {
-	self := t.nodes[t.id].state
-	return wire.News{From: t.id, Inner: self.Inner, DataCentre: self.DataCentre, Region: self.Region, Revision: revision, Base: wire.Position{Incarnation: t.incarnation}, Next: wire.Position{Incarnation: t.incarnation}}
+	return wire.News{From: t.id, Incarnation: t.incarnation, Revision: revision}
 }
 
 func (n *nodeItem) news() wire.NodeNews {
@@ -66,53 +63,65 @@
 
 // compose gathers what changed after the place that the peer has read to. The
 // caller holds mu.
-func (t *Table) compose(to Peer, revision uint64) wire.News {
+func (t *Table) compose(to string, revision uint64) wire.News {
 	news := t.envelope(revision)
-	if told := t.told[to.Name]; told.Incarnation == t.incarnation {
-		news.Base = told
+	if told := t.told[to]; told.Incarnation == t.incarnation {
+		news.Base = told.Index
+	}
+	news.Have = t.have[to]
+	news.Next = t.index
+	base := news.Base
+	fresh := func(index uint64, from string) bool { return index > base && (from != to || base == 0) }
+	var peer wire.NodeState
+	if n := t.nodes[to]; n != nil {
+		peer = n.state
 	}
-	news.Have = t.have[to.Name]
-	news.Next.Index = t.index
-	base := news.Base.Index
 	for _, n := range t.nodes {
 		switch {
-		case n.state.ID == to.Name:
-		case n.index > base && (n.from != to.Name || base == 0):
+		case n.state.ID == to:
+		case fresh(n.index, n.from):
 			news.Nodes = append(news.Nodes, n.news())
-		case t.tellsBeat(n, to, base):
-			news.Beats = append(news.Beats, wire.Beat{Node: nodeHash(n.state.ID, n.state.Incarnation), Count: n.beat, Revision: n.state.Revision})
+		case fresh(n.revisionIndex, n.revisionFrom) || (t.near(n.state, peer) && fresh(n.beatIndex, n.beatFrom)):
+			news.Beats = append(news.Beats, n.beatNews(revision))
+		}
+	}
+	for name, c := range t.centres {
+		if name != peer.DataCentre && fresh(c.index, c.from) {
+			news.Centres = append(news.Centres, wire.CentreBeat{DataCentre: name, Count: c.count})
 		}
 	}
 	for _, v := range t.vms {
-		if v.index > base && (v.from != to.Name || base == 0) {
+		if fresh(v.index, v.from) {
 			news.VMs = append(news.VMs, v.news)
 		}
 	}
-	t.composeReplicas(&news, to, base)
+	t.composeReplicas(&news, peer, base)
 	return news
 }
 
-// tellsBeat tells whether a peer should hear a node's heartbeat. The caller
-// holds mu.
-func (t *Table) tellsBeat(n *nodeItem, to Peer, base uint64) bool {
-	if n.revisionIndex > base && n.revisionFrom != to.Name {
-		return true
-	}
-	if n.beatIndex <= base || n.beatFrom == to.Name {
-		return false
-	}
+// near tells whether a peer should hear a node's heartbeat: within the data
+// centre. The caller holds mu.
+func (t *Table) near(n, peer wire.NodeState) bool {
 	own := t.nodes[t.id].state.DataCentre
-	near := n.state.DataCentre == own && to.DataCentre == own
-	return near || n.state.ID == t.id || t.snapshot.Load().bridges[n.state.ID]
+	return n.DataCentre == own && peer.DataCentre == own
+}
+
+// beatNews leaves the revision out where it is the sender's own.
+func (n *nodeItem) beatNews(revision uint64) wire.Beat {
+	b := wire.Beat{Node: nodeHash(n.state.ID, n.state.Incarnation), Count: n.beat}
+	if n.state.Revision != revision {
+		b.Revision = n.state.Revision
+	}
+	return b
 }
 
 // composeReplicas adds the accounts of replicas: all that matters, and a
 // bounded number of mere changes of load, the oldest first. The caller holds
 // mu.
-func (t *Table) composeReplicas(news *wire.News, to Peer, base uint64) {
+func (t *Table) composeReplicas(news *wire.News, to wire.NodeState, base uint64) {
 	var loads []*replicaItem
 	for id, r := range t.replicas {
-		if r.from == to.Name && base > 0 {
+		if r.from == to.ID && base > 0 {
 			continue
 		}
 		near := to.Region == t.region(id)
@@ -126,7 +135,7 @@
 	slices.SortFunc(loads, func(a, b *replicaItem) int { return cmp.Compare(a.index, b.index) })
 	if len(loads) > maxLoadNews {
 		loads = loads[:maxLoadNews]
-		news.Next.Index = loads[maxLoadNews-1].index
+		news.Next = loads[maxLoadNews-1].index
 	}
 	for _, r := range loads {
 		news.Replicas = append(news.Replicas, r.news)
@@ -148,11 +157,21 @@
 	}
 	t.told[news.From] = news.Have
 	t.advance(news)
-	t.centres[news.DataCentre] = now
 	for _, n := range news.Nodes {
 		t.takeNode(now, n, news.From)
 	}
+	if n := t.nodes[news.From]; n != nil {
+		t.centre(n.state.DataCentre).heard = now
+	}
+	for _, c := range news.Centres {
+		if item := t.centre(c.DataCentre); c.Count > item.count {
+			item.rise(now, c.Count, t.next(), news.From)
+		}
+	}
 	for _, b := range news.Beats {
+		if b.Revision == 0 {
+			b.Revision = news.Revision
+		}
 		t.takeBeat(now, b, news.From)
 	}
 	for _, v := range news.VMs {
@@ -171,11 +190,11 @@
 // stands, and the sender hears of it. The caller holds mu.
 func (t *Table) advance(news wire.News) {
 	have := t.have[news.From]
-	if have.Incarnation != news.Next.Incarnation {
-		have = wire.Position{Incarnation: news.Next.Incarnation}
+	if have.Incarnation != news.Incarnation {
+		have = wire.Position{Incarnation: news.Incarnation}
 	}
-	if news.Base.Index <= have.Index {
-		have.Index = max(have.Index, news.Next.Index)
+	if news.Base <= have.Index {
+		have.Index = max(have.Index, news.Next)
 	}
 	t.have[news.From] = have
 }
@@ -242,7 +261,6 @@
 	n.beatIndex = t.next()
 	n.beatFrom = from
 	n.heard = now
-	t.centres[n.state.DataCentre] = now
 	if n.down {
 		n.down = false
 		n.index = t.next()
@@ -254,13 +272,22 @@
 // takeVM merges one entry of the list of VMs. The caller holds mu.
 func (t *Table) takeVM(now time.Time, news wire.VMNews, from string) {
 	item := t.vms[news.VM.ID]
-	if item != nil && news.Version <= item.news.Version {
+	if item != nil && !newerVM(news, item.news) {
 		return
 	}
 	t.vms[news.VM.ID] = &vmItem{news: news, changed: now, index: t.next(), from: from}
 	t.urgent = true
 }
 
+// newerVM tells whether a replaces b. Of two changes that nodes saw at the
+// same time, all keep the same one; the next reading of the list corrects it.
+func newerVM(a, b wire.VMNews) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return fmt.Sprint(a) > fmt.Sprint(b)
+}
+
 // takeReplica takes a newer account of a replica. The caller holds mu.
 func (t *Table) takeReplica(now time.Time, news wire.ReplicaNews, from string) {
 	item := t.replicas[news.State.ID]
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -42,6 +42,17 @@
 	from     string
 }
 
+// centreItem is the heartbeat of a data centre.
+type centreItem struct {
+	count uint32
+	// rose is when it last rose here, heard when it did or a node of the data
+	// centre was in touch.
+	rose  time.Time
+	heard time.Time
+	index uint64
+	from  string
+}
+
 // vmItem is an entry of the list of VMs.
 type vmItem struct {
 	news    wire.VMNews
@@ -61,7 +72,7 @@
 	hashes   map[uint64]*nodeItem     // guarded by mu
 	replicas map[string]*replicaItem  // guarded by mu
 	vms      map[string]*vmItem       // guarded by mu
-	centres  map[string]time.Time     // guarded by mu; when data centres were last heard
+	centres  map[string]*centreItem   // guarded by mu
 	have     map[string]wire.Position // guarded by mu; what is held of each peer's log
 	told     map[string]wire.Position // guarded by mu; what each peer holds of the own log
 	ticked   time.Time                // guarded by mu
@@ -78,7 +89,7 @@
 	t := &Table{
 		id: self.ID, incarnation: self.Incarnation,
 		nodes: map[string]*nodeItem{}, hashes: map[uint64]*nodeItem{}, replicas: map[string]*replicaItem{}, vms: map[string]*vmItem{},
-		centres: map[string]time.Time{}, have: map[string]wire.Position{}, told: map[string]wire.Position{},
+		centres: map[string]*centreItem{}, have: map[string]wire.Position{}, told: map[string]wire.Position{},
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -110,6 +121,9 @@
 	n.revisionIndex = n.index
 	t.nodes[n.state.ID] = n
 	t.hashes[nodeHash(n.state.ID, n.state.Incarnation)] = n
+	if c := t.centre(n.state.DataCentre); c.heard.IsZero() {
+		c.heard = n.heard
+	}
 	t.urgent = true
 }
 
@@ -207,7 +221,7 @@
 	self.beat++
 	self.beatIndex = t.next()
 	self.heard = now
-	t.centres[self.state.DataCentre] = now
+	t.beatCentre(now, self.state)
 	for id, n := range t.nodes {
 		if id == t.id {
 			continue
@@ -233,6 +247,33 @@
 	t.refresh(now)
 }
 
+// beatCentre raises the heartbeat of the own data centre, on the nodes that
+// stand for it, unless another has just done so. The caller holds mu.
+func (t *Table) beatCentre(now time.Time, self wire.NodeState) {
+	c := t.centre(self.DataCentre)
+	if t.snapshot.Load().Bridge(t.id) && now.Sub(c.rose) >= HeartbeatInterval/2 {
+		c.rise(now, c.count+1, t.next(), "")
+	}
+}
+
+// centre returns the heartbeat of a data centre. The caller holds mu.
+func (t *Table) centre(name string) *centreItem {
+	c := t.centres[name]
+	if c == nil {
+		c = &centreItem{}
+		t.centres[name] = c
+	}
+	return c
+}
+
+func (c *centreItem) rise(now time.Time, count uint32, index uint64, from string) {
+	c.count = count
+	c.rose = now
+	c.heard = now
+	c.index = index
+	c.from = from
+}
+
 // forgive restarts all waits after this process itself was stopped for a
 // while, since the silence was its own. The caller holds mu.
 func (t *Table) forgive(now time.Time) {
@@ -242,8 +283,8 @@
 				n.heard = now
 			}
 		}
-		for centre := range t.centres {
-			t.centres[centre] = now
+		for _, c := range t.centres {
+			c.heard = now
 		}
 	}
 	t.ticked = now
@@ -268,7 +309,7 @@
 	case n.state.DataCentre == t.nodes[t.id].state.DataCentre:
 		return now.Sub(n.heard) <= SuspectAfter
 	default:
-		return now.Sub(t.centres[n.state.DataCentre]) <= SilentAfter
+		return now.Sub(t.centre(n.state.DataCentre).heard) <= SilentAfter
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -30,11 +30,11 @@
 	n := h.n
 	before := n.members.Snapshot()
 	*reply = n.members.Answer(time.Now(), args, n.config.Current().Number)
-	if args.Revision > n.config.Current().Number {
-		n.begin("revision/"+args.Inner, func() {
+	if from, ok := n.members.Snapshot().Node(args.From); ok && args.Revision > n.config.Current().Number {
+		n.begin("revision/"+args.From, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
-			n.fetchRevision(ctx, args.Inner, args.Revision)
+			n.fetchRevision(ctx, from.State.Inner, args.Revision)
 		})
 	}
 	if n.members.Snapshot().Live() != before.Live() {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -16,10 +16,18 @@
 	Node uint64
 	// Count rises with each heartbeat of one incarnation.
 	Count uint32
-	// Revision is the configuration revision in force there.
+	// Revision is the configuration revision in force there; 0 means that of
+	// the message's sender.
 	Revision uint64
 }
 
+// CentreBeat is the heartbeat of a whole data centre.
+type CentreBeat struct {
+	DataCentre string
+	// Count rises while any of its nodes that reach others is live.
+	Count uint32
+}
+
 // NodeNews is a node's state as one peer tells it to another.
 type NodeNews struct {
 	State NodeState
@@ -51,21 +59,19 @@
 // News is what one side of an exchange tells the other: all changes of its
 // log after Base, up to Next.
 type News struct {
-	// From is the sender's name, Inner its address for peers.
-	From  string
-	Inner string
-	// DataCentre and Region tell where the sender stands.
-	DataCentre string
-	Region     string
+	// From is the sender's name, Incarnation its start number.
+	From        string
+	Incarnation uint64
 	// Base and Next bound the changes told, in the sender's log.
-	Base Position
-	Next Position
+	Base uint64
+	Next uint64
 	// Have is what the sender holds of the receiver's log.
 	Have Position
 	// Revision is the configuration revision in force at the sender.
 	Revision uint64
 
 	Beats    []Beat
+	Centres  []CentreBeat
 	Nodes    []NodeNews
 	Replicas []ReplicaNews
 	VMs      []VMNews
