--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -19,6 +22,8 @@
 	// Prompt is the whole input text, MaxTokens bounds the answer.
 	Prompt    string
 	MaxTokens int
+	// Kind is the kind of work that the caller names, or empty.
+	Kind string
 }
 
 // ChatResult describes a whole answer.
@@ -48,6 +53,7 @@
 	excluded []string
 	retries  int
 	ran      outcome.Ran
+	text     strings.Builder
 }
 
 // Chat serves one request for an answer.
@@ -83,7 +89,7 @@
 	for _, t := range targets {
 		p, err := d.acquire(ctx, &a.req.Request, wish{
 			target: t, tokens: a.req.MaxTokens - a.offset, excluded: a.excluded,
-			deadline: a.req.Deadline, prefixes: routing.PrefixHashes(a.req.Prompt),
+			deadline: a.req.Deadline, length: d.answerLength(a, t), prefixes: routing.PrefixHashes(a.req.Prompt),
 		})
 		if err == nil {
 			a.target = t
@@ -113,117 +119,55 @@
 			d.Record.Add(a.req.ID, "the session's version could not be read: %s", err)
 		}
 	}
-	targets := routing.Versions(rev, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: a.req.Session, Pin: pin})
+	rules, err := d.rules(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	targets := rules.plan.Versions(nil, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held})
 	if len(targets) == 0 {
 		return nil, outcome.Refuse(outcome.CodeNotAllowed, 0, "no version of %q is allowed and in force for organisation %q: ask its operator", a.req.Asked, a.req.Organisation)
 	}
+	if targets, err = d.withoutQuiet(a, targets); err != nil {
+		return nil, err
+	}
 	if a.req.Session != "" && pin != targets[0] {
 		return d.pin(ctx, a, pin, targets)
 	}
 	return targets, nil
 }
 
-// pin puts a new session on its version, or moves one whose version was
-// withdrawn.
-func (d *Dispatcher) pin(ctx context.Context, a *answer, old config.Target, targets []config.Target) ([]config.Target, error) {
-	if old != (config.Target{}) {
-		d.Record.Add(a.req.ID, "session moved from %s to %s", old, targets[0])
-		if err := d.Pins.Move(ctx, a.req.Organisation, a.req.Session, targets[0]); err != nil {
-			d.Record.Add(a.req.ID, "the session's move could not be stored: %s", err)
+// withoutQuiet drops the versions that quiet hours close everywhere.
+func (d *Dispatcher) withoutQuiet(a *answer, targets []config.Target) ([]config.Target, error) {
+	var until time.Time
+	open := targets[:0]
+	for _, t := range targets {
+		to, closed := d.quietAt(rollout.Scope{Model: t.Model, Organisation: a.req.Organisation}, d.answerLength(a, t))
+		switch {
+		case !closed:
+			open = append(open, t)
+		case until.IsZero() || to.Before(until):
+			until = to
 		}
-		return targets[:1], nil
 	}
-	got, err := d.Pins.Set(ctx, a.req.Organisation, a.req.Session, targets[0])
-	if err != nil {
-		d.Record.Add(a.req.ID, "the session's version could not be stored: %s", err)
+	if len(open) == 0 {
+		return nil, refuseQuiet(time.Now(), until)
 	}
-	return []config.Target{got}, nil
+	return open, nil
 }
 
-// attempt runs one try on a granted place. It returns the final frame, or
-// that another try should follow.
-func (d *Dispatcher) attempt(ctx context.Context, a *answer, p *place) (backend.Frame, bool, error) {
-	rev := d.Config.Current()
-	if !routing.Allowed(rev, a.req.Organisation, a.target) {
-		d.release(p, wire.ReleaseArgs{})
-		d.Record.Add(a.req.ID, "version %s is no longer allowed: choosing again", a.target)
-		return backend.Frame{}, true, nil
-	}
-	d.Record.Add(a.req.ID, "attempt on replica %s, version %s, from token %d, revision %d", p.replica.ID, a.target, a.offset, rev.Number)
-	start, offset := time.Now(), a.offset
-	var first time.Duration
-	final, paused, err := d.stream(ctx, a, p, func() { first = time.Since(start) })
-	used := wire.ReleaseArgs{Tokens: a.offset - offset, FirstToken: first}
-	if n := a.offset - offset; n > 1 {
-		used.TokenInterval = (time.Since(start) - first) / time.Duration(n-1)
-	}
-	switch {
-	case err == nil:
-		d.release(p, used)
-		if paused {
-			d.Record.Add(a.req.ID, "paused at token %d for more urgent work", a.offset)
-		}
-		return final, paused, nil
-	case ctx.Err() != nil:
-		d.release(p, used)
-		return backend.Frame{}, false, &outcome.Refusal{Code: outcome.CodeDeadline, Ran: outcome.Worse(a.ran, backendError(err).Ran), RetryAfter: minRetryAfter, Message: "the deadline passed or the caller went away while the answer was made"}
-	}
-	return d.failed(ctx, a, p, used, backendError(err))
+// answerLength estimates how long the rest of the answer takes.
+func (d *Dispatcher) answerLength(a *answer, t config.Target) time.Duration {
+	return d.pace.answer(t, len(a.req.Prompt), a.req.MaxTokens-a.offset)
 }
 
-// failed decides what follows a failed try.
-func (d *Dispatcher) failed(ctx context.Context, a *answer, p *place, used wire.ReleaseArgs, err *backend.Error) (backend.Frame, bool, error) {
-	used.Failed = err.Kind
-	d.release(p, used)
-	a.ran = outcome.Worse(a.ran, err.Ran)
-	a.excluded = append(a.excluded, p.replica.ID)
-	a.retries++
-	d.Record.Add(a.req.ID, "replica %s failed: %s", p.replica.ID, err)
-	if err.Retryable() && d.retry(ctx, &a.req.Request, a.retries) {
-		return backend.Frame{}, true, nil
-	}
-	return backend.Frame{}, false, &outcome.Refusal{Code: outcome.CodeBackendFailed, Ran: a.ran, RetryAfter: jitter(minRetryAfter), Message: "the backend server failed and no retry was left: send the request again"}
+func answerScope(a *answer, p *place) rollout.Scope {
+	return rollout.Scope{DataCentre: p.replica.DataCentre, Pool: p.replica.Pool, Model: a.target.Model, Organisation: a.req.Organisation}
 }
 
-// stream copies one try's tokens to the sink, in order and without repeats.
-func (d *Dispatcher) stream(ctx context.Context, a *answer, p *place, first func()) (backend.Frame, bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	id := NewID()
-	s, err := d.Dialer.Engine(p.replica.Address).Generate(ctx, backend.GenerateRequest{
-		Attempt: id, Target: a.target, Prompt: a.req.Prompt, MaxTokens: a.req.MaxTokens, Priority: a.req.Rank, Offset: a.offset, Seed: a.req.Fingerprint,
-	})
-	if err != nil {
-		return backend.Frame{}, false, err
-	}
-	defer s.Close()
-	for {
-		select {
-		case <-p.paused:
-			return backend.Frame{}, true, nil
-		default:
-		}
-		f, err := s.Next()
-		if err != nil {
-			return backend.Frame{}, false, err
-		}
-		switch {
-		case f.Attempt != id || f.Offset < a.offset:
-			continue
-		case f.Offset > a.offset:
-			return backend.Frame{}, false, &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanYes, Message: "a frame is missing"}
-		case f.Final:
-			return f, false, nil
-		}
-		if !a.started {
-			first()
-		}
-		a.started = true
-		a.offset++
-		a.ran = outcome.RanYes
-		if err := a.sink.Token(f.Text); err != nil {
-			return backend.Frame{}, false, err
-		}
+// keep notes the text for rating, within bounds.
+func (a *answer) keep(text string) {
+	if a.text.Len()+len(text) <= maxRatedBytes {
+		a.text.WriteString(text)
 	}
 }
 
@@ -237,6 +181,7 @@
 		Request: a.req.ID, Organisation: a.req.Organisation, Target: a.target,
 		PromptTokens: final.PromptTokens, Tokens: a.offset, CostMicros: cost, At: time.Now(),
 	})
+	d.Observer.Answered(Answered{Request: a.req.ID, Organisation: a.req.Organisation, Kind: a.req.Kind, Target: a.target, Text: a.text.String()})
 	d.Record.Add(a.req.ID, "answered by %s with %d tokens, billed %d", a.target, a.offset, cost)
 	return &ChatResult{Target: a.target, PromptTokens: final.PromptTokens, Tokens: a.offset, FinishReason: final.FinishReason}
 }
