Keep each node within its share of the store's rate

Every node polled the configuration's head and the list of VMs each two seconds and wrote without limit: at 340 nodes 340 reads a second for nothing.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -31,8 +31,10 @@
 	ForgetAfter = 2 * time.Hour
 	// coarseInterval is how often other regions hear of a replica's load.
 	coarseInterval = 10 * time.Second
-	// rebuildInterval bounds how often mere changes of load make a new view.
+	// rebuildInterval bounds how often mere changes of load make a new view,
+	// rebuildUrgent how often other changes do.
 	rebuildInterval = 200 * time.Millisecond
+	rebuildUrgent   = 50 * time.Millisecond
 )
 
 // Sizes of the exchange between nodes.
@@ -51,6 +53,9 @@
 	// Live is false once the node or its data centre has been silent for too
 	// long.
 	Live bool
+	// Dead is true once nodes of its own data centre found it dead, or it
+	// said that it stops; a node that is neither live nor dead may be cut off.
+	Dead bool
 }
 
 // Snapshot is an immutable view of all nodes and replicas.
@@ -99,3 +104,15 @@
 
 // Bridge tells whether a node exchanges news with other data centres.
 func (s *Snapshot) Bridge(node string) bool { return s.bridges[node] }
+
+// Sharers returns the number of nodes that may be using the store: all but
+// the dead.
+func (s *Snapshot) Sharers() int {
+	n := 0
+	for _, node := range s.Nodes {
+		if !node.Dead {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -285,6 +285,9 @@
 	if a.Version != b.Version {
 		return a.Version > b.Version
 	}
+	if a == b {
+		return false
+	}
 	return fmt.Sprint(a) > fmt.Sprint(b)
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -81,6 +81,7 @@
 	urgent   bool                     // guarded by mu; the view lacks another change
 	live     []string                 // guarded by mu; the nodes that own replicas, as of the last view
 	owners   map[string]string        // guarded by mu; by VM, as of the last view
+	due      atomic.Int64             // when a new view is due, in Unix nanoseconds; 0 for never
 	snapshot atomic.Pointer[Snapshot]
 }
 
@@ -127,9 +128,6 @@
 	t.urgent = true
 }
 
-// Snapshot returns the present view; it must not be changed.
-func (t *Table) Snapshot() *Snapshot { return t.snapshot.Load() }
-
 // Self returns the own node's state.
 func (t *Table) Self() wire.NodeState {
 	t.mu.Lock()
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -11,11 +11,35 @@
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// refresh makes a new view where one is due. The caller holds mu.
+// refresh makes a new view where one is due, or leaves it to a later reader.
+// The caller holds mu.
 func (t *Table) refresh(now time.Time) {
-	if t.urgent || (t.stale && now.Sub(t.built) >= rebuildInterval) {
-		t.rebuild(now)
+	due := t.built
+	switch {
+	case t.urgent:
+		due = due.Add(rebuildUrgent)
+	case t.stale:
+		due = due.Add(rebuildInterval)
+	default:
+		return
 	}
+	if now.Before(due) {
+		t.due.Store(due.UnixNano())
+		return
+	}
+	t.rebuild(now)
+}
+
+// Snapshot returns the present view; it must not be changed.
+func (t *Table) Snapshot() *Snapshot {
+	if due := t.due.Load(); due != 0 {
+		if now := time.Now(); now.UnixNano() >= due {
+			t.mu.Lock()
+			t.refresh(now)
+			t.mu.Unlock()
+		}
+	}
+	return t.snapshot.Load()
 }
 
 // rebuild publishes a new view. The caller holds mu.
@@ -25,7 +49,7 @@
 	for _, n := range t.nodes {
 		state := n.state
 		state.Replicas = owned[state.ID]
-		s.Nodes = append(s.Nodes, Node{State: state, Live: t.isLive(n, now)})
+		s.Nodes = append(s.Nodes, Node{State: state, Live: t.isLive(n, now), Dead: n.down})
 	}
 	slices.SortFunc(s.Nodes, func(a, b Node) int { return cmp.Compare(a.State.ID, b.State.ID) })
 	for i, n := range s.Nodes {
@@ -45,6 +69,7 @@
 	t.stale = false
 	t.urgent = false
 	t.built = now
+	t.due.Store(0)
 	t.snapshot.Store(s)
 }
 
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -94,6 +94,7 @@
 	n.members.Tick(now)
 	n.owner.Drop(n.alive)
 	n.own()
+	n.platform.SetNodes(n.members.Snapshot().Sharers())
 	n.peers.Sweep()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -26,13 +25,7 @@
 )
 
 // Platform is all that a node needs of the platform.
-type Platform interface {
-	platform.Table
-	platform.ObjectStore
-	platform.VMList
-	platform.Ratings
-	platform.Weights
-}
+type Platform = platform.Services
 
 // Listeners are where a node is reached.
 type Listeners struct {
@@ -73,6 +66,8 @@
 	inner       *wire.Server
 	mu          sync.Mutex
 	exchanger   *exchanger
+	platform    *platform.Limited
+	registered  time.Time         // used by the registration's loop alone
 	configRead  time.Time         // used by the configuration's loop alone
 	vmsRead     time.Time         // used by the VM list's loop alone
 	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
@@ -86,10 +81,15 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := telemetry.NewMetrics()
+	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(use, result string) {
+		metrics.StoreCalls.WithLabelValues(use, result).Inc()
+	})
+	o.Platform = limited
 	n := &Node{
-		options: o, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
+		options: o, platform: limited, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: telemetry.NewMetrics(), tracer: tracer, exchanger: newExchanger(), seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, exchanger: newExchanger(), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
@@ -127,7 +127,7 @@
 		{loopTick, n.followConfig},
 		{loopTick, n.followVMs},
 		{probeInterval, n.probe},
-		{registerInterval, n.register},
+		{loopTick, n.register},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
@@ -216,40 +216,3 @@
 	n.loops.Wait()
 	_ = n.tracer.Stop(context.Background())
 }
-
-// nodeRow is what the table holds of a node, for others to find it.
-type nodeRow struct {
-	Inner       string    `json:"inner"`
-	Incarnation uint64    `json:"incarnation"`
-	At          time.Time `json:"at"`
-}
-
-const (
-	nodePrefix       = "node/"
-	nodeRowsPerRead  = 500
-	nodeRowLifetime  = 5 * time.Minute
-	registerInterval = time.Minute
-)
-
-// register writes the own row and reads those of the others.
-func (n *Node) register(ctx context.Context) {
-	row, err := json.Marshal(nodeRow{Inner: n.options.Listeners.Inner.Addr().String(), Incarnation: n.incarnation, At: time.Now()})
-	if err != nil {
-		return
-	}
-	_, _ = n.options.Platform.Commit(ctx, platform.Op{Key: nodePrefix + n.options.Settings.ID, Value: row, Expect: platform.AnyVersion})
-	rows, err := n.options.Platform.List(ctx, nodePrefix, "", nodeRowsPerRead)
-	if err != nil {
-		return
-	}
-	seeds := map[string]string{}
-	for _, r := range rows {
-		var other nodeRow
-		if json.Unmarshal(r.Value, &other) == nil && time.Since(other.At) < nodeRowLifetime {
-			seeds[r.Key[len(nodePrefix):]] = other.Inner
-		}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.seeds = seeds
-}
