Leave gracefully: say so, hand queues back, serve on, store bills, say down

A leaving node refused callers once its notice had passed; kept-open connections were closed without a word; a second signal was ignored. Now /readyz says leaving at once and each answer closes its connection while the node serves on; a second signal ends the notice and bounds what still runs.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -68,9 +68,13 @@
 	n.Start()
 	log.Info("serving", zap.String("callers", settings.Listen), zap.String("inner", settings.InnerListen), zap.String("operators", settings.OperatorListen))
 	fmt.Fprintf(cmd.OutOrStdout(), "callers=%s inner=%s operators=%s\n", settings.Listen, settings.InnerListen, settings.OperatorListen)
-	signals := make(chan os.Signal, 1)
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
+	go func() {
+		<-signals
+		n.Hurry()
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err = n.Leave(ctx)
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -34,7 +34,7 @@
 	mu    sync.Mutex
 	busy  map[string]bool // guarded by mu; addresses with an exchange under way
 	ended bool            // guarded by mu
-	stray time.Time       // used by the loop alone
+	stray time.Time       // guarded by mu
 	wg    sync.WaitGroup
 }
 
@@ -104,15 +104,25 @@
 	for _, to := range n.members.Snapshot().Neighbours(n.options.Settings.ID) {
 		n.begin(to.Inner, func() { n.exchangeWith(ctx, to) })
 	}
-	if time.Since(n.exchanger.stray) < strayInterval {
+	if !n.exchanger.strayDue(time.Now()) {
 		return
 	}
-	n.exchanger.stray = time.Now()
 	if address := n.pickStray(); address != "" {
 		n.begin(address, func() { n.introduce(ctx, address) })
 	}
 }
 
+// strayDue tells whether it is time to try an address not known to be live.
+func (e *exchanger) strayDue(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.stray) < strayInterval {
+		return false
+	}
+	e.stray = now
+	return true
+}
+
 // begin runs an exchange in the background, unless one with the same address
 // is under way.
 func (n *Node) begin(address string, do func()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
@@ -61,7 +60,10 @@
 	record      *record.Log
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
-	leaving     atomic.Bool
+	leaving     atomic.Bool   // says so to callers, serves on
+	refusing    atomic.Bool   // takes no new requests
+	hurry       chan struct{} // closed to leave sooner
+	hurryOnce   sync.Once
 	servers     []*http.Server
 	inner       *wire.Server
 	mu          sync.Mutex
@@ -89,7 +91,7 @@
 	n := &Node{
 		options: o, platform: limited, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, exchanger: newExchanger(), seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
@@ -114,9 +116,9 @@
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
 		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
-		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.leaving.Load,
+		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.refusing.Load,
 	})
-	n.serve(n.options.Listeners.Callers, callers)
+	n.serve(n.options.Listeners.Callers, n.sayLeaving(callers))
 	n.serve(n.options.Listeners.Operators, n.operators())
 	n.register(ctx)
 	n.refresh(ctx)
@@ -171,48 +173,3 @@
 	n.servers = append(n.servers, s)
 	n.loops.Go(func() { _ = s.Serve(l) })
 }
-
-const (
-	// drainNotice is how long a leaving node still serves callers who have
-	// not yet heard of it.
-	drainNotice = membership.AddressTTL
-	flushWait   = 100 * time.Millisecond
-)
-
-// Leave stops gracefully: the node leaves the directory, serves on until
-// callers have heard of it, lets running requests end, and stores its bills.
-// It returns when ctx ends at the latest.
-func (n *Node) Leave(ctx context.Context) error {
-	n.members.Update(time.Now(), func(s *wire.NodeState) { s.Leaving = true })
-	n.kickPeers()
-	n.options.Log.Info("leaving: serving on until callers have heard")
-	select {
-	case <-time.After(drainNotice):
-	case <-ctx.Done():
-	}
-	n.leaving.Store(true)
-	var first error
-	for _, s := range n.servers {
-		if err := s.Shutdown(ctx); err != nil && first == nil {
-			first = errors.Wrap(err, "requests were still running")
-		}
-	}
-	for n.bills.Pending() > 0 && ctx.Err() == nil {
-		_ = n.bills.Flush(ctx)
-		time.Sleep(flushWait)
-	}
-	n.Close()
-	return first
-}
-
-// Close stops at once.
-func (n *Node) Close() {
-	n.stop()
-	for _, s := range n.servers {
-		s.Close()
-	}
-	n.inner.Close()
-	n.peers.Close()
-	n.loops.Wait()
-	_ = n.tracer.Stop(context.Background())
-}
