Send a long list of changes in bounded messages, and look for lost nodes seldom

Cause: 340 nodes started in one process took 8.7 GB and did not become ready in two minutes. Each new link carried whole states of 150 KB, whose buffers stayed with the connection; each node asked a random row of the table for all it knew every two seconds while the fleet grew; and views were rebuilt twenty times a second at 2 ms each.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -42,8 +42,12 @@
 	// bridgesPerDataCentre is how many nodes of a data centre exchange news
 	// with other data centres.
 	bridgesPerDataCentre = 3
-	// maxLoadNews bounds the mere changes of load in one message.
+	// maxNews bounds the changes in one message, maxLoadNews the mere changes
+	// of load.
+	maxNews     = 256
 	maxLoadNews = 24
+	// rebuildShare times the cost of the last view passes before the next.
+	rebuildShare = 100
 )
 
 // Node is one node as another sees it.
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -61,8 +61,14 @@
 	return wire.NodeNews{State: s, Beat: n.beat, Down: n.down}
 }
 
-// compose gathers what changed after the place that the peer has read to. The
-// caller holds mu.
+// change is one entry of the log as a peer would be told it.
+type change struct {
+	index uint64
+	add   func(*wire.News)
+}
+
+// compose gathers what changed after the place that the peer has read to, the
+// oldest first and no more than fits one message. The caller holds mu.
 func (t *Table) compose(to string, revision uint64) wire.News {
 	news := t.envelope(revision)
 	if told := t.told[to]; told.Incarnation == t.incarnation {
@@ -70,35 +76,106 @@
 	}
 	news.Have = t.have[to]
 	news.Next = t.index
-	base := news.Base
-	fresh := func(index uint64, from string) bool { return index > base && (from != to || base == 0) }
-	var peer wire.NodeState
+	c := composer{t: t, to: to, hash: nodeHash(to, news.Have.Incarnation), base: news.Base, revision: revision}
 	if n := t.nodes[to]; n != nil {
-		peer = n.state
+		c.peer = n.state
+	}
+	c.nodes()
+	c.centres()
+	c.vms()
+	skipped := c.replicas()
+	slices.SortFunc(c.changes, func(a, b change) int { return cmp.Compare(a.index, b.index) })
+	if len(c.changes) > maxNews {
+		c.changes = c.changes[:maxNews]
+		news.Next = c.changes[maxNews-1].index
+		news.More = true
+	}
+	if skipped > 0 {
+		news.Next = min(news.Next, skipped-1)
+	}
+	for _, change := range c.changes {
+		change.add(&news)
 	}
-	for _, n := range t.nodes {
+	return news
+}
+
+// composer gathers the changes for one peer. Its methods are called with the
+// table's mu held.
+type composer struct {
+	t        *Table
+	to       string
+	hash     uint64
+	peer     wire.NodeState
+	base     uint64
+	revision uint64
+	changes  []change
+}
+
+// fresh tells whether the peer lacks a change; it does not lack what it told
+// itself.
+func (c *composer) fresh(index, from uint64) bool { return index > c.base && from != c.hash }
+
+func (c *composer) add(index uint64, add func(*wire.News)) {
+	c.changes = append(c.changes, change{index, add})
+}
+
+func (c *composer) nodes() {
+	for _, n := range c.t.nodes {
 		switch {
-		case n.state.ID == to:
-		case fresh(n.index, n.from):
-			news.Nodes = append(news.Nodes, n.news())
-		case fresh(n.revisionIndex, n.revisionFrom) || (t.near(n.state, peer) && fresh(n.beatIndex, n.beatFrom)):
-			news.Beats = append(news.Beats, n.beatNews(revision))
+		case n.state.ID == c.to:
+		case c.fresh(n.index, n.from):
+			c.add(n.index, func(news *wire.News) { news.Nodes = append(news.Nodes, n.news()) })
+		case c.fresh(n.revisionIndex, n.revisionFrom):
+			c.add(n.revisionIndex, func(news *wire.News) { news.Beats = append(news.Beats, n.beatNews(c.revision)) })
+		case c.fresh(n.beatIndex, n.beatFrom) && c.t.near(n.state, c.peer):
+			c.add(n.beatIndex, func(news *wire.News) { news.Beats = append(news.Beats, n.beatNews(c.revision)) })
 		}
 	}
-	for name, c := range t.centres {
-		if name != peer.DataCentre && fresh(c.index, c.from) {
-			news.Centres = append(news.Centres, wire.CentreBeat{DataCentre: name, Count: c.count})
+}
+
+func (c *composer) centres() {
+	for name, centre := range c.t.centres {
+		if name != c.peer.DataCentre && c.fresh(centre.index, centre.from) {
+			c.add(centre.index, func(news *wire.News) {
+				news.Centres = append(news.Centres, wire.CentreBeat{DataCentre: name, Count: centre.count})
+			})
 		}
 	}
-	for _, v := range t.vms {
-		if fresh(v.index, v.from) {
-			news.VMs = append(news.VMs, v.news)
+}
+
+func (c *composer) vms() {
+	for _, v := range c.t.vms {
+		if c.fresh(v.index, v.from) {
+			c.add(v.index, func(news *wire.News) { news.VMs = append(news.VMs, v.news) })
 		}
 	}
-	t.composeReplicas(&news, peer, base)
-	return news
 }
 
+// replicas adds the accounts of replicas: all that matters, and a bounded
+// number of mere changes of load, the oldest first. It returns the place of
+// the first one left out, or 0.
+func (c *composer) replicas() uint64 {
+	var loads []*replicaItem
+	for id, r := range c.t.replicas {
+		switch {
+		case c.fresh(r.coarse, r.from):
+			c.add(r.coarse, r.add)
+		case c.peer.Region == c.t.region(id) && c.fresh(r.index, r.from):
+			loads = append(loads, r)
+		}
+	}
+	slices.SortFunc(loads, func(a, b *replicaItem) int { return cmp.Compare(a.index, b.index) })
+	for _, r := range loads[:min(len(loads), maxLoadNews)] {
+		c.add(r.index, r.add)
+	}
+	if len(loads) > maxLoadNews {
+		return loads[maxLoadNews].index
+	}
+	return 0
+}
+
+func (r *replicaItem) add(news *wire.News) { news.Replicas = append(news.Replicas, r.news) }
+
 // near tells whether a peer should hear a node's heartbeat: within the data
 // centre. The caller holds mu.
 func (t *Table) near(n, peer wire.NodeState) bool {
@@ -115,33 +192,6 @@
 	return b
 }
 
-// composeReplicas adds the accounts of replicas: all that matters, and a
-// bounded number of mere changes of load, the oldest first. The caller holds
-// mu.
-func (t *Table) composeReplicas(news *wire.News, to wire.NodeState, base uint64) {
-	var loads []*replicaItem
-	for id, r := range t.replicas {
-		if r.from == to.ID && base > 0 {
-			continue
-		}
-		near := to.Region == t.region(id)
-		switch {
-		case r.coarse > base:
-			news.Replicas = append(news.Replicas, r.news)
-		case near && r.index > base:
-			loads = append(loads, r)
-		}
-	}
-	slices.SortFunc(loads, func(a, b *replicaItem) int { return cmp.Compare(a.index, b.index) })
-	if len(loads) > maxLoadNews {
-		loads = loads[:maxLoadNews]
-		news.Next = loads[maxLoadNews-1].index
-	}
-	for _, r := range loads {
-		news.Replicas = append(news.Replicas, r.news)
-	}
-}
-
 // region returns the region of a replica's VM. The caller holds mu.
 func (t *Table) region(id string) string {
 	if v := t.vms[id]; v != nil {
@@ -157,30 +207,31 @@
 	}
 	t.told[news.From] = news.Have
 	t.advance(news)
+	from := nodeHash(news.From, news.Incarnation)
 	for _, n := range news.Nodes {
-		t.takeNode(now, n, news.From)
+		t.takeNode(now, n, from)
 	}
 	if n := t.nodes[news.From]; n != nil {
 		t.centre(n.state.DataCentre).heard = now
 	}
 	for _, c := range news.Centres {
 		if item := t.centre(c.DataCentre); c.Count > item.count {
-			item.rise(now, c.Count, t.next(), news.From)
+			item.rise(now, c.Count, t.next(), from)
 		}
 	}
 	for _, b := range news.Beats {
 		if b.Revision == 0 {
 			b.Revision = news.Revision
 		}
-		t.takeBeat(now, b, news.From)
+		t.takeBeat(now, b, from)
 	}
 	for _, v := range news.VMs {
-		t.takeVM(now, v, news.From)
+		t.takeVM(now, v, from)
 	}
 	for _, r := range news.Replicas {
 		item := t.replicas[r.State.ID]
 		if item == nil || r.Version > item.version() || (r.Version == item.version() && r.Owner > item.news.Owner) {
-			t.takeReplica(now, r, news.From)
+			t.takeReplica(now, r, from)
 		}
 	}
 	t.refresh(now)
@@ -202,7 +253,7 @@
 // takeNode merges one node's state. Heartbeats decide between two accounts of
 // its life: the higher wins, and of equal ones the one that says down. The
 // caller holds mu.
-func (t *Table) takeNode(now time.Time, news wire.NodeNews, from string) {
+func (t *Table) takeNode(now time.Time, news wire.NodeNews, from uint64) {
 	if news.State.ID == t.id {
 		return
 	}
@@ -216,7 +267,7 @@
 	}
 }
 
-func (t *Table) mergeNode(now time.Time, n *nodeItem, news wire.NodeNews, from string) {
+func (t *Table) mergeNode(now time.Time, n *nodeItem, news wire.NodeNews, from uint64) {
 	changed := false
 	if news.State.Sequence > n.state.Sequence {
 		news.State.Revision = max(news.State.Revision, n.state.Revision)
@@ -243,7 +294,7 @@
 }
 
 // takeBeat merges one heartbeat. The caller holds mu.
-func (t *Table) takeBeat(now time.Time, b wire.Beat, from string) {
+func (t *Table) takeBeat(now time.Time, b wire.Beat, from uint64) {
 	n := t.hashes[b.Node]
 	if n == nil || n.state.ID == t.id {
 		return
@@ -264,13 +315,13 @@
 	if n.down {
 		n.down = false
 		n.index = t.next()
-		n.from = ""
+		n.from = 0
 		t.urgent = true
 	}
 }
 
 // takeVM merges one entry of the list of VMs. The caller holds mu.
-func (t *Table) takeVM(now time.Time, news wire.VMNews, from string) {
+func (t *Table) takeVM(now time.Time, news wire.VMNews, from uint64) {
 	item := t.vms[news.VM.ID]
 	if item != nil && !newerVM(news, item.news) {
 		return
@@ -292,7 +343,7 @@
 }
 
 // takeReplica takes a newer account of a replica. The caller holds mu.
-func (t *Table) takeReplica(now time.Time, news wire.ReplicaNews, from string) {
+func (t *Table) takeReplica(now time.Time, news wire.ReplicaNews, from uint64) {
 	item := t.replicas[news.State.ID]
 	fresh := item == nil || item.news.Owner != news.Owner || !sameService(item.news.State, news.State)
 	if item == nil {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,10 +25,11 @@
 	index         uint64
 	beatIndex     uint64
 	revisionIndex uint64
-	// from, beatFrom and revisionFrom name the peers that told of them.
-	from         string
-	beatFrom     string
-	revisionFrom string
+	// from, beatFrom and revisionFrom are the hashes of the peers that told
+	// of them, 0 for the own node.
+	from         uint64
+	beatFrom     uint64
+	revisionFrom uint64
 }
 
 // replicaItem is an owner's account of a replica.
@@ -39,7 +40,7 @@
 	index    uint64
 	coarse   uint64
 	coarseAt time.Time
-	from     string
+	from     uint64
 }
 
 // centreItem is the heartbeat of a data centre.
@@ -50,7 +51,7 @@
 	rose  time.Time
 	heard time.Time
 	index uint64
-	from  string
+	from  uint64
 }
 
 // vmItem is an entry of the list of VMs.
@@ -58,7 +59,7 @@
 	news    wire.VMNews
 	changed time.Time
 	index   uint64
-	from    string
+	from    uint64
 }
 
 // Table merges what nodes tell of themselves. It is safe for concurrent use.
@@ -77,6 +78,7 @@
 	told     map[string]wire.Position // guarded by mu; what each peer holds of the own log
 	ticked   time.Time                // guarded by mu
 	built    time.Time                // guarded by mu
+	cost     time.Duration            // guarded by mu; of the last view
 	stale    bool                     // guarded by mu; the view lacks a change of load
 	urgent   bool                     // guarded by mu; the view lacks another change
 	live     []string                 // guarded by mu; the nodes that own replicas, as of the last view
@@ -228,7 +230,7 @@
 		if n.state.DataCentre == self.state.DataCentre && !n.down && silent > SuspectAfter {
 			n.down = true
 			n.index = t.next()
-			n.from = ""
+			n.from = 0
 			t.urgent = true
 		}
 		if silent > ForgetAfter && !t.isLive(n, now) {
@@ -250,7 +252,7 @@
 func (t *Table) beatCentre(now time.Time, self wire.NodeState) {
 	c := t.centre(self.DataCentre)
 	if t.snapshot.Load().Bridge(t.id) && now.Sub(c.rose) >= HeartbeatInterval/2 {
-		c.rise(now, c.count+1, t.next(), "")
+		c.rise(now, c.count+1, t.next(), 0)
 	}
 }
 
@@ -264,7 +266,7 @@
 	return c
 }
 
-func (c *centreItem) rise(now time.Time, count uint32, index uint64, from string) {
+func (c *centreItem) rise(now time.Time, count uint32, index, from uint64) {
 	c.count = count
 	c.rose = now
 	c.heard = now
@@ -324,12 +326,12 @@
 		s.DataCentre = ""
 		item := t.replicas[s.ID]
 		if item == nil || item.news.Owner != t.id || significant(item.news.State, s) {
-			t.takeReplica(now, wire.ReplicaNews{Owner: t.id, Version: item.version() + 1, State: s}, "")
+			t.takeReplica(now, wire.ReplicaNews{Owner: t.id, Version: item.version() + 1, State: s}, 0)
 		}
 	}
 	for id, item := range t.replicas {
 		if item.news.Owner == t.id && !mine[id] {
-			t.takeReplica(now, wire.ReplicaNews{Version: item.version() + 1, State: wire.ReplicaState{ID: id}}, "")
+			t.takeReplica(now, wire.ReplicaNews{Version: item.version() + 1, State: wire.ReplicaState{ID: id}}, 0)
 		}
 	}
 	t.refresh(now)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -17,9 +17,9 @@
 	due := t.built
 	switch {
 	case t.urgent:
-		due = due.Add(rebuildUrgent)
+		due = due.Add(max(rebuildUrgent, rebuildShare*t.cost))
 	case t.stale:
-		due = due.Add(rebuildInterval)
+		due = due.Add(max(rebuildInterval, rebuildShare*t.cost))
 	default:
 		return
 	}
@@ -44,6 +44,7 @@
 
 // rebuild publishes a new view. The caller holds mu.
 func (t *Table) rebuild(now time.Time) {
+	start := time.Now()
 	s := &Snapshot{byID: make(map[string]int, len(t.nodes)), replicas: make(map[string]int, len(t.vms)), assigned: map[string][]platform.VM{}}
 	owned := t.owned()
 	for _, n := range t.nodes {
@@ -70,6 +71,7 @@
 	t.urgent = false
 	t.built = now
 	t.due.Store(0)
+	t.cost = time.Since(start)
 	t.snapshot.Store(s)
 }
 
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +26,11 @@
 	// strayInterval is how often a node tries one address that it does not
 	// know to be live.
 	strayInterval = 2 * time.Second
+	// seedShare is the share of tries, as one in so many, in which a node that
+	// sees others looks at the table's addresses too.
+	seedShare = 15
+	// maxFollowUps bounds the messages of one exchange.
+	maxFollowUps = 64
 	// maxConfigBytes bounds a configuration taken from a peer.
 	maxConfigBytes = 64 << 20
 )
@@ -142,11 +149,13 @@
 }
 
 // pickStray returns an address at which a node may be that is not known to be
-// live: from the settings, the table, or of nodes lost from sight.
+// live: of nodes lost from sight, from the settings, and, for a node that sees
+// no other, from the table.
 func (n *Node) pickStray() string {
 	live := map[string]bool{n.members.Self().Inner: true}
 	var list []string
-	for _, m := range n.members.Snapshot().Nodes {
+	view := n.members.Snapshot()
+	for _, m := range view.Nodes {
 		switch {
 		case m.Live:
 			live[m.State.Inner] = true
@@ -154,18 +163,13 @@
 			list = append(list, m.State.Inner)
 		}
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, address := range n.seeds {
-		list = append(list, address)
-	}
 	list = append(list, n.options.Settings.Peers...)
-	var strays []string
-	for _, address := range list {
-		if address != "" && !live[address] {
-			strays = append(strays, address)
-		}
+	if view.Live() == 1 || rand.IntN(seedShare) == 0 {
+		n.mu.Lock()
+		list = slices.AppendSeq(list, maps.Values(n.seeds))
+		n.mu.Unlock()
 	}
+	strays := slices.DeleteFunc(list, func(address string) bool { return address == "" || live[address] })
 	if len(strays) == 0 {
 		return ""
 	}
@@ -174,22 +178,35 @@
 
 // introduce tells an address of the own node and takes all that it knows.
 func (n *Node) introduce(ctx context.Context, address string) {
-	n.exchangeNews(ctx, address, n.members.Introduce(n.config.Current().Number))
+	news := n.members.Introduce(n.config.Current().Number)
+	from, more := n.exchangeNews(ctx, address, news)
+	if more {
+		n.exchangeWith(ctx, membership.Peer{Name: from, Inner: address})
+	}
 }
 
+// exchangeWith exchanges news with a peer until neither side has more.
 func (n *Node) exchangeWith(ctx context.Context, to membership.Peer) {
-	n.exchangeNews(ctx, to.Inner, n.members.Compose(to, n.config.Current().Number))
+	for range maxFollowUps {
+		news := n.members.Compose(to, n.config.Current().Number)
+		if _, more := n.exchangeNews(ctx, to.Inner, news); !more && !news.More {
+			return
+		}
+	}
 }
 
-func (n *Node) exchangeNews(ctx context.Context, address string, news wire.News) {
+// exchangeNews carries one message each way. It returns the peer's name and
+// whether the peer has more to tell.
+func (n *Node) exchangeNews(ctx context.Context, address string, news wire.News) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply := &wire.ExchangeReply{}
 	if n.peers.Call(ctx, address, "Exchange", news, reply) != nil {
-		return
+		return "", false
 	}
 	n.members.Take(time.Now(), *reply)
 	n.fetchRevision(ctx, address, reply.Revision)
+	return reply.From, reply.More
 }
 
 // fetchRevision takes a revision from a peer that has a newer one.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -65,6 +65,8 @@
 	// Base and Next bound the changes told, in the sender's log.
 	Base uint64
 	Next uint64
+	// More tells that there are changes after Next.
+	More bool
 	// Have is what the sender holds of the receiver's log.
 	Have Position
 	// Revision is the configuration revision in force at the sender.
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -19,7 +19,7 @@
 	// silent before it is tested, and how long that test may take.
 	silentAfter = time.Second
 	// idleAfter is how long an unused connection is kept.
-	idleAfter = 5 * time.Minute
+	idleAfter = time.Minute
 )
 
 // ErrPeer means that the peer could not be reached or did not answer.
