--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,9 +15,6 @@
 	// Name is the peer's node name, Inner its address.
 	Name  string
 	Inner string
-	// DataCentre and Region tell where it stands.
-	DataCentre string
-	Region     string
 }
 
 // Introduce returns the first message to an address of which nothing is
@@ -34,7 +32,7 @@
 func (t *Table) Compose(to Peer, revision uint64) wire.News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.compose(to, revision)
+	return t.compose(to.Name, revision)
 }
 
 // Answer takes a peer's news and returns what the peer does not yet hold.
@@ -42,7 +40,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.take(now, news)
-	return t.compose(Peer{Name: news.From, DataCentre: news.DataCentre, Region: news.Region}, revision)
+	return t.compose(news.From, revision)
 }
 
 // Take takes a peer's news.
@@ -54,8 +52,7 @@
 
 // envelope returns a message without news. The caller holds mu.
 func (t *Table) envelope(revision uint64) wire.News {
-	self := t.nodes[t.id].state
-	return wire.News{From: t.id, Inner: self.Inner, DataCentre: self.DataCentre, Region: self.Region, Revision: revision, Base: wire.Position{Incarnation: t.incarnation}, Next: wire.Position{Incarnation: t.incarnation}}
+	return wire.News{From: t.id, Incarnation: t.incarnation, Revision: revision}
 }
 
 func (n *nodeItem) news() wire.NodeNews {
@@ -64,73 +61,135 @@
 	return wire.NodeNews{State: s, Beat: n.beat, Down: n.down}
 }
 
-// compose gathers what changed after the place that the peer has read to. The
-// caller holds mu.
-func (t *Table) compose(to Peer, revision uint64) wire.News {
+// change is one entry of the log as a peer would be told it.
+type change struct {
+	index uint64
+	add   func(*wire.News)
+}
+
+// compose gathers what changed after the place that the peer has read to, the
+// oldest first and no more than fits one message. The caller holds mu.
+func (t *Table) compose(to string, revision uint64) wire.News {
 	news := t.envelope(revision)
-	if told := t.told[to.Name]; told.Incarnation == t.incarnation {
-		news.Base = told
+	if told := t.told[to]; told.Incarnation == t.incarnation {
+		news.Base = told.Index
+	}
+	news.Have = t.have[to]
+	news.Next = t.index
+	c := composer{t: t, to: to, hash: nodeHash(to, news.Have.Incarnation), base: news.Base, revision: revision}
+	if n := t.nodes[to]; n != nil {
+		c.peer = n.state
+	}
+	c.nodes()
+	c.centres()
+	c.vms()
+	skipped := c.replicas()
+	slices.SortFunc(c.changes, func(a, b change) int { return cmp.Compare(a.index, b.index) })
+	if len(c.changes) > maxNews {
+		c.changes = c.changes[:maxNews]
+		news.Next = c.changes[maxNews-1].index
+		news.More = true
+	}
+	if skipped > 0 {
+		news.Next = min(news.Next, skipped-1)
+	}
+	for _, change := range c.changes {
+		change.add(&news)
 	}
-	news.Have = t.have[to.Name]
-	news.Next.Index = t.index
-	base := news.Base.Index
-	for _, n := range t.nodes {
+	return news
+}
+
+// composer gathers the changes for one peer. Its methods are called with the
+// table's mu held.
+type composer struct {
+	t        *Table
+	to       string
+	hash     uint64
+	peer     wire.NodeState
+	base     uint64
+	revision uint64
+	changes  []change
+}
+
+// fresh tells whether the peer lacks a change; it does not lack what it told
+// itself.
+func (c *composer) fresh(index, from uint64) bool { return index > c.base && from != c.hash }
+
+func (c *composer) add(index uint64, add func(*wire.News)) {
+	c.changes = append(c.changes, change{index, add})
+}
+
+func (c *composer) nodes() {
+	for _, n := range c.t.nodes {
 		switch {
-		case n.state.ID == to.Name:
-		case n.index > base && (n.from != to.Name || base == 0):
-			news.Nodes = append(news.Nodes, n.news())
-		case t.tellsBeat(n, to, base):
-			news.Beats = append(news.Beats, wire.Beat{Node: nodeHash(n.state.ID, n.state.Incarnation), Count: n.beat, Revision: n.state.Revision})
+		case n.state.ID == c.to:
+		case c.fresh(n.index, n.from):
+			c.add(n.index, func(news *wire.News) { news.Nodes = append(news.Nodes, n.news()) })
+		case c.fresh(n.revisionIndex, n.revisionFrom):
+			c.add(n.revisionIndex, func(news *wire.News) { news.Beats = append(news.Beats, n.beatNews(c.revision)) })
+		case c.fresh(n.beatIndex, n.beatFrom) && c.t.near(n.state, c.peer):
+			c.add(n.beatIndex, func(news *wire.News) { news.Beats = append(news.Beats, n.beatNews(c.revision)) })
 		}
 	}
-	for _, v := range t.vms {
-		if v.index > base && (v.from != to.Name || base == 0) {
-			news.VMs = append(news.VMs, v.news)
+}
+
+func (c *composer) centres() {
+	for name, centre := range c.t.centres {
+		if name != c.peer.DataCentre && c.fresh(centre.index, centre.from) {
+			c.add(centre.index, func(news *wire.News) {
+				news.Centres = append(news.Centres, wire.CentreBeat{DataCentre: name, Count: centre.count})
+			})
 		}
 	}
-	t.composeReplicas(&news, to, base)
-	return news
 }
 
-// tellsBeat tells whether a peer should hear a node's heartbeat. The caller
-// holds mu.
-func (t *Table) tellsBeat(n *nodeItem, to Peer, base uint64) bool {
-	if n.revisionIndex > base && n.revisionFrom != to.Name {
-		return true
-	}
-	if n.beatIndex <= base || n.beatFrom == to.Name {
-		return false
+func (c *composer) vms() {
+	for _, v := range c.t.vms {
+		if c.fresh(v.index, v.from) {
+			c.add(v.index, func(news *wire.News) { news.VMs = append(news.VMs, v.news) })
+		}
 	}
-	own := t.nodes[t.id].state.DataCentre
-	near := n.state.DataCentre == own && to.DataCentre == own
-	return near || n.state.ID == t.id || t.snapshot.Load().bridges[n.state.ID]
 }
 
-// composeReplicas adds the accounts of replicas: all that matters, and a
-// bounded number of mere changes of load, the oldest first. The caller holds
-// mu.
-func (t *Table) composeReplicas(news *wire.News, to Peer, base uint64) {
+// replicas adds the accounts of replicas: all that matters, and a bounded
+// number of mere changes of load, the oldest first. It returns the place of
+// the first one left out, or 0.
+func (c *composer) replicas() uint64 {
 	var loads []*replicaItem
-	for id, r := range t.replicas {
-		if r.from == to.Name && base > 0 {
-			continue
-		}
-		near := to.Region == t.region(id)
+	for id, r := range c.t.replicas {
 		switch {
-		case r.coarse > base:
-			news.Replicas = append(news.Replicas, r.news)
-		case near && r.index > base:
+		case c.fresh(r.coarse, r.from):
+			c.add(r.coarse, r.add)
+		case c.peer.Region == c.t.region(id) && c.fresh(r.index, r.from):
 			loads = append(loads, r)
 		}
 	}
 	slices.SortFunc(loads, func(a, b *replicaItem) int { return cmp.Compare(a.index, b.index) })
+	for _, r := range loads[:min(len(loads), maxLoadNews)] {
+		c.add(r.index, r.add)
+	}
 	if len(loads) > maxLoadNews {
-		loads = loads[:maxLoadNews]
-		news.Next.Index = loads[maxLoadNews-1].index
+		return loads[maxLoadNews].index
 	}
-	for _, r := range loads {
-		news.Replicas = append(news.Replicas, r.news)
+	return 0
+}
+
+func (r *replicaItem) add(news *wire.News) { news.Replicas = append(news.Replicas, r.news) }
+
+// near tells whether a peer should hear a node's heartbeat: within the data
+// centre. The caller holds mu.
+func (t *Table) near(n, peer wire.NodeState) bool {
+	own := t.nodes[t.id].state.DataCentre
+	return n.DataCentre == own && peer.DataCentre == own
+}
+
+// beatNews leaves the revision out where it is the sender's own.
+func (n *nodeItem) beatNews(revision uint64) wire.Beat {
+	b := wire.Beat{Node: nodeHash(n.state.ID, n.state.Incarnation), Count: n.beat}
+	if n.state.Revision != revision {
+		b.Revision = n.state.Revision
 	}
+	return b
 }
 
 // region returns the region of a replica's VM. The caller holds mu.
@@ -148,20 +207,31 @@
 	}
 	t.told[news.From] = news.Have
 	t.advance(news)
-	t.centres[news.DataCentre] = now
+	from := nodeHash(news.From, news.Incarnation)
 	for _, n := range news.Nodes {
-		t.takeNode(now, n, news.From)
+		t.takeNode(now, n, from)
+	}
+	if n := t.nodes[news.From]; n != nil {
+		t.centre(n.state.DataCentre).heard = now
+	}
+	for _, c := range news.Centres {
+		if item := t.centre(c.DataCentre); c.Count > item.count {
+			item.rise(now, c.Count, t.next(), from)
+		}
 	}
 	for _, b := range news.Beats {
-		t.takeBeat(now, b, news.From)
+		if b.Revision == 0 {
+			b.Revision = news.Revision
+		}
+		t.takeBeat(now, b, from)
 	}
 	for _, v := range news.VMs {
-		t.takeVM(now, v, news.From)
+		t.takeVM(now, v, from)
 	}
 	for _, r := range news.Replicas {
 		item := t.replicas[r.State.ID]
 		if item == nil || r.Version > item.version() || (r.Version == item.version() && r.Owner > item.news.Owner) {
-			t.takeReplica(now, r, news.From)
+			t.takeReplica(now, r, from)
 		}
 	}
 	t.refresh(now)
@@ -171,11 +241,11 @@
 // stands, and the sender hears of it. The caller holds mu.
 func (t *Table) advance(news wire.News) {
 	have := t.have[news.From]
-	if have.Incarnation != news.Next.Incarnation {
-		have = wire.Position{Incarnation: news.Next.Incarnation}
+	if have.Incarnation != news.Incarnation {
+		have = wire.Position{Incarnation: news.Incarnation}
 	}
-	if news.Base.Index <= have.Index {
-		have.Index = max(have.Index, news.Next.Index)
+	if news.Base <= have.Index {
+		have.Index = max(have.Index, news.Next)
 	}
 	t.have[news.From] = have
 }
@@ -183,7 +253,7 @@
 // takeNode merges one node's state. Heartbeats decide between two accounts of
 // its life: the higher wins, and of equal ones the one that says down. The
 // caller holds mu.
-func (t *Table) takeNode(now time.Time, news wire.NodeNews, from string) {
+func (t *Table) takeNode(now time.Time, news wire.NodeNews, from uint64) {
 	if news.State.ID == t.id {
 		return
 	}
@@ -197,7 +267,7 @@
 	}
 }
 
-func (t *Table) mergeNode(now time.Time, n *nodeItem, news wire.NodeNews, from string) {
+func (t *Table) mergeNode(now time.Time, n *nodeItem, news wire.NodeNews, from uint64) {
 	changed := false
 	if news.State.Sequence > n.state.Sequence {
 		news.State.Revision = max(news.State.Revision, n.state.Revision)
@@ -224,7 +294,7 @@
 }
 
 // takeBeat merges one heartbeat. The caller holds mu.
-func (t *Table) takeBeat(now time.Time, b wire.Beat, from string) {
+func (t *Table) takeBeat(now time.Time, b wire.Beat, from uint64) {
 	n := t.hashes[b.Node]
 	if n == nil || n.state.ID == t.id {
 		return
@@ -242,27 +312,38 @@
 	n.beatIndex = t.next()
 	n.beatFrom = from
 	n.heard = now
-	t.centres[n.state.DataCentre] = now
 	if n.down {
 		n.down = false
 		n.index = t.next()
-		n.from = ""
+		n.from = 0
 		t.urgent = true
 	}
 }
 
 // takeVM merges one entry of the list of VMs. The caller holds mu.
-func (t *Table) takeVM(now time.Time, news wire.VMNews, from string) {
+func (t *Table) takeVM(now time.Time, news wire.VMNews, from uint64) {
 	item := t.vms[news.VM.ID]
-	if item != nil && news.Version <= item.news.Version {
+	if item != nil && !newerVM(news, item.news) {
 		return
 	}
 	t.vms[news.VM.ID] = &vmItem{news: news, changed: now, index: t.next(), from: from}
 	t.urgent = true
 }
 
+// newerVM tells whether a replaces b. Of two changes that nodes saw at the
+// same time, all keep the same one; the next reading of the list corrects it.
+func newerVM(a, b wire.VMNews) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	if a == b {
+		return false
+	}
+	return fmt.Sprint(a) > fmt.Sprint(b)
+}
+
 // takeReplica takes a newer account of a replica. The caller holds mu.
-func (t *Table) takeReplica(now time.Time, news wire.ReplicaNews, from string) {
+func (t *Table) takeReplica(now time.Time, news wire.ReplicaNews, from uint64) {
 	item := t.replicas[news.State.ID]
 	fresh := item == nil || item.news.Owner != news.Owner || !sameService(item.news.State, news.State)
 	if item == nil {
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -97,9 +97,6 @@
 		if n.claims.Pending() == 0 && (n.bills.Pending() == 0 || (err != nil && n.bills.Uncopied() == 0)) {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(flushWait):
-		}
+		pause(ctx, flushWait)
 	}
 }
