Sessions keep their version: the session's home decides, and remembers while the store is away

Causes, found by reading: a move wrote without a condition, so a node with an old memory of a session moved it again; a session begun in an outage was known to one node and never stored; each request of it waited for the store twice; the whole memory of pins was dropped when full; a request that named another model got the session's.

Change: one node, the session's home, reads and writes each pin (300 ms of waiting at most); with the store away the home and the next node remember the pin and store it later; a leaving node hands such pins on; a move is conditional and the row tells what it moved from; pins are kept for each model asked for.

Not proved: two halves of the fleet that see neither each other nor the store may put one new session on two versions; the stored one wins when the store is back. A session is moved only where its version may not run any more.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -114,12 +114,10 @@
 		}
 		return []config.Target{a.target}, nil
 	}
+	id, pinned := pinID(a.req)
 	pin := config.Target{}
-	if a.req.Session != "" {
-		var err error
-		if pin, err = d.Pins.Get(ctx, a.req.Organisation, a.req.Session); err != nil {
-			d.Record.Add(a.req.ID, "the session's version could not be read: %s", err)
-		}
+	if pinned {
+		pin = d.Pins.Known(id)
 	}
 	rules, err := d.rules(time.Now())
 	if err != nil {
@@ -132,8 +130,8 @@
 	if targets, err = d.withoutQuiet(a, targets); err != nil {
 		return nil, err
 	}
-	if a.req.Session != "" && pin != targets[0] {
-		return d.pin(ctx, a, pin, targets)
+	if pinned && pin != targets[0] {
+		return d.pin(ctx, a, id, pin, targets), nil
 	}
 	return targets, nil
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -4,21 +4,32 @@
 	"context"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
-// pin puts a new session on its version, or moves one whose version was
-// withdrawn.
-func (d *Dispatcher) pin(ctx context.Context, a *answer, old config.Target, targets []config.Target) ([]config.Target, error) {
-	if old != (config.Target{}) {
-		d.Record.Add(a.req.ID, "session moved from %s to %s", old, targets[0])
-		if err := d.Pins.Move(ctx, a.req.Organisation, a.req.Session, targets[0]); err != nil {
-			d.Record.Add(a.req.ID, "the session's move could not be stored: %s", err)
+// pinID identifies the pin of a request's session. A request without a
+// session, or that names its version, has none.
+func pinID(req *ChatRequest) (ledger.PinID, bool) {
+	return ledger.PinID{Organisation: req.Organisation, Session: req.Session, Asked: req.Asked.Model}, req.Session != "" && req.Asked.Version == ""
+}
+
+// pin puts a new session on the preferred version, or moves one that may not
+// keep its own; the session's home decides.
+func (d *Dispatcher) pin(ctx context.Context, a *answer, id ledger.PinID, old config.Target, targets []config.Target) []config.Target {
+	rev := d.Config.Current()
+	for range maxPinMoves {
+		got := d.Pins.Decide(ctx, id, old, targets[0])
+		if got == targets[0] || routing.Allowed(rev, a.req.Organisation, got) {
+			if old != (config.Target{}) {
+				d.Record.Add(a.req.ID, "session moved from %s, which is no longer allowed, to %s", old, got)
+			}
+			return []config.Target{got}
 		}
-		return targets[:1], nil
+		old = got
 	}
-	got, err := d.Pins.Set(ctx, a.req.Organisation, a.req.Session, targets[0])
-	if err != nil {
-		d.Record.Add(a.req.ID, "the session's version could not be stored: %s", err)
-	}
-	return []config.Target{got}, nil
+	return targets[:1]
 }
+
+// maxPinMoves bounds how often a request proposes a version for its session.
+const maxPinMoves = 3
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -2,85 +2,257 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/url"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// maxCachedPins bounds the pins a node remembers.
-const maxCachedPins = 100_000
+// Bounds and times of pins.
+const (
+	// maxCachedPins bounds the pins that a node remembers; an eighth is
+	// forgotten when it is reached.
+	maxCachedPins = 100_000
+	// maxUnstoredPins bounds those that wait for the table.
+	maxUnstoredPins = 100_000
+	// pinStoreWait bounds how long a request waits for the table.
+	pinStoreWait = 300 * time.Millisecond
+	pinBackoff   = 2 * time.Second
+	maxPinTries  = 3
+	pinPrefix    = "pin/"
+)
+
+// PinID identifies what a session is pinned for.
+type PinID struct {
+	// Organisation and Session are the caller's.
+	Organisation string
+	Session      string
+	// Asked is the model that the caller names.
+	Asked string
+}
+
+// row returns the table key of the pin.
+func (id PinID) row() string {
+	return pinPrefix + url.PathEscape(id.Organisation) + "/" + url.PathEscape(id.Session) + "/" + url.PathEscape(id.Asked)
+}
+
+// pinRow is what the table holds of a pin.
+type pinRow struct {
+	Target config.Target `json:"target"`
+	// From is the version that the session was moved from, if any.
+	From config.Target `json:"from"`
+	At   time.Time     `json:"at"`
+}
 
-// Pins keeps the version of each session. It is safe for concurrent use.
+// PinPeers reaches the nodes that decide and remember pins.
+type PinPeers interface {
+	// Decide has the session's home decide; false means that it did not
+	// answer, or is this node.
+	Decide(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool)
+	// Copy hands a pin that the table lacks to the next node in the session's
+	// order, and returns what that node has.
+	Copy(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool)
+}
+
+// Pins keeps the version of each session. The session's home decides, so that
+// one node writes each pin; where it is away, the asking node does. While the
+// table is away, home and the next node remember what is not stored. It is
+// safe for concurrent use; no lock is held during a call.
 type Pins struct {
 	table platform.Table
-	mu    sync.Mutex
-	cache map[string]config.Target // guarded by mu
+	peers PinPeers
+	wake  chan struct{}
+
+	mu       sync.Mutex
+	cache    map[string]config.Target // guarded by mu, by row
+	unstored map[string]wire.PinArgs  // guarded by mu, by row
+}
+
+// NewPins returns an empty set of pins; peers may be nil.
+func NewPins(table platform.Table, peers PinPeers) *Pins {
+	return &Pins{table: table, peers: peers, wake: make(chan struct{}, 1), cache: map[string]config.Target{}, unstored: map[string]wire.PinArgs{}}
+}
+
+// Known returns a session's version as this node remembers it, or zero.
+func (p *Pins) Known(id PinID) config.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cache[id.row()]
 }
 
-// NewPins returns an empty cache of pins.
-func NewPins(table platform.Table) *Pins {
-	return &Pins{table: table, cache: map[string]config.Target{}}
+// Decide pins a session that is new, or on old, to the proposal, and returns
+// the version that it has in the end: another one, if that came first.
+func (p *Pins) Decide(ctx context.Context, id PinID, old, proposal config.Target) config.Target {
+	args := wire.PinArgs{Pin: id.row(), Session: id.Session, Old: old, Target: proposal}
+	if p.peers != nil {
+		if t, ok := p.peers.Decide(ctx, id.Session, args); ok {
+			p.remember(args.Pin, t)
+			return t
+		}
+	}
+	return p.Settle(ctx, id.Session, args)
 }
 
-// PinKey returns the table key of a session's pin.
-func PinKey(organisation, session string) string { return "pin/" + organisation + "/" + session }
+// Settle decides a pin at this node.
+func (p *Pins) Settle(ctx context.Context, session string, args wire.PinArgs) config.Target {
+	if t, ok := p.differs(args); ok {
+		return t
+	}
+	storeCtx, cancel := context.WithTimeout(ctx, pinStoreWait)
+	defer cancel()
+	t, err := p.store(storeCtx, args)
+	if err == nil {
+		p.remember(args.Pin, t)
+		return t
+	}
+	if p.peers != nil {
+		if other, ok := p.peers.Copy(ctx, session, args); ok {
+			args.Target = other
+		}
+	}
+	return p.Hold(args)
+}
+
+// differs returns the remembered version if it is not the one to replace.
+func (p *Pins) differs(args wire.PinArgs) (config.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, known := p.cache[args.Pin]
+	return t, known && t != args.Old
+}
 
-// Get returns a session's version, or zero if it has none.
-func (p *Pins) Get(ctx context.Context, organisation, session string) (config.Target, error) {
-	key := PinKey(organisation, session)
+// Hold remembers a pin that the table lacks, to be stored later, and returns
+// the version that this node has.
+func (p *Pins) Hold(args wire.PinArgs) config.Target {
 	p.mu.Lock()
-	t, ok := p.cache[key]
-	p.mu.Unlock()
-	if ok {
-		return t, nil
+	defer p.mu.Unlock()
+	if t, known := p.cache[args.Pin]; known && t != args.Old {
+		return t
+	}
+	p.keep(args.Pin, args.Target)
+	if first, known := p.unstored[args.Pin]; known {
+		args.Old = first.Old
 	}
-	row, err := p.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return config.Target{}, nil
+	if len(p.unstored) < maxUnstoredPins {
+		p.unstored[args.Pin] = args
 	}
-	if err != nil {
-		return config.Target{}, err
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
-	t = config.ParseTarget(string(row.Value))
-	p.remember(key, t)
-	return t, nil
+	return args.Target
 }
 
-func (p *Pins) remember(key string, t config.Target) {
+// store writes a pin unless the table has another one, and returns the one
+// that it has.
+func (p *Pins) store(ctx context.Context, args wire.PinArgs) (config.Target, error) {
+	err := error(nil)
+	for range maxPinTries {
+		var stored pinRow
+		row, getErr := p.table.Get(ctx, args.Pin)
+		switch {
+		case errors.Is(getErr, platform.ErrNotFound):
+		case getErr != nil:
+			return config.Target{}, getErr
+		case json.Unmarshal(row.Value, &stored) != nil:
+			return config.Target{}, errors.Errorf("pin %s cannot be read: remove the row", args.Pin)
+		case stored.Target != args.Old:
+			return stored.Target, nil
+		}
+		value, encodeErr := json.Marshal(pinRow{Target: args.Target, From: args.Old, At: time.Now()})
+		if encodeErr != nil {
+			return config.Target{}, errors.Wrap(encodeErr, "encode pin")
+		}
+		_, err = p.table.Commit(ctx, platform.Op{Key: args.Pin, Value: value, Expect: row.Version})
+		if err == nil {
+			return args.Target, nil
+		}
+	}
+	return config.Target{}, err
+}
+
+// remember keeps what is decided.
+func (p *Pins) remember(pin string, t config.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keep(pin, t)
+}
+
+// keep bounds the cache. The caller holds mu.
+func (p *Pins) keep(pin string, t config.Target) {
 	if len(p.cache) >= maxCachedPins {
-		clear(p.cache)
+		left := maxCachedPins / 8
+		for old := range p.cache {
+			if left--; left < 0 {
+				break
+			}
+			if _, waits := p.unstored[old]; !waits {
+				delete(p.cache, old)
+			}
+		}
 	}
-	p.cache[key] = t
+	p.cache[pin] = t
 }
 
-// Set pins a session and returns the version it has in the end: another
-// node's, if that came first.
-func (p *Pins) Set(ctx context.Context, organisation, session string, t config.Target) (config.Target, error) {
-	key := PinKey(organisation, session)
-	_, err := p.table.Commit(ctx, platform.Op{Key: key, Value: []byte(t.String())})
-	if err == nil {
-		p.remember(key, t)
-		return t, nil
+// Unstored returns the pins that the table lacks.
+func (p *Pins) Unstored() []wire.PinArgs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]wire.PinArgs, 0, len(p.unstored))
+	for _, args := range p.unstored {
+		out = append(out, args)
 	}
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
-		got, getErr := p.Get(ctx, organisation, session)
-		if getErr == nil && got != (config.Target{}) {
-			return got, nil
+	return out
+}
+
+// Run stores the pins that the table lacks until ctx ends.
+func (p *Pins) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		}
+		for p.storeAll(ctx) > 0 && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(pinBackoff/2 + rand.N(pinBackoff)):
+			}
 		}
 	}
-	p.remember(key, t)
-	return t, err
 }
 
-// Move replaces a session's version after a withdrawal.
-func (p *Pins) Move(ctx context.Context, organisation, session string, t config.Target) error {
-	key := PinKey(organisation, session)
-	p.remember(key, t)
-	_, err := p.table.Commit(ctx, platform.Op{Key: key, Value: []byte(t.String()), Expect: platform.AnyVersion})
-	return err
+// storeAll stores what it can, up to the first failure, and returns how many
+// pins are left.
+func (p *Pins) storeAll(ctx context.Context) int {
+	list := p.Unstored()
+	for i, args := range list {
+		t, err := p.store(ctx, args)
+		if err != nil {
+			return len(list) - i
+		}
+		p.stored(args, t)
+	}
+	return 0
+}
+
+// stored takes what the table has of a pin that waited; the table's version
+// wins. A pin that was moved meanwhile waits on.
+func (p *Pins) stored(args wire.PinArgs, t config.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := p.unstored[args.Pin]; now.Target != args.Target {
+		now.Old = t
+		p.unstored[args.Pin] = now
+		return
+	}
+	delete(p.unstored, args.Pin)
+	p.cache[args.Pin] = t
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	dispatcher  *dispatch.Dispatcher
 	claims      *ledger.Claims
 	bills       *ledger.Bills
+	pins        *ledger.Pins
 	record      *record.Log
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
@@ -105,10 +106,11 @@
 		NewToken: dispatch.NewID, AskSender: n.askSender,
 	})
 	n.bills = ledger.NewBills(o.Platform, copies{n})
+	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
-		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
+		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record,
 	})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
@@ -139,6 +141,7 @@
 	}
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
+	n.loops.Go(func() { n.pins.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
 
--- /dev/null
+++ b/internal/node/pins.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+const (
+	// pinTimeout bounds one question to a session's home; it covers the
+	// home's own wait for the table.
+	pinTimeout = 500 * time.Millisecond
+	// copyPinTimeout bounds the handing over of one copy.
+	copyPinTimeout = 200 * time.Millisecond
+)
+
+// Pin implements wire.Handler.
+func (h *handler) Pin(args wire.PinArgs, reply *wire.PinReply) error {
+	if args.Copy {
+		reply.Target = h.n.pins.Hold(args)
+		return nil
+	}
+	reply.Target = h.n.pins.Settle(h.n.life, args.Session, args)
+	return nil
+}
+
+// pinPeers reaches the homes of sessions.
+type pinPeers struct {
+	n *Node
+}
+
+var _ ledger.PinPeers = pinPeers{}
+
+// homes returns the live nodes in the session's order.
+func (p pinPeers) homes(session string) []string {
+	var ids []string
+	for _, m := range p.n.members.Snapshot().Nodes {
+		if m.Live && !m.State.Leaving {
+			ids = append(ids, m.State.ID)
+		}
+	}
+	return routing.Rendezvous(ids, "session/"+session)
+}
+
+// Decide implements ledger.PinPeers.
+func (p pinPeers) Decide(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
+	homes := p.homes(session)
+	if len(homes) == 0 || homes[0] == p.n.options.Settings.ID {
+		return config.Target{}, false
+	}
+	return p.ask(ctx, homes[0], session, args, pinTimeout)
+}
+
+// Copy implements ledger.PinPeers.
+func (p pinPeers) Copy(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
+	args.Copy = true
+	for _, id := range p.homes(session) {
+		if id == p.n.options.Settings.ID {
+			continue
+		}
+		return p.ask(ctx, id, session, args, copyPinTimeout)
+	}
+	return config.Target{}, false
+}
+
+func (p pinPeers) ask(ctx context.Context, id, session string, args wire.PinArgs, wait time.Duration) (config.Target, bool) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	args.Session = session
+	reply := &wire.PinReply{}
+	if p.n.call(ctx, id, "Pin", args, reply) != nil || reply.Target == (config.Target{}) {
+		return config.Target{}, false
+	}
+	return reply.Target, true
+}
+
+// handPins gives the pins that the table lacks to the next homes of their
+// sessions, before the process ends.
+func (n *Node) handPins(ctx context.Context) {
+	for _, args := range n.pins.Unstored() {
+		pinPeers{n}.Copy(ctx, args.Session, args)
+	}
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -49,6 +49,7 @@
 	n.waitNotice(ctx)
 	err := n.endRequests(ctx)
 	n.closeBooks(ctx)
+	n.handPins(ctx)
 	n.sayDown()
 	n.Close()
 	return err
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -206,6 +206,24 @@
 	Outcome []byte
 }
 
+// PinArgs proposes a session's version.
+type PinArgs struct {
+	// Pin is the key of the pin's row, Session the caller's session.
+	Pin     string
+	Session string
+	// Old is the version to replace, zero for a new session.
+	Old    config.Target
+	Target config.Target
+	// Copy tells that the table does not answer: the pin is to be remembered
+	// and stored later.
+	Copy bool
+}
+
+// PinReply holds the version that the session has.
+type PinReply struct {
+	Target config.Target
+}
+
 // Step is one line of a request's record.
 type Step struct {
 	At   time.Time
@@ -232,5 +250,6 @@
 	Preempt(args PreemptArgs, reply *PreemptReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
+	Pin(args PinArgs, reply *PinReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
 }
