--- a/test/fleet/sessions_test.go
+++ b/test/fleet/sessions_test.go
@@ -170,7 +170,9 @@
 			r.Config.Models["emanta"].Versions["v3"].CostPerMillionTokens = 1
 		})
 		w.sleep(10 * time.Second)
-		s.askAll()
+		for i := range 10 {
+			s.ask("entry-2", fmt.Sprintf("session-%d", i))
+		}
 		s.askAll()
 		f.check(s.onVersion(oldVersion) == 0, "sessions are still on the withdrawn version")
 		f.check(s.onVersion(newVersion) == 10, "%d of 10 sessions stayed where they were moved first", s.onVersion(newVersion))
