--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -94,7 +94,11 @@
 		}
 	}
 	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %.3g", channelNames[worst], most, float64(withdrawAt))}
-	v.Withdraw = most >= withdrawAt
+	if most >= withdrawAt {
+		v.Withdraw = true
+		v.HoldUntil = now.Add(HoldTime)
+		return v
+	}
 	if most >= suspectAt && most >= g.held*holdGrowth && !now.Before(g.hold) {
 		g.held = most
 		g.hold = now.Add(HoldTime)
