Roll-outs drive themselves: evidence, holds, stages and withdrawal on the nodes

Nodes tell running totals, of which only the newest counts. A hold spreads between nodes without the store; withdrawal and stages are new revisions.

Found by test/fleet: a node that died is forgotten after a minute and comes back to life for 3 s when a peer that still knows it passes it on; the driver then lost its evidence each time. Evidence is kept now while another node takes itself for the driver. The membership table itself is not changed here. Also found: with a fifth of the answers in place rated, the first twenty verdicts of the baseline took a minute; half are rated while a roll-out of the same model runs.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,10 @@
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -66,6 +69,8 @@
 	claims      *ledger.Claims
 	bills       *ledger.Bills
 	record      *record.Log
+	versions    *versions
+	drivers     drivers
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
 	leaving     atomic.Bool
@@ -96,10 +101,13 @@
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
 	n.bills = ledger.NewBills(o.Platform, n.holdBills)
+	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
+		Observer: n.versions, Held: n.versions.held,
 	})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
@@ -127,6 +135,9 @@
 		{vmInterval, n.followVMs},
 		{probeInterval, n.probe},
 		{registerInterval, n.register},
+		{rating.Interval, n.versions.ratings.Tick},
+		{membership.HeartbeatInterval, n.gatherHolds},
+		{evidenceInterval, n.driveRollouts},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,6 +77,12 @@
 	return nil
 }
 
+// Evidence implements wire.Handler.
+func (h *handler) Evidence(args wire.EvidenceArgs, _ *wire.EvidenceReply) error {
+	h.n.takeEvidence(args)
+	return nil
+}
+
 // Explain implements wire.Handler.
 func (h *handler) Explain(args wire.ExplainArgs, reply *wire.ExplainReply) error {
 	reply.Steps = h.n.record.Steps(args.Request)
--- /dev/null
+++ b/internal/node/versions.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/rating"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// Shares of answers that are rated; of a version that is coming in, all are.
+const (
+	inPlaceSample  = 0.2
+	baselineSample = 0.5 // while a roll-out of the same model is under way
+)
+
+// versions gathers what this node learns of versions, and which of them should
+// get no new sessions. It is safe for concurrent use.
+type versions struct {
+	plan    func() *routing.Plan
+	ratings *rating.Sampler
+	holds   atomic.Pointer[map[config.Target]time.Time]
+	mu      sync.Mutex
+	totals  map[config.Target]rollout.Evidence // guarded by mu; since the start
+}
+
+var _ dispatch.Observer = (*versions)(nil)
+
+func newVersions(service platform.Ratings, plan func() *routing.Plan) *versions {
+	v := &versions{plan: plan, totals: map[config.Target]rollout.Evidence{}}
+	v.ratings = rating.NewSampler(service, v.rated)
+	v.holds.Store(&map[config.Target]time.Time{})
+	return v
+}
+
+func (v *versions) add(t config.Target, e rollout.Evidence) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.totals[t] = v.totals[t].Plus(e)
+}
+
+// outcome counts one event.
+func one(good bool) rollout.Counts {
+	if good {
+		return rollout.Counts{Good: 1}
+	}
+	return rollout.Counts{Bad: 1}
+}
+
+// Tried implements dispatch.Observer.
+func (v *versions) Tried(t config.Target, ok bool, first, target time.Duration) {
+	e := rollout.Evidence{Served: one(ok)}
+	if ok {
+		e.Timely = one(first <= target)
+	}
+	v.add(t, e)
+}
+
+// Answered implements dispatch.Observer.
+func (v *versions) Answered(a dispatch.Answered) {
+	if rand.Float64() < v.share(a.Target) {
+		v.ratings.Add(sample(a))
+	}
+}
+
+// share is the part of a version's answers that is rated.
+func (v *versions) share(t config.Target) float64 {
+	switch plan := v.plan(); {
+	case plan.RollingOut(t):
+		return 1
+	case plan.Changing(t.Model):
+		return baselineSample
+	default:
+		return inPlaceSample
+	}
+}
+
+func sample(a dispatch.Answered) platform.Sample {
+	return platform.Sample{Request: a.Request, Organisation: a.Organisation, Kind: a.Kind, Target: a.Target.String(), Answer: a.Text}
+}
+
+func (v *versions) rated(s platform.Sample, passed bool) {
+	v.add(config.ParseTarget(s.Target), rollout.Evidence{Rated: one(passed)})
+}
+
+// evidence lists the totals.
+func (v *versions) evidence() []wire.VersionEvidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]wire.VersionEvidence, 0, len(v.totals))
+	for t, e := range v.totals {
+		out = append(out, wire.VersionEvidence{Target: t, Evidence: e})
+	}
+	return out
+}
+
+// held tells whether a version should get no new sessions.
+func (v *versions) held(t config.Target) bool {
+	until, ok := (*v.holds.Load())[t]
+	return ok && time.Now().Before(until)
+}
+
+// gatherHolds merges what all live nodes hold.
+func (n *Node) gatherHolds(context.Context) {
+	now := time.Now()
+	merged := map[config.Target]time.Time{}
+	for _, m := range n.members.Snapshot().Nodes {
+		if !m.Live {
+			continue
+		}
+		for _, h := range m.State.Holds {
+			if now.Before(h.Until) && h.Until.After(merged[h.Target]) {
+				merged[h.Target] = h.Until
+			}
+		}
+	}
+	n.versions.holds.Store(&merged)
+}
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -37,7 +37,9 @@
 	news    map[config.Target]Evidence
 }
 
-// guarded is one roll-out's guard with when its roll-out began.
+// guarded is one roll-out's guard with what it has not yet seen. It is kept
+// while another node takes itself for the driver, since views differ for a
+// while when nodes come and go.
 type guarded struct {
 	guard *Guard
 	old   Evidence
@@ -52,20 +54,22 @@
 // Report takes a node's running totals of one version.
 func (d *Driver) Report(rev *config.Revision, node string, incarnation uint64, t config.Target, total Evidence) {
 	news, first := d.reports.Take(node, incarnation, t, total)
-	if first && total.size() > 0 {
+	if first {
 		d.watch.Past(t, news)
-		return
+	} else {
+		d.news[t] = d.news[t].Plus(news)
 	}
-	d.news[t] = d.news[t].Plus(news)
 	for name, plan := range rev.Config.Rollouts {
 		g := d.guards[name]
 		if g == nil {
 			continue
 		}
-		switch t {
-		case InPlace(plan):
+		switch {
+		case t == InPlace(plan) && first:
+			g.guard.Baseline(news)
+		case t == InPlace(plan):
 			g.old = g.old.Plus(news)
-		case Target(plan):
+		case t == Target(plan) && !first:
 			g.next = g.next.Plus(news)
 		}
 	}
@@ -85,10 +89,13 @@
 func (d *Driver) Judge(rev *config.Revision, mine func(rollout string) bool, watches bool, now time.Time) Judgement {
 	j := Judgement{Holds: map[config.Target]time.Time{}}
 	for _, name := range slices.Sorted(maps.Keys(rev.Config.Rollouts)) {
-		if !Running(rev, name) || !mine(name) {
+		if !Running(rev, name) {
 			delete(d.guards, name)
 			continue
 		}
+		if !mine(name) {
+			continue
+		}
 		d.judgeRollout(rev, name, now, &j)
 	}
 	if watches {
@@ -102,6 +109,7 @@
 	g := d.guards[name]
 	if g == nil {
 		g = &guarded{guard: NewGuard()}
+		g.guard.Baseline(d.reports.Total(InPlace(rev.Config.Rollouts[name])))
 		d.guards[name] = g
 	}
 	t := Target(rev.Config.Rollouts[name])
@@ -113,7 +121,7 @@
 	switch {
 	case v.Withdraw:
 		j.Actions = append(j.Actions, Action{Kind: ActionWithdraw, Target: t, Reason: v.Reason})
-	case v.HoldUntil.IsZero() && Due(rev, name, d.reports.Rated(t), now):
+	case v.HoldUntil.IsZero() && Due(rev, name, d.reports.Total(t).Rated.Total(), now):
 		j.Actions = append(j.Actions, Action{Kind: ActionAdvance, Rollout: name, Target: t, Reason: "the stage has baked"})
 	}
 }
@@ -124,7 +132,11 @@
 	for model, m := range rev.Config.Models {
 		for version := range m.Versions {
 			t := config.Target{Model: model, Version: version}
-			if rev.IsWithdrawn(t) || comingIn(rev, t) {
+			if rev.IsWithdrawn(t) {
+				continue
+			}
+			if comingIn(rev, t) {
+				d.watch.Past(t, d.news[t])
 				continue
 			}
 			v := d.watch.Observe(t, d.news[t], now)
@@ -138,9 +150,11 @@
 	}
 }
 
+// comingIn tells whether a roll-out runs t beside the version in place; at a
+// share of all sessions there is none beside it any more.
 func comingIn(rev *config.Revision, t config.Target) bool {
 	for name, plan := range rev.Config.Rollouts {
-		if Target(plan) == t && Running(rev, name) {
+		if Target(plan) == t && Running(rev, name) && plan.Stages[State(rev, name).Stage].Percent < 100 {
 			return true
 		}
 	}
--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -83,6 +83,14 @@
 	return g
 }
 
+// Baseline takes outcomes of the version in place from before the roll-out:
+// they tell what to expect of it, and are no evidence.
+func (g *Guard) Baseline(old Evidence) {
+	for i, c := range old.channels() {
+		g.tests[i].old = g.tests[i].old.Plus(c)
+	}
+}
+
 // Observe takes what both versions did since the last call, and judges.
 func (g *Guard) Observe(old, next Evidence, now time.Time) Verdict {
 	a, b := old.channels(), next.channels()
--- a/internal/rollout/reports.go
+++ b/internal/rollout/reports.go
@@ -40,11 +40,11 @@
 // size counts all outcomes.
 func (e Evidence) size() int { return e.Rated.Total() + e.Served.Total() + e.Timely.Total() }
 
-// Rated returns how many verdicts were heard of a version.
-func (r *Reports) Rated(t config.Target) int {
-	sum := 0
+// Total returns all that was heard of a version.
+func (r *Reports) Total(t config.Target) Evidence {
+	sum := Evidence{}
 	for _, n := range r.nodes {
-		sum += n.totals[t].Rated.Total()
+		sum = sum.Plus(n.totals[t])
 	}
 	return sum
 }
--- a/internal/routing/version.go
+++ b/internal/routing/version.go
@@ -163,6 +163,12 @@
 	return m != nil && slices.ContainsFunc(m.rollouts, func(r rolloutPlan) bool { return r.to == t && r.buckets < bucketCount })
 }
 
+// Changing tells whether a roll-out of the model is under way.
+func (p *Plan) Changing(model string) bool {
+	m := p.models[model]
+	return m != nil && slices.ContainsFunc(m.rollouts, func(r rolloutPlan) bool { return r.buckets < bucketCount })
+}
+
 // inForce returns the version of a model that the request would get.
 func (p *Plan) inForce(model string, req VersionRequest) (config.Target, bool) {
 	m := p.models[model]
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
 // ReplicaState is what a replica's owner publishes of it.
@@ -51,6 +52,15 @@
 	Replicas []ReplicaState
 	// Suspects are fingerprints of requests seen at a crash.
 	Suspects []Suspect
+	// Holds are versions that should get no new sessions.
+	Holds []VersionHold
+}
+
+// VersionHold asks all nodes to give a version no new sessions for a while.
+type VersionHold struct {
+	Target config.Target
+	// Until is when the hold lapses.
+	Until time.Time
 }
 
 // Suspect is the fingerprint of a request that ran where a replica died.
@@ -227,6 +237,22 @@
 	Steps []Step
 }
 
+// VersionEvidence is what a process saw of one version since its start.
+type VersionEvidence struct {
+	Target   config.Target
+	Evidence rollout.Evidence
+}
+
+// EvidenceArgs tells a driver of roll-outs a node's totals.
+type EvidenceArgs struct {
+	Node        string
+	Incarnation uint64
+	Evidence    []VersionEvidence
+}
+
+// EvidenceReply is empty.
+type EvidenceReply struct{}
+
 // Handler is what a node answers to its peers.
 type Handler interface {
 	Exchange(args ExchangeArgs, reply *ExchangeReply) error
@@ -237,4 +263,5 @@
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
+	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
