--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -18,7 +18,7 @@
 
 func newConfig() *cobra.Command {
 	cmd := &cobra.Command{Use: "config", Short: "Check, apply and show the operators' configuration"}
-	cmd.AddCommand(newConfigCheck(), newConfigApply(), newConfigShow())
+	cmd.AddCommand(newConfigCheck(), newConfigApply(), newConfigShow(), newConfigDiff())
 	return cmd
 }
 
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -30,7 +30,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newConfig(), newStatus(), newExplain(),
+		newServe(), newConfig(), newRollout(), newStatus(), newExplain(),
 		newDev(), newDemo(), newMeasure(), newStandin(), newVersion(),
 	)
 	return root
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -95,6 +95,9 @@
 	return nil
 }
 
+// Names returns the keys of a table in their order.
+func Names[V any](m map[string]V) []string { return sorted(m) }
+
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 func (k checker) ranks() error {
