--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -169,7 +169,7 @@
 		if rev.IsWithdrawn(rollout.Target(rev.Config.Rollouts[name])) {
 			paused = ", withdrawn"
 		}
-		fmt.Fprintf(out, "%s: %s%s, share %g%%\n", name, shareText(rev, name, s.Stage), paused, 100*routing.Share(rev, name))
+		fmt.Fprintf(out, "%s: %s%s, share %g%%\n", name, shareText(rev, name, s.Stage), paused, 100*shareOf(rev, name))
 	}
 	for t, w := range rev.Withdrawn {
 		fmt.Fprintf(out, "withdrawn %s at %s: %s\n", t, w.At.Format(time.RFC3339), w.Reason)
@@ -177,6 +177,14 @@
 	return nil
 }
 
+// shareOf is the share of new sessions that a roll-out's version gets.
+func shareOf(rev *config.Revision, name string) float64 {
+	if rev.IsWithdrawn(rollout.Target(rev.Config.Rollouts[name])) {
+		return 0
+	}
+	return routing.Share(rev, name)
+}
+
 func newConfigDiff() *cobra.Command {
 	var base string
 	cmd := &cobra.Command{
--- a/internal/rollout/watch.go
+++ b/internal/rollout/watch.go
@@ -23,10 +23,13 @@
 	// confirmTime is how long a loss must last before a withdrawal.
 	confirmTime = 3 * time.Minute
 	// shortWindow is the number of newest outcomes that show a shift.
-	shortWindow = 60.0
+	shortWindow = 120.0
 	// trustZ is the number of standard errors by which several versions must
 	// shift together for the rating service itself to be doubted.
 	trustZ = 3.0
+	// riseZ is the same for a single version that seems to become better:
+	// versions do not do that by themselves.
+	riseZ = 4.0
 )
 
 // track compares one channel of one version with its own past.
@@ -148,14 +151,19 @@
 }
 
 // RatingsTrusted is false while more than one version's ratings shift the
-// same way at the same time: then the rating service changed, not they.
+// same way at the same time, or one version's rise: then the rating service
+// changed, not they.
 func (w *Watch) RatingsTrusted() bool {
 	up, down := 0, 0
 	for _, v := range w.versions {
-		switch z := v.tracks[ratings].shift(); {
-		case z > trustZ:
+		z := v.tracks[ratings].shift()
+		if z > riseZ {
+			return false
+		}
+		if z > trustZ {
 			up++
-		case z < -trustZ:
+		}
+		if z < -trustZ {
 			down++
 		}
 	}
