Cascade on the real path: learned choice, verdict before the answer goes out

Whole answers without a session may be judged before they go out; a second version answers if they do not pass, under the same bill. Streams and new sessions get the learned single choice. X-Kind names the kind of work.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -112,7 +112,7 @@
 		a.offset++
 		a.ran = outcome.RanYes
 		a.keep(f.Text)
-		if err := a.sink.Token(f.Text); err != nil {
+		if err := a.out().Token(f.Text); err != nil {
 			return backend.Frame{}, false, err
 		}
 	}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -23,6 +23,8 @@
 	MaxTokens int
 	// Kind is the kind of work that the caller names, or empty.
 	Kind string
+	// Whole tells that the caller takes the answer at once, not as a stream.
+	Whole bool
 }
 
 // ChatResult describes a whole answer.
@@ -53,6 +55,16 @@
 	retries  int
 	ran      outcome.Ran
 	text     strings.Builder
+	// The choice of versions: made once, what follows the first step, and
+	// which version is not to be tried again.
+	decided bool
+	steps   routing.Steps
+	without config.Target
+	// buffer keeps the answer until its verdict; judged tells that it was
+	// asked for, spent what steps before this one cost.
+	buffer *buffer
+	judged bool
+	spent  int64
 }
 
 // Chat serves one request for an answer.
@@ -61,19 +73,25 @@
 	defer cancel()
 	d.firstTry(req.Organisation)
 	a := &answer{req: req, sink: sink, ran: outcome.RanNo}
+	final, err := d.serve(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return d.finish(ctx, a, final)
+}
+
+// serve makes attempts until one ends the answer.
+func (d *Dispatcher) serve(ctx context.Context, a *answer) (backend.Frame, error) {
 	for {
 		p, err := d.placeFor(ctx, a)
 		if err != nil {
 			refusal := outcome.AsRefusal(err)
 			refusal.Ran = outcome.Worse(refusal.Ran, a.ran)
-			return nil, refusal
+			return backend.Frame{}, refusal
 		}
 		final, next, err := d.attempt(ctx, a, p)
-		if err != nil {
-			return nil, err
-		}
-		if !next {
-			return d.settle(ctx, a, final), nil
+		if err != nil || !next {
+			return final, err
 		}
 	}
 }
@@ -129,6 +147,7 @@
 	if targets, err = d.withoutQuiet(a, targets); err != nil {
 		return nil, err
 	}
+	targets = d.prefer(a, targets)
 	if a.req.Session != "" && pin != targets[0] {
 		return d.pin(ctx, a, pin, targets)
 	}
@@ -137,15 +156,14 @@
 
 // settle bills a whole answer.
 func (d *Dispatcher) settle(ctx context.Context, a *answer, final backend.Frame) *ChatResult {
-	cost := int64(0)
-	if v := d.Config.Current().Version(a.target); v != nil {
-		cost = int64(a.offset) * v.CostPerMillionTokens / 1_000_000
-	}
+	cost := a.price(d)
 	d.Bills.Add(ctx, wire.Bill{
 		Request: a.req.ID, Organisation: a.req.Organisation, Target: a.target,
 		PromptTokens: final.PromptTokens, Tokens: a.offset, CostMicros: cost, At: time.Now(),
 	})
-	d.Observer.Answered(Answered{Request: a.req.ID, Organisation: a.req.Organisation, Kind: a.req.Kind, Target: a.target, Text: a.text.String()})
+	if !a.judged {
+		d.Observer.Answered(a.answered())
+	}
 	d.Record.Add(a.req.ID, "answered by %s with %d tokens, billed %d", a.target, a.offset, cost)
 	return &ChatResult{Target: a.target, PromptTokens: final.PromptTokens, Tokens: a.offset, FinishReason: final.FinishReason}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -49,6 +49,8 @@
 	Record *record.Log
 	// Observer learns from attempts and answers; nil learns nothing.
 	Observer Observer
+	// Cascade chooses between versions; nil keeps their order.
+	Cascade Cascade
 	// Held tells which versions should get no new sessions; nil means none.
 	Held func(config.Target) bool
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -97,7 +97,7 @@
 	sink := &chatSink{w: w, id: req.ID, model: parsed.Model, stream: parsed.Stream, flush: http.NewResponseController(w), start: time.Now(),
 		first: func(d time.Duration) { g.Metrics.FirstToken.WithLabelValues(rank).Observe(d.Seconds()) }}
 	result, err := g.Dispatcher.Chat(ctx, &dispatch.ChatRequest{
-		Request: *req, Asked: config.ParseTarget(parsed.Model), Prompt: text, MaxTokens: parsed.MaxTokens,
+		Request: *req, Asked: config.ParseTarget(parsed.Model), Prompt: text, MaxTokens: parsed.MaxTokens, Kind: r.Header.Get(HeaderKind), Whole: !parsed.Stream,
 	}, sink)
 	if err != nil {
 		g.chatFailed(w, rank, sink, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	HeaderRank      = "X-Rank"
 	HeaderSession   = "X-Session"
 	HeaderCaller    = "X-Caller"
+	HeaderKind      = "X-Kind"
 	HeaderDeadline  = "X-Deadline-Ms"
 	HeaderRequestID = "X-Request-Id"
 	HeaderVersion   = "X-Model-Version"
@@ -164,7 +165,7 @@
 	if g.Leaving() {
 		return nil, "", outcome.Refuse(outcome.CodeLeaving, time.Second, "this node is leaving: use another address of /v1/addresses")
 	}
-	for _, h := range []string{HeaderRank, HeaderSession, HeaderCaller, backend.HeaderIdempotencyKey} {
+	for _, h := range []string{HeaderRank, HeaderSession, HeaderCaller, HeaderKind, backend.HeaderIdempotencyKey} {
 		if len(r.Header.Get(h)) > maxHeaderValue {
 			return nil, "", outcome.Refuse(outcome.CodeBadRequest, 0, "header %s is longer than %d bytes: shorten it", h, maxHeaderValue)
 		}
--- a/internal/measure/versions_cascade.go
+++ b/internal/measure/versions_cascade.go
@@ -119,7 +119,7 @@
 	}})
 }
 
-func certain(p float64) routing.Estimate { return routing.Estimate{Mean: p, Weight: 1e9} }
+func certain(p float64) routing.Estimate { return routing.Estimate{Mean: p, Verdicts: 1e9} }
 
 func fixedSteps(_ *cascadeNode, _ string, _ int, verify bool, _ float64) routing.Steps {
 	return stepsFor(certain(cheapPrior), certain(strongPrior), verify, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
-		Observer: n.versions, Held: n.versions.held,
+		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
@@ -139,6 +139,7 @@
 		{rating.Interval, n.versions.ratings.Tick},
 		{membership.HeartbeatInterval, n.gatherHolds},
 		{evidenceInterval, n.driveRollouts},
+		{trustInterval, n.versions.cascade.watchRatings},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -30,6 +30,7 @@
 	holds   atomic.Pointer[map[config.Target]time.Time]
 	mu      sync.Mutex
 	totals  map[config.Target]rollout.Evidence // guarded by mu; since the start
+	cascade *cascade
 }
 
 var _ dispatch.Observer = (*versions)(nil)
@@ -37,6 +38,7 @@
 func newVersions(service platform.Ratings, plan func() *routing.Plan) *versions {
 	v := &versions{plan: plan, totals: map[config.Target]rollout.Evidence{}}
 	v.ratings = rating.NewSampler(service, v.rated)
+	v.cascade = newCascade(v)
 	v.holds.Store(&map[config.Target]time.Time{})
 	return v
 }
@@ -87,8 +89,15 @@
 	return platform.Sample{Request: a.Request, Organisation: a.Organisation, Kind: a.Kind, Target: a.Target.String(), Answer: a.Text}
 }
 
-func (v *versions) rated(s platform.Sample, passed bool) {
-	v.add(config.ParseTarget(s.Target), rollout.Evidence{Rated: one(passed)})
+// rated takes a verdict. Of answers that were judged while their callers
+// waited, only a sample counts as evidence, as of all others: they are of the
+// harder kinds.
+func (v *versions) rated(s platform.Sample, passed, judged bool) {
+	t := config.ParseTarget(s.Target)
+	if !judged || rand.Float64() < v.share(t) {
+		v.add(t, rollout.Evidence{Rated: one(passed)})
+	}
+	v.cascade.learn(s, t, passed)
 }
 
 // evidence lists the totals.
--- a/internal/rating/sampler.go
+++ b/internal/rating/sampler.go
@@ -37,7 +37,7 @@
 // Sampler sends samples and passes verdicts on. It is safe for concurrent use.
 type Sampler struct {
 	service platform.Ratings
-	verdict func(s platform.Sample, passed bool)
+	verdict func(s platform.Sample, passed, judged bool)
 
 	mu      sync.Mutex
 	queue   []platform.Sample   // guarded by mu
@@ -56,8 +56,9 @@
 	judge  chan bool // nil unless somebody waits
 }
 
-// NewSampler returns a sampler that passes each verdict on.
-func NewSampler(service platform.Ratings, verdict func(s platform.Sample, passed bool)) *Sampler {
+// NewSampler returns a sampler that passes each verdict on; judged tells that
+// somebody waited for it.
+func NewSampler(service platform.Ratings, verdict func(s platform.Sample, passed, judged bool)) *Sampler {
 	return &Sampler{service: service, verdict: verdict, waiting: map[string]*pending{}}
 }
 
@@ -205,5 +206,5 @@
 	if p.judge != nil {
 		p.judge <- v.Passed
 	}
-	s.verdict(p.sample, v.Passed)
+	s.verdict(p.sample, v.Passed, p.judge != nil)
 }
--- a/internal/routing/cascade.go
+++ b/internal/routing/cascade.go
@@ -49,9 +49,11 @@
 	caution = 0.5
 )
 
-// lower is the estimate lowered by caution.
+// lower is the estimate lowered by caution; without verdicts the configured
+// quality stands.
 func (e Estimate) lower() float64 {
-	spread := math.Sqrt(e.Mean * (1 - e.Mean) / max(e.Weight, 1))
+	weight := e.Verdicts + priorWeight
+	spread := math.Sqrt(e.Mean*(1-e.Mean)/weight) * e.Verdicts / weight
 	return max(e.Mean-caution*spread, 0)
 }
 
--- a/internal/routing/cascade_test.go
+++ b/internal/routing/cascade_test.go
@@ -19,8 +19,8 @@
 
 func candidates(cheapPass, strongPass float64) []Candidate {
 	return []Candidate{
-		{Target: cheap, Cost: 0.4, Pass: Estimate{Mean: cheapPass, Weight: 1000}},
-		{Target: strong, Cost: 3, Pass: Estimate{Mean: strongPass, Weight: 1000}},
+		{Target: cheap, Cost: 0.4, Pass: Estimate{Mean: cheapPass, Verdicts: 1000}},
+		{Target: strong, Cost: 3, Pass: Estimate{Mean: strongPass, Verdicts: 1000}},
 	}
 }
 
@@ -59,7 +59,7 @@
 		for i := range rapid.IntRange(0, 5).Draw(t, "candidates") {
 			c := Candidate{
 				Target: config.Target{Model: fmt.Sprint("m", i), Version: "v"}, Cost: rapid.Float64Range(0, 10).Draw(t, "cost"),
-				Pass: Estimate{Mean: rapid.Float64Range(0, 1).Draw(t, "mean"), Weight: rapid.Float64Range(0, 500).Draw(t, "weight")},
+				Pass: Estimate{Mean: rapid.Float64Range(0, 1).Draw(t, "mean"), Verdicts: rapid.Float64Range(0, 500).Draw(t, "verdicts")},
 			}
 			cost[c.Target] = c.Cost
 			req.Candidates = append(req.Candidates, c)
@@ -123,7 +123,7 @@
 func BenchmarkChooseSteps(b *testing.B) {
 	var list []Candidate
 	for i := range 8 {
-		list = append(list, Candidate{Target: config.Target{Model: fmt.Sprint(i)}, Cost: float64(i + 1), Pass: Estimate{Mean: 0.5 + float64(i)/20, Weight: 100}})
+		list = append(list, Candidate{Target: config.Target{Model: fmt.Sprint(i)}, Cost: float64(i + 1), Pass: Estimate{Mean: 0.5 + float64(i)/20, Verdicts: 100}})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/routing/chances.go
+++ b/internal/routing/chances.go
@@ -117,21 +117,23 @@
 type Estimate struct {
 	// Mean is the chance that an answer passes.
 	Mean float64
-	// Weight is the number of verdicts behind it, the prior's included.
-	Weight float64
+	// Verdicts is the number of verdicts behind it; older ones count less,
+	// and those of other organisations only so far.
+	Verdicts float64
 }
 
 // Estimate returns the chance for an organisation and kind: its own verdicts,
 // drawn towards those of all organisations on the kind, drawn towards prior.
 func (c *Chances) Estimate(organisation, kind string, t config.Target, prior float64) Estimate {
-	mean, weight := prior, priorWeight
+	mean, weight, verdicts := prior, priorWeight, 0.0
 	if shared := c.table[chanceKey{"", kind, t}]; shared != nil {
 		mean = (shared.good + priorWeight*mean) / (shared.total + priorWeight)
 		weight = min(shared.total+priorWeight, sharedWeight)
+		verdicts = min(shared.total, sharedWeight)
 	}
 	if own := c.table[chanceKey{organisation, kind, t}]; own != nil {
 		mean = (own.good + weight*mean) / (own.total + weight)
-		weight += own.total
+		verdicts = max(verdicts, own.total)
 	}
-	return Estimate{Mean: mean, Weight: weight}
+	return Estimate{Mean: mean, Verdicts: verdicts}
 }
--- a/internal/routing/version.go
+++ b/internal/routing/version.go
@@ -169,6 +169,16 @@
 	return m != nil && slices.ContainsFunc(m.rollouts, func(r rolloutPlan) bool { return r.buckets < bucketCount })
 }
 
+// Learned returns the version by whose verdicts t is chosen: while t comes in,
+// that of the version in place, so that both get work of the same kinds and
+// their ratings compare.
+func (p *Plan) Learned(t config.Target) config.Target {
+	if p.RollingOut(t) {
+		return p.models[t.Model].inPlace
+	}
+	return t
+}
+
 // inForce returns the version of a model that the request would get.
 func (p *Plan) inForce(model string, req VersionRequest) (config.Target, bool) {
 	m := p.models[model]
