--- a/test/fleet/quiet_test.go
+++ b/test/fleet/quiet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/embedded"
 	"github.com/cowslipfall/cowslipfall/internal/gateway"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
@@ -55,9 +56,14 @@
 
 // undisturbed returns what a version answers to a chat that nothing disturbs.
 func (w *world) undisturbed(organisation, text string, tokens int, model string) string {
+	return w.answerOf(organisation, text, tokens, model, embedded.Qualities(w.config))
+}
+
+// answerOf is the same where versions have other than the configured quality.
+func (w *world) answerOf(organisation, text string, tokens int, model string, quality map[config.Target]float64) string {
 	t := config.ParseTarget(model)
 	prompt := "user: " + text + "\n"
-	return standin.Answer(t, w.config.Models[t.Model].Versions[t.Version].Quality, prompt, gateway.Fingerprint(organisation, prompt), tokens)
+	return standin.Answer(t, quality[t], prompt, gateway.Fingerprint(organisation, prompt), tokens)
 }
 
 // Quiet hours begin in one data centre under load. Answers that run there move
