--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -112,8 +112,15 @@
 		a.offset++
 		a.ran = outcome.RanYes
 		a.keep(f.Text)
-		if err := a.sink.Token(f.Text); err != nil {
+		if err := a.out().Token(f.Text); err != nil {
 			return backend.Frame{}, false, err
 		}
 	}
 }
+
+// keep notes the text for rating, within bounds.
+func (a *answer) keep(text string) {
+	if a.text.Len()+len(text) <= maxRatedBytes {
+		a.text.WriteString(text)
+	}
+}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -9,7 +9,6 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
-	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -24,6 +23,8 @@
 	MaxTokens int
 	// Kind is the kind of work that the caller names, or empty.
 	Kind string
+	// Whole tells that the caller takes the answer at once, not as a stream.
+	Whole bool
 }
 
 // ChatResult describes a whole answer.
@@ -54,6 +55,16 @@
 	retries  int
 	ran      outcome.Ran
 	text     strings.Builder
+	// The choice of versions: made once, what follows the first step, and
+	// which version is not to be tried again.
+	decided bool
+	steps   routing.Steps
+	without config.Target
+	// buffer keeps the answer until its verdict; judged tells that it was
+	// asked for, spent what steps before this one cost.
+	buffer *buffer
+	judged bool
+	spent  int64
 }
 
 // Chat serves one request for an answer.
@@ -62,19 +73,25 @@
 	defer cancel()
 	d.firstTry(req.Organisation)
 	a := &answer{req: req, sink: sink, ran: outcome.RanNo}
+	final, err := d.serve(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return d.finish(ctx, a, final)
+}
+
+// serve makes attempts until one ends the answer.
+func (d *Dispatcher) serve(ctx context.Context, a *answer) (backend.Frame, error) {
 	for {
 		p, err := d.placeFor(ctx, a)
 		if err != nil {
 			refusal := outcome.AsRefusal(err)
 			refusal.Ran = outcome.Worse(refusal.Ran, a.ran)
-			return nil, refusal
+			return backend.Frame{}, refusal
 		}
 		final, next, err := d.attempt(ctx, a, p)
-		if err != nil {
-			return nil, err
-		}
-		if !next {
-			return d.settle(ctx, a, final), nil
+		if err != nil || !next {
+			return final, err
 		}
 	}
 }
@@ -130,58 +147,23 @@
 	if targets, err = d.withoutQuiet(a, targets); err != nil {
 		return nil, err
 	}
+	targets = d.prefer(a, targets)
 	if a.req.Session != "" && pin != targets[0] {
 		return d.pin(ctx, a, pin, targets)
 	}
 	return targets, nil
 }
 
-// withoutQuiet drops the versions that quiet hours close everywhere.
-func (d *Dispatcher) withoutQuiet(a *answer, targets []config.Target) ([]config.Target, error) {
-	var until time.Time
-	open := targets[:0]
-	for _, t := range targets {
-		to, closed := d.quietAt(rollout.Scope{Model: t.Model, Organisation: a.req.Organisation}, d.answerLength(a, t))
-		switch {
-		case !closed:
-			open = append(open, t)
-		case until.IsZero() || to.Before(until):
-			until = to
-		}
-	}
-	if len(open) == 0 {
-		return nil, refuseQuiet(time.Now(), until)
-	}
-	return open, nil
-}
-
-// answerLength estimates how long the rest of the answer takes.
-func (d *Dispatcher) answerLength(a *answer, t config.Target) time.Duration {
-	return d.pace.answer(t, len(a.req.Prompt), a.req.MaxTokens-a.offset)
-}
-
-func answerScope(a *answer, p *place) rollout.Scope {
-	return rollout.Scope{DataCentre: p.replica.DataCentre, Pool: p.replica.Pool, Model: a.target.Model, Organisation: a.req.Organisation}
-}
-
-// keep notes the text for rating, within bounds.
-func (a *answer) keep(text string) {
-	if a.text.Len()+len(text) <= maxRatedBytes {
-		a.text.WriteString(text)
-	}
-}
-
 // settle bills a whole answer.
 func (d *Dispatcher) settle(ctx context.Context, a *answer, final backend.Frame) *ChatResult {
-	cost := int64(0)
-	if v := d.Config.Current().Version(a.target); v != nil {
-		cost = int64(a.offset) * v.CostPerMillionTokens / 1_000_000
-	}
+	cost := a.price(d)
 	d.Bills.Add(ctx, wire.Bill{
 		Request: a.req.ID, Organisation: a.req.Organisation, Target: a.target,
 		PromptTokens: final.PromptTokens, Tokens: a.offset, CostMicros: cost, At: time.Now(),
 	})
-	d.Observer.Answered(Answered{Request: a.req.ID, Organisation: a.req.Organisation, Kind: a.req.Kind, Target: a.target, Text: a.text.String()})
+	if !a.judged {
+		d.Observer.Answered(a.answered())
+	}
 	d.Record.Add(a.req.ID, "answered by %s with %d tokens, billed %d", a.target, a.offset, cost)
 	return &ChatResult{Target: a.target, PromptTokens: final.PromptTokens, Tokens: a.offset, FinishReason: final.FinishReason}
 }
