One gate decides for a replica, in the node and in trials

Cause: the owner's decisions were spread over the queue, the limiter and the owner's locks, so that no trial could run them; the queue scanned all organisations and never forgot idle ones; KV memory was not limited; work was queued up to its deadline, too late to finish; a small organisation behind a large one was refused for the large one's backlog.

admission.Gate now holds queue, limit, KV memory, pauses, predicted wait and come-back times of one replica. Organisations wait in a heap; idle accounts are swept. Resumed answers are not refused.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -11,6 +11,20 @@
 	fullShare       = 0.8
 )
 
+// Limit learns how many streams a replica may run. Implementations are not
+// safe for concurrent use.
+type Limit interface {
+	// Limit returns how many streams may run, at least 1.
+	Limit() int
+	// SetHighest changes the upper bound.
+	SetHighest(highest int)
+	// Observe takes one stream's mean time between tokens, seen while running
+	// streams were batched.
+	Observe(interval time.Duration, running int)
+}
+
+var _ Limit = (*Limiter)(nil)
+
 // Limiter learns how many streams a replica may run so that the time between
 // tokens stays under the target. It is not safe for concurrent use.
 type Limiter struct {
@@ -26,17 +40,16 @@
 	return &Limiter{target: target, highest: max(highest, minLimit), limit: float64(max(highest, minLimit))}
 }
 
-// Limit returns how many streams may run.
+// Limit implements Limit.
 func (l *Limiter) Limit() int { return max(int(l.limit), minLimit) }
 
-// SetHighest changes the upper bound.
+// SetHighest implements Limit.
 func (l *Limiter) SetHighest(highest int) {
 	l.highest = max(highest, minLimit)
 	l.limit = min(l.limit, float64(l.highest))
 }
 
-// Observe takes one stream's mean time between tokens, seen while running
-// streams were batched.
+// Observe implements Limit.
 func (l *Limiter) Observe(interval time.Duration, running int) {
 	if interval <= 0 {
 		return
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,10 +2,7 @@
 // runs, how much runs, and what is refused.
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Work is one request waiting for a place on a replica.
 type Work struct {
@@ -20,25 +17,58 @@
 	Rank int
 	// Tokens is the estimated cost in tokens.
 	Tokens int
+	// Memory is the KV cache that it may fill, in tokens.
+	Memory int
+	// Resumed tells that its answer has begun: it is never refused and goes
+	// before its organisation's other work.
+	Resumed bool
+	// Pausable tells that its stream may be paused for more urgent work.
+	Pausable bool
+	// Fingerprint identifies organisation and content; 0 is unknown.
+	Fingerprint uint64
 	// Arrived is when it joined, Deadline when it must have started.
 	Arrived  time.Time
 	Deadline time.Time
+
+	account *account
 }
 
-// account counts what one organisation was served within one rank, in tokens
-// divided by its weight.
-type account struct {
-	virtual float64
-	waiting []*Work
+// Order is an order of waiting work. Implementations are not safe for
+// concurrent use.
+type Order interface {
+	// Push adds work.
+	Push(w *Work)
+	// Next returns the work to run next without taking it, or nil; ranks for
+	// which allowed returns false are passed over.
+	Next(now time.Time, allowed func(rank int) bool) *Work
+	// Take removes work that Next returned and charges for it.
+	Take(w *Work)
+	// Correct replaces an estimated charge by the true one, in tokens.
+	Correct(w *Work, tokens int)
+	// Remove takes the work with the given ID out and tells whether it was
+	// there.
+	Remove(id string) bool
+	// Expire removes and returns the work whose deadline has passed.
+	Expire(now time.Time) []*Work
+	// Len returns the number of waiting requests.
+	Len() int
+	// Waiting returns the number of waiting requests of one rank.
+	Waiting(rank int) int
+	// TokensAhead returns the tokens that new work would find before it
+	// within its rank, its fair share regarded.
+	TokensAhead(w *Work) float64
+	// RankShare returns the least share of the replica that the rank can
+	// count on now, 0 to 1.
+	RankShare(rank int) float64
 }
 
 // rankQueue holds the waiting work of one rank.
 type rankQueue struct {
-	floor    float64
-	served   float64
-	accounts map[string]*account
-	tokens   int
-	count    int
+	accounts
+	floor  float64
+	served float64
+	tokens int
+	count  int
 }
 
 // Queue orders waiting work: by rank with a floor for each, then by the
@@ -46,81 +76,93 @@
 // for concurrent use.
 type Queue struct {
 	ranks  []rankQueue
+	work   map[string]*Work
 	served float64
 	last   time.Time
 }
 
-// servedHalfLife is how fast the shares of the ranks forget.
-const servedHalfLife = 10 * time.Second
+var _ Order = (*Queue)(nil)
+
+const (
+	// servedHalfLife is how fast the shares of the ranks forget.
+	servedHalfLife = 10 * time.Second
+	// minForget is the least time between two decays.
+	minForget = 100 * time.Millisecond
+	// minRankShare keeps predictions finite for ranks without a floor.
+	minRankShare = 0.02
+)
 
 // NewQueue returns a queue for the ranks whose floors are given in their
 // order, the most urgent first.
 func NewQueue(floors []float64) *Queue {
-	q := &Queue{ranks: make([]rankQueue, len(floors))}
+	q := &Queue{ranks: make([]rankQueue, len(floors)), work: map[string]*Work{}}
 	for i, f := range floors {
-		q.ranks[i] = rankQueue{floor: f, accounts: map[string]*account{}}
+		q.ranks[i] = rankQueue{floor: f, accounts: accounts{byName: map[string]*account{}}}
 	}
 	return q
 }
 
-// Len returns the number of waiting requests.
-func (q *Queue) Len() int {
-	n := 0
-	for i := range q.ranks {
-		n += q.ranks[i].count
-	}
-	return n
-}
+// Len implements Order.
+func (q *Queue) Len() int { return len(q.work) }
+
+// Waiting implements Order.
+func (q *Queue) Waiting(rank int) int { return q.rank(rank).count }
 
 // rank returns the queue of work's rank; an unknown rank counts as the last.
 func (q *Queue) rank(order int) *rankQueue {
 	return &q.ranks[min(max(order, 0), len(q.ranks)-1)]
 }
 
-// Push adds work.
+// Push implements Order.
 func (q *Queue) Push(w *Work) {
 	r := q.rank(w.Rank)
-	a := r.accounts[w.Organisation]
-	if a == nil {
-		a = &account{}
-		r.accounts[w.Organisation] = a
-	}
-	if len(a.waiting) == 0 {
-		a.virtual = max(a.virtual, r.least())
-	}
-	at, _ := slices.BinarySearchFunc(a.waiting, w, func(x, y *Work) int { return x.Deadline.Compare(y.Deadline) })
-	a.waiting = slices.Insert(a.waiting, at, w)
+	r.push(w)
 	r.tokens += w.Tokens
 	r.count++
+	q.work[w.ID] = w
 }
 
-// least returns the smallest virtual count among organisations that wait.
-func (r *rankQueue) least() float64 {
-	least, found := 0.0, false
-	for _, a := range r.accounts {
-		if len(a.waiting) > 0 && (!found || a.virtual < least) {
-			least, found = a.virtual, true
-		}
+// Pop removes and returns the work to run next, or nil if none waits.
+func (q *Queue) Pop(now time.Time) *Work {
+	w := q.Next(now, nil)
+	if w != nil {
+		q.Take(w)
 	}
-	return least
+	return w
 }
 
-// Pop removes and returns the work to run next, or nil if none waits.
-func (q *Queue) Pop(now time.Time) *Work {
+// Next implements Order: the first rank below its floor, else the most urgent
+// rank, that is allowed and has waiting work.
+func (q *Queue) Next(now time.Time, allowed func(rank int) bool) *Work {
 	q.forget(now)
-	r := q.nextRank()
-	if r == nil {
+	var first *rankQueue
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		if r.count == 0 || (allowed != nil && !allowed(i)) {
+			continue
+		}
+		if r.floor > 0 && r.served < r.floor*q.served {
+			return r.next()
+		}
+		if first == nil {
+			first = r
+		}
+	}
+	if first == nil {
 		return nil
 	}
-	a := r.nextAccount()
-	w := a.waiting[0]
-	a.waiting = slices.Delete(a.waiting, 0, 1)
-	a.virtual += float64(w.Tokens) / weight(w)
+	return first.next()
+}
+
+// Take implements Order.
+func (q *Queue) Take(w *Work) {
+	r := q.rank(w.Rank)
+	r.take(w)
 	r.tokens -= w.Tokens
 	r.count--
 	r.served += float64(w.Tokens)
 	q.served += float64(w.Tokens)
-	return w
+	delete(q.work, w.ID)
 }
 
 func weight(w *Work) float64 {
@@ -136,11 +178,11 @@
 		q.last = now
 		return
 	}
-	halves := float64(now.Sub(q.last)) / float64(servedHalfLife)
-	if halves < 0.01 {
+	passed := now.Sub(q.last)
+	if passed < minForget {
 		return
 	}
-	factor := 1 / (1 + halves)
+	factor := 1 / (1 + float64(passed)/float64(servedHalfLife))
 	q.last = now
 	q.served *= factor
 	for i := range q.ranks {
@@ -148,90 +190,77 @@
 	}
 }
 
-// nextRank returns the first rank below its floor, else the most urgent rank
-// with waiting work.
-func (q *Queue) nextRank() *rankQueue {
-	var first *rankQueue
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		if r.count == 0 {
-			continue
-		}
-		if first == nil {
-			first = r
-			continue
-		}
-		if r.floor > 0 && r.served < r.floor*q.served {
-			return r
-		}
-	}
-	return first
+// Correct implements Order.
+func (q *Queue) Correct(w *Work, tokens int) {
+	r := q.rank(w.Rank)
+	off := float64(tokens - w.Tokens)
+	r.correct(w, off/weight(w))
+	r.served = max(r.served+off, 0)
+	q.served = max(q.served+off, 0)
 }
 
-func (r *rankQueue) nextAccount() *account {
-	var best *account
-	var bestName string
-	for name, a := range r.accounts {
-		if len(a.waiting) == 0 {
-			continue
-		}
-		if best == nil || a.virtual < best.virtual || (a.virtual == best.virtual && name < bestName) {
-			best, bestName = a, name
-		}
+// Remove implements Order.
+func (q *Queue) Remove(id string) bool {
+	w := q.work[id]
+	if w == nil {
+		return false
 	}
-	return best
+	q.drop(w)
+	return true
 }
 
-// Correct replaces an estimated charge by the true one.
-func (q *Queue) Correct(w *Work, tokens int) {
+// drop takes waiting work out without a charge.
+func (q *Queue) drop(w *Work) {
 	r := q.rank(w.Rank)
-	if a := r.accounts[w.Organisation]; a != nil {
-		a.virtual += float64(tokens-w.Tokens) / weight(w)
-	}
+	r.drop(w)
+	r.tokens -= w.Tokens
+	r.count--
+	delete(q.work, w.ID)
 }
 
-// Remove takes the work with the given ID out and tells whether it was there.
-func (q *Queue) Remove(id string) bool {
+// Expire implements Order.
+func (q *Queue) Expire(now time.Time) []*Work {
+	var out []*Work
 	for i := range q.ranks {
-		r := &q.ranks[i]
-		for _, a := range r.accounts {
-			at := slices.IndexFunc(a.waiting, func(w *Work) bool { return w.ID == id })
-			if at < 0 {
-				continue
-			}
-			r.tokens -= a.waiting[at].Tokens
-			r.count--
-			a.waiting = slices.Delete(a.waiting, at, at+1)
-			return true
+		for _, a := range q.ranks[i].active {
+			out = a.appendExpired(out, now)
 		}
 	}
-	return false
+	for _, w := range out {
+		q.drop(w)
+	}
+	return out
 }
 
-// Expire removes and returns the work whose deadline has passed.
-func (q *Queue) Expire(now time.Time) []*Work {
-	var out []*Work
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		for _, a := range r.accounts {
-			for len(a.waiting) > 0 && !a.waiting[0].Deadline.After(now) {
-				w := a.waiting[0]
-				a.waiting = slices.Delete(a.waiting, 0, 1)
-				r.tokens -= w.Tokens
-				r.count--
-				out = append(out, w)
-			}
+// TokensAhead implements Order: all that waits in the rank, but no more than
+// the organisation's own backlog allows in its turn beside the others.
+func (q *Queue) TokensAhead(w *Work) float64 {
+	r := q.rank(w.Rank)
+	all := float64(r.tokens)
+	others := float64(len(r.active))
+	own := 0.0
+	if a := r.byName[w.Organisation]; a != nil {
+		own = float64(a.tokens)
+		if len(a.waiting) > 0 {
+			others--
 		}
 	}
-	return out
+	return min(all, own+others*(own+float64(w.Tokens)))
 }
 
-// TokensAhead returns the tokens of waiting work that new work of the given
-// rank would find before it.
-func (q *Queue) TokensAhead(rank int) int {
-	n := 0
-	for i := 0; i <= min(rank, len(q.ranks)-1); i++ {
-		n += q.ranks[i].tokens
+// RankShare implements Order.
+func (q *Queue) RankShare(rank int) float64 {
+	above, below := 0.0, 0.0
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		switch {
+		case i < rank && r.count > 0:
+			above = 1
+		case i < rank && q.served > 0:
+			above += r.served / q.served
+		case i > rank && r.count > 0:
+			below += r.floor
+		}
 	}
-	return n
+	return max(1-above-below, q.rank(rank).floor, minRankShare)
 }
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -82,7 +82,7 @@
 	var first error
 	for _, t := range targets {
 		p, err := d.acquire(ctx, &a.req.Request, wish{
-			target: t, tokens: a.req.MaxTokens - a.offset, excluded: a.excluded,
+			target: t, tokens: a.req.MaxTokens - a.offset, prompt: routing.PromptTokens(a.req.Prompt) + a.offset, resumed: a.started, excluded: a.excluded,
 			deadline: a.req.Deadline, prefixes: routing.PrefixHashes(a.req.Prompt),
 		})
 		if err == nil {
@@ -159,6 +159,7 @@
 	}
 	switch {
 	case err == nil:
+		used.Whole = !paused
 		d.release(p, used)
 		if paused {
 			d.Record.Add(a.req.ID, "paused at token %d for more urgent work", a.offset)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -104,6 +104,8 @@
 	target   config.Target
 	pool     string
 	tokens   int
+	prompt   int
+	resumed  bool
 	prefixes []uint64
 	excluded []string
 	deadline time.Time
@@ -158,7 +160,7 @@
 	p := &place{replica: r, grant: NewID(), owner: r.Owner, paused: make(chan struct{}, 1)}
 	args := wire.AcquireArgs{
 		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
-		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Wait: wait,
+		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
 		Fingerprint: req.Fingerprint, Prefixes: w.prefixes,
 	}
 	d.mu.Lock()
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -16,12 +16,8 @@
 const (
 	// TokenIntervalTarget is the time between tokens that limits protect.
 	TokenIntervalTarget = 40 * time.Millisecond
-	// firstTokensPerSecond is a replica's assumed rate for each stream before
-	// any was seen.
-	firstTokensPerSecond = 25.0
-	rateGain             = 0.1
-	retryJitter          = 0.3
-	minRetryAfter        = 250 * time.Millisecond
+	retryJitter         = 0.3
+	minRetryAfter       = admission.MinRetryAfter
 )
 
 // Reasons of an owner's refusal.
@@ -58,25 +54,15 @@
 	dataCentre string
 
 	mu       sync.Mutex
-	ranks    []*config.Rank       // guarded by mu
-	queue    *admission.Queue     // guarded by mu
-	limiter  *admission.Limiter   // guarded by mu
-	running  map[string]*grant    // guarded by mu
-	waiting  map[string]*waiter   // guarded by mu
-	early    map[string]time.Time // guarded by mu; releases that came before their request
-	rate     float64              // guarded by mu; tokens a second of one stream
-	targets  []config.Target      // guarded by mu
-	healthy  bool                 // guarded by mu
-	leaving  bool                 // guarded by mu
-	failures int                  // guarded by mu
-}
-
-// grant is a place in use.
-type grant struct {
-	args    wire.AcquireArgs
-	work    *admission.Work
-	since   time.Time
-	pausing bool
+	ranks    []*config.Rank              // guarded by mu
+	gate     *admission.Gate             // guarded by mu
+	holders  map[string]wire.AcquireArgs // guarded by mu; who runs, by grant
+	waiting  map[string]*waiter          // guarded by mu
+	early    map[string]time.Time        // guarded by mu; releases that came before their request
+	targets  []config.Target             // guarded by mu
+	healthy  bool                        // guarded by mu
+	leaving  bool                        // guarded by mu
+	failures int                         // guarded by mu
 }
 
 // waiter is a request for a place.
@@ -101,8 +87,8 @@
 	if w == nil {
 		return reply
 	}
-	o.pauseFor(r, args)
-	timer := time.NewTimer(args.Wait)
+	o.pauseFor(r, start)
+	timer := time.NewTimer(w.work.Deadline.Sub(start))
 	defer timer.Stop()
 	select {
 	case reply = <-w.answer:
@@ -124,21 +110,26 @@
 	if !r.healthy || r.leaving {
 		return nil, wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter}
 	}
-	wait := r.predictedWait(args.Rank)
-	if wait > args.Wait && !r.canPause(args.Rank) {
-		return nil, wire.AcquireReply{Reason: ReasonWait, RetryAfter: jitter(wait - args.Wait)}
-	}
-	work := &admission.Work{
-		ID: args.Grant, Organisation: args.Organisation, Caller: args.Caller, Weight: weight,
-		Rank: args.Rank, Tokens: args.Tokens, Arrived: now, Deadline: now.Add(args.Wait),
+	work := newWork(args, weight, now)
+	retryAfter, queued := r.gate.Offer(now, work, args.Book)
+	if !queued {
+		return nil, wire.AcquireReply{Reason: ReasonWait, RetryAfter: retryAfter}
 	}
 	w := &waiter{args: args, work: work, answer: make(chan wire.AcquireReply, 1)}
 	r.waiting[args.Grant] = w
-	r.queue.Push(work)
 	r.pump(now)
 	return w, wire.AcquireReply{}
 }
 
+func newWork(args wire.AcquireArgs, weight float64, now time.Time) *admission.Work {
+	return &admission.Work{
+		ID: args.Grant, Organisation: args.Organisation, Caller: args.Caller, Weight: weight,
+		Rank: args.Rank, Tokens: args.Tokens, Memory: args.Prompt + args.Tokens,
+		Resumed: args.Resumed, Pausable: args.Target != (config.Target{}), Fingerprint: args.Fingerprint,
+		Arrived: now, Deadline: now.Add(args.Wait),
+	}
+}
+
 // jitter spreads come-back times so that callers do not return together.
 func jitter(d time.Duration) time.Duration {
 	d = max(d, minRetryAfter)
@@ -147,77 +138,35 @@
 
 // pump grants free places. The caller holds mu.
 func (r *replica) pump(now time.Time) {
-	for len(r.running) < r.limiter.Limit() {
-		work := r.queue.Pop(now)
+	for {
+		work := r.gate.Grant(now)
 		if work == nil {
 			return
 		}
 		w := r.waiting[work.ID]
 		delete(r.waiting, work.ID)
-		r.running[work.ID] = &grant{args: w.args, work: work, since: now}
+		r.holders[work.ID] = w.args
 		w.answer <- wire.AcquireReply{Granted: true}
 	}
 }
 
-// predictedWait estimates how long new work of a rank would wait. The caller
-// holds mu.
-func (r *replica) predictedWait(rank int) time.Duration {
-	limit := r.limiter.Limit()
-	if len(r.running) < limit && r.queue.Len() == 0 {
-		return 0
-	}
-	ahead := float64(r.queue.TokensAhead(rank))
-	left := 0.0
-	for _, g := range r.running {
-		left += float64(g.work.Tokens)
-	}
-	mean := left / float64(max(len(r.running), 1)) / float64(limit)
-	return time.Duration((ahead/float64(limit) + mean/2) / r.rate * float64(time.Second))
-}
-
-// canPause tells whether work of the rank may pause a running stream. The
-// caller holds mu.
-func (r *replica) canPause(rank int) bool {
-	if rank >= len(r.ranks) || !r.ranks[rank].Preempts {
-		return false
-	}
-	for _, g := range r.running {
-		if g.args.Rank > rank && !g.pausing && g.args.Target != (config.Target{}) {
-			return true
-		}
-	}
-	return false
-}
-
-// pauseFor asks the holder of the least urgent stream to pause it, if the
+// pauseFor asks the holders of less urgent streams to pause them, as far as
 // waiting work may preempt.
-func (o *Owner) pauseFor(r *replica, args wire.AcquireArgs) {
-	r.mu.Lock()
-	_, waits := r.waiting[args.Grant]
-	var victim *grant
-	if waits && r.canPause(args.Rank) {
-		victim = r.victim(args.Rank)
-		victim.pausing = true
-	}
-	r.mu.Unlock()
-	if victim != nil {
-		o.pause(victim.args.Node, victim.args.Grant)
+func (o *Owner) pauseFor(r *replica, now time.Time) {
+	for _, h := range r.pauses(now) {
+		o.pause(h.Node, h.Grant)
 	}
 }
 
-// victim returns the least urgent stream, the newest among equals. The caller
-// holds mu and has checked that there is one.
-func (r *replica) victim(rank int) *grant {
-	var best *grant
-	for _, g := range r.running {
-		if g.args.Rank <= rank || g.pausing || g.args.Target == (config.Target{}) {
-			continue
-		}
-		if best == nil || g.args.Rank > best.args.Rank || (g.args.Rank == best.args.Rank && g.since.After(best.since)) {
-			best = g
-		}
+// pauses returns the holders of the streams to be paused now.
+func (r *replica) pauses(now time.Time) []wire.AcquireArgs {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []wire.AcquireArgs
+	for s := r.gate.Pause(now); s != nil; s = r.gate.Pause(now) {
+		out = append(out, r.holders[s.Work.ID])
 	}
-	return best
+	return out
 }
 
 // expire ends a wait at its deadline; a grant that came first stands.
@@ -229,9 +178,10 @@
 		return reply
 	default:
 	}
-	r.queue.Remove(w.args.Grant)
+	r.gate.Withdraw(w.args.Grant)
 	delete(r.waiting, w.args.Grant)
-	return wire.AcquireReply{Reason: ReasonExpired, RetryAfter: jitter(r.predictedWait(w.args.Rank))}
+	wait := r.gate.PredictedWait(time.Now(), w.work)
+	return wire.AcquireReply{Reason: ReasonExpired, RetryAfter: jitter(wait)}
 }
 
 // Release takes a place back, or ends a wait.
@@ -242,48 +192,38 @@
 	if r == nil {
 		return
 	}
-	r.release(args, time.Now())
+	now := time.Now()
+	r.release(args, now)
+	o.pauseFor(r, now)
 }
 
 func (r *replica) release(args wire.ReleaseArgs, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w := r.waiting[args.Grant]; w != nil {
-		r.queue.Remove(args.Grant)
+		r.gate.Withdraw(args.Grant)
 		delete(r.waiting, args.Grant)
 		w.answer <- wire.AcquireReply{Reason: ReasonCancelled}
 		return
 	}
-	g := r.running[args.Grant]
-	if g == nil {
+	usage := admission.Usage{Tokens: args.Tokens, Interval: args.TokenInterval, Whole: args.Whole}
+	if !r.gate.Release(now, args.Grant, usage) {
 		r.early[args.Grant] = now
 		return
 	}
-	running := len(r.running)
-	delete(r.running, args.Grant)
-	r.queue.Correct(g.work, args.Tokens)
-	r.learn(args, running)
-	r.pump(now)
-}
-
-// learn takes what a finished stream tells of the replica. The caller holds
-// mu.
-func (r *replica) learn(args wire.ReleaseArgs, running int) {
-	if args.TokenInterval > 0 {
-		r.limiter.Observe(args.TokenInterval, running)
-		r.rate += rateGain * (float64(time.Second)/float64(args.TokenInterval) - r.rate)
-	}
+	delete(r.holders, args.Grant)
 	if args.Failed == backend.KindConnect || args.Failed == backend.KindBroken || args.Failed == backend.KindDraining {
 		r.healthy = false
 		r.refuseWaiting()
 	}
+	r.pump(now)
 }
 
 // refuseWaiting sends all waiting work away, so that it is tried elsewhere.
 // The caller holds mu.
 func (r *replica) refuseWaiting() {
 	for id, w := range r.waiting {
-		r.queue.Remove(id)
+		r.gate.Withdraw(id)
 		delete(r.waiting, id)
 		w.answer <- wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter}
 	}
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -32,40 +33,45 @@
 		o.weights[name] = org.Weight
 	}
 	for _, r := range o.replicas {
-		r.configure(o.ranks, slots(c, r.pool))
+		slots, memory := size(c, r.pool)
+		r.configure(o.ranks, slots, memory)
 	}
 }
 
-func slots(c *config.Config, pool string) int {
+// size returns the largest batch and the KV cache of a pool's replicas, in
+// tokens; 0 tokens is unlimited.
+func size(c *config.Config, pool string) (slots, memory int) {
 	if p := c.Pools[pool]; p != nil {
-		return p.Slots
+		return p.Slots, p.KVTokens
 	}
 	if s := c.Services[pool]; s != nil {
-		return s.Slots
+		return s.Slots, 0
 	}
-	return config.DefaultSlots
+	return config.DefaultSlots, 0
 }
 
-func floors(ranks []*config.Rank) []float64 {
-	out := make([]float64, max(len(ranks), 1))
+// policies returns what a gate needs to know of the ranks.
+func policies(ranks []*config.Rank) []admission.RankPolicy {
+	out := make([]admission.RankPolicy, max(len(ranks), 1))
 	for i, r := range ranks {
-		out[i] = r.Floor
+		out[i] = admission.RankPolicy{Floor: r.Floor, Preempts: r.Preempts}
 	}
 	return out
 }
 
-func (r *replica) configure(ranks []*config.Rank, slots int) {
+func (r *replica) configure(ranks []*config.Rank, slots, memory int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limiter.SetHighest(slots)
+	r.gate.SetSlots(slots, memory)
 	if slices.EqualFunc(r.ranks, ranks, func(a, b *config.Rank) bool { return *a == *b }) {
 		return
 	}
 	r.ranks = ranks
-	r.queue = admission.NewQueue(floors(ranks))
+	var waiting []*admission.Work
 	for _, w := range r.waiting {
-		r.queue.Push(w.work)
+		waiting = append(waiting, w.work)
 	}
+	r.gate.SetRanks(policies(ranks), waiting)
 }
 
 // Own makes the owner's replicas those listed: new ones start with an empty
@@ -100,12 +106,15 @@
 }
 
 func (o *Owner) newReplica(vm platform.VM, c *config.Config) *replica {
+	slots, memory := size(c, vm.Pool)
+	gate := admission.NewGate(admission.GateOptions{
+		Ranks: policies(o.ranks), Slots: slots, Memory: memory,
+		Interval: TokenIntervalTarget, Random: rand.Float64,
+	})
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
-		ranks: o.ranks, queue: admission.NewQueue(floors(o.ranks)),
-		limiter: admission.NewLimiter(TokenIntervalTarget, slots(c, vm.Pool)),
-		running: map[string]*grant{}, waiting: map[string]*waiter{}, early: map[string]time.Time{},
-		rate: firstTokensPerSecond,
+		ranks: o.ranks, gate: gate, holders: map[string]wire.AcquireArgs{},
+		waiting: map[string]*waiter{}, early: map[string]time.Time{},
 	}
 }
 
@@ -157,9 +166,10 @@
 	now := time.Now()
 	for _, r := range list {
 		r.mu.Lock()
-		for id, g := range r.running {
-			if !alive(g.args.Node, g.args.Incarnation) {
-				delete(r.running, id)
+		for id, h := range r.holders {
+			if !alive(h.Node, h.Incarnation) {
+				r.gate.Release(now, id, admission.Usage{})
+				delete(r.holders, id)
 			}
 		}
 		for id, at := range r.early {
@@ -191,11 +201,12 @@
 	defer r.mu.Unlock()
 	s := wire.ReplicaState{
 		ID: r.id, Address: r.address, Pool: r.pool, DataCentre: r.dataCentre,
-		Targets: r.targets, Running: len(r.running), Limit: r.limiter.Limit(),
+		Targets: r.targets, Running: r.gate.Running(), Limit: r.gate.Limit(),
 		Healthy: r.healthy, Leaving: r.leaving,
 	}
+	now := time.Now()
 	for rank := range ranks {
-		s.Waits = append(s.Waits, r.predictedWait(rank).Round(time.Millisecond))
+		s.Waits = append(s.Waits, r.gate.RankWait(now, rank).Round(time.Millisecond))
 	}
 	return s
 }
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -13,6 +13,12 @@
 // MaxPrefixBlocks bounds how many blocks of a prompt are looked at.
 const MaxPrefixBlocks = 64
 
+// bytesPerToken is how many bytes of text make about one token.
+const bytesPerToken = 4
+
+// PromptTokens estimates the number of tokens of a prompt.
+func PromptTokens(prompt string) int { return len(prompt)/bytesPerToken + 1 }
+
 // PrefixHashes returns the chained hashes of a prompt's whole blocks, the
 // shortest prefix first. A prompt shorter than one block has none.
 func PrefixHashes(prompt string) []uint64 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -119,10 +119,17 @@
 	Caller       string
 	// Rank is the rank's order.
 	Rank int
-	// Tokens is the estimated cost in tokens.
+	// Tokens is the most that may be generated, Prompt the length of the
+	// input, both in tokens.
 	Tokens int
-	// Wait is how long the asker can wait from now.
+	Prompt int
+	// Wait is how long the asker can wait from now for the whole answer.
 	Wait time.Duration
+	// Resumed tells that the answer has begun, so that its rest is not
+	// refused.
+	Resumed bool
+	// Book asks to keep the come-back time of a refusal for this request.
+	Book bool
 	// Fingerprint identifies the request's organisation and content.
 	Fingerprint uint64
 	// Prefixes are the prompt's block hashes, longest last.
@@ -149,6 +156,8 @@
 	Replica string
 	// Tokens is the true cost.
 	Tokens int
+	// Whole is true if the answer came to its end.
+	Whole bool
 	// FirstToken is the time from the grant to the first token.
 	FirstToken time.Duration
 	// TokenInterval is the mean time between tokens.
