--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -5,6 +5,9 @@
 // everyBacklog is a cost so large that all that waits goes before it.
 const everyBacklog = 1 << 30
 
+// pauseTime is how long a place takes to come free by a pause.
+const pauseTime = 50 * time.Millisecond
+
 // RankPolicy is what a gate needs to know of one rank.
 type RankPolicy struct {
 	// Floor is the share of the replica, 0 to 1, that the rank keeps.
@@ -293,6 +296,9 @@
 	if g.order.Len() == 0 && g.allowed(rank) && g.fits(w) {
 		return 0
 	}
+	if g.willPause(w) {
+		return pauseTime
+	}
 	ahead := g.order.TokensAhead(w) / (g.drain() * g.order.RankShare(rank))
 	slot := g.speed.service(g.running) / float64(g.limit.Limit())
 	return time.Duration((ahead + slot) * float64(time.Second))
--- /dev/null
+++ b/internal/measure/load_policies.go
@@ -0,0 +1,126 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/admission"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+// exampleFloors are those of the example folders.
+var exampleFloors = [simRanks]float64{0, 0.15, 0.05}
+
+// router is what the nodes do.
+var router = policy{
+	name: "router", preempts: true, reserve: 1, floors: exampleFloors,
+	choices: routing.DefaultChoices, prefixes: knowsOwn,
+}
+
+// with returns a changed copy of a policy.
+func (p policy) with(name string, change func(*policy)) policy {
+	p.name = name
+	change(&p)
+	return p
+}
+
+// baselines are the plain ways to do it.
+func baselines() []policy {
+	fifo := policy{name: "first-in-first-out, round robin", order: newFIFO, naive: true, roundRobin: true}
+	static := router.with("static priority", func(p *policy) {
+		p.order, p.floors, p.preempts, p.reserve, p.naive = newStatic, [simRanks]float64{}, false, 0, true
+	})
+	direct := policy{name: "direct, lagged reports", direct: true}
+	return []policy{fifo, static, direct}
+}
+
+// listOrder keeps waiting work in one list, for baselines.
+type listOrder struct {
+	byRank bool
+	list   []*admission.Work
+}
+
+var _ admission.Order = (*listOrder)(nil)
+
+func newFIFO([]admission.RankPolicy) admission.Order   { return &listOrder{} }
+func newStatic([]admission.RankPolicy) admission.Order { return &listOrder{byRank: true} }
+
+// Push implements admission.Order.
+func (l *listOrder) Push(w *admission.Work) {
+	at := len(l.list)
+	for l.byRank && at > 0 && l.list[at-1].Rank > w.Rank {
+		at--
+	}
+	l.list = append(l.list, nil)
+	copy(l.list[at+1:], l.list[at:])
+	l.list[at] = w
+}
+
+// Next implements admission.Order.
+func (l *listOrder) Next(_ time.Time, allowed func(rank int) bool) *admission.Work {
+	for _, w := range l.list {
+		if allowed(w.Rank) {
+			return w
+		}
+	}
+	return nil
+}
+
+// Take implements admission.Order.
+func (l *listOrder) Take(w *admission.Work) { l.Remove(w.ID) }
+
+// Correct implements admission.Order.
+func (l *listOrder) Correct(*admission.Work, int) {}
+
+// Remove implements admission.Order.
+func (l *listOrder) Remove(id string) bool {
+	for i, w := range l.list {
+		if w.ID == id {
+			l.list = append(l.list[:i], l.list[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Expire implements admission.Order.
+func (l *listOrder) Expire(now time.Time) []*admission.Work {
+	var out []*admission.Work
+	kept := l.list[:0]
+	for _, w := range l.list {
+		if w.Deadline.After(now) {
+			kept = append(kept, w)
+		} else {
+			out = append(out, w)
+		}
+	}
+	l.list = kept
+	return out
+}
+
+// Len implements admission.Order.
+func (l *listOrder) Len() int { return len(l.list) }
+
+// Waiting implements admission.Order.
+func (l *listOrder) Waiting(rank int) int {
+	n := 0
+	for _, w := range l.list {
+		if w.Rank == rank {
+			n++
+		}
+	}
+	return n
+}
+
+// TokensAhead implements admission.Order.
+func (l *listOrder) TokensAhead(w *admission.Work) float64 {
+	total := 0
+	for _, other := range l.list {
+		if !l.byRank || other.Rank <= w.Rank {
+			total += other.Tokens
+		}
+	}
+	return float64(total)
+}
+
+// RankShare implements admission.Order.
+func (l *listOrder) RankShare(int) float64 { return 1 }
--- /dev/null
+++ b/internal/measure/load_scenarios.go
@@ -0,0 +1,72 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() {
+	for _, s := range []size{virtanen, turnoflor, twoYears} {
+		registerLoad("normal-day", "a normal day", s, s.normalDay(obeys), nil)
+		registerLoad("background-flood", "the least urgent work at 5 times what the fleet can take", s,
+			append(s.normalDay(obeys), s.flood(background, 5, s.everyone(), leaves)...), nil)
+		registerLoad("urgent-flood", "the most urgent work at 3 times what the fleet can take", s,
+			append(s.normalDay(obeys), s.flood(urgent, 3, s.everyone(), leaves)...), nil)
+	}
+}
+
+// registerLoad adds a scenario of traffic for one deployment size.
+func registerLoad(name, about string, s size, sources []source, faults func(*fleet)) {
+	register(Scenario{
+		Name: name + "-" + s.name, About: about + ", " + s.name,
+		Run: func(seed uint64) *Table {
+			t := &Table{Columns: loadColumns}
+			for _, p := range append([]policy{router}, baselines()...) {
+				addLoad(t, p.name, runLoad(s, p, seed, sources, faults))
+			}
+			return t
+		},
+	})
+}
+
+// runLoad carries one trial out.
+func runLoad(s size, p policy, seed uint64, sources []source, faults func(*fleet)) *stats {
+	f := newFleet(s, p, seed)
+	f.stats.from, f.stats.to = epoch.Add(min(warmUp, s.span/4)), epoch.Add(s.span-min(tail, s.span/4))
+	for _, src := range sources {
+		f.add(src)
+	}
+	if faults != nil {
+		faults(f)
+	}
+	f.ev.run(epoch.Add(s.span + kinds[normal].deadline))
+	return f.stats
+}
+
+var loadColumns = []string{
+	"urgent first p50 s", "p95", "p99", "normal p50", "p95", "p99", "background p50", "p95", "p99",
+	"urgent in time %", "normal", "background", "urgent tokens/s", "normal", "background",
+	"interval p95 ms", "useful %", "wasted %", "pauses", "refusals", "told kept %", "cached %",
+}
+
+func addLoad(t *Table, name string, s *stats) {
+	var row []string
+	for i := range s.ranks {
+		for _, q := range []float64{0.5, 0.95, 0.99} {
+			row = append(row, seconds(percentile(s.ranks[i].first, q)))
+		}
+	}
+	var intervals []time.Duration
+	for i := range s.ranks {
+		row = append(row, percent(s.ranks[i].inTime, s.ranks[i].asked))
+		intervals = append(intervals, s.ranks[i].intervals...)
+	}
+	span := s.to.Sub(s.from).Seconds()
+	for i := range s.ranks {
+		row = append(row, fmt.Sprintf("%.0f", float64(s.ranks[i].tokens)/span))
+	}
+	row = append(row, millis(percentile(intervals, 0.95)), fmt.Sprintf("%.1f", 100*s.utilisation()),
+		fmt.Sprintf("%.1f", 100*s.waste/(span*float64(s.replicas))), fmt.Sprint(s.pauses), fmt.Sprint(s.refusals),
+		percent(s.kept, s.told+s.unserved), percent(s.hit, s.prompt))
+	t.Add(name, row...)
+}
--- /dev/null
+++ b/internal/measure/sim_events.go
@@ -0,0 +1,66 @@
+package measure
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is when each trial begins.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// event is something that happens at a moment of a trial.
+type event struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return e
+}
+
+// events is the discrete-event loop of a trial.
+type events struct {
+	now  time.Time
+	seq  uint64
+	heap eventHeap
+}
+
+func newEvents() *events { return &events{now: epoch} }
+
+// after plans do; events of the same moment run in the order of planning.
+func (e *events) after(d time.Duration, do func()) {
+	e.seq++
+	heap.Push(&e.heap, event{at: e.now.Add(max(d, 0)), seq: e.seq, do: do})
+}
+
+// run carries events out until the given moment.
+func (e *events) run(until time.Time) {
+	for len(e.heap) > 0 && !e.heap[0].at.After(until) {
+		next := heap.Pop(&e.heap).(event)
+		e.now = next.at
+		next.do()
+	}
+	e.now = until
+}
--- /dev/null
+++ b/internal/measure/sim_fleet.go
@@ -0,0 +1,448 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/admission"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+// simTarget is the one version that trials of load run.
+var simTarget = config.Target{Model: "m", Version: "v1"}
+
+// Delays between the nodes and backend servers of a trial.
+const (
+	nearDelay     = 300 * time.Microsecond
+	farDelay      = 4 * time.Millisecond
+	delaySpread   = time.Millisecond
+	publishEvery  = 250 * time.Millisecond
+	viewsKept     = 5
+	sweepInterval = 100 * time.Millisecond
+	retryAtOnce   = 100 * time.Millisecond
+)
+
+// size is the shape of a simulated deployment.
+type size struct {
+	name          string
+	nodes         int
+	replicas      int
+	dataCentres   int
+	organisations int
+	engine        engineModel
+	// peak is the normal day's demand as a share of capacity.
+	peak float64
+	span time.Duration
+}
+
+// policy is one way to decide.
+type policy struct {
+	name string
+	// order and limit make the gate's parts; nil stands for the router's own.
+	order func(ranks []admission.RankPolicy) admission.Order
+	limit func(interval time.Duration, highest int) admission.Limit
+	// reserve, preempts, floors and patience shape the gate.
+	reserve  int
+	preempts bool
+	floors   [simRanks]float64
+	patience [simRanks]time.Duration
+	// naive never refuses before the deadline.
+	naive bool
+	// roundRobin chooses replicas in turn; choices bounds how many replicas a
+	// choice looks at, 0 for all.
+	roundRobin bool
+	choices    int
+	// direct sends work to the engines without an owner's queue.
+	direct bool
+	// prefixes tells what the choice knows of prefix caches.
+	prefixes prefixKnowledge
+}
+
+// fleet is a simulated deployment under one policy.
+type fleet struct {
+	size
+	policy  policy
+	ev      *events
+	rng     *rand.Rand
+	traffic *traffic
+	owners  []*simOwner
+	views   [][]routing.Replica
+	nodes   []*simNode
+	stats   *stats
+	turn    int
+}
+
+// simOwner is a replica with its engine and its gate.
+type simOwner struct {
+	f       *fleet
+	id      string
+	index   int
+	node    int
+	dc      int
+	engine  *simEngine
+	gate    *admission.Gate
+	waiting map[string]*simTry
+	holding map[string]*simTry
+	down    bool
+}
+
+// simNode is an entry node.
+type simNode struct {
+	dc     int
+	recent *routing.Recent
+	memory *routing.PrefixIndex
+}
+
+// simTry is one request for a place and the stream that follows.
+type simTry struct {
+	id     string
+	req    *simRequest
+	owner  *simOwner
+	stream *simStream
+	tokens int
+	first  time.Time
+	last   time.Time
+	over   bool
+}
+
+func newFleet(s size, p policy, seed uint64) *fleet {
+	f := &fleet{
+		size: s, policy: p, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 3)),
+		traffic: newTraffic(seed, s.nodes), stats: newStats(s),
+	}
+	for i := range s.nodes {
+		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes)})
+	}
+	for i := range s.replicas {
+		f.owners = append(f.owners, f.newOwner(i))
+	}
+	f.publish()
+	f.sweep()
+	return f
+}
+
+func (f *fleet) newOwner(i int) *simOwner {
+	ranks := make([]admission.RankPolicy, simRanks)
+	for r := range ranks {
+		ranks[r] = admission.RankPolicy{Floor: f.policy.floors[r], Preempts: f.policy.preempts && r < background, Patience: f.policy.patience[r]}
+	}
+	o := admission.GateOptions{
+		Ranks: ranks, Slots: f.engine.slots, Memory: f.engine.memory, Interval: tokenInterval,
+		Reserve: f.policy.reserve, Random: f.rng.Float64,
+	}
+	if f.policy.order != nil {
+		o.Order = f.policy.order(ranks)
+	}
+	if f.policy.limit != nil {
+		o.Limit = f.policy.limit(tokenInterval, f.engine.slots)
+	}
+	dc := i % f.dataCentres
+	own := &simOwner{
+		f: f, id: fmt.Sprintf("r%04d", i), index: i, dc: dc, engine: newSimEngine(f.ev, f.engine), gate: admission.NewGate(o),
+		waiting: map[string]*simTry{}, holding: map[string]*simTry{},
+	}
+	own.node = (dc + f.dataCentres*(i/f.dataCentres)) % f.size.nodes
+	return own
+}
+
+// delay draws the time of one message.
+func (f *fleet) delay(a, b int) time.Duration {
+	d := farDelay
+	if a == b {
+		d = nearDelay
+	}
+	return d + time.Duration(f.rng.ExpFloat64()*float64(delaySpread)/4)
+}
+
+// publish tells the nodes of the replicas, late.
+func (f *fleet) publish() {
+	view := make([]routing.Replica, 0, len(f.owners))
+	for _, o := range f.owners {
+		r := routing.Replica{ID: o.id, DataCentre: f.dcName(o.dc), Owner: fmt.Sprint(o.node), Targets: []config.Target{simTarget}, Usable: !o.down}
+		if f.policy.direct {
+			r.Running, r.Limit = len(o.engine.running)+len(o.engine.waiting), f.engine.slots
+		} else {
+			r.Running, r.Limit = o.gate.Running(), o.gate.Limit()
+			for rank := range simRanks {
+				r.Waits = append(r.Waits, o.gate.RankWait(f.ev.now, rank))
+			}
+		}
+		view = append(view, r)
+	}
+	f.views = append(f.views, view)
+	if len(f.views) > viewsKept {
+		f.views = f.views[1:]
+	}
+	f.ev.after(publishEvery, f.publish)
+}
+
+func (f *fleet) dcName(dc int) string { return dcNames[dc] }
+
+var dcNames = func() []string {
+	out := make([]string, 16)
+	for i := range out {
+		out[i] = fmt.Sprintf("dc-%d", i)
+	}
+	return out
+}()
+
+// sweep expires waits.
+func (f *fleet) sweep() {
+	for _, o := range f.owners {
+		for _, w := range o.gate.Expire(f.ev.now) {
+			t := o.waiting[w.ID]
+			delete(o.waiting, w.ID)
+			f.ev.after(f.delay(o.dc, f.nodes[t.req.home].dc), func() { f.refused(t, admission.MinRetryAfter) })
+		}
+	}
+	f.ev.after(sweepInterval, f.sweep)
+}
+
+// add starts a source of requests.
+func (f *fleet) add(s source) {
+	var next func()
+	next = func() {
+		if f.ev.now.Sub(epoch) >= s.to || s.rate <= 0 {
+			return
+		}
+		f.arrive(f.traffic.request(s))
+		f.ev.after(time.Duration(f.traffic.rng.ExpFloat64()/s.rate*float64(time.Second)), next)
+	}
+	f.ev.after(s.from+time.Duration(f.traffic.rng.ExpFloat64()/max(s.rate, 1e-9)*float64(time.Second)), next)
+}
+
+// arrive takes a new request at its home node.
+func (f *fleet) arrive(r *simRequest) {
+	r.arrived = f.ev.now
+	f.stats.arrived(r)
+	f.begin(r)
+}
+
+// begin starts a try of the caller.
+func (f *fleet) begin(r *simRequest) {
+	r.tries++
+	r.asked = f.ev.now
+	try := r.tries
+	f.ev.after(kinds[r.rank].deadline, func() { f.expire(r, try) })
+	if f.policy.direct {
+		f.sendDirect(r)
+		return
+	}
+	f.ask(r, 0, nil)
+}
+
+// expire ends a request whose caller stops waiting.
+func (f *fleet) expire(r *simRequest, try int) {
+	if r.done || r.tries != try || f.ev.now.Sub(r.asked) < kinds[r.rank].deadline {
+		return
+	}
+	r.late, r.done = true, true
+	if t := r.try; t != nil {
+		if t.owner.waiting[t.id] != nil {
+			t.owner.gate.Withdraw(t.id)
+			delete(t.owner.waiting, t.id)
+		}
+		f.end(t, false)
+	}
+	f.stats.finished(r, f.ev.now)
+}
+
+const (
+	waitTries = 2
+	noReplica = 2 * time.Second
+)
+
+// ask asks an owner for a place.
+func (f *fleet) ask(r *simRequest, try int, tried []string) {
+	if r.done {
+		return
+	}
+	node := f.nodes[r.home]
+	at := f.choose(r, tried)
+	if at < 0 {
+		f.refuse(r, noReplica)
+		return
+	}
+	o := f.owners[at]
+	f.turn++
+	t := &simTry{id: fmt.Sprint(f.turn), req: r, owner: o}
+	r.try = t
+	node.recent.Sent(f.ev.now, o.id)
+	last := try+1 >= waitTries || f.replicas == 1
+	f.stats.messages++
+	f.ev.after(f.delay(node.dc, o.dc), func() {
+		if r.done {
+			return
+		}
+		work := &admission.Work{
+			ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
+			Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: uint64(r.id) + 1, Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
+		}
+		retryAfter, queued := o.gate.Offer(f.ev.now, work, last)
+		if !queued {
+			f.ev.after(f.delay(node.dc, o.dc), func() {
+				if last {
+					f.refused(t, retryAfter)
+					return
+				}
+				f.ask(r, try+1, append(slices.Clip(tried), o.id))
+			})
+			return
+		}
+		o.waiting[t.id] = t
+		o.pump()
+	})
+}
+
+func orgName(i int) string { return fmt.Sprintf("o%03d", i) }
+
+// choose returns the index of a replica.
+func (f *fleet) choose(r *simRequest, tried []string) int {
+	if f.policy.roundRobin {
+		f.turn++
+		for i := range f.owners {
+			at := (f.turn + i) % len(f.owners)
+			if !f.owners[at].down && !slices.Contains(tried, f.owners[at].id) {
+				return at
+			}
+		}
+		return -1
+	}
+	node := f.nodes[r.home]
+	view := f.views[max(len(f.views)-2-r.home%3, 0)]
+	req := routing.ReplicaRequest{
+		Target: simTarget, DataCentre: f.dcName(node.dc), Rank: r.rank, Excluded: tried,
+		Draw: f.rng.Uint64(), Choices: f.policy.choices,
+	}
+	req.Cached = f.cached(r)
+	req.Recent, req.Now = node.recent, f.ev.now
+	return routing.ChooseReplica(view, req)
+}
+
+// pump grants places and asks for pauses.
+func (o *simOwner) pump() {
+	f := o.f
+	for w := o.gate.Grant(f.ev.now); w != nil; w = o.gate.Grant(f.ev.now) {
+		t := o.waiting[w.ID]
+		delete(o.waiting, w.ID)
+		o.holding[t.id] = t
+		f.ev.after(f.delay(o.dc, f.nodes[t.req.home].dc), func() { f.start(t) })
+	}
+	for s := o.gate.Pause(f.ev.now); s != nil; s = o.gate.Pause(f.ev.now) {
+		t := o.holding[s.Work.ID]
+		f.stats.pauses++
+		f.ev.after(f.delay(o.dc, f.nodes[t.req.home].dc), func() { f.pause(t) })
+	}
+}
+
+// start sends granted work to the engine.
+func (f *fleet) start(t *simTry) {
+	if t.over {
+		return
+	}
+	r := t.req
+	delay := f.delay(f.nodes[r.home].dc, t.owner.dc)
+	t.stream = &simStream{rank: r.rank, prompt: r.prompt + r.steps, blocks: r.blocks, left: r.answer - r.steps, memory: r.prompt + r.declared}
+	t.stream.onToken = func() { f.token(t, delay) }
+	t.stream.onFinish = func() { f.ev.after(delay, func() { f.finish(t) }) }
+	if f.policy.prefixes != knowsNothing {
+		f.nodes[r.home].memory.Add(t.owner.id, r.blocks)
+	}
+	f.ev.after(delay, func() {
+		if t.over {
+			return
+		}
+		t.owner.engine.submit(t.stream)
+	})
+}
+
+// token counts a token on its way to the caller.
+func (f *fleet) token(t *simTry, delay time.Duration) {
+	r := t.req
+	if t.tokens == 0 {
+		t.first = f.ev.now
+		f.stats.prefill(f.ev.now, max(t.stream.prompt-t.stream.hit, 0), r.steps > 0)
+		if r.steps == 0 {
+			r.hit += t.stream.hit
+			r.first = f.ev.now.Add(delay).Sub(r.asked)
+			f.stats.first(r, f.ev.now)
+		}
+	}
+	f.stats.token(f.ev.now)
+	t.tokens++
+	r.steps++
+	t.last = f.ev.now
+}
+
+// finish ends a whole answer.
+func (f *fleet) finish(t *simTry) {
+	if t.over || t.req.done {
+		return
+	}
+	t.req.done = true
+	f.end(t, true)
+	f.stats.finished(t.req, f.ev.now)
+}
+
+// pause stops a stream that makes room; its rest is asked for anew.
+func (f *fleet) pause(t *simTry) {
+	if t.over || t.req.done {
+		return
+	}
+	t.req.paused++
+	f.end(t, false)
+	f.ask(t.req, 0, nil)
+}
+
+// end gives a place back.
+func (f *fleet) end(t *simTry, whole bool) {
+	t.over = true
+	o, node := t.owner, f.nodes[t.req.home]
+	if t.stream != nil && !whole {
+		o.engine.cancel(t.stream)
+	}
+	if o.gate.Stream(t.id) == nil {
+		return
+	}
+	u := admission.Usage{Tokens: t.tokens, Whole: whole}
+	if t.tokens > 1 {
+		u.Interval = t.last.Sub(t.first) / time.Duration(t.tokens-1)
+		t.req.decoding += t.last.Sub(t.first)
+	}
+	f.ev.after(f.delay(node.dc, o.dc), func() {
+		delete(o.holding, t.id)
+		o.gate.Release(f.ev.now, t.id, u)
+		o.pump()
+	})
+}
+
+// refused gives a caller its refusal.
+func (f *fleet) refused(t *simTry, retryAfter time.Duration) {
+	if !t.req.done && t.req.steps == 0 {
+		f.refuse(t.req, retryAfter)
+	}
+}
+
+func (f *fleet) refuse(r *simRequest, retryAfter time.Duration) {
+	f.stats.refusals++
+	again := r.manner
+	if r.tries >= maxTries {
+		again = leaves
+	}
+	switch again {
+	case obeys:
+		if r.told == 0 {
+			r.told = f.ev.now.Sub(r.arrived) + retryAfter
+		}
+		f.ev.after(retryAfter, func() { f.begin(r) })
+	case insists:
+		f.ev.after(retryAtOnce, func() { f.begin(r) })
+	default:
+		r.refused, r.done = true, true
+		f.stats.finished(r, f.ev.now)
+	}
+}
+
--- /dev/null
+++ b/internal/routing/prefix_index.go
@@ -0,0 +1,115 @@
+package routing
+
+import (
+	"container/list"
+	"slices"
+)
+
+const (
+	// holdersKept bounds how many replicas are remembered for one block.
+	holdersKept = 4
+	// MaxCachedAt bounds how many replicas a lookup returns.
+	MaxCachedAt = 4
+)
+
+// CachedAt tells how much of a prompt a replica is thought to hold.
+type CachedAt struct {
+	// Replica is the replica's name.
+	Replica string
+	// Blocks is the number of leading prompt blocks in its cache.
+	Blocks int
+}
+
+// PrefixIndex remembers which replicas hold which prompt blocks, for a
+// bounded number of blocks. It is not safe for concurrent use.
+type PrefixIndex struct {
+	limit  int
+	blocks map[uint64]*list.Element
+	order  *list.List
+}
+
+type prefixEntry struct {
+	hash    uint64
+	holders []string
+}
+
+// NewPrefixIndex returns an empty index of at most limit blocks.
+func NewPrefixIndex(limit int) *PrefixIndex {
+	return &PrefixIndex{limit: limit, blocks: map[uint64]*list.Element{}, order: list.New()}
+}
+
+// Add notes that a replica now holds the blocks; the shortest prefix comes
+// first.
+func (x *PrefixIndex) Add(replica string, blocks []uint64) {
+	for _, h := range slices.Backward(blocks) {
+		x.add(replica, h)
+	}
+	for x.order.Len() > x.limit {
+		old := x.order.Remove(x.order.Back()).(*prefixEntry)
+		delete(x.blocks, old.hash)
+	}
+}
+
+func (x *PrefixIndex) add(replica string, hash uint64) {
+	at := x.blocks[hash]
+	if at == nil {
+		x.blocks[hash] = x.order.PushFront(&prefixEntry{hash: hash, holders: []string{replica}})
+		return
+	}
+	x.order.MoveToFront(at)
+	e := at.Value.(*prefixEntry)
+	if i := slices.Index(e.holders, replica); i >= 0 {
+		e.holders = slices.Delete(e.holders, i, i+1)
+	} else if len(e.holders) >= holdersKept {
+		e.holders = e.holders[:holdersKept-1]
+	}
+	e.holders = slices.Insert(e.holders, 0, replica)
+}
+
+// Drop notes that a replica no longer holds the block.
+func (x *PrefixIndex) Drop(replica string, hash uint64) {
+	at := x.blocks[hash]
+	if at == nil {
+		return
+	}
+	e := at.Value.(*prefixEntry)
+	if i := slices.Index(e.holders, replica); i >= 0 {
+		e.holders = slices.Delete(e.holders, i, i+1)
+	}
+	if len(e.holders) == 0 {
+		x.order.Remove(at)
+		delete(x.blocks, hash)
+	}
+}
+
+// Held returns how many leading blocks a replica is thought to hold.
+func (x *PrefixIndex) Held(replica string, blocks []uint64) int {
+	for i, h := range blocks {
+		at := x.blocks[h]
+		if at == nil || !slices.Contains(at.Value.(*prefixEntry).holders, replica) {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// Lookup appends the replicas that hold most of the blocks, the longest match
+// first, up to MaxCachedAt.
+func (x *PrefixIndex) Lookup(out []CachedAt, blocks []uint64) []CachedAt {
+	for i, h := range slices.Backward(blocks) {
+		at := x.blocks[h]
+		if at == nil {
+			continue
+		}
+		for _, replica := range at.Value.(*prefixEntry).holders {
+			known := slices.ContainsFunc(out, func(c CachedAt) bool { return c.Replica == replica })
+			if !known && len(out) < MaxCachedAt {
+				out = append(out, CachedAt{Replica: replica, Blocks: i + 1})
+			}
+		}
+		if len(out) >= MaxCachedAt {
+			break
+		}
+	}
+	return out
+}
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
@@ -42,39 +44,112 @@
 	Excluded []string
 	// Draw is a random number that breaks ties.
 	Draw uint64
-	// Cached returns the number of prompt tokens cached at a replica; nil if
-	// nothing is known.
-	Cached func(replica string) int
+	// Choices is how many replicas are looked at beside those that hold a
+	// prefix; 0 stands for all.
+	Choices int
+	// Cached lists replicas that hold the head of the prompt.
+	Cached []CachedAt
+	// Recent counts what was sent since loads were published; nil counts
+	// nothing. Now is the present time.
+	Recent *Recent
+	Now    time.Time
 }
 
 // Costs that make choices comparable, as time.
 const (
 	farPenalty      = 15 * time.Millisecond
-	prefillPerToken = 200 * time.Microsecond
+	prefillPerBlock = 6 * time.Millisecond
 	occupiedPenalty = 40 * time.Millisecond
+	queuedPenalty   = 60 * time.Millisecond
 )
 
+// DefaultChoices is how many replicas a choice looks at, so that nodes with
+// the same late view do not all choose the same one.
+const DefaultChoices = 4
+
 // ChooseReplica returns the index of the best replica for the request, or -1
-// if none can run it.
+// if none can run it. Replicas must be sorted by ID.
 func ChooseReplica(replicas []Replica, req ReplicaRequest) int {
-	best, bestCost, ties := -1, time.Duration(0), uint64(0)
-	for i := range replicas {
-		r := &replicas[i]
-		if !eligible(r, req) {
+	c := choice{replicas: replicas, req: &req, best: -1}
+	for _, held := range req.Cached {
+		if at := find(replicas, held.Replica); at >= 0 {
+			c.consider(at, held.Blocks)
+		}
+	}
+	if req.Choices <= 0 || req.Choices >= len(replicas) {
+		for i := range replicas {
+			c.consider(i, 0)
+		}
+		return c.best
+	}
+	c.sample()
+	return c.best
+}
+
+// find returns the index of a replica, or -1.
+func find(replicas []Replica, id string) int {
+	at, ok := slices.BinarySearchFunc(replicas, id, func(r Replica, id string) int { return cmp.Compare(r.ID, id) })
+	if !ok {
+		return -1
+	}
+	return at
+}
+
+// choice is the search for the cheapest replica.
+type choice struct {
+	replicas []Replica
+	req      *ReplicaRequest
+	best     int
+	cost     time.Duration
+	ties     uint64
+}
+
+// consider looks at one replica and tells whether it may run the request.
+func (c *choice) consider(i, cached int) bool {
+	r := &c.replicas[i]
+	if !eligible(r, c.req) {
+		return false
+	}
+	cost := replicaCost(r, c.req) - time.Duration(cached)*prefillPerBlock
+	switch {
+	case c.best < 0 || cost < c.cost:
+		c.best, c.cost, c.ties = i, cost, 1
+	case cost == c.cost && i != c.best:
+		c.ties++
+		if mix(c.req.Draw, uint64(i))%c.ties == 0 {
+			c.best = i
+		}
+	}
+	return true
+}
+
+// sample considers some replicas drawn at random, every second one from the
+// own data centre if there is one.
+func (c *choice) sample() {
+	n := uint64(len(c.replicas))
+	for k := range c.req.Choices {
+		start := mix(c.req.Draw, uint64(k)) % n
+		near := k%2 == 0
+		if !c.probe(start, near) && near {
+			c.probe(start, false)
+		}
+	}
+}
+
+// probe considers the first eligible replica from start on, and tells whether
+// there was one.
+func (c *choice) probe(start uint64, near bool) bool {
+	n := uint64(len(c.replicas))
+	for i := range n {
+		at := int((start + i) % n)
+		if near && c.replicas[at].DataCentre != c.req.DataCentre {
 			continue
 		}
-		cost := replicaCost(r, req)
-		switch {
-		case best < 0 || cost < bestCost:
-			best, bestCost, ties = i, cost, 1
-		case cost == bestCost:
-			ties++
-			if mix(req.Draw, uint64(i))%ties == 0 {
-				best = i
-			}
+		if c.consider(at, 0) {
+			return true
 		}
 	}
-	return best
+	return false
 }
 
 // mix scrambles two numbers into one.
@@ -85,7 +160,7 @@
 	return x ^ x>>29
 }
 
-func eligible(r *Replica, req ReplicaRequest) bool {
+func eligible(r *Replica, req *ReplicaRequest) bool {
 	if !r.Usable {
 		return false
 	}
@@ -108,20 +183,22 @@
 	return false
 }
 
-// replicaCost estimates the time to the first token.
-func replicaCost(r *Replica, req ReplicaRequest) time.Duration {
+// replicaCost estimates the time to the first token, without what a cached
+// prefix saves.
+func replicaCost(r *Replica, req *ReplicaRequest) time.Duration {
 	cost := time.Duration(0)
 	if n := len(r.Waits); n > 0 {
 		cost += r.Waits[min(max(req.Rank, 0), n-1)]
 	}
+	sent := req.Recent.count(req.Now, r.ID)
 	if r.Limit > 0 {
-		cost += occupiedPenalty * time.Duration(r.Running) / time.Duration(r.Limit)
+		cost += occupiedPenalty * time.Duration(r.Running+sent) / time.Duration(r.Limit)
+	}
+	if over := r.Running + sent - r.Limit; sent > 0 && over > 0 {
+		cost += queuedPenalty * time.Duration(min(over, sent))
 	}
 	if r.DataCentre != req.DataCentre {
 		cost += farPenalty
 	}
-	if req.Cached != nil {
-		cost -= time.Duration(req.Cached(r.ID)) * prefillPerToken
-	}
 	return cost
 }
