--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -133,6 +133,50 @@
 	return out
 }
 
+// end is what an account will have been served once its waiting work is, in
+// tokens by weight.
+func (a *account) end(weight float64) float64 {
+	return a.virtual + float64(a.tokens)/weight
+}
+
+// excess returns the last work of the account whose turn ends last, if it ends
+// after that of new work. Work whose answer has begun is never returned; begun
+// tells that some ends after that of the new work.
+func (s *accounts) excess(w *Work) (out *Work, begun bool) {
+	own := s.byName[w.Organisation]
+	if own == nil {
+		own = &account{}
+	}
+	end := max(own.virtual, s.level) + float64(own.tokens+w.Tokens)/weight(w)
+	latest := end
+	for _, a := range s.active {
+		last := a.waiting[len(a.waiting)-1]
+		at := a.end(weight(last))
+		switch {
+		case a == own || at <= end:
+		case last.Resumed:
+			begun = true
+		case at > latest:
+			latest, out = at, last
+		}
+	}
+	return out, begun
+}
+
+// ahead returns the tokens that are served before the turn of new work.
+func (s *accounts) ahead(w *Work) float64 {
+	start := s.level
+	if own := s.byName[w.Organisation]; own != nil {
+		start = max(own.virtual, start) + float64(own.tokens)/weight(w)
+	}
+	total := 0.0
+	for _, a := range s.active {
+		turn := (start - a.virtual) * weight(a.waiting[0])
+		total += min(float64(a.tokens), max(turn, 0))
+	}
+	return total
+}
+
 // correct adjusts the charge of an organisation, in tokens by weight.
 func (s *accounts) correct(w *Work, off float64) {
 	a := s.byName[w.Organisation]
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -2,20 +2,26 @@
 
 import "time"
 
-// everyBacklog is a cost so large that all that waits goes before it.
-const everyBacklog = 1 << 30
-
 // pauseTime is how long a place takes to come free by a pause.
 const pauseTime = 50 * time.Millisecond
 
+const (
+	// unfairTimes is how many places an organisation may hold, by weight,
+	// before its streams are paused for one that holds none.
+	unfairTimes = 2
+	// minPaused is the least time that a stream must need for its pause to
+	// pay.
+	minPaused = 4 * time.Second
+)
+
 // RankPolicy is what a gate needs to know of one rank.
 type RankPolicy struct {
 	// Floor is the share of the replica, 0 to 1, that the rank keeps.
 	Floor float64
 	// Preempts tells that the rank may pause streams of less urgent ranks.
 	Preempts bool
-	// Patience bounds the predicted wait that new work may be queued for;
-	// 0 leaves only the deadline.
+	// Patience is the time to the first token beyond which new work is
+	// refused; 0 leaves only the deadline.
 	Patience time.Duration
 }
 
@@ -31,6 +37,9 @@
 	Interval time.Duration
 	// Reserve is the number of slots kept free for the most urgent rank.
 	Reserve int
+	// FairPause lets an organisation's work pause a stream of the same rank
+	// whose organisation holds more than its share.
+	FairPause bool
 	// Random returns a number within 0 to 1; it spreads come-back times.
 	Random func() float64
 	// Order holds the waiting work; nil stands for a Queue.
@@ -52,7 +61,9 @@
 type Usage struct {
 	// Tokens is the true number of generated tokens.
 	Tokens int
-	// Interval is the mean time between tokens; 0 is unknown.
+	// First is the time from the grant to the first token, Interval the mean
+	// time between tokens; 0 is unknown.
+	First    time.Duration
 	Interval time.Duration
 	// Whole is true if the answer came to its end.
 	Whole bool
@@ -67,11 +78,19 @@
 	limit   Limit
 	running map[string]*Stream
 	memory  int
+	places  map[place]int
+	lower   int // streams below the most urgent rank
 	pausing int
 	speed   speed
 	returns returns
 }
 
+// place counts the streams of one organisation and rank.
+type place struct {
+	organisation string
+	rank         int
+}
+
 // NewGate returns a gate with nothing running.
 func NewGate(o GateOptions) *Gate {
 	if len(o.Ranks) == 0 {
@@ -84,7 +103,7 @@
 		o.Limit = NewLimiter(o.Interval, o.Slots)
 	}
 	return &Gate{
-		options: o, order: o.Order, limit: o.Limit, running: map[string]*Stream{},
+		options: o, order: o.Order, limit: o.Limit, running: map[string]*Stream{}, places: map[place]int{},
 		speed: newSpeed(len(o.Ranks)), returns: newReturns(o.Random),
 	}
 }
@@ -122,25 +141,54 @@
 	}
 }
 
+// Verdict is a gate's answer to new work.
+type Verdict struct {
+	// Queued tells that the work waits for its place.
+	Queued bool
+	// RetryAfter is when refused work should be sent again.
+	RetryAfter time.Duration
+	// Evicted is waiting work that is refused in place of the new, or nil;
+	// EvictedRetryAfter is when it should be sent again.
+	Evicted           *Work
+	EvictedRetryAfter time.Duration
+}
+
 // Offer queues work whose answer must be whole by its deadline, or refuses it
 // with the time after which it should be sent again. With book set, that time
 // is kept for it. Queued work gets the deadline by which it must have started.
-func (g *Gate) Offer(now time.Time, w *Work, book bool) (retryAfter time.Duration, queued bool) {
+func (g *Gate) Offer(now time.Time, w *Work, book bool) Verdict {
 	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.Tokens)
 	left := w.Deadline.Sub(now)
 	w.Deadline = w.Deadline.Add(-min(g.speed.need(w.Tokens), left/2))
-	allowed := w.Deadline.Sub(now)
-	wait := g.PredictedWait(now, w)
-	if p := g.options.Ranks[g.rank(w.Rank)].Patience; p > 0 {
-		allowed = min(allowed, p)
-	}
+	wait := g.PredictedWait(w)
+	allowed := g.patience(w, w.Deadline.Sub(now))
 	kept := g.returns.honour(now, w.Fingerprint) && wait <= w.Deadline.Sub(now)
-	if !w.Resumed && !kept && wait > allowed && !g.willPause(w) {
-		pace := g.pace(w)
-		return g.returns.promise(now, w, wait-allowed, pace, book), false
+	if w.Resumed || kept || wait <= allowed {
+		g.order.Push(w)
+		return Verdict{Queued: true}
 	}
+	last, begun := g.order.Excess(w)
+	if last == nil && begun && g.drainTime(g.rank(w.Rank), g.order.Ahead(w)) <= allowed {
+		g.order.Push(w)
+		return Verdict{Queued: true}
+	}
+	if last == nil {
+		return Verdict{RetryAfter: g.returns.promise(now, w, wait-allowed, g.pace(w), book)}
+	}
+	g.order.Remove(last.ID)
 	g.order.Push(w)
-	return 0, true
+	retryAfter := g.returns.promise(now, last, wait-allowed, g.pace(last), true)
+	return Verdict{Queued: true, Evicted: last, EvictedRetryAfter: retryAfter}
+}
+
+// patience is how long work may be queued for when its deadline leaves the
+// given time.
+func (g *Gate) patience(w *Work, left time.Duration) time.Duration {
+	p := g.options.Ranks[g.rank(w.Rank)].Patience
+	if p <= 0 {
+		return left
+	}
+	return min(left, max((p-g.speed.firstToken())/2, p/4))
 }
 
 // rank maps an unknown rank to the last.
@@ -157,16 +205,20 @@
 	g.order.Take(w)
 	g.running[w.ID] = &Stream{Work: w, Since: now}
 	g.memory += w.Memory
+	g.places[place{w.Organisation, w.Rank}]++
+	if w.Rank > 0 {
+		g.lower++
+	}
 	return w
 }
 
 // allowed tells whether a rank may take one more slot.
 func (g *Gate) allowed(rank int) bool {
 	limit := g.limit.Limit()
-	if rank > 0 {
-		limit = max(limit-g.options.Reserve, minLimit)
+	if len(g.running) >= limit {
+		return false
 	}
-	return len(g.running) < limit
+	return rank == 0 || g.lower < max(limit-g.options.Reserve, minLimit)
 }
 
 // fits tells whether the work's KV cache fits beside the running streams'.
@@ -177,14 +229,14 @@
 // Pause returns a running stream that should be paused now for waiting work,
 // or nil. Each stream is returned once.
 func (g *Gate) Pause(now time.Time) *Stream {
+	waiting := 0
 	for rank := range g.options.Ranks {
-		if !g.options.Ranks[rank].Preempts || g.order.Waiting(rank) == 0 {
+		n := g.order.Waiting(rank)
+		waiting += n
+		if n == 0 || waiting <= g.pausing {
 			continue
 		}
-		if g.order.Waiting(rank) <= g.pausing {
-			return nil
-		}
-		if s := g.victim(rank); s != nil {
+		if s := g.victimFor(now, rank); s != nil {
 			s.Pausing = true
 			g.pausing++
 			return s
@@ -193,6 +245,20 @@
 	return nil
 }
 
+// victimFor returns a stream to be paused for the rank's first work, or nil.
+func (g *Gate) victimFor(now time.Time, rank int) *Stream {
+	if g.options.Ranks[rank].Preempts {
+		if s := g.victim(rank); s != nil {
+			return s
+		}
+	}
+	w := g.order.Next(now, func(r int) bool { return r == rank })
+	if w == nil {
+		return nil
+	}
+	return g.unfair(w)
+}
+
 // victim returns the least urgent stream that work of the rank may pause, the
 // newest among equals, or nil.
 func (g *Gate) victim(rank int) *Stream {
@@ -229,6 +295,28 @@
 	return float64(counts[r]-1) >= g.options.Ranks[r].Floor*float64(g.limit.Limit())
 }
 
+// unfair returns the newest long stream of the same rank whose organisation
+// holds several places while that of the waiting work holds none, or nil.
+func (g *Gate) unfair(w *Work) *Stream {
+	if !g.options.FairPause || g.places[place{w.Organisation, w.Rank}] > 0 {
+		return nil
+	}
+	var best *Stream
+	for _, s := range g.running {
+		if s.Work.Rank != w.Rank || s.Pausing || !s.Work.Pausable || g.speed.need(s.Work.Tokens) < minPaused {
+			continue
+		}
+		held := float64(g.places[place{s.Work.Organisation, s.Work.Rank}])
+		if held*weight(w) < unfairTimes*weight(s.Work) {
+			continue
+		}
+		if best == nil || pausedBefore(s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
 // byRank counts the streams that run and are not being paused.
 func (g *Gate) byRank() []int {
 	counts := make([]int, len(g.options.Ranks))
@@ -242,7 +330,10 @@
 
 // willPause tells whether new work would soon get a place by pausing others.
 func (g *Gate) willPause(w *Work) bool {
-	rank := g.rank(w.Rank)
+	return g.willPauseLower(g.rank(w.Rank)) || (g.order.Backlog(w) == 0 && g.unfair(w) != nil)
+}
+
+func (g *Gate) willPauseLower(rank int) bool {
 	if !g.options.Ranks[rank].Preempts {
 		return false
 	}
@@ -253,11 +344,12 @@
 			n++
 		}
 	}
-	waiting := 0
-	for i := 0; i <= rank; i++ {
-		waiting += g.order.Waiting(i)
+	for i := range rank {
+		if g.order.Waiting(i) > 0 {
+			return false
+		}
 	}
-	return n > waiting
+	return n > g.order.Waiting(rank)
 }
 
 // Release takes a place back with what was learned. It tells whether the work
@@ -270,9 +362,7 @@
 	running := len(g.running)
 	delete(g.running, id)
 	g.memory -= s.Work.Memory
-	if s.Pausing {
-		g.pausing--
-	}
+	g.vacate(s)
 	g.order.Correct(s.Work, u.Tokens)
 	if u.Interval > 0 {
 		g.limit.Observe(u.Interval, running)
@@ -281,6 +371,21 @@
 	return true
 }
 
+// vacate uncounts a stream that has ended.
+func (g *Gate) vacate(s *Stream) {
+	key := place{s.Work.Organisation, s.Work.Rank}
+	g.places[key]--
+	if g.places[key] == 0 {
+		delete(g.places, key)
+	}
+	if s.Pausing {
+		g.pausing--
+	}
+	if s.Work.Rank > 0 {
+		g.lower--
+	}
+}
+
 // Withdraw takes waiting work out and tells whether it was there.
 func (g *Gate) Withdraw(id string) bool { return g.order.Remove(id) }
 
@@ -291,7 +396,7 @@
 func (g *Gate) Stream(id string) *Stream { return g.running[id] }
 
 // PredictedWait estimates how long the work would wait for its place.
-func (g *Gate) PredictedWait(now time.Time, w *Work) time.Duration {
+func (g *Gate) PredictedWait(w *Work) time.Duration {
 	rank := g.rank(w.Rank)
 	if g.order.Len() == 0 && g.allowed(rank) && g.fits(w) {
 		return 0
@@ -299,15 +404,26 @@
 	if g.willPause(w) {
 		return pauseTime
 	}
-	ahead := g.order.TokensAhead(w) / (g.drain() * g.order.RankShare(rank))
-	slot := g.speed.service(g.running) / float64(g.limit.Limit())
-	return time.Duration((ahead + slot) * float64(time.Second))
+	return g.drainTime(rank, g.order.Tokens(rank))
+}
+
+// drainTime is how long the replica takes to come to work of the rank that has
+// the given tokens before it.
+func (g *Gate) drainTime(rank int, tokens float64) time.Duration {
+	ahead := tokens / (g.drain() * g.order.RankShare(rank))
+	return time.Duration((ahead + g.speed.nextSlot(g.running)) * float64(time.Second))
 }
 
-// RankWait estimates how long the rank's waiting work takes to drain; it makes
-// replicas comparable.
-func (g *Gate) RankWait(now time.Time, rank int) time.Duration {
-	return g.PredictedWait(now, &Work{Rank: rank, Tokens: everyBacklog})
+// RankWait estimates how long all that waits in the rank takes to drain; it
+// makes replicas comparable.
+func (g *Gate) RankWait(rank int) time.Duration {
+	if g.order.Len() == 0 && g.allowed(rank) {
+		return 0
+	}
+	if g.willPauseLower(rank) {
+		return pauseTime
+	}
+	return g.drainTime(rank, g.order.Tokens(rank))
 }
 
 // drain is the replica's throughput when full, in tokens a second.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -54,9 +54,18 @@
 	Len() int
 	// Waiting returns the number of waiting requests of one rank.
 	Waiting(rank int) int
-	// TokensAhead returns the tokens that new work would find before it
-	// within its rank, its fair share regarded.
-	TokensAhead(w *Work) float64
+	// Backlog returns the waiting requests of the work's organisation and
+	// rank.
+	Backlog(w *Work) int
+	// Excess returns the waiting work of the rank whose turn comes last, if it
+	// comes after that of new work; else nil. Begun tells that the turn of
+	// work that may not be refused comes after it.
+	Excess(w *Work) (last *Work, begun bool)
+	// Ahead returns the tokens that are served before new work within its
+	// rank.
+	Ahead(w *Work) float64
+	// Tokens returns the tokens that wait in a rank.
+	Tokens(rank int) float64
 	// RankShare returns the least share of the replica that the rank can
 	// count on now, 0 to 1.
 	RankShare(rank int) float64
@@ -232,30 +241,30 @@
 	return out
 }
 
-// TokensAhead implements Order: all that waits in the rank, but no more than
-// the organisation's own backlog allows in its turn beside the others.
-func (q *Queue) TokensAhead(w *Work) float64 {
-	r := q.rank(w.Rank)
-	all := float64(r.tokens)
-	others := float64(len(r.active))
-	own := 0.0
-	if a := r.byName[w.Organisation]; a != nil {
-		own = float64(a.tokens)
-		if len(a.waiting) > 0 {
-			others--
-		}
+// Backlog implements Order.
+func (q *Queue) Backlog(w *Work) int {
+	a := q.rank(w.Rank).byName[w.Organisation]
+	if a == nil {
+		return 0
 	}
-	return min(all, own+others*(own+float64(w.Tokens)))
+	return len(a.waiting)
 }
 
+// Excess implements Order.
+func (q *Queue) Excess(w *Work) (last *Work, begun bool) { return q.rank(w.Rank).excess(w) }
+
+// Ahead implements Order.
+func (q *Queue) Ahead(w *Work) float64 { return q.rank(w.Rank).ahead(w) }
+
+// Tokens implements Order.
+func (q *Queue) Tokens(rank int) float64 { return float64(q.rank(rank).tokens) }
+
 // RankShare implements Order.
 func (q *Queue) RankShare(rank int) float64 {
 	above, below := 0.0, 0.0
 	for i := range q.ranks {
 		r := &q.ranks[i]
 		switch {
-		case i < rank && r.count > 0:
-			above = 1
 		case i < rank && q.served > 0:
 			above += r.served / q.served
 		case i > rank && r.count > 0:
--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -14,12 +14,16 @@
 // speed learns how fast a replica works and how long answers are.
 type speed struct {
 	perSlot float64
+	// tokens and held are the decayed sums behind perSlot.
+	tokens float64
+	held   float64
+	first  time.Duration
 	// ratio is the true length of answers over the estimate, by rank.
 	ratio []float64
 }
 
 func newSpeed(ranks int) speed {
-	s := speed{perSlot: firstPerSlot}
+	s := speed{perSlot: firstPerSlot, tokens: firstPerSlot, held: 1}
 	s.resize(ranks)
 	return s
 }
@@ -36,6 +40,10 @@
 	return max(int(s.ratio[rank]*float64(tokens)), 1)
 }
 
+// firstToken is a cautious estimate of the time from the grant to the first
+// token.
+func (s *speed) firstToken() time.Duration { return 2 * s.first }
+
 // need estimates how long a stream of the given length holds its slot.
 func (s *speed) need(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.perSlot * float64(time.Second))
@@ -47,18 +55,27 @@
 	if held <= 0 || u.Tokens <= 0 {
 		return
 	}
-	s.perSlot = max(s.perSlot+speedGain*(float64(u.Tokens)/held-s.perSlot), minPerSlot)
+	s.tokens += float64(u.Tokens) - speedGain*s.tokens
+	s.held += held - speedGain*s.held
+	s.perSlot = max(s.tokens/s.held, minPerSlot)
+	if u.First > 0 {
+		s.first += time.Duration(speedGain * float64(u.First-s.first))
+	}
 	if u.Whole {
 		asked := float64(stream.Work.Tokens) / s.ratio[rank]
 		s.ratio[rank] += speedGain * (min(float64(u.Tokens)/max(asked, 1), 1) - s.ratio[rank])
 	}
 }
 
-// service is the mean time that a running stream holds its slot, in seconds.
-func (s *speed) service(running map[string]*Stream) float64 {
-	total := 0
+// nextSlot is the mean time until one of the running streams ends, in
+// seconds.
+func (s *speed) nextSlot(running map[string]*Stream) float64 {
+	rate := 0.0
 	for _, r := range running {
-		total += r.Work.Tokens
+		rate += s.perSlot / float64(max(r.Work.Tokens, 1))
+	}
+	if rate == 0 {
+		return 0
 	}
-	return float64(total) / float64(max(len(running), 1)) / s.perSlot
+	return 1 / rate
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -111,9 +111,12 @@
 		return nil, wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter}
 	}
 	work := newWork(args, weight, now)
-	retryAfter, queued := r.gate.Offer(now, work, args.Book)
-	if !queued {
-		return nil, wire.AcquireReply{Reason: ReasonWait, RetryAfter: retryAfter}
+	v := r.gate.Offer(now, work, args.Book)
+	if !v.Queued {
+		return nil, wire.AcquireReply{Reason: ReasonWait, RetryAfter: v.RetryAfter}
+	}
+	if v.Evicted != nil {
+		r.refuse(v.Evicted.ID, wire.AcquireReply{Reason: ReasonWait, RetryAfter: v.EvictedRetryAfter})
 	}
 	w := &waiter{args: args, work: work, answer: make(chan wire.AcquireReply, 1)}
 	r.waiting[args.Grant] = w
@@ -180,7 +183,7 @@
 	}
 	r.gate.Withdraw(w.args.Grant)
 	delete(r.waiting, w.args.Grant)
-	wait := r.gate.PredictedWait(time.Now(), w.work)
+	wait := r.gate.PredictedWait(w.work)
 	return wire.AcquireReply{Reason: ReasonExpired, RetryAfter: jitter(wait)}
 }
 
@@ -200,13 +203,11 @@
 func (r *replica) release(args wire.ReleaseArgs, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w := r.waiting[args.Grant]; w != nil {
-		r.gate.Withdraw(args.Grant)
-		delete(r.waiting, args.Grant)
-		w.answer <- wire.AcquireReply{Reason: ReasonCancelled}
+	if r.waiting[args.Grant] != nil {
+		r.refuse(args.Grant, wire.AcquireReply{Reason: ReasonCancelled})
 		return
 	}
-	usage := admission.Usage{Tokens: args.Tokens, Interval: args.TokenInterval, Whole: args.Whole}
+	usage := admission.Usage{Tokens: args.Tokens, First: args.FirstToken, Interval: args.TokenInterval, Whole: args.Whole}
 	if !r.gate.Release(now, args.Grant, usage) {
 		r.early[args.Grant] = now
 		return
@@ -219,12 +220,18 @@
 	r.pump(now)
 }
 
+// refuse ends a wait. The caller holds mu.
+func (r *replica) refuse(grant string, reply wire.AcquireReply) {
+	w := r.waiting[grant]
+	r.gate.Withdraw(grant)
+	delete(r.waiting, grant)
+	w.answer <- reply
+}
+
 // refuseWaiting sends all waiting work away, so that it is tried elsewhere.
 // The caller holds mu.
 func (r *replica) refuseWaiting() {
-	for id, w := range r.waiting {
-		r.gate.Withdraw(id)
-		delete(r.waiting, id)
-		w.answer <- wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter}
+	for id := range r.waiting {
+		r.refuse(id, wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter})
 	}
 }
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -21,6 +21,8 @@
 	// taken for dead.
 	probesToFail = 2
 	earlyKept    = 10 * time.Second
+	// reservedSlots is kept free on each replica for the most urgent rank.
+	reservedSlots = 1
 )
 
 // Configure takes the ranks and weights of a revision.
@@ -54,7 +56,7 @@
 func policies(ranks []*config.Rank) []admission.RankPolicy {
 	out := make([]admission.RankPolicy, max(len(ranks), 1))
 	for i, r := range ranks {
-		out[i] = admission.RankPolicy{Floor: r.Floor, Preempts: r.Preempts}
+		out[i] = admission.RankPolicy{Floor: r.Floor, Preempts: r.Preempts, Patience: r.FirstToken.Std()}
 	}
 	return out
 }
@@ -109,7 +111,7 @@
 	slots, memory := size(c, vm.Pool)
 	gate := admission.NewGate(admission.GateOptions{
 		Ranks: policies(o.ranks), Slots: slots, Memory: memory,
-		Interval: TokenIntervalTarget, Random: rand.Float64,
+		Interval: TokenIntervalTarget, Reserve: reservedSlots, FairPause: true, Random: rand.Float64,
 	})
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
@@ -204,9 +206,8 @@
 		Targets: r.targets, Running: r.gate.Running(), Limit: r.gate.Limit(),
 		Healthy: r.healthy, Leaving: r.leaving,
 	}
-	now := time.Now()
 	for rank := range ranks {
-		s.Waits = append(s.Waits, r.gate.RankWait(now, rank).Round(time.Millisecond))
+		s.Waits = append(s.Waits, r.gate.RankWait(rank).Round(time.Millisecond))
 	}
 	return s
 }
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -12,8 +12,9 @@
 
 // router is what the nodes do.
 var router = policy{
-	name: "router", preempts: true, reserve: 1, floors: exampleFloors,
-	choices: routing.DefaultChoices, prefixes: knowsOwn,
+	name: "router", preempts: true, fair: true, reserve: 1, floors: exampleFloors,
+	patience: [simRanks]time.Duration{kinds[urgent].target, kinds[normal].target, kinds[background].target},
+	choices:  routing.DefaultChoices, prefixes: knowsOwn,
 }
 
 // with returns a changed copy of a policy.
@@ -27,7 +28,7 @@
 func baselines() []policy {
 	fifo := policy{name: "first-in-first-out, round robin", order: newFIFO, naive: true, roundRobin: true}
 	static := router.with("static priority", func(p *policy) {
-		p.order, p.floors, p.preempts, p.reserve, p.naive = newStatic, [simRanks]float64{}, false, 0, true
+		p.order, p.floors, p.preempts, p.fair, p.reserve, p.naive = newStatic, [simRanks]float64{}, false, false, 0, true
 	})
 	direct := policy{name: "direct, lagged reports", direct: true}
 	return []policy{fifo, static, direct}
@@ -111,12 +112,21 @@
 	return n
 }
 
-// TokensAhead implements admission.Order.
-func (l *listOrder) TokensAhead(w *admission.Work) float64 {
+// Backlog implements admission.Order.
+func (l *listOrder) Backlog(w *admission.Work) int { return l.Waiting(w.Rank) }
+
+// Excess implements admission.Order.
+func (l *listOrder) Excess(*admission.Work) (last *admission.Work, begun bool) { return nil, false }
+
+// Ahead implements admission.Order.
+func (l *listOrder) Ahead(w *admission.Work) float64 { return l.Tokens(w.Rank) }
+
+// Tokens implements admission.Order.
+func (l *listOrder) Tokens(rank int) float64 {
 	total := 0
-	for _, other := range l.list {
-		if !l.byRank || other.Rank <= w.Rank {
-			total += other.Tokens
+	for _, w := range l.list {
+		if !l.byRank || w.Rank <= rank {
+			total += w.Tokens
 		}
 	}
 	return float64(total)
--- a/internal/measure/load_scenarios.go
+++ b/internal/measure/load_scenarios.go
@@ -7,11 +7,16 @@
 
 func init() {
 	for _, s := range []size{virtanen, turnoflor, twoYears} {
-		registerLoad("normal-day", "a normal day", s, s.normalDay(obeys), nil)
+		day := s.normalDay(obeys)
+		registerLoad("normal-day", "a normal day", s, day, nil)
 		registerLoad("background-flood", "the least urgent work at 5 times what the fleet can take", s,
 			append(s.normalDay(obeys), s.flood(background, 5, s.everyone(), leaves)...), nil)
 		registerLoad("urgent-flood", "the most urgent work at 3 times what the fleet can take", s,
 			append(s.normalDay(obeys), s.flood(urgent, 3, s.everyone(), leaves)...), nil)
+		registerLoad("pool-half", "half of the replicas stop for a third of the time", s, day, shrink(0.5))
+		registerLoad("pool-out", "all replicas stop for a third of the time", s, day, shrink(1))
+		registerLoad("cut-off", "one data centre is cut off for a third of the time", s, day, cutOff)
+		registerShares(s)
 	}
 }
 
@@ -45,7 +50,7 @@
 
 var loadColumns = []string{
 	"urgent first p50 s", "p95", "p99", "normal p50", "p95", "p99", "background p50", "p95", "p99",
-	"urgent in time %", "normal", "background", "urgent tokens/s", "normal", "background",
+	"urgent in time %", "normal", "background", "urgent served %", "normal", "background", "urgent refused %", "normal", "background", "urgent tokens/s", "normal", "background",
 	"interval p95 ms", "useful %", "wasted %", "pauses", "refusals", "told kept %", "cached %",
 }
 
@@ -61,6 +66,12 @@
 		row = append(row, percent(s.ranks[i].inTime, s.ranks[i].asked))
 		intervals = append(intervals, s.ranks[i].intervals...)
 	}
+	for i := range s.ranks {
+		row = append(row, percent(s.ranks[i].served, s.ranks[i].asked))
+	}
+	for i := range s.ranks {
+		row = append(row, percent(s.ranks[i].refused, s.ranks[i].asked))
+	}
 	span := s.to.Sub(s.from).Seconds()
 	for i := range s.ranks {
 		row = append(row, fmt.Sprintf("%.0f", float64(s.ranks[i].tokens)/span))
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -47,6 +47,7 @@
 	// reserve, preempts, floors and patience shape the gate.
 	reserve  int
 	preempts bool
+	fair     bool
 	floors   [simRanks]float64
 	patience [simRanks]time.Duration
 	// naive never refuses before the deadline.
@@ -73,6 +74,9 @@
 	nodes   []*simNode
 	stats   *stats
 	turn    int
+	// cut is the data centre that the others cannot reach; -1 is none.
+	cut      int
+	cutSince time.Time
 }
 
 // simOwner is a replica with its engine and its gate.
@@ -98,20 +102,21 @@
 
 // simTry is one request for a place and the stream that follows.
 type simTry struct {
-	id     string
-	req    *simRequest
-	owner  *simOwner
-	stream *simStream
-	tokens int
-	first  time.Time
-	last   time.Time
-	over   bool
+	id      string
+	req     *simRequest
+	owner   *simOwner
+	stream  *simStream
+	tokens  int
+	granted time.Time
+	first   time.Time
+	last    time.Time
+	over    bool
 }
 
 func newFleet(s size, p policy, seed uint64) *fleet {
 	f := &fleet{
 		size: s, policy: p, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 3)),
-		traffic: newTraffic(seed, s.nodes), stats: newStats(s),
+		traffic: newTraffic(seed, s.nodes), stats: newStats(s), cut: -1,
 	}
 	for i := range s.nodes {
 		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes)})
@@ -131,7 +136,7 @@
 	}
 	o := admission.GateOptions{
 		Ranks: ranks, Slots: f.engine.slots, Memory: f.engine.memory, Interval: tokenInterval,
-		Reserve: f.policy.reserve, Random: f.rng.Float64,
+		Reserve: f.policy.reserve, FairPause: f.policy.fair, Random: f.rng.Float64,
 	}
 	if f.policy.order != nil {
 		o.Order = f.policy.order(ranks)
@@ -167,7 +172,7 @@
 		} else {
 			r.Running, r.Limit = o.gate.Running(), o.gate.Limit()
 			for rank := range simRanks {
-				r.Waits = append(r.Waits, o.gate.RankWait(f.ev.now, rank))
+				r.Waits = append(r.Waits, o.gate.RankWait(rank))
 			}
 		}
 		view = append(view, r)
@@ -231,7 +236,7 @@
 		f.sendDirect(r)
 		return
 	}
-	f.ask(r, 0, nil)
+	f.ask(r, search{})
 }
 
 // expire ends a request whose caller stops waiting.
@@ -251,17 +256,29 @@
 }
 
 const (
-	waitTries = 2
-	noReplica = 2 * time.Second
+	// waitTries bounds how many owners may refuse for the length of their
+	// queues, placeTries how many are asked in all.
+	waitTries  = 2
+	placeTries = 4
+	noReplica  = 2 * time.Second
 )
 
+// search is the state of one search for a place.
+type search struct {
+	tried []string
+	waits int
+}
+
 // ask asks an owner for a place.
-func (f *fleet) ask(r *simRequest, try int, tried []string) {
+func (f *fleet) ask(r *simRequest, s search) {
 	if r.done {
 		return
 	}
 	node := f.nodes[r.home]
-	at := f.choose(r, tried)
+	at := -1
+	if len(s.tried) <= placeTries {
+		at = f.choose(r, s.tried)
+	}
 	if at < 0 {
 		f.refuse(r, noReplica)
 		return
@@ -271,30 +288,48 @@
 	t := &simTry{id: fmt.Sprint(f.turn), req: r, owner: o}
 	r.try = t
 	node.recent.Sent(f.ev.now, o.id)
-	last := try+1 >= waitTries || f.replicas == 1
 	f.stats.messages++
-	f.ev.after(f.delay(node.dc, o.dc), func() {
-		if r.done {
-			return
-		}
-		work := &admission.Work{
-			ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
-			Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: uint64(r.id) + 1, Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
-		}
-		retryAfter, queued := o.gate.Offer(f.ev.now, work, last)
-		if !queued {
-			f.ev.after(f.delay(node.dc, o.dc), func() {
-				if last {
-					f.refused(t, retryAfter)
-					return
-				}
-				f.ask(r, try+1, append(slices.Clip(tried), o.id))
-			})
-			return
-		}
+	s.tried = append(slices.Clip(s.tried), o.id)
+	f.ev.after(f.delay(node.dc, o.dc), func() { f.offer(t, s) })
+}
+
+// offer brings a request for a place to the owner.
+func (f *fleet) offer(t *simTry, s search) {
+	r, o := t.req, t.owner
+	if r.done {
+		return
+	}
+	back := f.delay(f.nodes[r.home].dc, o.dc)
+	if f.apart(f.nodes[r.home].dc, o.dc) {
+		f.ev.after(cutNoticed, func() { f.ask(r, s) })
+		return
+	}
+	if o.down {
+		f.ev.after(back, func() { f.ask(r, s) })
+		return
+	}
+	work := &admission.Work{
+		ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
+		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: uint64(r.id) + 1,
+		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
+	}
+	last := s.waits+1 >= waitTries
+	v := o.gate.Offer(f.ev.now, work, last)
+	if e := v.Evicted; e != nil {
+		evicted := o.waiting[e.ID]
+		delete(o.waiting, e.ID)
+		f.ev.after(f.delay(f.nodes[evicted.req.home].dc, o.dc), func() { f.refused(evicted, v.EvictedRetryAfter) })
+	}
+	switch {
+	case v.Queued:
 		o.waiting[t.id] = t
 		o.pump()
-	})
+	case last:
+		f.ev.after(back, func() { f.refused(t, v.RetryAfter) })
+	default:
+		s.waits++
+		f.ev.after(back, func() { f.ask(r, s) })
+	}
 }
 
 func orgName(i int) string { return fmt.Sprintf("o%03d", i) }
@@ -313,6 +348,7 @@
 	}
 	node := f.nodes[r.home]
 	view := f.views[max(len(f.views)-2-r.home%3, 0)]
+	tried = f.unreachable(node.dc, tried)
 	req := routing.ReplicaRequest{
 		Target: simTarget, DataCentre: f.dcName(node.dc), Rank: r.rank, Excluded: tried,
 		Draw: f.rng.Uint64(), Choices: f.policy.choices,
@@ -329,6 +365,7 @@
 		t := o.waiting[w.ID]
 		delete(o.waiting, w.ID)
 		o.holding[t.id] = t
+		t.granted = f.ev.now
 		f.ev.after(f.delay(o.dc, f.nodes[t.req.home].dc), func() { f.start(t) })
 	}
 	for s := o.gate.Pause(f.ev.now); s != nil; s = o.gate.Pause(f.ev.now) {
@@ -371,7 +408,7 @@
 			f.stats.first(r, f.ev.now)
 		}
 	}
-	f.stats.token(f.ev.now)
+	f.stats.token(r, f.ev.now)
 	t.tokens++
 	r.steps++
 	t.last = f.ev.now
@@ -394,7 +431,7 @@
 	}
 	t.req.paused++
 	f.end(t, false)
-	f.ask(t.req, 0, nil)
+	f.ask(t.req, search{})
 }
 
 // end gives a place back.
@@ -408,6 +445,9 @@
 		return
 	}
 	u := admission.Usage{Tokens: t.tokens, Whole: whole}
+	if t.tokens > 0 {
+		u.First = t.first.Sub(t.granted)
+	}
 	if t.tokens > 1 {
 		u.Interval = t.last.Sub(t.first) / time.Duration(t.tokens-1)
 		t.req.decoding += t.last.Sub(t.first)
@@ -445,4 +485,3 @@
 		f.stats.finished(r, f.ev.now)
 	}
 }
-
--- a/internal/measure/sim_stats.go
+++ b/internal/measure/sim_stats.go
@@ -12,18 +12,18 @@
 // stats gathers what the callers of a trial saw.
 type stats struct {
 	size
-	from, to  time.Time
-	ranks     [simRanks]rankStats
-	orgs      []orgStats
-	pauses    int
-	refusals  int
-	messages  int
-	hit       int
-	prompt    int
-	told      int
-	kept      int
-	unserved  int
-	perOwner  map[string]int
+	from, to time.Time
+	ranks    [simRanks]rankStats
+	orgs     []orgStats
+	pauses   int
+	refusals int
+	messages int
+	hit      int
+	prompt   int
+	told     int
+	kept     int
+	unserved int
+	perOwner map[string]int
 	// work is the useful engine time and waste what was done in vain, both
 	// as seconds of a full batch.
 	work, waste float64
@@ -107,12 +107,11 @@
 	case r.late:
 		k.late++
 		s.work -= float64(r.steps) * s.engine.tokenWork()
+		k.tokens -= r.steps
 		s.waste += float64(r.steps) * s.engine.tokenWork()
 	default:
 		k.served++
-		k.tokens += r.steps
 		s.orgs[r.organisation].served++
-		s.orgs[r.organisation].tokens += r.steps
 	}
 	if r.told > 0 && r.first == 0 {
 		s.unserved++
@@ -123,10 +122,13 @@
 }
 
 // token counts the work of one token.
-func (s *stats) token(now time.Time) {
-	if !now.Before(s.from) && now.Before(s.to) {
-		s.work += s.engine.tokenWork()
+func (s *stats) token(r *simRequest, now time.Time) {
+	if now.Before(s.from) || !now.Before(s.to) {
+		return
 	}
+	s.work += s.engine.tokenWork()
+	s.ranks[r.rank].tokens++
+	s.orgs[r.organisation].tokens++
 }
 
 // prefill counts the work of a prompt; again tells that it was computed
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -65,7 +65,7 @@
 
 // DefaultChoices is how many replicas a choice looks at, so that nodes with
 // the same late view do not all choose the same one.
-const DefaultChoices = 4
+const DefaultChoices = 8
 
 // ChooseReplica returns the index of the best replica for the request, or -1
 // if none can run it. Replicas must be sorted by ID.
