Small organisations keep their share beside large ones

Cause: within a rank the replica's predicted wait counted the large ones' backlog against a small one's first request, and the normal work of large ones crowded out the background work of small ones altogether. Now the newest work of the organisation served most is refused in place of a small one's, the counter of an organisation spans its ranks, and work of organisations below 0.7 of their fair share is treated as normal and may pause a stream of one that holds several places.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -9,57 +10,85 @@
 // sweepEvery is the number of charges between two sweeps of idle accounts.
 const sweepEvery = 256
 
-// account counts what one organisation was served within one rank, in tokens
-// divided by its weight.
+// account counts what one organisation was served over all ranks, in tokens
+// divided by its weight. Its work waits in a lane for each rank.
 type account struct {
-	name    string
 	virtual float64
+	usage   usage
+	weight  float64
+	lanes   []*lane
+	waiting int
+}
+
+// lane is the waiting work of one organisation and rank.
+type lane struct {
+	account *account
+	name    string
 	waiting []*Work
 	tokens  int
 	at      int
 }
 
-// accountHeap orders the accounts with waiting work by what they were served.
-type accountHeap []*account
+// laneHeap orders the lanes with waiting work by what their organisations were
+// served.
+type laneHeap []*lane
 
-func (h accountHeap) Len() int { return len(h) }
+func (h laneHeap) Len() int { return len(h) }
 
-func (h accountHeap) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
+func (h laneHeap) Less(i, j int) bool {
+	if h[i].account.virtual != h[j].account.virtual {
+		return h[i].account.virtual < h[j].account.virtual
 	}
 	return h[i].name < h[j].name
 }
 
-func (h accountHeap) Swap(i, j int) {
+func (h laneHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].at, h[j].at = i, j
 }
 
 // Push implements heap.Interface.
-func (h *accountHeap) Push(x any) {
-	a := x.(*account)
-	a.at = len(*h)
-	*h = append(*h, a)
+func (h *laneHeap) Push(x any) {
+	l := x.(*lane)
+	l.at = len(*h)
+	*h = append(*h, l)
 }
 
 // Pop implements heap.Interface.
-func (h *accountHeap) Pop() any {
+func (h *laneHeap) Pop() any {
 	last := len(*h) - 1
-	a := (*h)[last]
+	l := (*h)[last]
 	(*h)[last] = nil
 	*h = (*h)[:last]
-	return a
+	return l
 }
 
-// accounts serves organisations by virtual token counter: the one served
-// least for its weight goes first, and one that comes back from idleness
-// starts level with the rest.
+// accounts serves organisations by virtual token counter: within a rank, the
+// one that was served least over all ranks goes first, and one that comes back
+// from idleness starts level with the rest.
 type accounts struct {
 	byName  map[string]*account
-	active  accountHeap
+	active  []laneHeap // by rank
 	level   float64
+	weights float64
 	charges int
+	total   usage
+}
+
+func newAccounts(ranks int) accounts {
+	return accounts{byName: map[string]*account{}, active: make([]laneHeap, ranks)}
+}
+
+// least returns what the organisation served least has got, among those with
+// waiting work.
+func (s *accounts) least() float64 {
+	out, found := s.level, false
+	for _, h := range s.active {
+		if len(h) > 0 && (!found || h[0].account.virtual < out) {
+			out, found = h[0].account.virtual, true
+		}
+	}
+	return out
 }
 
 func compareWork(a, b *Work) int {
@@ -72,56 +101,85 @@
 	return a.Deadline.Compare(b.Deadline)
 }
 
-func (s *accounts) push(w *Work) {
+func (s *accounts) push(w *Work, rank int) {
 	a := s.byName[w.Organisation]
 	if a == nil {
-		a = &account{name: w.Organisation}
+		a = &account{lanes: make([]*lane, len(s.active)), weight: weight(w)}
 		s.byName[w.Organisation] = a
+		s.weights += a.weight
+	}
+	if a.waiting == 0 {
+		a.virtual = max(a.virtual, s.least())
+	}
+	l := a.lanes[rank]
+	if l == nil {
+		l = &lane{account: a, name: w.Organisation}
+		a.lanes[rank] = l
 	}
-	w.account = a
-	if len(a.waiting) == 0 {
-		a.virtual = max(a.virtual, s.level)
-		heap.Push(&s.active, a)
+	w.lane = l
+	if len(l.waiting) == 0 {
+		heap.Push(&s.active[rank], l)
 	}
-	at, _ := slices.BinarySearchFunc(a.waiting, w, compareWork)
-	for at < len(a.waiting) && compareWork(a.waiting[at], w) == 0 {
+	at, _ := slices.BinarySearchFunc(l.waiting, w, compareWork)
+	for at < len(l.waiting) && compareWork(l.waiting[at], w) == 0 {
 		at++
 	}
-	a.waiting = slices.Insert(a.waiting, at, w)
-	a.tokens += w.Tokens
+	l.waiting = slices.Insert(l.waiting, at, w)
+	l.tokens += w.Tokens
+	a.waiting++
 }
 
-// next returns the first work of the account served least.
-func (s *accounts) next() *Work { return s.active[0].waiting[0] }
+// next returns the first work of a rank's organisation served least.
+func (s *accounts) next(rank int) *Work { return s.active[rank][0].waiting[0] }
 
 // take removes work and charges its account.
-func (s *accounts) take(w *Work) {
-	a := w.account
-	s.level = max(s.level, a.virtual)
-	a.virtual += float64(w.Tokens) / weight(w)
-	s.drop(w)
+func (s *accounts) take(now time.Time, w *Work, rank int) {
+	s.level = max(s.level, s.least())
+	a := w.lane.account
+	s.drop(w, rank)
+	s.charge(a, float64(w.Tokens)/weight(w))
+	a.usage.add(now, float64(w.Tokens))
+	s.total.add(now, float64(w.Tokens))
 	s.charges++
 	if s.charges%sweepEvery == 0 {
-		s.sweep()
+		s.sweep(now)
 	}
 }
 
 // drop removes work without a charge.
-func (s *accounts) drop(w *Work) {
-	a := w.account
-	at := slices.Index(a.waiting, w)
-	a.waiting = slices.Delete(a.waiting, at, at+1)
-	a.tokens -= w.Tokens
-	if len(a.waiting) == 0 {
-		heap.Remove(&s.active, a.at)
-		return
+func (s *accounts) drop(w *Work, rank int) {
+	l := w.lane
+	at := slices.Index(l.waiting, w)
+	l.waiting = slices.Delete(l.waiting, at, at+1)
+	l.tokens -= w.Tokens
+	l.account.waiting--
+	if len(l.waiting) == 0 {
+		heap.Remove(&s.active[rank], l.at)
+	}
+}
+
+// charge adds to what an organisation was served.
+func (s *accounts) charge(a *account, virtual float64) {
+	a.virtual += virtual
+	for rank, l := range a.lanes {
+		if l != nil && len(l.waiting) > 0 {
+			heap.Fix(&s.active[rank], l.at)
+		}
+	}
+}
+
+// correct adjusts the charge of the work's organisation, in tokens by weight.
+func (s *accounts) correct(w *Work, off float64) {
+	if a := s.byName[w.Organisation]; a != nil {
+		s.charge(a, off)
+		a.usage.tokens = max(a.usage.tokens+off*weight(w), 0)
+		s.total.tokens = max(s.total.tokens+off*weight(w), 0)
 	}
-	heap.Fix(&s.active, a.at)
 }
 
 // appendExpired appends the work whose deadline has passed.
-func (a *account) appendExpired(out []*Work, now time.Time) []*Work {
-	for _, w := range a.waiting {
+func (l *lane) appendExpired(out []*Work, now time.Time) []*Work {
+	for _, w := range l.waiting {
 		passed := !w.Deadline.After(now)
 		if passed {
 			out = append(out, w)
@@ -133,27 +191,41 @@
 	return out
 }
 
-// end is what an account will have been served once its waiting work is, in
-// tokens by weight.
-func (a *account) end(weight float64) float64 {
-	return a.virtual + float64(a.tokens)/weight
+// end is what the lane's organisation will have been served once the lane is
+// empty.
+func (l *lane) end() float64 {
+	last := l.waiting[len(l.waiting)-1]
+	return l.account.virtual + float64(l.tokens)/weight(last)
+}
+
+// start returns what the organisation of new work will have been served when
+// the work's turn comes.
+func (s *accounts) start(w *Work, rank int) float64 {
+	a := s.byName[w.Organisation]
+	if a == nil {
+		return s.least()
+	}
+	virtual := a.virtual
+	if a.waiting == 0 {
+		virtual = max(virtual, s.least())
+	}
+	if l := a.lanes[rank]; l != nil {
+		virtual += float64(l.tokens) / weight(w)
+	}
+	return virtual
 }
 
-// excess returns the last work of the account whose turn ends last, if it ends
+// excess returns the last work of the lane whose turn ends last, if it ends
 // after that of new work. Work whose answer has begun is never returned; begun
 // tells that some ends after that of the new work.
-func (s *accounts) excess(w *Work) (out *Work, begun bool) {
-	own := s.byName[w.Organisation]
-	if own == nil {
-		own = &account{}
-	}
-	end := max(own.virtual, s.level) + float64(own.tokens+w.Tokens)/weight(w)
+func (s *accounts) excess(w *Work, rank int) (out *Work, begun bool) {
+	end := s.start(w, rank) + float64(w.Tokens)/weight(w)
 	latest := end
-	for _, a := range s.active {
-		last := a.waiting[len(a.waiting)-1]
-		at := a.end(weight(last))
+	for _, l := range s.active[rank] {
+		last := l.waiting[len(l.waiting)-1]
+		at := l.end()
 		switch {
-		case a == own || at <= end:
+		case l.name == w.Organisation || at <= end:
 		case last.Resumed:
 			begun = true
 		case at > latest:
@@ -164,36 +236,55 @@
 }
 
 // ahead returns the tokens that are served before the turn of new work.
-func (s *accounts) ahead(w *Work) float64 {
-	start := s.level
-	if own := s.byName[w.Organisation]; own != nil {
-		start = max(own.virtual, start) + float64(own.tokens)/weight(w)
-	}
+func (s *accounts) ahead(w *Work, rank int) float64 {
+	start := s.start(w, rank)
 	total := 0.0
-	for _, a := range s.active {
-		turn := (start - a.virtual) * weight(a.waiting[0])
-		total += min(float64(a.tokens), max(turn, 0))
+	for _, l := range s.active[rank] {
+		turn := (start - l.account.virtual) * weight(l.waiting[0])
+		total += min(float64(l.tokens), max(turn, 0))
 	}
 	return total
 }
 
-// correct adjusts the charge of an organisation, in tokens by weight.
-func (s *accounts) correct(w *Work, off float64) {
+// modest tells whether the work's organisation was lately served less than a
+// given part of its fair share.
+func (s *accounts) modest(now time.Time, w *Work, part float64) bool {
 	a := s.byName[w.Organisation]
 	if a == nil {
-		return
-	}
-	a.virtual += off
-	if len(a.waiting) > 0 {
-		heap.Fix(&s.active, a.at)
+		return true
 	}
+	fair := s.total.at(now) * a.weight / s.weights
+	return a.usage.at(now) < part*fair
 }
 
 // sweep forgets idle accounts that would start level anyway.
-func (s *accounts) sweep() {
+func (s *accounts) sweep(now time.Time) {
 	for name, a := range s.byName {
-		if len(a.waiting) == 0 && a.virtual <= s.level {
+		if a.waiting == 0 && a.virtual <= s.level && now.Sub(a.usage.last) > usageTime {
 			delete(s.byName, name)
+			s.weights -= a.weight
 		}
 	}
 }
+
+// usageTime is how long the use of an organisation is remembered.
+const usageTime = time.Minute
+
+// usage is a decaying sum of tokens.
+type usage struct {
+	tokens float64
+	last   time.Time
+}
+
+// at returns the sum as it stands now.
+func (u *usage) at(now time.Time) float64 {
+	if u.last.IsZero() {
+		return 0
+	}
+	return u.tokens * math.Exp(-float64(now.Sub(u.last))/float64(usageTime))
+}
+
+func (u *usage) add(now time.Time, tokens float64) {
+	u.tokens = u.at(now) + tokens
+	u.last = now
+}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -9,6 +9,8 @@
 	// unfairTimes is how many places an organisation may hold, by weight,
 	// before its streams are paused for one that holds none.
 	unfairTimes = 2
+	// maxPromoted bounds the places of promoted work, as a share of the limit.
+	maxPromoted = 0.35
 	// minPaused is the least time that a stream must need for its pause to
 	// pay.
 	minPaused = 4 * time.Second
@@ -37,8 +39,11 @@
 	Interval time.Duration
 	// Reserve is the number of slots kept free for the most urgent rank.
 	Reserve int
-	// FairPause lets an organisation's work pause a stream of the same rank
-	// whose organisation holds more than its share.
+	// Modest is the part of its fair share below which an organisation's least
+	// urgent work is promoted; 0 promotes nothing.
+	Modest float64
+	// FairPause lets the work of such an organisation pause a stream of the
+	// same rank whose organisation holds more than its share.
 	FairPause bool
 	// Random returns a number within 0 to 1; it spreads come-back times.
 	Random func() float64
@@ -79,10 +84,12 @@
 	running map[string]*Stream
 	memory  int
 	places  map[place]int
-	lower   int // streams below the most urgent rank
-	pausing int
-	speed   speed
-	returns returns
+	// promoted counts the streams of promoted work.
+	promoted int
+	lower    int // streams below the most urgent rank
+	pausing  int
+	speed    speed
+	returns  returns
 }
 
 // place counts the streams of one organisation and rank.
@@ -158,9 +165,10 @@
 // is kept for it. Queued work gets the deadline by which it must have started.
 func (g *Gate) Offer(now time.Time, w *Work, book bool) Verdict {
 	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.Tokens)
+	g.promote(now, w)
 	left := w.Deadline.Sub(now)
 	w.Deadline = w.Deadline.Add(-min(g.speed.need(w.Tokens), left/2))
-	wait := g.PredictedWait(w)
+	wait := g.PredictedWait(now, w)
 	allowed := g.patience(w, w.Deadline.Sub(now))
 	kept := g.returns.honour(now, w.Fingerprint) && wait <= w.Deadline.Sub(now)
 	if w.Resumed || kept || wait <= allowed {
@@ -168,7 +176,7 @@
 		return Verdict{Queued: true}
 	}
 	last, begun := g.order.Excess(w)
-	if last == nil && begun && g.drainTime(g.rank(w.Rank), g.order.Ahead(w)) <= allowed {
+	if last == nil && begun && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
@@ -181,10 +189,19 @@
 	return Verdict{Queued: true, Evicted: last, EvictedRetryAfter: retryAfter}
 }
 
+// promote treats less urgent work of an organisation with little use as more
+// urgent, so that the more urgent work of large organisations does not crowd
+// it out.
+func (g *Gate) promote(now time.Time, w *Work) {
+	w.promoted = g.options.Modest > 0 && w.Rank > promotedRank &&
+		float64(g.promoted) < maxPromoted*float64(g.limit.Limit()) &&
+		g.order.Modest(now, w, g.options.Modest)
+}
+
 // patience is how long work may be queued for when its deadline leaves the
 // given time.
 func (g *Gate) patience(w *Work, left time.Duration) time.Duration {
-	p := g.options.Ranks[g.rank(w.Rank)].Patience
+	p := g.options.Ranks[g.rank(w.order())].Patience
 	if p <= 0 {
 		return left
 	}
@@ -202,13 +219,16 @@
 	if w == nil || !g.fits(w) {
 		return nil
 	}
-	g.order.Take(w)
+	g.order.Take(now, w)
 	g.running[w.ID] = &Stream{Work: w, Since: now}
 	g.memory += w.Memory
-	g.places[place{w.Organisation, w.Rank}]++
+	g.places[place{w.Organisation, w.order()}]++
 	if w.Rank > 0 {
 		g.lower++
 	}
+	if w.promoted {
+		g.promoted++
+	}
 	return w
 }
 
@@ -256,7 +276,7 @@
 	if w == nil {
 		return nil
 	}
-	return g.unfair(w)
+	return g.unfair(now, w)
 }
 
 // victim returns the least urgent stream that work of the rank may pause, the
@@ -276,8 +296,8 @@
 }
 
 func pausedBefore(a, b *Stream) bool {
-	if a.Work.Rank != b.Work.Rank {
-		return a.Work.Rank > b.Work.Rank
+	if a.Work.order() != b.Work.order() {
+		return a.Work.order() > b.Work.order()
 	}
 	if !a.Since.Equal(b.Since) {
 		return a.Since.After(b.Since)
@@ -288,7 +308,7 @@
 // mayPause tells whether the stream may be paused for the rank: a rank is not
 // paused below its floor.
 func (g *Gate) mayPause(s *Stream, rank int, counts []int) bool {
-	r := g.rank(s.Work.Rank)
+	r := g.rank(s.Work.order())
 	if r <= rank || s.Pausing || !s.Work.Pausable {
 		return false
 	}
@@ -297,16 +317,16 @@
 
 // unfair returns the newest long stream of the same rank whose organisation
 // holds several places while that of the waiting work holds none, or nil.
-func (g *Gate) unfair(w *Work) *Stream {
-	if !g.options.FairPause || g.places[place{w.Organisation, w.Rank}] > 0 {
+func (g *Gate) unfair(now time.Time, w *Work) *Stream {
+	if !g.options.FairPause || !g.order.Modest(now, w, g.options.Modest) || g.places[place{w.Organisation, w.order()}] > 0 {
 		return nil
 	}
 	var best *Stream
 	for _, s := range g.running {
-		if s.Work.Rank != w.Rank || s.Pausing || !s.Work.Pausable || g.speed.need(s.Work.Tokens) < minPaused {
+		if s.Work.order() != w.order() || s.Pausing || !s.Work.Pausable || g.speed.need(s.Work.Tokens) < minPaused {
 			continue
 		}
-		held := float64(g.places[place{s.Work.Organisation, s.Work.Rank}])
+		held := float64(g.places[place{s.Work.Organisation, s.Work.order()}])
 		if held*weight(w) < unfairTimes*weight(s.Work) {
 			continue
 		}
@@ -322,15 +342,15 @@
 	counts := make([]int, len(g.options.Ranks))
 	for _, s := range g.running {
 		if !s.Pausing {
-			counts[g.rank(s.Work.Rank)]++
+			counts[g.rank(s.Work.order())]++
 		}
 	}
 	return counts
 }
 
 // willPause tells whether new work would soon get a place by pausing others.
-func (g *Gate) willPause(w *Work) bool {
-	return g.willPauseLower(g.rank(w.Rank)) || (g.order.Backlog(w) == 0 && g.unfair(w) != nil)
+func (g *Gate) willPause(now time.Time, w *Work) bool {
+	return g.willPauseLower(g.rank(w.order())) || (g.order.Backlog(w) == 0 && g.unfair(now, w) != nil)
 }
 
 func (g *Gate) willPauseLower(rank int) bool {
@@ -373,7 +393,7 @@
 
 // vacate uncounts a stream that has ended.
 func (g *Gate) vacate(s *Stream) {
-	key := place{s.Work.Organisation, s.Work.Rank}
+	key := place{s.Work.Organisation, s.Work.order()}
 	g.places[key]--
 	if g.places[key] == 0 {
 		delete(g.places, key)
@@ -384,6 +404,9 @@
 	if s.Work.Rank > 0 {
 		g.lower--
 	}
+	if s.Work.promoted {
+		g.promoted--
+	}
 }
 
 // Withdraw takes waiting work out and tells whether it was there.
@@ -396,12 +419,12 @@
 func (g *Gate) Stream(id string) *Stream { return g.running[id] }
 
 // PredictedWait estimates how long the work would wait for its place.
-func (g *Gate) PredictedWait(w *Work) time.Duration {
-	rank := g.rank(w.Rank)
+func (g *Gate) PredictedWait(now time.Time, w *Work) time.Duration {
+	rank := g.rank(w.order())
 	if g.order.Len() == 0 && g.allowed(rank) && g.fits(w) {
 		return 0
 	}
-	if g.willPause(w) {
+	if g.willPause(now, w) {
 		return pauseTime
 	}
 	return g.drainTime(rank, g.order.Tokens(rank))
@@ -431,6 +454,6 @@
 
 // pace is how long the work's organisation takes to drain it in its turn.
 func (g *Gate) pace(w *Work) time.Duration {
-	share := g.drain() * g.order.RankShare(g.rank(w.Rank))
+	share := g.drain() * g.order.RankShare(g.rank(w.order()))
 	return time.Duration(float64(w.Tokens) / share * float64(time.Second))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,7 +30,16 @@
 	Arrived  time.Time
 	Deadline time.Time
 
-	account *account
+	lane     *lane
+	promoted bool
+}
+
+// order returns the rank that the work is treated as.
+func (w *Work) order() int {
+	if w.promoted {
+		return min(w.Rank, promotedRank)
+	}
+	return w.Rank
 }
 
 // Order is an order of waiting work. Implementations are not safe for
@@ -42,7 +51,7 @@
 	// which allowed returns false are passed over.
 	Next(now time.Time, allowed func(rank int) bool) *Work
 	// Take removes work that Next returned and charges for it.
-	Take(w *Work)
+	Take(now time.Time, w *Work)
 	// Correct replaces an estimated charge by the true one, in tokens.
 	Correct(w *Work, tokens int)
 	// Remove takes the work with the given ID out and tells whether it was
@@ -54,6 +63,9 @@
 	Len() int
 	// Waiting returns the number of waiting requests of one rank.
 	Waiting(rank int) int
+	// Modest tells whether the work's organisation was lately served less than
+	// a given part of its fair share.
+	Modest(now time.Time, w *Work, part float64) bool
 	// Backlog returns the waiting requests of the work's organisation and
 	// rank.
 	Backlog(w *Work) int
@@ -73,7 +85,6 @@
 
 // rankQueue holds the waiting work of one rank.
 type rankQueue struct {
-	accounts
 	floor  float64
 	served float64
 	tokens int
@@ -84,15 +95,19 @@
 // organisation served least for its weight, then by deadline. It is not safe
 // for concurrent use.
 type Queue struct {
-	ranks  []rankQueue
-	work   map[string]*Work
-	served float64
-	last   time.Time
+	accounts accounts
+	ranks    []rankQueue
+	work     map[string]*Work
+	served   float64
+	last     time.Time
 }
 
 var _ Order = (*Queue)(nil)
 
 const (
+	// promotedRank is the rank as which less urgent work of organisations with
+	// little use is treated.
+	promotedRank = 1
 	// servedHalfLife is how fast the shares of the ranks forget.
 	servedHalfLife = 10 * time.Second
 	// minForget is the least time between two decays.
@@ -104,9 +119,9 @@
 // NewQueue returns a queue for the ranks whose floors are given in their
 // order, the most urgent first.
 func NewQueue(floors []float64) *Queue {
-	q := &Queue{ranks: make([]rankQueue, len(floors)), work: map[string]*Work{}}
+	q := &Queue{accounts: newAccounts(len(floors)), ranks: make([]rankQueue, len(floors)), work: map[string]*Work{}}
 	for i, f := range floors {
-		q.ranks[i] = rankQueue{floor: f, accounts: accounts{byName: map[string]*account{}}}
+		q.ranks[i] = rankQueue{floor: f}
 	}
 	return q
 }
@@ -117,15 +132,15 @@
 // Waiting implements Order.
 func (q *Queue) Waiting(rank int) int { return q.rank(rank).count }
 
-// rank returns the queue of work's rank; an unknown rank counts as the last.
-func (q *Queue) rank(order int) *rankQueue {
-	return &q.ranks[min(max(order, 0), len(q.ranks)-1)]
-}
+// index maps a rank's order to its place; an unknown rank counts as the last.
+func (q *Queue) index(order int) int { return min(max(order, 0), len(q.ranks)-1) }
+
+func (q *Queue) rank(order int) *rankQueue { return &q.ranks[q.index(order)] }
 
 // Push implements Order.
 func (q *Queue) Push(w *Work) {
-	r := q.rank(w.Rank)
-	r.push(w)
+	r := q.rank(w.order())
+	q.accounts.push(w, q.index(w.order()))
 	r.tokens += w.Tokens
 	r.count++
 	q.work[w.ID] = w
@@ -135,7 +150,7 @@
 func (q *Queue) Pop(now time.Time) *Work {
 	w := q.Next(now, nil)
 	if w != nil {
-		q.Take(w)
+		q.Take(now, w)
 	}
 	return w
 }
@@ -144,29 +159,29 @@
 // rank, that is allowed and has waiting work.
 func (q *Queue) Next(now time.Time, allowed func(rank int) bool) *Work {
 	q.forget(now)
-	var first *rankQueue
+	first := -1
 	for i := range q.ranks {
 		r := &q.ranks[i]
 		if r.count == 0 || (allowed != nil && !allowed(i)) {
 			continue
 		}
 		if r.floor > 0 && r.served < r.floor*q.served {
-			return r.next()
+			return q.accounts.next(i)
 		}
-		if first == nil {
-			first = r
+		if first < 0 {
+			first = i
 		}
 	}
-	if first == nil {
+	if first < 0 {
 		return nil
 	}
-	return first.next()
+	return q.accounts.next(first)
 }
 
 // Take implements Order.
-func (q *Queue) Take(w *Work) {
-	r := q.rank(w.Rank)
-	r.take(w)
+func (q *Queue) Take(now time.Time, w *Work) {
+	r := q.rank(w.order())
+	q.accounts.take(now, w, q.index(w.order()))
 	r.tokens -= w.Tokens
 	r.count--
 	r.served += float64(w.Tokens)
@@ -201,9 +216,9 @@
 
 // Correct implements Order.
 func (q *Queue) Correct(w *Work, tokens int) {
-	r := q.rank(w.Rank)
+	r := q.rank(w.order())
 	off := float64(tokens - w.Tokens)
-	r.correct(w, off/weight(w))
+	q.accounts.correct(w, off/weight(w))
 	r.served = max(r.served+off, 0)
 	q.served = max(q.served+off, 0)
 }
@@ -220,8 +235,8 @@
 
 // drop takes waiting work out without a charge.
 func (q *Queue) drop(w *Work) {
-	r := q.rank(w.Rank)
-	r.drop(w)
+	r := q.rank(w.order())
+	q.accounts.drop(w, q.index(w.order()))
 	r.tokens -= w.Tokens
 	r.count--
 	delete(q.work, w.ID)
@@ -230,9 +245,9 @@
 // Expire implements Order.
 func (q *Queue) Expire(now time.Time) []*Work {
 	var out []*Work
-	for i := range q.ranks {
-		for _, a := range q.ranks[i].active {
-			out = a.appendExpired(out, now)
+	for _, lanes := range q.accounts.active {
+		for _, l := range lanes {
+			out = l.appendExpired(out, now)
 		}
 	}
 	for _, w := range out {
@@ -241,20 +256,27 @@
 	return out
 }
 
+// Modest implements Order.
+func (q *Queue) Modest(now time.Time, w *Work, part float64) bool {
+	return q.accounts.modest(now, w, part)
+}
+
 // Backlog implements Order.
 func (q *Queue) Backlog(w *Work) int {
-	a := q.rank(w.Rank).byName[w.Organisation]
-	if a == nil {
+	a := q.accounts.byName[w.Organisation]
+	if a == nil || a.lanes[q.index(w.order())] == nil {
 		return 0
 	}
-	return len(a.waiting)
+	return len(a.lanes[q.index(w.order())].waiting)
 }
 
 // Excess implements Order.
-func (q *Queue) Excess(w *Work) (last *Work, begun bool) { return q.rank(w.Rank).excess(w) }
+func (q *Queue) Excess(w *Work) (last *Work, begun bool) {
+	return q.accounts.excess(w, q.index(w.order()))
+}
 
 // Ahead implements Order.
-func (q *Queue) Ahead(w *Work) float64 { return q.rank(w.Rank).ahead(w) }
+func (q *Queue) Ahead(w *Work) float64 { return q.accounts.ahead(w, q.index(w.order())) }
 
 // Tokens implements Order.
 func (q *Queue) Tokens(rank int) float64 { return float64(q.rank(rank).tokens) }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -183,7 +183,7 @@
 	}
 	r.gate.Withdraw(w.args.Grant)
 	delete(r.waiting, w.args.Grant)
-	wait := r.gate.PredictedWait(w.work)
+	wait := r.gate.PredictedWait(time.Now(), w.work)
 	return wire.AcquireReply{Reason: ReasonExpired, RetryAfter: jitter(wait)}
 }
 
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -23,6 +23,9 @@
 	earlyKept    = 10 * time.Second
 	// reservedSlots is kept free on each replica for the most urgent rank.
 	reservedSlots = 1
+	// modestPart is the part of its fair share below which an organisation's
+	// least urgent work is promoted.
+	modestPart = 0.7
 )
 
 // Configure takes the ranks and weights of a revision.
@@ -111,7 +114,7 @@
 	slots, memory := size(c, vm.Pool)
 	gate := admission.NewGate(admission.GateOptions{
 		Ranks: policies(o.ranks), Slots: slots, Memory: memory,
-		Interval: TokenIntervalTarget, Reserve: reservedSlots, FairPause: true, Random: rand.Float64,
+		Interval: TokenIntervalTarget, Reserve: reservedSlots, FairPause: true, Modest: modestPart, Random: rand.Float64,
 	})
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -12,7 +12,7 @@
 
 // router is what the nodes do.
 var router = policy{
-	name: "router", preempts: true, fair: true, reserve: 1, floors: exampleFloors,
+	name: "router", preempts: true, fair: true, modest: 0.7, reserve: 1, floors: exampleFloors,
 	patience: [simRanks]time.Duration{kinds[urgent].target, kinds[normal].target, kinds[background].target},
 	choices:  routing.DefaultChoices, prefixes: knowsOwn,
 }
@@ -67,7 +67,7 @@
 }
 
 // Take implements admission.Order.
-func (l *listOrder) Take(w *admission.Work) { l.Remove(w.ID) }
+func (l *listOrder) Take(_ time.Time, w *admission.Work) { l.Remove(w.ID) }
 
 // Correct implements admission.Order.
 func (l *listOrder) Correct(*admission.Work, int) {}
@@ -112,6 +112,9 @@
 	return n
 }
 
+// Modest implements admission.Order.
+func (l *listOrder) Modest(time.Time, *admission.Work, float64) bool { return false }
+
 // Backlog implements admission.Order.
 func (l *listOrder) Backlog(w *admission.Work) int { return l.Waiting(w.Rank) }
 
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -48,6 +48,7 @@
 	reserve  int
 	preempts bool
 	fair     bool
+	modest   float64
 	floors   [simRanks]float64
 	patience [simRanks]time.Duration
 	// naive never refuses before the deadline.
@@ -136,7 +137,7 @@
 	}
 	o := admission.GateOptions{
 		Ranks: ranks, Slots: f.engine.slots, Memory: f.engine.memory, Interval: tokenInterval,
-		Reserve: f.policy.reserve, FairPause: f.policy.fair, Random: f.rng.Float64,
+		Reserve: f.policy.reserve, FairPause: f.policy.fair, Modest: f.policy.modest, Random: f.rng.Float64,
 	}
 	if f.policy.order != nil {
 		o.Order = f.policy.order(ranks)
