Learn the limit from how the interval grows with the batch; refuse early only when an overload lasts

And work within its deadline was refused in a short burst (seen in TestQuietHoursBeginUnderLoad with a deadline of 10 minutes).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -8,7 +8,7 @@
 const (
 	// unfairTimes is how many places an organisation may hold, by weight,
 	// before its streams are paused for one that holds none.
-	unfairTimes = 2
+	unfairTimes = 3
 	// maxPromoted bounds the places of promoted work, as a share of the limit.
 	maxPromoted = 0.35
 	// minPaused is the least time that a stream must need for its pause to
@@ -23,7 +23,7 @@
 	// Preempts tells that the rank may pause streams of less urgent ranks.
 	Preempts bool
 	// Patience is the time to the first token beyond which new work is
-	// refused; 0 leaves only the deadline.
+	// refused while an overload lasts; 0 leaves only the deadline.
 	Patience time.Duration
 }
 
@@ -58,6 +58,7 @@
 	// Work is what runs, Since when it was granted.
 	Work  *Work
 	Since time.Time
+	area  float64
 	// Pausing tells that its holder was asked to pause it.
 	Pausing bool
 }
@@ -88,8 +89,13 @@
 	promoted int
 	lower    int // streams below the most urgent rank
 	pausing  int
-	speed    speed
-	returns  returns
+	// area is the batch added up over time until tallied, in stream-seconds.
+	area    float64
+	tallied time.Time
+	speed   speed
+	returns returns
+	// pressure tells, by rank, whether an overload lasts.
+	pressure []pressure
 }
 
 // place counts the streams of one organisation and rank.
@@ -111,7 +117,7 @@
 	}
 	return &Gate{
 		options: o, order: o.Order, limit: o.Limit, running: map[string]*Stream{}, places: map[place]int{},
-		speed: newSpeed(len(o.Ranks)), returns: newReturns(o.Random),
+		speed: newSpeed(len(o.Ranks)), returns: newReturns(o.Random), pressure: make([]pressure, len(o.Ranks)),
 	}
 }
 
@@ -143,6 +149,7 @@
 	g.options.Ranks = ranks
 	g.order = NewQueue(floors(ranks))
 	g.speed.resize(len(ranks))
+	g.pressure = make([]pressure, len(ranks))
 	for _, w := range waiting {
 		g.order.Push(w)
 	}
@@ -169,7 +176,7 @@
 	left := w.Deadline.Sub(now)
 	w.Deadline = w.Deadline.Add(-min(g.speed.need(w.Tokens), left/2))
 	wait := g.PredictedWait(now, w)
-	allowed := g.patience(w, w.Deadline.Sub(now))
+	allowed := g.patience(now, w, wait, w.Deadline.Sub(now))
 	kept := g.returns.honour(now, w.Fingerprint) && wait <= w.Deadline.Sub(now)
 	if w.Resumed || kept || wait <= allowed {
 		g.order.Push(w)
@@ -199,13 +206,19 @@
 }
 
 // patience is how long work may be queued for when its deadline leaves the
-// given time.
-func (g *Gate) patience(w *Work, left time.Duration) time.Duration {
-	p := g.options.Ranks[g.rank(w.order())].Patience
+// given time: up to the deadline in a burst, but in a lasting overload no
+// longer than lets the first token come in time.
+func (g *Gate) patience(now time.Time, w *Work, wait, left time.Duration) time.Duration {
+	rank := g.rank(w.order())
+	p := g.options.Ranks[rank].Patience
 	if p <= 0 {
 		return left
 	}
-	return min(left, max((p-g.speed.firstToken())/2, p/4))
+	short := min(left, max((p-g.speed.firstToken())/2, p/4))
+	if g.pressure[rank].observe(now, wait > short) {
+		return short
+	}
+	return left
 }
 
 // rank maps an unknown rank to the last.
@@ -220,7 +233,8 @@
 		return nil
 	}
 	g.order.Take(now, w)
-	g.running[w.ID] = &Stream{Work: w, Since: now}
+	g.tally(now)
+	g.running[w.ID] = &Stream{Work: w, Since: now, area: g.area}
 	g.memory += w.Memory
 	g.places[place{w.Organisation, w.order()}]++
 	if w.Rank > 0 {
@@ -241,6 +255,14 @@
 	return rank == 0 || g.lower < max(limit-g.options.Reserve, minLimit)
 }
 
+// tally adds up the batch over time, in stream-seconds.
+func (g *Gate) tally(now time.Time) {
+	if !g.tallied.IsZero() {
+		g.area += float64(len(g.running)) * now.Sub(g.tallied).Seconds()
+	}
+	g.tallied = now
+}
+
 // fits tells whether the work's KV cache fits beside the running streams'.
 func (g *Gate) fits(w *Work) bool {
 	return g.options.Memory <= 0 || len(g.running) == 0 || g.memory+w.Memory <= g.options.Memory
@@ -379,13 +401,13 @@
 	if s == nil {
 		return false
 	}
-	running := len(g.running)
+	g.tally(now)
 	delete(g.running, id)
 	g.memory -= s.Work.Memory
 	g.vacate(s)
 	g.order.Correct(s.Work, u.Tokens)
-	if u.Interval > 0 {
-		g.limit.Observe(u.Interval, running)
+	if held := now.Sub(s.Since).Seconds(); u.Interval > 0 && held > 0 {
+		g.limit.Observe(u.Interval, (g.area-s.area)/held)
 	}
 	g.speed.observe(g.rank(s.Work.Rank), s, u, now)
 	return true
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	mathrand "math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -45,6 +47,10 @@
 	Bills  *ledger.Bills
 	Pins   *ledger.Pins
 	Record *record.Log
+	// Observer learns from attempts and answers; nil learns nothing.
+	Observer Observer
+	// Held tells which versions should get no new sessions; nil means none.
+	Held func(config.Target) bool
 }
 
 // Dispatcher carries requests to backend servers. It is safe for concurrent
@@ -54,11 +60,21 @@
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // guarded by mu, by organisation
 	pauses  map[string]chan struct{}          // guarded by mu, by grant
+	recent  *routing.Recent                   // guarded by mu
+	cached  *routing.PrefixIndex              // guarded by mu
+	pace    *pace
+	worked  atomic.Pointer[versionRules]
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{Options: o, budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}}
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
+	return &Dispatcher{
+		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks),
+	}
 }
 
 // Request is what is common to all requests.
@@ -93,8 +109,15 @@
 }
 
 const (
-	// maxPlaceTries bounds how many owners are asked for one attempt.
+	// maxPlaceTries bounds how many owners are asked for one attempt,
+	// maxWaitTries how many may refuse for the length of their queues.
 	maxPlaceTries = 4
+	maxWaitTries  = 2
+	// rememberedBlocks bounds what the node remembers of prefix caches, in
+	// prompt blocks.
+	rememberedBlocks = 1 << 15
+	// ownerCheck is how often a wait looks whether its owner still lives.
+	ownerCheck = 250 * time.Millisecond
 	// noBackendRetry is the come-back time when no replica is there.
 	noBackendRetry = 2 * time.Second
 )
@@ -109,25 +132,41 @@
 	prefixes []uint64
 	excluded []string
 	deadline time.Time
+	length   time.Duration
+	book     bool
+}
+
+// scope is where the work of the wish would run, without the replica's part.
+func (w *wish) scope(organisation string) rollout.Scope {
+	return rollout.Scope{Model: w.target.Model, Organisation: organisation}
 }
 
 // acquire finds a place, asking one owner after the other.
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, w wish) (*place, error) {
 	tried := append([]string(nil), w.excluded...)
 	var refusal *outcome.Refusal
-	for try := 0; try < maxPlaceTries; try++ {
+	var quiet quietChecks
+	waits := 0
+	for try := 0; try < maxPlaceTries && waits < maxWaitTries; try++ {
 		wait := time.Until(w.deadline)
 		if wait <= 0 {
 			return nil, outcome.Refuse(outcome.CodeDeadline, minRetryAfter, "the deadline passed before a place was found: allow more time or come back later")
 		}
+		now := time.Now()
+		rules, err := d.rules(now)
+		if err != nil {
+			return nil, err
+		}
+		quiet = quietChecks{hours: rules.hours, now: now, scope: w.scope(req.Organisation), length: w.length, known: quiet.known[:0]}
 		view := d.View()
-		at := routing.ChooseReplica(view.Replicas, routing.ReplicaRequest{
-			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Draw: mathrand.Uint64(),
+		at := d.choose(view.Replicas, w, routing.ReplicaRequest{
+			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Now: now, Closed: quiet.closed,
 		})
 		if at < 0 {
 			break
 		}
-		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], wait)
+		w.book = waits+1 >= maxWaitTries || len(view.Replicas) == 1
+		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], quiet.longest(view.Replicas[at], wait))
 		switch {
 		case p != nil:
 			return p, nil
@@ -136,17 +175,37 @@
 		case err == nil && !reply.NotOwner:
 			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
 			refusal = soonest(refusal, reply)
+			if reply.Reason == ReasonWait {
+				waits++
+			}
 		default:
 			d.Record.Add(req.ID, "owner %s of replica %s did not answer", view.Replicas[at].Owner, view.Replicas[at].ID)
 		}
 		tried = append(tried, view.Replicas[at].ID)
 	}
-	if refusal != nil {
+	switch {
+	case refusal != nil:
 		return nil, refusal
+	case !quiet.until.IsZero():
+		return nil, refuseQuiet(quiet.now, quiet.until)
 	}
 	return nil, outcome.Refuse(outcome.CodeNoBackend, jitter(noBackendRetry), "no backend server can run the request now: come back later")
 }
 
+// choose returns the index of the replica to ask, or -1.
+func (d *Dispatcher) choose(replicas []routing.Replica, w wish, r routing.ReplicaRequest) int {
+	var known [routing.MaxCachedAt]routing.CachedAt
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.Cached = d.cached.Lookup(known[:0], w.prefixes)
+	r.Recent, r.Choices, r.Draw = d.recent, routing.DefaultChoices, mathrand.Uint64()
+	at := routing.ChooseReplica(replicas, r)
+	if at >= 0 {
+		d.recent.Sent(r.Now, replicas[at].ID)
+	}
+	return at
+}
+
 // soonest keeps the refusal with the shortest come-back time.
 func soonest(old *outcome.Refusal, reply wire.AcquireReply) *outcome.Refusal {
 	if old != nil && old.RetryAfter <= reply.RetryAfter {
@@ -161,13 +220,16 @@
 	args := wire.AcquireArgs{
 		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
-		Fingerprint: req.Fingerprint, Prefixes: w.prefixes,
+		Fingerprint: req.Fingerprint, Prefixes: w.prefixes, Book: w.book,
 	}
 	d.mu.Lock()
 	d.pauses[p.grant] = p.paused
 	d.mu.Unlock()
-	reply, err := d.Places.Acquire(ctx, r.Owner, args)
+	reply, err := d.acquireFrom(ctx, r.Owner, args)
 	if err == nil && reply.Granted {
+		d.mu.Lock()
+		d.cached.Add(r.ID, w.prefixes)
+		d.mu.Unlock()
 		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
 		return p, reply, nil
 	}
@@ -178,6 +240,34 @@
 	return nil, reply, err
 }
 
+// acquireFrom asks an owner and gives up once it is taken for dead.
+func (d *Dispatcher) acquireFrom(ctx context.Context, owner string, args wire.AcquireArgs) (wire.AcquireReply, error) {
+	if owner == d.Node {
+		return d.Places.Acquire(ctx, owner, args)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.watch(ctx, cancel, owner)
+	return d.Places.Acquire(ctx, owner, args)
+}
+
+// watch cancels a wait once its owner is taken for dead.
+func (d *Dispatcher) watch(ctx context.Context, cancel context.CancelFunc, owner string) {
+	ticker := time.NewTicker(ownerCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if n, ok := d.View().Node(owner); !ok || !n.Live {
+			cancel()
+			return
+		}
+	}
+}
+
 func (d *Dispatcher) forget(p *place) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -442,6 +442,7 @@
 	if t.stream != nil && !whole {
 		o.engine.cancel(t.stream)
 	}
+	t.req.decoding += t.last.Sub(t.first)
 	if o.gate.Stream(t.id) == nil {
 		return
 	}
@@ -451,7 +452,6 @@
 	}
 	if t.tokens > 1 {
 		u.Interval = t.last.Sub(t.first) / time.Duration(t.tokens-1)
-		t.req.decoding += t.last.Sub(t.first)
 	}
 	f.ev.after(f.delay(node.dc, o.dc), func() {
 		delete(o.holding, t.id)
--- a/internal/measure/sim_prefix.go
+++ b/internal/measure/sim_prefix.go
@@ -22,6 +22,8 @@
 	switch f.policy.prefixes {
 	case knowsOwn:
 		return f.nodes[r.home].memory.Lookup(nil, r.blocks)
+	case knowsShared:
+		return f.common(r, f.nodes[r.home].memory.Lookup(nil, r.blocks))
 	case knowsAll:
 		var out []routing.CachedAt
 		for _, o := range f.owners {
@@ -34,3 +36,17 @@
 		return nil
 	}
 }
+
+// common adds the replica that all nodes guess for the request's first block.
+func (f *fleet) common(r *simRequest, known []routing.CachedAt) []routing.CachedAt {
+	id := f.owners[int(routing.Mix(r.blocks[0], 0)%uint64(len(f.owners)))].id
+	for _, k := range known {
+		if k.Replica == id {
+			return known
+		}
+	}
+	return append(known, routing.CachedAt{Replica: id, Blocks: guessedBlocks})
+}
+
+// guessedBlocks is what a common guess is worth.
+const guessedBlocks = 2
--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -122,7 +122,7 @@
 	} else {
 		template := chain(uint64(s.organisation*simRanks+s.rank)*templatesEach+uint64(t.rng.IntN(templatesEach))+1, k.template)
 		r.blocks = t.extend(template, k.own)
-		r.home = t.rng.IntN(t.nodes)
+		r.home = t.shard(s.organisation)
 		if k.turns > 0 && len(list) < sessionsKept {
 			t.sessions[key] = append(list, session{blocks: r.blocks, home: r.home})
 		}
@@ -133,6 +133,12 @@
 	return r
 }
 
+// shard draws one of the nodes that the directory gives an organisation.
+func (t *traffic) shard(organisation int) int {
+	n := min(t.nodes, max(4, int(math.Sqrt(float64(t.nodes)))))
+	return (organisation*n + t.rng.IntN(n)) % t.nodes
+}
+
 // chain makes the blocks of a template.
 func chain(id uint64, n int) []uint64 {
 	out := make([]uint64, n)
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -42,6 +42,8 @@
 	Rank int
 	// Excluded lists replicas that failed this request.
 	Excluded []string
+	// Closed tells where quiet hours forbid the work; may be nil.
+	Closed func(dataCentre, pool string) bool
 	// Draw is a random number that breaks ties.
 	Draw uint64
 	// Choices is how many replicas are looked at beside those that hold a
@@ -116,7 +118,7 @@
 		c.best, c.cost, c.ties = i, cost, 1
 	case cost == c.cost && i != c.best:
 		c.ties++
-		if mix(c.req.Draw, uint64(i))%c.ties == 0 {
+		if Mix(c.req.Draw, uint64(i))%c.ties == 0 {
 			c.best = i
 		}
 	}
@@ -128,7 +130,7 @@
 func (c *choice) sample() {
 	n := uint64(len(c.replicas))
 	for k := range c.req.Choices {
-		start := mix(c.req.Draw, uint64(k)) % n
+		start := Mix(c.req.Draw, uint64(k)) % n
 		near := k%2 == 0
 		if !c.probe(start, near) && near {
 			c.probe(start, false)
@@ -152,8 +154,8 @@
 	return false
 }
 
-// mix scrambles two numbers into one.
-func mix(a, b uint64) uint64 {
+// Mix scrambles two numbers into one.
+func Mix(a, b uint64) uint64 {
 	x := a ^ (b+1)*0x9e3779b97f4a7c15
 	x ^= x >> 31
 	x *= 0xbf58476d1ce4e5b9
@@ -167,20 +169,13 @@
 	if req.Pool != "" && r.Pool != req.Pool {
 		return false
 	}
-	for _, id := range req.Excluded {
-		if id == r.ID {
-			return false
-		}
-	}
-	if req.Pool != "" {
-		return true
+	if req.Pool == "" && !slices.Contains(r.Targets, req.Target) {
+		return false
 	}
-	for _, t := range r.Targets {
-		if t == req.Target {
-			return true
-		}
+	if req.Closed != nil && req.Closed(r.DataCentre, r.Pool) {
+		return false
 	}
-	return false
+	return !slices.Contains(req.Excluded, r.ID)
 }
 
 // replicaCost estimates the time to the first token, without what a cached
