--- a/internal/measure/sim_faults.go
+++ b/internal/measure/sim_faults.go
@@ -73,6 +73,26 @@
 	return out
 }
 
+// freeze stops the node that owns some replicas. Once that is noticed, another
+// node owns them and knows nothing of what runs there.
+func (f *fleet) freeze(node int) {
+	for _, o := range f.owners {
+		if o.node != node {
+			continue
+		}
+		o.frozen = f.ev.now.Add(cutNoticed)
+		f.ev.after(cutNoticed, func() { f.takeOver(o) })
+	}
+}
+
+func (f *fleet) takeOver(o *simOwner) {
+	waiting := o.waiting
+	o.gate, o.waiting, o.holding = f.newGate(), map[string]*simTry{}, map[string]*simTry{}
+	for _, id := range slices.Sorted(maps.Keys(waiting)) {
+		f.ask(waiting[id].req, search{})
+	}
+}
+
 // Moments of faults, as shares of a trial's span.
 const (
 	faultFrom = 1.0 / 3
@@ -106,3 +126,10 @@
 func (f *fleet) at(share float64, do func()) {
 	f.ev.after(time.Duration(share*float64(f.span)), do)
 }
+
+// freezeOwners freezes one owner after the other.
+func freezeOwners(f *fleet) {
+	for i := range f.dataCentres {
+		f.at(faultFrom+float64(i)/10, func() { f.freeze(i) })
+	}
+}
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -92,6 +92,8 @@
 	waiting map[string]*simTry
 	holding map[string]*simTry
 	down    bool
+	// frozen is until when the node that owns the replica stands still.
+	frozen time.Time
 }
 
 // simNode is an entry node.
@@ -131,6 +133,15 @@
 }
 
 func (f *fleet) newOwner(i int) *simOwner {
+	dc := i % f.dataCentres
+	return &simOwner{
+		f: f, id: fmt.Sprintf("r%04d", i), index: i, dc: dc, engine: newSimEngine(f.ev, f.engine), gate: f.newGate(),
+		node:    (dc + f.dataCentres*(i/f.dataCentres)) % f.size.nodes,
+		waiting: map[string]*simTry{}, holding: map[string]*simTry{},
+	}
+}
+
+func (f *fleet) newGate() *admission.Gate {
 	ranks := make([]admission.RankPolicy, simRanks)
 	for r := range ranks {
 		ranks[r] = admission.RankPolicy{Floor: f.policy.floors[r], Preempts: f.policy.preempts && r < background, Patience: f.policy.patience[r]}
@@ -145,13 +156,7 @@
 	if f.policy.limit != nil {
 		o.Limit = f.policy.limit(tokenInterval, f.engine.slots)
 	}
-	dc := i % f.dataCentres
-	own := &simOwner{
-		f: f, id: fmt.Sprintf("r%04d", i), index: i, dc: dc, engine: newSimEngine(f.ev, f.engine), gate: admission.NewGate(o),
-		waiting: map[string]*simTry{}, holding: map[string]*simTry{},
-	}
-	own.node = (dc + f.dataCentres*(i/f.dataCentres)) % f.size.nodes
-	return own
+	return admission.NewGate(o)
 }
 
 // delay draws the time of one message.
@@ -230,6 +235,7 @@
 // begin starts a try of the caller.
 func (f *fleet) begin(r *simRequest) {
 	r.tries++
+	f.stats.sent++
 	r.asked = f.ev.now
 	try := r.tries
 	f.ev.after(kinds[r.rank].deadline, func() { f.expire(r, try) })
@@ -305,6 +311,10 @@
 		f.ev.after(cutNoticed, func() { f.ask(r, s) })
 		return
 	}
+	if f.ev.now.Before(o.frozen) {
+		f.ev.after(cutNoticed, func() { f.ask(r, s) })
+		return
+	}
 	if o.down {
 		f.ev.after(back, func() { f.ask(r, s) })
 		return
@@ -362,6 +372,9 @@
 // pump grants places and asks for pauses.
 func (o *simOwner) pump() {
 	f := o.f
+	if f.ev.now.Before(o.frozen) {
+		return
+	}
 	for w := o.gate.Grant(f.ev.now); w != nil; w = o.gate.Grant(f.ev.now) {
 		t := o.waiting[w.ID]
 		delete(o.waiting, w.ID)
@@ -393,6 +406,7 @@
 		if t.over {
 			return
 		}
+		f.stats.tries++
 		t.owner.engine.submit(t.stream)
 	})
 }
--- a/internal/measure/sim_stats.go
+++ b/internal/measure/sim_stats.go
@@ -23,7 +23,9 @@
 	told     int
 	kept     int
 	unserved int
-	perOwner map[string]int
+	// tries counts the engines' starts, sent the tries of callers.
+	tries, sent int
+	perOwner    map[string]int
 	// work is the useful engine time and waste what was done in vain, both
 	// as seconds of a full batch.
 	work, waste float64
