Come-back times are kept; early returns and frozen owners cost little

Cause: refused callers were told the time at which the queue would be at its bound, had no turn when they returned to another replica, and the spacing of their times followed a share of the rank that swung between 0.05 and 0.7 within seconds. An owner that stood still held each request for 3 s.

The owner books a turn under the request's fingerprint, spaced by the share of callers that obey; the entry node sends a returning request to the replica that keeps its turn and refuses one that is early while a queue stands. An owner with a free place that does not answer in 500 ms is passed over.

Ruled out: times by organisation (ten organisations promised the whole rank ten times).

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -91,14 +92,24 @@
 	return out
 }
 
+// compareWork orders the work of one lane: begun answers, then those that came
+// back when told, then by deadline.
 func compareWork(a, b *Work) int {
-	if a.Resumed != b.Resumed {
-		if a.Resumed {
-			return -1
-		}
+	return cmp.Or(cmp.Compare(a.turn(), b.turn()), a.Deadline.Compare(b.Deadline))
+}
+
+// lastTurn is that of work that has neither begun nor been refused before.
+const lastTurn = 2
+
+func (w *Work) turn() int {
+	switch {
+	case w.Resumed:
+		return 0
+	case w.returned:
 		return 1
+	default:
+		return lastTurn
 	}
-	return a.Deadline.Compare(b.Deadline)
 }
 
 func (s *accounts) push(w *Work, rank int) {
@@ -184,7 +195,7 @@
 		if passed {
 			out = append(out, w)
 		}
-		if !passed && !w.Resumed {
+		if !passed && w.turn() == lastTurn {
 			break
 		}
 	}
@@ -226,7 +237,7 @@
 		at := l.end()
 		switch {
 		case l.name == w.Organisation || at <= end:
-		case last.Resumed:
+		case last.Resumed || last.returned:
 			begun = true
 		case at > latest:
 			latest, out = at, last
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -9,6 +9,9 @@
 	// unfairTimes is how many places an organisation may hold, by weight,
 	// before its streams are paused for one that holds none.
 	unfairTimes = 3
+	// promisedShare is the part of a rank's throughput that come-back times
+	// may promise.
+	promisedShare = 0.9
 	// maxPromoted bounds the places of promoted work, as a share of the limit.
 	maxPromoted = 0.35
 	// minPaused is the least time that a stream must need for its pause to
@@ -171,14 +174,15 @@
 // with the time after which it should be sent again. With book set, that time
 // is kept for it. Queued work gets the deadline by which it must have started.
 func (g *Gate) Offer(now time.Time, w *Work, book bool) Verdict {
-	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.Tokens)
+	w.asked = w.Tokens
+	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.asked)
 	g.promote(now, w)
 	left := w.Deadline.Sub(now)
 	w.Deadline = w.Deadline.Add(-min(g.speed.need(w.Tokens), left/2))
 	wait := g.PredictedWait(now, w)
 	allowed := g.patience(now, w, wait, w.Deadline.Sub(now))
-	kept := g.returns.honour(now, w.Fingerprint) && wait <= w.Deadline.Sub(now)
-	if w.Resumed || kept || wait <= allowed {
+	w.returned = g.returns.honour(now, w.Fingerprint) && wait <= w.Deadline.Sub(now)
+	if w.Resumed || w.returned || wait <= allowed {
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
@@ -188,11 +192,11 @@
 		return Verdict{Queued: true}
 	}
 	if last == nil {
-		return Verdict{RetryAfter: g.returns.promise(now, w, wait-allowed, g.pace(w), book)}
+		return Verdict{RetryAfter: g.returns.promise(now, w, wait, g.pace(w), book)}
 	}
 	g.order.Remove(last.ID)
 	g.order.Push(w)
-	retryAfter := g.returns.promise(now, last, wait-allowed, g.pace(last), true)
+	retryAfter := g.returns.promise(now, last, wait, g.pace(last), true)
 	return Verdict{Queued: true, Evicted: last, EvictedRetryAfter: retryAfter}
 }
 
@@ -474,8 +478,8 @@
 // drain is the replica's throughput when full, in tokens a second.
 func (g *Gate) drain() float64 { return float64(g.limit.Limit()) * g.speed.perSlot }
 
-// pace is how long the work's organisation takes to drain it in its turn.
+// pace is how long the work's rank takes to drain it, with some room.
 func (g *Gate) pace(w *Work) time.Duration {
-	share := g.drain() * g.order.RankShare(g.rank(w.order()))
+	share := promisedShare * g.drain() * g.order.RankShare(g.rank(w.order()))
 	return time.Duration(float64(w.Tokens) / share * float64(time.Second))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -32,6 +32,10 @@
 
 	lane     *lane
 	promoted bool
+	// returned tells that the work came back when it was told to.
+	returned bool
+	// asked is the cost as its asker estimated it.
+	asked int
 }
 
 // order returns the rank that the work is treated as.
@@ -109,7 +113,7 @@
 	// little use is treated.
 	promotedRank = 1
 	// servedHalfLife is how fast the shares of the ranks forget.
-	servedHalfLife = 10 * time.Second
+	servedHalfLife = 30 * time.Second
 	// minForget is the least time between two decays.
 	minForget = 100 * time.Millisecond
 	// minRankShare keeps predictions finite for ranks without a floor.
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -6,13 +6,17 @@
 	// MinRetryAfter is the shortest come-back time.
 	MinRetryAfter = 250 * time.Millisecond
 	// MaxRetryAfter bounds come-back times under a lasting flood.
-	MaxRetryAfter = 2 * time.Minute
-	// returnSlack is how early a caller may come back and how long its turn
-	// is kept.
+	MaxRetryAfter = 15 * time.Minute
+	// returnSlack is how long after its time a turn is kept.
 	returnSlack = 5 * time.Second
 	// maxPromises bounds the come-back times that are kept.
 	maxPromises = 4096
-	retryJitter = 0.1
+	// retryJitter spreads come-back times, as a share of them.
+	retryJitter = 0.05
+	// firstObeyed is the assumed share of callers that come back when told.
+	firstObeyed = 0.1
+	leastObeyed = 0.02
+	obeyedGain  = 0.05
 )
 
 // returns keeps the come-back times that were promised to refused work, so
@@ -20,43 +24,47 @@
 type returns struct {
 	random        func() float64
 	byFingerprint map[uint64]time.Time
-	// next is the earliest time not yet promised, by organisation and rank.
-	next map[returnKey]time.Time
+	// booked lists the promises in the order they were made.
+	booked []promise
+	// next is the earliest time not yet promised, by rank.
+	next map[int]time.Time
+	// obeyed is the share of promises that callers come back for.
+	obeyed float64
 }
 
-type returnKey struct {
-	organisation string
-	rank         int
+// promise is a turn kept for one request until its time is well past.
+type promise struct {
+	fingerprint uint64
+	until       time.Time
 }
 
 func newReturns(random func() float64) returns {
 	if random == nil {
 		random = func() float64 { return 0 }
 	}
-	return returns{random: random, byFingerprint: map[uint64]time.Time{}, next: map[returnKey]time.Time{}}
+	return returns{random: random, byFingerprint: map[uint64]time.Time{}, next: map[int]time.Time{}, obeyed: firstObeyed}
 }
 
-// promise returns when refused work should come back: once the excess has
+// promise returns when refused work should come back: once what waits has
 // drained, after those told before it. pace is the time that the work itself
 // takes to drain.
-func (r *returns) promise(now time.Time, w *Work, excess, pace time.Duration, book bool) time.Duration {
-	key := returnKey{w.Organisation, w.Rank}
-	at := now.Add(max(excess, MinRetryAfter))
-	if next := r.next[key]; next.After(at) {
+func (r *returns) promise(now time.Time, w *Work, wait, pace time.Duration, book bool) time.Duration {
+	r.lapse(now)
+	at := now.Add(max(wait, MinRetryAfter))
+	if next := r.next[w.Rank]; next.After(at) {
 		at = next
 	}
 	after := at.Sub(now)
 	if after > MaxRetryAfter {
 		return r.jitter(MaxRetryAfter)
 	}
-	if book {
-		r.forget(now)
-		r.next[key] = at.Add(pace)
-		if w.Fingerprint != 0 && len(r.byFingerprint) < maxPromises {
-			r.byFingerprint[w.Fingerprint] = at
-		}
+	told := r.jitter(after)
+	if book && w.Fingerprint != 0 && len(r.booked) < maxPromises {
+		r.next[w.Rank] = at.Add(time.Duration(r.obeyed * float64(pace)))
+		r.byFingerprint[w.Fingerprint] = at
+		r.booked = append(r.booked, promise{fingerprint: w.Fingerprint, until: now.Add(told + returnSlack)})
 	}
-	return r.jitter(after)
+	return told
 }
 
 // jitter spreads come-back times so that callers do not return together.
@@ -66,27 +74,27 @@
 
 // honour tells whether the work was told to come back now, once.
 func (r *returns) honour(now time.Time, fingerprint uint64) bool {
+	r.lapse(now)
 	at, ok := r.byFingerprint[fingerprint]
-	if !ok || fingerprint == 0 || now.Before(at) {
+	if !ok || now.Before(at) {
 		return false
 	}
 	delete(r.byFingerprint, fingerprint)
-	return now.Sub(at) <= returnSlack+time.Duration(retryJitter*float64(MaxRetryAfter))
+	r.obeyed += obeyedGain * (1 - r.obeyed)
+	return true
 }
 
-// forget drops what has passed, when the table is full.
-func (r *returns) forget(now time.Time) {
-	if len(r.byFingerprint) < maxPromises && len(r.next) < maxPromises {
-		return
-	}
-	for k, at := range r.byFingerprint {
-		if now.Sub(at) > returnSlack {
-			delete(r.byFingerprint, k)
+// lapse forgets the promises whose time is well past.
+func (r *returns) lapse(now time.Time) {
+	n := 0
+	for n < len(r.booked) && now.After(r.booked[n].until) {
+		if _, ok := r.byFingerprint[r.booked[n].fingerprint]; ok {
+			delete(r.byFingerprint, r.booked[n].fingerprint)
+			r.obeyed = max(r.obeyed-obeyedGain*r.obeyed, leastObeyed)
 		}
+		n++
 	}
-	for k, at := range r.next {
-		if now.After(at) {
-			delete(r.next, k)
-		}
+	if n > 0 {
+		r.booked = append(r.booked[:0], r.booked[n:]...)
 	}
 }
--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -7,6 +7,7 @@
 	// in tokens a second.
 	firstPerSlot = 25.0
 	speedGain    = 0.05
+	ratioGain    = 0.1
 	// minPerSlot keeps predictions finite, in tokens a second.
 	minPerSlot = 1.0
 )
@@ -61,9 +62,8 @@
 	if u.First > 0 {
 		s.first += time.Duration(speedGain * float64(u.First-s.first))
 	}
-	if u.Whole {
-		asked := float64(stream.Work.Tokens) / s.ratio[rank]
-		s.ratio[rank] += speedGain * (min(float64(u.Tokens)/max(asked, 1), 1) - s.ratio[rank])
+	if asked := stream.Work.asked; u.Whole && asked > 0 && !stream.Work.Resumed {
+		s.ratio[rank] += ratioGain * (min(float64(u.Tokens)/float64(asked), 1) - s.ratio[rank])
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,6 +62,7 @@
 	pauses  map[string]chan struct{}          // guarded by mu, by grant
 	recent  *routing.Recent                   // guarded by mu
 	cached  *routing.PrefixIndex              // guarded by mu
+	told    *admission.Told                   // guarded by mu
 	pace    *pace
 	worked  atomic.Pointer[versionRules]
 }
@@ -73,7 +74,7 @@
 	}
 	return &Dispatcher{
 		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
-		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks),
+		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
 	}
 }
 
@@ -134,6 +135,7 @@
 	deadline time.Time
 	length   time.Duration
 	book     bool
+	first    bool
 }
 
 // scope is where the work of the wish would run, without the replica's part.
@@ -165,6 +167,13 @@
 		if at < 0 {
 			break
 		}
+		if try == 0 && !w.resumed {
+			early := time.Duration(0)
+			if at, early = d.returning(now, req, view, at); early > 0 {
+				return nil, outcome.Refuse(outcome.CodeOverloaded, early, "the request came back before the time it was given: come back after the given time")
+			}
+		}
+		w.first = try == 0
 		w.book = waits+1 >= maxWaitTries || len(view.Replicas) == 1
 		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], quiet.longest(view.Replicas[at], wait))
 		switch {
@@ -174,9 +183,10 @@
 			return nil, outcome.Refuse(outcome.CodeCancelled, 0, "the caller went away before the request was sent")
 		case err == nil && !reply.NotOwner:
 			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
-			refusal = soonest(refusal, reply)
+			refusal = outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
 			if reply.Reason == ReasonWait {
 				waits++
+				d.note(now, req, view.Replicas[at].ID, reply.RetryAfter)
 			}
 		default:
 			d.Record.Add(req.ID, "owner %s of replica %s did not answer", view.Replicas[at].Owner, view.Replicas[at].ID)
@@ -206,12 +216,34 @@
 	return at
 }
 
-// soonest keeps the refusal with the shortest come-back time.
-func soonest(old *outcome.Refusal, reply wire.AcquireReply) *outcome.Refusal {
-	if old != nil && old.RetryAfter <= reply.RetryAfter {
-		return old
+// returning looks at a request that was refused before. It returns the replica
+// that keeps its turn, else the one chosen, or how long before its time it has
+// come back while there is still a queue.
+func (d *Dispatcher) returning(now time.Time, req *Request, view *membership.Snapshot, at int) (int, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	early := d.told.Early(now, req.Fingerprint)
+	if early > 0 && !quick(&view.Replicas[at], req.Rank) {
+		return at, early
+	}
+	kept := d.told.Take(now, req.Fingerprint)
+	if i := routing.Find(view.Replicas, kept); i >= 0 && view.Replicas[i].Usable {
+		return i, 0
 	}
-	return outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
+	return at, 0
+}
+
+// quick tells whether a replica's owner is expected to answer at once.
+func quick(r *routing.Replica, rank int) bool {
+	n := len(r.Waits)
+	return n == 0 || r.Waits[min(max(rank, 0), n-1)] <= routing.QuickWait
+}
+
+// note remembers which replica told a refused request to come back.
+func (d *Dispatcher) note(now time.Time, req *Request, replica string, retryAfter time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.told.Note(now, req.Fingerprint, replica, retryAfter)
 }
 
 // ask asks one owner for a place.
@@ -225,7 +257,7 @@
 	d.mu.Lock()
 	d.pauses[p.grant] = p.paused
 	d.mu.Unlock()
-	reply, err := d.acquireFrom(ctx, r.Owner, args)
+	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
 	if err == nil && reply.Granted {
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
@@ -240,13 +272,18 @@
 	return nil, reply, err
 }
 
-// acquireFrom asks an owner and gives up once it is taken for dead.
-func (d *Dispatcher) acquireFrom(ctx context.Context, owner string, args wire.AcquireArgs) (wire.AcquireReply, error) {
+// acquireFrom asks an owner. It gives up once the owner is taken for dead, or,
+// where an answer is expected at once, when none has come.
+func (d *Dispatcher) acquireFrom(ctx context.Context, owner string, args wire.AcquireArgs, quick bool) (wire.AcquireReply, error) {
 	if owner == d.Node {
 		return d.Places.Acquire(ctx, owner, args)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if quick {
+		timer := time.AfterFunc(routing.QuickAnswer, cancel)
+		defer timer.Stop()
+	}
 	go d.watch(ctx, cancel, owner)
 	return d.Places.Acquire(ctx, owner, args)
 }
--- a/internal/measure/sim_direct.go
+++ b/internal/measure/sim_direct.go
@@ -6,7 +6,7 @@
 // loaded of two replicas drawn at random, by reports that lag.
 func (f *fleet) sendDirect(r *simRequest) {
 	node := f.nodes[r.home]
-	view := f.views[max(len(f.views)-2-r.home%3, 0)]
+	view := f.view(r)
 	best := -1
 	for range 2 {
 		at := f.rng.IntN(len(view))
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -65,6 +65,15 @@
 	queuedPenalty   = 60 * time.Millisecond
 )
 
+const (
+	// QuickWait is the published wait up to which an owner is expected to
+	// answer at once.
+	QuickWait = 100 * time.Millisecond
+	// QuickAnswer is how long such an answer may take before another owner is
+	// asked.
+	QuickAnswer = 500 * time.Millisecond
+)
+
 // DefaultChoices is how many replicas a choice looks at, so that nodes with
 // the same late view do not all choose the same one.
 const DefaultChoices = 8
@@ -74,7 +83,7 @@
 func ChooseReplica(replicas []Replica, req ReplicaRequest) int {
 	c := choice{replicas: replicas, req: &req, best: -1}
 	for _, held := range req.Cached {
-		if at := find(replicas, held.Replica); at >= 0 {
+		if at := Find(replicas, held.Replica); at >= 0 {
 			c.consider(at, held.Blocks)
 		}
 	}
@@ -88,8 +97,9 @@
 	return c.best
 }
 
-// find returns the index of a replica, or -1.
-func find(replicas []Replica, id string) int {
+// Find returns the index of the replica with the given ID, or -1. Replicas must
+// be sorted by ID.
+func Find(replicas []Replica, id string) int {
 	at, ok := slices.BinarySearchFunc(replicas, id, func(r Replica, id string) int { return cmp.Compare(r.ID, id) })
 	if !ok {
 		return -1
