--- /dev/null
+++ b/internal/admission/pause.go
@@ -0,0 +1,129 @@
+package admission
+
+import "time"
+
+// Pause returns a running stream that should be paused now for waiting work,
+// or nil. Each stream is returned once.
+func (g *Gate) Pause(now time.Time) *Stream {
+	waiting := 0
+	for rank := range g.options.Ranks {
+		n := g.order.Waiting(rank)
+		waiting += n
+		if n == 0 || waiting <= g.pausing {
+			continue
+		}
+		if s := g.victimFor(now, rank); s != nil {
+			s.Pausing = true
+			g.pausing++
+			return s
+		}
+	}
+	return nil
+}
+
+// victimFor returns a stream to be paused for the rank's first work, or nil.
+func (g *Gate) victimFor(now time.Time, rank int) *Stream {
+	if g.options.Ranks[rank].Preempts {
+		if s := g.victim(rank); s != nil {
+			return s
+		}
+	}
+	w := g.order.Next(now, func(r int) bool { return r == rank })
+	if w == nil {
+		return nil
+	}
+	return g.unfair(now, w)
+}
+
+// victim returns the least urgent stream that work of the rank may pause, the
+// newest among equals, or nil.
+func (g *Gate) victim(rank int) *Stream {
+	var best *Stream
+	counts := g.byRank()
+	for _, s := range g.running {
+		if !g.mayPause(s, rank, counts) {
+			continue
+		}
+		if best == nil || pausedBefore(s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+func pausedBefore(a, b *Stream) bool {
+	if a.Work.order() != b.Work.order() {
+		return a.Work.order() > b.Work.order()
+	}
+	if !a.Since.Equal(b.Since) {
+		return a.Since.After(b.Since)
+	}
+	return a.Work.ID < b.Work.ID
+}
+
+// mayPause tells whether the stream may be paused for the rank: a rank is not
+// paused below its floor.
+func (g *Gate) mayPause(s *Stream, rank int, counts []int) bool {
+	r := g.rank(s.Work.order())
+	if r <= rank || s.Pausing || !s.Work.Pausable {
+		return false
+	}
+	return float64(counts[r]-1) >= g.options.Ranks[r].Floor*float64(g.limit.Limit())
+}
+
+// unfair returns the newest long stream of the same rank whose organisation
+// holds several places while that of the waiting work holds none, or nil.
+func (g *Gate) unfair(now time.Time, w *Work) *Stream {
+	if !g.options.FairPause || !g.order.Modest(now, w, g.options.Modest) || g.places[place{w.Organisation, w.order()}] > 0 {
+		return nil
+	}
+	var best *Stream
+	for _, s := range g.running {
+		if s.Work.order() != w.order() || s.Pausing || !s.Work.Pausable || g.speed.need(s.Work.Tokens) < minPaused {
+			continue
+		}
+		held := float64(g.places[place{s.Work.Organisation, s.Work.order()}])
+		if held*weight(w) < unfairTimes*weight(s.Work) {
+			continue
+		}
+		if best == nil || pausedBefore(s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+// byRank counts the streams that run and are not being paused.
+func (g *Gate) byRank() []int {
+	counts := make([]int, len(g.options.Ranks))
+	for _, s := range g.running {
+		if !s.Pausing {
+			counts[g.rank(s.Work.order())]++
+		}
+	}
+	return counts
+}
+
+// willPause tells whether new work would soon get a place by pausing others.
+func (g *Gate) willPause(now time.Time, w *Work) bool {
+	return g.willPauseLower(g.rank(w.order())) || (g.order.Backlog(w) == 0 && g.unfair(now, w) != nil)
+}
+
+func (g *Gate) willPauseLower(rank int) bool {
+	if !g.options.Ranks[rank].Preempts {
+		return false
+	}
+	counts := g.byRank()
+	n := 0
+	for _, s := range g.running {
+		if s.Pausing || g.mayPause(s, rank, counts) {
+			n++
+		}
+	}
+	for i := range rank {
+		if g.order.Waiting(i) > 0 {
+			return false
+		}
+	}
+	return n > g.order.Waiting(rank)
+}
--- /dev/null
+++ b/internal/measure/sim_ask.go
@@ -0,0 +1,190 @@
+package measure
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/admission"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+// search is the state of one search for a place.
+type search struct {
+	tried []string
+	waits int
+}
+
+// ask asks an owner for a place.
+func (f *fleet) ask(r *simRequest, s search) {
+	if r.done {
+		return
+	}
+	node := f.nodes[r.home]
+	at := -1
+	if len(s.tried) <= placeTries {
+		at = f.choose(r, s.tried)
+	}
+	if len(s.tried) == 0 && at >= 0 && r.steps == 0 && !f.policy.naive {
+		early := node.told.Early(f.ev.now, fingerprint(r))
+		if early > 0 && f.view(r)[at].Waits[r.rank] > routing.QuickWait {
+			f.refuse(r, early)
+			return
+		}
+		if kept := f.index(node.told.Take(f.ev.now, fingerprint(r))); kept >= 0 && !f.owners[kept].down {
+			at = kept
+		}
+	}
+	if at < 0 {
+		f.refuse(r, noReplica)
+		return
+	}
+	o := f.owners[at]
+	f.turn++
+	t := &simTry{id: fmt.Sprint(f.turn), req: r, owner: o}
+	r.try = t
+	node.recent.Sent(f.ev.now, o.id)
+	f.stats.messages++
+	s.tried = append(slices.Clip(s.tried), o.id)
+	if len(s.tried) == 1 && f.view(r)[at].Waits[r.rank] <= routing.QuickWait {
+		f.ev.after(routing.QuickAnswer, func() { f.giveUp(t, s) })
+	}
+	f.ev.after(f.delay(node.dc, o.dc), func() { f.offer(t, s) })
+}
+
+// giveUp asks another owner where one with a free place has not answered.
+func (f *fleet) giveUp(t *simTry, s search) {
+	stuck := t.owner.waiting[t.id] != nil
+	if t.req.done || t.req.try != t || !(stuck || t.unanswered) {
+		return
+	}
+	t.owner.gate.Withdraw(t.id)
+	delete(t.owner.waiting, t.id)
+	f.ask(t.req, s)
+}
+
+// retry asks another owner unless that was done meanwhile.
+func (f *fleet) retry(t *simTry, s search) {
+	if t.req.try == t {
+		f.ask(t.req, s)
+	}
+}
+
+func fingerprint(r *simRequest) uint64 { return uint64(r.id) + 1 }
+
+// index returns the place of a replica, or -1.
+func (f *fleet) index(id string) int {
+	for i, o := range f.owners {
+		if o.id == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// view is what the request's entry node knows of the replicas.
+func (f *fleet) view(r *simRequest) []routing.Replica {
+	return f.views[max(len(f.views)-2-r.home%3, 0)]
+}
+
+// offer brings a request for a place to the owner.
+func (f *fleet) offer(t *simTry, s search) {
+	r, o := t.req, t.owner
+	if r.done {
+		return
+	}
+	back := f.delay(f.nodes[r.home].dc, o.dc)
+	if f.apart(f.nodes[r.home].dc, o.dc) {
+		t.unanswered = true
+		f.ev.after(cutNoticed, func() { f.retry(t, s) })
+		return
+	}
+	if f.ev.now.Before(o.frozen) {
+		t.unanswered = true
+		f.ev.after(cutNoticed, func() { f.retry(t, s) })
+		return
+	}
+	if o.down {
+		f.ev.after(back, func() { f.ask(r, s) })
+		return
+	}
+	work := &admission.Work{
+		ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
+		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
+		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
+	}
+	last := s.waits+1 >= waitTries
+	v := o.gate.Offer(f.ev.now, work, last)
+	if e := v.Evicted; e != nil {
+		evicted := o.waiting[e.ID]
+		delete(o.waiting, e.ID)
+		f.ev.after(f.delay(f.nodes[evicted.req.home].dc, o.dc), func() {
+			f.nodes[evicted.req.home].told.Note(f.ev.now, fingerprint(evicted.req), o.id, v.EvictedRetryAfter)
+			f.refused(evicted, v.EvictedRetryAfter)
+		})
+	}
+	switch {
+	case v.Queued:
+		o.waiting[t.id] = t
+		o.pump()
+	case last:
+		f.ev.after(back, func() {
+			f.nodes[r.home].told.Note(f.ev.now, fingerprint(r), o.id, v.RetryAfter)
+			f.refused(t, v.RetryAfter)
+		})
+	default:
+		s.waits++
+		f.ev.after(back, func() { f.ask(r, s) })
+	}
+}
+
+// choose returns the index of a replica.
+func (f *fleet) choose(r *simRequest, tried []string) int {
+	if f.policy.roundRobin {
+		f.turn++
+		for i := range f.owners {
+			at := (f.turn + i) % len(f.owners)
+			if !f.owners[at].down && !slices.Contains(tried, f.owners[at].id) {
+				return at
+			}
+		}
+		return -1
+	}
+	node := f.nodes[r.home]
+	view := f.view(r)
+	tried = f.unreachable(node.dc, tried)
+	req := routing.ReplicaRequest{
+		Target: simTarget, DataCentre: f.dcName(node.dc), Rank: r.rank, Excluded: tried,
+		Draw: f.rng.Uint64(), Choices: f.policy.choices,
+	}
+	req.Cached = f.cached(r)
+	req.Recent, req.Now = node.recent, f.ev.now
+	return routing.ChooseReplica(view, req)
+}
+
+// refused gives a caller its refusal.
+func (f *fleet) refused(t *simTry, retryAfter time.Duration) {
+	if !t.req.done && t.req.steps == 0 {
+		f.refuse(t.req, retryAfter)
+	}
+}
+
+func (f *fleet) refuse(r *simRequest, retryAfter time.Duration) {
+	f.stats.refusals++
+	again := r.manner
+	if r.tries >= maxTries {
+		again = leaves
+	}
+	switch again {
+	case obeys:
+		if r.told == 0 {
+			r.told = f.ev.now.Sub(r.arrived) + retryAfter
+		}
+		f.ev.after(retryAfter, func() { f.begin(r) })
+	case insists:
+		f.ev.after(retryAtOnce, func() { f.begin(r) })
+	default:
+		r.refused, r.done = true, true
+		f.stats.finished(r, f.ev.now)
+	}
+}
