--- /dev/null
+++ b/internal/admission/account.go
@@ -0,0 +1,301 @@
+package admission
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+	"time"
+)
+
+// sweepEvery is the number of charges between two sweeps of idle accounts.
+const sweepEvery = 256
+
+// account counts what one organisation was served over all ranks, in tokens
+// divided by its weight. Its work waits in a lane for each rank.
+type account struct {
+	virtual float64
+	usage   usage
+	weight  float64
+	lanes   []*lane
+	waiting int
+}
+
+// lane is the waiting work of one organisation and rank.
+type lane struct {
+	account *account
+	name    string
+	waiting []*Work
+	tokens  int
+	at      int
+}
+
+// laneHeap orders the lanes with waiting work by what their organisations were
+// served.
+type laneHeap []*lane
+
+func (h laneHeap) Len() int { return len(h) }
+
+func (h laneHeap) Less(i, j int) bool {
+	if h[i].account.virtual != h[j].account.virtual {
+		return h[i].account.virtual < h[j].account.virtual
+	}
+	return h[i].name < h[j].name
+}
+
+func (h laneHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+// Push implements heap.Interface.
+func (h *laneHeap) Push(x any) {
+	l := x.(*lane)
+	l.at = len(*h)
+	*h = append(*h, l)
+}
+
+// Pop implements heap.Interface.
+func (h *laneHeap) Pop() any {
+	last := len(*h) - 1
+	l := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return l
+}
+
+// accounts serves organisations by virtual token counter: within a rank, the
+// one that was served least over all ranks goes first, and one that comes back
+// from idleness starts level with the rest.
+type accounts struct {
+	byName  map[string]*account
+	active  []laneHeap // by rank
+	level   float64
+	weights float64
+	charges int
+	total   usage
+}
+
+func newAccounts(ranks int) accounts {
+	return accounts{byName: map[string]*account{}, active: make([]laneHeap, ranks)}
+}
+
+// least returns what the organisation served least has got, among those with
+// waiting work.
+func (s *accounts) least() float64 {
+	out, found := s.level, false
+	for _, h := range s.active {
+		if len(h) > 0 && (!found || h[0].account.virtual < out) {
+			out, found = h[0].account.virtual, true
+		}
+	}
+	return out
+}
+
+// compareWork orders the work of one lane: begun answers, then those that came
+// back when told, then by deadline.
+func compareWork(a, b *Work) int {
+	return cmp.Or(cmp.Compare(a.turn(), b.turn()), a.Deadline.Compare(b.Deadline))
+}
+
+// lastTurn is that of work that has neither begun nor been refused before.
+const lastTurn = 2
+
+func (w *Work) turn() int {
+	switch {
+	case w.Resumed:
+		return 0
+	case w.returned:
+		return 1
+	default:
+		return lastTurn
+	}
+}
+
+func (s *accounts) push(w *Work, rank int) {
+	a := s.byName[w.Organisation]
+	if a == nil {
+		a = &account{lanes: make([]*lane, len(s.active)), weight: weight(w)}
+		s.byName[w.Organisation] = a
+		s.weights += a.weight
+	}
+	if a.waiting == 0 {
+		a.virtual = max(a.virtual, s.least())
+	}
+	l := a.lanes[rank]
+	if l == nil {
+		l = &lane{account: a, name: w.Organisation}
+		a.lanes[rank] = l
+	}
+	w.lane = l
+	if len(l.waiting) == 0 {
+		heap.Push(&s.active[rank], l)
+	}
+	at, _ := slices.BinarySearchFunc(l.waiting, w, compareWork)
+	for at < len(l.waiting) && compareWork(l.waiting[at], w) == 0 {
+		at++
+	}
+	l.waiting = slices.Insert(l.waiting, at, w)
+	l.tokens += w.Tokens
+	a.waiting++
+}
+
+// next returns the first work of a rank's organisation served least.
+func (s *accounts) next(rank int) *Work { return s.active[rank][0].waiting[0] }
+
+// take removes work and charges its account.
+func (s *accounts) take(now time.Time, w *Work, rank int) {
+	s.level = max(s.level, s.least())
+	a := w.lane.account
+	s.drop(w, rank)
+	s.charge(a, float64(w.Tokens)/weight(w))
+	a.usage.add(now, float64(w.Tokens))
+	s.total.add(now, float64(w.Tokens))
+	s.charges++
+	if s.charges%sweepEvery == 0 {
+		s.sweep(now)
+	}
+}
+
+// drop removes work without a charge.
+func (s *accounts) drop(w *Work, rank int) {
+	l := w.lane
+	at := slices.Index(l.waiting, w)
+	l.waiting = slices.Delete(l.waiting, at, at+1)
+	l.tokens -= w.Tokens
+	l.account.waiting--
+	if len(l.waiting) == 0 {
+		heap.Remove(&s.active[rank], l.at)
+	}
+}
+
+// charge adds to what an organisation was served.
+func (s *accounts) charge(a *account, virtual float64) {
+	a.virtual += virtual
+	for rank, l := range a.lanes {
+		if l != nil && len(l.waiting) > 0 {
+			heap.Fix(&s.active[rank], l.at)
+		}
+	}
+}
+
+// correct adjusts the charge of the work's organisation, in tokens by weight.
+func (s *accounts) correct(w *Work, off float64) {
+	if a := s.byName[w.Organisation]; a != nil {
+		s.charge(a, off)
+		a.usage.tokens = max(a.usage.tokens+off*weight(w), 0)
+		s.total.tokens = max(s.total.tokens+off*weight(w), 0)
+	}
+}
+
+// appendExpired appends the work whose deadline has passed.
+func (l *lane) appendExpired(out []*Work, now time.Time) []*Work {
+	for _, w := range l.waiting {
+		passed := !w.Deadline.After(now)
+		if passed {
+			out = append(out, w)
+		}
+		if !passed && w.turn() == lastTurn {
+			break
+		}
+	}
+	return out
+}
+
+// end is what the lane's organisation will have been served once the lane is
+// empty.
+func (l *lane) end() float64 {
+	last := l.waiting[len(l.waiting)-1]
+	return l.account.virtual + float64(l.tokens)/weight(last)
+}
+
+// start returns what the organisation of new work will have been served when
+// the work's turn comes.
+func (s *accounts) start(w *Work, rank int) float64 {
+	a := s.byName[w.Organisation]
+	if a == nil {
+		return s.least()
+	}
+	virtual := a.virtual
+	if a.waiting == 0 {
+		virtual = max(virtual, s.least())
+	}
+	if l := a.lanes[rank]; l != nil {
+		virtual += float64(l.tokens) / weight(w)
+	}
+	return virtual
+}
+
+// excess returns the last work of the lane whose turn ends last, if it ends
+// after that of new work. Work whose answer has begun is never returned; begun
+// tells that some ends after that of the new work.
+func (s *accounts) excess(w *Work, rank int) (out *Work, begun bool) {
+	end := s.start(w, rank) + float64(w.Tokens)/weight(w)
+	latest := end
+	for _, l := range s.active[rank] {
+		last := l.waiting[len(l.waiting)-1]
+		at := l.end()
+		switch {
+		case l.name == w.Organisation || at <= end:
+		case last.Resumed || last.returned:
+			begun = true
+		case at > latest:
+			latest, out = at, last
+		}
+	}
+	return out, begun
+}
+
+// ahead returns the tokens that are served before the turn of new work.
+func (s *accounts) ahead(w *Work, rank int) float64 {
+	start := s.start(w, rank)
+	total := 0.0
+	for _, l := range s.active[rank] {
+		turn := (start - l.account.virtual) * weight(l.waiting[0])
+		total += min(float64(l.tokens), max(turn, 0))
+	}
+	return total
+}
+
+// modest tells whether the work's organisation was lately served less than a
+// given part of its fair share.
+func (s *accounts) modest(now time.Time, w *Work, part float64) bool {
+	a := s.byName[w.Organisation]
+	if a == nil {
+		return true
+	}
+	fair := s.total.at(now) * a.weight / s.weights
+	return a.usage.at(now) < part*fair
+}
+
+// sweep forgets idle accounts that would start level anyway.
+func (s *accounts) sweep(now time.Time) {
+	for name, a := range s.byName {
+		if a.waiting == 0 && a.virtual <= s.level && now.Sub(a.usage.last) > usageTime {
+			delete(s.byName, name)
+			s.weights -= a.weight
+		}
+	}
+}
+
+// usageTime is how long the use of an organisation is remembered.
+const usageTime = time.Minute
+
+// usage is a decaying sum of tokens.
+type usage struct {
+	tokens float64
+	last   time.Time
+}
+
+// at returns the sum as it stands now.
+func (u *usage) at(now time.Time) float64 {
+	if u.last.IsZero() {
+		return 0
+	}
+	return u.tokens * math.Exp(-float64(now.Sub(u.last))/float64(usageTime))
+}
+
+func (u *usage) add(now time.Time, tokens float64) {
+	u.tokens = u.at(now) + tokens
+	u.last = now
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -36,6 +36,7 @@
 	}
 	switch {
 	case err == nil:
+		used.Whole = !paused
 		d.release(p, used)
 		if paused {
 			d.Record.Add(a.req.ID, "paused at token %d for more urgent work or quiet hours", a.offset)
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -105,8 +105,9 @@
 	var first error
 	for _, t := range targets {
 		p, err := d.acquire(ctx, &a.req.Request, wish{
-			target: t, tokens: a.req.MaxTokens - a.offset, excluded: a.excluded,
-			deadline: a.req.Deadline, length: d.answerLength(a, t), prefixes: routing.PrefixHashes(a.req.Prompt),
+			target: t, tokens: a.req.MaxTokens - a.offset, prompt: routing.PromptTokens(a.req.Prompt) + a.offset,
+			resumed: a.started, excluded: a.excluded, deadline: a.req.Deadline, length: d.answerLength(a, t),
+			prefixes: routing.PrefixHashes(a.req.Prompt),
 		})
 		if err == nil {
 			a.target = t
