Bound what callers send, and answer everything as a refusal

Causes found by new tests, each seen failing on the code before: - a call that runs at most once ran without a key when its path was written in another way (%63onfirmations, //confirmations, /x/../confirmations, a slash at the end): the path reached the once-check as the caller spelt it. Now it has one canonical form, dot and empty segments are refused, and the once-check passes over a slash at the end; - a caller that stopped reading held its place for ever (1 stream still ran after a minute); each write now has 30 s, and a caller that misses it has gone, which no longer counts as a failure of the replica; - a body that never came held its connection for ever; it now has 30 s; - a draining node kept connections open and said it was ready.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -270,15 +271,16 @@
 	return nil
 }
 
-// validCall tells whether a call names a method in capitals and a path whose
-// only "*", if any, is its last character.
+// validCall tells whether a call names a method in capitals and a path, each
+// character in its usual form, whose only "*", if any, is its last character.
 func validCall(call string) bool {
 	method, path, ok := strings.Cut(call, " ")
 	if !ok || method == "" || strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" {
 		return false
 	}
-	star := strings.Index(path, "*")
-	return strings.HasPrefix(path, "/") && !strings.ContainsAny(path, " ?#") && (star < 0 || star == len(path)-1)
+	path = strings.TrimSuffix(path, "*")
+	decoded, err := url.PathUnescape(path)
+	return err == nil && strings.HasPrefix(path, "/") && (&url.URL{Path: decoded}).EscapedPath() == path
 }
 
 // served checks that some pool serves each model's default version.
--- a/internal/config/folder_test.go
+++ b/internal/config/folder_test.go
@@ -99,6 +99,8 @@
 		{`targets = ["small@v1", "small@v2"]`, `targets = [1]`, "pool.engines.targets[0]", "write \"model\" or"},
 		{`[service.booking]`, `[service.engines]`, "service.engines", "also the name of a pool"},
 		{`"POST /seats/*"`, `"seats"`, "service.booking.once_calls", "is not a call"},
+		{`"POST /seats/*"`, `"POST /s%65ats"`, "service.booking.once_calls", "is not a call"},
+		{`"POST /seats/*"`, `"POST /seats?x"`, "service.booking.once_calls", "is not a call"},
 		{`"POST /seats/*"`, `"POST /seats/*/x"`, "service.booking.once_calls", "is not a call"},
 		{`keys_sha256 = ["20ca`, `keys_sha256 = ["zzzz`, "organisation.school.keys_sha256", "is not a sum"},
 		{`allow = ["small"]`, `allow = ["smal"]`, "organisation.school.allow", "did you mean small?"},
--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -129,16 +129,3 @@
 	defer h.mu.Unlock()
 	return h.changed
 }
-
-// ByKey returns the organisation whose bearer key has the given hex SHA-256
-// sum, or nil.
-func (r *Revision) ByKey(sum string) (string, *Organisation) {
-	for name, o := range r.Config.Organisations {
-		for _, k := range o.KeysSHA256 {
-			if k == sum {
-				return name, o
-			}
-		}
-	}
-	return "", nil
-}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -26,15 +26,17 @@
 	Call backend.Call
 }
 
-// Once tells whether a service's call may not be repeated.
+// Once tells whether a service's call may not be repeated. A slash at the end
+// of the path makes no difference, since many services pass over it.
 func Once(s *config.Service, method, path string) bool {
+	path = strings.TrimRight(path, "/")
 	for _, call := range s.OnceCalls {
 		m, pattern, _ := strings.Cut(call, " ")
 		if m != method {
 			continue
 		}
 		prefix, wildcard := strings.CutSuffix(pattern, "*")
-		if path == pattern || (wildcard && strings.HasPrefix(path, prefix)) {
+		if path == strings.TrimRight(pattern, "/") || (wildcard && strings.HasPrefix(path+"/", prefix)) {
 			return true
 		}
 	}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -1,50 +1,70 @@
 package gateway
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 )
 
-// chatBody is the part of the OpenAI chat format that the router reads.
+// Bounds of an answer's length in tokens.
+const (
+	defaultMaxTokens = 256
+	mostTokens       = 8192
+)
+
+// chatBody is the part of the OpenAI chat format that the router reads; other
+// fields are passed over.
 type chatBody struct {
-	Model     string    `json:"model"`
-	Messages  []message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	Stream    bool      `json:"stream"`
+	Model               string       `json:"model"`
+	Messages            []askMessage `json:"messages"`
+	MaxTokens           int          `json:"max_tokens"`
+	MaxCompletionTokens int          `json:"max_completion_tokens"`
+	Stream              bool         `json:"stream"`
+	N                   int          `json:"n"`
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+// askMessage is one message of a request.
+type askMessage struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
 }
 
-// completion is a whole answer or, with Delta, a piece of one.
-type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
-}
+// content is a message's text, given as a string, null or a list of parts.
+type content string
 
-type choice struct {
-	Index        int      `json:"index"`
-	Message      *message `json:"message,omitempty"`
-	Delta        *message `json:"delta,omitempty"`
-	FinishReason *string  `json:"finish_reason"`
+// contentPart is one part of a message; the router takes text parts only.
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
 }
 
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *content) UnmarshalJSON(raw []byte) error {
+	if raw[0] != '[' {
+		return json.Unmarshal(raw, (*string)(c))
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return err
+	}
+	var text strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return errors.Errorf("a content part has type %q, only \"text\" is taken", p.Type)
+		}
+		text.WriteString(p.Text)
+	}
+	*c = content(text.String())
+	return nil
 }
 
 func parseChat(raw []byte) (*chatBody, error) {
@@ -55,9 +75,10 @@
 	if b.Model == "" || len(b.Messages) == 0 {
 		return nil, outcome.Refuse(outcome.CodeBadRequest, 0, "model or messages is missing: send both")
 	}
-	if b.MaxTokens == 0 {
-		b.MaxTokens = defaultMaxTokens
+	if b.N > 1 {
+		return nil, outcome.Refuse(outcome.CodeBadRequest, 0, "n is %d: the router gives one answer, leave n out", b.N)
 	}
+	b.MaxTokens = cmp.Or(b.MaxTokens, b.MaxCompletionTokens, defaultMaxTokens)
 	if b.MaxTokens < 0 || b.MaxTokens > mostTokens {
 		return nil, outcome.Refuse(outcome.CodeBadRequest, 0, "max_tokens is %d: write 1 to %d", b.MaxTokens, mostTokens)
 	}
@@ -68,7 +89,7 @@
 func (b *chatBody) prompt() string {
 	var text strings.Builder
 	for _, m := range b.Messages {
-		text.WriteString(m.Role + ": " + m.Content + "\n")
+		text.WriteString(cmp.Or(m.Role, "user") + ": " + string(m.Content) + "\n")
 	}
 	return text.String()
 }
@@ -79,7 +100,7 @@
 		g.refuse(w, "chat", rank, err)
 		return
 	}
-	raw, err := body(r)
+	raw, err := body(w, r)
 	if err != nil {
 		g.refuse(w, "chat", rank, err)
 		return
@@ -91,11 +112,13 @@
 	}
 	ctx, span := g.span(r, "chat", req)
 	defer span.End()
+	ctx, gone := context.WithCancel(ctx)
+	defer gone()
 	text := parsed.prompt()
 	req.Fingerprint = Fingerprint(req.Organisation, text)
-	w.Header().Set(HeaderRequestID, req.ID)
-	sink := &chatSink{w: w, id: req.ID, model: parsed.Model, stream: parsed.Stream, flush: http.NewResponseController(w), start: time.Now(),
+	sink := &chatSink{w: w, id: req.ID, model: parsed.Model, stream: parsed.Stream, control: http.NewResponseController(w), gone: gone, start: time.Now(),
 		first: func(d time.Duration) { g.Metrics.FirstToken.WithLabelValues(rank).Observe(d.Seconds()) }}
+	defer sink.close()
 	result, err := g.Dispatcher.Chat(ctx, &dispatch.ChatRequest{
 		Request: *req, Asked: config.ParseTarget(parsed.Model), Prompt: text, MaxTokens: parsed.MaxTokens,
 	}, sink)
@@ -118,76 +141,3 @@
 	g.Metrics.Requests.WithLabelValues("chat", rank, string(refusal.Code)).Inc()
 	sink.event(detail(refusal))
 }
-
-// chatSink writes an answer in the OpenAI format, whole or streamed.
-type chatSink struct {
-	w      http.ResponseWriter
-	flush  *http.ResponseController
-	id     string
-	model  string
-	stream bool
-	begun  bool
-	seen   bool
-	start  time.Time
-	first  func(time.Duration)
-	text   strings.Builder
-}
-
-// Token implements dispatch.Sink.
-func (s *chatSink) Token(text string) error {
-	if !s.seen {
-		s.seen = true
-		s.first(time.Since(s.start))
-	}
-	if !s.stream {
-		s.text.WriteString(text)
-		return nil
-	}
-	return s.event(s.completion("chat.completion.chunk", choice{Delta: &message{Role: "assistant", Content: text}}))
-}
-
-func (s *chatSink) completion(object string, c choice) completion {
-	return completion{ID: s.id, Object: object, Created: s.start.Unix(), Model: s.model, Choices: []choice{c}}
-}
-
-// event writes one server-sent event.
-func (s *chatSink) event(v any) error {
-	if !s.begun {
-		s.begun = true
-		s.w.Header().Set("Content-Type", "text/event-stream")
-		s.w.WriteHeader(http.StatusOK)
-	}
-	raw, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return s.write("data: " + string(raw) + "\n\n")
-}
-
-func (s *chatSink) write(text string) error {
-	if _, err := s.w.Write([]byte(text)); err != nil {
-		return errCallerGone
-	}
-	return s.flush.Flush()
-}
-
-// finish ends the answer.
-func (s *chatSink) finish(result *dispatch.ChatResult) {
-	reason := result.FinishReason
-	u := &usage{PromptTokens: result.PromptTokens, CompletionTokens: result.Tokens, TotalTokens: result.PromptTokens + result.Tokens}
-	if s.stream {
-		last := s.completion("chat.completion.chunk", choice{Delta: &message{}, FinishReason: &reason})
-		last.Model = result.Target.String()
-		last.Usage = u
-		if s.event(last) == nil {
-			_ = s.write("data: [DONE]\n\n")
-		}
-		return
-	}
-	whole := s.completion("chat.completion", choice{Message: &message{Role: "assistant", Content: s.text.String()}, FinishReason: &reason})
-	whole.Model = result.Target.String()
-	whole.Usage = u
-	s.w.Header().Set("Content-Type", "application/json")
-	s.w.Header().Set(HeaderVersion, result.Target.String())
-	_ = json.NewEncoder(s.w).Encode(whole)
-}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// key returns the bearer key of an organisation of the test configuration.
+func key(organisation string) string { return "key-" + organisation }
+
+func keySumOf(organisation string) string {
+	sum := sha256.Sum256([]byte(key(organisation)))
+	return hex.EncodeToString(sum[:])
+}
+
+// fixture is a gateway before any backend server.
+type fixture struct {
+	handler           http.Handler
+	record            *record.Log
+	draining, leaving bool
+	view              func() *membership.Snapshot
+}
+
+func newFixture(t testing.TB) *fixture {
+	t.Helper()
+	holder := config.NewHolder()
+	holder.Offer(&config.Revision{Number: 1, Withdrawn: map[config.Target]config.Withdrawal{{Model: "small", Version: "v2"}: {}}, Config: &config.Config{
+		Ranks:  map[string]*config.Rank{"normal": {Deadline: config.Duration(time.Second)}},
+		Models: map[string]*config.Model{"small": {Default: "v1", Versions: map[string]*config.Version{"v1": {}, "v2": {}}}, "large": {Default: "v1", Versions: map[string]*config.Version{"v1": {}}}},
+		Organisations: map[string]*config.Organisation{
+			"a": {KeysSHA256: []string{keySumOf("a")}, Allow: []config.Target{{Model: "small"}}, DefaultRank: "normal"},
+			"b": {KeysSHA256: []string{keySumOf("b")}, Allow: []config.Target{{Model: "large", Version: "v1"}}, DefaultRank: "normal"},
+		},
+	}})
+	s := config.DefaultSettings()
+	tracer, err := telemetry.NewTracer(t.Context(), s)
+	is.New(t).NoErr(err)
+	f := &fixture{record: record.NewLog("entry-1")}
+	f.view = membership.NewTable(wire.NodeState{ID: "entry-1", Address: "127.0.0.1:1"}).Snapshot
+	f.handler = New(Options{
+		Config: holder, View: func() *membership.Snapshot { return f.view() }, Metrics: telemetry.NewMetrics(), Tracer: tracer, Log: zap.NewNop(),
+		Dispatcher: dispatch.New(dispatch.Options{Config: holder, Record: f.record, View: func() *membership.Snapshot { return f.view() }}),
+		Draining:   func() bool { return f.draining }, Leaving: func() bool { return f.leaving },
+	})
+	return f
+}
+
+// do sends one request with the key of organisation a.
+func (f *fixture) do(method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key("a"))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	return w
+}
+
+const chatPath = "/v1/chat/completions"
+
+// refusal reads a refusal and checks that it is whole.
+func refusal(t *testing.T, w *httptest.ResponseRecorder) errorDetail {
+	t.Helper()
+	var body errorBody
+	if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+		t.Fatalf("the refusal is not JSON: %q", w.Body)
+	}
+	is := is.New(t)
+	is.Equal(w.Code, status(body.Error.Code))
+	is.True(body.Error.Message != "")                  // the message tells what to do
+	is.Equal(len(w.Header().Get(HeaderRequestID)), 32) // every answer carries its identity
+	is.Equal(w.Header().Get("Content-Type"), "application/json")
+	is.Equal(w.Header().Get("Retry-After") != "", body.Error.RetryAfterMS > 0) // both or neither
+	return body.Error
+}
+
+// Every refusal before dispatch is JSON with a code and says that the request
+// did not run.
+func TestRefusals(t *testing.T) {
+	long := strings.Repeat("x", maxHeaderValue+1)
+	chat := `{"model":"auto","messages":[{"role":"user","content":"x"}]}`
+	for _, c := range []struct {
+		name, method, path, body string
+		headers                  []string
+		code                     outcome.Code
+	}{
+		{"unknown path", "GET", "/v2/chat", "", nil, outcome.CodeNotFound},
+		{"wrong method", "GET", chatPath, "", nil, outcome.CodeMethodNotAllowed},
+		{"unknown method", "BREW", chatPath, "", nil, outcome.CodeMethodNotAllowed},
+		{"not JSON", "POST", chatPath, "{", nil, outcome.CodeBadRequest},
+		{"wrong type", "POST", chatPath, `{"model":1}`, nil, outcome.CodeBadRequest},
+		{"no messages", "POST", chatPath, `{"model":"auto"}`, nil, outcome.CodeBadRequest},
+		{"negative length", "POST", chatPath, `{"model":"auto","max_tokens":-1,"messages":[{"content":"x"}]}`, nil, outcome.CodeBadRequest},
+		{"two answers", "POST", chatPath, `{"model":"auto","n":2,"messages":[{"content":"x"}]}`, nil, outcome.CodeBadRequest},
+		{"image", "POST", chatPath, `{"model":"auto","messages":[{"content":[{"type":"image_url"}]}]}`, nil, outcome.CodeBadRequest},
+		{"too large", "POST", chatPath, strings.Repeat(" ", maxBodyBytes+1), nil, outcome.CodeTooLarge},
+		{"unknown rank", "POST", chatPath, chat, []string{HeaderRank, "gold"}, outcome.CodeBadRequest},
+		{"long session", "POST", chatPath, chat, []string{HeaderSession, long}, outcome.CodeBadRequest},
+		{"two sessions", "POST", chatPath, chat, []string{HeaderSession, "a", HeaderSession, "b"}, outcome.CodeBadRequest},
+		{"deadline of text", "POST", chatPath, chat, []string{HeaderDeadline, "soon"}, outcome.CodeBadRequest},
+		{"deadline too far", "POST", chatPath, chat, []string{HeaderDeadline, "9999999999999999"}, outcome.CodeBadRequest},
+		{"no key", "POST", chatPath, chat, []string{"Authorization", ""}, outcome.CodeUnauthorised},
+		{"another's service", "POST", "/v1/services/booking/seats", "", nil, outcome.CodeNotAllowed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			if c.code == outcome.CodeUnauthorised {
+				w := httptest.NewRecorder()
+				f.handler.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+				is.New(t).Equal(refusal(t, w).Code, c.code)
+				return
+			}
+			got := refusal(t, f.do(c.method, c.path, c.body, c.headers...))
+			is.New(t).Equal(got.Code, c.code)
+			is.New(t).Equal(got.Ran, outcome.RanNo)
+		})
+	}
+}
+
+func TestManyHeaders(t *testing.T) {
+	var headers []string
+	for i := range maxHeaders {
+		headers = append(headers, fmt.Sprintf("X-Other-%d", i), "x")
+	}
+	is.New(t).Equal(refusal(t, newFixture(t).do("POST", chatPath, "{}", headers...)).Code, outcome.CodeBadRequest)
+}
+
+func TestLeavingTellsWhenToComeBack(t *testing.T) {
+	f := newFixture(t)
+	f.leaving = true
+	got := f.do("POST", chatPath, "{}")
+	is := is.New(t)
+	is.Equal(refusal(t, got).Code, outcome.CodeLeaving)
+	is.Equal(got.Header().Get("Retry-After"), "1")
+	is.Equal(got.Header().Get("Connection"), "close")
+}
+
+// A panic is answered, counted as unknown, and the next request is served.
+func TestPanicIsAnswered(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	view := f.view
+	f.view = nil
+	got := refusal(t, f.do("GET", "/v1/addresses", ""))
+	is.Equal(got.Code, outcome.CodeInternal)
+	is.Equal(got.Ran, outcome.RanMaybe)
+	f.view = view
+	is.Equal(f.do("GET", "/v1/addresses", "").Code, http.StatusOK)
+}
+
+// An organisation sees only the models that it may use, without withdrawn
+// versions.
+func TestModels(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	ids := func(w *httptest.ResponseRecorder) []string {
+		var list modelList
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &list))
+		var out []string
+		for _, e := range list.Data {
+			out = append(out, e.ID)
+		}
+		return out
+	}
+	is.Equal(ids(f.do("GET", "/v1/models", "")), []string{"auto", "small", "small@v1"})
+	r := httptest.NewRequest("GET", "/v1/models", nil)
+	r.Header.Set("Authorization", "bearer "+key("b"))
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	is.Equal(ids(w), []string{"auto", "large", "large@v1"})
+}
+
+// The caller's own identity comes back, the router's is its own.
+func TestRequestIdentity(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	got := f.do("POST", chatPath, "{", HeaderRequestID, "trip-17")
+	is.Equal(got.Header().Get(HeaderClientRequestID), "trip-17")
+	id := got.Header().Get(HeaderRequestID)
+	is.True(id != "trip-17")
+	is.Equal(len(f.record.Steps(id)), 1) // the refusal can be explained
+	is.Equal(f.do("POST", chatPath, "{", HeaderRequestID, "a b").Header().Get(HeaderClientRequestID), "")
+}
+
+// A key that is replaced by a new revision is refused at once.
+func TestKeyIndexFollowsRevision(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{}
+	rev := func(n uint64, organisation string) *config.Revision {
+		return &config.Revision{Number: n, Config: &config.Config{Organisations: map[string]*config.Organisation{organisation: {KeysSHA256: []string{keySumOf(organisation), "short"}}}}}
+	}
+	sum := sha256.Sum256([]byte(key("a")))
+	is.Equal(g.keysOf(rev(1, "a")).names[sum], "a")
+	is.Equal(g.keysOf(rev(2, "b")).names[sum], "")
+}
+
+func TestContent(t *testing.T) {
+	is := is.New(t)
+	b, err := parseChat([]byte(`{"model":"m","temperature":0.1,"max_completion_tokens":7,"messages":[
+		{"role":"system","content":null},{"content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]},{"role":"user","content":"c"}]}`))
+	is.NoErr(err)
+	is.Equal(b.prompt(), "system: \nuser: ab\nuser: c\n")
+	is.Equal(b.MaxTokens, 7)
+}
+
+func TestServicePath(t *testing.T) {
+	is := is.New(t)
+	for path, want := range map[string]string{
+		"/seats": "/seats", "/seats/": "/seats/", "/a b": "/a%20b", "/a?b": "/a%3Fb", "/a#b": "/a%23b", "/": "/", "": "",
+	} {
+		got, err := servicePath("/v1/services/booking"+path, "booking")
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	for _, path := range []string{"//seats", "/a/../seats", "/./seats", "/seats//", "/.."} {
+		_, err := servicePath("/v1/services/booking"+path, "booking")
+		is.Equal(outcome.AsRefusal(err).Code, outcome.CodeBadRequest)
+	}
+}
+
+// No body and no headers make the gateway fail; what is not served is refused
+// whole.
+func FuzzRequest(f *testing.F) {
+	f.Add(`{"model":"auto","messages":[{"role":"user","content":"x"}]}`, "normal", "s", "100", "id")
+	f.Add(`{"model":"auto","messages":[{"content":[{"type":"text","text":"x"}]}]}`, "", "", "-1", "")
+	f.Add(`{"messages":[{"content":[[]]}],"model":{}}`, "x", "", "1e9", "\x00")
+	f.Add(`[]`, "", "\xff", "0x10", "..")
+	f.Add(`{"model":"small@v2@v3","max_tokens":8192,"messages":[null]}`, "", "", "", "")
+	f.Fuzz(func(t *testing.T, body, rank, session, deadline, id string) {
+		w := newFixture(t).do("POST", chatPath, body, HeaderRank, rank, HeaderDeadline, deadline, HeaderRequestID, id, "Idempotency-Key", session)
+		if got := refusal(t, w); got.Code == outcome.CodeInternal {
+			t.Fatalf("the handler failed: %+v", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net/http"
+	"net/url"
+	pathpkg "path"
+	"slices"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
+)
+
+func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
+	req, rank, err := g.request(r)
+	if err != nil {
+		g.refuse(w, "service", rank, err)
+		return
+	}
+	name := chi.URLParam(r, "name")
+	org := g.Config.Current().Config.Organisations[req.Organisation]
+	if org == nil || !slices.Contains(org.Services, name) {
+		g.refuse(w, "service", rank, outcome.Refuse(outcome.CodeNotAllowed, 0, "organisation %q may not call service %q: ask its operator", req.Organisation, name))
+		return
+	}
+	path, err := servicePath(r.URL.Path, name)
+	if err != nil {
+		g.refuse(w, "service", rank, err)
+		return
+	}
+	content, err := body(w, r)
+	if err != nil {
+		g.refuse(w, "service", rank, err)
+		return
+	}
+	key := r.Header.Get(backend.HeaderIdempotencyKey)
+	if key != "" {
+		req.ID = keyedID(req.Organisation, name, key)
+	}
+	ctx, span := g.span(r, "service", req)
+	defer span.End()
+	w.Header().Set(HeaderRequestID, req.ID)
+	reply, err := g.Dispatcher.Call(ctx, &dispatch.CallRequest{Request: *req, Service: name, Call: backend.Call{
+		Method: r.Method, Path: path, Query: r.URL.RawQuery, Body: content,
+		ContentType: r.Header.Get("Content-Type"), Key: key,
+	}})
+	if err != nil {
+		g.refuse(w, "service", rank, err)
+		return
+	}
+	g.Metrics.Requests.WithLabelValues("service", rank, "served").Inc()
+	w.Header().Set("Content-Type", reply.ContentType)
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+// servicePath returns the path behind a service's name in its one canonical
+// form. Other spellings of a path are refused, since a backend server might
+// take them for a call that runs at most once.
+func servicePath(path, name string) (string, error) {
+	rest := strings.TrimPrefix(path, "/v1/services/"+name)
+	trimmed := strings.TrimSuffix(rest, "/")
+	if trimmed != "" && pathpkg.Clean(trimmed) != trimmed {
+		return "", outcome.Refuse(outcome.CodeBadRequest, 0, "the path %q holds empty or dot segments: send it without them", rest)
+	}
+	return (&url.URL{Path: rest}).EscapedPath(), nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,8 @@
 	record      *record.Log
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
-	leaving     atomic.Bool
+	draining    atomic.Bool // left the directory
+	leaving     atomic.Bool // takes no new requests
 	servers     []*http.Server
 	inner       *wire.Server
 	mu          sync.Mutex
@@ -112,7 +113,7 @@
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
 		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
-		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.leaving.Load,
+		Metrics: n.metrics, Tracer: n.tracer, Log: n.options.Log, Draining: n.draining.Load, Leaving: n.leaving.Load,
 	})
 	n.serve(n.options.Listeners.Callers, callers)
 	n.serve(n.options.Listeners.Operators, n.operators())
@@ -157,12 +158,13 @@
 }
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
 )
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.servers = append(n.servers, s)
 	n.loops.Go(func() { _ = s.Serve(l) })
 }
@@ -178,6 +180,7 @@
 // callers have heard of it, lets running requests end, and stores its bills.
 // It returns when ctx ends at the latest.
 func (n *Node) Leave(ctx context.Context) error {
+	n.draining.Store(true)
 	n.members.Update(time.Now(), func(s *wire.NodeState) { s.Leaving = true })
 	n.exchange(ctx)
 	n.options.Log.Info("leaving: serving on until callers have heard")
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -43,6 +43,7 @@
 	CodeUnauthorised     Code = "unauthorised"
 	CodeNotAllowed       Code = "not_allowed"
 	CodeNotFound         Code = "not_found"
+	CodeMethodNotAllowed Code = "method_not_allowed"
 	CodeTooLarge         Code = "too_large"
 	CodeOverloaded       Code = "overloaded"
 	CodeDeadline         Code = "deadline"
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -51,6 +51,8 @@
 	PendingBills prometheus.Gauge
 	// StoreCalls counts calls of the platform by use and result.
 	StoreCalls *prometheus.CounterVec
+	// Panics counts requests whose handler panicked.
+	Panics prometheus.Counter
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -65,6 +67,7 @@
 		Revision:     f.NewGauge(prometheus.GaugeOpts{Name: "cowslipfall_config_revision", Help: "Configuration revision in force."}),
 		PendingBills: f.NewGauge(prometheus.GaugeOpts{Name: "cowslipfall_pending_bills", Help: "Bills not yet stored."}),
 		StoreCalls:   f.NewCounterVec(prometheus.CounterOpts{Name: "cowslipfall_store_calls_total", Help: "Calls of the platform by use and result."}, []string{"use", "result"}),
+		Panics:       f.NewCounter(prometheus.CounterOpts{Name: "cowslipfall_panics_total", Help: "Requests whose handler panicked."}),
 	}
 }
 
