--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -31,6 +31,7 @@
 	maxCost     = 1_000_000_000_000
 	keySumBytes = 32
 	timeOfDay   = "15:04"
+	maxMargin   = time.Hour
 )
 
 func (c *Config) applyDefaults() {
@@ -306,34 +307,6 @@
 		if slices.Contains(p.Targets, t) {
 			return true
 		}
-		if q.Margin < 0 {
-			return k.fault(key+".margin", "is negative: write by how much clocks may be wrong, such as \"2s\"")
-		}
-		if err := k.quietScope(key, q); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// quietScope checks that what a window covers exists; a misspelt name would
-// leave the window without effect.
-func (k checker) quietScope(key string, q *QuietHours) error {
-	pools := append(sorted(k.c.Pools), sorted(k.c.Services)...)
-	for _, scope := range []struct {
-		field  string
-		listed []string
-		known  []string
-	}{
-		{"pools", q.Pools, pools},
-		{"models", q.Models, sorted(k.c.Models)},
-		{"organisations", q.Organisations, sorted(k.c.Organisations)},
-	} {
-		for _, name := range scope.listed {
-			if !slices.Contains(scope.known, name) {
-				return k.fault(key+"."+scope.field, "%q does not exist%s", name, nearestHint(name, scope.known))
-			}
-		}
 	}
 	return false
 }
--- a/internal/config/check_policy.go
+++ b/internal/config/check_policy.go
@@ -104,8 +104,8 @@
 			return k.fault(key+"."+f.key, "%q is not a time of day: write hours and minutes, such as \"22:30\"", f.value)
 		}
 	}
-	if q.From == q.To {
-		return k.fault(key+".to", "%q is also when the window begins: write another time, \"00:00\" to \"23:59\" for nearly a whole day", q.To)
+	if d := q.Margin.Std(); d < 0 || d > maxMargin {
+		return k.fault(key+".margin", "%s is out of range: write by how much clocks may be wrong, at most %s", d, maxMargin)
 	}
 	return nil
 }
--- a/internal/config/warnings.go
+++ b/internal/config/warnings.go
@@ -98,6 +98,9 @@
 	week := make([]bool, len(weekdays)*minutesPerDay)
 	from, to := minuteOfDay(q.From), minuteOfDay(q.To)
 	length := (to - from + minutesPerDay) % minutesPerDay
+	if length == 0 {
+		length = minutesPerDay
+	}
 	for day, name := range weekdays {
 		if len(q.Days) > 0 && !slices.Contains(q.Days, name) {
 			continue
