An owner takes a place back whose release was lost

Cause: a release sent while the link to the owner was down is not sent again, and the owner frees places only of nodes that are dead. Ruled out: sending the release again from the holder, which needs a queue for owners that change.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -244,6 +244,19 @@
 	d.Places.Release(p.owner, args)
 }
 
+// Ended returns those of the grants that no request of this node holds.
+func (d *Dispatcher) Ended(grants []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for _, g := range grants {
+		if d.pauses[g] == nil {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 // Pause tells the stream that holds the grant to pause.
 func (d *Dispatcher) Pause(grant string) {
 	d.mu.Lock()
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -54,15 +54,21 @@
 	dataCentre string
 
 	mu       sync.Mutex
-	ranks    []*config.Rank              // guarded by mu
-	gate     *admission.Gate             // guarded by mu
-	holders  map[string]wire.AcquireArgs // guarded by mu; who runs, by grant
-	waiting  map[string]*waiter          // guarded by mu
-	early    map[string]time.Time        // guarded by mu; releases that came before their request
-	targets  []config.Target             // guarded by mu
-	healthy  bool                        // guarded by mu
-	leaving  bool                        // guarded by mu
-	failures int                         // guarded by mu
+	ranks    []*config.Rank       // guarded by mu
+	gate     *admission.Gate      // guarded by mu
+	holders  map[string]holder    // guarded by mu; who runs, by grant
+	waiting  map[string]*waiter   // guarded by mu
+	early    map[string]time.Time // guarded by mu; releases that came before their request
+	targets  []config.Target      // guarded by mu
+	healthy  bool                 // guarded by mu
+	leaving  bool                 // guarded by mu
+	failures int                  // guarded by mu
+}
+
+// holder is who was granted a place, and when.
+type holder struct {
+	args  wire.AcquireArgs
+	since time.Time
 }
 
 // waiter is a request for a place.
@@ -148,7 +154,7 @@
 		}
 		w := r.waiting[work.ID]
 		delete(r.waiting, work.ID)
-		r.holders[work.ID] = w.args
+		r.holders[work.ID] = holder{args: w.args, since: now}
 		w.answer <- wire.AcquireReply{Granted: true}
 	}
 }
@@ -167,7 +173,7 @@
 	defer r.mu.Unlock()
 	var out []wire.AcquireArgs
 	for s := r.gate.Pause(now); s != nil; s = r.gate.Pause(now) {
-		out = append(out, r.holders[s.Work.ID])
+		out = append(out, r.holders[s.Work.ID].args)
 	}
 	return out
 }
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -118,7 +118,7 @@
 	})
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
-		ranks: o.ranks, gate: gate, holders: map[string]wire.AcquireArgs{},
+		ranks: o.ranks, gate: gate, holders: map[string]holder{},
 		waiting: map[string]*waiter{}, early: map[string]time.Time{},
 	}
 }
@@ -172,7 +172,7 @@
 	for _, r := range list {
 		r.mu.Lock()
 		for id, h := range r.holders {
-			if !alive(h.Node, h.Incarnation) {
+			if !alive(h.args.Node, h.args.Incarnation) {
 				r.gate.Release(now, id, admission.Usage{})
 				delete(r.holders, id)
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,7 @@
 		{loopTick, n.followVMs},
 		{probeInterval, n.probe},
 		{loopTick, n.register},
+		{grantsInterval, n.reclaim},
 		{rating.Interval, n.versions.ratings.Tick},
 		{membership.HeartbeatInterval, n.gatherHolds},
 		{evidenceInterval, n.driveRollouts},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -79,6 +79,12 @@
 	return nil
 }
 
+// Grants implements wire.Handler.
+func (h *handler) Grants(args wire.GrantsArgs, reply *wire.GrantsReply) error {
+	reply.Ended = h.n.dispatcher.Ended(args.Grants)
+	return nil
+}
+
 // HoldBills implements wire.Handler.
 func (h *handler) HoldBills(args wire.HoldBillsArgs, _ *wire.HoldBillsReply) error {
 	h.n.bills.Hold(args)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -159,6 +159,16 @@
 // ReleaseReply is empty.
 type ReleaseReply struct{}
 
+// GrantsArgs asks a node which of these grants it still holds.
+type GrantsArgs struct {
+	Grants []string
+}
+
+// GrantsReply lists the grants that the node does not hold any more.
+type GrantsReply struct {
+	Ended []string
+}
+
 // PreemptArgs tells the holder of a grant to pause its stream.
 type PreemptArgs struct {
 	Grant string
@@ -249,6 +259,7 @@
 	Acquire(args AcquireArgs, reply *AcquireReply) error
 	Release(args ReleaseArgs, reply *ReleaseReply) error
 	Preempt(args PreemptArgs, reply *PreemptReply) error
+	Grants(args GrantsArgs, reply *GrantsReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
