--- a/internal/config/reference_test.go
+++ b/internal/config/reference_test.go
@@ -82,8 +82,7 @@
 func TestReferencePage(t *testing.T) {
 	c := &Config{
 		Organisations: map[string]*Organisation{"x": {}}, Pools: map[string]*Pool{"x": {}},
-		Services: map[string]*Service{"x": {}}, Ranks: map[string]*Rank{"x": {}},
-		QuietHours: map[string]*QuietHours{"x": {}},
+		Services: map[string]*Service{"x": {}}, Ranks: map[string]*Rank{"x": {}}, QuietHours: map[string]*QuietHours{"x": {}},
 	}
 	c.applyDefaults()
 	rows := referenceRows(t)
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -23,7 +23,7 @@
 	// maxUnstoredPins bounds those that wait for the table.
 	maxUnstoredPins = 100_000
 	// pinStoreWait bounds how long a request waits for the table.
-	pinStoreWait = 300 * time.Millisecond
+	pinStoreWait = 2 * time.Second
 	pinBackoff   = 2 * time.Second
 	maxPinTries  = 3
 	pinPrefix    = "pin/"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,10 @@
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -59,6 +62,8 @@
 	bills       *ledger.Bills
 	pins        *ledger.Pins
 	record      *record.Log
+	versions    *versions
+	drivers     drivers
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
 	leaving     atomic.Bool   // says so to callers, serves on
@@ -107,10 +112,13 @@
 	})
 	n.bills = ledger.NewBills(o.Platform, copies{n})
 	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
+	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record,
+		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
@@ -122,7 +130,7 @@
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
 		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher, Claims: n.claims,
-		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.refusing.Load,
+		Metrics: n.metrics, Tracer: n.tracer, Log: n.options.Log, Draining: n.leaving.Load, Leaving: n.refusing.Load,
 	})
 	n.serve(n.options.Listeners.Callers, n.sayLeaving(callers))
 	n.serve(n.options.Listeners.Operators, n.operators())
@@ -136,6 +144,11 @@
 		{loopTick, n.followVMs},
 		{probeInterval, n.probe},
 		{loopTick, n.register},
+		{grantsInterval, n.reclaim},
+		{rating.Interval, n.versions.ratings.Tick},
+		{membership.HeartbeatInterval, n.gatherHolds},
+		{evidenceInterval, n.driveRollouts},
+		{trustInterval, n.versions.cascade.watchRatings},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
@@ -172,12 +185,13 @@
 }
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
 )
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.servers = append(n.servers, s)
 	n.loops.Go(func() { _ = s.Serve(l) })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,6 +77,12 @@
 	return nil
 }
 
+// Grants implements wire.Handler.
+func (h *handler) Grants(args wire.GrantsArgs, reply *wire.GrantsReply) error {
+	reply.Ended = h.n.dispatcher.Ended(args.Grants)
+	return nil
+}
+
 // HoldBills implements wire.Handler.
 func (h *handler) HoldBills(args wire.HoldBillsArgs, reply *wire.HoldBillsReply) error {
 	reply.Holder = h.n.process()
@@ -89,6 +95,12 @@
 	return nil
 }
 
+// Evidence implements wire.Handler.
+func (h *handler) Evidence(args wire.EvidenceArgs, _ *wire.EvidenceReply) error {
+	h.n.takeEvidence(args)
+	return nil
+}
+
 // Explain implements wire.Handler.
 func (h *handler) Explain(args wire.ExplainArgs, reply *wire.ExplainReply) error {
 	reply.Steps = h.n.record.Steps(args.Request)
--- a/internal/node/pins.go
+++ b/internal/node/pins.go
@@ -13,9 +13,11 @@
 const (
 	// pinTimeout bounds one question to a session's home; it covers the
 	// home's own wait for the table.
-	pinTimeout = 500 * time.Millisecond
+	pinTimeout = 2500 * time.Millisecond
 	// copyPinTimeout bounds the handing over of one copy.
 	copyPinTimeout = 200 * time.Millisecond
+	// pinTries is how many nodes are asked in turn.
+	pinTries = 3
 )
 
 // Pin implements wire.Handler.
@@ -46,23 +48,32 @@
 	return routing.Rendezvous(ids, "session/"+session)
 }
 
-// Decide implements ledger.PinPeers.
+// Decide implements ledger.PinPeers: the first node of the session's order
+// that answers decides, this one if it is before them.
 func (p pinPeers) Decide(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
-	homes := p.homes(session)
-	if len(homes) == 0 || homes[0] == p.n.options.Settings.ID {
-		return config.Target{}, false
+	for i, id := range p.homes(session) {
+		if id == p.n.options.Settings.ID || i == pinTries {
+			break
+		}
+		if t, ok := p.ask(ctx, id, session, args, pinTimeout); ok {
+			return t, true
+		}
 	}
-	return p.ask(ctx, homes[0], session, args, pinTimeout)
+	return config.Target{}, false
 }
 
-// Copy implements ledger.PinPeers.
+// Copy implements ledger.PinPeers: the first other node that answers takes it.
 func (p pinPeers) Copy(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
 	args.Copy = true
+	tries := 0
 	for _, id := range p.homes(session) {
-		if id == p.n.options.Settings.ID {
+		if id == p.n.options.Settings.ID || tries == pinTries {
 			continue
 		}
-		return p.ask(ctx, id, session, args, copyPinTimeout)
+		tries++
+		if t, ok := p.ask(ctx, id, session, args, copyPinTimeout); ok {
+			return t, true
+		}
 	}
 	return config.Target{}, false
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
 // ReplicaState is what a replica's owner publishes of it.
@@ -52,6 +53,15 @@
 	Replicas []ReplicaState
 	// Suspects are fingerprints of requests seen at a crash.
 	Suspects []Suspect
+	// Holds are versions that should get no new sessions.
+	Holds []VersionHold
+}
+
+// VersionHold asks all nodes to give a version no new sessions for a while.
+type VersionHold struct {
+	Target config.Target
+	// Until is when the hold lapses.
+	Until time.Time
 }
 
 // Suspect is the fingerprint of a request that ran where a replica died.
@@ -99,10 +109,17 @@
 	Caller       string
 	// Rank is the rank's order.
 	Rank int
-	// Tokens is the estimated cost in tokens.
+	// Tokens is the most that may be generated, Prompt the length of the
+	// input, both in tokens.
 	Tokens int
-	// Wait is how long the asker can wait from now.
+	Prompt int
+	// Wait is how long the asker can wait from now for the whole answer.
 	Wait time.Duration
+	// Resumed tells that the answer has begun, so that its rest is not
+	// refused.
+	Resumed bool
+	// Book asks to keep the come-back time of a refusal for this request.
+	Book bool
 	// Fingerprint identifies the request's organisation and content.
 	Fingerprint uint64
 	// Prefixes are the prompt's block hashes, longest last.
@@ -129,6 +146,8 @@
 	Replica string
 	// Tokens is the true cost.
 	Tokens int
+	// Whole is true if the answer came to its end.
+	Whole bool
 	// FirstToken is the time from the grant to the first token.
 	FirstToken time.Duration
 	// TokenInterval is the mean time between tokens.
@@ -140,6 +159,16 @@
 // ReleaseReply is empty.
 type ReleaseReply struct{}
 
+// GrantsArgs asks a node which of these grants it still holds.
+type GrantsArgs struct {
+	Grants []string
+}
+
+// GrantsReply lists the grants that the node does not hold any more.
+type GrantsReply struct {
+	Ended []string
+}
+
 // PreemptArgs tells the holder of a grant to pause its stream.
 type PreemptArgs struct {
 	Grant string
@@ -241,6 +270,22 @@
 	Steps []Step
 }
 
+// VersionEvidence is what a process saw of one version since its start.
+type VersionEvidence struct {
+	Target   config.Target
+	Evidence rollout.Evidence
+}
+
+// EvidenceArgs tells a driver of roll-outs a node's totals.
+type EvidenceArgs struct {
+	Node        string
+	Incarnation uint64
+	Evidence    []VersionEvidence
+}
+
+// EvidenceReply is empty.
+type EvidenceReply struct{}
+
 // Handler is what a node answers to its peers.
 type Handler interface {
 	Exchange(args ExchangeArgs, reply *ExchangeReply) error
@@ -248,8 +293,10 @@
 	Acquire(args AcquireArgs, reply *AcquireReply) error
 	Release(args ReleaseArgs, reply *ReleaseReply) error
 	Preempt(args PreemptArgs, reply *PreemptReply) error
+	Grants(args GrantsArgs, reply *GrantsReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
 	Pin(args PinArgs, reply *PinReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
+	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
