A request that brings engines down costs two of them, and is refused everywhere

Mechanism: when a stream breaks, the replica's owner is asked whether the replica died (no answer, or another process than it saw last). An owner gives a suspect a place only where no other suspect runs or waits.

Not proved: the same request sent several times before its first crash is seen may run on as many replicas; two different crashing requests at once may convict a request that ran beside both; a node that dies with the first crash takes its report along, so three may be lost.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,6 +19,10 @@
 		d.Record.Add(a.req.ID, "version %s is no longer allowed: choosing again", a.target)
 		return backend.Frame{}, true, nil
 	}
+	if err := d.refuseConvicted(a); err != nil {
+		d.release(p, wire.ReleaseArgs{})
+		return backend.Frame{}, false, err
+	}
 	if _, closed := d.quietAt(answerScope(a, p), d.answerLength(a, a.target)); closed {
 		d.release(p, wire.ReleaseArgs{})
 		a.excluded = append(a.excluded, p.replica.ID)
@@ -37,6 +41,9 @@
 	switch {
 	case err == nil:
 		used.Whole = !paused
+		if !paused {
+			d.clear(a)
+		}
 		d.release(p, used)
 		if paused {
 			d.Record.Add(a.req.ID, "paused at token %d for more urgent work or quiet hours", a.offset)
@@ -62,6 +69,9 @@
 	a.excluded = append(a.excluded, p.replica.ID)
 	a.retries++
 	d.Record.Add(a.req.ID, "replica %s failed: %s", p.replica.ID, err)
+	if d.crashed(ctx, a, p, err) {
+		return backend.Frame{}, true, nil
+	}
 	if err.Retryable() && d.retry(ctx, &a.req.Request, a.retries) {
 		return backend.Frame{}, true, nil
 	}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -85,7 +85,13 @@
 // serve makes attempts until one ends the answer.
 func (d *Dispatcher) serve(ctx context.Context, a *answer) (backend.Frame, error) {
 	for {
+		if err := d.refuseConvicted(a); err != nil {
+			return backend.Frame{}, err
+		}
 		p, err := d.placeFor(ctx, a)
+		if err != nil && d.awaitReplica(ctx, a, err) {
+			continue
+		}
 		if err != nil {
 			refusal := outcome.AsRefusal(err)
 			refusal.Ran = outcome.Worse(refusal.Ran, a.ran)
--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/standin"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// oneEngine reaches one engine at every address.
+type oneEngine struct{ engine *standin.Engine }
+
+func (o oneEngine) Engine(string) backend.Engine   { return o.engine }
+func (o oneEngine) Service(string) backend.Service { return nil }
+
+// ownOne returns the owner of one healthy replica.
+func ownOne(t *testing.T, suspects *Suspects) (*Owner, oneEngine) {
+	t.Helper()
+	o := NewOwner(func(string, string) {})
+	o.Watch(suspects)
+	c := &config.Config{Pools: map[string]*config.Pool{"p": {Slots: 4, KVTokens: 10_000}}, Ranks: map[string]*config.Rank{"normal": {}}}
+	o.Configure(c)
+	o.Own([]platform.VM{{ID: "r", Address: "r", Pool: "p"}}, c)
+	dialer := oneEngine{standin.NewEngine(standin.EngineOptions{ID: "r"})}
+	o.Probe(context.Background(), dialer, func(string) bool { return false })
+	return o, dialer
+}
+
+func acquireFor(o *Owner, fingerprint uint64, grant string) wire.AcquireReply {
+	return o.Acquire(wire.AcquireArgs{Grant: grant, Replica: "r", Fingerprint: fingerprint, Tokens: 10, Wait: time.Second, Target: config.Target{Model: "m", Version: "v"}})
+}
+
+// A suspect gets a place only on a replica that runs no other suspect; others
+// are not kept off it.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	s := NewSuspects()
+	o, _ := ownOne(t, s)
+	now := time.Now()
+	s.Crashed(1, "x", now)
+	s.Crashed(2, "x", now)
+	is.True(acquireFor(o, 1, "a").Granted)
+	is.Equal(acquireFor(o, 2, "b").Reason, ReasonSuspect)
+	is.True(acquireFor(o, 3, "c").Granted)
+	o.Release(wire.ReleaseArgs{Grant: "a", Replica: "r"})
+	is.True(acquireFor(o, 2, "d").Granted)
+	is.True(s.Cleared(2, now)) // it ran to its end
+	is.True(acquireFor(o, 1, "e").Granted)
+}
+
+// Records merge in any order: one crash told twice counts once, two crashes
+// convict, and a conviction outlasts what clears a suspicion.
+func TestSuspectsMerge(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := NewSuspects(), NewSuspects()
+	first := a.Crashed(1, "x", now)
+	b.Merge(now, []wire.Suspect{first})
+	b.Crashed(1, "x", now.Add(time.Second))
+	is.True(!b.Convicted(1)) // the same crash
+	second := b.Crashed(1, "x", now.Add(time.Minute))
+	is.True(b.Convicted(1)) // the replica died again
+	is.True(a.Cleared(1, now))
+	is.True(!a.Suspected(1))
+	a.Merge(now, []wire.Suspect{second})
+	is.True(a.Convicted(1))
+	is.True(!a.Cleared(1, now))
+	cleared := NewSuspects()
+	cleared.Merge(now, []wire.Suspect{first})
+	cleared.Cleared(1, now)
+	cleared.Merge(now, []wire.Suspect{first})
+	is.True(!cleared.Suspected(1)) // old news does not bring the suspicion back
+}
+
+// A replica that came back as another process has died.
+func TestInspectSeesARestart(t *testing.T) {
+	is := is.New(t)
+	o, dialer := ownOne(t, nil)
+	alive, owned := o.Inspect(context.Background(), dialer, "r")
+	is.True(alive && owned)
+	dialer.engine.Crash()
+	dialer.engine.Restart()
+	alive, _ = o.Inspect(context.Background(), dialer, "r")
+	is.True(!alive)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,10 @@
 	Bills  *ledger.Bills
 	Pins   *ledger.Pins
 	Record *record.Log
+	// Suspects remembers requests that ran where a replica died, Alarms tells
+	// other nodes of them; nil remembers none.
+	Suspects *Suspects
+	Alarms   Alarms
 	// Observer learns from attempts and answers; nil learns nothing.
 	Observer Observer
 	// Cascade chooses between versions; nil keeps their order.
@@ -188,7 +192,7 @@
 			return nil, outcome.Refuse(outcome.CodeCancelled, 0, "the caller went away before the request was sent")
 		case err == nil && !reply.NotOwner:
 			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
-			refusal = outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
+			refusal = outcome.Refuse(refusalCode(reply.Reason), reply.RetryAfter, "%s: come back after the given time", reply.Reason)
 			if reply.Reason == ReasonWait {
 				waits++
 				d.note(now, req, view.Replicas[at].ID, reply.RetryAfter)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -35,6 +35,7 @@
 // concurrent use. Lock order: Owner.mu before replica.mu.
 type Owner struct {
 	pause    Pauser
+	suspects *Suspects
 	mu       sync.Mutex
 	replicas map[string]*replica // guarded by mu
 	ranks    []*config.Rank      // guarded by mu; in their order
@@ -63,6 +64,8 @@
 	healthy  bool                 // guarded by mu
 	leaving  bool                 // guarded by mu
 	failures int                  // guarded by mu
+	suspects *Suspects            // nil keeps no requests apart
+	process  string               // guarded by mu; the incarnation last seen
 }
 
 // holder is who was granted a place, and when.
@@ -116,6 +119,9 @@
 	if !r.healthy || r.leaving {
 		return nil, wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter}
 	}
+	if r.crowded(args.Fingerprint) {
+		return nil, wire.AcquireReply{Reason: ReasonSuspect, RetryAfter: minRetryAfter}
+	}
 	work := newWork(args, weight, now)
 	v := r.gate.Offer(now, work, args.Book)
 	if !v.Queued {
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -118,7 +118,7 @@
 	})
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
-		ranks: o.ranks, gate: gate, holders: map[string]holder{},
+		ranks: o.ranks, gate: gate, suspects: o.suspects, holders: map[string]holder{},
 		waiting: map[string]*waiter{}, early: map[string]time.Time{},
 	}
 }
@@ -157,6 +157,7 @@
 	r.failures = 0
 	r.healthy = !report.Draining
 	r.targets = report.Targets
+	r.process = report.Incarnation
 	if report.Draining {
 		r.refuseWaiting()
 	}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -101,6 +101,7 @@
 	n.members.Tick(now)
 	n.owner.Drop(n.alive)
 	n.bills.Adopt(copies{n}.Live)
+	n.shareSuspects(now)
 	n.own()
 	n.platform.SetNodes(n.members.Snapshot().Sharers())
 	n.peers.Sweep()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	claims      *ledger.Claims
 	bills       *ledger.Bills
 	pins        *ledger.Pins
+	suspects    *dispatch.Suspects
 	record      *record.Log
 	versions    *versions
 	drivers     drivers
@@ -111,13 +112,15 @@
 		NewToken: dispatch.NewID, AskSender: n.askSender,
 	})
 	n.bills = ledger.NewBills(o.Platform, copies{n})
+	n.suspects = dispatch.NewSuspects()
+	n.owner.Watch(n.suspects)
 	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
 	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
-		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record,
+		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record, Suspects: n.suspects, Alarms: alarms{n},
 		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -157,6 +157,16 @@
 	e.cache = nil
 }
 
+// BreakStreams ends every stream with an error, while the engine lives on.
+func (e *Engine) BreakStreams() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.streams {
+		s.fail()
+	}
+	e.streams = nil
+}
+
 // Crash kills the engine.
 func (e *Engine) Crash() {
 	e.mu.Lock()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -68,8 +68,11 @@
 type Suspect struct {
 	// Fingerprint identifies organisation and content.
 	Fingerprint uint64
-	// Crashes counts the replicas that died with it alone or among others.
-	Crashes int
+	// Generation rises when the request has run to its end; only crashes
+	// since then count.
+	Generation uint64
+	// Lost lists the replicas that died with it alone or among others.
+	Lost []Crash
 	// Convicted means that the request is refused everywhere.
 	Convicted bool
 	// Until is when the record lapses.
@@ -92,6 +95,32 @@
 	Config []byte
 }
 
+// Crash is the death of a replica.
+type Crash struct {
+	Replica string
+	At      time.Time
+}
+
+// AlarmArgs tells of requests that ran where a replica died.
+type AlarmArgs struct {
+	Suspects []Suspect
+}
+
+// AlarmReply is empty.
+type AlarmReply struct{}
+
+// InspectArgs asks a replica's owner whether the replica lives.
+type InspectArgs struct {
+	Replica string
+}
+
+// InspectReply is the answer.
+type InspectReply struct {
+	// Owned tells that the node owns the replica, Alive that it answered.
+	Owned bool
+	Alive bool
+}
+
 // AcquireArgs asks the owner of a replica for a place on it. The call
 // returns when the place is granted or refused.
 type AcquireArgs struct {
@@ -296,6 +325,8 @@
 	Grants(args GrantsArgs, reply *GrantsReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
+	Alarm(args AlarmArgs, reply *AlarmReply) error
+	Inspect(args InspectArgs, reply *InspectReply) error
 	Pin(args PinArgs, reply *PinReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
 	Evidence(args EvidenceArgs, reply *EvidenceReply) error
