Answers are spliced whole from late, doubled, reordered and foreign frames

Causes, found by reading: a frame that came early ended the attempt as broken; a stream that fell silent was waited for to the deadline; a caller who left counted as the replica's failure, which marked it unhealthy and was tried again.

A replica that is only silent does not count as dead for suspicions.

Seen failing: foreign frames taken, frames taken in the order they came, no bound on silence. Dropping what lies before the offset, or resuming from 0, makes no difference to wholeness, only to memory and work. Not proved: an engine that gives other tokens for the same seed and offset.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
@@ -51,7 +53,7 @@
 			d.Observer.Tried(a.target, true, first, d.firstTokenTarget(a.req.Rank))
 		}
 		return final, paused, nil
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errCaller):
 		d.release(p, used)
 		return backend.Frame{}, false, &outcome.Refusal{Code: outcome.CodeDeadline, Ran: outcome.Worse(a.ran, backendError(err).Ran), RetryAfter: minRetryAfter, Message: "the deadline passed or the caller went away while the answer was made"}
 	}
@@ -94,41 +96,66 @@
 		return backend.Frame{}, false, err
 	}
 	defer s.Close()
+	return d.follow(ctx, a, p, newSplice(id, a.offset), arrivals(ctx, s), first)
+}
+
+// follow takes frames until the answer is whole, the stream fails or falls
+// silent, or the work is to pause.
+func (d *Dispatcher) follow(ctx context.Context, a *answer, p *place, s *splice, frames <-chan arrival, first func()) (backend.Frame, bool, error) {
+	silence := time.NewTimer(firstFrameWait)
+	defer silence.Stop()
 	for {
+		var next arrival
 		select {
 		case <-p.paused:
 			return backend.Frame{}, true, nil
-		default:
+		case <-silence.C:
+			return backend.Frame{}, false, broken("the stream fell silent")
+		case next = <-frames:
+		case <-ctx.Done():
+			next.err = broken(ctx.Err().Error())
 		}
-		f, err := s.Next()
-		if err != nil && context.Cause(ctx) == errQuietHours {
+		if next.err != nil && context.Cause(ctx) == errQuietHours {
 			a.ran = outcome.RanYes
 			return backend.Frame{}, true, nil
 		}
+		if next.err != nil {
+			return backend.Frame{}, false, next.err
+		}
+		silence.Reset(frameWait)
+		ready, err := s.accept(next.frame)
 		if err != nil {
 			return backend.Frame{}, false, err
 		}
-		switch {
-		case f.Attempt != id || f.Offset < a.offset:
-			continue
-		case f.Offset > a.offset:
-			return backend.Frame{}, false, &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanYes, Message: "a frame is missing"}
-		case f.Final:
-			return f, false, nil
-		}
-		if !a.started {
-			first()
-		}
-		a.started = true
-		a.offset++
-		a.ran = outcome.RanYes
-		a.keep(f.Text)
-		if err := a.out().Token(f.Text); err != nil {
-			return backend.Frame{}, false, err
+		for _, f := range ready {
+			if f.Final {
+				return f, false, nil
+			}
+			if err := a.take(f, first); err != nil {
+				return backend.Frame{}, false, err
+			}
 		}
 	}
 }
 
+// errCaller means that the answer's caller has gone.
+var errCaller = errors.New("the caller has gone")
+
+// take hands the next token to the caller.
+func (a *answer) take(f backend.Frame, first func()) error {
+	if !a.started {
+		first()
+	}
+	a.started = true
+	a.offset++
+	a.ran = outcome.RanYes
+	a.keep(f.Text)
+	if err := a.out().Token(f.Text); err != nil {
+		return errors.Wrap(errCaller, err.Error())
+	}
+	return nil
+}
+
 // keep notes the text for rating, within bounds.
 func (a *answer) keep(text string) {
 	if a.text.Len()+len(text) <= maxRatedBytes {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -109,7 +109,7 @@
 }
 
 // Inspect asks an owned replica whether it lives, as the process that the
-// owner saw last.
+// owner saw last. One that is only silent until ctx ends counts as alive.
 func (o *Owner) Inspect(ctx context.Context, dialer backend.Dialer, replica string) (alive, owned bool) {
 	o.mu.Lock()
 	r := o.replicas[replica]
@@ -118,6 +118,9 @@
 		return false, false
 	}
 	report, err := dialer.Engine(r.address).Load(ctx)
+	if ctx.Err() != nil {
+		return true, true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return err == nil && (r.process == "" || r.process == report.Incarnation), true
--- a/internal/node/alarms.go
+++ b/internal/node/alarms.go
@@ -12,6 +12,9 @@
 // alarmWait bounds how long a request waits until the others know of a crash.
 const alarmWait = 300 * time.Millisecond
 
+// inspectTimeout bounds an owner's question to a replica.
+const inspectTimeout = 300 * time.Millisecond
+
 // Alarm implements wire.Handler.
 func (h *handler) Alarm(args wire.AlarmArgs, _ *wire.AlarmReply) error {
 	h.n.suspects.Merge(time.Now(), args.Suspects)
@@ -20,7 +23,9 @@
 
 // Inspect implements wire.Handler.
 func (h *handler) Inspect(args wire.InspectArgs, reply *wire.InspectReply) error {
-	reply.Alive, reply.Owned = h.n.owner.Inspect(h.n.life, h.n.options.Dialer, args.Replica)
+	ctx, cancel := context.WithTimeout(h.n.life, inspectTimeout)
+	defer cancel()
+	reply.Alive, reply.Owned = h.n.owner.Inspect(ctx, h.n.options.Dialer, args.Replica)
 	return nil
 }
 
@@ -41,7 +46,7 @@
 		}
 	}
 	_, err := a.n.options.Dialer.Engine(address).Load(ctx)
-	return err != nil
+	return err != nil && ctx.Err() == nil
 }
 
 // Tell implements dispatch.Alarms.
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -240,11 +240,16 @@
 type dialer struct {
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
+	// wrap changes how engines behave; nil changes nothing.
+	wrap func(backend.Engine) backend.Engine
 }
 
 // Engine returns a dead engine where there is none, as a node without a
 // configuration may ask a plain service.
 func (d *dialer) Engine(address string) backend.Engine {
+	if e := d.engines[address]; e != nil && d.wrap != nil {
+		return d.wrap(e)
+	}
 	if e := d.engines[address]; e != nil {
 		return e
 	}
@@ -284,6 +289,8 @@
 	engine                   standin.EngineOptions
 	edit                     func(c *config.Config)
 	platform                 standin.PlatformOptions
+	// wrap changes how engines behave.
+	wrap func(backend.Engine) backend.Engine
 }
 
 // newWorld starts a deployment and waits until it is settled. Close it before
@@ -300,7 +307,7 @@
 	}
 	w := &world{
 		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen,
-		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}, nodes: map[string]*member{},
+		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, wrap: o.wrap}, nodes: map[string]*member{},
 	}
 	w.loadConfig(o.edit)
 	for i := range o.engines {
@@ -400,8 +407,11 @@
 // sleep lets virtual time pass.
 func (w *world) sleep(d time.Duration) { time.Sleep(d) }
 
-// close stops all nodes, so that the bubble can end.
+// close stops all nodes and thaws the engines, so that the bubble can end.
 func (w *world) close() {
+	for _, e := range w.dialer.engines {
+		e.Faults.Set(standin.FaultState{})
+	}
 	for _, id := range w.ids() {
 		w.kill(id)
 	}
