--- a/internal/ledger/bill.go
+++ b/internal/ledger/bill.go
@@ -51,14 +51,13 @@
 
 // Bills stores one bill for each request: it buffers them, has a second node
 // keep a copy until they are stored, and keeps such copies for others. It is
-// safe for concurrent use. Lock order: flushing before mu; no lock is held
-// while a copy is handed over.
+// safe for concurrent use. No lock is held during a call.
 type Bills struct {
 	table  platform.Table
 	copies Copies
 	wake   chan struct{}
 
-	flushing sync.Mutex
+	flushing chan struct{} // holds a token while a flush is under way
 
 	mu      sync.Mutex
 	pending []pendingBill                // guarded by mu; numbered from first without gaps
@@ -71,7 +70,7 @@
 // NewBills returns an empty buffer of bills.
 func NewBills(table platform.Table, copies Copies) *Bills {
 	return &Bills{
-		table: table, copies: copies, wake: make(chan struct{}, 1), first: 1,
+		table: table, copies: copies, wake: make(chan struct{}, 1), flushing: make(chan struct{}, 1), first: 1,
 		holders: map[wire.Process]*copyHolder{}, held: map[wire.Process]*heldBills{},
 	}
 }
@@ -140,8 +139,12 @@
 
 // Flush stores the bills that wait now, batch after batch.
 func (b *Bills) Flush(ctx context.Context) error {
-	b.flushing.Lock()
-	defer b.flushing.Unlock()
+	select {
+	case b.flushing <- struct{}{}:
+		defer func() { <-b.flushing }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for left := b.Pending(); left > 0; left -= billBatch {
 		if err := b.flushBatch(ctx); err != nil {
 			return err
@@ -150,7 +153,7 @@
 	return nil
 }
 
-// flushBatch stores the oldest bills. The caller holds flushing.
+// flushBatch stores the oldest bills. One flush runs at a time.
 func (b *Bills) flushBatch(ctx context.Context) error {
 	b.mu.Lock()
 	batch := make([]wire.Bill, min(len(b.pending), billBatch))
--- a/test/fleet/bills_test.go
+++ b/test/fleet/bills_test.go
@@ -29,13 +29,18 @@
 	c.mu.Unlock()
 	a := c.w.post(node, org, chatPath, chatBody(text, 20), nil)
 	if a.err == nil && a.status == http.StatusOK {
-		c.mu.Lock()
-		c.served[a.header.Get(gateway.HeaderRequestID)] = true
-		c.mu.Unlock()
+		c.serve(a.header.Get(gateway.HeaderRequestID))
 	}
 	return a
 }
 
+// serve notes a request that was served.
+func (c *till) serve(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served[id] = true
+}
+
 func newTill(w *world) *till { return &till{w: w, served: map[string]bool{}} }
 
 // check compares who was served with the bills stored: none missing, none
