A hold on a suspect version ends in a verdict

Cause: a hold stops new sessions, and with them the evidence. Ruled out: evidence lost with the driver that the test kills; it was kept.

--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -51,7 +51,9 @@
 	withdrawAt      = channelCount / FalseAlarmBound
 	suspectAt       = withdrawAt / 5
 	// HoldTime is how long a suspect version gets no new sessions.
-	HoldTime = 5 * time.Minute
+	HoldTime = 2 * time.Minute
+	// Probation is the number of new answers after a hold before the next.
+	Probation = 20
 	// holdGrowth is by how much evidence must grow for another hold.
 	holdGrowth = 2
 )
@@ -72,6 +74,7 @@
 	tests [channelCount]Test
 	held  float64
 	hold  time.Time
+	tried int // outcomes of the new version since the last hold began
 }
 
 // NewGuard returns a guard that has seen nothing.
@@ -94,8 +97,9 @@
 // Observe takes what both versions did since the last call, and judges.
 func (g *Guard) Observe(old, next Evidence, now time.Time) Verdict {
 	a, b := old.channels(), next.channels()
-	worst, most := 0, 0.0
+	worst, most, tried := 0, 0.0, 0
 	for i := range g.tests {
+		tried = max(tried, b[i].Total())
 		g.tests[i].Add(a[i], b[i])
 		if e := g.tests[i].Evidence(); e > most {
 			worst, most = i, e
@@ -107,8 +111,12 @@
 		v.HoldUntil = now.Add(HoldTime)
 		return v
 	}
-	if most >= suspectAt && most >= g.held*holdGrowth && !now.Before(g.hold) {
+	if !now.Before(g.hold) {
+		g.tried += tried
+	}
+	if g.suspect(most) && !now.Before(g.hold) {
 		g.held = most
+		g.tried = 0
 		g.hold = now.Add(HoldTime)
 	}
 	if now.Before(g.hold) {
@@ -116,3 +124,12 @@
 	}
 	return v
 }
+
+// suspect tells whether the evidence is worth a hold: the first time it
+// reaches the bound, later once it has grown over a number of new outcomes.
+func (g *Guard) suspect(evidence float64) bool {
+	if evidence < suspectAt {
+		return false
+	}
+	return g.held == 0 || (evidence >= g.held*holdGrowth && g.tried >= Probation)
+}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -194,3 +194,27 @@
 		g.Observe(e, e, time.Unix(0, 0))
 	}
 }
+
+// A suspect version is tried again after its hold: it is not held anew before
+// it gave a number of new answers, so that it is withdrawn or cleared in the
+// end.
+func TestHoldEndsInAVerdict(t *testing.T) {
+	is := is.New(t)
+	for i := range uint64(50) {
+		rng := rand.New(rand.NewPCG(20261204, i))
+		g, now := NewGuard(), time.Unix(0, 0)
+		observe := func() Verdict {
+			now = now.Add(10 * time.Second)
+			return g.Observe(Evidence{Rated: counts(rng, 18, 0.9)}, Evidence{Rated: counts(rng, 1, 0.4)}, now)
+		}
+		v := observe()
+		for v.HoldUntil.IsZero() {
+			v = observe()
+		}
+		now = v.HoldUntil
+		for n := 1; n < Probation && !v.Withdraw; n++ {
+			v = observe()
+			is.True(v.Withdraw || v.HoldUntil.IsZero()) // held anew without having been tried
+		}
+	}
+}
--- a/test/fleet/rollout_test.go
+++ b/test/fleet/rollout_test.go
@@ -209,11 +209,10 @@
 		w.sleep(10*time.Second + time.Millisecond)
 		began := w.runs(v2, time.Time{})
 		rev := w.rollOut("withdraw", func(r *config.Revision) error { return rollout.Withdraw(r, v2, "test", time.Now()) })
-		before := time.Now()
-		for w.nodes["entry-1"].node.Status().Revision.Number < rev.Number {
-			before = time.Now()
-			w.sleep(10 * time.Millisecond)
+		for !w.inForce(rev.Number) {
+			w.sleep(time.Millisecond)
 		}
+		inForce := time.Now()
 		for i := range 4 {
 			go w.post("entry-1", org, chatPath, chatBody(fmt.Sprint("urgent ", i), 20), map[string]string{"X-Rank": "urgent"})
 		}
@@ -226,7 +225,7 @@
 			}
 		}
 		f.check(began > 0 && began < requests, "%d of %d answers had begun", began, requests)
-		f.check(w.runs(v2, before) == 0, "%d attempts began on the withdrawn version", w.runs(v2, before))
+		f.check(w.runs(v2, inForce) == 0, "%d attempts began on the withdrawn version", w.runs(v2, inForce))
 		f.check(served < requests, "all were served by a withdrawn version")
 	})
 }
