--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -20,7 +20,6 @@
 	hurryTimeout = 10 * time.Second
 	// closeTimeout bounds the last messages of a leaving node.
 	closeTimeout = 2 * time.Second
-	flushWait    = 100 * time.Millisecond
 )
 
 // sayLeaving tells callers of a leaving node to come back elsewhere: /readyz
@@ -49,7 +48,8 @@
 	n.options.Log.Info("leaving: serving on until callers have heard", zap.Duration("notice", drainNotice))
 	n.waitNotice(ctx)
 	err := n.endRequests(ctx)
-	n.flushBills(ctx)
+	n.closeBooks(ctx)
+	n.handPins(ctx)
 	n.sayDown()
 	n.Close()
 	return err
@@ -93,14 +93,6 @@
 	return first
 }
 
-func (n *Node) flushBills(ctx context.Context) {
-	for n.bills.Pending() > 0 && ctx.Err() == nil {
-		if n.bills.Flush(ctx) != nil {
-			pause(ctx, flushWait)
-		}
-	}
-}
-
 // sayDown tells the neighbours that the node stops now, and takes its row
 // from the table.
 func (n *Node) sayDown() {
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -242,7 +242,17 @@
 	services map[string]*standin.Service
 }
 
-func (d *dialer) Engine(address string) backend.Engine   { return d.engines[address] }
+// Engine returns a dead engine where there is none, as a node without a
+// configuration may ask a plain service.
+func (d *dialer) Engine(address string) backend.Engine {
+	if e := d.engines[address]; e != nil {
+		return e
+	}
+	e := standin.NewEngine(standin.EngineOptions{})
+	e.Crash()
+	return e
+}
+
 func (d *dialer) Service(address string) backend.Service { return d.services[address] }
 
 // world is a whole deployment on the virtual clock.
@@ -255,6 +265,8 @@
 	config   *config.Config
 	shape    embedded.Deployment
 	nodes    map[string]*member
+	// peers gives nodes that start the inner addresses of those running.
+	peers bool
 }
 
 // member is one entry node of the world.
@@ -359,6 +371,11 @@
 	s.Region = w.shape.Region
 	s.InnerSecret = embedded.InnerSecret
 	s.OperatorKey = embedded.OperatorKey
+	for _, other := range w.ids() {
+		if w.peers {
+			s.Peers = append(s.Peers, other+":inner")
+		}
+	}
 	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers"}
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
 	n, err := node.New(node.Options{Settings: s, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
@@ -372,8 +389,10 @@
 	return m
 }
 
-// kill stops a node at once, as a crash would.
+// kill stops a node at once, as a crash would: nothing that it still tries
+// reaches the platform.
 func (w *world) kill(id string) {
+	w.nodes[id].platform.setAway(true)
 	w.nodes[id].node.Close()
 	delete(w.nodes, id)
 }
