--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -69,11 +69,17 @@
 func newConfigApply() *cobra.Command {
 	var base, note string
 	var revision int64
+	var wait bool
+	var timeout time.Duration
+	operator := &operatorFlags{}
 	cmd := &cobra.Command{
 		Use:   "apply DIR",
 		Short: "Make a folder the configuration of the whole fleet",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if wait && !cmd.Flags().Changed("node") {
+				return errors.New("--wait needs --node and --key: name the operators' address of any node")
+			}
 			c, err := config.LoadFolder(args[0])
 			if err != nil {
 				return err
@@ -84,11 +90,18 @@
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d, hash %.12s\n", rev.Number, rev.Hash)
-			return err
+			fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d, hash %.12s\n", rev.Number, rev.Hash)
+			if !wait {
+				return nil
+			}
+			return waitInForce(cmd, operator, rev.Number, timeout)
 		},
 	}
 	platformFlag(cmd, &base)
+	operator.addOptional(cmd)
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until every live node has it in force; needs --node and --key")
+	cmd.Flags().DurationVar(&timeout, "timeout", 30*time.Second, "how long to wait")
+	cmd.MarkFlagsRequiredTogether("node", "key")
 	cmd.Flags().StringVar(&note, "note", "config apply", "what changes, in a few words")
 	cmd.Flags().Int64Var(&revision, "base", -1, "revision that the change was made on; the newest if not given")
 	return cmd
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -23,9 +23,14 @@
 	json    bool
 }
 
-func (f *operatorFlags) add(cmd *cobra.Command) {
+// addOptional adds the flags that name a node and its key.
+func (f *operatorFlags) addOptional(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.address, "node", "", "operators' address of any node, IP:port")
 	cmd.Flags().StringVar(&f.key, "key", "", "the nodes' operator_key")
+}
+
+func (f *operatorFlags) add(cmd *cobra.Command) {
+	f.addOptional(cmd)
 	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON")
 	_ = cmd.MarkFlagRequired("node")
 	_ = cmd.MarkFlagRequired("key")
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,8 @@
 const (
 	// HeadKey is the table row with the newest revision.
 	HeadKey = "config/head"
+	// RevisionPrefix begins the table rows of all accepted revisions.
+	RevisionPrefix = "config/revision/"
 	// ObjectPrefix begins the names of the contents, by hash.
 	ObjectPrefix = "config-"
 )
@@ -102,8 +105,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if head.Number != c.Base {
-		return nil, &RaceError{Base: c.Base, Newest: head}
+	if head.Number < c.Base {
+		return nil, errors.Wrapf(platform.ErrUnavailable, "the store shows revision %d, older than the base %d", head.Number, c.Base)
+	}
+	if head.Number > c.Base {
+		return s.raced(ctx, head, c)
 	}
 	next, err := s.prepare(ctx, head, c)
 	if err != nil {
@@ -113,13 +119,55 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode revision")
 	}
-	_, err = s.table.Commit(ctx, platform.Op{Key: HeadKey, Value: value, Expect: version})
+	_, err = s.table.Commit(ctx,
+		platform.Op{Key: HeadKey, Value: value, Expect: version},
+		platform.Op{Key: RevisionKey(next.Number), Value: value})
 	if err == nil {
 		return next, nil
 	}
 	return s.settle(ctx, c, next, err)
 }
 
+// RevisionKey returns the table key of an accepted revision.
+func RevisionKey(number uint64) string { return fmt.Sprintf("%s%020d", RevisionPrefix, number) }
+
+// raced answers a change whose base is no longer the newest: it is accepted
+// if the newest revision was made by it, as when the reply of an earlier try
+// was lost.
+func (s *Store) raced(ctx context.Context, head *Revision, c Change) (*Revision, error) {
+	mine := head.Number == c.Base+1 && head.Author == c.Author && head.Note == c.Note
+	if !mine {
+		return nil, &RaceError{Base: c.Base, Newest: head}
+	}
+	base, err := s.revision(ctx, c.Base)
+	if err != nil {
+		return nil, &RaceError{Base: c.Base, Newest: head}
+	}
+	again, err := s.prepare(ctx, base, c)
+	if err != nil {
+		return nil, err
+	}
+	if again.Hash != head.Hash || !maps.Equal(again.Withdrawn, head.Withdrawn) || !maps.Equal(again.Stages, head.Stages) {
+		return nil, &RaceError{Base: c.Base, Newest: head}
+	}
+	again.At = head.At
+	return again, nil
+}
+
+// revision returns an accepted revision without its content; revision 0 is
+// empty.
+func (s *Store) revision(ctx context.Context, number uint64) (*Revision, error) {
+	if number == 0 {
+		return &Revision{}, nil
+	}
+	row, err := s.table.Get(ctx, RevisionKey(number))
+	if err != nil {
+		return nil, err
+	}
+	rev := &Revision{}
+	return rev, errors.Wrap(json.Unmarshal(row.Value, rev), "decode revision")
+}
+
 // prepare edits a copy of the newest revision and stores its content.
 func (s *Store) prepare(ctx context.Context, head *Revision, c Change) (*Revision, error) {
 	next := *head
