A node that its neighbours cannot reach answers by any way left

Found by a test of half-reachable nodes: two nodes of one data centre, cut off each other but reached by all others, were taken for dead every few seconds, as heartbeats stay within the data centre. A silent node is now doubted before it is taken for dead; the doubt reaches it through others, and its heartbeat goes further for a minute.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,9 +20,15 @@
 	// HeartbeatInterval is how often a node raises its heartbeat and
 	// exchanges news with its neighbours.
 	HeartbeatInterval = time.Second
+	// DoubtAfter is how long a node may stay silent before the others of its
+	// data centre say so; the node can answer by any way that is left.
+	DoubtAfter = 3 * time.Second
 	// SuspectAfter is how long a node may stay silent before the others of
 	// its data centre take it for dead.
-	SuspectAfter = 4 * time.Second
+	SuspectAfter = 5 * time.Second
+	// wideTime is how long a doubted node's heartbeat is passed on beyond its
+	// data centre.
+	wideTime = time.Minute
 	// SilentAfter is how long a whole data centre may stay silent before the
 	// nodes elsewhere take it for unreachable.
 	SilentAfter = 7 * time.Second
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -58,7 +58,7 @@
 func (n *nodeItem) news() wire.NodeNews {
 	s := n.state
 	s.Replicas = nil
-	return wire.NodeNews{State: s, Beat: n.beat, Down: n.down}
+	return wire.NodeNews{State: s, Beat: n.beat, Doubt: n.doubt, Down: n.down}
 }
 
 // change is one entry of the log as a peer would be told it.
@@ -122,12 +122,12 @@
 func (c *composer) nodes() {
 	for _, n := range c.t.nodes {
 		switch {
-		case n.state.ID == c.to:
+		case n.state.ID == c.to && !n.doubt && !n.down:
 		case c.fresh(n.index, n.from):
 			c.add(n.index, func(news *wire.News) { news.Nodes = append(news.Nodes, n.news()) })
 		case c.fresh(n.revisionIndex, n.revisionFrom):
 			c.add(n.revisionIndex, func(news *wire.News) { news.Beats = append(news.Beats, n.beatNews(c.revision)) })
-		case c.fresh(n.beatIndex, n.beatFrom) && c.t.near(n.state, c.peer):
+		case c.fresh(n.beatIndex, n.beatFrom) && (n.wide || c.t.near(n.state, c.peer)):
 			c.add(n.beatIndex, func(news *wire.News) { news.Beats = append(news.Beats, n.beatNews(c.revision)) })
 		}
 	}
@@ -185,7 +185,7 @@
 
 // beatNews leaves the revision out where it is the sender's own.
 func (n *nodeItem) beatNews(revision uint64) wire.Beat {
-	b := wire.Beat{Node: nodeHash(n.state.ID, n.state.Incarnation), Count: n.beat}
+	b := wire.Beat{Node: nodeHash(n.state.ID, n.state.Incarnation), Count: n.beat, Wide: n.wide}
 	if n.state.Revision != revision {
 		b.Revision = n.state.Revision
 	}
@@ -255,6 +255,7 @@
 // caller holds mu.
 func (t *Table) takeNode(now time.Time, news wire.NodeNews, from uint64) {
 	if news.State.ID == t.id {
+		t.refute(now, news)
 		return
 	}
 	old := t.nodes[news.State.ID]
@@ -267,6 +268,19 @@
 	}
 }
 
+// refute answers a doubt of the own life: the heartbeat goes further for a
+// while. The caller holds mu.
+func (t *Table) refute(now time.Time, news wire.NodeNews) {
+	self := t.nodes[t.id]
+	if news.State.Incarnation != t.incarnation || self.down || !(news.Doubt || news.Down) {
+		return
+	}
+	t.wideUntil = now.Add(wideTime)
+	self.wide = true
+	self.beat = max(self.beat, news.Beat) + 1
+	self.beatIndex = t.next()
+}
+
 func (t *Table) mergeNode(now time.Time, n *nodeItem, news wire.NodeNews, from uint64) {
 	changed := false
 	if news.State.Sequence > n.state.Sequence {
@@ -276,14 +290,16 @@
 	}
 	switch {
 	case news.Beat > n.beat:
-		changed = changed || news.Down != n.down
+		changed = changed || news.Down != n.down || news.Doubt != n.doubt
 		n.beat = news.Beat
+		n.doubt = news.Doubt
 		n.down = news.Down
 		n.beatIndex = t.next()
 		n.beatFrom = from
 		n.heard = now
-	case news.Beat == n.beat && news.Down && !n.down:
-		n.down = true
+	case news.Beat == n.beat && (news.Down && !n.down || news.Doubt && !n.doubt):
+		n.doubt = n.doubt || news.Doubt
+		n.down = n.down || news.Down
 		changed = true
 	}
 	if changed {
@@ -312,8 +328,10 @@
 	n.beatIndex = t.next()
 	n.beatFrom = from
 	n.heard = now
-	if n.down {
+	n.wide = b.Wide
+	if n.down || n.doubt {
 		n.down = false
+		n.doubt = false
 		n.index = t.next()
 		n.from = 0
 		t.urgent = true
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -17,7 +17,10 @@
 type nodeItem struct {
 	state wire.NodeState
 	beat  uint32
+	doubt bool
 	down  bool
+	// wide tells that the heartbeat is passed on beyond the data centre.
+	wide bool
 	// heard is when the heartbeat last rose here.
 	heard time.Time
 	// index, beatIndex and revisionIndex are the places of the newest change
@@ -67,24 +70,25 @@
 	id          string
 	incarnation uint64
 
-	mu       sync.Mutex
-	index    uint64                   // guarded by mu
-	nodes    map[string]*nodeItem     // guarded by mu; the own node's included
-	hashes   map[uint64]*nodeItem     // guarded by mu
-	replicas map[string]*replicaItem  // guarded by mu
-	vms      map[string]*vmItem       // guarded by mu
-	centres  map[string]*centreItem   // guarded by mu
-	have     map[string]wire.Position // guarded by mu; what is held of each peer's log
-	told     map[string]wire.Position // guarded by mu; what each peer holds of the own log
-	ticked   time.Time                // guarded by mu
-	built    time.Time                // guarded by mu
-	cost     time.Duration            // guarded by mu; of the last view
-	stale    bool                     // guarded by mu; the view lacks a change of load
-	urgent   bool                     // guarded by mu; the view lacks another change
-	live     []string                 // guarded by mu; the nodes that own replicas, as of the last view
-	owners   map[string]string        // guarded by mu; by VM, as of the last view
-	due      atomic.Int64             // when a new view is due, in Unix nanoseconds; 0 for never
-	snapshot atomic.Pointer[Snapshot]
+	mu        sync.Mutex
+	index     uint64                   // guarded by mu
+	nodes     map[string]*nodeItem     // guarded by mu; the own node's included
+	hashes    map[uint64]*nodeItem     // guarded by mu
+	replicas  map[string]*replicaItem  // guarded by mu
+	vms       map[string]*vmItem       // guarded by mu
+	centres   map[string]*centreItem   // guarded by mu
+	have      map[string]wire.Position // guarded by mu; what is held of each peer's log
+	told      map[string]wire.Position // guarded by mu; what each peer holds of the own log
+	ticked    time.Time                // guarded by mu
+	wideUntil time.Time                // guarded by mu; how long others hear the own heartbeat beyond the data centre
+	built     time.Time                // guarded by mu
+	cost      time.Duration            // guarded by mu; of the last view
+	stale     bool                     // guarded by mu; the view lacks a change of load
+	urgent    bool                     // guarded by mu; the view lacks another change
+	live      []string                 // guarded by mu; the nodes that own replicas, as of the last view
+	owners    map[string]string        // guarded by mu; by VM, as of the last view
+	due       atomic.Int64             // when a new view is due, in Unix nanoseconds; 0 for never
+	snapshot  atomic.Pointer[Snapshot]
 }
 
 // NewTable returns a table that knows only the own node.
@@ -221,17 +225,15 @@
 	self.beat++
 	self.beatIndex = t.next()
 	self.heard = now
+	self.wide = now.Before(t.wideUntil)
 	t.beatCentre(now, self.state)
 	for id, n := range t.nodes {
 		if id == t.id {
 			continue
 		}
 		silent := now.Sub(n.heard)
-		if n.state.DataCentre == self.state.DataCentre && !n.down && silent > SuspectAfter {
-			n.down = true
-			n.index = t.next()
-			n.from = 0
-			t.urgent = true
+		if n.state.DataCentre == self.state.DataCentre {
+			t.judge(n, silent)
 		}
 		if silent > ForgetAfter && !t.isLive(n, now) {
 			t.forget(n)
@@ -247,6 +249,22 @@
 	t.refresh(now)
 }
 
+// judge doubts a silent node of the own data centre, and takes it for dead if
+// that lasts. The caller holds mu.
+func (t *Table) judge(n *nodeItem, silent time.Duration) {
+	switch {
+	case !n.down && silent > SuspectAfter:
+		n.down = true
+	case !n.down && !n.doubt && silent > DoubtAfter:
+		n.doubt = true
+	default:
+		return
+	}
+	n.index = t.next()
+	n.from = 0
+	t.urgent = true
+}
+
 // beatCentre raises the heartbeat of the own data centre, on the nodes that
 // stand for it, unless another has just done so. The caller holds mu.
 func (t *Table) beatCentre(now time.Time, self wire.NodeState) {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -19,6 +19,9 @@
 	// Revision is the configuration revision in force there; 0 means that of
 	// the message's sender.
 	Revision uint64
+	// Wide tells to pass the heartbeat on beyond the data centre, since some
+	// of its nodes do not hear the node themselves.
+	Wide bool
 }
 
 // CentreBeat is the heartbeat of a whole data centre.
@@ -33,8 +36,10 @@
 	State NodeState
 	// Beat is the newest heartbeat known.
 	Beat uint32
-	// Down tells that nodes of its data centre heard no heartbeat after Beat.
-	Down bool
+	// Doubt tells that a node of its data centre hears no heartbeat after
+	// Beat; Down that this lasted, or that the node said that it stops.
+	Doubt bool
+	Down  bool
 }
 
 // ReplicaNews is an owner's account of a replica. What the list of VMs tells
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -353,6 +353,12 @@
 
 // addNode starts an entry node.
 func (w *world) addNode(id, dataCentre string) *member {
+	return w.addNodeWith(id, dataCentre, func(*member) {})
+}
+
+// addNodeWith starts an entry node whose settings or view of the platform
+// edit has changed.
+func (w *world) addNodeWith(id, dataCentre string, edit func(m *member)) *member {
 	s := config.DefaultSettings()
 	s.ID = id
 	s.DataCentre = dataCentre
@@ -360,8 +366,9 @@
 	s.InnerSecret = embedded.InnerSecret
 	s.OperatorKey = embedded.OperatorKey
 	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers"}
+	edit(m)
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
-	n, err := node.New(node.Options{Settings: s, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
 	if err != nil {
 		w.faults.addf("new node %s: %v", id, err)
 		return nil
