--- /dev/null
+++ b/internal/fleet/lease.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+)
+
+const (
+	// LeasePrefix begins the table keys of leases.
+	LeasePrefix = "lease/orders/"
+	// LeaseTime is how long a lease holds after its last renewal.
+	LeaseTime = 30 * time.Second
+	// renewAfter is the age at which a lease is renewed.
+	renewAfter = LeaseTime / 3
+)
+
+// ErrNotHeld means that another node holds the lease, or may.
+var ErrNotHeld = errors.New("another node holds the lease for orders: it takes its time to lapse")
+
+// leaseRow is what the table holds of a lease.
+type leaseRow struct {
+	// Number is the fencing number; it rises with each new holder.
+	Number uint64 `json:"number"`
+	// Node and Incarnation tell who holds it.
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Lease is one node's view of the lease for one pool. A node takes it over
+// only after it saw the row unchanged for LeaseTime on its own clock, so that
+// clocks need not agree. It is used by one goroutine.
+type Lease struct {
+	table platform.Table
+	key   string
+	self  leaseRow
+
+	held    bool
+	renewed time.Time // when the call that last renewed it began
+	seen    uint64    // version of the row last seen
+	since   time.Time // when that version was first seen
+}
+
+// NewLease returns the lease of a pool for one process.
+func NewLease(table platform.Table, pool, node string, incarnation uint64) *Lease {
+	return &Lease{table: table, key: LeasePrefix + pool, self: leaseRow{Node: node, Incarnation: incarnation}}
+}
+
+// Number returns the fencing number, and whether the lease is held at now. It
+// must be asked again just before each order.
+func (l *Lease) Number(now time.Time) (uint64, bool) {
+	return l.self.Number, l.held && now.Sub(l.renewed) < LeaseTime
+}
+
+// Acquire takes or renews the lease. It returns ErrNotHeld while another node
+// may hold it, or the store's error.
+func (l *Lease) Acquire(ctx context.Context) error {
+	now := time.Now()
+	if _, ok := l.Number(now); ok && now.Sub(l.renewed) < renewAfter {
+		return nil
+	}
+	row, stored, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	mine := row.Version != 0 && stored.Node == l.self.Node && stored.Incarnation == l.self.Incarnation
+	if !mine && l.fresh(row.Version, now) {
+		l.held = false
+		return ErrNotHeld
+	}
+	next := l.self
+	next.Number = stored.Number
+	if !mine {
+		next.Number++
+	}
+	return l.write(ctx, row.Version, next, now)
+}
+
+// fresh tells whether the row changed within LeaseTime. The caller does not
+// hold it.
+func (l *Lease) fresh(version uint64, now time.Time) bool {
+	if version == 0 {
+		return false
+	}
+	if version != l.seen {
+		l.seen = version
+		l.since = now
+	}
+	return now.Sub(l.since) < LeaseTime
+}
+
+func (l *Lease) read(ctx context.Context) (platform.Row, leaseRow, error) {
+	row, err := l.table.Get(ctx, l.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Row{}, leaseRow{}, nil
+	}
+	if err != nil {
+		return row, leaseRow{}, err
+	}
+	var stored leaseRow
+	return row, stored, errors.Wrap(json.Unmarshal(row.Value, &stored), "decode lease")
+}
+
+func (l *Lease) write(ctx context.Context, version uint64, next leaseRow, began time.Time) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "encode lease")
+	}
+	if _, err := l.table.Commit(ctx, platform.Op{Key: l.key, Value: value, Expect: version}); err != nil {
+		if errors.Is(err, platform.ErrConflict) {
+			l.held = false
+			return ErrNotHeld
+		}
+		return err
+	}
+	l.self = next
+	l.held = true
+	l.renewed = began
+	return nil
+}
+
+// Drop forgets the lease after an engine said that a newer holder is there.
+func (l *Lease) Drop() { l.held = false }
--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/fleet"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+const ordersInterval = 2 * time.Second
+
+// newOrders returns the orders to model engines of this node.
+func (n *Node) newOrders() *fleet.Orders {
+	return fleet.NewOrders(fleet.Options{
+		Node: n.options.Settings.ID, Incarnation: n.incarnation,
+		Table: n.platform, Weights: n.platform, Dialer: n.options.Dialer,
+		Config:    n.config.Current,
+		Replicas:  func() []routing.Replica { return n.members.Snapshot().Replicas },
+		Candidate: n.ordersFor,
+		Sent:      n.noteOrder,
+	})
+}
+
+// ordersFor tells whether this node should hold a pool's lease: the one with
+// the highest score of the live nodes.
+func (n *Node) ordersFor(pool string) bool {
+	var live []string
+	for _, m := range n.members.Snapshot().Nodes {
+		if m.Live && !m.State.Leaving {
+			live = append(live, m.State.ID)
+		}
+	}
+	return routing.Highest(live, "orders/"+pool) == n.options.Settings.ID
+}
+
+func (n *Node) noteOrder(replica string, order backend.Order, err error) {
+	n.options.Log.Info("order to model engine", zap.String("replica", replica), zap.String("kind", string(order.Kind)),
+		zap.Stringer("target", order.Target), zap.Uint64("fencing", order.Fencing), zap.Error(err))
+}
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -32,7 +32,7 @@
 	switch kind {
 	case "claim":
 		return UseClaim
-	case "config":
+	case "config", "lease", "rollout":
 		return UseConfig
 	case "bill":
 		return UseBill
