--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -1,58 +1,112 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Bounds and steps of the concurrency limit.
 const (
-	minLimit        = 1
-	targetMargin    = 0.9
-	decreaseFactor  = 0.9
-	samplesPerRaise = 4
-	fullShare       = 0.8
+	minLimit = 1
+	// slopeForget is how fast old observations fade with each new one.
+	slopeForget = 0.02
+	// minSpread is the least variance of the batch that tells a slope.
+	minSpread = 0.5
+	// targetMargin keeps the mean below the target, so that most streams meet
+	// it.
+	targetMargin = 0.9
+	// reachable is how many times the interval of a single stream is allowed
+	// to a replica that cannot meet the target at all.
+	reachable = 2.0
 )
 
-// Limiter learns how many streams a replica may run so that the time between
-// tokens stays under the target. It is not safe for concurrent use.
+// Limit learns how many streams a replica may run. Implementations are not
+// safe for concurrent use.
+type Limit interface {
+	// Limit returns how many streams may run, at least 1.
+	Limit() int
+	// SetHighest changes the upper bound.
+	SetHighest(highest int)
+	// Observe takes one stream's mean time between tokens, seen with the
+	// given mean batch.
+	Observe(interval time.Duration, batch float64)
+}
+
+var _ Limit = (*Limiter)(nil)
+
+// Limiter learns how the time between tokens grows with the batch, and keeps
+// the largest batch whose interval meets the target. It is not safe for
+// concurrent use.
 type Limiter struct {
 	target  time.Duration
 	highest int
-	limit   float64
-	good    int
+	limit   int
+	fit     fit
 }
 
 // NewLimiter returns a limiter that starts at highest and never goes above
 // it.
 func NewLimiter(target time.Duration, highest int) *Limiter {
-	return &Limiter{target: target, highest: max(highest, minLimit), limit: float64(max(highest, minLimit))}
+	highest = max(highest, minLimit)
+	return &Limiter{target: target, highest: highest, limit: highest}
 }
 
-// Limit returns how many streams may run.
-func (l *Limiter) Limit() int { return max(int(l.limit), minLimit) }
+// Limit implements Limit.
+func (l *Limiter) Limit() int { return l.limit }
 
-// SetHighest changes the upper bound.
+// SetHighest implements Limit.
 func (l *Limiter) SetHighest(highest int) {
 	l.highest = max(highest, minLimit)
-	l.limit = min(l.limit, float64(l.highest))
+	l.learn()
 }
 
-// Observe takes one stream's mean time between tokens, seen while running
-// streams were batched.
-func (l *Limiter) Observe(interval time.Duration, running int) {
-	if interval <= 0 {
+// Observe implements Limit.
+func (l *Limiter) Observe(interval time.Duration, batch float64) {
+	if interval <= 0 || batch <= 0 {
 		return
 	}
-	if interval > l.target {
-		l.limit = max(l.limit*decreaseFactor, minLimit)
-		l.good = 0
+	l.fit.add(batch, interval.Seconds())
+	l.learn()
+}
+
+// learn sets the limit from the fitted line.
+func (l *Limiter) learn() {
+	base, slope, ok := l.fit.line()
+	if !ok || slope <= 0 {
+		l.limit = l.highest
 		return
 	}
-	nearlyFull := float64(running) >= fullShare*l.limit
-	if !nearlyFull || float64(interval) > targetMargin*float64(l.target) {
-		return
+	target := targetMargin * l.target.Seconds()
+	if single := base + slope; single >= target {
+		target = reachable * single
+	}
+	l.limit = min(max(int(math.Floor((target-base)/slope)), minLimit), l.highest)
+}
+
+// fit is a fading least-squares line.
+type fit struct {
+	weight, x, y, xx, xy float64
+}
+
+func (f *fit) add(x, y float64) {
+	keep := 1 - slopeForget
+	f.weight = f.weight*keep + 1
+	f.x = f.x*keep + x
+	f.y = f.y*keep + y
+	f.xx = f.xx*keep + x*x
+	f.xy = f.xy*keep + x*y
+}
+
+// line returns the value at zero and the slope; ok is false where the
+// observations spread too little to tell.
+func (f *fit) line() (base, slope float64, ok bool) {
+	if f.weight < 1 {
+		return 0, 0, false
 	}
-	l.good++
-	if l.good >= samplesPerRaise {
-		l.good = 0
-		l.limit = min(l.limit+1, float64(l.highest))
+	x, y := f.x/f.weight, f.y/f.weight
+	spread := f.xx/f.weight - x*x
+	if spread < minSpread {
+		return 0, 0, false
 	}
+	slope = (f.xy/f.weight - x*y) / spread
+	return y - slope*x, slope, true
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -107,6 +107,9 @@
 	return nil
 }
 
+// Names returns the keys of a table in their order.
+func Names[V any](m map[string]V) []string { return sorted(m) }
+
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // within tells whether a number is finite and inside its bounds.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -36,6 +36,7 @@
 	}
 	switch {
 	case err == nil:
+		used.Whole = !paused
 		d.release(p, used)
 		if paused {
 			d.Record.Add(a.req.ID, "paused at token %d for more urgent work or quiet hours", a.offset)
@@ -112,8 +113,15 @@
 		a.offset++
 		a.ran = outcome.RanYes
 		a.keep(f.Text)
-		if err := a.sink.Token(f.Text); err != nil {
+		if err := a.out().Token(f.Text); err != nil {
 			return backend.Frame{}, false, err
 		}
 	}
 }
+
+// keep notes the text for rating, within bounds.
+func (a *answer) keep(text string) {
+	if a.text.Len()+len(text) <= maxRatedBytes {
+		a.text.WriteString(text)
+	}
+}
--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -83,6 +83,14 @@
 	return g
 }
 
+// Baseline takes outcomes of the version in place from before the roll-out:
+// they tell what to expect of it, and are no evidence.
+func (g *Guard) Baseline(old Evidence) {
+	for i, c := range old.channels() {
+		g.tests[i].old = g.tests[i].old.Plus(c)
+	}
+}
+
 // Observe takes what both versions did since the last call, and judges.
 func (g *Guard) Observe(old, next Evidence, now time.Time) Verdict {
 	a, b := old.channels(), next.channels()
@@ -94,7 +102,11 @@
 		}
 	}
 	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %.3g", channelNames[worst], most, float64(withdrawAt))}
-	v.Withdraw = most >= withdrawAt
+	if most >= withdrawAt {
+		v.Withdraw = true
+		v.HoldUntil = now.Add(HoldTime)
+		return v
+	}
 	if most >= suspectAt && most >= g.held*holdGrowth && !now.Before(g.hold) {
 		g.held = most
 		g.hold = now.Add(HoldTime)
