--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -164,7 +164,8 @@
 // waitReady waits until every node sees all nodes live and all replicas
 // usable.
 func (f *fleet) waitReady() error {
-	return f.wait(readyTimeout, "become ready", func() bool {
+	var behind string
+	err := f.wait(readyTimeout, "become ready", func() bool {
 		for _, n := range f.nodes {
 			s := n.Status()
 			live, usable := 0, 0
@@ -179,11 +180,13 @@
 				}
 			}
 			if live < len(f.nodes) || usable < f.shape.Replicas {
+				behind = fmt.Sprintf("%s sees %d of %d nodes live and %d of %d replicas usable", s.Node, live, len(f.nodes), usable, f.shape.Replicas)
 				return false
 			}
 		}
 		return true
 	})
+	return errors.Wrap(err, behind)
 }
 
 func (f *fleet) wait(timeout time.Duration, what string, holds func() bool) error {
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -279,6 +279,7 @@
 	self.wide = true
 	self.beat = max(self.beat, news.Beat) + 1
 	self.beatIndex = t.next()
+	t.alarm()
 }
 
 func (t *Table) mergeNode(now time.Time, n *nodeItem, news wire.NodeNews, from uint64) {
@@ -306,6 +307,7 @@
 		n.index = t.next()
 		n.from = from
 		t.urgent = true
+		t.alarm()
 	}
 }
 
@@ -335,6 +337,7 @@
 		n.index = t.next()
 		n.from = 0
 		t.urgent = true
+		t.alarm()
 	}
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -69,6 +69,7 @@
 type Table struct {
 	id          string
 	incarnation uint64
+	alarm       func()
 
 	mu        sync.Mutex
 	index     uint64                   // guarded by mu
@@ -94,7 +95,7 @@
 // NewTable returns a table that knows only the own node.
 func NewTable(self wire.NodeState) *Table {
 	t := &Table{
-		id: self.ID, incarnation: self.Incarnation,
+		id: self.ID, incarnation: self.Incarnation, alarm: func() {},
 		nodes: map[string]*nodeItem{}, hashes: map[uint64]*nodeItem{}, replicas: map[string]*replicaItem{}, vms: map[string]*vmItem{},
 		centres: map[string]*centreItem{}, have: map[string]wire.Position{}, told: map[string]wire.Position{},
 	}
@@ -107,6 +108,11 @@
 	return t
 }
 
+// OnAlarm sets what to call when peers should hear of a change at once: a
+// doubt, a death or a node that leaves. It must be set before the first
+// exchange, and must not block or call the table.
+func (t *Table) OnAlarm(alarm func()) { t.alarm = alarm }
+
 // nodeHash identifies one incarnation of a node in heartbeats.
 func nodeHash(id string, incarnation uint64) uint64 {
 	return xxhash.Sum64String(id + "/" + strconv.FormatUint(incarnation, 10))
@@ -263,6 +269,7 @@
 	n.index = t.next()
 	n.from = 0
 	t.urgent = true
+	t.alarm()
 }
 
 // beatCentre raises the heartbeat of the own data centre, on the nodes that
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -22,7 +22,7 @@
 const (
 	exchangeTimeout = time.Second
 	// kickGap is the least time between two rounds of exchange.
-	kickGap = 50 * time.Millisecond
+	kickGap = 100 * time.Millisecond
 	// strayInterval is how often a node tries one address that it does not
 	// know to be live.
 	strayInterval = 2 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,7 @@
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
+	n.members.OnAlarm(n.kickPeers)
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
 	n.bills = ledger.NewBills(o.Platform, n.holdBills)
@@ -145,6 +146,8 @@
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
+	orders := n.newOrders()
+	n.loops.Go(func() { every(ctx, ordersInterval, orders.Round) })
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -28,7 +28,6 @@
 // Exchange implements wire.Handler.
 func (h *handler) Exchange(args wire.ExchangeArgs, reply *wire.ExchangeReply) error {
 	n := h.n
-	before := n.members.Snapshot()
 	*reply = n.members.Answer(time.Now(), args, n.config.Current().Number)
 	if from, ok := n.members.Snapshot().Node(args.From); ok && args.Revision > n.config.Current().Number {
 		n.begin("revision/"+args.From, func() {
@@ -37,9 +36,6 @@
 			n.fetchRevision(ctx, from.State.Inner, args.Revision)
 		})
 	}
-	if n.members.Snapshot().Live() != before.Live() {
-		n.kickPeers()
-	}
 	return nil
 }
 
