Bound how long a view may wait for the next

With a process that shares its cores with many others the cost of a view was overestimated, and the next one came up to 40 s late: a death among 200 nodes was seen by the last after 32 s.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -52,8 +52,10 @@
 	// of load.
 	maxNews     = 256
 	maxLoadNews = 24
-	// rebuildShare times the cost of the last view passes before the next.
+	// rebuildShare times the cost of the last view passes before the next,
+	// but no more than rebuildMost.
 	rebuildShare = 100
+	rebuildMost  = 300 * time.Millisecond
 )
 
 // Node is one node as another sees it.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -14,15 +14,14 @@
 // refresh makes a new view where one is due, or leaves it to a later reader.
 // The caller holds mu.
 func (t *Table) refresh(now time.Time) {
-	due := t.built
+	wait := rebuildInterval
 	switch {
 	case t.urgent:
-		due = due.Add(max(rebuildUrgent, rebuildShare*t.cost))
-	case t.stale:
-		due = due.Add(max(rebuildInterval, rebuildShare*t.cost))
-	default:
+		wait = rebuildUrgent
+	case !t.stale:
 		return
 	}
+	due := t.built.Add(max(wait, min(rebuildShare*t.cost, rebuildMost)))
 	if now.Before(due) {
 		t.due.Store(due.UnixNano())
 		return
