TLS between nodes and towards callers and operators, from the settings

Nodes show each other certificates signed by the authorities named in the settings, beside the shared secret; a node signed by another authority is refused on either side though it knows the secret.

--- /dev/null
+++ b/internal/cli/secure.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"crypto/tls"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/node"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// secure lays TLS over the listeners and the dialing of other nodes, as far
+// as the settings name certificates.
+func secure(s config.Settings, l *node.Listeners) (wire.Dial, error) {
+	if s.Certificate != "" {
+		cert, err := tls.LoadX509KeyPair(s.Certificate, s.CertificateKey)
+		if err != nil {
+			return nil, errors.Wrap(err, "read certificate and certificate_key")
+		}
+		outer := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+		l.Callers = tls.NewListener(l.Callers, outer)
+		l.Operators = tls.NewListener(l.Operators, outer)
+	}
+	if s.InnerCertificate == "" {
+		return wire.TCP, nil
+	}
+	inner, err := wire.LoadTLS(wire.TLSFiles{Certificate: s.InnerCertificate, Key: s.InnerCertificateKey, Authorities: s.InnerAuthorities})
+	if err != nil {
+		return nil, err
+	}
+	l.Inner = tls.NewListener(l.Inner, inner)
+	return wire.OverTLS(wire.TCP, inner), nil
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -17,7 +17,6 @@
 	"github.com/cowslipfall/cowslipfall/internal/node"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
 // stopTimeout is how long a graceful stop may take.
@@ -58,9 +57,13 @@
 	if err != nil {
 		return err
 	}
+	dial, err := secure(settings, &listeners)
+	if err != nil {
+		return err
+	}
 	n, err := node.New(node.Options{
 		Settings: settings, Listeners: listeners, Platform: platform.NewClient(settings.Platform, settings.PlatformTimeout.Std()),
-		Dialer: backend.NewHTTPDialer(), Dial: wire.TCP, Log: log,
+		Dialer: backend.NewHTTPDialer(), Dial: dial, Log: log,
 	})
 	if err != nil {
 		return err
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -37,6 +37,15 @@
 	Peers []string `toml:"peers"`
 	// InnerSecret is shared by all nodes; at least 16 characters.
 	InnerSecret string `toml:"inner_secret"`
+	// InnerCertificate, InnerCertificateKey and InnerAuthorities are PEM files
+	// for mutual TLS between nodes; all three or none.
+	InnerCertificate    string `toml:"inner_certificate"`
+	InnerCertificateKey string `toml:"inner_certificate_key"`
+	InnerAuthorities    string `toml:"inner_authorities"`
+	// Certificate and CertificateKey are PEM files for TLS towards callers
+	// and operators; both or none.
+	Certificate    string `toml:"certificate"`
+	CertificateKey string `toml:"certificate_key"`
 	// OperatorKey opens the operators' interface; at least 16 characters.
 	OperatorKey string `toml:"operator_key"`
 	// LogLevel is debug, info, warn or error; default info.
--- a/internal/config/settings_check.go
+++ b/internal/config/settings_check.go
@@ -24,7 +24,7 @@
 // Check returns the first fault of the settings as a *FolderError, always the
 // same for the same settings.
 func (s *Settings) Check(file string) error {
-	for _, step := range []func() error{s.checkIdentity, s.checkAddresses, s.checkPlatform, s.checkSecrets, s.checkTelemetry} {
+	for _, step := range []func() error{s.checkIdentity, s.checkAddresses, s.checkPlatform, s.checkSecrets, s.checkCertificates, s.checkTelemetry} {
 		if err := step(); err != nil {
 			return inFile(file, err)
 		}
@@ -133,3 +133,26 @@
 	}
 	return nil
 }
+
+// checkCertificates sees that files which belong together are named together.
+func (s *Settings) checkCertificates() error {
+	type file struct{ key, value string }
+	for _, group := range [][]file{
+		{{"inner_certificate", s.InnerCertificate}, {"inner_certificate_key", s.InnerCertificateKey}, {"inner_authorities", s.InnerAuthorities}},
+		{{"certificate", s.Certificate}, {"certificate_key", s.CertificateKey}},
+	} {
+		named := 0
+		missing := ""
+		for _, f := range group {
+			if f.value != "" {
+				named++
+			} else if missing == "" {
+				missing = f.key
+			}
+		}
+		if named > 0 && missing != "" {
+			return settingFault(missing, "is missing while others of its group are set: name the file, or none of them")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/tls.go
@@ -0,0 +1,92 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// TLSFiles name the PEM files of a node's identity.
+type TLSFiles struct {
+	// Certificate and Key are the node's own, Authorities those that sign the
+	// certificates of all nodes.
+	Certificate string
+	Key         string
+	Authorities string
+}
+
+// LoadTLS returns the settings of mutual TLS between nodes. A certificate is
+// checked against the authorities and its purpose, not against a host name,
+// since nodes are known by IP numbers that change.
+func LoadTLS(f TLSFiles) (*tls.Config, error) {
+	own, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "read inner_certificate and inner_certificate_key")
+	}
+	pem, err := os.ReadFile(f.Authorities)
+	if err != nil {
+		return nil, errors.Wrap(err, "read inner_authorities")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("inner_authorities: %s holds no PEM certificate", f.Authorities)
+	}
+	return &tls.Config{
+		Certificates:          []tls.Certificate{own},
+		ClientAuth:            tls.RequireAndVerifyClientCert,
+		ClientCAs:             roots,
+		MinVersion:            tls.VersionTLS13,
+		InsecureSkipVerify:    true, // replaced by VerifyPeerCertificate, which checks no host name
+		VerifyPeerCertificate: verifyServer(roots),
+	}, nil
+}
+
+// verifyServer checks the chain that a server presents. On the server's side
+// crypto/tls has checked the client's chain already.
+func verifyServer(roots *x509.CertPool) func([][]byte, [][]*x509.Certificate) error {
+	return func(raw [][]byte, verified [][]*x509.Certificate) error {
+		if len(verified) > 0 {
+			return nil
+		}
+		options := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool()}
+		var leaf *x509.Certificate
+		for i, der := range raw {
+			c, err := x509.ParseCertificate(der)
+			if err != nil {
+				return errors.Wrap(err, "read the peer's certificate")
+			}
+			if i == 0 {
+				leaf = c
+				continue
+			}
+			options.Intermediates.AddCert(c)
+		}
+		if leaf == nil {
+			return errors.Wrap(ErrStranger, "the peer has no certificate")
+		}
+		_, err := leaf.Verify(options)
+		return errors.Wrap(err, "the peer's certificate is not signed by inner_authorities")
+	}
+}
+
+// OverTLS returns a Dial whose connections use TLS.
+func OverTLS(dial Dial, settings *tls.Config) Dial {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		secure := tls.Client(conn, settings)
+		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		if err := secure.HandshakeContext(ctx); err != nil {
+			conn.Close()
+			return nil, errors.Wrap(err, "TLS with the peer")
+		}
+		return secure, nil
+	}
+}
