--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,12 +29,26 @@
 	// place.
 	Base   uint64
 	Newest *Revision
+	// Changes lists what changed in between, as far as the store still tells.
+	Changes []Difference
 }
 
+// maxChangesTold bounds the changes that a RaceError lists.
+const maxChangesTold = 20
+
 // Error implements error.
 func (e *RaceError) Error() string {
-	return fmt.Sprintf("revision %d is no longer the newest: %s made revision %d at %s (%s); nothing was applied; look at it with \"config show\" and \"config diff\", then apply again",
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision %d is no longer the newest: %s made revision %d at %s (%s); nothing was applied; look at it with \"config show\" and \"config diff\", then apply again",
 		e.Base, e.Newest.Author, e.Newest.Number, e.Newest.At.Format(time.RFC3339), e.Newest.Note)
+	for i, d := range e.Changes {
+		if i == maxChangesTold {
+			fmt.Fprintf(&b, "\n  and %d more", len(e.Changes)-i)
+			break
+		}
+		b.WriteString("\n  " + d.String())
+	}
+	return b.String()
 }
 
 // Store keeps the accepted revisions on the platform.
@@ -135,23 +150,47 @@
 // if the newest revision was made by it, as when the reply of an earlier try
 // was lost.
 func (s *Store) raced(ctx context.Context, head *Revision, c Change) (*Revision, error) {
-	mine := head.Number == c.Base+1 && head.Author == c.Author && head.Note == c.Note
-	if !mine {
-		return nil, &RaceError{Base: c.Base, Newest: head}
-	}
 	base, err := s.revision(ctx, c.Base)
 	if err != nil {
 		return nil, &RaceError{Base: c.Base, Newest: head}
 	}
-	again, err := s.prepare(ctx, base, c)
+	if head.Number == c.Base+1 && head.Author == c.Author && head.Note == c.Note {
+		again, err := s.prepare(ctx, base, c)
+		if err != nil {
+			return nil, err
+		}
+		if sameChange(again, head) {
+			again.At = head.At
+			return again, nil
+		}
+	}
+	return nil, &RaceError{Base: c.Base, Newest: head, Changes: s.changes(ctx, base, head)}
+}
+
+func sameChange(a, b *Revision) bool {
+	return a.Hash == b.Hash && maps.Equal(a.Withdrawn, b.Withdrawn) && maps.Equal(a.Stages, b.Stages)
+}
+
+// changes lists what differs between two revisions' contents; nothing if the
+// store does not tell.
+func (s *Store) changes(ctx context.Context, old, next *Revision) []Difference {
+	before := &Config{}
+	if old.Number > 0 {
+		content, err := s.Content(ctx, old.Hash)
+		if err != nil {
+			return nil
+		}
+		before = content
+	}
+	after, err := s.Content(ctx, next.Hash)
 	if err != nil {
-		return nil, err
+		return nil
 	}
-	if again.Hash != head.Hash || !maps.Equal(again.Withdrawn, head.Withdrawn) || !maps.Equal(again.Stages, head.Stages) {
-		return nil, &RaceError{Base: c.Base, Newest: head}
+	list, err := Diff(before, after)
+	if err != nil {
+		return nil
 	}
-	again.At = head.At
-	return again, nil
+	return list
 }
 
 // revision returns an accepted revision without its content; revision 0 is
@@ -221,7 +260,7 @@
 	case mine:
 		return next, nil
 	case head.Number >= next.Number:
-		return nil, &RaceError{Base: c.Base, Newest: head}
+		return s.raced(ctx, head, c)
 	default:
 		return nil, cause
 	}
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -54,6 +54,7 @@
 	is.Equal(len(races), operators-1)
 	for _, race := range races {
 		is.Equal(race.Newest.Author, accepted[0].Author) // told who was first
+		is.True(len(race.Changes) > 0)                   // and what changed
 	}
 	newest, err := store.Newest(context.Background())
 	is.NoErr(err)
--- a/test/process/race_test.go
+++ b/test/process/race_test.go
@@ -62,9 +62,10 @@
 			}
 			continue
 		}
-		is.True(strings.Contains(out, "made revision 2"))     // who was first
-		is.True(strings.Contains(out, "nothing was applied")) // what became of it
-		is.True(strings.Contains(out, "apply again"))         // what to do
+		is.True(strings.Contains(out, "made revision 2"))            // who was first
+		is.True(strings.Contains(out, "rank.background.deadline: ")) // what changed
+		is.True(strings.Contains(out, "nothing was applied"))        // what became of it
+		is.True(strings.Contains(out, "apply again"))                // what to do
 	}
 	for _, p := range f.nodes {
 		s, err := f.status(p)
