Eject backend servers that fail the traffic, and let them return slowly

A failed stream made its owner take the replica for unhealthy until the next probe, a second later, however often streams failed while probes went well; and a node that alone could not reach a replica made it unhealthy for all. Each node now passes over a replica after two failures in a row, for a time that doubles to a minute, and an owner does so for all; a restart or a success lets it back, one request at a time.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,7 +66,9 @@
 	cached  *routing.PrefixIndex              // guarded by mu
 	told    *admission.Told                   // guarded by mu
 	pace    *pace
-	worked  atomic.Pointer[versionRules]
+	// outliers has a lock of its own, taken alone.
+	outliers *outliers
+	worked   atomic.Pointer[versionRules]
 }
 
 // New returns a dispatcher.
@@ -75,7 +77,7 @@
 		o.Observer = noObserver{}
 	}
 	return &Dispatcher{
-		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
 		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
 	}
 }
@@ -239,6 +241,7 @@
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
 	d.forget(p)
+	d.outliers.note(time.Now(), p.replica.ID, args)
 	args.Grant = p.grant
 	args.Replica = p.replica.ID
 	d.Places.Release(p.owner, args)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -10,6 +10,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/admission"
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -61,6 +62,8 @@
 	early    map[string]time.Time // guarded by mu; releases that came before their request
 	targets  []config.Target      // guarded by mu
 	healthy  bool                 // guarded by mu
+	outlier  routing.Outlier      // guarded by mu; failures of streams, whatever probes say
+	started  string               // guarded by mu; the backend server's incarnation
 	leaving  bool                 // guarded by mu
 	failures int                  // guarded by mu
 }
@@ -219,11 +222,23 @@
 		return
 	}
 	delete(r.holders, args.Grant)
-	if args.Failed == backend.KindConnect || args.Failed == backend.KindBroken || args.Failed == backend.KindDraining {
+	r.judge(args, now)
+	r.pump(now)
+}
+
+// judge takes what a stream tells of the replica's health. The caller holds
+// mu.
+func (r *replica) judge(args wire.ReleaseArgs, now time.Time) {
+	if failing(args.Failed) {
+		r.outlier.Fail(now, rand.Float64())
+	}
+	if failing(args.Failed) || args.Failed == backend.KindDraining {
 		r.healthy = false
 		r.refuseWaiting()
 	}
-	r.pump(now)
+	if args.Failed == "" && args.Tokens > 0 {
+		r.outlier.Succeed()
+	}
 }
 
 // refuse ends a wait. The caller holds mu.
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -13,6 +13,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -155,7 +156,11 @@
 		return
 	}
 	r.failures = 0
-	r.healthy = !report.Draining
+	if report.Incarnation != r.started {
+		r.started = report.Incarnation
+		r.outlier = routing.Outlier{}
+	}
+	r.healthy = !report.Draining && !r.outlier.Ejected(time.Now())
 	r.targets = report.Targets
 	if report.Draining {
 		r.refuseWaiting()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/membership"
@@ -10,8 +11,26 @@
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// choose returns the index of the replica to ask, or -1.
+// choose returns the index of the replica to ask, or -1. Replicas that failed
+// this node of late are passed over while there is another.
 func (d *Dispatcher) choose(replicas []routing.Replica, w wish, r routing.ReplicaRequest) int {
+	at := -1
+	asked := r.Excluded
+	if ejected := d.outliers.ejected(r.Now); len(ejected) > 0 {
+		r.Excluded = append(slices.Clone(asked), ejected...)
+		at = d.chooseFrom(replicas, w, r)
+		r.Excluded = asked
+	}
+	if at < 0 {
+		at = d.chooseFrom(replicas, w, r)
+	}
+	if at >= 0 {
+		d.outliers.try(r.Now, replicas[at].ID)
+	}
+	return at
+}
+
+func (d *Dispatcher) chooseFrom(replicas []routing.Replica, w wish, r routing.ReplicaRequest) int {
 	var known [routing.MaxCachedAt]routing.CachedAt
 	d.mu.Lock()
 	defer d.mu.Unlock()
