--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -263,6 +263,7 @@
 	settings config.Settings
 	platform *view
 	address  string
+	dialer   backend.Dialer
 }
 
 // worldOptions shape a world; zero values give three nodes, three engines and
@@ -365,10 +366,10 @@
 	s.Region = w.shape.Region
 	s.InnerSecret = embedded.InnerSecret
 	s.OperatorKey = embedded.OperatorKey
-	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers"}
+	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers", dialer: w.dialer}
 	edit(m)
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
-	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
 	if err != nil {
 		w.faults.addf("new node %s: %v", id, err)
 		return nil
