Give each use of the store a share that the others cannot take

Bills wait at all times at the design size and took every call that claims left, so that pins would have starved; each use now has a rate of its own beside the node's whole rate.

--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -59,7 +59,7 @@
 	burstTime = 4 * time.Second
 	minBurst  = 5
 	// minShare is the least rate of a node, in calls a second.
-	minShare = 0.2
+	minShare = 0.05
 	// backoffFirst and backoffMost bound the pause after failed calls.
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 5 * time.Second
@@ -71,6 +71,51 @@
 // before it.
 var reserves = [useCount]float64{0, 0.1, 0.2, 0.3, 0.5}
 
+// shares are the most of a node's rate that each use may have for long, so
+// that none of the later ones starves.
+var shares = [useCount]float64{1, 0.3, 0.4, 0.4, 0.2}
+
+// rated is a node's rate of one kind of call, as a whole and by use.
+type rated struct {
+	all *bucket
+	use [useCount]*bucket
+}
+
+func newRated(rate float64) *rated {
+	r := &rated{all: newBucket(rate)}
+	for use, share := range shares {
+		r.use[use] = newBucket(rate * share)
+	}
+	return r
+}
+
+func (r *rated) setRate(rate float64) {
+	r.all.setRate(rate)
+	for use, share := range shares {
+		r.use[use].setRate(rate * share)
+	}
+}
+
+// empty takes all that was saved up, so that there is no burst after an
+// outage.
+func (r *rated) empty() {
+	r.all.empty()
+	for _, b := range r.use {
+		b.empty()
+	}
+}
+
+// take waits for a call of the given use. It returns ErrThrottled if its turn
+// does not come in time.
+func (r *rated) take(ctx context.Context, use Use) error {
+	ctx, cancel := context.WithTimeout(ctx, maxQueueTime)
+	defer cancel()
+	if err := r.use[use].take(ctx, UseClaim); err != nil {
+		return err
+	}
+	return r.all.take(ctx, use)
+}
+
 // bucket holds the calls that a node may still make. It is safe for
 // concurrent use.
 type bucket struct {
@@ -105,8 +150,6 @@
 	b.filled = now
 }
 
-// empty takes all that was saved up, so that there is no burst after an
-// outage.
 func (b *bucket) empty() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -136,25 +179,19 @@
 	b.waiting[use] += n
 }
 
-// take waits for a call of the given use. It returns ErrThrottled if its turn
-// does not come in time.
+// take waits for a call. It returns ErrThrottled if ctx ends first.
 func (b *bucket) take(ctx context.Context, use Use) error {
 	if b.try(use) == 0 {
 		return nil
 	}
 	b.wait(use, 1)
 	defer b.wait(use, -1)
-	end := time.Now().Add(maxQueueTime)
 	for {
 		wait := b.try(use)
 		if wait == 0 {
 			return nil
 		}
-		left := time.Until(end)
-		if left <= 0 {
-			return ErrThrottled
-		}
-		timer := time.NewTimer(min(wait, left))
+		timer := time.NewTimer(wait)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/platform/limited.go
+++ b/internal/platform/limited.go
@@ -27,8 +27,8 @@
 	Services
 	limits  FleetLimits
 	observe Observe
-	reads   *bucket
-	writes  *bucket
+	reads   *rated
+	writes  *rated
 	table   outage
 	objects outage
 }
@@ -38,7 +38,7 @@
 // NewLimited returns a client of s for one node of a fleet; SetNodes tells how
 // many there are.
 func NewLimited(s Services, limits FleetLimits, observe Observe) *Limited {
-	return &Limited{Services: s, limits: limits, observe: observe, reads: newBucket(limits.Reads), writes: newBucket(limits.Writes)}
+	return &Limited{Services: s, limits: limits, observe: observe, reads: newRated(limits.Reads), writes: newRated(limits.Writes)}
 }
 
 // SetNodes divides the fleet's rate by the number of nodes that may use it.
@@ -48,7 +48,7 @@
 }
 
 // call makes one call in its turn. Nothing is sent if it returns ErrThrottled.
-func (l *Limited) call(ctx context.Context, b *bucket, o *outage, use Use, do func() error) error {
+func (l *Limited) call(ctx context.Context, b *rated, o *outage, use Use, do func() error) error {
 	if o.closed(time.Now()) {
 		l.observe(use.String(), "throttled")
 		return errors.Wrap(ErrThrottled, "the service did not answer a moment ago")
