--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -31,7 +31,7 @@
 	wideTime = time.Minute
 	// SilentAfter is how long a whole data centre may stay silent before the
 	// nodes elsewhere take it for unreachable.
-	SilentAfter = 7 * time.Second
+	SilentAfter = 8 * time.Second
 	// ForgetAfter is how long the state of a node that is not live is kept,
 	// so that it is found again after a long cut.
 	ForgetAfter = 2 * time.Hour
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -59,7 +59,7 @@
 	var out []Peer
 	for _, name := range slices.Sorted(maps.Keys(chosen)) {
 		state := s.Nodes[s.byID[name]].State
-		out = append(out, Peer{Name: name, Inner: state.Inner})
+		out = append(out, Peer{Name: name, Inner: state.Inner, Far: state.DataCentre != self.State.DataCentre})
 	}
 	return out
 }
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -15,6 +15,8 @@
 	// Name is the peer's node name, Inner its address.
 	Name  string
 	Inner string
+	// Far tells that it stands in another data centre.
+	Far bool
 }
 
 // Introduce returns the first message to an address of which nothing is
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -23,6 +23,10 @@
 	exchangeTimeout = time.Second
 	// kickGap is the least time between two rounds of exchange.
 	kickGap = 100 * time.Millisecond
+	// smallFleet is the number of nodes up to which news goes to other data
+	// centres at each heartbeat; above, farInterval passes in between.
+	smallFleet  = 64
+	farInterval = 3 * membership.HeartbeatInterval / 2
 	// strayInterval is how often a node tries one address that it does not
 	// know to be live.
 	strayInterval = 2 * time.Second
@@ -42,6 +46,7 @@
 	busy  map[string]bool // guarded by mu; addresses with an exchange under way
 	ended bool            // guarded by mu
 	stray time.Time       // guarded by mu
+	far   time.Time       // guarded by mu; when the last round with other data centres began
 	wg    sync.WaitGroup
 }
 
@@ -108,9 +113,14 @@
 // round exchanges news with the neighbours, and now and then with an address
 // that is not known to be live.
 func (n *Node) round(ctx context.Context) {
-	for _, to := range n.members.Snapshot().Neighbours(n.options.Settings.ID) {
+	view := n.members.Snapshot()
+	for _, to := range view.Neighbours(n.options.Settings.ID) {
+		if to.Far && !n.exchanger.farDue(time.Now(), len(view.Nodes)) {
+			continue
+		}
 		n.begin(to.Inner, func() { n.exchangeWith(ctx, to) })
 	}
+	n.exchanger.farDone(time.Now())
 	if !n.exchanger.strayDue(time.Now()) {
 		return
 	}
@@ -119,6 +129,23 @@
 	}
 }
 
+// farDue tells whether it is time to exchange with other data centres: at each
+// heartbeat in a small fleet, at every other one in a large one.
+func (e *exchanger) farDue(now time.Time, nodes int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return nodes <= smallFleet || now.Sub(e.far) > farInterval
+}
+
+// farDone notes a round, if one with other data centres was due.
+func (e *exchanger) farDone(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.far) > farInterval {
+		e.far = now
+	}
+}
+
 // strayDue tells whether it is time to try an address not known to be live.
 func (e *exchanger) strayDue(now time.Time) bool {
 	e.mu.Lock()
