--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -73,9 +73,9 @@
 			return
 		case <-ticker.C:
 			n.heartbeat()
-			n.round(ctx)
+			n.round(ctx, false)
 		case <-n.exchanger.kick:
-			n.round(ctx)
+			n.round(ctx, true)
 			pause(ctx, kickGap)
 		}
 	}
@@ -110,12 +110,13 @@
 	n.peers.Sweep()
 }
 
-// round exchanges news with the neighbours, and now and then with an address
-// that is not known to be live.
-func (n *Node) round(ctx context.Context) {
+// round exchanges news with the neighbours, those of other data centres not
+// each time unless kicked, and now and then with an address that is not known
+// to be live.
+func (n *Node) round(ctx context.Context, kicked bool) {
 	view := n.members.Snapshot()
 	for _, to := range view.Neighbours(n.options.Settings.ID) {
-		if to.Far && !n.exchanger.farDue(time.Now(), len(view.Nodes)) {
+		if to.Far && !kicked && !n.exchanger.farDue(time.Now(), len(view.Nodes)) {
 			continue
 		}
 		n.begin(to.Inner, func() { n.exchangeWith(ctx, to) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,7 +162,7 @@
 	}
 	n.own()
 	n.probe(ctx)
-	n.round(ctx)
+	n.round(ctx, true)
 }
 
 // every calls do at each interval until ctx ends.
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -107,7 +107,7 @@
 	n.members.Down(time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	n.round(ctx)
+	n.round(ctx, true)
 	n.unregister(ctx)
 	n.exchanger.end()
 }
