--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,7 +73,9 @@
 	cached  *routing.PrefixIndex              // guarded by mu
 	told    *admission.Told                   // guarded by mu
 	pace    *pace
-	worked  atomic.Pointer[versionRules]
+	// outliers has a lock of its own, taken alone.
+	outliers *outliers
+	worked   atomic.Pointer[versionRules]
 }
 
 // New returns a dispatcher.
@@ -82,7 +84,7 @@
 		o.Observer = noObserver{}
 	}
 	return &Dispatcher{
-		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
 		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
 	}
 }
@@ -116,6 +118,7 @@
 	grant   string
 	owner   string
 	paused  chan struct{}
+	since   time.Time
 }
 
 const (
@@ -224,6 +227,7 @@
 	d.mu.Unlock()
 	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
 	if err == nil && reply.Granted {
+		p.since = time.Now()
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
 		d.mu.Unlock()
@@ -246,6 +250,7 @@
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
 	d.forget(p)
+	d.outliers.note(time.Now(), p.since, p.replica.ID, args)
 	args.Grant = p.grant
 	args.Replica = p.replica.ID
 	d.Places.Release(p.owner, args)
