--- /dev/null
+++ b/internal/admission/bench_test.go
@@ -0,0 +1,40 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkGate takes one request through a busy gate: offer, grant, release.
+func BenchmarkGate(b *testing.B) {
+	for _, organisations := range []int{10, 300} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			g := NewGate(GateOptions{Ranks: testRanks, Slots: 64, Memory: 600_000, Interval: 40 * time.Millisecond, Reserve: 1, Modest: 0.7, FairPause: true})
+			now := time.Unix(1000, 0)
+			var running []string
+			names := make([]string, organisations)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
+			ids := make([]string, 4096)
+			for i := range ids {
+				ids[i] = fmt.Sprint("work-", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				w := &Work{ID: ids[i%len(ids)], Organisation: names[i%organisations], Rank: i % 3, Tokens: 300, Memory: 900, Pausable: true, Arrived: now, Deadline: now.Add(time.Minute)}
+				g.Offer(now, w, true)
+				for w := g.Grant(now); w != nil; w = g.Grant(now) {
+					running = append(running, w.ID)
+				}
+				g.Pause(now)
+				if len(running) >= 60 {
+					g.Release(now, running[0], Usage{Tokens: 300, Whole: true, Interval: 20 * time.Millisecond})
+					running = running[1:]
+				}
+			}
+		})
+	}
+}
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -212,6 +212,7 @@
 			return &Work{Organisation: "a", Rank: 2, Tokens: 500, Deadline: g.now.Add(10 * time.Minute)}
 		}
 		for range rapid.IntRange(60, 200).Draw(t, "queued") {
+			g.now = g.now.Add(100 * time.Millisecond)
 			g.offer(full())
 		}
 		w := full()
@@ -222,6 +223,9 @@
 			t.Fatal("a hopeless wait was queued")
 		}
 		g.now = g.now.Add(told.RetryAfter)
+		if v := g.offer(full()); v.Queued {
+			t.Fatal("the queue is not too long for new work")
+		}
 		back := full()
 		back.Fingerprint = 7
 		if v := g.offer(back); !v.Queued {
