--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -30,8 +30,8 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newConfig(), newStatus(), newExplain(),
-		newDev(), newDemo(), newMeasure(), newStandin(), newVersion(),
+		newServe(), newConfig(), newRollout(), newStatus(), newExplain(),
+		newDev(), newDemo(), newMeasure(), newCapacity(), newStandin(), newVersion(),
 	)
 	return root
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,14 +3,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
@@ -20,19 +18,16 @@
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/record"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
 // Platform is all that a node needs of the platform.
-type Platform interface {
-	platform.Table
-	platform.ObjectStore
-	platform.VMList
-	platform.Ratings
-	platform.Weights
-}
+type Platform = platform.Services
 
 // Listeners are where a node is reached.
 type Listeners struct {
@@ -66,13 +61,20 @@
 	claims      *ledger.Claims
 	bills       *ledger.Bills
 	record      *record.Log
+	versions    *versions
+	drivers     drivers
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
-	leaving     atomic.Bool
+	leaving     atomic.Bool   // says so to callers, serves on
+	refusing    atomic.Bool   // takes no new requests
+	hurry       chan struct{} // closed to leave sooner
+	hurryOnce   sync.Once
 	servers     []*http.Server
 	inner       *wire.Server
 	mu          sync.Mutex
 	exchanger   *exchanger
+	platform    *platform.Limited
+	registered  time.Time         // used by the registration's loop alone
 	configRead  time.Time         // used by the configuration's loop alone
 	vmsRead     time.Time         // used by the VM list's loop alone
 	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
@@ -86,10 +88,15 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := telemetry.NewMetrics()
+	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(use, result string) {
+		metrics.StoreCalls.WithLabelValues(use, result).Inc()
+	})
+	o.Platform = limited
 	n := &Node{
-		options: o, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
+		options: o, platform: limited, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: telemetry.NewMetrics(), tracer: tracer, exchanger: newExchanger(), seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
@@ -98,10 +105,13 @@
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
 	n.bills = ledger.NewBills(o.Platform, n.holdBills)
+	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
+		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
@@ -114,9 +124,9 @@
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
 		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
-		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.leaving.Load,
+		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.refusing.Load,
 	})
-	n.serve(n.options.Listeners.Callers, callers)
+	n.serve(n.options.Listeners.Callers, n.sayLeaving(callers))
 	n.serve(n.options.Listeners.Operators, n.operators())
 	n.register(ctx)
 	n.refresh(ctx)
@@ -127,7 +137,11 @@
 		{loopTick, n.followConfig},
 		{loopTick, n.followVMs},
 		{probeInterval, n.probe},
-		{registerInterval, n.register},
+		{loopTick, n.register},
+		{rating.Interval, n.versions.ratings.Tick},
+		{membership.HeartbeatInterval, n.gatherHolds},
+		{evidenceInterval, n.driveRollouts},
+		{trustInterval, n.versions.cascade.watchRatings},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
@@ -171,85 +185,3 @@
 	n.servers = append(n.servers, s)
 	n.loops.Go(func() { _ = s.Serve(l) })
 }
-
-const (
-	// drainNotice is how long a leaving node still serves callers who have
-	// not yet heard of it.
-	drainNotice = membership.AddressTTL
-	flushWait   = 100 * time.Millisecond
-)
-
-// Leave stops gracefully: the node leaves the directory, serves on until
-// callers have heard of it, lets running requests end, and stores its bills.
-// It returns when ctx ends at the latest.
-func (n *Node) Leave(ctx context.Context) error {
-	n.members.Update(time.Now(), func(s *wire.NodeState) { s.Leaving = true })
-	n.kickPeers()
-	n.options.Log.Info("leaving: serving on until callers have heard")
-	select {
-	case <-time.After(drainNotice):
-	case <-ctx.Done():
-	}
-	n.leaving.Store(true)
-	var first error
-	for _, s := range n.servers {
-		if err := s.Shutdown(ctx); err != nil && first == nil {
-			first = errors.Wrap(err, "requests were still running")
-		}
-	}
-	for n.bills.Pending() > 0 && ctx.Err() == nil {
-		_ = n.bills.Flush(ctx)
-		time.Sleep(flushWait)
-	}
-	n.Close()
-	return first
-}
-
-// Close stops at once.
-func (n *Node) Close() {
-	n.stop()
-	for _, s := range n.servers {
-		s.Close()
-	}
-	n.inner.Close()
-	n.peers.Close()
-	n.loops.Wait()
-	_ = n.tracer.Stop(context.Background())
-}
-
-// nodeRow is what the table holds of a node, for others to find it.
-type nodeRow struct {
-	Inner       string    `json:"inner"`
-	Incarnation uint64    `json:"incarnation"`
-	At          time.Time `json:"at"`
-}
-
-const (
-	nodePrefix       = "node/"
-	nodeRowsPerRead  = 500
-	nodeRowLifetime  = 5 * time.Minute
-	registerInterval = time.Minute
-)
-
-// register writes the own row and reads those of the others.
-func (n *Node) register(ctx context.Context) {
-	row, err := json.Marshal(nodeRow{Inner: n.options.Listeners.Inner.Addr().String(), Incarnation: n.incarnation, At: time.Now()})
-	if err != nil {
-		return
-	}
-	_, _ = n.options.Platform.Commit(ctx, platform.Op{Key: nodePrefix + n.options.Settings.ID, Value: row, Expect: platform.AnyVersion})
-	rows, err := n.options.Platform.List(ctx, nodePrefix, "", nodeRowsPerRead)
-	if err != nil {
-		return
-	}
-	seeds := map[string]string{}
-	for _, r := range rows {
-		var other nodeRow
-		if json.Unmarshal(r.Value, &other) == nil && time.Since(other.At) < nodeRowLifetime {
-			seeds[r.Key[len(nodePrefix):]] = other.Inner
-		}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.seeds = seeds
-}
