Floods on whole nodes: urgent work keeps its target, callers that obey are served

The node notes the refusal that it answers with; the owner assumes that all obey until it learns otherwise and frees the time of those that stay away.

--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -14,7 +14,7 @@
 	// retryJitter spreads come-back times, as a share of them.
 	retryJitter = 0.05
 	// firstObeyed is the assumed share of callers that come back when told.
-	firstObeyed = 0.1
+	firstObeyed = 1.0
 	leastObeyed = 0.02
 	obeyedGain  = 0.05
 )
@@ -36,6 +36,8 @@
 type promise struct {
 	fingerprint uint64
 	until       time.Time
+	rank        int
+	share       time.Duration
 }
 
 func newReturns(random func() float64) returns {
@@ -60,9 +62,10 @@
 	}
 	told := r.jitter(after)
 	if book && w.Fingerprint != 0 && len(r.booked) < maxPromises {
-		r.next[w.Rank] = at.Add(time.Duration(r.obeyed * float64(pace)))
+		share := time.Duration(r.obeyed * float64(pace))
+		r.next[w.Rank] = at.Add(share)
 		r.byFingerprint[w.Fingerprint] = at
-		r.booked = append(r.booked, promise{fingerprint: w.Fingerprint, until: now.Add(told + returnSlack)})
+		r.booked = append(r.booked, promise{fingerprint: w.Fingerprint, until: now.Add(told + returnSlack), rank: w.Rank, share: share})
 	}
 	return told
 }
@@ -84,12 +87,15 @@
 	return true
 }
 
-// lapse forgets the promises whose time is well past.
+// lapse forgets the promises whose time is well past, and frees the time of
+// those that nobody came back for.
 func (r *returns) lapse(now time.Time) {
 	n := 0
 	for n < len(r.booked) && now.After(r.booked[n].until) {
-		if _, ok := r.byFingerprint[r.booked[n].fingerprint]; ok {
-			delete(r.byFingerprint, r.booked[n].fingerprint)
+		p := r.booked[n]
+		if _, ok := r.byFingerprint[p.fingerprint]; ok {
+			delete(r.byFingerprint, p.fingerprint)
+			r.next[p.rank] = r.next[p.rank].Add(-p.share)
 			r.obeyed = max(r.obeyed-obeyedGain*r.obeyed, leastObeyed)
 		}
 		n++
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -103,8 +103,11 @@
 		return nil, err
 	}
 	var first error
-	for _, t := range targets {
+	var refusedBy string
+	for i, t := range targets {
+		var by string
 		p, err := d.acquire(ctx, &a.req.Request, wish{
+			returns: i == 0 && !a.started, refusedBy: &by,
 			target: t, tokens: a.req.MaxTokens - a.offset, prompt: routing.PromptTokens(a.req.Prompt) + a.offset,
 			resumed: a.started, excluded: a.excluded, deadline: a.req.Deadline, length: d.answerLength(a, t),
 			prefixes: routing.PrefixHashes(a.req.Prompt),
@@ -114,9 +117,10 @@
 			return p, nil
 		}
 		if first == nil {
-			first = err
+			first, refusedBy = err, by
 		}
 	}
+	d.note(&a.req.Request, refusedBy, first)
 	return nil, first
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -138,6 +138,10 @@
 	length   time.Duration
 	book     bool
 	first    bool
+	// returns looks whether the request was refused before.
+	returns bool
+	// refusedBy is set to the replica whose refusal is the answer.
+	refusedBy *string
 }
 
 // scope is where the work of the wish would run, without the replica's part.
@@ -145,6 +149,13 @@
 	return rollout.Scope{Model: w.target.Model, Organisation: organisation}
 }
 
+// refuses notes whose refusal is the answer.
+func (w *wish) refuses(replica string) {
+	if w.refusedBy != nil {
+		*w.refusedBy = replica
+	}
+}
+
 // acquire finds a place, asking one owner after the other.
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, w wish) (*place, error) {
 	tried := append([]string(nil), w.excluded...)
@@ -169,9 +180,9 @@
 		if at < 0 {
 			break
 		}
-		if try == 0 && !w.resumed {
+		if try == 0 && w.returns {
 			early := time.Duration(0)
-			if at, early = d.returning(now, req, view, at); early > 0 {
+			if at, early = d.returning(now, req, w.target, view, at); early > 0 {
 				return nil, outcome.Refuse(outcome.CodeOverloaded, early, "the request came back before the time it was given: come back after the given time")
 			}
 		}
@@ -188,7 +199,7 @@
 			refusal = outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
 			if reply.Reason == ReasonWait {
 				waits++
-				d.note(now, req, view.Replicas[at].ID, reply.RetryAfter)
+				w.refuses(view.Replicas[at].ID)
 			}
 		default:
 			d.Record.Add(req.ID, "owner %s of replica %s did not answer", view.Replicas[at].Owner, view.Replicas[at].ID)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -27,7 +30,7 @@
 // returning looks at a request that was refused before. It returns the replica
 // that keeps its turn, else the one chosen, or how long before its time it has
 // come back while there is still a queue.
-func (d *Dispatcher) returning(now time.Time, req *Request, view *membership.Snapshot, at int) (int, time.Duration) {
+func (d *Dispatcher) returning(now time.Time, req *Request, target config.Target, view *membership.Snapshot, at int) (int, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	early := d.told.Early(now, req.Fingerprint)
@@ -35,7 +38,7 @@
 		return at, early
 	}
 	kept := d.told.Take(now, req.Fingerprint)
-	if i := routing.Find(view.Replicas, kept); i >= 0 && view.Replicas[i].Usable {
+	if i := routing.Find(view.Replicas, kept); i >= 0 && view.Replicas[i].Usable && slices.Contains(view.Replicas[i].Targets, target) {
 		return i, 0
 	}
 	return at, 0
@@ -47,11 +50,16 @@
 	return n == 0 || r.Waits[min(max(rank, 0), n-1)] <= routing.QuickWait
 }
 
-// note remembers which replica told a refused request to come back.
-func (d *Dispatcher) note(now time.Time, req *Request, replica string, retryAfter time.Duration) {
+// note remembers when a refused request was told to come back, and which
+// replica keeps its turn.
+func (d *Dispatcher) note(req *Request, replica string, err error) {
+	refusal := outcome.AsRefusal(err)
+	if replica == "" || refusal.Code != outcome.CodeOverloaded {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.told.Note(now, req.Fingerprint, replica, retryAfter)
+	d.told.Note(time.Now(), req.Fingerprint, replica, refusal.RetryAfter)
 }
 
 // acquireFrom asks an owner. It gives up once the owner is taken for dead, or,
