--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -11,7 +11,8 @@
 func newMeasure() *cobra.Command {
 	var seed uint64
 	var seeds int
-	var format string
+	var format, plot, column string
+	var spread bool
 	cmd := &cobra.Command{
 		Use:   "measure [SCENARIO...]",
 		Short: "Measure the decisions against baselines; without a scenario, list them",
@@ -33,11 +34,22 @@
 					results = append(results, measure.Result{Scenario: s.Name, Seed: at, Table: s.Run(at)})
 				}
 			}
+			if plot != "" {
+				if err := measure.Plot(plot, column, results); err != nil {
+					return err
+				}
+			}
+			if spread {
+				results = measure.Spread(results)
+			}
 			return measure.Write(cmd.OutOrStdout(), format, results)
 		},
 	}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "first seed")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
+	cmd.Flags().BoolVar(&spread, "spread", false, "print the mean over the seeds with the lowest and highest")
+	cmd.Flags().StringVar(&plot, "plot", "", "draw a column of one scenario to this file, .svg or .png")
+	cmd.Flags().StringVar(&column, "column", "urgent first p95 s", "the column to plot")
 	cmd.Flags().StringVar(&format, "format", "text", "text, csv or json")
 	return cmd
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -221,7 +221,7 @@
 	args := wire.AcquireArgs{
 		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
-		Fingerprint: req.Fingerprint, Prefixes: w.prefixes, Book: w.book,
+		Fingerprint: req.Fingerprint, Book: w.book,
 	}
 	d.mu.Lock()
 	d.pauses[p.grant] = p.paused
--- a/internal/measure/load_scenarios.go
+++ b/internal/measure/load_scenarios.go
@@ -48,10 +48,20 @@
 	return f.stats
 }
 
-var loadColumns = []string{
-	"urgent first p50 s", "p95", "p99", "normal p50", "p95", "p99", "background p50", "p95", "p99",
-	"urgent in time %", "normal", "background", "urgent served %", "normal", "background", "urgent refused %", "normal", "background", "urgent tokens/s", "normal", "background",
-	"interval p95 ms", "useful %", "wasted %", "pauses", "refusals", "told kept %", "cached %",
+var loadColumns = columns()
+
+// columns names the figures of a trial of load, in the order of addLoad.
+func columns() []string {
+	var out []string
+	for _, rank := range rankNames {
+		out = append(out, rank+" first p50 s", rank+" first p95 s", rank+" first p99 s")
+	}
+	for _, figure := range []string{"in time %", "served %", "refused %", "tokens/s"} {
+		for _, rank := range rankNames {
+			out = append(out, rank+" "+figure)
+		}
+	}
+	return append(out, "interval p95 ms", "useful %", "wasted %", "pauses", "refusals", "served when told %", "cached %")
 }
 
 func addLoad(t *Table, name string, s *stats) {
--- a/internal/measure/load_shares.go
+++ b/internal/measure/load_shares.go
@@ -43,8 +43,9 @@
 }
 
 var sharesColumns = []string{
-	"small: first p95 s urgent", "alone", "times", "normal", "alone", "times", "background", "alone", "times",
-	"small served %", "alone", "large served %", "small tokens/s each", "large tokens/s each", "useful %",
+	"small urgent first p95 s", "alone s", "urgent times", "small normal first p95 s", "normal alone s", "normal times",
+	"small background first p95 s", "background alone s", "background times",
+	"small served %", "small alone served %", "large served %", "small tokens/s each", "large tokens/s each", "useful %",
 }
 
 // registerShares adds the trial of two large organisations beside small ones.
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -66,8 +66,17 @@
 // Result is a scenario's table for one seed.
 type Result struct {
 	Scenario string `json:"scenario"`
-	Seed     uint64 `json:"seed"`
-	Table    *Table `json:"table"`
+	// Seed is the seed, or the first of Seeds summed up.
+	Seed  uint64 `json:"seed"`
+	Seeds int    `json:"seeds,omitempty"`
+	Table *Table `json:"table"`
+}
+
+func (r Result) title() string {
+	if r.Seeds > 1 {
+		return fmt.Sprintf("%s, seeds %d to %d: mean (lowest to highest)", r.Scenario, r.Seed, r.Seed+uint64(r.Seeds)-1)
+	}
+	return fmt.Sprintf("%s, seed %d", r.Scenario, r.Seed)
 }
 
 // Write prints results as "text", "csv" or "json".
@@ -101,7 +110,7 @@
 func writeText(w io.Writer, results []Result) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, r := range results {
-		fmt.Fprintf(out, "%s, seed %d\n", r.Scenario, r.Seed)
+		fmt.Fprintln(out, r.title())
 		fmt.Fprintln(out, "policy\t"+strings.Join(r.Table.Columns, "\t"))
 		for _, row := range r.Table.Rows {
 			fmt.Fprintln(out, strings.Join(row, "\t"))
--- /dev/null
+++ b/internal/measure/spread.go
@@ -0,0 +1,71 @@
+package measure
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// span is what one figure came to over several seeds.
+type span struct {
+	low, high, sum float64
+	n              int
+}
+
+func (s *span) add(v float64) {
+	if s.n == 0 || v < s.low {
+		s.low = v
+	}
+	if s.n == 0 || v > s.high {
+		s.high = v
+	}
+	s.sum += v
+	s.n++
+}
+
+func (s *span) mean() float64 { return s.sum / float64(s.n) }
+
+// Spread sums the seeds of each scenario up: the mean of each figure with the
+// lowest and the highest.
+func Spread(results []Result) []Result {
+	var out []Result
+	for len(results) > 0 {
+		n := 1
+		for n < len(results) && results[n].Scenario == results[0].Scenario {
+			n++
+		}
+		out = append(out, Result{Scenario: results[0].Scenario, Seed: results[0].Seed, Seeds: n, Table: spread(results[:n])})
+		results = results[n:]
+	}
+	return out
+}
+
+func spread(results []Result) *Table {
+	first := results[0].Table
+	out := &Table{Columns: first.Columns}
+	for i, row := range first.Rows {
+		cells := make([]string, 0, len(row)-1)
+		for j := range row[1:] {
+			cells = append(cells, spreadCell(results, i, j+1))
+		}
+		out.Add(row[0], cells...)
+	}
+	return out
+}
+
+func spreadCell(results []Result, row, column int) string {
+	s, ok := figures(results, row, column)
+	if !ok {
+		return results[0].Table.Rows[row][column]
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g)", s.mean(), s.low, s.high)
+}
+
+// figures gathers one cell over the seeds; ok is false if none is a number.
+func figures(results []Result, row, column int) (s span, ok bool) {
+	for _, r := range results {
+		if v, err := strconv.ParseFloat(r.Table.Rows[row][column], 64); err == nil {
+			s.add(v)
+		}
+	}
+	return s, s.n > 0
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -122,8 +122,6 @@
 	Book bool
 	// Fingerprint identifies the request's organisation and content.
 	Fingerprint uint64
-	// Prefixes are the prompt's block hashes, longest last.
-	Prefixes []uint64
 }
 
 // AcquireReply is the owner's answer.
