--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -14,8 +14,6 @@
 	simRanks
 )
 
-var rankNames = [simRanks]string{"urgent", "normal", "background"}
-
 // kind shapes the work of one rank.
 type kind struct {
 	template int // shared blocks at the head of each prompt
--- a/internal/platform/limited_test.go
+++ b/internal/platform/limited_test.go
@@ -41,6 +41,12 @@
 	return sum
 }
 
+func (c *counted) attempts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tried
+}
+
 func (c *counted) setAway(away bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -88,9 +94,9 @@
 		flood(table, stop)
 		time.Sleep(10 * time.Second)
 		table.setAway(true)
-		before := table.tried
+		before := table.attempts()
 		time.Sleep(time.Minute)
-		during = table.tried - before
+		during = table.attempts() - before
 		table.setAway(false)
 		for range 60 {
 			last := table.total()
