--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -14,6 +14,9 @@
 	simRanks
 )
 
+// rankNames name the ranks in figures.
+var rankNames = [simRanks]string{"urgent", "normal", "background"}
+
 // kind shapes the work of one rank.
 type kind struct {
 	template int // shared blocks at the head of each prompt
