--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -219,10 +219,13 @@
 		return left
 	}
 	short := min(left, max((p-g.speed.firstToken())/2, p/4))
-	if g.pressure[rank].observe(now, wait > short) {
-		return short
+	if !g.pressure[rank].observe(now, wait > short) {
+		return left
+	}
+	if g.order.Waiting(rank) > 0 && g.returns.ahead(now, w.Rank, wait) {
+		return 0
 	}
-	return left
+	return short
 }
 
 // rank maps an unknown rank to the last.
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -70,6 +70,12 @@
 	return told
 }
 
+// ahead tells whether refused work of the rank has turns kept beyond the given
+// wait, so that new work would overtake it.
+func (r *returns) ahead(now time.Time, rank int, wait time.Duration) bool {
+	return r.next[rank].After(now.Add(wait))
+}
+
 // jitter spreads come-back times so that callers do not return together.
 func (r *returns) jitter(d time.Duration) time.Duration {
 	return d + time.Duration(r.random()*retryJitter*float64(d))
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -24,14 +24,21 @@
 	return p
 }
 
-// baselines are the plain ways to do it.
-func baselines() []policy {
+// manyReplicas is the size from which the baselines that keep long lists are
+// left out: they take too long.
+const manyReplicas = 100
+
+// policies are the router and the plain ways to do it.
+func (s size) policies() []policy {
+	direct := policy{name: "direct, lagged reports", direct: true}
+	if s.replicas >= manyReplicas {
+		return []policy{router, direct}
+	}
 	fifo := policy{name: "first-in-first-out, round robin", order: newFIFO, naive: true, roundRobin: true}
 	static := router.with("static priority", func(p *policy) {
 		p.order, p.floors, p.preempts, p.fair, p.reserve, p.naive = newStatic, [simRanks]float64{}, false, false, 0, true
 	})
-	direct := policy{name: "direct, lagged reports", direct: true}
-	return []policy{fifo, static, direct}
+	return []policy{router, fifo, static, direct}
 }
 
 // listOrder keeps waiting work in one list, for baselines.
