--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -222,7 +222,8 @@
 	if !g.pressure[rank].observe(now, wait > short) {
 		return left
 	}
-	if g.order.Waiting(rank) > 0 && g.returns.ahead(now, w.Rank, wait) {
+	modest := g.order.Modest(now, w, g.options.Modest)
+	if !modest && g.order.Waiting(rank) > 0 && g.returns.ahead(now, w.Rank, wait) {
 		return 0
 	}
 	return short
--- a/internal/admission/pause.go
+++ b/internal/admission/pause.go
@@ -24,7 +24,7 @@
 // victimFor returns a stream to be paused for the rank's first work, or nil.
 func (g *Gate) victimFor(now time.Time, rank int) *Stream {
 	if g.options.Ranks[rank].Preempts {
-		if s := g.victim(rank); s != nil {
+		if s := g.victim(now, rank); s != nil {
 			return s
 		}
 	}
@@ -36,31 +36,44 @@
 }
 
 // victim returns the least urgent stream that work of the rank may pause, the
-// newest among equals, or nil.
-func (g *Gate) victim(rank int) *Stream {
+// one that loses least among equals, or nil.
+func (g *Gate) victim(now time.Time, rank int) *Stream {
 	var best *Stream
 	counts := g.byRank()
 	for _, s := range g.running {
 		if !g.mayPause(s, rank, counts) {
 			continue
 		}
-		if best == nil || pausedBefore(s, best) {
+		if best == nil || g.pausedBefore(now, s, best) {
 			best = s
 		}
 	}
 	return best
 }
 
-func pausedBefore(a, b *Stream) bool {
+// pausedBefore tells whether a is paused rather than b: the less urgent, then
+// the one whose pause loses less.
+func (g *Gate) pausedBefore(now time.Time, a, b *Stream) bool {
 	if a.Work.order() != b.Work.order() {
 		return a.Work.order() > b.Work.order()
 	}
-	if !a.Since.Equal(b.Since) {
-		return a.Since.After(b.Since)
+	if x, y := g.loss(now, a), g.loss(now, b); x != y {
+		return x < y
 	}
 	return a.Work.ID < b.Work.ID
 }
 
+// loss estimates the tokens that a stream must compute again if it is paused
+// now: its input as far as it was read, and what it has generated.
+func (g *Gate) loss(now time.Time, s *Stream) float64 {
+	held := now.Sub(s.Since)
+	input := float64(s.Work.Memory - s.Work.asked)
+	if first := g.speed.first; held < first {
+		return input * float64(held) / float64(first)
+	}
+	return input + held.Seconds()*g.speed.perSlot
+}
+
 // mayPause tells whether the stream may be paused for the rank: a rank is not
 // paused below its floor.
 func (g *Gate) mayPause(s *Stream, rank int, counts []int) bool {
@@ -71,7 +84,7 @@
 	return float64(counts[r]-1) >= g.options.Ranks[r].Floor*float64(g.limit.Limit())
 }
 
-// unfair returns the newest long stream of the same rank whose organisation
+// unfair returns the long stream that loses least of the same rank whose organisation
 // holds several places while that of the waiting work holds none, or nil.
 func (g *Gate) unfair(now time.Time, w *Work) *Stream {
 	if !g.options.FairPause || !g.order.Modest(now, w, g.options.Modest) || g.places[place{w.Organisation, w.order()}] > 0 {
@@ -86,7 +99,7 @@
 		if held*weight(w) < unfairTimes*weight(s.Work) {
 			continue
 		}
-		if best == nil || pausedBefore(s, best) {
+		if best == nil || g.pausedBefore(now, s, best) {
 			best = s
 		}
 	}
--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -68,14 +68,15 @@
 }
 
 // nextSlot is the mean time until one of the running streams ends, in
-// seconds.
+// seconds. It adds whole numbers up, so that the order does not matter.
 func (s *speed) nextSlot(running map[string]*Stream) float64 {
-	rate := 0.0
+	const scale = 1 << 32
+	var rate int64
 	for _, r := range running {
-		rate += s.perSlot / float64(max(r.Work.Tokens, 1))
+		rate += scale / int64(max(r.Work.Tokens, 1))
 	}
 	if rate == 0 {
 		return 0
 	}
-	return 1 / rate
+	return scale / (float64(rate) * s.perSlot)
 }
--- /dev/null
+++ b/internal/measure/load_test.go
@@ -0,0 +1,99 @@
+package measure
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Targets of the trials.
+const (
+	leastUseful   = 0.95
+	leastInTime   = 0.95
+	leastPrefix   = 0.9
+	mostRetried   = 1.1
+	mostPileUp    = 2.0
+	testSeed      = 1
+	percentFactor = 100
+)
+
+func TestSameSeedSameTable(t *testing.T) {
+	s, err := Find("background-flood-virtanen")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first, second := s.Run(testSeed), s.Run(testSeed); !reflect.DeepEqual(first, second) {
+		t.Fatalf("the same seed gave\n%v\nand\n%v", first, second)
+	}
+}
+
+// In a background flood at 5 times capacity urgent work keeps its target, the
+// engines do useful work and keep the interval between tokens.
+func TestBackgroundFloodTargets(t *testing.T) {
+	for _, s := range []size{virtanen, turnoflor} {
+		got := runLoad(s, router, testSeed, append(s.normalDay(obeys), s.flood(background, 5, s.everyone(), leaves)...), nil)
+		u := got.ranks[urgent]
+		if float64(u.inTime) < leastInTime*float64(u.asked) {
+			t.Errorf("%s: %d of %d urgent requests had their first token in time", s.name, u.inTime, u.asked)
+		}
+		if got.utilisation() < leastUseful {
+			t.Errorf("%s: %.1f%% of the work was useful", s.name, percentFactor*got.utilisation())
+		}
+		for rank := range got.ranks {
+			if p := percentile(got.ranks[rank].intervals, 0.95); p > tokenInterval {
+				t.Errorf("%s: the interval of %s work is %s", s.name, rankNames[rank], p)
+			}
+		}
+	}
+}
+
+// In an urgent flood at 3 times capacity each lower rank keeps its floor.
+func TestUrgentFloodKeepsFloors(t *testing.T) {
+	for _, s := range []size{virtanen, turnoflor} {
+		got := runLoad(s, router, testSeed, append(s.normalDay(obeys), s.flood(urgent, 3, s.everyone(), leaves)...), nil)
+		total := 0
+		for _, r := range got.ranks {
+			total += r.tokens
+		}
+		for rank, floor := range exampleFloors {
+			if float64(got.ranks[rank].tokens) < floor*float64(total) {
+				t.Errorf("%s: %s work got %d of %d tokens", s.name, rankNames[rank], got.ranks[rank].tokens, total)
+			}
+		}
+	}
+}
+
+// Callers that come back at once add at most a tenth to what the engines and
+// the owners do.
+func TestRetryStormAddsLittle(t *testing.T) {
+	s := virtanen
+	run := func(m manner) *stats {
+		return runLoad(s, router, testSeed, append(s.normalDay(m), s.flood(background, 5, s.everyone(), m)...), nil)
+	}
+	calm, storm := run(leaves), run(insists)
+	if float64(storm.tries) > mostRetried*float64(calm.tries) {
+		t.Errorf("the engines started %d streams in the storm, %d without", storm.tries, calm.tries)
+	}
+	if float64(storm.messages) > mostRetried*float64(calm.messages) {
+		t.Errorf("the owners were asked %d times in the storm, %d without", storm.messages, calm.messages)
+	}
+}
+
+// What a node remembers of its own requests finds nearly all that full
+// knowledge finds, and piles nothing up on one replica.
+func TestPrefixesAreFound(t *testing.T) {
+	for _, s := range []size{virtanen, turnoflor} {
+		full := runLoad(s, router.with("", func(p *policy) { p.prefixes = knowsAll }), testSeed, s.normalDay(obeys), nil)
+		got := runLoad(s, router, testSeed, s.normalDay(obeys), nil)
+		if float64(got.hit)*float64(full.prompt) < leastPrefix*float64(full.hit)*float64(got.prompt) {
+			t.Errorf("%s: %d of %d prompt tokens were cached, %d of %d by full knowledge", s.name, got.hit, got.prompt, full.hit, full.prompt)
+		}
+		all, most := 0, 0
+		for _, n := range got.perOwner {
+			all += n
+			most = max(most, n)
+		}
+		if float64(most*s.replicas) > mostPileUp*float64(all) {
+			t.Errorf("%s: %d of %d requests went to one of %d replicas", s.name, most, all, s.replicas)
+		}
+	}
+}
