--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -141,9 +141,9 @@
 // choose returns the index of a replica.
 func (f *fleet) choose(r *simRequest, tried []string) int {
 	if f.policy.roundRobin {
-		f.turn++
+		f.nextReplica++
 		for i := range f.owners {
-			at := (f.turn + i) % len(f.owners)
+			at := (f.nextReplica + i) % len(f.owners)
 			if !f.owners[at].down && !slices.Contains(tried, f.owners[at].id) {
 				return at
 			}
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -74,6 +74,8 @@
 	nodes   []*simNode
 	stats   *stats
 	turn    int
+	// nextReplica is where round robin goes on.
+	nextReplica int
 	// cut is the data centre that the others cannot reach; -1 is none.
 	cut      int
 	cutSince time.Time
--- a/internal/measure/sim_stats.go
+++ b/internal/measure/sim_stats.go
@@ -108,9 +108,9 @@
 		k.refused++
 	case r.late:
 		k.late++
-		s.work -= float64(r.steps) * s.engine.tokenWork()
-		k.tokens -= r.steps
-		s.waste += float64(r.steps) * s.engine.tokenWork()
+		s.work -= float64(r.counted) * s.engine.tokenWork()
+		k.tokens -= r.counted
+		s.waste += float64(r.counted) * s.engine.tokenWork()
 	default:
 		k.served++
 		s.orgs[r.organisation].served++
@@ -129,6 +129,7 @@
 		return
 	}
 	s.work += s.engine.tokenWork()
+	r.counted++
 	s.ranks[r.rank].tokens++
 	s.orgs[r.organisation].tokens++
 }
--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -76,6 +76,7 @@
 	refused      bool
 	hit          int
 	steps        int
+	counted      int // tokens within the measured window
 	decoding     time.Duration
 	paused       int
 }
