--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -89,6 +89,7 @@
 	for _, r := range s.Replicas {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\t%d\n", r.ID, r.DataCentre, r.Pool, r.Owner, r.Usable, r.Running, r.Limit)
 	}
+	printVersions(w, s.Versions)
 	return w.Flush()
 }
 
--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/node"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
@@ -177,6 +179,24 @@
 	return nil
 }
 
+// printVersions adds roll-outs, holds and quiet hours to a status.
+func printVersions(w io.Writer, v node.VersionStatus) {
+	fmt.Fprintln(w, "\nROLL-OUT\tVERSION\tSTAGE\tSHARE\tSTATE\tDRIVER")
+	for _, r := range v.Rollouts {
+		fmt.Fprintf(w, "%s\t%s\t%d of %d\t%g%%\t%s\t%s\n", r.Name, r.Target, min(r.Stage, r.Stages), r.Stages, r.Percent, r.State, r.Driver)
+	}
+	for _, h := range v.Held {
+		fmt.Fprintf(w, "held\t%s\tno new sessions until %s\n", h.Target, h.Until.Format(time.RFC3339))
+	}
+	fmt.Fprintln(w, "\nQUIET HOURS\tFROM\tTO")
+	for _, q := range v.QuietHours {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", q.Name, q.From.Format(time.RFC3339), q.To.Format(time.RFC3339))
+	}
+	if !v.RatingsTrusted {
+		fmt.Fprintln(w, "\nthe ratings of several versions shift together: no version is judged by them now")
+	}
+}
+
 // shareOf is the share of new sessions that a roll-out's version gets.
 func shareOf(rev *config.Revision, name string) float64 {
 	if rev.IsWithdrawn(rollout.Target(rev.Config.Rollouts[name])) {
--- a/internal/node/cascade.go
+++ b/internal/node/cascade.go
@@ -58,6 +58,13 @@
 	c.trusted = c.watch.RatingsTrusted()
 }
 
+// ratingsTrusted is false while the rating service is doubted.
+func (c *cascade) ratingsTrusted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.trusted
+}
+
 // Steps implements dispatch.Cascade.
 func (c *cascade) Steps(req dispatch.StepsRequest) routing.Steps {
 	plan := c.versions.plan()
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -29,6 +29,8 @@
 	Replicas []routing.Replica `json:"replicas"`
 	// PendingBills is the number of bills not yet stored.
 	PendingBills int `json:"pending_bills"`
+	// Versions are the roll-outs, holds and quiet hours.
+	Versions VersionStatus `json:"versions"`
 }
 
 // Explanation is the fleet's account of one request.
@@ -72,7 +74,7 @@
 // Status returns the present view.
 func (n *Node) Status() Status {
 	view := n.members.Snapshot()
-	return Status{Node: n.options.Settings.ID, Revision: n.config.Current(), Nodes: view.Nodes, Replicas: view.Replicas, PendingBills: n.bills.Pending()}
+	return Status{Node: n.options.Settings.ID, Revision: n.config.Current(), Nodes: view.Nodes, Replicas: view.Replicas, PendingBills: n.bills.Pending(), Versions: n.versionStatus()}
 }
 
 // explain gathers a request's steps from all live nodes.
--- a/internal/rollout/quiet.go
+++ b/internal/rollout/quiet.go
@@ -22,9 +22,9 @@
 // clock margin is part of it.
 type Window struct {
 	// Name is the rule's name.
-	Name string
-	From time.Time
-	To   time.Time
+	Name string    `json:"name"`
+	From time.Time `json:"from"`
+	To   time.Time `json:"to"`
 }
 
 // Holds tells whether work from now for the given time touches the window.
