--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -63,17 +63,29 @@
 	}
 	n.tellEvidence(ctx, live)
 	judgement := n.judge(live, now)
-	holds := make([]wire.VersionHold, 0, len(judgement.Holds))
-	for t, until := range judgement.Holds {
-		holds = append(holds, wire.VersionHold{Target: t, Until: until})
-	}
-	slices.SortFunc(holds, func(a, b wire.VersionHold) int { return cmp.Compare(a.Target.String(), b.Target.String()) })
-	n.members.Update(now, func(s *wire.NodeState) { s.Holds = holds })
+	n.members.Update(now, func(s *wire.NodeState) { s.Holds = publishedHolds(s.Holds, judgement.Holds, now) })
 	for _, action := range judgement.Actions {
 		n.act(ctx, action)
 	}
 }
 
+// publishedHolds lists the holds for peers. One that goes on is told anew only
+// when half of it is over, so that peers do not hear of each extension.
+func publishedHolds(old []wire.VersionHold, holds map[config.Target]time.Time, now time.Time) []wire.VersionHold {
+	var out []wire.VersionHold
+	for t, until := range holds {
+		hold := wire.VersionHold{Target: t, Until: until}
+		for _, o := range old {
+			if o.Target == t && o.Until.Sub(now) > rollout.HoldTime/2 {
+				hold = o
+			}
+		}
+		out = append(out, hold)
+	}
+	slices.SortFunc(out, func(a, b wire.VersionHold) int { return cmp.Compare(a.Target.String(), b.Target.String()) })
+	return out
+}
+
 // tellEvidence sends the totals to every node that drives something.
 func (n *Node) tellEvidence(ctx context.Context, live []string) {
 	args := wire.EvidenceArgs{Node: n.options.Settings.ID, Incarnation: n.incarnation, Evidence: n.versions.evidence()}
