--- /dev/null
+++ b/internal/admission/returns.go
@@ -0,0 +1,100 @@
+package admission
+
+import "time"
+
+const (
+	// MinRetryAfter is the shortest come-back time.
+	MinRetryAfter = 250 * time.Millisecond
+	// MaxRetryAfter bounds come-back times under a lasting flood.
+	MaxRetryAfter = 15 * time.Minute
+	// returnSlack is how long after its time a turn is kept.
+	returnSlack = 5 * time.Second
+	// maxPromises bounds the come-back times that are kept.
+	maxPromises = 4096
+	// retryJitter spreads come-back times, as a share of them.
+	retryJitter = 0.05
+	// firstObeyed is the assumed share of callers that come back when told.
+	firstObeyed = 0.1
+	leastObeyed = 0.02
+	obeyedGain  = 0.05
+)
+
+// returns keeps the come-back times that were promised to refused work, so
+// that a caller that obeys finds its turn.
+type returns struct {
+	random        func() float64
+	byFingerprint map[uint64]time.Time
+	// booked lists the promises in the order they were made.
+	booked []promise
+	// next is the earliest time not yet promised, by rank.
+	next map[int]time.Time
+	// obeyed is the share of promises that callers come back for.
+	obeyed float64
+}
+
+// promise is a turn kept for one request until its time is well past.
+type promise struct {
+	fingerprint uint64
+	until       time.Time
+}
+
+func newReturns(random func() float64) returns {
+	if random == nil {
+		random = func() float64 { return 0 }
+	}
+	return returns{random: random, byFingerprint: map[uint64]time.Time{}, next: map[int]time.Time{}, obeyed: firstObeyed}
+}
+
+// promise returns when refused work should come back: once what waits has
+// drained, after those told before it. pace is the time that the work itself
+// takes to drain.
+func (r *returns) promise(now time.Time, w *Work, wait, pace time.Duration, book bool) time.Duration {
+	r.lapse(now)
+	at := now.Add(max(wait, MinRetryAfter))
+	if next := r.next[w.Rank]; next.After(at) {
+		at = next
+	}
+	after := at.Sub(now)
+	if after > MaxRetryAfter {
+		return r.jitter(MaxRetryAfter)
+	}
+	told := r.jitter(after)
+	if book && w.Fingerprint != 0 && len(r.booked) < maxPromises {
+		r.next[w.Rank] = at.Add(time.Duration(r.obeyed * float64(pace)))
+		r.byFingerprint[w.Fingerprint] = at
+		r.booked = append(r.booked, promise{fingerprint: w.Fingerprint, until: now.Add(told + returnSlack)})
+	}
+	return told
+}
+
+// jitter spreads come-back times so that callers do not return together.
+func (r *returns) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(r.random()*retryJitter*float64(d))
+}
+
+// honour tells whether the work was told to come back now, once.
+func (r *returns) honour(now time.Time, fingerprint uint64) bool {
+	r.lapse(now)
+	at, ok := r.byFingerprint[fingerprint]
+	if !ok || now.Before(at) {
+		return false
+	}
+	delete(r.byFingerprint, fingerprint)
+	r.obeyed += obeyedGain * (1 - r.obeyed)
+	return true
+}
+
+// lapse forgets the promises whose time is well past.
+func (r *returns) lapse(now time.Time) {
+	n := 0
+	for n < len(r.booked) && now.After(r.booked[n].until) {
+		if _, ok := r.byFingerprint[r.booked[n].fingerprint]; ok {
+			delete(r.byFingerprint, r.booked[n].fingerprint)
+			r.obeyed = max(r.obeyed-obeyedGain*r.obeyed, leastObeyed)
+		}
+		n++
+	}
+	if n > 0 {
+		r.booked = append(r.booked[:0], r.booked[n:]...)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
 		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
-		Metrics: n.metrics, Tracer: n.tracer, Leaving: n.refusing.Load,
+		Metrics: n.metrics, Tracer: n.tracer, Log: n.options.Log, Draining: n.leaving.Load, Leaving: n.refusing.Load,
 	})
 	n.serve(n.options.Listeners.Callers, n.sayLeaving(callers))
 	n.serve(n.options.Listeners.Operators, n.operators())
@@ -176,12 +176,13 @@
 }
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
 )
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.servers = append(n.servers, s)
 	n.loops.Go(func() { _ = s.Serve(l) })
 }
