A full pool spills to the next version that meets the quality target

Cause: a request waited at the preferred version's replicas up to its deadline before the next version was asked. Published waits tell beforehand whether the first token can come in time; the next allowed version that meets the target answers then. Sessions wait for their own.

--- a/internal/dispatch/cascade.go
+++ b/internal/dispatch/cascade.go
@@ -94,6 +94,26 @@
 	return targets
 }
 
+// spill lets the next version that meets the quality target answer while the
+// preferred one has no place in time. Sessions wait for their own.
+func (d *Dispatcher) spill(a *answer, targets []config.Target) {
+	if len(targets) < 2 || a.started || a.req.Session != "" {
+		return
+	}
+	plan := d.Plan()
+	target := plan.QualityTarget(a.req.Organisation)
+	good := targets[:1]
+	for _, t := range targets[1:] {
+		if v := plan.Version(a.req.Organisation, t); v == nil || v.Quality < target {
+			break
+		}
+		good = targets[:len(good)+1]
+	}
+	if routing.Spill(d.View().Replicas, good, a.req.Rank, d.firstTokenTarget(a.req.Rank)) {
+		d.Record.Add(a.req.ID, "%s answers, as %s has no place in time", good[0], good[1])
+	}
+}
+
 // spare is the time for a verdict beside two answers. Streamed answers and
 // sessions have none.
 func (d *Dispatcher) spare(a *answer, targets []config.Target) time.Duration {
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -149,6 +149,7 @@
 		return nil, err
 	}
 	targets = d.prefer(a, targets)
+	d.spill(a, targets)
 	if a.req.Session != "" && pin != targets[0] {
 		return d.pin(ctx, a, pin, targets)
 	}
--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -160,3 +160,38 @@
 	}
 	return true
 }
+
+// When the pool of the preferred version is full, requests without a session
+// fall to the next allowed version in time; sessions keep theirs; no version
+// that the organisation does not allow runs.
+func TestFullPoolFallsToNextVersion(t *testing.T) {
+	virtual(t, func(f *faults) {
+		slow := standin.EngineOptions{BaseInterval: 200 * time.Millisecond, Targets: []config.Target{v1}}
+		w := newWorld(f, worldOptions{engines: 1, engine: slow, edit: func(c *config.Config) { c.Pools["mallipalvelin"].Slots = 2 }})
+		defer w.close()
+		w.addEngine(1, standin.EngineOptions{BaseInterval: 5 * time.Millisecond, Targets: []config.Target{emanta}})
+		w.platform.SetVMs(w.vms)
+		w.sleep(10 * time.Second)
+		session := w.sessionOn(v1)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				w.post("entry-1", "museobussit", chatPath, chatBody(fmt.Sprint("long ", i), 100), map[string]string{"X-Deadline-Ms": "600000"})
+			})
+		}
+		w.sleep(5 * time.Second)
+		start := time.Now()
+		for i := range 10 {
+			got := w.post("entry-1", org, chatPath, chatBody(fmt.Sprint("short ", i), 8), nil)
+			_, model := completionText(got)
+			f.check(model == emanta.String(), "answer %d: %+v", i, got)
+		}
+		f.check(time.Since(start) < 10*time.Second, "ten answers took %s", time.Since(start))
+		_, model := completionText(w.post("entry-1", org, chatPath, chatBody("again", 6), map[string]string{"X-Session": session, "X-Deadline-Ms": "600000"}))
+		f.check(model == v1.String(), "the session is on %s", model)
+		wg.Wait()
+		for _, r := range w.dialer.engines["engine-2"].Runs() {
+			f.check(r.Prompt[:10] != "user: long", "the organisation's only version is %s, yet %s ran", v1, r.Target)
+		}
+	})
+}
