--- a/internal/dispatch/cascade.go
+++ b/internal/dispatch/cascade.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
@@ -109,11 +110,28 @@
 		}
 		good = targets[:len(good)+1]
 	}
-	if routing.Spill(d.View().Replicas, good, a.req.Rank, d.firstTokenTarget(a.req.Rank)) {
+	if routing.Spill(d.waits(), good, a.req.Rank, d.firstTokenTarget(a.req.Rank)) {
 		d.Record.Add(a.req.ID, "%s answers, as %s has no place in time", good[0], good[1])
 	}
 }
 
+// viewWaits are the waits of one view.
+type viewWaits struct {
+	view  *membership.Snapshot
+	waits routing.Waits
+}
+
+// waits returns the waits of the present view, worked out once.
+func (d *Dispatcher) waits() routing.Waits {
+	view := d.View()
+	if known := d.viewed.Load(); known != nil && known.view == view {
+		return known.waits
+	}
+	next := &viewWaits{view: view, waits: routing.NewWaits(view.Replicas)}
+	d.viewed.Store(next)
+	return next.waits
+}
+
 // spare is the time for a verdict beside two answers. Streamed answers and
 // sessions have none.
 func (d *Dispatcher) spare(a *answer, targets []config.Target) time.Duration {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -67,6 +67,7 @@
 	told    *admission.Told                   // guarded by mu
 	pace    *pace
 	worked  atomic.Pointer[versionRules]
+	viewed  atomic.Pointer[viewWaits]
 }
 
 // New returns a dispatcher.
--- a/internal/routing/spill.go
+++ b/internal/routing/spill.go
@@ -7,35 +7,52 @@
 	"github.com/cowslipfall/cowslipfall/internal/config"
 )
 
-// ShortestWait returns the least predicted wait at a usable replica that has
-// the version loaded; false if there is none.
-func ShortestWait(replicas []Replica, t config.Target, rank int) (time.Duration, bool) {
-	best, found := time.Duration(0), false
+// Waits holds the least predicted wait, by rank, at the usable replicas of each
+// version. It is worked out once for each view of the replicas.
+type Waits map[config.Target][]time.Duration
+
+// NewWaits works the waits out.
+func NewWaits(replicas []Replica) Waits {
+	w := Waits{}
 	for i := range replicas {
 		r := &replicas[i]
-		if !r.Usable || !slices.Contains(r.Targets, t) {
+		if !r.Usable {
 			continue
 		}
-		wait := time.Duration(0)
-		if n := len(r.Waits); n > 0 {
-			wait = r.Waits[min(max(rank, 0), n-1)]
-		}
-		if !found || wait < best {
-			best, found = wait, true
-		}
-		if best == 0 {
-			return 0, true
+		for _, t := range r.Targets {
+			w.add(t, r.Waits)
 		}
 	}
-	return best, found
+	return w
+}
+
+func (w Waits) add(t config.Target, waits []time.Duration) {
+	best, ok := w[t]
+	if !ok || len(best) != len(waits) {
+		w[t] = slices.Clone(waits)
+		return
+	}
+	for rank, wait := range waits {
+		best[rank] = min(best[rank], wait)
+	}
+}
+
+// Shortest returns the least wait of a rank; false if no usable replica has
+// the version loaded.
+func (w Waits) Shortest(t config.Target, rank int) (time.Duration, bool) {
+	waits, ok := w[t]
+	if len(waits) == 0 {
+		return 0, ok
+	}
+	return waits[min(max(rank, 0), len(waits)-1)], true
 }
 
 // Spill puts the first version in front that can begin within the given time,
 // if the preferred one cannot; the order of the others stays. Where none can,
 // nothing changes: waiting for the preferred version is then as good.
-func Spill(replicas []Replica, targets []config.Target, rank int, within time.Duration) bool {
+func Spill(waits Waits, targets []config.Target, rank int, within time.Duration) bool {
 	for i, t := range targets {
-		wait, ok := ShortestWait(replicas, t, rank)
+		wait, ok := waits.Shortest(t, rank)
 		if !ok || wait > within {
 			continue
 		}
--- a/internal/routing/spill_test.go
+++ b/internal/routing/spill_test.go
@@ -30,7 +30,7 @@
 		{nil, cheap},
 	} {
 		targets := []config.Target{cheap, strong}
-		Spill(c.replicas, targets, 0, time.Second)
+		Spill(NewWaits(c.replicas), targets, 0, time.Second)
 		is.Equal(targets[0], c.first)
 		is.Equal(len(targets), 2)
 	}
@@ -41,7 +41,7 @@
 		}
 		targets := rapid.SliceOfN(rapid.Custom(drawTarget), 0, 4).Draw(t, "targets")
 		before := slices.Clone(targets)
-		Spill(replicas, targets, 0, time.Second)
+		Spill(NewWaits(replicas), targets, 0, time.Second)
 		order := func(a, b config.Target) int {
 			if a.String() < b.String() {
 				return -1
@@ -67,8 +67,21 @@
 		replicas[i] = Replica{Targets: all, Usable: true, Waits: []time.Duration{time.Minute}}
 	}
 	targets := []config.Target{all[6], all[7]}
+	waits := NewWaits(replicas)
 	b.ReportAllocs()
 	for b.Loop() {
-		Spill(replicas, targets, 0, time.Second)
+		Spill(waits, targets, 0, time.Second)
+	}
+}
+
+// BenchmarkNewWaits is paid once for each new view.
+func BenchmarkNewWaits(b *testing.B) {
+	replicas := make([]Replica, 600)
+	for i := range replicas {
+		replicas[i] = Replica{Targets: []config.Target{cheap, strong}, Usable: true, Waits: []time.Duration{0, 0, 0}}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		NewWaits(replicas)
 	}
 }
