--- a/internal/measure/versions_guard.go
+++ b/internal/measure/versions_guard.go
@@ -11,21 +11,28 @@
 )
 
 func init() {
-	register(Scenario{Name: "guard", About: "roll-outs of a good version and of one 15 points worse: false alarms and exposure by sequential test", Run: runGuard})
+	register(Scenario{Name: "guard", About: "roll-outs of a good version and of one 15 points worse: false alarms and exposure by sequential test", Run: func(seed uint64) *Table { return runGuard(seed, guardSize{rollouts: 1000, rate: 12, lag: 2}) }})
+	register(Scenario{Name: "guard-large", About: "the same for one of 8 models at the two-year size", Run: func(seed uint64) *Table { return runGuard(seed, guardSize{rollouts: 200, rate: 240, lag: 3}) }})
 	register(Scenario{Name: "season", About: "a version in place turns 15 points worse mid-season, and an hour of a biased rating service", Run: runSeason})
 }
 
 const (
-	guardTick     = 10 * time.Second
-	guardRollouts = 1000
-	guardRate     = 12.0 // answers a second of one model
-	guardQuality  = 0.82
-	guardLoss     = 0.15
-	guardSample   = 1.0 // share of the new version's answers that is rated
-	placeSample   = 0.2 // share of the other answers that is rated
-	guardLag      = 2   // ticks until verdicts and reports are there
+	guardTick    = 10 * time.Second
+	seasonRate   = 12.0 // answers a second of one model
+	guardQuality = 0.82
+	guardLoss    = 0.15
+	guardSample  = 1.0 // share of the new version's answers that is rated
+	placeSample  = 0.2 // share of the other answers that is rated
+	seasonLag    = 2   // ticks until verdicts and reports are there
 )
 
+// guardSize is how many roll-outs are tried and how large the fleet is.
+type guardSize struct {
+	rollouts int
+	rate     float64 // answers a second of the model
+	lag      int     // ticks until verdicts and reports are there
+}
+
 // guardStages is the plan of the examples.
 var guardStages = []struct {
 	share float64
@@ -123,21 +130,21 @@
 	{"e-process, first hold", func() judge { return &guardJudge{g: rollout.NewGuard(), hold: true} }},
 }
 
-func runGuard(seed uint64) *Table {
+func runGuard(seed uint64, size guardSize) *Table {
 	t := &Table{Columns: []string{"alarms on a good version per 100", "bad version missed per 100", "exposure mean %", "exposure p95 %", "stopped after p50 s", "p95 s"}}
 	for _, j := range judges {
 		alarms := 0
-		for i := range guardRollouts {
+		for i := range size.rollouts {
 			rng := rand.New(rand.NewPCG(seed, uint64(i)))
-			if _, stopped := trial(rng, j.make(), 0, 0); stopped {
+			if _, stopped := trial(rng, j.make(), size, 0, 0); stopped {
 				alarms++
 			}
 		}
 		var exposure, after []float64
 		missed := 0
-		for i := range guardRollouts {
+		for i := range size.rollouts {
 			rng := rand.New(rand.NewPCG(seed+1000, uint64(i)))
-			at, stopped := trial(rng, j.make(), 1, guardLoss)
+			at, stopped := trial(rng, j.make(), size, 1, guardLoss)
 			if !stopped {
 				missed++
 			}
@@ -145,14 +152,14 @@
 			exposure = append(exposure, 100*stage.share*min(at.Seconds()/stage.bake.Seconds(), 1))
 			after = append(after, at.Seconds())
 		}
-		t.Add(j.name, per100(alarms), per100(missed), num(mean(exposure), 3), num(quantile(exposure, 0.95), 3), num(quantile(after, 0.5), 0), num(quantile(after, 0.95), 0))
+		t.Add(j.name, size.per100(alarms), size.per100(missed), num(mean(exposure), 3), num(quantile(exposure, 0.95), 3), num(quantile(after, 0.5), 0), num(quantile(after, 0.95), 0))
 	}
 	return t
 }
 
 // trial runs one roll-out from a stage on, a bad one for that stage only, and
 // returns when new sessions stopped.
-func trial(rng *rand.Rand, j judge, from int, loss float64) (time.Duration, bool) {
+func trial(rng *rand.Rand, j judge, size guardSize, from int, loss float64) (time.Duration, bool) {
 	now := time.Duration(0)
 	stages := guardStages[from:]
 	if loss > 0 {
@@ -160,10 +167,10 @@
 	}
 	for _, stage := range stages {
 		for end := now + stage.bake; now < end; now += guardTick {
-			n := poisson(rng, guardRate*guardTick.Seconds()*stage.share*guardSample)
-			m := poisson(rng, guardRate*guardTick.Seconds()*(1-stage.share)*placeSample)
+			n := poisson(rng, size.rate*guardTick.Seconds()*stage.share*guardSample)
+			m := poisson(rng, size.rate*guardTick.Seconds()*(1-stage.share)*placeSample)
 			if j.observe(draw(rng, m, guardQuality), draw(rng, n, guardQuality-loss)) {
-				return now + (1+guardLag)*guardTick, true
+				return now + time.Duration(1+size.lag)*guardTick, true
 			}
 		}
 	}
@@ -189,7 +196,7 @@
 			at, hold, gone := season(rand.New(rand.NewPCG(seed, uint64(i))), c.length, c.loss, c.biased)
 			if hold {
 				held++
-				after = append(after, at.Seconds()+guardLag*guardTick.Seconds())
+				after = append(after, at.Seconds()+seasonLag*guardTick.Seconds())
 			}
 			if gone {
 				withdrawn++
@@ -216,8 +223,8 @@
 				lossB = loss
 			}
 		}
-		n := poisson(rng, guardRate*guardTick.Seconds()*placeSample)
-		m := poisson(rng, guardRate*guardTick.Seconds()*placeSample/4)
+		n := poisson(rng, seasonRate*guardTick.Seconds()*placeSample)
+		m := poisson(rng, seasonRate*guardTick.Seconds()*placeSample/4)
 		b := w.Observe(versionB, rollout.Evidence{Rated: draw(rng, m, 0.95-lossB)}, now)
 		a := w.Observe(versionA, rollout.Evidence{Rated: draw(rng, n, guardQuality-lossA)}, now)
 		if !held && (!a.HoldUntil.IsZero() || !b.HoldUntil.IsZero()) {
@@ -228,8 +235,16 @@
 	return first, held, gone
 }
 
+// manyDraws is the number above which draws follow the normal distribution.
+const manyDraws = 200
+
 // draw returns n outcomes of which each is good with chance p.
 func draw(rng *rand.Rand, n int, p float64) rollout.Counts {
+	if n > manyDraws {
+		good := int(math.Round(float64(n)*p + rng.NormFloat64()*math.Sqrt(float64(n)*p*(1-p))))
+		good = min(max(good, 0), n)
+		return rollout.Counts{Good: good, Bad: n - good}
+	}
 	c := rollout.Counts{}
 	for range n {
 		if rng.Float64() < p {
@@ -241,7 +256,11 @@
 	return c
 }
 
+// poisson returns a count with the given mean.
 func poisson(rng *rand.Rand, mean float64) int {
+	if mean > manyDraws {
+		return max(int(math.Round(mean+rng.NormFloat64()*math.Sqrt(mean))), 0)
+	}
 	n := 0
 	for sum := rng.ExpFloat64(); sum < mean; sum += rng.ExpFloat64() {
 		n++
@@ -249,7 +268,7 @@
 	return n
 }
 
-func per100(n int) string { return num(100*float64(n)/guardRollouts, 2) }
+func (s guardSize) per100(n int) string { return num(100*float64(n)/float64(s.rollouts), 2) }
 
 func num(x float64, digits int) string { return fmt.Sprintf("%.*f", digits, x) }
 
