--- a/internal/node/cascade.go
+++ b/internal/node/cascade.go
@@ -47,7 +47,7 @@
 
 // watchRatings looks whether all versions' ratings shift together.
 func (c *cascade) watchRatings(context.Context) {
-	list := c.versions.evidence()
+	list := c.versions.evidence(nil)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,10 +87,23 @@
 		list = append(list, routing.Candidate{Target: t, Cost: float64(v.CostPerMillionTokens), Pass: c.chances.Estimate(req.Organisation, req.Kind, plan.Learned(t), v.Quality)})
 	}
 	c.mu.Unlock()
-	return routing.ChooseSteps(routing.CascadeRequest{
+	steps := routing.ChooseSteps(routing.CascadeRequest{
 		Candidates: list, QualityTarget: plan.QualityTarget(req.Organisation),
 		CanVerify: trusted && answers && req.Spare > verdictReserve*delay, Draw: rand.Float64(),
 	})
+	c.versions.metrics.Choices.WithLabelValues(stepsName(steps)).Inc()
+	return steps
+}
+
+func stepsName(s routing.Steps) string {
+	switch {
+	case s.Explored:
+		return "explored"
+	case s.Verified():
+		return "two"
+	default:
+		return "one"
+	}
 }
 
 // Judge implements dispatch.Cascade.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,7 @@
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
 	n.bills = ledger.NewBills(o.Platform, n.holdBills)
-	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -17,23 +17,48 @@
 )
 
 const (
-	// evidenceInterval is how often evidence is told at least; it grows by
-	// evidencePerNode with the fleet, so that a driver's share stays small.
+	// evidenceInterval is how often evidence is told at most. It grows with
+	// the fleet, so that what a driver hears stays small: by rolloutPerNode
+	// for versions that come in and those they replace, by watchPerNode for
+	// all versions.
 	evidenceInterval = 2 * time.Second
-	evidencePerNode  = 30 * time.Millisecond
+	rolloutPerNode   = 40 * time.Millisecond
+	watchPerNode     = 150 * time.Millisecond
 	evidenceTimeout  = time.Second
 	// watchKey is the rendezvous key of the watch over versions in place.
 	watchKey = "watch"
 )
 
+// evidenceEvery is how often each of so many nodes tells its evidence.
+func evidenceEvery(nodes int, perNode time.Duration) time.Duration {
+	return max(evidenceInterval, time.Duration(nodes)*perNode)
+}
+
 func rolloutKey(name string) string { return "rollout/" + name }
 
 // drivers holds this node's judging of versions. It is safe for concurrent
 // use.
 type drivers struct {
-	mu     sync.Mutex
-	driver *rollout.Driver // guarded by mu
-	told   time.Time       // guarded by mu
+	mu      sync.Mutex
+	driver  *rollout.Driver // guarded by mu
+	told    time.Time       // guarded by mu; to the drivers of roll-outs
+	watched time.Time       // guarded by mu; to the watch
+}
+
+// due tells whether it is time to tell the drivers of roll-outs, and the
+// watch.
+func (d *drivers) due(nodes int, now time.Time) (rollouts, watch bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rollouts = now.Sub(d.told) >= evidenceEvery(nodes, rolloutPerNode)
+	watch = now.Sub(d.watched) >= evidenceEvery(nodes, watchPerNode)
+	if rollouts {
+		d.told = now
+	}
+	if watch {
+		d.watched = now
+	}
+	return rollouts, watch
 }
 
 // liveNodes lists the nodes that may drive.
@@ -52,16 +77,19 @@
 func (n *Node) driveRollouts(ctx context.Context) {
 	live := n.liveNodes()
 	now := time.Now()
-	n.drivers.mu.Lock()
-	due := now.Sub(n.drivers.told) >= max(evidenceInterval, time.Duration(len(live))*evidencePerNode)
-	if due {
-		n.drivers.told = now
+	rollouts, watch := n.drivers.due(len(live), now)
+	if watch {
+		n.tell(ctx, routing.Highest(live, watchKey), n.versions.evidence(nil))
 	}
-	n.drivers.mu.Unlock()
-	if !due {
+	if !rollouts {
 		return
 	}
-	n.tellEvidence(ctx, live)
+	rev := n.config.Current()
+	for name, plan := range rev.Config.Rollouts {
+		if rollout.Running(rev, name) {
+			n.tell(ctx, routing.Highest(live, rolloutKey(name)), n.versions.evidence([]config.Target{rollout.InPlace(plan), rollout.Target(plan)}))
+		}
+	}
 	judgement := n.judge(live, now)
 	n.members.Update(now, func(s *wire.NodeState) { s.Holds = publishedHolds(s.Holds, judgement.Holds, now) })
 	for _, action := range judgement.Actions {
@@ -86,30 +114,21 @@
 	return out
 }
 
-// tellEvidence sends the totals to every node that drives something.
-func (n *Node) tellEvidence(ctx context.Context, live []string) {
-	args := wire.EvidenceArgs{Node: n.options.Settings.ID, Incarnation: n.incarnation, Evidence: n.versions.evidence()}
-	if len(args.Evidence) == 0 {
+// tell sends totals to the node that drives something.
+func (n *Node) tell(ctx context.Context, id string, evidence []wire.VersionEvidence) {
+	if len(evidence) == 0 {
 		return
 	}
-	to := map[string]bool{routing.Highest(live, watchKey): true}
-	rev := n.config.Current()
-	for name := range rev.Config.Rollouts {
-		if rollout.Running(rev, name) {
-			to[routing.Highest(live, rolloutKey(name))] = true
-		}
-	}
-	for id := range to {
-		if id == n.options.Settings.ID {
-			n.takeEvidence(args)
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
-			defer cancel()
-			_ = n.call(ctx, id, "Evidence", args, &wire.EvidenceReply{})
-		}()
+	args := wire.EvidenceArgs{Node: n.options.Settings.ID, Incarnation: n.incarnation, Evidence: evidence}
+	if id == n.options.Settings.ID {
+		n.takeEvidence(args)
+		return
 	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
+		defer cancel()
+		_ = n.call(ctx, id, "Evidence", args, &wire.EvidenceReply{})
+	}()
 }
 
 // takeEvidence takes a node's totals.
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -26,6 +28,7 @@
 // get no new sessions. It is safe for concurrent use.
 type versions struct {
 	plan    func() *routing.Plan
+	metrics *telemetry.Metrics
 	ratings *rating.Sampler
 	holds   atomic.Pointer[map[config.Target]time.Time]
 	mu      sync.Mutex
@@ -35,8 +38,8 @@
 
 var _ dispatch.Observer = (*versions)(nil)
 
-func newVersions(service platform.Ratings, plan func() *routing.Plan) *versions {
-	v := &versions{plan: plan, totals: map[config.Target]rollout.Evidence{}}
+func newVersions(service platform.Ratings, metrics *telemetry.Metrics, plan func() *routing.Plan) *versions {
+	v := &versions{plan: plan, metrics: metrics, totals: map[config.Target]rollout.Evidence{}}
 	v.ratings = rating.NewSampler(service, v.rated)
 	v.cascade = newCascade(v)
 	v.holds.Store(&map[config.Target]time.Time{})
@@ -49,7 +52,7 @@
 	v.totals[t] = v.totals[t].Plus(e)
 }
 
-// outcome counts one event.
+// one counts one event.
 func one(good bool) rollout.Counts {
 	if good {
 		return rollout.Counts{Good: 1}
@@ -98,15 +101,25 @@
 		v.add(t, rollout.Evidence{Rated: one(passed)})
 	}
 	v.cascade.learn(s, t, passed)
+	v.metrics.Verdicts.WithLabelValues(s.Target, verdictName(passed)).Inc()
 }
 
-// evidence lists the totals.
-func (v *versions) evidence() []wire.VersionEvidence {
+func verdictName(passed bool) string {
+	if passed {
+		return "passed"
+	}
+	return "failed"
+}
+
+// evidence lists the totals of the given versions, of all if none is given.
+func (v *versions) evidence(of []config.Target) []wire.VersionEvidence {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := make([]wire.VersionEvidence, 0, len(v.totals))
 	for t, e := range v.totals {
-		out = append(out, wire.VersionEvidence{Target: t, Evidence: e})
+		if of == nil || slices.Contains(of, t) {
+			out = append(out, wire.VersionEvidence{Target: t, Evidence: e})
+		}
 	}
 	return out
 }
@@ -132,4 +145,5 @@
 		}
 	}
 	n.versions.holds.Store(&merged)
+	n.metrics.HeldVersions.Set(float64(len(merged)))
 }
--- a/internal/rating/sampler.go
+++ b/internal/rating/sampler.go
@@ -16,8 +16,10 @@
 	Interval = 250 * time.Millisecond
 	// maxQueued bounds the samples not yet sent, maxWaiting those without a
 	// verdict.
-	maxQueued  = 512
-	maxWaiting = 4096
+	maxQueued = 512
+	// maxQueuedBytes bounds their texts.
+	maxQueuedBytes = 4 << 20
+	maxWaiting     = 4096
 	// batchSize bounds one call of the service.
 	batchSize = 128
 	// firstPoll is how long after it was sent a sample is first asked for;
@@ -44,6 +46,7 @@
 	waiting map[string]*pending // guarded by mu, by request
 	delay   time.Duration       // guarded by mu
 	heard   time.Time           // guarded by mu
+	bytes   int                 // guarded by mu; of the queued answers
 	dropped int                 // guarded by mu
 }
 
@@ -66,17 +69,14 @@
 func (s *Sampler) Add(sample platform.Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.queue) >= maxQueued || len(s.waiting) >= maxWaiting {
+	if len(s.queue) >= maxQueued || s.bytes+len(sample.Answer) > maxQueuedBytes || len(s.waiting) >= maxWaiting {
 		s.dropped++
 		return
 	}
-	sample.Answer = compact(sample.Answer)
+	s.bytes += len(sample.Answer)
 	s.queue = append(s.queue, sample)
 }
 
-// compact frees the rest of a long string that the answer may be part of.
-func compact(text string) string { return string([]byte(text)) }
-
 // Judge asks for a verdict and waits for it; ok is false if none came before
 // ctx ended.
 func (s *Sampler) Judge(ctx context.Context, sample platform.Sample) (passed, ok bool) {
@@ -141,6 +141,7 @@
 	defer s.mu.Unlock()
 	s.queue = append([]platform.Sample(nil), s.queue[len(batch):]...)
 	for _, sample := range batch {
+		s.bytes -= len(sample.Answer)
 		s.wait(&pending{sample: sample}, now)
 	}
 }
--- a/internal/rating/sampler_test.go
+++ b/internal/rating/sampler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,18 +53,19 @@
 // What is remembered stays within bounds while the service is away, and a
 // judge returns when its time is over.
 func TestSamplerIsBounded(t *testing.T) {
-	var queued, waiting, dropped int
+	var queued, bytes, waiting, dropped int
 	var ok bool
 	var took time.Duration
 	synctest.Test(t, func(*testing.T) {
 		s, service, _ := newSampler(24 * time.Hour)
+		text := strings.Repeat("word ", 10_000)
 		for i := range 50 * maxQueued {
-			s.Add(platform.Sample{Request: fmt.Sprint(i)})
+			s.Add(platform.Sample{Request: fmt.Sprint(i), Answer: text})
 			if i%(batchSize/2) == 0 {
 				s.Tick(context.Background())
 			}
 		}
-		queued, waiting, dropped = len(s.queue), len(s.waiting), s.Dropped()
+		queued, bytes, waiting, dropped = len(s.queue), s.bytes, len(s.waiting), s.Dropped()
 		service.RatingFaults.Set(standin.FaultState{Frozen: true})
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -72,6 +74,7 @@
 		took = time.Since(start)
 	})
 	is := is.New(t)
+	is.True(bytes == 50_000*queued && bytes <= maxQueuedBytes)
 	is.True(queued <= maxQueued && waiting <= maxWaiting+batchSize && dropped > 0)
 	is.True(!ok && took <= time.Second)
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -49,6 +49,13 @@
 	Revision prometheus.Gauge
 	// PendingBills is the number of bills not yet stored.
 	PendingBills prometheus.Gauge
+	// Verdicts counts verdicts of the rating service by version and result.
+	Verdicts *prometheus.CounterVec
+	// Choices counts choices between versions by their steps: "one", "two",
+	// or "explored".
+	Choices *prometheus.CounterVec
+	// HeldVersions is the number of versions that get no new sessions.
+	HeldVersions prometheus.Gauge
 	// StoreCalls counts calls of the platform by use and result.
 	StoreCalls *prometheus.CounterVec
 	// Panics counts requests whose handler panicked.
@@ -66,6 +73,9 @@
 		Tokens:       f.NewCounterVec(prometheus.CounterOpts{Name: "cowslipfall_tokens_total", Help: "Generated tokens by version."}, []string{"version"}),
 		Revision:     f.NewGauge(prometheus.GaugeOpts{Name: "cowslipfall_config_revision", Help: "Configuration revision in force."}),
 		PendingBills: f.NewGauge(prometheus.GaugeOpts{Name: "cowslipfall_pending_bills", Help: "Bills not yet stored."}),
+		Verdicts:     f.NewCounterVec(prometheus.CounterOpts{Name: "cowslipfall_verdicts_total", Help: "Verdicts of the rating service by version and result."}, []string{"version", "result"}),
+		Choices:      f.NewCounterVec(prometheus.CounterOpts{Name: "cowslipfall_version_choices_total", Help: "Choices between versions by their steps."}, []string{"steps"}),
+		HeldVersions: f.NewGauge(prometheus.GaugeOpts{Name: "cowslipfall_held_versions", Help: "Versions that get no new sessions at present."}),
 		StoreCalls:   f.NewCounterVec(prometheus.CounterOpts{Name: "cowslipfall_store_calls_total", Help: "Calls of the platform by use and result."}, []string{"use", "result"}),
 		Panics:       f.NewCounter(prometheus.CounterOpts{Name: "cowslipfall_panics_total", Help: "Requests whose handler panicked."}),
 	}
