Guard: bounds divided by channel, one hold only

Cause: a hold stops the evidence that a withdrawal needs. With holds of five minutes that came again as evidence doubled, TestBadVersionIsWithdrawn failed in one of some ten runs: ten minutes were not enough.

Now 125 for ratings, 1000 for errors and latency, one hold at a third.

TestCascadeStepOnWithdrawn took a step that began up to 10 ms before the last node had the revision for a fault (one run of ten); it counts from the moment at which all have it now.

--- a/internal/measure/versions_guard.go
+++ b/internal/measure/versions_guard.go
@@ -22,7 +22,8 @@
 	guardQuality = 0.82
 	guardLoss    = 0.15
 	guardSample  = 1.0 // share of the new version's answers that is rated
-	placeSample  = 0.2 // share of the other answers that is rated
+	baseSample   = 0.5 // share of the other answers that is rated during a roll-out
+	placeSample  = 0.2 // share that is rated at other times
 	seasonLag    = 2   // ticks until verdicts and reports are there
 )
 
@@ -168,7 +169,7 @@
 	for _, stage := range stages {
 		for end := now + stage.bake; now < end; now += guardTick {
 			n := poisson(rng, size.rate*guardTick.Seconds()*stage.share*guardSample)
-			m := poisson(rng, size.rate*guardTick.Seconds()*(1-stage.share)*placeSample)
+			m := poisson(rng, size.rate*guardTick.Seconds()*(1-stage.share)*baseSample)
 			if j.observe(draw(rng, m, guardQuality), draw(rng, n, guardQuality-loss)) {
 				return now + time.Duration(1+size.lag)*guardTick, true
 			}
--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -48,14 +48,19 @@
 	// FalseAlarmBound is the chance at most that a version which is not worse
 	// is ever withdrawn by a roll-out's guard.
 	FalseAlarmBound = 0.01
-	withdrawAt      = channelCount / FalseAlarmBound
-	suspectAt       = withdrawAt / 5
 	// HoldTime is how long a suspect version gets no new sessions.
-	HoldTime = 5 * time.Minute
-	// holdGrowth is by how much evidence must grow for another hold.
-	holdGrowth = 2
+	HoldTime = 2 * time.Minute
+	// suspectShare is the part of a bound at which a version is suspect, and
+	// clearShare that below which it is no longer.
+	suspectShare = 1.0 / 3
+	clearShare   = 1.0 / 30
 )
 
+// bounds are the evidence, by channel, at which a version is withdrawn. Their
+// inverses add up to FalseAlarmBound; errors and latency are known of every
+// answer at once and need less of it.
+var bounds = [channelCount]float64{125, 1000, 1000}
+
 // Verdict is what a guard says of a version.
 type Verdict struct {
 	// HoldUntil is until when the version should get no new sessions; zero
@@ -69,9 +74,9 @@
 
 // Guard judges a new version against the one in place, sequentially.
 type Guard struct {
-	tests [channelCount]Test
-	held  float64
-	hold  time.Time
+	tests   [channelCount]Test
+	suspect bool
+	hold    time.Time
 }
 
 // NewGuard returns a guard that has seen nothing.
@@ -94,22 +99,23 @@
 // Observe takes what both versions did since the last call, and judges.
 func (g *Guard) Observe(old, next Evidence, now time.Time) Verdict {
 	a, b := old.channels(), next.channels()
-	worst, most := 0, 0.0
+	worst, share := 0, 0.0
 	for i := range g.tests {
 		g.tests[i].Add(a[i], b[i])
-		if e := g.tests[i].Evidence(); e > most {
-			worst, most = i, e
+		if e := g.tests[i].Evidence() / bounds[i]; e > share {
+			worst, share = i, e
 		}
 	}
-	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %.3g", channelNames[worst], most, float64(withdrawAt))}
-	if most >= withdrawAt {
+	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %g", channelNames[worst], share*bounds[worst], bounds[worst])}
+	switch {
+	case share >= 1:
 		v.Withdraw = true
-		v.HoldUntil = now.Add(HoldTime)
-		return v
-	}
-	if most >= suspectAt && most >= g.held*holdGrowth && !now.Before(g.hold) {
-		g.held = most
 		g.hold = now.Add(HoldTime)
+	case share >= suspectShare && !g.suspect:
+		g.suspect = true
+		g.hold = now.Add(HoldTime)
+	case share < clearShare:
+		g.suspect = false
 	}
 	if now.Before(g.hold) {
 		v.HoldUntil = g.hold
--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -138,15 +138,14 @@
 		defer w.close()
 		w.cascadeChats(3*time.Minute, quality)
 		rev := w.rollOut("withdraw", func(r *config.Revision) error { return rollout.Withdraw(r, emanta, "test", time.Now()) })
-		before := time.Now()
 		load := make(chan *cascadeLoad, 1)
 		go func() { load <- w.cascadeChats(20*time.Second, quality) }()
 		for !w.inForce(rev.Number) {
-			before = time.Now()
-			w.sleep(10 * time.Millisecond)
+			w.sleep(time.Millisecond)
 		}
+		gone := time.Now()
 		l := <-load
-		f.check(w.runs(emanta, before) == 0, "%d steps began on the withdrawn version", w.runs(emanta, before))
+		f.check(w.runs(emanta, gone) == 0, "%d steps began on the withdrawn version", w.runs(emanta, gone))
 		f.check(l.byTarget[v1] > l.served/2, "the version left gave %d of %d answers", l.byTarget[v1], l.served)
 	})
 }
