--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -165,12 +165,13 @@
 // that the organisation does not allow runs.
 func TestFullPoolFallsToNextVersion(t *testing.T) {
 	virtual(t, func(f *faults) {
-		slow := standin.EngineOptions{BaseInterval: 200 * time.Millisecond, Targets: []config.Target{v1}}
-		w := newWorld(f, worldOptions{engines: 1, engine: slow, edit: func(c *config.Config) { c.Pools["mallipalvelin"].Slots = 2 }})
+		w := newWorld(f, worldOptions{engines: 2, edit: func(c *config.Config) { c.Pools["mallipalvelin"].Slots = 2 }, engineOf: func(i int) standin.EngineOptions {
+			if i == 0 {
+				return standin.EngineOptions{BaseInterval: 200 * time.Millisecond, Targets: []config.Target{v1}}
+			}
+			return standin.EngineOptions{BaseInterval: 5 * time.Millisecond, Targets: []config.Target{emanta}}
+		}})
 		defer w.close()
-		w.addEngine(1, standin.EngineOptions{BaseInterval: 5 * time.Millisecond, Targets: []config.Target{emanta}})
-		w.platform.SetVMs(w.vms)
-		w.sleep(10 * time.Second)
 		session := w.sessionOn(v1)
 		var wg sync.WaitGroup
 		for i := range 8 {
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -270,6 +270,7 @@
 type worldOptions struct {
 	nodes, engines, services int
 	engine                   standin.EngineOptions
+	engineOf                 func(i int) standin.EngineOptions // instead of engine
 	edit                     func(c *config.Config)
 	platform                 standin.PlatformOptions
 }
@@ -292,6 +293,9 @@
 	}
 	w.loadConfig(o.edit)
 	for i := range o.engines {
+		if o.engineOf != nil {
+			o.engine = o.engineOf(i)
+		}
 		w.addEngine(i, o.engine)
 	}
 	for i := range o.services {
