--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
@@ -40,9 +41,11 @@
 	View   func() *membership.Snapshot
 	// Dispatcher serves the requests.
 	Dispatcher *dispatch.Dispatcher
-	Metrics    *telemetry.Metrics
-	Tracer     *telemetry.Tracer
-	Log        *zap.Logger
+	// Claims tells the outcomes of calls.
+	Claims  *ledger.Claims
+	Metrics *telemetry.Metrics
+	Tracer  *telemetry.Tracer
+	Log     *zap.Logger
 	// Draining tells that the node has left the directory but still serves,
 	// Leaving that it takes no new requests.
 	Draining func() bool
@@ -64,6 +67,7 @@
 	r.Get("/v1/models", g.models)
 	r.Post("/v1/chat/completions", g.chat)
 	r.HandleFunc("/v1/services/{name}/*", g.service)
+	r.Get("/v1/outcomes/{service}/{key}", g.outcome)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") })
 	r.Get("/readyz", g.ready)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -68,8 +68,11 @@
 type Suspect struct {
 	// Fingerprint identifies organisation and content.
 	Fingerprint uint64
-	// Crashes counts the replicas that died with it alone or among others.
-	Crashes int
+	// Generation rises when the request has run to its end; only crashes
+	// since then count.
+	Generation uint64
+	// Lost lists the replicas that died with it alone or among others.
+	Lost []Crash
 	// Convicted means that the request is refused everywhere.
 	Convicted bool
 	// Until is when the record lapses.
@@ -92,6 +95,32 @@
 	Config []byte
 }
 
+// Crash is the death of a replica.
+type Crash struct {
+	Replica string
+	At      time.Time
+}
+
+// AlarmArgs tells of requests that ran where a replica died.
+type AlarmArgs struct {
+	Suspects []Suspect
+}
+
+// AlarmReply is empty.
+type AlarmReply struct{}
+
+// InspectArgs asks a replica's owner whether the replica lives.
+type InspectArgs struct {
+	Replica string
+}
+
+// InspectReply is the answer.
+type InspectReply struct {
+	// Owned tells that the node owns the replica, Alive that it answered.
+	Owned bool
+	Alive bool
+}
+
 // AcquireArgs asks the owner of a replica for a place on it. The call
 // returns when the place is granted or refused.
 type AcquireArgs struct {
@@ -192,26 +221,42 @@
 	At         time.Time `json:"at"`
 }
 
+// Process names one start of a node's process.
+type Process struct {
+	Node        string
+	Incarnation uint64
+}
+
 // HoldBillsArgs hands copies of unstored bills to a second node, or tells it
-// that bills are stored and the copies may go.
+// that bills are stored and their copies may go.
 type HoldBillsArgs struct {
-	Node   string
-	Hold   []Bill
-	Stored []string
+	// From is the process whose bills these are.
+	From Process
+	// Bills are numbered by From, the first of them First, without gaps.
+	First uint64
+	Bills []Bill
+	// StoredBelow tells that all bills with lower numbers are stored.
+	StoredBelow uint64
 }
 
-// HoldBillsReply is empty.
-type HoldBillsReply struct{}
+// HoldBillsReply names the process that keeps the copies.
+type HoldBillsReply struct {
+	Holder Process
+}
 
-// ClaimArgs asks the node that made a claim whether it ever sent the call.
+// ClaimArgs asks the node that made a claim how far its call has come.
 type ClaimArgs struct {
+	// Claim is the key of the claim's row, Token the claim's own.
 	Claim string
 	Token string
+	// Process is the process that made the claim; another one knows nothing.
+	Process string
 }
 
-// ClaimReply is the answer.
+// ClaimReply is the answer; it is empty if the node does not know.
 type ClaimReply struct {
-	// NeverSent is true only if the node is sure, and has given the claim up.
+	// NeverSent tells that the call was not sent and will not be, or that its
+	// row has changed in the meantime.
 	NeverSent bool
 	// Running is true while the call is under way.
 	Running bool
@@ -219,6 +264,24 @@
 	Outcome []byte
 }
 
+// PinArgs proposes a session's version.
+type PinArgs struct {
+	// Pin is the key of the pin's row, Session the caller's session.
+	Pin     string
+	Session string
+	// Old is the version to replace, zero for a new session.
+	Old    config.Target
+	Target config.Target
+	// Copy tells that the table does not answer: the pin is to be remembered
+	// and stored later.
+	Copy bool
+}
+
+// PinReply holds the version that the session has.
+type PinReply struct {
+	Target config.Target
+}
+
 // Step is one line of a request's record.
 type Step struct {
 	At   time.Time
@@ -262,6 +325,9 @@
 	Grants(args GrantsArgs, reply *GrantsReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
+	Alarm(args AlarmArgs, reply *AlarmReply) error
+	Inspect(args InspectArgs, reply *InspectReply) error
+	Pin(args PinArgs, reply *PinReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
 	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
