--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -159,6 +159,7 @@
 		return nil, err
 	}
 	targets = d.prefer(a, targets)
+	d.spill(a, targets)
 	if pinned && pin != targets[0] {
 		return d.pin(ctx, a, id, pin, targets), nil
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -76,6 +76,7 @@
 	// outliers has a lock of its own, taken alone.
 	outliers *outliers
 	worked   atomic.Pointer[versionRules]
+	viewed   atomic.Pointer[viewWaits]
 }
 
 // New returns a dispatcher.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 	n.suspects = dispatch.NewSuspects()
 	n.owner.Watch(n.suspects)
 	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
-	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -48,16 +48,19 @@
 	// FalseAlarmBound is the chance at most that a version which is not worse
 	// is ever withdrawn by a roll-out's guard.
 	FalseAlarmBound = 0.01
-	withdrawAt      = channelCount / FalseAlarmBound
-	suspectAt       = withdrawAt / 5
 	// HoldTime is how long a suspect version gets no new sessions.
 	HoldTime = 2 * time.Minute
-	// Probation is the number of new answers after a hold before the next.
-	Probation = 20
-	// holdGrowth is by how much evidence must grow for another hold.
-	holdGrowth = 2
+	// suspectShare is the part of a bound at which a version is suspect, and
+	// clearShare that below which it is no longer.
+	suspectShare = 1.0 / 3
+	clearShare   = 1.0 / 30
 )
 
+// bounds are the evidence, by channel, at which a version is withdrawn. Their
+// inverses add up to FalseAlarmBound; errors and latency are known of every
+// answer at once and need less of it.
+var bounds = [channelCount]float64{125, 1000, 1000}
+
 // Verdict is what a guard says of a version.
 type Verdict struct {
 	// HoldUntil is until when the version should get no new sessions; zero
@@ -71,10 +74,9 @@
 
 // Guard judges a new version against the one in place, sequentially.
 type Guard struct {
-	tests [channelCount]Test
-	held  float64
-	hold  time.Time
-	tried int // outcomes of the new version since the last hold began
+	tests   [channelCount]Test
+	suspect bool
+	hold    time.Time
 }
 
 // NewGuard returns a guard that has seen nothing.
@@ -97,39 +99,26 @@
 // Observe takes what both versions did since the last call, and judges.
 func (g *Guard) Observe(old, next Evidence, now time.Time) Verdict {
 	a, b := old.channels(), next.channels()
-	worst, most, tried := 0, 0.0, 0
+	worst, share := 0, 0.0
 	for i := range g.tests {
-		tried = max(tried, b[i].Total())
 		g.tests[i].Add(a[i], b[i])
-		if e := g.tests[i].Evidence(); e > most {
-			worst, most = i, e
+		if e := g.tests[i].Evidence() / bounds[i]; e > share {
+			worst, share = i, e
 		}
 	}
-	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %.3g", channelNames[worst], most, float64(withdrawAt))}
-	if most >= withdrawAt {
+	v := Verdict{Reason: fmt.Sprintf("%s: evidence %.3g that it is worse than the version in place, bound %g", channelNames[worst], share*bounds[worst], bounds[worst])}
+	switch {
+	case share >= 1:
 		v.Withdraw = true
-		v.HoldUntil = now.Add(HoldTime)
-		return v
-	}
-	if !now.Before(g.hold) {
-		g.tried += tried
-	}
-	if g.suspect(most) && !now.Before(g.hold) {
-		g.held = most
-		g.tried = 0
 		g.hold = now.Add(HoldTime)
+	case share >= suspectShare && !g.suspect:
+		g.suspect = true
+		g.hold = now.Add(HoldTime)
+	case share < clearShare:
+		g.suspect = false
 	}
 	if now.Before(g.hold) {
 		v.HoldUntil = g.hold
 	}
 	return v
 }
-
-// suspect tells whether the evidence is worth a hold: the first time it
-// reaches the bound, later once it has grown over a number of new outcomes.
-func (g *Guard) suspect(evidence float64) bool {
-	if evidence < suspectAt {
-		return false
-	}
-	return g.held == 0 || (evidence >= g.held*holdGrowth && g.tried >= Probation)
-}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -200,6 +200,7 @@
 // end.
 func TestHoldEndsInAVerdict(t *testing.T) {
 	is := is.New(t)
+	const probation = 20
 	for i := range uint64(50) {
 		rng := rand.New(rand.NewPCG(20261204, i))
 		g, now := NewGuard(), time.Unix(0, 0)
@@ -212,7 +213,7 @@
 			v = observe()
 		}
 		now = v.HoldUntil
-		for n := 1; n < Probation && !v.Withdraw; n++ {
+		for n := 1; n < probation && !v.Withdraw; n++ {
 			v = observe()
 			is.True(v.Withdraw || v.HoldUntil.IsZero()) // held anew without having been tried
 		}
