--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // Paths of the engines' HTTP interface.
@@ -117,6 +118,9 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
+	if parent := telemetry.Parent(ctx); parent != "" {
+		req.Header.Set(telemetry.HeaderTraceParent, parent)
+	}
 	resp, err := client.Do(req)
 	if err != nil && !connected.Load() {
 		return nil, &Error{Kind: KindConnect, Ran: outcome.RanNo, Message: err.Error()}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -1,10 +1,12 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
 	"text/tabwriter"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -18,6 +20,9 @@
 	return slices.Sorted(maps.Keys(c.Organisations))[0]
 }
 
+// demoTimeout bounds the load, whatever happens.
+const demoTimeout = 2 * time.Minute
+
 func newDemo() *cobra.Command {
 	var example string
 	var requests int
@@ -31,7 +36,9 @@
 				return err
 			}
 			defer f.Close()
-			report, err := embedded.RunLoad(cmd.Context(), f, requests)
+			ctx, cancel := context.WithTimeout(cmd.Context(), demoTimeout)
+			defer cancel()
+			report, err := embedded.RunLoad(ctx, f, requests)
 			if err != nil {
 				return err
 			}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"io/fs"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,9 +57,7 @@
 			}
 			defer f.Close()
 			printDev(cmd, f)
-			signals := make(chan os.Signal, 1)
-			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-			<-signals
+			<-cmd.Context().Done()
 			return nil
 		},
 	}
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
-	"text/tabwriter"
+	"net/netip"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,41 +17,77 @@
 	"github.com/cowslipfall/cowslipfall/internal/node"
 )
 
-const operatorTimeout = 5 * time.Second
+const (
+	operatorTimeout = 5 * time.Second
+	maxReportBytes  = 64 << 20
+)
 
-// operatorFlags name a node's operators' interface.
+// operatorFlags name the operators' interface of one node or more.
 type operatorFlags struct {
-	address string
-	key     string
-	json    bool
+	addresses []string
+	key       string
+	json      bool
 }
 
 func (f *operatorFlags) add(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&f.address, "node", "", "operators' address of any node, IP:port")
+	cmd.Flags().StringSliceVar(&f.addresses, "node", nil, "operators' address of any node, IP:port; several, separated by commas, are tried in turn")
 	cmd.Flags().StringVar(&f.key, "key", "", "the nodes' operator_key")
 	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON")
 	_ = cmd.MarkFlagRequired("node")
 	_ = cmd.MarkFlagRequired("key")
 }
 
-// get fetches one of the operators' pages.
+// NodeError tells why a node gave no answer to an operator.
+type NodeError struct {
+	// Address is the node's address for operators.
+	Address string
+	// Remedy tells what went wrong and what to do.
+	Remedy string
+}
+
+// Error implements error.
+func (e *NodeError) Error() string { return "node " + e.Address + ": " + e.Remedy }
+
+// get fetches one of the operators' pages from the first node that answers.
 func (f *operatorFlags) get(ctx context.Context, path string, out any) error {
+	var failed []string
+	for _, address := range f.addresses {
+		err := f.getFrom(ctx, address, path, out)
+		if err == nil {
+			return nil
+		}
+		failed = append(failed, err.Error())
+	}
+	return errors.New(strings.Join(failed, "; "))
+}
+
+func (f *operatorFlags) getFrom(ctx context.Context, address, path string, out any) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &NodeError{address, "is not IP:port: give the operator_listen of a node"}
+	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return &NodeError{address, err.Error()}
 	}
 	req.Header.Set("Authorization", "Bearer "+f.key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "the node does not answer: try another")
+		return &NodeError{address, "does not answer (" + err.Error() + "): try another node"}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("the node answered %s: check --key", resp.Status)
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusUnauthorized:
+		return &NodeError{address, "refuses the key: give the operator_key of its settings as --key"}
+	default:
+		return &NodeError{address, "answered " + resp.Status + ": is this its operator_listen, and the same version of the program?"}
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "read the answer")
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(out); err != nil {
+		return &NodeError{address, "sent an answer that cannot be read (" + err.Error() + "): use the same version of the program"}
+	}
+	return nil
 }
 
 func printJSON(cmd *cobra.Command, v any) error {
@@ -57,64 +96,39 @@
 	return enc.Encode(v)
 }
 
-func newStatus() *cobra.Command {
-	f := &operatorFlags{}
-	cmd := &cobra.Command{
-		Use:   "status",
-		Short: "Show nodes, backend servers and the configuration in force",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s node.Status
-			if err := f.get(cmd.Context(), "/status", &s); err != nil {
-				return err
-			}
-			if f.json {
-				return printJSON(cmd, s)
-			}
-			return printStatus(cmd, s)
-		},
-	}
-	f.add(cmd)
-	return cmd
-}
-
-func printStatus(cmd *cobra.Command, s node.Status) error {
-	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "revision %d by %s: %s\n\n", s.Revision.Number, s.Revision.Author, s.Revision.Note)
-	fmt.Fprintln(w, "NODE\tDATA CENTRE\tLIVE\tLEAVING\tREVISION\tREPLICAS")
-	for _, n := range s.Nodes {
-		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d\n", n.State.ID, n.State.DataCentre, n.Live, n.State.Leaving, n.State.Revision, len(n.State.Replicas))
-	}
-	fmt.Fprintln(w, "\nREPLICA\tDATA CENTRE\tPOOL\tOWNER\tUSABLE\tRUNNING\tLIMIT")
-	for _, r := range s.Replicas {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\t%d\n", r.ID, r.DataCentre, r.Pool, r.Owner, r.Usable, r.Running, r.Limit)
-	}
-	return w.Flush()
-}
-
 func newExplain() *cobra.Command {
 	f := &operatorFlags{}
 	cmd := &cobra.Command{
 		Use:   "explain REQUEST",
-		Short: "Tell what the fleet did with a request",
+		Short: "Tell what the fleet did with a request, by its X-Request-Id",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var e node.Explanation
-			if err := f.get(cmd.Context(), "/explain/"+args[0], &e); err != nil {
+			if err := f.get(cmd.Context(), "/explain/"+url.PathEscape(args[0]), &e); err != nil {
 				return err
 			}
 			if f.json {
 				return printJSON(cmd, e)
 			}
-			if len(e.Steps) == 0 {
-				return errors.Errorf("no node knows request %s: it is too old, or its node has stopped", args[0])
-			}
-			for _, s := range e.Steps {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s  %-12s %s\n", s.At.Format("15:04:05.000"), s.Node, s.Text)
-			}
-			return nil
+			return printExplanation(cmd.OutOrStdout(), e)
 		},
 	}
 	f.add(cmd)
 	return cmd
 }
+
+// printExplanation prints the steps with the time since the first.
+func printExplanation(w io.Writer, e node.Explanation) error {
+	for _, id := range e.Silent {
+		fmt.Fprintf(w, "node %s did not answer: its steps are missing\n", id)
+	}
+	if len(e.Steps) == 0 {
+		return errors.Errorf("no node knows request %s: it is too old, its node was replaced, or the identity is mistyped", e.Request)
+	}
+	start := e.Steps[0].At
+	fmt.Fprintf(w, "request %s, first seen %s\n", e.Request, start.Format(time.RFC3339))
+	for _, s := range e.Steps {
+		fmt.Fprintf(w, "%10s  %-12s %s\n", "+"+s.At.Sub(start).Round(time.Millisecond).String(), s.Node, s.Text)
+	}
+	return nil
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -2,20 +2,26 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
 
-// Run carries out one command line and returns the exit code.
+// Run carries out one command line and returns the exit code: 0 if it went
+// well, else 1. A signal to stop ends the command's context.
 func Run(args []string, stdout, stderr io.Writer) int {
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(stderr, "cowslipfall: "+err.Error())
 		return 1
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -68,9 +66,7 @@
 	n.Start()
 	log.Info("serving", zap.String("callers", settings.Listen), zap.String("inner", settings.InnerListen), zap.String("operators", settings.OperatorListen))
 	fmt.Fprintf(cmd.OutOrStdout(), "callers=%s inner=%s operators=%s\n", settings.Listen, settings.InnerListen, settings.OperatorListen)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	<-cmd.Context().Done()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err = n.Leave(ctx)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,11 +29,9 @@
 		return errors.Wrap(err, "listen")
 	}
 	fmt.Fprintf(cmd.OutOrStdout(), "address=%s\n", l.Addr())
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	s := &http.Server{Handler: h}
 	go func() {
-		<-signals
+		<-cmd.Context().Done()
 		s.Close()
 	}()
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,202 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/node"
+)
+
+const minWatch = 200 * time.Millisecond
+
+func newStatus() *cobra.Command {
+	f := &operatorFlags{}
+	var watch time.Duration
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show nodes, data centres, backend servers, versions and the configuration in force",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if watch == 0 {
+				return showStatus(cmd, f)
+			}
+			return watchStatus(cmd, f, max(watch, minWatch))
+		},
+	}
+	f.add(cmd)
+	cmd.Flags().DurationVar(&watch, "watch", 0, "show it again at this interval until interrupted, such as 2s")
+	return cmd
+}
+
+func showStatus(cmd *cobra.Command, f *operatorFlags) error {
+	var r node.Report
+	if err := f.get(cmd.Context(), "/status", &r); err != nil {
+		return err
+	}
+	if f.json {
+		return printJSON(cmd, r)
+	}
+	return printReport(cmd.OutOrStdout(), r)
+}
+
+// watchStatus goes on while nodes fail to answer, since the watcher wants to
+// see them come back.
+func watchStatus(cmd *cobra.Command, f *operatorFlags, interval time.Duration) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		if !f.json {
+			fmt.Fprintf(cmd.OutOrStdout(), "\n---- %s\n", time.Now().Format(time.RFC3339))
+		}
+		if err := showStatus(cmd, f); err != nil && cmd.Context().Err() == nil {
+			fmt.Fprintln(cmd.ErrOrStderr(), "cowslipfall: "+err.Error())
+		}
+		select {
+		case <-ticker.C:
+		case <-cmd.Context().Done():
+			return nil
+		}
+	}
+}
+
+// printReport prints a report as tables.
+func printReport(out io.Writer, r node.Report) error {
+	fmt.Fprintf(out, "as seen by node %s\n", r.Node)
+	if r.Revision.Number == 0 {
+		fmt.Fprintln(out, "no configuration yet: apply one with \"config apply DIR\"")
+	} else {
+		fmt.Fprintf(out, "revision %d by %s at %s: %s\n", r.Revision.Number, r.Revision.Author, r.Revision.At.Format(time.RFC3339), r.Revision.Note)
+	}
+	printStore(out, r)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printNodes(w, r)
+	printVersions(w, r)
+	printQuietHours(w, r)
+	printSuspects(w, r)
+	return w.Flush()
+}
+
+func printStore(out io.Writer, r node.Report) {
+	switch s := r.Store; {
+	case s.FailuresInRow > 0:
+		fmt.Fprintf(out, "store: away, %d calls failed since %s (%s)\n", s.FailuresInRow, clock(s.LastAnswer), s.Cause)
+	default:
+		fmt.Fprintf(out, "store: answers, last at %s\n", clock(s.LastAnswer))
+	}
+	fmt.Fprintf(out, "bills not yet stored by this node: %d\n", r.PendingBills)
+}
+
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return "the start"
+	}
+	return t.Format("15:04:05")
+}
+
+func printNodes(w io.Writer, r node.Report) {
+	fmt.Fprintln(w, "\nDATA CENTRE\tNODES LIVE\tREPLICAS USABLE\tRUNNING")
+	for _, d := range r.DataCentres {
+		fmt.Fprintf(w, "%s\t%d of %d\t%d of %d\t%d of %d\n", d.Name, d.Live, d.Nodes, d.Usable, d.Replicas, d.Running, d.Limit)
+	}
+	fmt.Fprintln(w, "\nNODE\tDATA CENTRE\tSTATE\tREVISION\tREPLICAS\tADDRESS")
+	for _, n := range r.Nodes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", n.ID, n.DataCentre, n.State, revisionOf(n, r.Revision), n.Replicas, n.Address)
+	}
+	fmt.Fprintln(w, "\nBACKEND SERVER\tPOOL\tDATA CENTRE\tSTATE\tOWNER\tRUNNING\tWAIT BY RANK\tVERSIONS")
+	for _, s := range r.Replicas {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d of %d\t%s\t%s\n",
+			s.ID, s.Pool, s.DataCentre, usable(s.Usable), s.Owner, s.Running, s.Limit, waits(s.WaitsMS), strings.Join(s.Versions, " "))
+	}
+}
+
+func revisionOf(n node.NodeReport, newest *config.Revision) string {
+	text := strconv.FormatUint(n.Revision, 10)
+	if n.State == node.StateLive && n.Revision < newest.Number {
+		return text + " (behind)"
+	}
+	return text
+}
+
+func usable(ok bool) string {
+	if ok {
+		return "usable"
+	}
+	return "unusable"
+}
+
+func waits(ms []int64) string {
+	var out []string
+	for _, w := range ms {
+		out = append(out, (time.Duration(w) * time.Millisecond).String())
+	}
+	return strings.Join(out, " ")
+}
+
+func printVersions(w io.Writer, r node.Report) {
+	fmt.Fprintln(w, "\nVERSION\tSTATE\tREPLICAS\tROLL-OUT")
+	for _, v := range r.Versions {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", v.Version, versionState(v), v.Replicas, stage(v))
+	}
+}
+
+func versionState(v node.VersionReport) string {
+	switch {
+	case v.Withdrawn != "":
+		return "withdrawn: " + v.Withdrawn
+	case v.Default:
+		return "in place"
+	default:
+		return "allowed"
+	}
+}
+
+func stage(v node.VersionReport) string {
+	switch {
+	case v.Rollout == "":
+		return ""
+	case v.Stage == 0:
+		return v.Rollout + ": not started"
+	case v.Stage > v.Stages:
+		return v.Rollout + ": promoted at " + v.Since.Format(time.RFC3339)
+	}
+	text := fmt.Sprintf("%s: stage %d of %d, %g%% of new sessions since %s", v.Rollout, v.Stage, v.Stages, v.Percent, v.Since.Format(time.RFC3339))
+	if v.Paused {
+		return text + ", paused"
+	}
+	return text
+}
+
+func printQuietHours(w io.Writer, r node.Report) {
+	if len(r.QuietHours) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nQUIET HOURS\tSTATE\tFROM\tTO")
+	for _, q := range r.QuietHours {
+		state := "next"
+		if q.Active {
+			state = "in force"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", q.Name, state, q.From.Format(time.RFC3339), q.To.Format(time.RFC3339))
+	}
+}
+
+func printSuspects(w io.Writer, r node.Report) {
+	if len(r.Suspects) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nCRASH SUSPECT\tCRASHES\tSTATE\tUNTIL")
+	for _, s := range r.Suspects {
+		state := "runs apart from other suspects"
+		if s.Refused {
+			state = "refused"
+		}
+		fmt.Fprintf(w, "%016x\t%d\t%s\t%s\n", s.Fingerprint, s.Crashes, state, s.Until.Format(time.RFC3339))
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,13 +48,19 @@
 	TraceExporter string `toml:"trace_exporter"`
 	// TraceEndpoint is the collector's URL for otlp.
 	TraceEndpoint string `toml:"trace_endpoint"`
+	// TraceRatio is the share of requests traced, 0 to 1, beside those that
+	// their callers trace; default 0.01.
+	TraceRatio float64 `toml:"trace_ratio"`
 }
 
-const defaultPlatformTimeout = time.Second
+const (
+	defaultPlatformTimeout = time.Second
+	defaultTraceRatio      = 0.01
+)
 
 // DefaultSettings returns the settings of a process that is told nothing.
 func DefaultSettings() Settings {
-	return Settings{PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none"}
+	return Settings{PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none", TraceRatio: defaultTraceRatio}
 }
 
 // LoadSettings reads a TOML file, lays the environment and then the overrides
@@ -119,6 +126,12 @@
 	switch target := reflect.ValueOf(s).Elem().FieldByIndex(field.Index).Addr().Interface().(type) {
 	case *string:
 		*target = value
+	case *float64:
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return &FolderError{Key: key, Remedy: strconv.Quote(value) + " is not a number: write one such as 0.01"}
+		}
+		*target = v
 	case *[]string:
 		*target = splitList(value)
 	case *Duration:
--- a/internal/config/settings_check.go
+++ b/internal/config/settings_check.go
@@ -128,6 +128,9 @@
 			return settingFault(f.key, "is %q: use one of %s", f.value, strings.Join(f.known, ", "))
 		}
 	}
+	if !within(s.TraceRatio, 0, 1) {
+		return settingFault("trace_ratio", "%g is outside 0 to 1: write the share of requests to trace", s.TraceRatio)
+	}
 	if s.TraceExporter == "otlp" {
 		return checkURL("trace_endpoint", s.TraceEndpoint)
 	}
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -73,6 +73,7 @@
 		{`region = "etelainen"`, "region = \"etelainen\"\nlog_format = \"xml\"", "log_format", "use one of json"},
 		{`region = "etelainen"`, "region = \"etelainen\"\ntrace_exporter = \"file\"", "trace_exporter", "use one of none"},
 		{`region = "etelainen"`, "region = \"etelainen\"\ntrace_exporter = \"otlp\"", "trace_endpoint", "is not a URL"},
+		{`region = "etelainen"`, "region = \"etelainen\"\ntrace_ratio = 2", "trace_ratio", "outside 0 to 1"},
 		{`region = "etelainen"`, `region = "etelainen`, "region", "is not valid TOML"},
 	} {
 		t.Run(c.new, func(t *testing.T) {
@@ -100,6 +101,8 @@
 	}
 	_, err = loadText(t, validSettings, nil, map[string]string{"platform_timeout": "fast"})
 	is.True(strings.Contains(err.Error(), "key platform_timeout: \"fast\" is not a duration"))
+	_, err = loadText(t, validSettings, nil, map[string]string{"trace_ratio": "all"})
+	is.Equal(err.Error(), `command line: key trace_ratio: "all" is not a number: write one such as 0.01`)
 	_, err = LoadSettings("/nonexistent/settings.toml", nil, nil)
 	is.True(strings.Contains(err.Error(), "/nonexistent/settings.toml: cannot be read"))
 	_, err = LoadSettings("", nil, nil)
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -123,7 +123,9 @@
 	if err != nil {
 		return nil, err
 	}
-	targets := rules.plan.Versions(nil, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held})
+	choice := routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held}
+	targets := rules.plan.Versions(nil, choice)
+	d.Record.Add(a.req.ID, "%s", rules.plan.Explain(choice, targets))
 	if len(targets) == 0 {
 		return nil, outcome.Refuse(outcome.CodeNotAllowed, 0, "no version of %q is allowed and in force for organisation %q: ask its operator", a.req.Asked, a.req.Organisation)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -143,9 +143,11 @@
 		}
 		quiet = quietChecks{hours: rules.hours, now: now, scope: w.scope(req.Organisation), length: w.length, known: quiet.known[:0]}
 		view := d.View()
-		at := routing.ChooseReplica(view.Replicas, routing.ReplicaRequest{
+		choice := routing.ReplicaRequest{
 			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Draw: mathrand.Uint64(), Closed: quiet.closed,
-		})
+		}
+		at := routing.ChooseReplica(view.Replicas, choice)
+		d.Record.Add(req.ID, "%s", routing.ExplainReplica(view.Replicas, choice, at))
 		if at < 0 {
 			break
 		}
--- a/internal/embedded/load.go
+++ b/internal/embedded/load.go
@@ -81,10 +81,16 @@
 		})
 	}
 	for i := range shots {
+		if ctx.Err() != nil {
+			break
+		}
 		work <- i
 	}
 	close(work)
 	wg.Wait()
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "the load was stopped before its end")
+	}
 	r := summarise(shots)
 	return r, f.check(ctx, r, shots)
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -111,7 +111,6 @@
 		return
 	}
 	ctx, span := g.span(r, "chat", req)
-	defer span.End()
 	ctx, gone := context.WithCancel(ctx)
 	defer gone()
 	text := parsed.prompt()
@@ -122,6 +121,8 @@
 	result, err := g.Dispatcher.Chat(ctx, &dispatch.ChatRequest{
 		Request: *req, Asked: config.ParseTarget(parsed.Model), Prompt: text, MaxTokens: parsed.MaxTokens,
 	}, sink)
+	span.End(err)
+	g.Metrics.RequestTime.WithLabelValues("chat", rank).Observe(time.Since(sink.start).Seconds())
 	if err != nil {
 		g.chatFailed(w, rank, sink, err)
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -197,7 +197,8 @@
 	is.Equal(got.Header().Get(HeaderClientRequestID), "trip-17")
 	id := got.Header().Get(HeaderRequestID)
 	is.True(id != "trip-17")
-	is.Equal(len(f.record.Steps(id)), 1) // the refusal can be explained
+	is.Equal(len(f.record.Steps(id)), 2) // the refusal can be explained
+	is.Equal(f.record.Steps("trip-17"), f.record.Steps(id))
 	is.Equal(f.do("POST", chatPath, "{", HeaderRequestID, "a b").Header().Get(HeaderClientRequestID), "")
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,14 +11,12 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // Bounds of what callers send.
@@ -64,9 +62,19 @@
 		ID: requestID(r.Context()), Organisation: name, Caller: r.Header.Get(HeaderCaller), Session: r.Header.Get(HeaderSession),
 		Rank: ranked.Order, Deadline: time.Now().Add(wait),
 	}
+	g.note(r, req, rank, wait)
 	return req, rank, nil
 }
 
+// note begins the record of a request.
+func (g *Gateway) note(r *http.Request, req *dispatch.Request, rank string, wait time.Duration) {
+	if own := r.Header.Get(HeaderRequestID); clientIDPattern.MatchString(own) {
+		g.Dispatcher.Record.Alias(own, req.ID)
+	}
+	g.Dispatcher.Record.Add(req.ID, "taken from organisation %s, rank %s, session %q, deadline %s, revision %d",
+		req.Organisation, rank, req.Session, wait, g.Config.Current().Number)
+}
+
 // checkHeaders bounds the number and the size of the headers.
 func checkHeaders(h http.Header) error {
 	if len(h) > maxHeaders {
@@ -127,11 +135,13 @@
 	return b, nil
 }
 
-// span begins the span of one request.
-func (g *Gateway) span(r *http.Request, name string, req *dispatch.Request) (context.Context, trace.Span) {
-	ctx := g.Tracer.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	return g.Tracer.Start(ctx, name, trace.WithAttributes(
-		attribute.String("request", req.ID), attribute.String("organisation", req.Organisation), attribute.Int("rank", req.Rank)))
+// span begins the span of one request, under its caller's if it sent one.
+func (g *Gateway) span(r *http.Request, name string, req *dispatch.Request) (context.Context, telemetry.Span) {
+	ctx, span := g.Tracer.Start(telemetry.Remote(r.Context(), r.Header.Get(telemetry.HeaderTraceParent)), name)
+	span.Text("request", req.ID)
+	span.Text("organisation", req.Organisation)
+	span.Number("rank", req.Rank)
+	return ctx, span
 }
 
 // keyedID returns the identity that all tries of one call share.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -6,6 +6,7 @@
 	pathpkg "path"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -41,12 +42,14 @@
 		req.ID = keyedID(req.Organisation, name, key)
 	}
 	ctx, span := g.span(r, "service", req)
-	defer span.End()
 	w.Header().Set(HeaderRequestID, req.ID)
+	start := time.Now()
 	reply, err := g.Dispatcher.Call(ctx, &dispatch.CallRequest{Request: *req, Service: name, Call: backend.Call{
 		Method: r.Method, Path: path, Query: r.URL.RawQuery, Body: content,
 		ContentType: r.Header.Get("Content-Type"), Key: key,
 	}})
+	span.End(err)
+	g.Metrics.RequestTime.WithLabelValues("service", rank).Observe(time.Since(start).Seconds())
 	if err != nil {
 		g.refuse(w, "service", rank, err)
 		return
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,117 @@
+// Package meter wraps what a node works with, so that calls of owners, backend
+// servers, peers and the platform are counted, timed and traced.
+package meter
+
+import (
+	"context"
+	"net"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// Results of a wait at an owner.
+const (
+	resultGranted  = "granted"
+	resultRefused  = "refused"
+	resultNotOwner = "not_owner"
+	resultNoAnswer = "no_answer"
+)
+
+// Places counts and traces requests for places on replicas.
+type Places struct {
+	Next    dispatch.Places
+	Metrics *telemetry.Metrics
+	Tracer  *telemetry.Tracer
+}
+
+var _ dispatch.Places = Places{}
+
+// Acquire implements dispatch.Places.
+func (p Places) Acquire(ctx context.Context, owner string, args wire.AcquireArgs) (wire.AcquireReply, error) {
+	ctx, span := p.Tracer.Start(ctx, "place")
+	span.Text("owner", owner)
+	span.Text("replica", args.Replica)
+	args.Trace = telemetry.Parent(ctx)
+	reply, err := p.Next.Acquire(ctx, owner, args)
+	result := placeResult(reply, err)
+	span.Text("result", result)
+	span.End(err)
+	p.Metrics.QueueTime.WithLabelValues(strconv.Itoa(args.Rank), result).Observe(reply.Queued.Seconds())
+	return reply, err
+}
+
+// Release implements dispatch.Places.
+func (p Places) Release(owner string, args wire.ReleaseArgs) { p.Next.Release(owner, args) }
+
+func placeResult(reply wire.AcquireReply, err error) string {
+	switch {
+	case err != nil:
+		return resultNoAnswer
+	case reply.Granted:
+		return resultGranted
+	case reply.NotOwner:
+		return resultNotOwner
+	default:
+		return resultRefused
+	}
+}
+
+// countedConn counts the bytes of one connection.
+type countedConn struct {
+	net.Conn
+	in, out prometheus.Counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(float64(n))
+	return n, err
+}
+
+func counted(conn net.Conn, m *telemetry.Metrics) net.Conn {
+	return &countedConn{Conn: conn, in: m.InnerBytes.WithLabelValues("in"), out: m.InnerBytes.WithLabelValues("out")}
+}
+
+// Dial counts the bytes of the connections that dial opens.
+func Dial(dial wire.Dial, m *telemetry.Metrics) wire.Dial {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return counted(conn, m), nil
+	}
+}
+
+// listener counts the bytes of the connections that it accepts.
+type listener struct {
+	net.Listener
+	metrics *telemetry.Metrics
+}
+
+// Listener counts the bytes of the connections that l accepts.
+func Listener(l net.Listener, m *telemetry.Metrics) net.Listener {
+	return listener{Listener: l, metrics: m}
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted(conn, l.metrics), nil
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,149 @@
+package meter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/standin"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+const caller = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+func tools(t *testing.T) (*telemetry.Metrics, *telemetry.Tracer) {
+	t.Helper()
+	tracer, err := telemetry.NewTracer(t.Context(), config.DefaultSettings())
+	is.New(t).NoErr(err)
+	return telemetry.NewMetrics(), tracer
+}
+
+// counts returns the values of a counter or the counts of a histogram by the
+// values of their labels, in the order of the labels' names.
+func counts(t *testing.T, m *telemetry.Metrics, name string) map[string]float64 {
+	t.Helper()
+	families, err := m.Registry.Gather()
+	is.New(t).NoErr(err)
+	out := map[string]float64{}
+	for _, f := range families {
+		if f.GetName() != "cowslipfall_"+name {
+			continue
+		}
+		for _, v := range f.GetMetric() {
+			out[labels(v)] = v.GetCounter().GetValue() + float64(v.GetHistogram().GetSampleCount())
+		}
+	}
+	return out
+}
+
+func labels(m *dto.Metric) string {
+	text := ""
+	for _, l := range m.GetLabel() {
+		text += l.GetValue() + " "
+	}
+	return text
+}
+
+type places struct{ trace string }
+
+func (p *places) Acquire(_ context.Context, owner string, args wire.AcquireArgs) (wire.AcquireReply, error) {
+	p.trace = args.Trace
+	if owner == "gone" {
+		return wire.AcquireReply{}, wire.ErrPeer
+	}
+	return wire.AcquireReply{Granted: owner == "a", NotOwner: owner == "b"}, nil
+}
+
+func (p *places) Release(string, wire.ReleaseArgs) {}
+
+func TestPlaces(t *testing.T) {
+	is := is.New(t)
+	m, tracer := tools(t)
+	next := &places{}
+	p := Places{Next: next, Metrics: m, Tracer: tracer}
+	ctx := telemetry.Remote(t.Context(), caller)
+	for _, owner := range []string{"a", "b", "c", "gone"} {
+		_, _ = p.Acquire(ctx, owner, wire.AcquireArgs{Rank: 1})
+	}
+	p.Release("a", wire.ReleaseArgs{})
+	is.Equal(next.trace, caller) // the owner hears of the caller's trace
+	is.Equal(counts(t, m, "queue_seconds"), map[string]float64{"1 granted ": 1, "1 not_owner ": 1, "1 refused ": 1, "1 no_answer ": 1})
+}
+
+// dialer reaches one engine and one service in memory.
+type dialer struct {
+	engine  *standin.Engine
+	service *standin.Service
+}
+
+func (d dialer) Engine(string) backend.Engine   { return d.engine }
+func (d dialer) Service(string) backend.Service { return d.service }
+
+func TestDialer(t *testing.T) {
+	is := is.New(t)
+	m, tracer := tools(t)
+	target := config.Target{Model: "small", Version: "v1"}
+	d := Dialer{Next: dialer{standin.NewEngine(standin.EngineOptions{Targets: []config.Target{target}}), standin.NewService("s")}, Metrics: m, Tracer: tracer}
+	s, err := d.Engine("x").Generate(t.Context(), backend.GenerateRequest{Attempt: "1", Target: target, Prompt: "p", MaxTokens: 3, Offset: 1})
+	is.NoErr(err)
+	for {
+		f, err := s.Next()
+		if f.Final || err != nil {
+			is.NoErr(err)
+			break
+		}
+	}
+	is.NoErr(s.Close())
+	s, err = d.Engine("x").Generate(t.Context(), backend.GenerateRequest{Attempt: "2", Target: target, Prompt: "p", MaxTokens: 3})
+	is.NoErr(err)
+	is.NoErr(s.Close()) // the node ends it early
+	_, err = d.Engine("x").Generate(t.Context(), backend.GenerateRequest{Attempt: "3", Target: config.Target{Model: "other"}, MaxTokens: 3})
+	is.True(err != nil)
+	_, err = d.Service("x").Do(t.Context(), backend.Call{Method: "GET", Path: "/"})
+	is.NoErr(err)
+	is.Equal(counts(t, m, "attempts_total"), map[string]float64{"answer ok ": 1, "answer ended ": 1, "answer not_loaded ": 1, "call ok ": 1})
+	is.Equal(counts(t, m, "resumes_total"), map[string]float64{"": 1})
+}
+
+// failing is a platform that is away.
+type failing struct{ Platform }
+
+func (failing) Get(context.Context, string) (platform.Row, error) {
+	return platform.Row{}, errors.Wrap(platform.ErrUnavailable, "away")
+}
+
+func TestStore(t *testing.T) {
+	is := is.New(t)
+	m, tracer := tools(t)
+	inner := standin.NewPlatform(standin.PlatformOptions{})
+	health := &HealthLog{}
+	s := Store{Next: inner, Metrics: m, Tracer: tracer, Health: health}
+	ctx := t.Context()
+	_, err := s.Get(ctx, "claim/a")
+	is.True(errors.Is(err, platform.ErrNotFound))
+	_, err = s.Commit(ctx, platform.Op{Key: "claim/a", Expect: 7})
+	is.True(errors.Is(err, platform.ErrConflict))
+	_, err = s.Commit(ctx, platform.Op{Key: "an organisation's own key", Expect: platform.AnyVersion})
+	is.NoErr(err)
+	is.Equal(health.Now().FailuresInRow, 0) // a refusal is an answer
+	away := Store{Next: failing{inner}, Metrics: m, Tracer: tracer, Health: health}
+	for range 3 {
+		_, _ = away.Get(ctx, "bill/x")
+	}
+	is.Equal(health.Now().FailuresInRow, 3)
+	is.True(health.Now().AnswerAge(time.Now()) >= 0)
+	_, err = s.VMs(ctx)
+	is.NoErr(err)
+	is.Equal(health.Now().FailuresInRow, 0)
+	is.Equal(counts(t, m, "store_calls_total"), map[string]float64{
+		"not_found claim ": 1, "conflict claim ": 1, "ok other ": 1, "unavailable bill ": 3, "ok vms ": 1,
+	})
+}
--- /dev/null
+++ b/internal/meter/store.go
@@ -0,0 +1,158 @@
+package meter
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+)
+
+// uses are those that calls of the table are counted by: the first part of
+// the key. Others count as "other".
+var uses = []string{"bill", "claim", "config", "fleet", "node", "outcome", "pin", "rollout", "suspect"}
+
+// Uses of the platform's other services.
+const (
+	useOther   = "other"
+	useObjects = "objects"
+	useVMs     = "vms"
+	useRatings = "ratings"
+	useWeights = "weights"
+)
+
+func useOf(key string) string {
+	use, _, _ := strings.Cut(key, "/")
+	if slices.Contains(uses, use) {
+		return use
+	}
+	return useOther
+}
+
+// storeResult names the result of a call of the platform.
+func storeResult(err error) string {
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, platform.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrThrottled):
+		return "throttled"
+	default:
+		return "unavailable"
+	}
+}
+
+// Platform is all that a node needs of the platform.
+type Platform interface {
+	platform.Table
+	platform.ObjectStore
+	platform.VMList
+	platform.Ratings
+	platform.Weights
+}
+
+// Store counts, times and traces the calls of the platform.
+type Store struct {
+	Next    Platform
+	Metrics *telemetry.Metrics
+	Tracer  *telemetry.Tracer
+	Health  *HealthLog
+}
+
+var _ Platform = Store{}
+
+// begin starts one call; the function returned ends it.
+func (s Store) begin(ctx context.Context, use string) (context.Context, func(error)) {
+	ctx, span := s.Tracer.Start(ctx, "store")
+	span.Text("use", use)
+	start := time.Now()
+	return ctx, func(err error) {
+		span.End(err)
+		s.Metrics.StoreCalls.WithLabelValues(use, storeResult(err)).Inc()
+		s.Health.note(time.Now(), err)
+		s.Metrics.StoreTime.WithLabelValues(use).Observe(time.Since(start).Seconds())
+	}
+}
+
+// Get implements platform.Table.
+func (s Store) Get(ctx context.Context, key string) (platform.Row, error) {
+	ctx, end := s.begin(ctx, useOf(key))
+	row, err := s.Next.Get(ctx, key)
+	end(err)
+	return row, err
+}
+
+// List implements platform.Table.
+func (s Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	ctx, end := s.begin(ctx, useOf(prefix))
+	rows, err := s.Next.List(ctx, prefix, after, limit)
+	end(err)
+	return rows, err
+}
+
+// Commit implements platform.Table.
+func (s Store) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+	use := useOther
+	if len(ops) > 0 {
+		use = useOf(ops[0].Key)
+	}
+	ctx, end := s.begin(ctx, use)
+	versions, err := s.Next.Commit(ctx, ops...)
+	end(err)
+	return versions, err
+}
+
+// PutObject implements platform.ObjectStore.
+func (s Store) PutObject(ctx context.Context, name string, body []byte) error {
+	ctx, end := s.begin(ctx, useObjects)
+	err := s.Next.PutObject(ctx, name, body)
+	end(err)
+	return err
+}
+
+// GetObject implements platform.ObjectStore.
+func (s Store) GetObject(ctx context.Context, name string) ([]byte, error) {
+	ctx, end := s.begin(ctx, useObjects)
+	body, err := s.Next.GetObject(ctx, name)
+	end(err)
+	return body, err
+}
+
+// VMs implements platform.VMList.
+func (s Store) VMs(ctx context.Context) ([]platform.VM, error) {
+	ctx, end := s.begin(ctx, useVMs)
+	vms, err := s.Next.VMs(ctx)
+	end(err)
+	return vms, err
+}
+
+// Submit implements platform.Ratings.
+func (s Store) Submit(ctx context.Context, samples []platform.Sample) error {
+	ctx, end := s.begin(ctx, useRatings)
+	err := s.Next.Submit(ctx, samples)
+	end(err)
+	return err
+}
+
+// Poll implements platform.Ratings.
+func (s Store) Poll(ctx context.Context, requests []string) ([]platform.Rating, error) {
+	ctx, end := s.begin(ctx, useRatings)
+	ratings, err := s.Next.Poll(ctx, requests)
+	end(err)
+	return ratings, err
+}
+
+// Acquire implements platform.Weights.
+func (s Store) Acquire(ctx context.Context, target string) (time.Duration, error) {
+	ctx, end := s.begin(ctx, useWeights)
+	wait, err := s.Next.Acquire(ctx, target)
+	end(err)
+	return wait, err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/gateway"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/meter"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/record"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
@@ -26,13 +27,7 @@
 )
 
 // Platform is all that a node needs of the platform.
-type Platform interface {
-	platform.Table
-	platform.ObjectStore
-	platform.VMList
-	platform.Ratings
-	platform.Weights
-}
+type Platform = meter.Platform
 
 // Listeners are where a node is reached.
 type Listeners struct {
@@ -68,6 +63,7 @@
 	record      *record.Log
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
+	health      *meter.HealthLog
 	draining    atomic.Bool // left the directory
 	leaving     atomic.Bool // takes no new requests
 	servers     []*http.Server
@@ -87,10 +83,13 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := telemetry.NewMetrics()
+	health := &meter.HealthLog{}
+	o = metered(o, metrics, tracer, health)
 	n := &Node{
 		options: o, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: telemetry.NewMetrics(), tracer: tracer, exchanger: newExchanger(), seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, health: health, exchanger: newExchanger(), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
@@ -101,13 +100,24 @@
 	n.bills = ledger.NewBills(o.Platform, n.holdBills)
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
-		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
+		Config: n.config, View: n.members.Snapshot, Places: meter.Places{Next: places{n}, Metrics: metrics, Tracer: tracer}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
 	})
+	metrics.Registry.MustRegister(gauges{n})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
 }
 
+// metered wraps a node's surroundings, so that calls of them are counted and
+// traced.
+func metered(o Options, m *telemetry.Metrics, t *telemetry.Tracer, h *meter.HealthLog) Options {
+	o.Platform = meter.Store{Next: o.Platform, Metrics: m, Tracer: t, Health: h}
+	o.Dialer = meter.Dialer{Next: o.Dialer, Metrics: m, Tracer: t}
+	o.Dial = meter.Dial(o.Dial, m)
+	o.Listeners.Inner = meter.Listener(o.Listeners.Inner, m)
+	return o
+}
+
 // Start serves callers, peers and operators, and starts the loops.
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
@@ -8,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -18,31 +20,36 @@
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// Status is what a node tells operators.
+// Status is a node's present view, for use within the process.
 type Status struct {
-	// Node is the answering node's name.
-	Node string `json:"node"`
-	// Revision is the configuration in force there, without its content.
-	Revision *config.Revision `json:"revision"`
+	// Node is the node's name.
+	Node string
+	// Revision is the configuration in force there.
+	Revision *config.Revision
 	// Nodes and Replicas are those it knows of.
-	Nodes    []membership.Node `json:"nodes"`
-	Replicas []routing.Replica `json:"replicas"`
+	Nodes    []membership.Node
+	Replicas []routing.Replica
 	// PendingBills is the number of bills not yet stored.
-	PendingBills int `json:"pending_bills"`
+	PendingBills int
 }
 
 // Explanation is the fleet's account of one request.
 type Explanation struct {
 	Request string      `json:"request"`
 	Steps   []wire.Step `json:"steps"`
+	// Silent lists the live nodes that did not answer in time.
+	Silent []string `json:"silent,omitempty"`
 }
 
+// explainTimeout bounds the wait for the other nodes.
+const explainTimeout = 2 * time.Second
+
 // operators returns the operators' HTTP handler.
 func (n *Node) operators() http.Handler {
 	r := chi.NewRouter()
 	r.Use(n.operatorKey)
 	r.Handle("/metrics", promhttp.HandlerFor(n.metrics.Registry, promhttp.HandlerOpts{}))
-	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Report()) })
 	r.Get("/explain/{request}", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, n.explain(r, chi.URLParam(r, "request")))
 	})
@@ -77,7 +84,9 @@
 
 // explain gathers a request's steps from all live nodes.
 func (n *Node) explain(r *http.Request, request string) Explanation {
-	steps := n.record.Steps(request)
+	ctx, cancel := context.WithTimeout(r.Context(), explainTimeout)
+	defer cancel()
+	e := Explanation{Request: request, Steps: n.record.Steps(request)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, m := range n.members.Snapshot().Nodes {
@@ -86,15 +95,18 @@
 		}
 		wg.Go(func() {
 			reply := &wire.ExplainReply{}
-			if n.call(r.Context(), m.State.ID, "Explain", wire.ExplainArgs{Request: request}, reply) != nil {
-				return
-			}
+			err := n.call(ctx, m.State.ID, "Explain", wire.ExplainArgs{Request: request}, reply)
 			mu.Lock()
 			defer mu.Unlock()
-			steps = append(steps, reply.Steps...)
+			if err != nil {
+				e.Silent = append(e.Silent, m.State.ID)
+				return
+			}
+			e.Steps = append(e.Steps, reply.Steps...)
 		})
 	}
 	wg.Wait()
-	slices.SortStableFunc(steps, func(a, b wire.Step) int { return a.At.Compare(b.At) })
-	return Explanation{Request: request, Steps: steps}
+	slices.Sort(e.Silent)
+	slices.SortStableFunc(e.Steps, func(a, b wire.Step) int { return a.At.Compare(b.At) })
+	return e
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -63,10 +64,18 @@
 
 // Acquire implements wire.Handler.
 func (h *handler) Acquire(args wire.AcquireArgs, reply *wire.AcquireReply) error {
-	*reply = h.n.owner.Acquire(args)
+	*reply = h.n.acquire(args)
 	return nil
 }
 
+// acquire asks the own owner, as one hop of the asker's trace.
+func (n *Node) acquire(args wire.AcquireArgs) wire.AcquireReply {
+	_, span := n.tracer.Start(telemetry.Remote(context.Background(), args.Trace), "queue")
+	defer span.End(nil)
+	span.Text("replica", args.Replica)
+	return n.owner.Acquire(args)
+}
+
 // Release implements wire.Handler.
 func (h *handler) Release(args wire.ReleaseArgs, _ *wire.ReleaseReply) error {
 	h.n.owner.Release(args)
@@ -127,7 +136,7 @@
 
 func (p places) local(ctx context.Context, args wire.AcquireArgs) (wire.AcquireReply, error) {
 	done := make(chan wire.AcquireReply, 1)
-	go func() { done <- p.n.owner.Acquire(args) }()
+	go func() { done <- p.n.acquire(args) }()
 	select {
 	case reply := <-done:
 		return reply, nil
@@ -151,6 +160,7 @@
 
 // pause tells the holder of a grant to pause its stream.
 func (n *Node) pause(node, grant string) {
+	n.metrics.Preemptions.Inc()
 	if node == n.options.Settings.ID {
 		n.dispatcher.Pause(grant)
 		return
--- /dev/null
+++ b/internal/node/report.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/meter"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// Report is what a node tells operators of the fleet, as it sees it.
+type Report struct {
+	// Node is the answering node's name, At when it answered.
+	Node string    `json:"node"`
+	At   time.Time `json:"at"`
+	// Revision is the configuration in force there, without its content.
+	Revision     *config.Revision   `json:"revision"`
+	Nodes        []NodeReport       `json:"nodes"`
+	DataCentres  []DataCentreReport `json:"data_centres"`
+	Replicas     []ReplicaReport    `json:"replicas"`
+	Versions     []VersionReport    `json:"versions"`
+	QuietHours   []QuietReport      `json:"quiet_hours"`
+	Suspects     []SuspectReport    `json:"suspects"`
+	Store        meter.Health       `json:"store"`
+	PendingBills int                `json:"pending_bills"`
+}
+
+// States of a node in a report.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	StateDead    = "dead"
+)
+
+// NodeReport is one node.
+type NodeReport struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	Address    string `json:"address"`
+	// State is live, leaving or dead.
+	State string `json:"state"`
+	// Revision is the configuration revision in force there.
+	Revision uint64 `json:"revision"`
+	// Replicas is the number of replicas that it owns.
+	Replicas int `json:"replicas"`
+}
+
+// DataCentreReport sums a data centre up.
+type DataCentreReport struct {
+	Name     string `json:"name"`
+	Nodes    int    `json:"nodes"`
+	Live     int    `json:"live"`
+	Replicas int    `json:"replicas"`
+	Usable   int    `json:"usable"`
+	Running  int    `json:"running"`
+	Limit    int    `json:"limit"`
+}
+
+// ReplicaReport is one backend server.
+type ReplicaReport struct {
+	ID         string   `json:"id"`
+	Pool       string   `json:"pool"`
+	DataCentre string   `json:"data_centre"`
+	Owner      string   `json:"owner"`
+	Usable     bool     `json:"usable"`
+	Running    int      `json:"running"`
+	Limit      int      `json:"limit"`
+	Versions   []string `json:"versions"`
+	// WaitsMS are the predicted queue waits by rank order, in milliseconds.
+	WaitsMS []int64 `json:"waits_ms"`
+}
+
+// VersionReport is one version of a model.
+type VersionReport struct {
+	Version string `json:"version"`
+	// Default tells that it is the model's version in place.
+	Default bool `json:"default"`
+	// Withdrawn is the reason if it takes no new work.
+	Withdrawn string `json:"withdrawn,omitempty"`
+	// Replicas is the number of usable replicas that have it loaded.
+	Replicas int `json:"replicas"`
+	// Rollout names the plan that brings it in; Stage counts from 1, 0 means
+	// not started, and Stage past Stages means promoted.
+	Rollout string    `json:"rollout,omitempty"`
+	Stage   int       `json:"stage,omitempty"`
+	Stages  int       `json:"stages,omitempty"`
+	Percent float64   `json:"percent,omitempty"`
+	Paused  bool      `json:"paused,omitempty"`
+	Since   time.Time `json:"since,omitzero"`
+}
+
+// QuietReport is the present or next window of one rule of quiet hours.
+type QuietReport struct {
+	Name   string    `json:"name"`
+	Active bool      `json:"active"`
+	From   time.Time `json:"from"`
+	To     time.Time `json:"to"`
+}
+
+// SuspectReport is the fingerprint of a request seen at crashes.
+type SuspectReport struct {
+	Fingerprint uint64    `json:"fingerprint"`
+	Crashes     int       `json:"crashes"`
+	Refused     bool      `json:"refused"`
+	Until       time.Time `json:"until"`
+}
+
+// Report returns the fleet as this node sees it.
+func (n *Node) Report() Report {
+	s := n.Status()
+	now := time.Now()
+	r := Report{Node: s.Node, At: now, Revision: s.Revision, Store: n.health.Now(), PendingBills: s.PendingBills, Suspects: suspects(s)}
+	owned := map[string]int{}
+	loaded := map[string]int{}
+	for _, v := range s.Replicas {
+		owned[v.Owner]++
+		out := ReplicaReport{ID: v.ID, Pool: v.Pool, DataCentre: v.DataCentre, Owner: v.Owner, Usable: v.Usable, Running: v.Running, Limit: v.Limit}
+		for _, t := range v.Targets {
+			out.Versions = append(out.Versions, t.String())
+			if v.Usable {
+				loaded[t.String()]++
+			}
+		}
+		for _, w := range v.Waits {
+			out.WaitsMS = append(out.WaitsMS, w.Milliseconds())
+		}
+		r.Replicas = append(r.Replicas, out)
+	}
+	for _, v := range s.Nodes {
+		r.Nodes = append(r.Nodes, NodeReport{
+			ID: v.State.ID, DataCentre: v.State.DataCentre, Region: v.State.Region, Address: v.State.Address,
+			State: nodeState(v.Live, v.State), Revision: v.State.Revision, Replicas: owned[v.State.ID],
+		})
+	}
+	r.DataCentres = dataCentres(r.Nodes, r.Replicas)
+	r.Versions = versionReports(s.Revision, loaded)
+	r.QuietHours = quietReports(s.Revision, now)
+	return r
+}
+
+func nodeState(live bool, s wire.NodeState) string {
+	switch {
+	case !live:
+		return StateDead
+	case s.Leaving:
+		return StateLeaving
+	default:
+		return StateLive
+	}
+}
+
+func dataCentres(nodes []NodeReport, replicas []ReplicaReport) []DataCentreReport {
+	byName := map[string]*DataCentreReport{}
+	get := func(name string) *DataCentreReport {
+		if byName[name] == nil {
+			byName[name] = &DataCentreReport{Name: name}
+		}
+		return byName[name]
+	}
+	for _, n := range nodes {
+		d := get(n.DataCentre)
+		d.Nodes++
+		if n.State == StateLive {
+			d.Live++
+		}
+	}
+	for _, r := range replicas {
+		d := get(r.DataCentre)
+		d.Replicas++
+		if r.Usable {
+			d.Usable++
+			d.Running += r.Running
+			d.Limit += r.Limit
+		}
+	}
+	var out []DataCentreReport
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, *byName[name])
+	}
+	return out
+}
+
+// versionReports lists all versions, with the plan that brings each in.
+func versionReports(rev *config.Revision, loaded map[string]int) []VersionReport {
+	plans := map[config.Target]string{}
+	for name, plan := range rev.Config.Rollouts {
+		plans[rollout.Target(plan)] = name
+	}
+	var out []VersionReport
+	for model, m := range rev.Config.Models {
+		for version := range m.Versions {
+			t := config.Target{Model: model, Version: version}
+			v := VersionReport{Version: t.String(), Default: m.Default == version, Withdrawn: withdrawal(rev, t), Replicas: loaded[t.String()]}
+			if name := plans[t]; name != "" {
+				v.fill(rev, name)
+			}
+			out = append(out, v)
+		}
+	}
+	slices.SortFunc(out, func(a, b VersionReport) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+// fill notes a roll-out's progress.
+func (v *VersionReport) fill(rev *config.Revision, name string) {
+	plan := rev.Config.Rollouts[name]
+	state := rollout.State(rev, name)
+	v.Rollout, v.Stages, v.Paused, v.Since = name, len(plan.Stages), state.Paused || plan.Paused, state.Since
+	v.Stage = state.Stage + 1
+	switch {
+	case state.Stage < 0:
+		v.Stage = 0
+	case state.Stage < len(plan.Stages):
+		v.Percent = plan.Stages[state.Stage].Percent
+	default:
+		v.Percent = 100
+	}
+}
+
+// withdrawal tells why a version takes no new work, or "".
+func withdrawal(rev *config.Revision, t config.Target) string {
+	if w, ok := rev.Withdrawn[t]; ok {
+		return cmp.Or(w.Reason, "by command")
+	}
+	if rev.IsWithdrawn(t) {
+		return "by the folder"
+	}
+	return ""
+}
+
+func quietReports(rev *config.Revision, now time.Time) []QuietReport {
+	quiet, err := rollout.NewQuiet(rev.Config)
+	if err != nil {
+		return nil
+	}
+	var out []QuietReport
+	for _, w := range quiet.At(now).Edges(now) {
+		out = append(out, QuietReport{Name: w.Name, Active: !now.Before(w.From), From: w.From, To: w.To})
+	}
+	return out
+}
+
+// suspects joins what the live nodes tell, each fingerprint once.
+func suspects(s Status) []SuspectReport {
+	found := map[uint64]SuspectReport{}
+	for _, n := range s.Nodes {
+		for _, v := range n.State.Suspects {
+			if old := found[v.Fingerprint]; v.Crashes >= old.Crashes {
+				found[v.Fingerprint] = SuspectReport{Fingerprint: v.Fingerprint, Crashes: v.Crashes, Refused: v.Convicted || old.Refused, Until: v.Until}
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(found), func(a, b SuspectReport) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+}
--- /dev/null
+++ b/internal/telemetry/trace.go
@@ -0,0 +1,127 @@
+package telemetry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+)
+
+const (
+	tracerName = "cowslipfall"
+	// HeaderTraceParent is the header of the W3C trace context.
+	HeaderTraceParent = "traceparent"
+)
+
+// propagator reads and writes W3C trace context.
+var propagator = propagation.TraceContext{}
+
+// Tracer makes the spans of one node. Without an exporter it only carries the
+// caller's context on.
+type Tracer struct {
+	tracer  trace.Tracer
+	enabled bool
+	// Stop flushes and ends the exporter.
+	Stop func(context.Context) error
+}
+
+// NewTracer returns a tracer for the settings' exporter.
+func NewTracer(ctx context.Context, s config.Settings) (*Tracer, error) {
+	var exporter sdktrace.SpanExporter
+	var err error
+	switch s.TraceExporter {
+	case "stdout":
+		exporter, err = stdouttrace.New()
+	case "otlp":
+		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.TraceEndpoint))
+	default:
+		return disabled(), nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "trace_exporter")
+	}
+	return newTracer(s, sdktrace.NewBatchSpanProcessor(exporter)), nil
+}
+
+func disabled() *Tracer {
+	return &Tracer{tracer: noop.NewTracerProvider().Tracer(tracerName), Stop: func(context.Context) error { return nil }}
+}
+
+// newTracer traces the settings' share of requests, and all that the caller
+// traces.
+func newTracer(s config.Settings, processor sdktrace.SpanProcessor) *Tracer {
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithSpanProcessor(processor),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.TraceRatio))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", tracerName), attribute.String("service.instance.id", s.ID), attribute.String("data_centre", s.DataCentre))),
+	)
+	return &Tracer{tracer: provider.Tracer(tracerName), enabled: true, Stop: provider.Shutdown}
+}
+
+// Start begins a span; without an exporter it returns ctx and a span that
+// does nothing.
+func (t *Tracer) Start(ctx context.Context, name string) (context.Context, Span) {
+	if !t.enabled {
+		return ctx, Span{}
+	}
+	ctx, span := t.tracer.Start(ctx, name)
+	return ctx, Span{span}
+}
+
+// Remote returns ctx with the context that another process sent; an empty or
+// unreadable one changes nothing.
+func Remote(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return propagator.Extract(ctx, propagation.MapCarrier{HeaderTraceParent: parent})
+}
+
+// Parent returns the context to send to another process, or "".
+func Parent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	return carrier[HeaderTraceParent]
+}
+
+// Span is one hop of a request. Its zero value does nothing.
+type Span struct{ span trace.Span }
+
+// Text notes an attribute.
+func (s Span) Text(key, value string) {
+	if s.span != nil {
+		s.span.SetAttributes(attribute.String(key, value))
+	}
+}
+
+// Number notes an attribute.
+func (s Span) Number(key string, value int) {
+	if s.span != nil {
+		s.span.SetAttributes(attribute.Int(key, value))
+	}
+}
+
+// End ends the span, as failed if err is not nil.
+func (s Span) End(err error) {
+	if s.span == nil {
+		return
+	}
+	if err != nil {
+		s.span.SetStatus(codes.Error, err.Error())
+	}
+	s.span.End()
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -107,6 +107,8 @@
 	Fingerprint uint64
 	// Prefixes are the prompt's block hashes, longest last.
 	Prefixes []uint64
+	// Trace is the W3C trace context of the request, or empty.
+	Trace string
 }
 
 // AcquireReply is the owner's answer.
@@ -192,9 +194,9 @@
 
 // Step is one line of a request's record.
 type Step struct {
-	At   time.Time
-	Node string
-	Text string
+	At   time.Time `json:"at"`
+	Node string    `json:"node"`
+	Text string    `json:"text"`
 }
 
 // ExplainArgs asks for the record of a request.
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -180,8 +180,8 @@
 }
 
 // status asks a node's operators' interface.
-func (f *fleet) status(p *process) (node.Status, error) {
-	var s node.Status
+func (f *fleet) status(p *process) (node.Report, error) {
+	var s node.Report
 	req, err := http.NewRequest(http.MethodGet, "http://"+p.addresses["operators"]+"/status", nil)
 	if err != nil {
 		return s, err
