--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,10 +2,7 @@
 // runs, how much runs, and what is refused.
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Work is one request waiting for a place on a replica.
 type Work struct {
@@ -20,107 +17,180 @@
 	Rank int
 	// Tokens is the estimated cost in tokens.
 	Tokens int
+	// Memory is the KV cache that it may fill, in tokens.
+	Memory int
+	// Resumed tells that its answer has begun: it is never refused and goes
+	// before its organisation's other work.
+	Resumed bool
+	// Pausable tells that its stream may be paused for more urgent work.
+	Pausable bool
+	// Fingerprint identifies organisation and content; 0 is unknown.
+	Fingerprint uint64
 	// Arrived is when it joined, Deadline when it must have started.
 	Arrived  time.Time
 	Deadline time.Time
+
+	lane     *lane
+	promoted bool
+	// returned tells that the work came back when it was told to.
+	returned bool
+	// asked is the cost as its asker estimated it.
+	asked int
+}
+
+// order returns the rank that the work is treated as.
+func (w *Work) order() int {
+	if w.promoted {
+		return min(w.Rank, promotedRank)
+	}
+	return w.Rank
 }
 
-// account counts what one organisation was served within one rank, in tokens
-// divided by its weight.
-type account struct {
-	virtual float64
-	waiting []*Work
+// Order is an order of waiting work. Implementations are not safe for
+// concurrent use.
+type Order interface {
+	// Push adds work.
+	Push(w *Work)
+	// Next returns the work to run next without taking it, or nil; ranks for
+	// which allowed returns false are passed over.
+	Next(now time.Time, allowed func(rank int) bool) *Work
+	// Take removes work that Next returned and charges for it.
+	Take(now time.Time, w *Work)
+	// Correct replaces an estimated charge by the true one, in tokens.
+	Correct(w *Work, tokens int)
+	// Remove takes the work with the given ID out and tells whether it was
+	// there.
+	Remove(id string) bool
+	// Expire removes and returns the work whose deadline has passed.
+	Expire(now time.Time) []*Work
+	// Len returns the number of waiting requests.
+	Len() int
+	// Waiting returns the number of waiting requests of one rank.
+	Waiting(rank int) int
+	// Modest tells whether the work's organisation was lately served less than
+	// a given part of its fair share.
+	Modest(now time.Time, w *Work, part float64) bool
+	// Backlog returns the waiting requests of the work's organisation and
+	// rank.
+	Backlog(w *Work) int
+	// Excess returns the waiting work of the rank whose turn comes last, if it
+	// comes after that of new work; else nil. Begun tells that the turn of
+	// work that may not be refused comes after it.
+	Excess(w *Work) (last *Work, begun bool)
+	// Ahead returns the tokens that are served before new work within its
+	// rank.
+	Ahead(w *Work) float64
+	// Tokens returns the tokens that wait in a rank.
+	Tokens(rank int) float64
+	// RankShare returns the least share of the replica that the rank can
+	// count on now, 0 to 1.
+	RankShare(rank int) float64
 }
 
 // rankQueue holds the waiting work of one rank.
 type rankQueue struct {
-	floor    float64
-	served   float64
-	accounts map[string]*account
-	tokens   int
-	count    int
+	floor  float64
+	served float64
+	tokens int
+	count  int
 }
 
 // Queue orders waiting work: by rank with a floor for each, then by the
 // organisation served least for its weight, then by deadline. It is not safe
 // for concurrent use.
 type Queue struct {
-	ranks  []rankQueue
-	served float64
-	last   time.Time
+	accounts accounts
+	ranks    []rankQueue
+	work     map[string]*Work
+	served   float64
+	last     time.Time
 }
 
-// servedHalfLife is how fast the shares of the ranks forget.
-const servedHalfLife = 10 * time.Second
+var _ Order = (*Queue)(nil)
+
+const (
+	// promotedRank is the rank as which less urgent work of organisations with
+	// little use is treated.
+	promotedRank = 1
+	// servedHalfLife is how fast the shares of the ranks forget.
+	servedHalfLife = 30 * time.Second
+	// minForget is the least time between two decays.
+	minForget = 100 * time.Millisecond
+	// minRankShare keeps predictions finite for ranks without a floor.
+	minRankShare = 0.02
+)
 
 // NewQueue returns a queue for the ranks whose floors are given in their
 // order, the most urgent first.
 func NewQueue(floors []float64) *Queue {
-	q := &Queue{ranks: make([]rankQueue, len(floors))}
+	q := &Queue{accounts: newAccounts(len(floors)), ranks: make([]rankQueue, len(floors)), work: map[string]*Work{}}
 	for i, f := range floors {
-		q.ranks[i] = rankQueue{floor: f, accounts: map[string]*account{}}
+		q.ranks[i] = rankQueue{floor: f}
 	}
 	return q
 }
 
-// Len returns the number of waiting requests.
-func (q *Queue) Len() int {
-	n := 0
-	for i := range q.ranks {
-		n += q.ranks[i].count
-	}
-	return n
-}
+// Len implements Order.
+func (q *Queue) Len() int { return len(q.work) }
 
-// rank returns the queue of work's rank; an unknown rank counts as the last.
-func (q *Queue) rank(order int) *rankQueue {
-	return &q.ranks[min(max(order, 0), len(q.ranks)-1)]
-}
+// Waiting implements Order.
+func (q *Queue) Waiting(rank int) int { return q.rank(rank).count }
 
-// Push adds work.
+// index maps a rank's order to its place; an unknown rank counts as the last.
+func (q *Queue) index(order int) int { return min(max(order, 0), len(q.ranks)-1) }
+
+func (q *Queue) rank(order int) *rankQueue { return &q.ranks[q.index(order)] }
+
+// Push implements Order.
 func (q *Queue) Push(w *Work) {
-	r := q.rank(w.Rank)
-	a := r.accounts[w.Organisation]
-	if a == nil {
-		a = &account{}
-		r.accounts[w.Organisation] = a
-	}
-	if len(a.waiting) == 0 {
-		a.virtual = max(a.virtual, r.least())
-	}
-	at, _ := slices.BinarySearchFunc(a.waiting, w, func(x, y *Work) int { return x.Deadline.Compare(y.Deadline) })
-	a.waiting = slices.Insert(a.waiting, at, w)
+	r := q.rank(w.order())
+	q.accounts.push(w, q.index(w.order()))
 	r.tokens += w.Tokens
 	r.count++
+	q.work[w.ID] = w
 }
 
-// least returns the smallest virtual count among organisations that wait.
-func (r *rankQueue) least() float64 {
-	least, found := 0.0, false
-	for _, a := range r.accounts {
-		if len(a.waiting) > 0 && (!found || a.virtual < least) {
-			least, found = a.virtual, true
-		}
+// Pop removes and returns the work to run next, or nil if none waits.
+func (q *Queue) Pop(now time.Time) *Work {
+	w := q.Next(now, nil)
+	if w != nil {
+		q.Take(now, w)
 	}
-	return least
+	return w
 }
 
-// Pop removes and returns the work to run next, or nil if none waits.
-func (q *Queue) Pop(now time.Time) *Work {
+// Next implements Order: the first rank below its floor, else the most urgent
+// rank, that is allowed and has waiting work.
+func (q *Queue) Next(now time.Time, allowed func(rank int) bool) *Work {
 	q.forget(now)
-	r := q.nextRank()
-	if r == nil {
+	first := -1
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		if r.count == 0 || (allowed != nil && !allowed(i)) {
+			continue
+		}
+		if r.floor > 0 && r.served < r.floor*q.served {
+			return q.accounts.next(i)
+		}
+		if first < 0 {
+			first = i
+		}
+	}
+	if first < 0 {
 		return nil
 	}
-	a := r.nextAccount()
-	w := a.waiting[0]
-	a.waiting = slices.Delete(a.waiting, 0, 1)
-	a.virtual += float64(w.Tokens) / weight(w)
+	return q.accounts.next(first)
+}
+
+// Take implements Order.
+func (q *Queue) Take(now time.Time, w *Work) {
+	r := q.rank(w.order())
+	q.accounts.take(now, w, q.index(w.order()))
 	r.tokens -= w.Tokens
 	r.count--
 	r.served += float64(w.Tokens)
 	q.served += float64(w.Tokens)
-	return w
+	delete(q.work, w.ID)
 }
 
 func weight(w *Work) float64 {
@@ -136,11 +206,11 @@
 		q.last = now
 		return
 	}
-	halves := float64(now.Sub(q.last)) / float64(servedHalfLife)
-	if halves < 0.01 {
+	passed := now.Sub(q.last)
+	if passed < minForget {
 		return
 	}
-	factor := 1 / (1 + halves)
+	factor := 1 / (1 + float64(passed)/float64(servedHalfLife))
 	q.last = now
 	q.served *= factor
 	for i := range q.ranks {
@@ -148,90 +218,84 @@
 	}
 }
 
-// nextRank returns the first rank below its floor, else the most urgent rank
-// with waiting work.
-func (q *Queue) nextRank() *rankQueue {
-	var first *rankQueue
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		if r.count == 0 {
-			continue
-		}
-		if first == nil {
-			first = r
-			continue
-		}
-		if r.floor > 0 && r.served < r.floor*q.served {
-			return r
-		}
+// Correct implements Order.
+func (q *Queue) Correct(w *Work, tokens int) {
+	r := q.rank(w.order())
+	off := float64(tokens - w.Tokens)
+	q.accounts.correct(w, off/weight(w))
+	r.served = max(r.served+off, 0)
+	q.served = max(q.served+off, 0)
+}
+
+// Remove implements Order.
+func (q *Queue) Remove(id string) bool {
+	w := q.work[id]
+	if w == nil {
+		return false
 	}
-	return first
+	q.drop(w)
+	return true
 }
 
-func (r *rankQueue) nextAccount() *account {
-	var best *account
-	var bestName string
-	for name, a := range r.accounts {
-		if len(a.waiting) == 0 {
-			continue
-		}
-		if best == nil || a.virtual < best.virtual || (a.virtual == best.virtual && name < bestName) {
-			best, bestName = a, name
+// drop takes waiting work out without a charge.
+func (q *Queue) drop(w *Work) {
+	r := q.rank(w.order())
+	q.accounts.drop(w, q.index(w.order()))
+	r.tokens -= w.Tokens
+	r.count--
+	delete(q.work, w.ID)
+}
+
+// Expire implements Order.
+func (q *Queue) Expire(now time.Time) []*Work {
+	var out []*Work
+	for _, lanes := range q.accounts.active {
+		for _, l := range lanes {
+			out = l.appendExpired(out, now)
 		}
 	}
-	return best
+	for _, w := range out {
+		q.drop(w)
+	}
+	return out
 }
 
-// Correct replaces an estimated charge by the true one.
-func (q *Queue) Correct(w *Work, tokens int) {
-	r := q.rank(w.Rank)
-	if a := r.accounts[w.Organisation]; a != nil {
-		a.virtual += float64(tokens-w.Tokens) / weight(w)
-	}
+// Modest implements Order.
+func (q *Queue) Modest(now time.Time, w *Work, part float64) bool {
+	return q.accounts.modest(now, w, part)
 }
 
-// Remove takes the work with the given ID out and tells whether it was there.
-func (q *Queue) Remove(id string) bool {
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		for _, a := range r.accounts {
-			at := slices.IndexFunc(a.waiting, func(w *Work) bool { return w.ID == id })
-			if at < 0 {
-				continue
-			}
-			r.tokens -= a.waiting[at].Tokens
-			r.count--
-			a.waiting = slices.Delete(a.waiting, at, at+1)
-			return true
-		}
+// Backlog implements Order.
+func (q *Queue) Backlog(w *Work) int {
+	a := q.accounts.byName[w.Organisation]
+	if a == nil || a.lanes[q.index(w.order())] == nil {
+		return 0
 	}
-	return false
+	return len(a.lanes[q.index(w.order())].waiting)
 }
 
-// Expire removes and returns the work whose deadline has passed.
-func (q *Queue) Expire(now time.Time) []*Work {
-	var out []*Work
+// Excess implements Order.
+func (q *Queue) Excess(w *Work) (last *Work, begun bool) {
+	return q.accounts.excess(w, q.index(w.order()))
+}
+
+// Ahead implements Order.
+func (q *Queue) Ahead(w *Work) float64 { return q.accounts.ahead(w, q.index(w.order())) }
+
+// Tokens implements Order.
+func (q *Queue) Tokens(rank int) float64 { return float64(q.rank(rank).tokens) }
+
+// RankShare implements Order.
+func (q *Queue) RankShare(rank int) float64 {
+	above, below := 0.0, 0.0
 	for i := range q.ranks {
 		r := &q.ranks[i]
-		for _, a := range r.accounts {
-			for len(a.waiting) > 0 && !a.waiting[0].Deadline.After(now) {
-				w := a.waiting[0]
-				a.waiting = slices.Delete(a.waiting, 0, 1)
-				r.tokens -= w.Tokens
-				r.count--
-				out = append(out, w)
-			}
+		switch {
+		case i < rank && q.served > 0:
+			above += r.served / q.served
+		case i > rank && r.count > 0:
+			below += r.floor
 		}
 	}
-	return out
-}
-
-// TokensAhead returns the tokens of waiting work that new work of the given
-// rank would find before it.
-func (q *Queue) TokensAhead(rank int) int {
-	n := 0
-	for i := 0; i <= min(rank, len(q.ranks)-1); i++ {
-		n += q.ranks[i].tokens
-	}
-	return n
+	return max(1-above-below, q.rank(rank).floor, minRankShare)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -49,6 +49,8 @@
 	Record *record.Log
 	// Observer learns from attempts and answers; nil learns nothing.
 	Observer Observer
+	// Cascade chooses between versions; nil keeps their order.
+	Cascade Cascade
 	// Held tells which versions should get no new sessions; nil means none.
 	Held func(config.Target) bool
 }
@@ -60,6 +62,9 @@
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // guarded by mu, by organisation
 	pauses  map[string]chan struct{}          // guarded by mu, by grant
+	recent  *routing.Recent                   // guarded by mu
+	cached  *routing.PrefixIndex              // guarded by mu
+	told    *admission.Told                   // guarded by mu
 	pace    *pace
 	worked  atomic.Pointer[versionRules]
 }
@@ -69,7 +74,10 @@
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
-	return &Dispatcher{Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}}
+	return &Dispatcher{
+		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
+	}
 }
 
 // Request is what is common to all requests.
@@ -104,8 +112,15 @@
 }
 
 const (
-	// maxPlaceTries bounds how many owners are asked for one attempt.
+	// maxPlaceTries bounds how many owners are asked for one attempt,
+	// maxWaitTries how many may refuse for the length of their queues.
 	maxPlaceTries = 4
+	maxWaitTries  = 2
+	// rememberedBlocks bounds what the node remembers of prefix caches, in
+	// prompt blocks.
+	rememberedBlocks = 1 << 15
+	// ownerCheck is how often a wait looks whether its owner still lives.
+	ownerCheck = 250 * time.Millisecond
 	// noBackendRetry is the come-back time when no replica is there.
 	noBackendRetry = 2 * time.Second
 )
@@ -115,10 +130,14 @@
 	target   config.Target
 	pool     string
 	tokens   int
+	prompt   int
+	resumed  bool
 	prefixes []uint64
 	excluded []string
 	deadline time.Time
 	length   time.Duration
+	book     bool
+	first    bool
 }
 
 // scope is where the work of the wish would run, without the replica's part.
@@ -131,7 +150,8 @@
 	tried := append([]string(nil), w.excluded...)
 	var refusal *outcome.Refusal
 	var quiet quietChecks
-	for try := 0; try < maxPlaceTries; try++ {
+	waits := 0
+	for try := 0; try < maxPlaceTries && waits < maxWaitTries; try++ {
 		wait := time.Until(w.deadline)
 		if wait <= 0 {
 			return nil, outcome.Refuse(outcome.CodeDeadline, minRetryAfter, "the deadline passed before a place was found: allow more time or come back later")
@@ -144,13 +164,21 @@
 		quiet = quietChecks{hours: rules.hours, now: now, scope: w.scope(req.Organisation), length: w.length, known: quiet.known[:0]}
 		view := d.View()
 		choice := routing.ReplicaRequest{
-			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Draw: mathrand.Uint64(), Closed: quiet.closed,
+			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Now: now, Closed: quiet.closed,
 		}
-		at := routing.ChooseReplica(view.Replicas, choice)
+		at := d.choose(view.Replicas, w, choice)
 		d.Record.Add(req.ID, "%s", routing.ExplainReplica(view.Replicas, choice, at))
 		if at < 0 {
 			break
 		}
+		if try == 0 && !w.resumed {
+			early := time.Duration(0)
+			if at, early = d.returning(now, req, view, at); early > 0 {
+				return nil, outcome.Refuse(outcome.CodeOverloaded, early, "the request came back before the time it was given: come back after the given time")
+			}
+		}
+		w.first = try == 0
+		w.book = waits+1 >= maxWaitTries || len(view.Replicas) == 1
 		p, reply, err := d.ask(ctx, req, w, view.Replicas[at], quiet.longest(view.Replicas[at], wait))
 		switch {
 		case p != nil:
@@ -159,7 +187,11 @@
 			return nil, outcome.Refuse(outcome.CodeCancelled, 0, "the caller went away before the request was sent")
 		case err == nil && !reply.NotOwner:
 			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
-			refusal = soonest(refusal, reply)
+			refusal = outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
+			if reply.Reason == ReasonWait {
+				waits++
+				d.note(now, req, view.Replicas[at].ID, reply.RetryAfter)
+			}
 		default:
 			d.Record.Add(req.ID, "owner %s of replica %s did not answer", view.Replicas[at].Owner, view.Replicas[at].ID)
 		}
@@ -174,27 +206,22 @@
 	return nil, outcome.Refuse(outcome.CodeNoBackend, jitter(noBackendRetry), "no backend server can run the request now: come back later")
 }
 
-// soonest keeps the refusal with the shortest come-back time.
-func soonest(old *outcome.Refusal, reply wire.AcquireReply) *outcome.Refusal {
-	if old != nil && old.RetryAfter <= reply.RetryAfter {
-		return old
-	}
-	return outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
-}
-
 // ask asks one owner for a place.
 func (d *Dispatcher) ask(ctx context.Context, req *Request, w wish, r routing.Replica, wait time.Duration) (*place, wire.AcquireReply, error) {
 	p := &place{replica: r, grant: NewID(), owner: r.Owner, paused: make(chan struct{}, 1)}
 	args := wire.AcquireArgs{
 		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
-		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Wait: wait,
-		Fingerprint: req.Fingerprint, Prefixes: w.prefixes,
+		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
+		Fingerprint: req.Fingerprint, Prefixes: w.prefixes, Book: w.book,
 	}
 	d.mu.Lock()
 	d.pauses[p.grant] = p.paused
 	d.mu.Unlock()
-	reply, err := d.Places.Acquire(ctx, r.Owner, args)
+	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
 	if err == nil && reply.Granted {
+		d.mu.Lock()
+		d.cached.Add(r.ID, w.prefixes)
+		d.mu.Unlock()
 		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
 		return p, reply, nil
 	}
@@ -219,6 +246,19 @@
 	d.Places.Release(p.owner, args)
 }
 
+// Ended returns those of the grants that no request of this node holds.
+func (d *Dispatcher) Ended(grants []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for _, g := range grants {
+		if d.pauses[g] == nil {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 // Pause tells the stream that holds the grant to pause.
 func (d *Dispatcher) Pause(grant string) {
 	d.mu.Lock()
--- a/internal/dispatch/quiet.go
+++ b/internal/dispatch/quiet.go
@@ -198,6 +198,34 @@
 	return w.To, ok && w.Holds(now, length)
 }
 
+// withoutQuiet drops the versions that quiet hours close everywhere.
+func (d *Dispatcher) withoutQuiet(a *answer, targets []config.Target) ([]config.Target, error) {
+	var until time.Time
+	open := targets[:0]
+	for _, t := range targets {
+		to, closed := d.quietAt(rollout.Scope{Model: t.Model, Organisation: a.req.Organisation}, d.answerLength(a, t))
+		switch {
+		case !closed:
+			open = append(open, t)
+		case until.IsZero() || to.Before(until):
+			until = to
+		}
+	}
+	if len(open) == 0 {
+		return nil, refuseQuiet(time.Now(), until)
+	}
+	return open, nil
+}
+
+// answerLength estimates how long the rest of the answer takes.
+func (d *Dispatcher) answerLength(a *answer, t config.Target) time.Duration {
+	return d.pace.answer(t, len(a.req.Prompt), a.req.MaxTokens-a.offset)
+}
+
+func answerScope(a *answer, p *place) rollout.Scope {
+	return rollout.Scope{DataCentre: p.replica.DataCentre, Pool: p.replica.Pool, Model: a.target.Model, Organisation: a.req.Organisation}
+}
+
 // untilQuiet returns a context that ends with errQuietHours when quiet hours
 // reach the scope, also by a new revision.
 func (d *Dispatcher) untilQuiet(ctx context.Context, s rollout.Scope) (context.Context, context.CancelFunc) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,9 +18,11 @@
 
 // Headers of the callers' interface.
 const (
-	HeaderRank     = "X-Rank"
-	HeaderSession  = "X-Session"
-	HeaderCaller   = "X-Caller"
+	HeaderRank    = "X-Rank"
+	HeaderSession = "X-Session"
+	HeaderCaller  = "X-Caller"
+	// HeaderKind names the kind of work, such as "inventory".
+	HeaderKind     = "X-Kind"
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderRequestID carries the router's identity of the request in an
 	// answer, and may carry the caller's own in a request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,7 +36,7 @@
 )
 
 // singleHeaders are those that may stand once in a request.
-var singleHeaders = []string{HeaderRank, HeaderSession, HeaderCaller, HeaderDeadline, HeaderRequestID, backend.HeaderIdempotencyKey}
+var singleHeaders = []string{HeaderRank, HeaderSession, HeaderCaller, HeaderKind, HeaderDeadline, HeaderRequestID, backend.HeaderIdempotencyKey}
 
 // request reads what is common to all requests from the headers.
 func (g *Gateway) request(r *http.Request) (*dispatch.Request, string, error) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -4,7 +4,7 @@
 // Nodes tell each other only what changed: each keeps a log in which every
 // item holds the place of its newest change, and remembers how far each peer
 // has read. Heartbeats travel within a data centre; other data centres hear
-// the heartbeats of a few nodes that stand for the whole, and of each change.
+// one heartbeat for the whole of it, and of each change.
 package membership
 
 import (
@@ -31,8 +31,10 @@
 	ForgetAfter = 2 * time.Hour
 	// coarseInterval is how often other regions hear of a replica's load.
 	coarseInterval = 10 * time.Second
-	// rebuildInterval bounds how often mere changes of load make a new view.
+	// rebuildInterval bounds how often mere changes of load make a new view,
+	// rebuildUrgent how often other changes do.
 	rebuildInterval = 200 * time.Millisecond
+	rebuildUrgent   = 50 * time.Millisecond
 )
 
 // Sizes of the exchange between nodes.
@@ -40,8 +42,12 @@
 	// bridgesPerDataCentre is how many nodes of a data centre exchange news
 	// with other data centres.
 	bridgesPerDataCentre = 3
-	// maxLoadNews bounds the mere changes of load in one message.
+	// maxNews bounds the changes in one message, maxLoadNews the mere changes
+	// of load.
+	maxNews     = 256
 	maxLoadNews = 24
+	// rebuildShare times the cost of the last view passes before the next.
+	rebuildShare = 100
 )
 
 // Node is one node as another sees it.
@@ -51,6 +57,9 @@
 	// Live is false once the node or its data centre has been silent for too
 	// long.
 	Live bool
+	// Dead is true once nodes of its own data centre found it dead, or it
+	// said that it stops; a node that is neither live nor dead may be cut off.
+	Dead bool
 }
 
 // Snapshot is an immutable view of all nodes and replicas.
@@ -99,3 +108,15 @@
 
 // Bridge tells whether a node exchanges news with other data centres.
 func (s *Snapshot) Bridge(node string) bool { return s.bridges[node] }
+
+// Sharers returns the number of nodes that may be using the store: all but
+// the dead.
+func (s *Snapshot) Sharers() int {
+	n := 0
+	for _, node := range s.Nodes {
+		if !node.Dead {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,10 +25,11 @@
 	index         uint64
 	beatIndex     uint64
 	revisionIndex uint64
-	// from, beatFrom and revisionFrom name the peers that told of them.
-	from         string
-	beatFrom     string
-	revisionFrom string
+	// from, beatFrom and revisionFrom are the hashes of the peers that told
+	// of them, 0 for the own node.
+	from         uint64
+	beatFrom     uint64
+	revisionFrom uint64
 }
 
 // replicaItem is an owner's account of a replica.
@@ -39,7 +40,18 @@
 	index    uint64
 	coarse   uint64
 	coarseAt time.Time
-	from     string
+	from     uint64
+}
+
+// centreItem is the heartbeat of a data centre.
+type centreItem struct {
+	count uint32
+	// rose is when it last rose here, heard when it did or a node of the data
+	// centre was in touch.
+	rose  time.Time
+	heard time.Time
+	index uint64
+	from  uint64
 }
 
 // vmItem is an entry of the list of VMs.
@@ -47,7 +59,7 @@
 	news    wire.VMNews
 	changed time.Time
 	index   uint64
-	from    string
+	from    uint64
 }
 
 // Table merges what nodes tell of themselves. It is safe for concurrent use.
@@ -61,15 +73,17 @@
 	hashes   map[uint64]*nodeItem     // guarded by mu
 	replicas map[string]*replicaItem  // guarded by mu
 	vms      map[string]*vmItem       // guarded by mu
-	centres  map[string]time.Time     // guarded by mu; when data centres were last heard
+	centres  map[string]*centreItem   // guarded by mu
 	have     map[string]wire.Position // guarded by mu; what is held of each peer's log
 	told     map[string]wire.Position // guarded by mu; what each peer holds of the own log
 	ticked   time.Time                // guarded by mu
 	built    time.Time                // guarded by mu
+	cost     time.Duration            // guarded by mu; of the last view
 	stale    bool                     // guarded by mu; the view lacks a change of load
 	urgent   bool                     // guarded by mu; the view lacks another change
 	live     []string                 // guarded by mu; the nodes that own replicas, as of the last view
 	owners   map[string]string        // guarded by mu; by VM, as of the last view
+	due      atomic.Int64             // when a new view is due, in Unix nanoseconds; 0 for never
 	snapshot atomic.Pointer[Snapshot]
 }
 
@@ -78,7 +92,7 @@
 	t := &Table{
 		id: self.ID, incarnation: self.Incarnation,
 		nodes: map[string]*nodeItem{}, hashes: map[uint64]*nodeItem{}, replicas: map[string]*replicaItem{}, vms: map[string]*vmItem{},
-		centres: map[string]time.Time{}, have: map[string]wire.Position{}, told: map[string]wire.Position{},
+		centres: map[string]*centreItem{}, have: map[string]wire.Position{}, told: map[string]wire.Position{},
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -110,12 +124,12 @@
 	n.revisionIndex = n.index
 	t.nodes[n.state.ID] = n
 	t.hashes[nodeHash(n.state.ID, n.state.Incarnation)] = n
+	if c := t.centre(n.state.DataCentre); c.heard.IsZero() {
+		c.heard = n.heard
+	}
 	t.urgent = true
 }
 
-// Snapshot returns the present view; it must not be changed.
-func (t *Table) Snapshot() *Snapshot { return t.snapshot.Load() }
-
 // Self returns the own node's state.
 func (t *Table) Self() wire.NodeState {
 	t.mu.Lock()
@@ -207,7 +221,7 @@
 	self.beat++
 	self.beatIndex = t.next()
 	self.heard = now
-	t.centres[self.state.DataCentre] = now
+	t.beatCentre(now, self.state)
 	for id, n := range t.nodes {
 		if id == t.id {
 			continue
@@ -216,7 +230,7 @@
 		if n.state.DataCentre == self.state.DataCentre && !n.down && silent > SuspectAfter {
 			n.down = true
 			n.index = t.next()
-			n.from = ""
+			n.from = 0
 			t.urgent = true
 		}
 		if silent > ForgetAfter && !t.isLive(n, now) {
@@ -233,6 +247,33 @@
 	t.refresh(now)
 }
 
+// beatCentre raises the heartbeat of the own data centre, on the nodes that
+// stand for it, unless another has just done so. The caller holds mu.
+func (t *Table) beatCentre(now time.Time, self wire.NodeState) {
+	c := t.centre(self.DataCentre)
+	if t.snapshot.Load().Bridge(t.id) && now.Sub(c.rose) >= HeartbeatInterval/2 {
+		c.rise(now, c.count+1, t.next(), 0)
+	}
+}
+
+// centre returns the heartbeat of a data centre. The caller holds mu.
+func (t *Table) centre(name string) *centreItem {
+	c := t.centres[name]
+	if c == nil {
+		c = &centreItem{}
+		t.centres[name] = c
+	}
+	return c
+}
+
+func (c *centreItem) rise(now time.Time, count uint32, index, from uint64) {
+	c.count = count
+	c.rose = now
+	c.heard = now
+	c.index = index
+	c.from = from
+}
+
 // forgive restarts all waits after this process itself was stopped for a
 // while, since the silence was its own. The caller holds mu.
 func (t *Table) forgive(now time.Time) {
@@ -242,8 +283,8 @@
 				n.heard = now
 			}
 		}
-		for centre := range t.centres {
-			t.centres[centre] = now
+		for _, c := range t.centres {
+			c.heard = now
 		}
 	}
 	t.ticked = now
@@ -268,7 +309,7 @@
 	case n.state.DataCentre == t.nodes[t.id].state.DataCentre:
 		return now.Sub(n.heard) <= SuspectAfter
 	default:
-		return now.Sub(t.centres[n.state.DataCentre]) <= SilentAfter
+		return now.Sub(t.centre(n.state.DataCentre).heard) <= SilentAfter
 	}
 }
 
@@ -285,12 +326,12 @@
 		s.DataCentre = ""
 		item := t.replicas[s.ID]
 		if item == nil || item.news.Owner != t.id || significant(item.news.State, s) {
-			t.takeReplica(now, wire.ReplicaNews{Owner: t.id, Version: item.version() + 1, State: s}, "")
+			t.takeReplica(now, wire.ReplicaNews{Owner: t.id, Version: item.version() + 1, State: s}, 0)
 		}
 	}
 	for id, item := range t.replicas {
 		if item.news.Owner == t.id && !mine[id] {
-			t.takeReplica(now, wire.ReplicaNews{Version: item.version() + 1, State: wire.ReplicaState{ID: id}}, "")
+			t.takeReplica(now, wire.ReplicaNews{Version: item.version() + 1, State: wire.ReplicaState{ID: id}}, 0)
 		}
 	}
 	t.refresh(now)
--- a/internal/meter/store.go
+++ b/internal/meter/store.go
@@ -49,24 +49,15 @@
 	}
 }
 
-// Platform is all that a node needs of the platform.
-type Platform interface {
-	platform.Table
-	platform.ObjectStore
-	platform.VMList
-	platform.Ratings
-	platform.Weights
-}
-
 // Store counts, times and traces the calls of the platform.
 type Store struct {
-	Next    Platform
+	Next    platform.Services
 	Metrics *telemetry.Metrics
 	Tracer  *telemetry.Tracer
 	Health  *HealthLog
 }
 
-var _ Platform = Store{}
+var _ platform.Services = Store{}
 
 // begin starts one call; the function returned ends it.
 func (s Store) begin(ctx context.Context, use string) (context.Context, func(error)) {
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -128,9 +128,9 @@
 // state returns the state of the process.
 func (n *Node) state() string {
 	switch {
-	case n.leaving.Load():
+	case n.refusing.Load():
 		return processLeaving
-	case n.draining.Load():
+	case n.leaving.Load():
 		return processDraining
 	case n.config.Current().Number == 0:
 		return processStarting
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -31,11 +31,11 @@
 	n := h.n
 	before := n.members.Snapshot()
 	*reply = n.members.Answer(time.Now(), args, n.config.Current().Number)
-	if args.Revision > n.config.Current().Number {
-		n.begin("revision/"+args.Inner, func() {
+	if from, ok := n.members.Snapshot().Node(args.From); ok && args.Revision > n.config.Current().Number {
+		n.begin("revision/"+args.From, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
-			n.fetchRevision(ctx, args.Inner, args.Revision)
+			n.fetchRevision(ctx, from.State.Inner, args.Revision)
 		})
 	}
 	if n.members.Snapshot().Live() != before.Live() {
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// Grants implements wire.Handler.
+func (h *handler) Grants(args wire.GrantsArgs, reply *wire.GrantsReply) error {
+	reply.Ended = h.n.dispatcher.Ended(args.Grants)
+	return nil
+}
+
 // HoldBills implements wire.Handler.
 func (h *handler) HoldBills(args wire.HoldBillsArgs, _ *wire.HoldBillsReply) error {
 	h.n.bills.Hold(args)
@@ -100,6 +106,12 @@
 	return nil
 }
 
+// Evidence implements wire.Handler.
+func (h *handler) Evidence(args wire.EvidenceArgs, _ *wire.EvidenceReply) error {
+	h.n.takeEvidence(args)
+	return nil
+}
+
 // Explain implements wire.Handler.
 func (h *handler) Explain(args wire.ExplainArgs, reply *wire.ExplainReply) error {
 	reply.Steps = h.n.record.Steps(args.Request)
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -12,7 +12,7 @@
 
 // passed counts the replicas that a choice passed over, by reason.
 type passed struct {
-	unusable, other, notLoaded, quiet, tried, costlier int
+	unusable, other, notLoaded, quiet, tried, others int
 }
 
 // ExplainReplica tells in plain words which replica was chosen and why the
@@ -32,11 +32,11 @@
 			p.unusable++
 		case slices.Contains(req.Excluded, r.ID):
 			p.tried++
-		case !eligible(r, req):
+		case !eligible(r, &req):
 			p.quiet++
 		default:
-			p.costlier++
-			if cost := replicaCost(r, req); next < 0 || cost < nextCost {
+			p.others++
+			if cost := replicaCost(r, &req); next < 0 || cost < nextCost {
 				next, nextCost = i, cost
 			}
 		}
@@ -44,11 +44,11 @@
 	text := "no replica"
 	if chosen >= 0 {
 		r := &replicas[chosen]
-		text = fmt.Sprintf("replica %s in %s, estimated %s", r.ID, r.DataCentre, replicaCost(r, req).Round(time.Millisecond))
+		text = fmt.Sprintf("replica %s in %s, estimated %s", r.ID, r.DataCentre, replicaCost(r, &req).Round(time.Millisecond))
 	}
 	text += p.String()
 	if next >= 0 {
-		text += fmt.Sprintf(" (next %s, estimated %s)", replicas[next].ID, nextCost.Round(time.Millisecond))
+		text += fmt.Sprintf(" (the best is %s, estimated %s)", replicas[next].ID, nextCost.Round(time.Millisecond))
 	}
 	return text
 }
@@ -61,7 +61,7 @@
 		text string
 	}{
 		{p.unusable, "unusable"}, {p.notLoaded, "without the version"}, {p.other, "of another pool"},
-		{p.tried, "tried before"}, {p.quiet, "in quiet hours"}, {p.costlier, "not better"},
+		{p.tried, "tried before"}, {p.quiet, "in quiet hours"}, {p.others, "usable"},
 	} {
 		if c.n > 0 {
 			parts = append(parts, fmt.Sprintf("%d %s", c.n, c.text))
