--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -71,6 +71,8 @@
 		fmt.Fprintf(out, "%s in %s: callers http://%s, operators http://%s (key %s)\n", s.ID, s.DataCentre, s.Listen, s.OperatorListen, s.OperatorKey)
 	}
 	org := firstOrganisation(f.Config)
+	node := fmt.Sprintf("--node %s --key %s", f.Settings[0].OperatorListen, f.Settings[0].OperatorKey)
+	fmt.Fprintf(out, "\nlook:\n  cowslipfall status %s\n  cowslipfall explain REQUEST %s\n  cowslipfall rollout show --platform %s\n", node, node, f.Settings[0].Platform)
 	fmt.Fprintf(out, "\ntry:\n  curl -N -H 'Authorization: Bearer demo-key-%s' -d '{\"model\":\"auto\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"When does the bus leave?\"}]}' http://%s/v1/chat/completions\n",
 		org, f.Settings[0].Listen)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -253,3 +256,16 @@
 		}
 	})
 }
+
+// docs/callers.md lists each code with its status, and no others.
+func TestCallersPage(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../docs/callers.md")
+	is.NoErr(err)
+	documented := map[outcome.Code]int{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| ([0-9]+) \\|").FindAllStringSubmatch(string(raw), -1) {
+		documented[outcome.Code(m[1])], err = strconv.Atoi(m[2])
+		is.NoErr(err)
+	}
+	is.Equal(documented, statuses)
+}
