Name the platform in errors, say where a withdrawn roll-out ended

Found on a walk through the README on a clean clone, with the nodes and stand-ins as separate processes as well: an unreachable platform was told by its URL inside a wrapped error, and a withdrawn version still showed its share of new sessions.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -60,6 +60,29 @@
 	return "unknown"
 }
 
+// PlatformError tells that the platform gave no answer to a command.
+type PlatformError struct {
+	// Base is the platform's URL, Cause what went wrong.
+	Base  string
+	Cause error
+}
+
+// Error implements error.
+func (e *PlatformError) Error() string {
+	return fmt.Sprintf("the platform at %s gave no answer: check --platform and the platform's health; if it was a change, look with \"config show\" whether it took effect, sending it again is safe (%s)", e.Base, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PlatformError) Unwrap() error { return e.Cause }
+
+// platformError names the platform in an error that tells of no answer.
+func platformError(base string, err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return &PlatformError{Base: base, Cause: err}
+	}
+	return err
+}
+
 // platformFlag adds the flag that names the platform.
 func platformFlag(cmd *cobra.Command, base *string) {
 	cmd.Flags().StringVar(base, "platform", "", "base URL of the platform, such as http://10.0.0.9:7000")
@@ -82,7 +105,7 @@
 			client := platform.NewClient(base, platformTimeout)
 			rev, err := apply(cmd.Context(), client, c, revision, note)
 			if err != nil {
-				return err
+				return platformError(base, err)
 			}
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d, hash %.12s\n", rev.Number, rev.Hash)
 			return err
@@ -121,7 +144,7 @@
 			client := platform.NewClient(base, platformTimeout)
 			rev, err := config.NewStore(client, client).Newest(cmd.Context())
 			if err != nil {
-				return err
+				return platformError(base, err)
 			}
 			if rev == nil {
 				return errors.New("there is no configuration yet: apply one with \"config apply DIR\"")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -163,6 +163,8 @@
 		return ""
 	case v.Stage == 0:
 		return v.Rollout + ": not started"
+	case v.Withdrawn != "":
+		return fmt.Sprintf("%s: ended at stage %d of %d", v.Rollout, min(v.Stage, v.Stages), v.Stages)
 	case v.Stage > v.Stages:
 		return v.Rollout + ": promoted at " + v.Since.Format(time.RFC3339)
 	}
