--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,6 +34,9 @@
 
 // Options are what a dispatcher works with.
 type Options struct {
+	// Life ends when the process stops at once; calls that outlast their
+	// caller run within it.
+	Life context.Context
 	// Node, Incarnation and DataCentre are the own node's.
 	Node        string
 	Incarnation uint64
@@ -47,6 +50,10 @@
 	Bills  *ledger.Bills
 	Pins   *ledger.Pins
 	Record *record.Log
+	// Suspects remembers requests that ran where a replica died, Alarms tells
+	// other nodes of them; nil remembers none.
+	Suspects *Suspects
+	Alarms   Alarms
 	// Observer learns from attempts and answers; nil learns nothing.
 	Observer Observer
 	// Cascade chooses between versions; nil keeps their order.
@@ -187,7 +194,7 @@
 			return nil, outcome.Refuse(outcome.CodeCancelled, 0, "the caller went away before the request was sent")
 		case err == nil && !reply.NotOwner:
 			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
-			refusal = outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
+			refusal = outcome.Refuse(refusalCode(reply.Reason), reply.RetryAfter, "%s: come back after the given time", reply.Reason)
 			if reply.Reason == ReasonWait {
 				waits++
 				d.note(now, req, view.Replicas[at].ID, reply.RetryAfter)
@@ -271,6 +278,16 @@
 	}
 }
 
+// admit refuses a request whose bill could not be kept, and counts the others
+// towards their organisations' retry budgets.
+func (d *Dispatcher) admit(req *Request) error {
+	if !d.Bills.Room() {
+		return outcome.Refuse(outcome.CodeStoreUnavailable, jitter(noBackendRetry), "too many bills wait for the store, so no more requests are served here: use another address or come back later")
+	}
+	d.firstTry(req.Organisation)
+	return nil
+}
+
 // firstTry counts a request towards its organisation's retry budget.
 func (d *Dispatcher) firstTry(organisation string) {
 	d.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,8 @@
 	dispatcher  *dispatch.Dispatcher
 	claims      *ledger.Claims
 	bills       *ledger.Bills
+	pins        *ledger.Pins
+	suspects    *dispatch.Suspects
 	record      *record.Log
 	versions    *versions
 	drivers     drivers
@@ -80,6 +82,7 @@
 	configRead  time.Time         // used by the configuration's loop alone
 	vmsRead     time.Time         // used by the VM list's loop alone
 	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
+	life        context.Context   // ends when the process stops at once
 	stop        context.CancelFunc
 	loops       sync.WaitGroup
 }
@@ -104,15 +107,22 @@
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
+	n.life, n.stop = context.WithCancel(context.Background())
 	n.owner = dispatch.NewOwner(n.pause)
-	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
-	n.bills = ledger.NewBills(o.Platform, n.holdBills)
+	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
+		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
+		NewToken: dispatch.NewID, AskSender: n.askSender,
+	})
+	n.bills = ledger.NewBills(o.Platform, copies{n})
+	n.suspects = dispatch.NewSuspects()
+	n.owner.Watch(n.suspects)
+	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
 	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
-		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
+		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: meter.Places{Next: places{n}, Metrics: metrics, Tracer: tracer}, Dialer: o.Dialer,
-		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
+		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record, Suspects: n.suspects, Alarms: alarms{n},
 		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
 	metrics.Registry.MustRegister(gauges{n})
@@ -132,11 +142,10 @@
 
 // Start serves callers, peers and operators, and starts the loops.
 func (n *Node) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
+	ctx := n.life
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
-		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
+		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher, Claims: n.claims,
 		Metrics: n.metrics, Tracer: n.tracer, Log: n.options.Log, Draining: n.leaving.Load, Leaving: n.refusing.Load,
 	})
 	n.serve(n.options.Listeners.Callers, callers)
@@ -160,6 +169,8 @@
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
 	n.loops.Go(func() { n.runExchange(ctx) })
+	n.loops.Go(func() { n.claims.Run(ctx) })
+	n.loops.Go(func() { n.pins.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
 
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -250,8 +250,8 @@
 	found := map[uint64]SuspectReport{}
 	for _, n := range s.Nodes {
 		for _, v := range n.State.Suspects {
-			if old := found[v.Fingerprint]; v.Crashes >= old.Crashes {
-				found[v.Fingerprint] = SuspectReport{Fingerprint: v.Fingerprint, Crashes: v.Crashes, Refused: v.Convicted || old.Refused, Until: v.Until}
+			if old := found[v.Fingerprint]; len(v.Lost) >= old.Crashes {
+				found[v.Fingerprint] = SuspectReport{Fingerprint: v.Fingerprint, Crashes: len(v.Lost), Refused: v.Convicted || old.Refused, Until: v.Until}
 			}
 		}
 	}
