--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -46,6 +46,7 @@
 		Versions: []node.VersionReport{
 			{Version: "small@v1", Default: true, Replicas: 1},
 			{Version: "small@v2", Rollout: "next", Stage: 1, Stages: 2, Percent: 10, Paused: true, Since: testTime},
+			{Version: "small@v4", Held: true},
 			{Version: "small@v3", Withdrawn: "too slow", Rollout: "last", Stage: 2, Stages: 2},
 		},
 		QuietHours: []node.QuietReport{{Name: "night", Active: true, From: testTime, To: testTime.Add(time.Hour)}},
@@ -57,7 +58,7 @@
 	for _, part := range []string{
 		"revision 7 by anna", "entry-2  x            live   6 (behind)", "x            2 of 2      1 of 1           3 of 16",
 		"0s 250ms", "small@v1  in place", "next: stage 1 of 2, 10% of new sessions since 2026-12-04T03:00:00Z, paused",
-		"withdrawn: too slow", "last: ended at stage 2 of 2", "night        in force", "000000000000000a  2        refused",
+		"withdrawn: too slow", "small@v4  suspect: no new sessions", "last: ended at stage 2 of 2", "night        in force", "000000000000000a  2        refused",
 	} {
 		if !strings.Contains(out, part) {
 			t.Errorf("the tables lack %q:\n%s", part, out)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -150,6 +150,8 @@
 	switch {
 	case v.Withdrawn != "":
 		return "withdrawn: " + v.Withdrawn
+	case v.Held:
+		return "suspect: no new sessions"
 	case v.Default:
 		return "in place"
 	default:
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -127,6 +127,7 @@
 
 func (d *Dispatcher) bill(ctx context.Context, req *CallRequest) {
 	d.Bills.Add(ctx, callBill(req))
+	d.Record.Add(req.ID, "answered by service %s, billed once under this identity", req.Service)
 }
 
 func callBill(req *CallRequest) wire.Bill {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -23,6 +23,8 @@
 		if got == targets[0] || routing.Allowed(rev, a.req.Organisation, got) {
 			if old != (config.Target{}) {
 				d.Record.Add(a.req.ID, "session moved from %s, which is no longer allowed, to %s", old, got)
+			} else {
+				d.Record.Add(a.req.ID, "session begins on %s", got)
 			}
 			return []config.Target{got}
 		}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -82,6 +82,8 @@
 	Default bool `json:"default"`
 	// Withdrawn is the reason if it takes no new work.
 	Withdrawn string `json:"withdrawn,omitempty"`
+	// Held tells that it gets no new sessions for now, as a suspect.
+	Held bool `json:"held,omitempty"`
 	// Replicas is the number of usable replicas that have it loaded.
 	Replicas int `json:"replicas"`
 	// Rollout names the plan that brings it in; Stage counts from 1, 0 means
@@ -138,7 +140,7 @@
 		})
 	}
 	r.DataCentres = dataCentres(r.Nodes, r.Replicas)
-	r.Versions = versionReports(s.Revision, loaded)
+	r.Versions = versionReports(s.Revision, loaded, n.versions.held)
 	r.QuietHours = quietReports(s.Revision, now)
 	return r
 }
@@ -186,7 +188,7 @@
 }
 
 // versionReports lists all versions, with the plan that brings each in.
-func versionReports(rev *config.Revision, loaded map[string]int) []VersionReport {
+func versionReports(rev *config.Revision, loaded map[string]int, held func(config.Target) bool) []VersionReport {
 	plans := map[config.Target]string{}
 	for name, plan := range rev.Config.Rollouts {
 		plans[rollout.Target(plan)] = name
@@ -195,7 +197,7 @@
 	for model, m := range rev.Config.Models {
 		for version := range m.Versions {
 			t := config.Target{Model: model, Version: version}
-			v := VersionReport{Version: t.String(), Default: m.Default == version, Withdrawn: withdrawal(rev, t), Replicas: loaded[t.String()]}
+			v := VersionReport{Version: t.String(), Default: m.Default == version, Withdrawn: withdrawal(rev, t), Held: held(t), Replicas: loaded[t.String()]}
 			if name := plans[t]; name != "" {
 				v.fill(rev, name)
 			}
