--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -29,9 +29,14 @@
 	json      bool
 }
 
-func (f *operatorFlags) add(cmd *cobra.Command) {
+// addOptional adds the flags that name nodes and their key.
+func (f *operatorFlags) addOptional(cmd *cobra.Command) {
 	cmd.Flags().StringSliceVar(&f.addresses, "node", nil, "operators' address of any node, IP:port; several, separated by commas, are tried in turn")
 	cmd.Flags().StringVar(&f.key, "key", "", "the nodes' operator_key")
+}
+
+func (f *operatorFlags) add(cmd *cobra.Command) {
+	f.addOptional(cmd)
 	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON")
 	_ = cmd.MarkFlagRequired("node")
 	_ = cmd.MarkFlagRequired("key")
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -3,15 +3,36 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// choose returns the index of the replica to ask, or -1.
+// choose returns the index of the replica to ask, or -1. Replicas that failed
+// this node of late are passed over while there is another.
 func (d *Dispatcher) choose(replicas []routing.Replica, w wish, r routing.ReplicaRequest) int {
+	at := -1
+	asked := r.Excluded
+	if ejected := d.outliers.ejected(r.Now); len(ejected) > 0 {
+		r.Excluded = append(slices.Clone(asked), ejected...)
+		at = d.chooseFrom(replicas, w, r)
+		r.Excluded = asked
+	}
+	if at < 0 {
+		at = d.chooseFrom(replicas, w, r)
+	}
+	if at >= 0 {
+		d.outliers.try(r.Now, replicas[at].ID)
+	}
+	return at
+}
+
+func (d *Dispatcher) chooseFrom(replicas []routing.Replica, w wish, r routing.ReplicaRequest) int {
 	var known [routing.MaxCachedAt]routing.CachedAt
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -27,7 +48,7 @@
 // returning looks at a request that was refused before. It returns the replica
 // that keeps its turn, else the one chosen, or how long before its time it has
 // come back while there is still a queue.
-func (d *Dispatcher) returning(now time.Time, req *Request, view *membership.Snapshot, at int) (int, time.Duration) {
+func (d *Dispatcher) returning(now time.Time, req *Request, target config.Target, view *membership.Snapshot, at int) (int, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	early := d.told.Early(now, req.Fingerprint)
@@ -35,7 +56,7 @@
 		return at, early
 	}
 	kept := d.told.Take(now, req.Fingerprint)
-	if i := routing.Find(view.Replicas, kept); i >= 0 && view.Replicas[i].Usable {
+	if i := routing.Find(view.Replicas, kept); i >= 0 && view.Replicas[i].Usable && slices.Contains(view.Replicas[i].Targets, target) {
 		return i, 0
 	}
 	return at, 0
@@ -47,11 +68,16 @@
 	return n == 0 || r.Waits[min(max(rank, 0), n-1)] <= routing.QuickWait
 }
 
-// note remembers which replica told a refused request to come back.
-func (d *Dispatcher) note(now time.Time, req *Request, replica string, retryAfter time.Duration) {
+// note remembers when a refused request was told to come back, and which
+// replica keeps its turn.
+func (d *Dispatcher) note(req *Request, replica string, err error) {
+	refusal := outcome.AsRefusal(err)
+	if replica == "" || refusal.Code != outcome.CodeOverloaded {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.told.Note(now, req.Fingerprint, replica, retryAfter)
+	d.told.Note(time.Now(), req.Fingerprint, replica, refusal.RetryAfter)
 }
 
 // acquireFrom asks an owner. It gives up once the owner is taken for dead, or,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,7 @@
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
 	n.life, n.stop = context.WithCancel(context.Background())
+	n.members.OnAlarm(n.kickPeers)
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
@@ -168,6 +169,8 @@
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
+	orders := n.newOrders()
+	n.loops.Go(func() { every(ctx, ordersInterval, orders.Round) })
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
 	n.loops.Go(func() { n.pins.Run(ctx) })
@@ -183,7 +186,7 @@
 	}
 	n.own()
 	n.probe(ctx)
-	n.round(ctx)
+	n.round(ctx, true)
 }
 
 // every calls do at each interval until ctx ends.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -151,8 +151,6 @@
 	Book bool
 	// Fingerprint identifies the request's organisation and content.
 	Fingerprint uint64
-	// Prefixes are the prompt's block hashes, longest last.
-	Prefixes []uint64
 	// Trace is the W3C trace context of the request, or empty.
 	Trace string
 }
