--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -185,9 +185,11 @@
 		}
 		quiet = quietChecks{hours: rules.hours, now: now, scope: w.scope(req.Organisation), length: w.length, known: quiet.known[:0]}
 		view := d.View()
-		at := d.choose(view.Replicas, w, routing.ReplicaRequest{
+		choice := routing.ReplicaRequest{
 			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Now: now, Closed: quiet.closed,
-		})
+		}
+		at := d.choose(view.Replicas, w, choice)
+		d.Record.Add(req.ID, "%s", routing.ExplainReplica(view.Replicas, choice, at))
 		if at < 0 {
 			break
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/gateway"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/meter"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/record"
@@ -67,6 +68,7 @@
 	drivers     drivers
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
+	health      *meter.HealthLog
 	leaving     atomic.Bool   // says so to callers, serves on
 	refusing    atomic.Bool   // takes no new requests
 	hurry       chan struct{} // closed to leave sooner
@@ -92,14 +94,14 @@
 		return nil, err
 	}
 	metrics := telemetry.NewMetrics()
-	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(use, result string) {
-		metrics.StoreCalls.WithLabelValues(use, result).Inc()
-	})
+	health := &meter.HealthLog{}
+	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(string, string) {})
 	o.Platform = limited
+	o = metered(o, metrics, tracer, health)
 	n := &Node{
 		options: o, platform: limited, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, health: health, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
@@ -120,14 +122,25 @@
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
-		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
+		Config: n.config, View: n.members.Snapshot, Places: meter.Places{Next: places{n}, Metrics: metrics, Tracer: tracer}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record, Suspects: n.suspects, Alarms: alarms{n},
 		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
+	metrics.Registry.MustRegister(gauges{n})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
 }
 
+// metered wraps a node's surroundings, so that calls of them are counted and
+// traced.
+func metered(o Options, m *telemetry.Metrics, t *telemetry.Tracer, h *meter.HealthLog) Options {
+	o.Platform = meter.Store{Next: o.Platform, Metrics: m, Tracer: t, Health: h}
+	o.Dialer = meter.Dialer{Next: o.Dialer, Metrics: m, Tracer: t}
+	o.Dial = meter.Dial(o.Dial, m)
+	o.Listeners.Inner = meter.Listener(o.Listeners.Inner, m)
+	return o
+}
+
 // Start serves callers, peers and operators, and starts the loops.
 func (n *Node) Start() {
 	ctx := n.life
@@ -136,7 +149,7 @@
 		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher, Claims: n.claims,
 		Metrics: n.metrics, Tracer: n.tracer, Log: n.options.Log, Draining: n.leaving.Load, Leaving: n.refusing.Load,
 	})
-	n.serve(n.options.Listeners.Callers, n.sayLeaving(callers))
+	n.serve(n.options.Listeners.Callers, callers)
 	n.serve(n.options.Listeners.Operators, n.operators())
 	n.register(ctx)
 	n.refresh(ctx)
