--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -36,6 +36,7 @@
 // concurrent use. Lock order: Owner.mu before replica.mu.
 type Owner struct {
 	pause    Pauser
+	suspects *Suspects
 	mu       sync.Mutex
 	replicas map[string]*replica // guarded by mu
 	ranks    []*config.Rank      // guarded by mu; in their order
@@ -66,6 +67,8 @@
 	started  string               // guarded by mu; the backend server's incarnation
 	leaving  bool                 // guarded by mu
 	failures int                  // guarded by mu
+	suspects *Suspects            // nil keeps no requests apart
+	process  string               // guarded by mu; the incarnation last seen
 }
 
 // holder is who was granted a place, and when.
@@ -119,6 +122,9 @@
 	if !r.healthy || r.leaving {
 		return nil, wire.AcquireReply{Reason: ReasonLeaving, RetryAfter: minRetryAfter}
 	}
+	if r.crowded(args.Fingerprint) {
+		return nil, wire.AcquireReply{Reason: ReasonSuspect, RetryAfter: minRetryAfter}
+	}
 	work := newWork(args, weight, now)
 	v := r.gate.Offer(now, work, args.Book)
 	if !v.Queued {
--- a/internal/routing/outlier_test.go
+++ b/internal/routing/outlier_test.go
@@ -16,6 +16,7 @@
 	o.Fail(now, 0.5)
 	is.True(!o.Ejected(now)) // one failure
 	sent := 0
+	now = now.Add(outlierBurst) // what fails within it counts as one
 	for end := now.Add(10 * time.Minute); now.Before(end); now = now.Add(100 * time.Millisecond) {
 		if !o.Ejected(now) {
 			sent++
@@ -23,7 +24,7 @@
 			o.Fail(now, 0.5)
 		}
 	}
-	is.True(sent <= 25) // about one a minute at last
+	is.True(sent <= 20) // about one a minute at last
 	for o.Ejected(now) {
 		now = now.Add(time.Second)
 	}
--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -141,11 +141,11 @@
 		load := make(chan *cascadeLoad, 1)
 		go func() { load <- w.cascadeChats(20*time.Second, quality) }()
 		for !w.inForce(rev.Number) {
-			w.sleep(10 * time.Millisecond)
+			w.sleep(time.Millisecond)
 		}
-		before := time.Now()
+		inForce := time.Now()
 		l := <-load
-		f.check(w.runs(emanta, before) == 0, "%d steps began on the withdrawn version", w.runs(emanta, before))
+		f.check(w.runs(emanta, inForce) == 0, "%d steps began on the withdrawn version", w.runs(emanta, inForce))
 		f.check(l.byTarget[v1] > l.served/2, "the version left gave %d of %d answers", l.byTarget[v1], l.served)
 	})
 }
