--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -122,17 +122,18 @@
 func (b *bench) run(d time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
+	var wg sync.WaitGroup
 	for i, h := range b.holders {
-		go func() {
+		wg.Go(func() {
 			for ctx.Err() == nil {
 				if b.isAwake(i) {
 					h.Round(ctx)
 				}
 				time.Sleep(2 * time.Second)
 			}
-		}()
+		})
 	}
-	time.Sleep(d + time.Minute)
+	wg.Wait()
 }
 
 func (b *bench) isAwake(i int) bool {
