--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -42,7 +42,7 @@
 }
 
 // note takes what a released place tells of its replica.
-func (o *outliers) note(now time.Time, replica string, args wire.ReleaseArgs) {
+func (o *outliers) note(now, began time.Time, replica string, args wire.ReleaseArgs) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := o.byReplica[replica]
@@ -52,7 +52,7 @@
 			r = &routing.Outlier{}
 			o.byReplica[replica] = r
 		}
-		r.Fail(now, rand.Float64())
+		r.Fail(now, began, rand.Float64())
 	case r != nil && args.Failed == "" && args.Tokens > 0:
 		r.Succeed()
 		if r.Healthy() {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -227,16 +227,17 @@
 		r.early[args.Grant] = now
 		return
 	}
+	began := r.holders[args.Grant].since
 	delete(r.holders, args.Grant)
-	r.judge(args, now)
+	r.judge(args, now, began)
 	r.pump(now)
 }
 
 // judge takes what a stream tells of the replica's health. The caller holds
 // mu.
-func (r *replica) judge(args wire.ReleaseArgs, now time.Time) {
+func (r *replica) judge(args wire.ReleaseArgs, now, began time.Time) {
 	if failing(args.Failed) {
-		r.outlier.Fail(now, rand.Float64())
+		r.outlier.Fail(now, began, rand.Float64())
 	}
 	if failing(args.Failed) || args.Failed == backend.KindDraining {
 		r.healthy = false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,8 +105,8 @@
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
-	n.members.OnAlarm(n.kickPeers)
 	n.life, n.stop = context.WithCancel(context.Background())
+	n.members.OnAlarm(n.kickPeers)
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
@@ -116,7 +116,7 @@
 	n.suspects = dispatch.NewSuspects()
 	n.owner.Watch(n.suspects)
 	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
-	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -73,7 +73,7 @@
 
 // shares are the most of a node's rate that each use may have for long, so
 // that none of the later ones starves.
-var shares = [useCount]float64{1, 0.3, 0.4, 0.4, 0.2}
+var shares = [useCount]float64{0.7, 0.3, 0.4, 0.4, 0.2}
 
 // rated is a node's rate of one kind of call, as a whole and by use.
 type rated struct {
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -8,9 +8,6 @@
 	// outlierFirst and outlierMost bound the time of an ejection.
 	outlierFirst = 2 * time.Second
 	outlierMost  = time.Minute
-	// outlierBurst is the time within which failures count as one, as when all
-	// streams of a backend server break together.
-	outlierBurst = time.Second
 	// trialTime is how long a returning backend server has for its one
 	// request before another is tried.
 	trialTime = 5 * time.Second
@@ -25,10 +22,11 @@
 	until    time.Time
 }
 
-// Fail takes a failure; draw is a random number from 0 to 1 that spreads the
-// return.
-func (o *Outlier) Fail(now time.Time, draw float64) {
-	if now.Sub(o.failed) < outlierBurst {
+// Fail takes the failure of a request that began at the given time; draw is a
+// random number from 0 to 1 that spreads the return. Requests that ran side by
+// side and break together count as one failure.
+func (o *Outlier) Fail(now, began time.Time, draw float64) {
+	if began.Before(o.failed) {
 		return
 	}
 	o.failed = now
