A floor is owed from the start of a flood, without credit for what was served before

Each rank now has an account of what it is owed, which keeps neither credit beyond one request nor debt that it did not ask for.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -91,6 +91,8 @@
 type rankQueue struct {
 	floor  float64
 	served float64
+	// owed is what the rank has not yet got of its floor, in tokens.
+	owed   float64
 	tokens int
 	count  int
 }
@@ -114,6 +116,8 @@
 	promotedRank = 1
 	// servedHalfLife is how fast the shares of the ranks forget.
 	servedHalfLife = 30 * time.Second
+	// maxOwed bounds what a rank is owed of its floor, in tokens.
+	maxOwed = 2000.0
 	// minForget is the least time between two decays.
 	minForget = 100 * time.Millisecond
 	// minRankShare keeps predictions finite for ranks without a floor.
@@ -169,7 +173,7 @@
 		if r.count == 0 || (allowed != nil && !allowed(i)) {
 			continue
 		}
-		if r.floor > 0 && r.served < r.floor*q.served {
+		if r.owed > 0 {
 			return q.accounts.next(i)
 		}
 		if first < 0 {
@@ -190,9 +194,25 @@
 	r.count--
 	r.served += float64(w.Tokens)
 	q.served += float64(w.Tokens)
+	q.owe(float64(w.Tokens))
+	r.owed = max(r.owed-float64(w.Tokens), -float64(w.Tokens))
 	delete(q.work, w.ID)
 }
 
+// owe adds what the ranks that wait are owed of the given tokens. Neither what
+// was served before a flood nor what was not asked for counts for long.
+func (q *Queue) owe(tokens float64) {
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		switch {
+		case r.count > 0:
+			r.owed = min(r.owed+r.floor*tokens, maxOwed)
+		default:
+			r.owed = min(r.owed, 0)
+		}
+	}
+}
+
 func weight(w *Work) float64 {
 	if w.Weight <= 0 {
 		return 1
@@ -224,6 +244,9 @@
 	off := float64(tokens - w.Tokens)
 	q.accounts.correct(w, off/weight(w))
 	r.served = max(r.served+off, 0)
+	if r.owed < 0 {
+		r.owed = min(r.owed-off, 0)
+	}
 	q.served = max(q.served+off, 0)
 }
 
