--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,15 @@
 	Peers []string `toml:"peers"`
 	// InnerSecret is shared by all nodes; at least 16 characters.
 	InnerSecret string `toml:"inner_secret"`
+	// InnerCertificate, InnerCertificateKey and InnerAuthorities are PEM files
+	// for mutual TLS between nodes; all three or none.
+	InnerCertificate    string `toml:"inner_certificate"`
+	InnerCertificateKey string `toml:"inner_certificate_key"`
+	InnerAuthorities    string `toml:"inner_authorities"`
+	// Certificate and CertificateKey are PEM files for TLS towards callers
+	// and operators; both or none.
+	Certificate    string `toml:"certificate"`
+	CertificateKey string `toml:"certificate_key"`
 	// OperatorKey opens the operators' interface; at least 16 characters.
 	OperatorKey string `toml:"operator_key"`
 	// LogLevel is debug, info, warn or error; default info.
@@ -47,13 +57,19 @@
 	TraceExporter string `toml:"trace_exporter"`
 	// TraceEndpoint is the collector's URL for otlp.
 	TraceEndpoint string `toml:"trace_endpoint"`
+	// TraceRatio is the share of requests traced, 0 to 1, beside those that
+	// their callers trace; default 0.01.
+	TraceRatio float64 `toml:"trace_ratio"`
 }
 
-const defaultPlatformTimeout = time.Second
+const (
+	defaultPlatformTimeout = time.Second
+	defaultTraceRatio      = 0.01
+)
 
 // DefaultSettings returns the settings of a process that is told nothing.
 func DefaultSettings() Settings {
-	return Settings{PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none"}
+	return Settings{PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none", TraceRatio: defaultTraceRatio}
 }
 
 // LoadSettings reads a TOML file, lays the environment and then the overrides
@@ -119,6 +135,12 @@
 	switch target := reflect.ValueOf(s).Elem().FieldByIndex(field.Index).Addr().Interface().(type) {
 	case *string:
 		*target = value
+	case *float64:
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return &FolderError{Key: key, Remedy: strconv.Quote(value) + " is not a number: write one such as 0.01"}
+		}
+		*target = v
 	case *[]string:
 		*target = splitList(value)
 	case *Duration:
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -71,7 +71,9 @@
 func (d *Dispatcher) Chat(ctx context.Context, req *ChatRequest, sink Sink) (*ChatResult, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	d.firstTry(req.Organisation)
+	if err := d.admit(&req.Request); err != nil {
+		return nil, err
+	}
 	a := &answer{req: req, sink: sink, ran: outcome.RanNo}
 	final, err := d.serve(ctx, a)
 	if err != nil {
@@ -83,7 +85,13 @@
 // serve makes attempts until one ends the answer.
 func (d *Dispatcher) serve(ctx context.Context, a *answer) (backend.Frame, error) {
 	for {
+		if err := d.refuseConvicted(a); err != nil {
+			return backend.Frame{}, err
+		}
 		p, err := d.placeFor(ctx, a)
+		if err != nil && d.awaitReplica(ctx, a, err) {
+			continue
+		}
 		if err != nil {
 			refusal := outcome.AsRefusal(err)
 			refusal.Ran = outcome.Worse(refusal.Ran, a.ran)
@@ -134,18 +142,18 @@
 		}
 		return []config.Target{a.target}, nil
 	}
+	id, pinned := pinID(a.req)
 	pin := config.Target{}
-	if a.req.Session != "" {
-		var err error
-		if pin, err = d.Pins.Get(ctx, a.req.Organisation, a.req.Session); err != nil {
-			d.Record.Add(a.req.ID, "the session's version could not be read: %s", err)
-		}
+	if pinned {
+		pin = d.Pins.Known(id)
 	}
 	rules, err := d.rules(time.Now())
 	if err != nil {
 		return nil, err
 	}
-	targets := rules.plan.Versions(nil, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held})
+	choice := routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held}
+	targets := rules.plan.Versions(nil, choice)
+	d.Record.Add(a.req.ID, "%s", rules.plan.Explain(choice, targets))
 	if len(targets) == 0 {
 		return nil, outcome.Refuse(outcome.CodeNotAllowed, 0, "no version of %q is allowed and in force for organisation %q: ask its operator", a.req.Asked, a.req.Organisation)
 	}
@@ -153,8 +161,9 @@
 		return nil, err
 	}
 	targets = d.prefer(a, targets)
-	if a.req.Session != "" && pin != targets[0] {
-		return d.pin(ctx, a, pin, targets)
+	d.spill(a, targets)
+	if pinned && pin != targets[0] {
+		return d.pin(ctx, a, id, pin, targets), nil
 	}
 	return targets, nil
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,6 +34,9 @@
 
 // Options are what a dispatcher works with.
 type Options struct {
+	// Life ends when the process stops at once; calls that outlast their
+	// caller run within it.
+	Life context.Context
 	// Node, Incarnation and DataCentre are the own node's.
 	Node        string
 	Incarnation uint64
@@ -47,6 +50,10 @@
 	Bills  *ledger.Bills
 	Pins   *ledger.Pins
 	Record *record.Log
+	// Suspects remembers requests that ran where a replica died, Alarms tells
+	// other nodes of them; nil remembers none.
+	Suspects *Suspects
+	Alarms   Alarms
 	// Observer learns from attempts and answers; nil learns nothing.
 	Observer Observer
 	// Cascade chooses between versions; nil keeps their order.
@@ -66,7 +73,10 @@
 	cached  *routing.PrefixIndex              // guarded by mu
 	told    *admission.Told                   // guarded by mu
 	pace    *pace
-	worked  atomic.Pointer[versionRules]
+	// outliers has a lock of its own, taken alone.
+	outliers *outliers
+	worked   atomic.Pointer[versionRules]
+	viewed   atomic.Pointer[viewWaits]
 }
 
 // New returns a dispatcher.
@@ -75,7 +85,7 @@
 		o.Observer = noObserver{}
 	}
 	return &Dispatcher{
-		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
 		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
 	}
 }
@@ -109,6 +119,7 @@
 	grant   string
 	owner   string
 	paused  chan struct{}
+	since   time.Time
 }
 
 const (
@@ -174,9 +185,11 @@
 		}
 		quiet = quietChecks{hours: rules.hours, now: now, scope: w.scope(req.Organisation), length: w.length, known: quiet.known[:0]}
 		view := d.View()
-		at := d.choose(view.Replicas, w, routing.ReplicaRequest{
+		choice := routing.ReplicaRequest{
 			Target: w.target, Pool: w.pool, DataCentre: d.DataCentre, Rank: req.Rank, Excluded: tried, Now: now, Closed: quiet.closed,
-		})
+		}
+		at := d.choose(view.Replicas, w, choice)
+		d.Record.Add(req.ID, "%s", routing.ExplainReplica(view.Replicas, choice, at))
 		if at < 0 {
 			break
 		}
@@ -196,7 +209,7 @@
 			return nil, outcome.Refuse(outcome.CodeCancelled, 0, "the caller went away before the request was sent")
 		case err == nil && !reply.NotOwner:
 			d.Record.Add(req.ID, "replica %s refused: %s, come back in %s", view.Replicas[at].ID, reply.Reason, reply.RetryAfter)
-			refusal = outcome.Refuse(outcome.CodeOverloaded, reply.RetryAfter, "%s: come back after the given time", reply.Reason)
+			refusal = outcome.Refuse(refusalCode(reply.Reason), reply.RetryAfter, "%s: come back after the given time", reply.Reason)
 			if reply.Reason == ReasonWait {
 				waits++
 				w.refuses(view.Replicas[at].ID)
@@ -228,6 +241,7 @@
 	d.mu.Unlock()
 	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
 	if err == nil && reply.Granted {
+		p.since = time.Now()
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
 		d.mu.Unlock()
@@ -250,6 +264,7 @@
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
 	d.forget(p)
+	d.outliers.note(time.Now(), p.since, p.replica.ID, args)
 	args.Grant = p.grant
 	args.Replica = p.replica.ID
 	d.Places.Release(p.owner, args)
@@ -280,6 +295,16 @@
 	}
 }
 
+// admit refuses a request whose bill could not be kept, and counts the others
+// towards their organisations' retry budgets.
+func (d *Dispatcher) admit(req *Request) error {
+	if !d.Bills.Room() {
+		return outcome.Refuse(outcome.CodeStoreUnavailable, jitter(noBackendRetry), "too many bills wait for the store, so no more requests are served here: use another address or come back later")
+	}
+	d.firstTry(req.Organisation)
+	return nil
+}
+
 // firstTry counts a request towards its organisation's retry budget.
 func (d *Dispatcher) firstTry(organisation string) {
 	d.mu.Lock()
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -13,6 +13,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -118,7 +119,7 @@
 	})
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
-		ranks: o.ranks, gate: gate, holders: map[string]holder{},
+		ranks: o.ranks, gate: gate, suspects: o.suspects, holders: map[string]holder{},
 		waiting: map[string]*waiter{}, early: map[string]time.Time{},
 	}
 }
@@ -155,8 +156,13 @@
 		return
 	}
 	r.failures = 0
-	r.healthy = !report.Draining
+	if report.Incarnation != r.started {
+		r.started = report.Incarnation
+		r.outlier = routing.Outlier{}
+	}
+	r.healthy = !report.Draining && !r.outlier.Ejected(time.Now())
 	r.targets = report.Targets
+	r.process = report.Incarnation
 	if report.Draining {
 		r.refuseWaiting()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +19,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/record"
@@ -57,7 +61,7 @@
 	f.view = membership.NewTable(wire.NodeState{ID: "entry-1", Address: "127.0.0.1:1"}).Snapshot
 	f.handler = New(Options{
 		Config: holder, View: func() *membership.Snapshot { return f.view() }, Metrics: telemetry.NewMetrics(), Tracer: tracer, Log: zap.NewNop(),
-		Dispatcher: dispatch.New(dispatch.Options{Config: holder, Record: f.record, View: func() *membership.Snapshot { return f.view() }}),
+		Dispatcher: dispatch.New(dispatch.Options{Config: holder, Record: f.record, Bills: ledger.NewBills(nil, nil), View: func() *membership.Snapshot { return f.view() }}),
 		Draining:   func() bool { return f.draining }, Leaving: func() bool { return f.leaving },
 	})
 	return f
@@ -197,7 +201,8 @@
 	is.Equal(got.Header().Get(HeaderClientRequestID), "trip-17")
 	id := got.Header().Get(HeaderRequestID)
 	is.True(id != "trip-17")
-	is.Equal(len(f.record.Steps(id)), 1) // the refusal can be explained
+	is.Equal(len(f.record.Steps(id)), 2) // the refusal can be explained
+	is.Equal(f.record.Steps("trip-17"), f.record.Steps(id))
 	is.Equal(f.do("POST", chatPath, "{", HeaderRequestID, "a b").Header().Get(HeaderClientRequestID), "")
 }
 
@@ -252,3 +257,16 @@
 		}
 	})
 }
+
+// docs/callers.md lists each code with its status, and no others.
+func TestCallersPage(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../docs/callers.md")
+	is.NoErr(err)
+	documented := map[outcome.Code]int{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| ([0-9]+) \\|").FindAllStringSubmatch(string(raw), -1) {
+		documented[outcome.Code(m[1])], err = strconv.Atoi(m[2])
+		is.NoErr(err)
+	}
+	is.Equal(documented, statuses)
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -20,10 +20,11 @@
 	Ran          outcome.Ran  `json:"ran"`
 	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
 	StatusPath   string       `json:"status_path,omitempty"`
+	Earlier      outcome.Ran  `json:"earlier,omitempty"`
 }
 
 func detail(r *outcome.Refusal) errorBody {
-	return errorBody{errorDetail{Code: r.Code, Message: r.Message, Ran: r.Ran, RetryAfterMS: r.RetryAfter.Milliseconds(), StatusPath: r.StatusPath}}
+	return errorBody{errorDetail{Code: r.Code, Message: r.Message, Ran: r.Ran, RetryAfterMS: r.RetryAfter.Milliseconds(), StatusPath: r.StatusPath, Earlier: r.Earlier}}
 }
 
 // statuses gives the HTTP status of each refusal code.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,12 +20,18 @@
 	// HeartbeatInterval is how often a node raises its heartbeat and
 	// exchanges news with its neighbours.
 	HeartbeatInterval = time.Second
+	// DoubtAfter is how long a node may stay silent before the others of its
+	// data centre say so; the node can answer by any way that is left.
+	DoubtAfter = 3 * time.Second
 	// SuspectAfter is how long a node may stay silent before the others of
 	// its data centre take it for dead.
-	SuspectAfter = 4 * time.Second
+	SuspectAfter = 5 * time.Second
+	// wideTime is how long a doubted node's heartbeat is passed on beyond its
+	// data centre.
+	wideTime = time.Minute
 	// SilentAfter is how long a whole data centre may stay silent before the
 	// nodes elsewhere take it for unreachable.
-	SilentAfter = 7 * time.Second
+	SilentAfter = 8 * time.Second
 	// ForgetAfter is how long the state of a node that is not live is kept,
 	// so that it is found again after a long cut.
 	ForgetAfter = 2 * time.Hour
@@ -46,8 +52,10 @@
 	// of load.
 	maxNews     = 256
 	maxLoadNews = 24
-	// rebuildShare times the cost of the last view passes before the next.
+	// rebuildShare times the cost of the last view passes before the next,
+	// but no more than rebuildMost.
 	rebuildShare = 100
+	rebuildMost  = 300 * time.Millisecond
 )
 
 // Node is one node as another sees it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/gateway"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
+	"github.com/cowslipfall/cowslipfall/internal/meter"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/record"
@@ -60,11 +61,14 @@
 	dispatcher  *dispatch.Dispatcher
 	claims      *ledger.Claims
 	bills       *ledger.Bills
+	pins        *ledger.Pins
+	suspects    *dispatch.Suspects
 	record      *record.Log
 	versions    *versions
 	drivers     drivers
 	metrics     *telemetry.Metrics
 	tracer      *telemetry.Tracer
+	health      *meter.HealthLog
 	leaving     atomic.Bool   // says so to callers, serves on
 	refusing    atomic.Bool   // takes no new requests
 	hurry       chan struct{} // closed to leave sooner
@@ -78,6 +82,7 @@
 	configRead  time.Time         // used by the configuration's loop alone
 	vmsRead     time.Time         // used by the VM list's loop alone
 	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
+	life        context.Context   // ends when the process stops at once
 	stop        context.CancelFunc
 	loops       sync.WaitGroup
 }
@@ -89,44 +94,62 @@
 		return nil, err
 	}
 	metrics := telemetry.NewMetrics()
-	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(use, result string) {
-		metrics.StoreCalls.WithLabelValues(use, result).Inc()
-	})
+	health := &meter.HealthLog{}
+	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(string, string) {})
 	o.Platform = limited
+	o = metered(o, metrics, tracer, health)
 	n := &Node{
 		options: o, platform: limited, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
-		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
+		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, health: health, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
 	}
 	n.members = membership.NewTable(wire.NodeState{
 		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
+	n.life, n.stop = context.WithCancel(context.Background())
+	n.members.OnAlarm(n.kickPeers)
 	n.owner = dispatch.NewOwner(n.pause)
-	n.claims = ledger.NewClaims(o.Platform, o.Settings.ID, n.incarnation, dispatch.NewID, n.askOwner)
-	n.bills = ledger.NewBills(o.Platform, n.holdBills)
-	n.versions = newVersions(o.Platform, func() *routing.Plan { return n.dispatcher.Plan() })
+	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
+		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
+		NewToken: dispatch.NewID, AskSender: n.askSender,
+	})
+	n.bills = ledger.NewBills(o.Platform, copies{n})
+	n.suspects = dispatch.NewSuspects()
+	n.owner.Watch(n.suspects)
+	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
+	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
-		Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
-		Config: n.config, View: n.members.Snapshot, Places: places{n}, Dialer: o.Dialer,
-		Claims: n.claims, Bills: n.bills, Pins: ledger.NewPins(o.Platform), Record: n.record,
+		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
+		Config: n.config, View: n.members.Snapshot, Places: meter.Places{Next: places{n}, Metrics: metrics, Tracer: tracer}, Dialer: o.Dialer,
+		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record, Suspects: n.suspects, Alarms: alarms{n},
 		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
 	})
+	metrics.Registry.MustRegister(gauges{n})
 	n.inner, err = wire.NewServer(o.Listeners.Inner, o.Settings.InnerSecret, &handler{n})
 	return n, err
 }
 
+// metered wraps a node's surroundings, so that calls of them are counted and
+// traced.
+func metered(o Options, m *telemetry.Metrics, t *telemetry.Tracer, h *meter.HealthLog) Options {
+	o.Platform = meter.Store{Next: o.Platform, Metrics: m, Tracer: t, Health: h}
+	o.Dialer = meter.Dialer{Next: o.Dialer, Metrics: m, Tracer: t}
+	o.Dial = meter.Dial(o.Dial, m)
+	o.Listeners.Inner = meter.Listener(o.Listeners.Inner, m)
+	return o
+}
+
 // Start serves callers, peers and operators, and starts the loops.
 func (n *Node) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
+	ctx := n.life
 	n.loops.Go(n.inner.Serve)
 	callers := gateway.New(gateway.Options{
-		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher,
+		Config: n.config, View: n.members.Snapshot, Dispatcher: n.dispatcher, Claims: n.claims,
 		Metrics: n.metrics, Tracer: n.tracer, Log: n.options.Log, Draining: n.leaving.Load, Leaving: n.refusing.Load,
 	})
-	n.serve(n.options.Listeners.Callers, n.sayLeaving(callers))
+	n.serve(n.options.Listeners.Callers, callers)
 	n.serve(n.options.Listeners.Operators, n.operators())
 	n.register(ctx)
 	n.refresh(ctx)
@@ -146,7 +169,11 @@
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
 	}
+	orders := n.newOrders()
+	n.loops.Go(func() { every(ctx, ordersInterval, orders.Round) })
 	n.loops.Go(func() { n.runExchange(ctx) })
+	n.loops.Go(func() { n.claims.Run(ctx) })
+	n.loops.Go(func() { n.pins.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
 
@@ -159,7 +186,7 @@
 	}
 	n.own()
 	n.probe(ctx)
-	n.round(ctx)
+	n.round(ctx, true)
 }
 
 // every calls do at each interval until ctx ends.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,14 +5,13 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
 const (
 	releaseTimeout = 2 * time.Second
 	claimTimeout   = time.Second
-	holdTimeout    = time.Second
 	// acquireGrace is how much longer than its wait an owner may take to
 	// answer.
 	acquireGrace = 500 * time.Millisecond
@@ -28,7 +27,6 @@
 // Exchange implements wire.Handler.
 func (h *handler) Exchange(args wire.ExchangeArgs, reply *wire.ExchangeReply) error {
 	n := h.n
-	before := n.members.Snapshot()
 	*reply = n.members.Answer(time.Now(), args, n.config.Current().Number)
 	if from, ok := n.members.Snapshot().Node(args.From); ok && args.Revision > n.config.Current().Number {
 		n.begin("revision/"+args.From, func() {
@@ -37,9 +35,6 @@
 			n.fetchRevision(ctx, from.State.Inner, args.Revision)
 		})
 	}
-	if n.members.Snapshot().Live() != before.Live() {
-		n.kickPeers()
-	}
 	return nil
 }
 
@@ -63,10 +58,18 @@
 
 // Acquire implements wire.Handler.
 func (h *handler) Acquire(args wire.AcquireArgs, reply *wire.AcquireReply) error {
-	*reply = h.n.owner.Acquire(args)
+	*reply = h.n.acquire(args)
 	return nil
 }
 
+// acquire asks the own owner, as one hop of the asker's trace.
+func (n *Node) acquire(args wire.AcquireArgs) wire.AcquireReply {
+	_, span := n.tracer.Start(telemetry.Remote(context.Background(), args.Trace), "queue")
+	defer span.End(nil)
+	span.Text("replica", args.Replica)
+	return n.owner.Acquire(args)
+}
+
 // Release implements wire.Handler.
 func (h *handler) Release(args wire.ReleaseArgs, _ *wire.ReleaseReply) error {
 	h.n.owner.Release(args)
@@ -86,9 +89,9 @@
 }
 
 // HoldBills implements wire.Handler.
-func (h *handler) HoldBills(args wire.HoldBillsArgs, _ *wire.HoldBillsReply) error {
-	h.n.bills.Hold(args)
-	return nil
+func (h *handler) HoldBills(args wire.HoldBillsArgs, reply *wire.HoldBillsReply) error {
+	reply.Holder = h.n.process()
+	return h.n.bills.Hold(args)
 }
 
 // Claim implements wire.Handler.
@@ -139,7 +142,7 @@
 
 func (p places) local(ctx context.Context, args wire.AcquireArgs) (wire.AcquireReply, error) {
 	done := make(chan wire.AcquireReply, 1)
-	go func() { done <- p.n.owner.Acquire(args) }()
+	go func() { done <- p.n.acquire(args) }()
 	select {
 	case reply := <-done:
 		return reply, nil
@@ -163,6 +166,7 @@
 
 // pause tells the holder of a grant to pause its stream.
 func (n *Node) pause(node, grant string) {
+	n.metrics.Preemptions.Inc()
 	if node == n.options.Settings.ID {
 		n.dispatcher.Pause(grant)
 		return
@@ -174,9 +178,9 @@
 	}()
 }
 
-// askOwner asks the node that made a claim about it.
-func (n *Node) askOwner(ctx context.Context, id string, incarnation uint64, args wire.ClaimArgs) (wire.ClaimReply, error) {
-	if id == n.options.Settings.ID && incarnation == n.incarnation {
+// askSender asks the node that made a claim about it.
+func (n *Node) askSender(ctx context.Context, id string, args wire.ClaimArgs) (wire.ClaimReply, error) {
+	if id == n.options.Settings.ID {
 		return n.claims.Ask(args), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -187,35 +191,3 @@
 	}
 	return *reply, nil
 }
-
-// holdBills hands copies to a second node, in another data centre if there is
-// one.
-func (n *Node) holdBills(ctx context.Context, args wire.HoldBillsArgs) {
-	args.Node = n.options.Settings.ID
-	holder := n.billHolder()
-	if holder == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
-		defer cancel()
-		_ = n.call(ctx, holder, "HoldBills", args, &wire.HoldBillsReply{})
-	}()
-}
-
-func (n *Node) billHolder() string {
-	var far, near []string
-	for _, m := range n.members.Snapshot().Nodes {
-		switch {
-		case !m.Live || m.State.Leaving || m.State.ID == n.options.Settings.ID:
-		case m.State.DataCentre != n.options.Settings.DataCentre:
-			far = append(far, m.State.ID)
-		default:
-			near = append(near, m.State.ID)
-		}
-	}
-	if len(far) == 0 {
-		far = near
-	}
-	return routing.Highest(far, "bills/"+n.options.Settings.ID)
-}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,24 +19,8 @@
 	hurryTimeout = 10 * time.Second
 	// closeTimeout bounds the last messages of a leaving node.
 	closeTimeout = 2 * time.Second
-	flushWait    = 100 * time.Millisecond
 )
 
-// sayLeaving tells callers of a leaving node to come back elsewhere: /readyz
-// fails, and each answer closes its connection.
-func (n *Node) sayLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.leaving.Load() {
-			w.Header().Set("Connection", "close")
-			if r.URL.Path == "/readyz" {
-				http.Error(w, "leaving", http.StatusServiceUnavailable)
-				return
-			}
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Leave stops gracefully: the node leaves the directory, hands its queues
 // back, serves on until callers have heard of it, lets running requests end,
 // and stores its bills. It returns when ctx ends at the latest.
@@ -49,7 +32,8 @@
 	n.options.Log.Info("leaving: serving on until callers have heard", zap.Duration("notice", drainNotice))
 	n.waitNotice(ctx)
 	err := n.endRequests(ctx)
-	n.flushBills(ctx)
+	n.closeBooks(ctx)
+	n.handPins(ctx)
 	n.sayDown()
 	n.Close()
 	return err
@@ -93,21 +77,13 @@
 	return first
 }
 
-func (n *Node) flushBills(ctx context.Context) {
-	for n.bills.Pending() > 0 && ctx.Err() == nil {
-		if n.bills.Flush(ctx) != nil {
-			pause(ctx, flushWait)
-		}
-	}
-}
-
 // sayDown tells the neighbours that the node stops now, and takes its row
 // from the table.
 func (n *Node) sayDown() {
 	n.members.Down(time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	n.round(ctx)
+	n.round(ctx, true)
 	n.unregister(ctx)
 	n.exchanger.end()
 }
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -242,7 +242,17 @@
 	services map[string]*standin.Service
 }
 
-func (d *dialer) Engine(address string) backend.Engine   { return d.engines[address] }
+// Engine returns a dead engine where there is none, as a node without a
+// configuration may ask a plain service.
+func (d *dialer) Engine(address string) backend.Engine {
+	if e := d.engines[address]; e != nil {
+		return e
+	}
+	e := standin.NewEngine(standin.EngineOptions{})
+	e.Crash()
+	return e
+}
+
 func (d *dialer) Service(address string) backend.Service { return d.services[address] }
 
 // world is a whole deployment on the virtual clock.
@@ -255,6 +265,9 @@
 	config   *config.Config
 	shape    embedded.Deployment
 	nodes    map[string]*member
+	// peers gives nodes that start the inner addresses of those running.
+	peers  bool
+	poolOf func(i int) string
 }
 
 // member is one entry node of the world.
@@ -263,6 +276,7 @@
 	settings config.Settings
 	platform *view
 	address  string
+	dialer   backend.Dialer
 }
 
 // worldOptions shape a world; zero values give three nodes, three engines and
@@ -270,6 +284,8 @@
 type worldOptions struct {
 	nodes, engines, services int
 	engine                   standin.EngineOptions
+	engineOf                 func(i int) standin.EngineOptions // instead of engine
+	poolOf                   func(i int) string                // of an engine, instead of the deployment's
 	edit                     func(c *config.Config)
 	platform                 standin.PlatformOptions
 }
@@ -287,11 +303,14 @@
 		o.services = 2
 	}
 	w := &world{
-		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen,
+		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen, poolOf: o.poolOf,
 		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}, nodes: map[string]*member{},
 	}
 	w.loadConfig(o.edit)
 	for i := range o.engines {
+		if o.engineOf != nil {
+			o.engine = o.engineOf(i)
+		}
 		w.addEngine(i, o.engine)
 	}
 	for i := range o.services {
@@ -341,6 +360,9 @@
 	if o.Quality == nil {
 		o.Quality = embedded.Qualities(w.config)
 	}
+	if w.poolOf != nil {
+		vm.Pool = w.poolOf(i)
+	}
 	w.dialer.engines[vm.Address] = standin.NewEngine(o)
 	w.vms = append(w.vms, vm)
 }
@@ -353,15 +375,27 @@
 
 // addNode starts an entry node.
 func (w *world) addNode(id, dataCentre string) *member {
+	return w.addNodeWith(id, dataCentre, func(*member) {})
+}
+
+// addNodeWith starts an entry node whose settings or view of the platform
+// edit has changed.
+func (w *world) addNodeWith(id, dataCentre string, edit func(m *member)) *member {
 	s := config.DefaultSettings()
 	s.ID = id
 	s.DataCentre = dataCentre
 	s.Region = w.shape.Region
 	s.InnerSecret = embedded.InnerSecret
 	s.OperatorKey = embedded.OperatorKey
-	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers"}
+	for _, other := range w.ids() {
+		if w.peers {
+			s.Peers = append(s.Peers, other+":inner")
+		}
+	}
+	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers", dialer: w.dialer}
+	edit(m)
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
-	n, err := node.New(node.Options{Settings: s, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
 	if err != nil {
 		w.faults.addf("new node %s: %v", id, err)
 		return nil
@@ -372,8 +406,10 @@
 	return m
 }
 
-// kill stops a node at once, as a crash would.
+// kill stops a node at once, as a crash would: nothing that it still tries
+// reaches the platform.
 func (w *world) kill(id string) {
+	w.nodes[id].platform.setAway(true)
 	w.nodes[id].node.Close()
 	delete(w.nodes, id)
 }
