--- a/internal/dispatch/cascade.go
+++ b/internal/dispatch/cascade.go
@@ -132,8 +132,9 @@
 	return next.waits
 }
 
-// spare is the time for a verdict beside two answers. Streamed answers and
-// sessions have none.
+// spare is the time for a verdict beside two answers, and no more than the
+// rank's target for the first token, so that urgent callers do not wait long
+// for it. Streamed answers and sessions have none.
 func (d *Dispatcher) spare(a *answer, targets []config.Target) time.Duration {
 	if !a.req.Whole || a.req.Session != "" {
 		return 0
@@ -142,7 +143,7 @@
 	for _, t := range targets {
 		longest = max(longest, d.answerLength(a, t))
 	}
-	return time.Until(a.req.Deadline) - 2*longest
+	return min(time.Until(a.req.Deadline)-2*longest, d.firstTokenTarget(a.req.Rank))
 }
 
 // finish settles a whole answer, after a verdict where one was asked for.
@@ -171,9 +172,9 @@
 }
 
 // verified waits for a verdict on the first step's answer, no longer than the
-// second step can wait.
+// second step and the rank's target for the first token allow.
 func (d *Dispatcher) verified(ctx context.Context, a *answer) bool {
-	wait := min(judgeLimit, time.Until(a.req.Deadline)-d.pace.answer(a.steps.Second, len(a.req.Prompt), a.req.MaxTokens))
+	wait := min(judgeLimit, d.firstTokenTarget(a.req.Rank), time.Until(a.req.Deadline)-d.pace.answer(a.steps.Second, len(a.req.Prompt), a.req.MaxTokens))
 	ctx, cancel := context.WithTimeout(ctx, max(wait, 0))
 	defer cancel()
 	passed, ok := d.Cascade.Judge(ctx, a.answered())
--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -195,3 +195,20 @@
 		}
 	})
 }
+
+// Urgent callers do not wait for verdicts that come later than their first
+// token should: they get one version's answer, though the cheap one often
+// fails.
+func TestUrgentIsNotVerifiedSlowly(t *testing.T) {
+	virtual(t, func(f *faults) {
+		quality := map[config.Target]float64{v1: 0.5, emanta: 0.96}
+		w := newWorld(f, worldOptions{platform: standin.PlatformOptions{RatingLag: time.Second}, engine: standin.EngineOptions{Quality: quality}})
+		defer w.close()
+		w.cascadeChats(3*time.Minute, quality)
+		for i := range 20 {
+			start := time.Now()
+			got := w.post("entry-1", org, chatPath, chatBody(fmt.Sprint("urgent ", i), 12), map[string]string{"X-Kind": "draft", "X-Rank": "urgent"})
+			f.check(got.status == http.StatusOK && time.Since(start) < time.Second, "urgent answer after %s: %+v", time.Since(start), got)
+		}
+	})
+}
