--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,8 +73,10 @@
 	cached  *routing.PrefixIndex              // guarded by mu
 	told    *admission.Told                   // guarded by mu
 	pace    *pace
-	worked  atomic.Pointer[versionRules]
-	viewed  atomic.Pointer[viewWaits]
+	// outliers has a lock of its own, taken alone.
+	outliers *outliers
+	worked   atomic.Pointer[versionRules]
+	viewed   atomic.Pointer[viewWaits]
 }
 
 // New returns a dispatcher.
@@ -83,7 +85,7 @@
 		o.Observer = noObserver{}
 	}
 	return &Dispatcher{
-		Options: o, pace: newPace(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
 		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
 	}
 }
@@ -117,6 +119,7 @@
 	grant   string
 	owner   string
 	paused  chan struct{}
+	since   time.Time
 }
 
 const (
@@ -146,6 +149,10 @@
 	length   time.Duration
 	book     bool
 	first    bool
+	// returns looks whether the request was refused before.
+	returns bool
+	// refusedBy is set to the replica whose refusal is the answer.
+	refusedBy *string
 }
 
 // scope is where the work of the wish would run, without the replica's part.
@@ -153,6 +160,13 @@
 	return rollout.Scope{Model: w.target.Model, Organisation: organisation}
 }
 
+// refuses notes whose refusal is the answer.
+func (w *wish) refuses(replica string) {
+	if w.refusedBy != nil {
+		*w.refusedBy = replica
+	}
+}
+
 // acquire finds a place, asking one owner after the other.
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, w wish) (*place, error) {
 	tried := append([]string(nil), w.excluded...)
@@ -177,9 +191,9 @@
 		if at < 0 {
 			break
 		}
-		if try == 0 && !w.resumed {
+		if try == 0 && w.returns {
 			early := time.Duration(0)
-			if at, early = d.returning(now, req, view, at); early > 0 {
+			if at, early = d.returning(now, req, w.target, view, at); early > 0 {
 				return nil, outcome.Refuse(outcome.CodeOverloaded, early, "the request came back before the time it was given: come back after the given time")
 			}
 		}
@@ -196,7 +210,7 @@
 			refusal = outcome.Refuse(refusalCode(reply.Reason), reply.RetryAfter, "%s: come back after the given time", reply.Reason)
 			if reply.Reason == ReasonWait {
 				waits++
-				d.note(now, req, view.Replicas[at].ID, reply.RetryAfter)
+				w.refuses(view.Replicas[at].ID)
 			}
 		default:
 			d.Record.Add(req.ID, "owner %s of replica %s did not answer", view.Replicas[at].Owner, view.Replicas[at].ID)
@@ -218,13 +232,14 @@
 	args := wire.AcquireArgs{
 		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
-		Fingerprint: req.Fingerprint, Prefixes: w.prefixes, Book: w.book,
+		Fingerprint: req.Fingerprint, Book: w.book,
 	}
 	d.mu.Lock()
 	d.pauses[p.grant] = p.paused
 	d.mu.Unlock()
 	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
 	if err == nil && reply.Granted {
+		p.since = time.Now()
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
 		d.mu.Unlock()
@@ -247,6 +262,7 @@
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
 	d.forget(p)
+	d.outliers.note(time.Now(), p.since, p.replica.ID, args)
 	args.Grant = p.grant
 	args.Replica = p.replica.ID
 	d.Places.Release(p.owner, args)
--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -14,6 +14,9 @@
 	simRanks
 )
 
+// rankNames name the ranks in figures.
+var rankNames = [simRanks]string{"urgent", "normal", "background"}
+
 // kind shapes the work of one rank.
 type kind struct {
 	template int // shared blocks at the head of each prompt
@@ -73,6 +76,7 @@
 	refused      bool
 	hit          int
 	steps        int
+	counted      int // tokens within the measured window
 	decoding     time.Duration
 	paused       int
 }
