--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -151,6 +151,8 @@
 	Book bool
 	// Fingerprint identifies the request's organisation and content.
 	Fingerprint uint64
+	// Trace is the W3C trace context of the request, or empty.
+	Trace string
 }
 
 // AcquireReply is the owner's answer.
@@ -282,9 +284,9 @@
 
 // Step is one line of a request's record.
 type Step struct {
-	At   time.Time
-	Node string
-	Text string
+	At   time.Time `json:"at"`
+	Node string    `json:"node"`
+	Text string    `json:"text"`
 }
 
 // ExplainArgs asks for the record of a request.
--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -165,7 +165,11 @@
 // that the organisation does not allow runs.
 func TestFullPoolFallsToNextVersion(t *testing.T) {
 	virtual(t, func(f *faults) {
-		w := newWorld(f, worldOptions{engines: 2, edit: func(c *config.Config) { c.Pools["mallipalvelin"].Slots = 2 }, engineOf: func(i int) standin.EngineOptions {
+		w := newWorld(f, worldOptions{engines: 2, edit: func(c *config.Config) {
+			c.Pools["mallipalvelin"] = &config.Pool{Targets: []config.Target{v1}, Slots: 2, KVTokens: config.DefaultKVTokens}
+			c.Pools["strong"] = &config.Pool{Targets: []config.Target{emanta}, Slots: 2, KVTokens: config.DefaultKVTokens}
+			c.Rollouts = nil
+		}, poolOf: func(i int) string { return []string{"mallipalvelin", "strong"}[i] }, engineOf: func(i int) standin.EngineOptions {
 			if i == 0 {
 				return standin.EngineOptions{BaseInterval: 200 * time.Millisecond, Targets: []config.Target{v1}}
 			}
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -266,7 +266,8 @@
 	shape    embedded.Deployment
 	nodes    map[string]*member
 	// peers gives nodes that start the inner addresses of those running.
-	peers bool
+	peers  bool
+	poolOf func(i int) string
 }
 
 // member is one entry node of the world.
@@ -284,6 +285,7 @@
 	nodes, engines, services int
 	engine                   standin.EngineOptions
 	engineOf                 func(i int) standin.EngineOptions // instead of engine
+	poolOf                   func(i int) string                // of an engine, instead of the deployment's
 	edit                     func(c *config.Config)
 	platform                 standin.PlatformOptions
 }
@@ -301,7 +303,7 @@
 		o.services = 2
 	}
 	w := &world{
-		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen,
+		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen, poolOf: o.poolOf,
 		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}, nodes: map[string]*member{},
 	}
 	w.loadConfig(o.edit)
@@ -358,6 +360,9 @@
 	if o.Quality == nil {
 		o.Quality = embedded.Qualities(w.config)
 	}
+	if w.poolOf != nil {
+		vm.Pool = w.poolOf(i)
+	}
 	w.dialer.engines[vm.Address] = standin.NewEngine(o)
 	w.vms = append(w.vms, vm)
 }
--- a/test/process/freeze_test.go
+++ b/test/process/freeze_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cowslipfall/cowslipfall/internal/node"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -69,8 +70,8 @@
 		return false
 	}
 	for _, n := range s.Nodes {
-		if n.State.ID == id {
-			return n.Live
+		if n.ID == id {
+			return n.State != node.StateDead
 		}
 	}
 	return false
--- a/test/process/race_test.go
+++ b/test/process/race_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/cowslipfall/cowslipfall/internal/node"
 )
 
 // applyAs runs "config apply" of a folder and returns what it printed.
@@ -86,8 +88,8 @@
 			return false
 		}
 		for _, n := range s.Nodes {
-			if n.State.ID == id {
-				return n.Live
+			if n.ID == id {
+				return n.State != node.StateDead
 			}
 		}
 		return false
