--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"strings"
 	"time"
 
@@ -27,12 +30,16 @@
 	addresses []string
 	key       string
 	json      bool
+	tls       bool
+	authority string
 }
 
 // addOptional adds the flags that name nodes and their key.
 func (f *operatorFlags) addOptional(cmd *cobra.Command) {
 	cmd.Flags().StringSliceVar(&f.addresses, "node", nil, "operators' address of any node, IP:port; several, separated by commas, are tried in turn")
 	cmd.Flags().StringVar(&f.key, "key", "", "the nodes' operator_key")
+	cmd.Flags().BoolVar(&f.tls, "tls", false, "the nodes have a certificate that this machine trusts")
+	cmd.Flags().StringVar(&f.authority, "authority", "", "PEM file with the authority that signs the nodes' certificates; implies --tls")
 }
 
 func (f *operatorFlags) add(cmd *cobra.Command) {
@@ -53,11 +60,36 @@
 // Error implements error.
 func (e *NodeError) Error() string { return "node " + e.Address + ": " + e.Remedy }
 
+// client returns a client that trusts the nodes' authority, and the scheme of
+// their URLs.
+func (f *operatorFlags) client() (*http.Client, string, error) {
+	if f.authority == "" {
+		if f.tls {
+			return http.DefaultClient, "https", nil
+		}
+		return http.DefaultClient, "http", nil
+	}
+	raw, err := os.ReadFile(f.authority)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "--authority cannot be read: check its path and permissions")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, "", errors.Errorf("--authority %s holds no certificate: give a PEM file", f.authority)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return &http.Client{Transport: transport}, "https", nil
+}
+
 // get fetches one of the operators' pages from the first node that answers.
 func (f *operatorFlags) get(ctx context.Context, path string, out any) error {
+	client, scheme, err := f.client()
+	if err != nil {
+		return err
+	}
 	var failed []string
 	for _, address := range f.addresses {
-		err := f.getFrom(ctx, address, path, out)
+		err := f.getFrom(ctx, client, scheme, address, path, out)
 		if err == nil {
 			return nil
 		}
@@ -66,24 +98,26 @@
 	return errors.New(strings.Join(failed, "; "))
 }
 
-func (f *operatorFlags) getFrom(ctx context.Context, address, path string, out any) error {
+func (f *operatorFlags) getFrom(ctx context.Context, client *http.Client, scheme, address, path string, out any) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return &NodeError{address, "is not IP:port: give the operator_listen of a node"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+"://"+address+path, nil)
 	if err != nil {
 		return &NodeError{address, err.Error()}
 	}
 	req.Header.Set("Authorization", "Bearer "+f.key)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return &NodeError{address, "does not answer (" + err.Error() + "): try another node"}
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
+	case http.StatusBadRequest:
+		return &NodeError{address, "answered " + resp.Status + ": if it has a certificate, give --tls or --authority"}
 	case http.StatusUnauthorized:
 		return &NodeError{address, "refuses the key: give the operator_key of its settings as --key"}
 	default:
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -90,6 +91,26 @@
 	}
 }
 
+// A node with a certificate is reached when its authority is given.
+func TestStatusOverTLS(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(node.Report{Node: "entry-1", Revision: &config.Revision{}})
+	}))
+	defer s.Close()
+	address := strings.TrimPrefix(s.URL, "https://")
+	authority := writeFile(t, "authority.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})))
+	code, out, _ := run("status", "--node", address, "--key", testKey, "--authority", authority)
+	is.Equal(code, 0)
+	is.True(strings.HasPrefix(out, "as seen by node entry-1\nno configuration yet"))
+	code, _, errs := run("status", "--node", address, "--key", testKey)
+	is.Equal(code, 1)
+	is.True(strings.Contains(errs, "give --tls or --authority"))
+	code, _, errs = run("status", "--node", address, "--key", testKey, "--authority", writeFile(t, "a.pem", "x"))
+	is.Equal(code, 1)
+	is.True(strings.Contains(errs, "holds no certificate"))
+}
+
 func TestExplainPrintsSteps(t *testing.T) {
 	is := is.New(t)
 	address := operatorServer(t, "/explain/trip-17", node.Explanation{Request: "trip-17", Silent: []string{"entry-3"}, Steps: []wire.Step{
