--- a/test/fleet/gateway_test.go
+++ b/test/fleet/gateway_test.go
@@ -82,6 +82,23 @@
 	})
 }
 
+// An organisation cannot read what became of another's call.
+func TestOutcomesStayApart(t *testing.T) {
+	virtual(t, func(f *faults) {
+		w := newWorld(f, worldOptions{})
+		defer w.close()
+		done := w.post("entry-1", org, confirmPath, `{}`, map[string]string{"Idempotency-Key": "seat-1"})
+		f.check(done.status == http.StatusOK, "confirmation: %+v", done)
+		ask := "GET /v1/outcomes/kirjauspalvelu/seat-1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer demo-key-"
+		own := w.raw("entry-2", ask+org+"\r\n\r\n")
+		f.check(strings.Contains(own, `"ran":"yes"`), "the own outcome: %s", own)
+		other := w.raw("entry-2", ask+"kuorot-ry\r\n\r\n")
+		f.check(!strings.Contains(other, `"ran":"yes"`) && !strings.Contains(other, "reply"), "another's outcome: %s", other)
+		stranger := w.raw("entry-2", ask+"nobody\r\n\r\n")
+		f.check(strings.HasPrefix(stranger, "HTTP/1.1 401"), "a stranger: %s", stranger)
+	})
+}
+
 const chatRequest = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer demo-key-" + org +
 	"\r\nContent-Length: 70\r\n\r\n" + `{"model":"auto","max_tokens":5,"messages":[{"role":"a","content":""}]}`
 
