--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -60,6 +60,29 @@
 	return "unknown"
 }
 
+// PlatformError tells that the platform gave no answer to a command.
+type PlatformError struct {
+	// Base is the platform's URL, Cause what went wrong.
+	Base  string
+	Cause error
+}
+
+// Error implements error.
+func (e *PlatformError) Error() string {
+	return fmt.Sprintf("the platform at %s gave no answer: check --platform and the platform's health; if it was a change, look with \"config show\" whether it took effect, sending it again is safe (%s)", e.Base, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PlatformError) Unwrap() error { return e.Cause }
+
+// platformError names the platform in an error that tells of no answer.
+func platformError(base string, err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return &PlatformError{Base: base, Cause: err}
+	}
+	return err
+}
+
 // platformFlag adds the flag that names the platform.
 func platformFlag(cmd *cobra.Command, base *string) {
 	cmd.Flags().StringVar(base, "platform", "", "base URL of the platform, such as http://10.0.0.9:7000")
@@ -69,11 +92,17 @@
 func newConfigApply() *cobra.Command {
 	var base, note string
 	var revision int64
+	var wait bool
+	var timeout time.Duration
+	operator := &operatorFlags{}
 	cmd := &cobra.Command{
 		Use:   "apply DIR",
 		Short: "Make a folder the configuration of the whole fleet",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if wait && !cmd.Flags().Changed("node") {
+				return errors.New("--wait needs --node and --key: name the operators' address of any node")
+			}
 			c, err := config.LoadFolder(args[0])
 			if err != nil {
 				return err
@@ -82,13 +111,20 @@
 			client := platform.NewClient(base, platformTimeout)
 			rev, err := apply(cmd.Context(), client, c, revision, note)
 			if err != nil {
-				return err
+				return platformError(base, err)
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d, hash %.12s\n", rev.Number, rev.Hash)
-			return err
+			fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d, hash %.12s\n", rev.Number, rev.Hash)
+			if !wait {
+				return nil
+			}
+			return waitInForce(cmd, operator, rev.Number, timeout)
 		},
 	}
 	platformFlag(cmd, &base)
+	operator.addOptional(cmd)
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until every live node has it in force; needs --node and --key")
+	cmd.Flags().DurationVar(&timeout, "timeout", 30*time.Second, "how long to wait")
+	cmd.MarkFlagsRequiredTogether("node", "key")
 	cmd.Flags().StringVar(&note, "note", "config apply", "what changes, in a few words")
 	cmd.Flags().Int64Var(&revision, "base", -1, "revision that the change was made on; the newest if not given")
 	return cmd
@@ -121,7 +157,7 @@
 			client := platform.NewClient(base, platformTimeout)
 			rev, err := config.NewStore(client, client).Newest(cmd.Context())
 			if err != nil {
-				return err
+				return platformError(base, err)
 			}
 			if rev == nil {
 				return errors.New("there is no configuration yet: apply one with \"config apply DIR\"")
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +17,8 @@
 const (
 	// HeadKey is the table row with the newest revision.
 	HeadKey = "config/head"
+	// RevisionPrefix begins the table rows of all accepted revisions.
+	RevisionPrefix = "config/revision/"
 	// ObjectPrefix begins the names of the contents, by hash.
 	ObjectPrefix = "config-"
 )
@@ -25,12 +29,26 @@
 	// place.
 	Base   uint64
 	Newest *Revision
+	// Changes lists what changed in between, as far as the store still tells.
+	Changes []Difference
 }
 
+// maxChangesTold bounds the changes that a RaceError lists.
+const maxChangesTold = 20
+
 // Error implements error.
 func (e *RaceError) Error() string {
-	return fmt.Sprintf("revision %d is no longer the newest: %s made revision %d at %s (%s); nothing was applied; look at it with \"config show\" and \"config diff\", then apply again",
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision %d is no longer the newest: %s made revision %d at %s (%s); nothing was applied; look at it with \"config show\" and \"config diff\", then apply again",
 		e.Base, e.Newest.Author, e.Newest.Number, e.Newest.At.Format(time.RFC3339), e.Newest.Note)
+	for i, d := range e.Changes {
+		if i == maxChangesTold {
+			fmt.Fprintf(&b, "\n  and %d more", len(e.Changes)-i)
+			break
+		}
+		b.WriteString("\n  " + d.String())
+	}
+	return b.String()
 }
 
 // Store keeps the accepted revisions on the platform.
@@ -102,8 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if head.Number != c.Base {
-		return nil, &RaceError{Base: c.Base, Newest: head}
+	if head.Number < c.Base {
+		return nil, errors.Wrapf(platform.ErrUnavailable, "the store shows revision %d, older than the base %d", head.Number, c.Base)
+	}
+	if head.Number > c.Base {
+		return s.raced(ctx, head, c)
 	}
 	next, err := s.prepare(ctx, head, c)
 	if err != nil {
@@ -113,13 +134,79 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode revision")
 	}
-	_, err = s.table.Commit(ctx, platform.Op{Key: HeadKey, Value: value, Expect: version})
+	_, err = s.table.Commit(ctx,
+		platform.Op{Key: HeadKey, Value: value, Expect: version},
+		platform.Op{Key: RevisionKey(next.Number), Value: value})
 	if err == nil {
 		return next, nil
 	}
 	return s.settle(ctx, c, next, err)
 }
 
+// RevisionKey returns the table key of an accepted revision.
+func RevisionKey(number uint64) string { return fmt.Sprintf("%s%020d", RevisionPrefix, number) }
+
+// raced answers a change whose base is no longer the newest: it is accepted
+// if the newest revision was made by it, as when the reply of an earlier try
+// was lost.
+func (s *Store) raced(ctx context.Context, head *Revision, c Change) (*Revision, error) {
+	base, err := s.revision(ctx, c.Base)
+	if err != nil {
+		return nil, &RaceError{Base: c.Base, Newest: head}
+	}
+	if head.Number == c.Base+1 && head.Author == c.Author && head.Note == c.Note {
+		again, err := s.prepare(ctx, base, c)
+		if err != nil {
+			return nil, err
+		}
+		if sameChange(again, head) {
+			again.At = head.At
+			return again, nil
+		}
+	}
+	return nil, &RaceError{Base: c.Base, Newest: head, Changes: s.changes(ctx, base, head)}
+}
+
+func sameChange(a, b *Revision) bool {
+	return a.Hash == b.Hash && maps.Equal(a.Withdrawn, b.Withdrawn) && maps.Equal(a.Stages, b.Stages)
+}
+
+// changes lists what differs between two revisions' contents; nothing if the
+// store does not tell.
+func (s *Store) changes(ctx context.Context, old, next *Revision) []Difference {
+	before := &Config{}
+	if old.Number > 0 {
+		content, err := s.Content(ctx, old.Hash)
+		if err != nil {
+			return nil
+		}
+		before = content
+	}
+	after, err := s.Content(ctx, next.Hash)
+	if err != nil {
+		return nil
+	}
+	list, err := Diff(before, after)
+	if err != nil {
+		return nil
+	}
+	return list
+}
+
+// revision returns an accepted revision without its content; revision 0 is
+// empty.
+func (s *Store) revision(ctx context.Context, number uint64) (*Revision, error) {
+	if number == 0 {
+		return &Revision{}, nil
+	}
+	row, err := s.table.Get(ctx, RevisionKey(number))
+	if err != nil {
+		return nil, err
+	}
+	rev := &Revision{}
+	return rev, errors.Wrap(json.Unmarshal(row.Value, rev), "decode revision")
+}
+
 // prepare edits a copy of the newest revision and stores its content.
 func (s *Store) prepare(ctx context.Context, head *Revision, c Change) (*Revision, error) {
 	next := *head
@@ -173,7 +260,7 @@
 	case mine:
 		return next, nil
 	case head.Number >= next.Number:
-		return nil, &RaceError{Base: c.Base, Newest: head}
+		return s.raced(ctx, head, c)
 	default:
 		return nil, cause
 	}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -111,8 +111,11 @@
 		return nil, err
 	}
 	var first error
-	for _, t := range targets {
+	var refusedBy string
+	for i, t := range targets {
+		var by string
 		p, err := d.acquire(ctx, &a.req.Request, wish{
+			returns: i == 0 && !a.started, refusedBy: &by,
 			target: t, tokens: a.req.MaxTokens - a.offset, prompt: routing.PromptTokens(a.req.Prompt) + a.offset,
 			resumed: a.started, excluded: a.excluded, deadline: a.req.Deadline, length: d.answerLength(a, t),
 			prefixes: routing.PrefixHashes(a.req.Prompt),
@@ -122,9 +125,10 @@
 			return p, nil
 		}
 		if first == nil {
-			first = err
+			first, refusedBy = err, by
 		}
 	}
+	d.note(&a.req.Request, refusedBy, first)
 	return nil, first
 }
 
@@ -147,7 +151,9 @@
 	if err != nil {
 		return nil, err
 	}
-	targets := rules.plan.Versions(nil, routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held})
+	choice := routing.VersionRequest{Organisation: a.req.Organisation, Asked: a.req.Asked, Session: cmp.Or(a.req.Session, a.req.ID), Pin: pin, Held: d.Held}
+	targets := rules.plan.Versions(nil, choice)
+	d.Record.Add(a.req.ID, "%s", rules.plan.Explain(choice, targets))
 	if len(targets) == 0 {
 		return nil, outcome.Refuse(outcome.CodeNotAllowed, 0, "no version of %q is allowed and in force for organisation %q: ask its operator", a.req.Asked, a.req.Organisation)
 	}
@@ -155,6 +161,7 @@
 		return nil, err
 	}
 	targets = d.prefer(a, targets)
+	d.spill(a, targets)
 	if pinned && pin != targets[0] {
 		return d.pin(ctx, a, id, pin, targets), nil
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -26,7 +27,6 @@
 // Exchange implements wire.Handler.
 func (h *handler) Exchange(args wire.ExchangeArgs, reply *wire.ExchangeReply) error {
 	n := h.n
-	before := n.members.Snapshot()
 	*reply = n.members.Answer(time.Now(), args, n.config.Current().Number)
 	if from, ok := n.members.Snapshot().Node(args.From); ok && args.Revision > n.config.Current().Number {
 		n.begin("revision/"+args.From, func() {
@@ -35,9 +35,6 @@
 			n.fetchRevision(ctx, from.State.Inner, args.Revision)
 		})
 	}
-	if n.members.Snapshot().Live() != before.Live() {
-		n.kickPeers()
-	}
 	return nil
 }
 
@@ -61,10 +58,18 @@
 
 // Acquire implements wire.Handler.
 func (h *handler) Acquire(args wire.AcquireArgs, reply *wire.AcquireReply) error {
-	*reply = h.n.owner.Acquire(args)
+	*reply = h.n.acquire(args)
 	return nil
 }
 
+// acquire asks the own owner, as one hop of the asker's trace.
+func (n *Node) acquire(args wire.AcquireArgs) wire.AcquireReply {
+	_, span := n.tracer.Start(telemetry.Remote(context.Background(), args.Trace), "queue")
+	defer span.End(nil)
+	span.Text("replica", args.Replica)
+	return n.owner.Acquire(args)
+}
+
 // Release implements wire.Handler.
 func (h *handler) Release(args wire.ReleaseArgs, _ *wire.ReleaseReply) error {
 	h.n.owner.Release(args)
@@ -137,7 +142,7 @@
 
 func (p places) local(ctx context.Context, args wire.AcquireArgs) (wire.AcquireReply, error) {
 	done := make(chan wire.AcquireReply, 1)
-	go func() { done <- p.n.owner.Acquire(args) }()
+	go func() { done <- p.n.acquire(args) }()
 	select {
 	case reply := <-done:
 		return reply, nil
@@ -161,6 +166,7 @@
 
 // pause tells the holder of a grant to pause its stream.
 func (n *Node) pause(node, grant string) {
+	n.metrics.Preemptions.Inc()
 	if node == n.options.Settings.ID {
 		n.dispatcher.Pause(grant)
 		return
--- a/internal/platform/limited_test.go
+++ b/internal/platform/limited_test.go
@@ -109,7 +109,8 @@
 	is.True(busiest <= int(testWrites)+2*fleetNodes) // the rate, and one call under way for each node
 	is.True(during <= 60*fleetNodes)                 // an absent store is asked seldom
 	is.True(table.writes[UseClaim] > table.writes[UseBill])
-	is.Equal(table.writes[UseBackground] <= table.writes[UseBill], true)
+	is.True(table.writes[UseBackground] <= table.writes[UseBill])
+	is.True(table.writes[UseBill] > table.writes[UseClaim]/5) // claims do not starve the bills
 }
 
 // A call that does not get its turn says that nothing was sent.
--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -138,15 +139,14 @@
 		defer w.close()
 		w.cascadeChats(3*time.Minute, quality)
 		rev := w.rollOut("withdraw", func(r *config.Revision) error { return rollout.Withdraw(r, emanta, "test", time.Now()) })
-		before := time.Now()
 		load := make(chan *cascadeLoad, 1)
 		go func() { load <- w.cascadeChats(20*time.Second, quality) }()
 		for !w.inForce(rev.Number) {
-			before = time.Now()
-			w.sleep(10 * time.Millisecond)
+			w.sleep(time.Millisecond)
 		}
+		gone := time.Now()
 		l := <-load
-		f.check(w.runs(emanta, before) == 0, "%d steps began on the withdrawn version", w.runs(emanta, before))
+		f.check(w.runs(emanta, gone) == 0, "%d steps began on the withdrawn version", w.runs(emanta, gone))
 		f.check(l.byTarget[v1] > l.served/2, "the version left gave %d of %d answers", l.byTarget[v1], l.served)
 	})
 }
@@ -160,3 +160,68 @@
 	}
 	return true
 }
+
+// When the pool of the preferred version is full, requests without a session
+// fall to the next allowed version in time; sessions keep theirs; no version
+// that the organisation does not allow runs.
+func TestFullPoolFallsToNextVersion(t *testing.T) {
+	virtual(t, func(f *faults) {
+		w := newWorld(f, worldOptions{engines: 2, edit: func(c *config.Config) {
+			c.Pools["mallipalvelin"] = &config.Pool{Targets: []config.Target{v1}, Slots: 2, KVTokens: config.DefaultKVTokens}
+			c.Pools["strong"] = &config.Pool{Targets: []config.Target{emanta}, Slots: 2, KVTokens: config.DefaultKVTokens}
+			c.Rollouts = nil
+		}, poolOf: func(i int) string { return []string{"mallipalvelin", "strong"}[i] }, engineOf: func(i int) standin.EngineOptions {
+			if i == 0 {
+				return standin.EngineOptions{BaseInterval: 200 * time.Millisecond, Targets: []config.Target{v1}}
+			}
+			return standin.EngineOptions{BaseInterval: 5 * time.Millisecond, Targets: []config.Target{emanta}}
+		}})
+		defer w.close()
+		session := w.sessionOn(v1)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				w.post("entry-1", "museobussit", chatPath, chatBody(fmt.Sprint("long ", i), 100), map[string]string{"X-Deadline-Ms": "600000"})
+			})
+		}
+		w.sleep(5 * time.Second)
+		start := time.Now()
+		for i := range 10 {
+			got := w.post("entry-1", org, chatPath, chatBody(fmt.Sprint("short ", i), 8), nil)
+			_, model := completionText(got)
+			f.check(model == emanta.String() || w.loaded("engine-2", v1), "answer %d: %+v", i, got)
+		}
+		f.check(time.Since(start) < 10*time.Second, "ten answers took %s", time.Since(start))
+		_, model := completionText(w.post("entry-1", org, chatPath, chatBody("again", 6), map[string]string{"X-Session": session, "X-Deadline-Ms": "600000"}))
+		f.check(model == v1.String(), "the session is on %s", model)
+		wg.Wait()
+		for _, r := range w.dialer.engines["engine-2"].Runs() {
+			f.check(r.Prompt[:10] != "user: long", "the organisation's only version is %s, yet %s ran", v1, r.Target)
+		}
+	})
+}
+
+// loaded tells whether an engine has a version: the fleet may order it to load
+// one that is short of room.
+func (w *world) loaded(engine string, t config.Target) bool {
+	report, err := w.dialer.engines[engine].Load(context.Background())
+	w.faults.check(err == nil, "load: %v", err)
+	return slices.Contains(report.Targets, t)
+}
+
+// Urgent callers do not wait for verdicts that come later than their first
+// token should: they get one version's answer, though the cheap one often
+// fails.
+func TestUrgentIsNotVerifiedSlowly(t *testing.T) {
+	virtual(t, func(f *faults) {
+		quality := map[config.Target]float64{v1: 0.5, emanta: 0.96}
+		w := newWorld(f, worldOptions{platform: standin.PlatformOptions{RatingLag: time.Second}, engine: standin.EngineOptions{Quality: quality}})
+		defer w.close()
+		w.cascadeChats(3*time.Minute, quality)
+		for i := range 20 {
+			start := time.Now()
+			got := w.post("entry-1", org, chatPath, chatBody(fmt.Sprint("urgent ", i), 12), map[string]string{"X-Kind": "draft", "X-Rank": "urgent"})
+			f.check(got.status == http.StatusOK && time.Since(start) < time.Second, "urgent answer after %s: %+v", time.Since(start), got)
+		}
+	})
+}
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -271,7 +271,8 @@
 	shape    embedded.Deployment
 	nodes    map[string]*member
 	// peers gives nodes that start the inner addresses of those running.
-	peers bool
+	peers  bool
+	poolOf func(i int) string
 }
 
 // member is one entry node of the world.
@@ -280,6 +281,7 @@
 	settings config.Settings
 	platform *view
 	address  string
+	dialer   backend.Dialer
 }
 
 // worldOptions shape a world; zero values give three nodes, three engines and
@@ -287,6 +289,8 @@
 type worldOptions struct {
 	nodes, engines, services int
 	engine                   standin.EngineOptions
+	engineOf                 func(i int) standin.EngineOptions // instead of engine
+	poolOf                   func(i int) string                // of an engine, instead of the deployment's
 	edit                     func(c *config.Config)
 	platform                 standin.PlatformOptions
 	// wrap changes how engines behave.
@@ -306,11 +310,14 @@
 		o.services = 2
 	}
 	w := &world{
-		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen,
+		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen, poolOf: o.poolOf,
 		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, wrap: o.wrap}, nodes: map[string]*member{},
 	}
 	w.loadConfig(o.edit)
 	for i := range o.engines {
+		if o.engineOf != nil {
+			o.engine = o.engineOf(i)
+		}
 		w.addEngine(i, o.engine)
 	}
 	for i := range o.services {
@@ -360,6 +367,9 @@
 	if o.Quality == nil {
 		o.Quality = embedded.Qualities(w.config)
 	}
+	if w.poolOf != nil {
+		vm.Pool = w.poolOf(i)
+	}
 	w.dialer.engines[vm.Address] = standin.NewEngine(o)
 	w.vms = append(w.vms, vm)
 }
@@ -372,6 +382,12 @@
 
 // addNode starts an entry node.
 func (w *world) addNode(id, dataCentre string) *member {
+	return w.addNodeWith(id, dataCentre, func(*member) {})
+}
+
+// addNodeWith starts an entry node whose settings or view of the platform
+// edit has changed.
+func (w *world) addNodeWith(id, dataCentre string, edit func(m *member)) *member {
 	s := config.DefaultSettings()
 	s.ID = id
 	s.DataCentre = dataCentre
@@ -383,9 +399,10 @@
 			s.Peers = append(s.Peers, other+":inner")
 		}
 	}
-	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers"}
+	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers", dialer: w.dialer}
+	edit(m)
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
-	n, err := node.New(node.Options{Settings: s, Listeners: listeners, Platform: m.platform, Dialer: w.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
 	if err != nil {
 		w.faults.addf("new node %s: %v", id, err)
 		return nil
