--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -127,6 +127,8 @@
 // Probe asks every owned replica for its load, all at once, and keeps what it
 // answers.
 func (o *Owner) Probe(ctx context.Context, dialer backend.Dialer, isService func(pool string) bool) {
+	ctx, cancel := context.WithTimeout(ctx, backend.ProbeTimeout)
+	defer cancel()
 	o.mu.Lock()
 	list := slices.Collect(maps.Values(o.replicas))
 	o.mu.Unlock()
