A metered stream may be closed while it is read

Cause: the dispatcher reads a stream on one goroutine and closes it on another since the watch over arrivals came; the meter's note that a stream has ended was a plain bool. Seen by the race detector in test/fleet (TestAnswerOfDyingNodeIsNotTakenForWhole, TestQuietHoursBeginUnderLoad); the new test fails on the code before under -race. The note is atomic now.

Ruled out: the stand-ins and the dispatcher, which are not in the reports.

--- a/internal/meter/backend.go
+++ b/internal/meter/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -77,12 +78,12 @@
 	return &stream{Stream: s, span: span, dialer: e.dialer}, nil
 }
 
-// stream notes how an answer ended.
+// stream notes how an answer ended. It may be closed while it is read.
 type stream struct {
 	backend.Stream
 	span   telemetry.Span
 	dialer Dialer
-	done   bool
+	done   atomic.Bool
 }
 
 // Next implements backend.Stream.
@@ -105,10 +106,9 @@
 }
 
 func (s *stream) end(err error) {
-	if s.done {
+	if !s.done.CompareAndSwap(false, true) {
 		return
 	}
-	s.done = true
 	s.span.End(err)
 	s.dialer.ended(kindAnswer, err)
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -147,3 +147,31 @@
 		"not_found claim ": 1, "conflict claim ": 1, "ok other ": 1, "unavailable bill ": 3, "ok vms ": 1,
 	})
 }
+
+// waiting is a stream whose Next fails once it is closed.
+type waiting struct{ closed chan struct{} }
+
+func (w waiting) Next() (backend.Frame, error) {
+	<-w.closed
+	return backend.Frame{}, &backend.Error{Kind: backend.KindBroken}
+}
+
+func (w waiting) Close() error {
+	close(w.closed)
+	return nil
+}
+
+// A stream that is closed while another goroutine reads it ends once.
+func TestStreamClosedWhileRead(t *testing.T) {
+	is := is.New(t)
+	m, tracer := tools(t)
+	s := &stream{Stream: waiting{make(chan struct{})}, dialer: Dialer{Metrics: m, Tracer: tracer}}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = s.Next()
+	}()
+	is.NoErr(s.Close())
+	<-read
+	is.Equal(counts(t, m, "attempts_total"), map[string]float64{"answer ended ": 1})
+}
