--- a/internal/meter/backend.go
+++ b/internal/meter/backend.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -78,12 +78,13 @@
 	return &stream{Stream: s, span: span, dialer: e.dialer}, nil
 }
 
-// stream notes how an answer ended. It may be closed while it is read.
+// stream notes how an answer ended, once; Close may be called while Next
+// waits.
 type stream struct {
 	backend.Stream
 	span   telemetry.Span
 	dialer Dialer
-	done   atomic.Bool
+	once   sync.Once
 }
 
 // Next implements backend.Stream.
@@ -106,11 +107,10 @@
 }
 
 func (s *stream) end(err error) {
-	if !s.done.CompareAndSwap(false, true) {
-		return
-	}
-	s.span.End(err)
-	s.dialer.ended(kindAnswer, err)
+	s.once.Do(func() {
+		s.span.End(err)
+		s.dialer.ended(kindAnswer, err)
+	})
 }
 
 type service struct {
