--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -147,3 +147,31 @@
 		"not_found claim ": 1, "conflict claim ": 1, "ok other ": 1, "unavailable bill ": 3, "ok vms ": 1,
 	})
 }
+
+// broken is a stream that fails at once.
+type broken struct{}
+
+func (broken) Next() (backend.Frame, error) {
+	return backend.Frame{}, &backend.Error{Kind: backend.KindBroken}
+}
+
+func (broken) Close() error { return nil }
+
+// A stream that is closed while another goroutine reads it ends once.
+func TestStreamClosedWhileRead(t *testing.T) {
+	is := is.New(t)
+	m, tracer := tools(t)
+	s := &stream{Stream: broken{}, dialer: Dialer{Metrics: m, Tracer: tracer}}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = s.Next()
+	}()
+	is.NoErr(s.Close())
+	<-read
+	ended := 0.0
+	for _, n := range counts(t, m, "attempts_total") {
+		ended += n
+	}
+	is.Equal(ended, 1.0)
+}
