--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -63,7 +63,7 @@
 		{"Exchange", someNews(20), &News{}},
 		{"Acquire", AcquireArgs{Grant: id, Node: "entry-123", Incarnation: 1_790_000_000_000_000_000, Replica: "engine-17", Target: bill.Target, Organisation: bill.Organisation, Caller: "caller-1", Rank: 1, Tokens: 337, Wait: time.Minute, Fingerprint: 1 << 60}, &AcquireReply{}},
 		{"Release", ReleaseArgs{Grant: id, Replica: "engine-17", Tokens: 337, FirstToken: time.Second, TokenInterval: 40 * time.Millisecond}, &ReleaseReply{}},
-		{"HoldBills", HoldBillsArgs{First: 1, Bills: []Bill{bill}}, &HoldBillsReply{}},
+		{"HoldBills", HoldBillsArgs{From: Process{Node: "entry-123", Incarnation: 1_790_000_000_000_000_000}, First: 1000, Bills: []Bill{bill}, StoredBelow: 900}, &HoldBillsReply{}},
 	} {
 		b.Run(c.method, func(b *testing.B) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
