Note the end of an answer once, also when it is closed while read

Cause: the meter's stream keeps a flag that Next, run by the dispatcher's reader, and Close, run by the attempt, both wrote. Seen by the race detector in TestBackgroundFlood and TestRefusedCallersComeBack, failing first; go test -race -run 'Flood|ComeBack' ./test/fleet passes after.

--- a/internal/meter/backend.go
+++ b/internal/meter/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -77,12 +78,13 @@
 	return &stream{Stream: s, span: span, dialer: e.dialer}, nil
 }
 
-// stream notes how an answer ended.
+// stream notes once how an answer ended; Next and Close may run at the same
+// time.
 type stream struct {
 	backend.Stream
 	span   telemetry.Span
 	dialer Dialer
-	done   bool
+	once   sync.Once
 }
 
 // Next implements backend.Stream.
@@ -105,12 +107,10 @@
 }
 
 func (s *stream) end(err error) {
-	if s.done {
-		return
-	}
-	s.done = true
-	s.span.End(err)
-	s.dialer.ended(kindAnswer, err)
+	s.once.Do(func() {
+		s.span.End(err)
+		s.dialer.ended(kindAnswer, err)
+	})
 }
 
 type service struct {
