--- a/internal/meter/backend.go
+++ b/internal/meter/backend.go
@@ -78,8 +78,8 @@
 	return &stream{Stream: s, span: span, dialer: e.dialer}, nil
 }
 
-// stream notes once how an answer ended; Next and Close may run at the same
-// time.
+// stream notes how an answer ended, once; Close may be called while Next
+// waits.
 type stream struct {
 	backend.Stream
 	span   telemetry.Span
