--- /dev/null
+++ b/internal/membership/bench_test.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// segmentBytes is what TCP and IP add to a segment, and the size of an
+// acknowledgement.
+const segmentBytes = 52
+
+// links count what nodes send each other as net/rpc encodes it.
+type links struct {
+	encoders map[[2]string]*gob.Encoder
+	bytes    map[string]int
+	at       [2]string
+}
+
+// Write counts bytes for both ends.
+func (l *links) Write(p []byte) (int, error) {
+	l.bytes[l.at[0]] += len(p)
+	l.bytes[l.at[1]] += len(p)
+	return len(p), nil
+}
+
+// send counts one message with the headers of its one segment, and of one
+// acknowledgement.
+func (l *links) send(from, to string, header, news any) {
+	l.at = [2]string{from, to}
+	e := l.encoders[l.at]
+	if e == nil {
+		e = gob.NewEncoder(l)
+		l.encoders[l.at] = e
+	}
+	_ = e.Encode(header)
+	_ = e.Encode(news)
+	l.bytes[from] += 2 * segmentBytes
+	l.bytes[to] += 2 * segmentBytes
+}
+
+// benchFleet is a fleet of tables with owners of replicas.
+type benchFleet struct {
+	*mesh
+	links  *links
+	random *rand.Rand
+	second int
+}
+
+const (
+	benchCentres  = 9
+	benchRegions  = 3
+	benchReplicas = 600
+	benchLimit    = 64
+)
+
+func newBenchFleet(nodes int) *benchFleet {
+	f := &benchFleet{mesh: newMesh(), random: rand.New(rand.NewPCG(1, 2)), links: &links{encoders: map[[2]string]*gob.Encoder{}, bytes: map[string]int{}}}
+	place := func(i int) (string, string) {
+		return fmt.Sprintf("dc-%d", i%benchCentres), fmt.Sprintf("region-%d", i%benchCentres%benchRegions)
+	}
+	for i := range nodes {
+		centre, region := place(i)
+		f.start(fmt.Sprintf("entry-%d", i), centre, region, 1_790_000_000_000_000_000)
+	}
+	var vms []platform.VM
+	for i := range benchReplicas {
+		centre, region := place(i)
+		vms = append(vms, platform.VM{ID: fmt.Sprintf("engine-%d", i), Address: "10.0.0.1:8000", DataCentre: centre, Region: region, Role: platform.RoleBackend, Pool: "engines"})
+	}
+	f.tables["entry-0"].SetVMs(f.now, f.now, vms)
+	return f
+}
+
+// run lets seconds pass; replicas carry about the given number of streams, of
+// which a tenth ends or begins each second.
+func (f *benchFleet) run(seconds, streams int) {
+	for range seconds {
+		f.now = f.now.Add(HeartbeatInterval)
+		f.second++
+		for _, id := range f.order {
+			t := f.tables[id]
+			f.publish(t, id, streams)
+			t.Tick(f.now)
+		}
+		for _, id := range f.order {
+			for _, to := range f.tables[id].Snapshot().Neighbours(id) {
+				if to.Far && f.second%2 == 1 {
+					continue
+				}
+				f.exchange(id, to)
+			}
+		}
+	}
+}
+
+func (f *benchFleet) exchange(id string, to Peer) {
+	from, other := f.tables[id], f.tables[to.Name]
+	for {
+		news := from.Compose(to, 1)
+		reply := other.Answer(f.now, news, 1)
+		from.Take(f.now, reply)
+		f.links.send(id, to.Name, rpc.Request{ServiceMethod: "Node.Exchange", Seq: uint64(f.second)}, news)
+		f.links.send(to.Name, id, rpc.Response{ServiceMethod: "Node.Exchange", Seq: uint64(f.second)}, reply)
+		if !news.More && !reply.More {
+			return
+		}
+	}
+}
+
+// publish tells of the replicas that a node owns, with a load that wanders.
+func (f *benchFleet) publish(t *Table, id string, streams int) {
+	var states []wire.ReplicaState
+	for _, vm := range t.Snapshot().Assigned(id) {
+		s := wire.ReplicaState{ID: vm.ID, Limit: benchLimit, Healthy: true}
+		if streams > 0 {
+			s.Running = t.replicas[vm.ID].running() + f.random.IntN(9) - 4
+			s.Running += (streams - s.Running) / 10
+			wait := time.Duration(f.random.IntN(200)) * time.Millisecond
+			s.Waits = []time.Duration{0, 0, wait}
+		}
+		states = append(states, s)
+	}
+	t.Publish(f.now, states)
+}
+
+func (r *replicaItem) running() int {
+	if r == nil {
+		return 0
+	}
+	return r.news.State.Running
+}
+
+// BenchmarkFleetSecond measures one second of a whole fleet's exchange: bytes
+// on the wire of the mean and the busiest node, and processor time a node.
+func BenchmarkFleetSecond(b *testing.B) {
+	for _, streams := range []int{0, 43} {
+		for _, nodes := range []int{90, 180, 340, 680} {
+			b.Run(fmt.Sprintf("nodes=%d/streams=%d", nodes, streams), func(b *testing.B) {
+				f := newBenchFleet(nodes)
+				f.run(30, streams)
+				clear(f.links.bytes)
+				start, seconds := time.Now(), 0
+				for b.Loop() {
+					f.run(1, streams)
+					seconds++
+				}
+				spent := time.Since(start)
+				total, most := 0, 0
+				for _, n := range f.links.bytes {
+					total += n
+					most = max(most, n)
+				}
+				b.ReportMetric(float64(total)/float64(seconds*nodes), "bytes/node/s")
+				b.ReportMetric(float64(most)/float64(seconds), "busiest-bytes/s")
+				b.ReportMetric(100*spent.Seconds()/float64(seconds*nodes), "cpu-%/node")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
