Deal the links of a data centre out to its bridges

Each of the three bridges of a data centre kept a link to every other data centre of its region and to every other region.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -79,7 +79,7 @@
 	byID     map[string]int
 	replicas map[string]int
 	assigned map[string][]platform.VM
-	bridges  map[string]bool
+	bridges  map[string]bridge
 }
 
 // Node returns the node with the given ID.
@@ -115,7 +115,10 @@
 }
 
 // Bridge tells whether a node exchanges news with other data centres.
-func (s *Snapshot) Bridge(node string) bool { return s.bridges[node] }
+func (s *Snapshot) Bridge(node string) bool {
+	_, ok := s.bridges[node]
+	return ok
+}
 
 // Sharers returns the number of nodes that may be using the store: all but
 // the dead.
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -7,20 +7,29 @@
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
+// bridge is a node's part in the exchange with other data centres: the links
+// of its data centre are dealt out to count bridges, of which it is the one at
+// rank.
+type bridge struct {
+	rank  int
+	count int
+}
+
 // bridges returns the live nodes that exchange news with other data centres:
 // a few of each, with the highest scores.
-func bridges(nodes []Node) map[string]bool {
+func bridges(nodes []Node) map[string]bridge {
 	centres := map[string][]string{}
 	for _, n := range nodes {
 		if n.Live {
 			centres[n.State.DataCentre] = append(centres[n.State.DataCentre], n.State.ID)
 		}
 	}
-	out := map[string]bool{}
+	out := map[string]bridge{}
 	for centre, ids := range centres {
 		order := routing.Rendezvous(ids, "bridge/"+centre)
-		for _, id := range order[:min(len(order), bridgesPerDataCentre)] {
-			out[id] = true
+		count := min(len(order), bridgesPerDataCentre)
+		for rank, id := range order[:count] {
+			out[id] = bridge{rank, count}
 		}
 	}
 	return out
@@ -28,7 +37,8 @@
 
 // Neighbours returns the peers with which the named node starts exchanges:
 // two of its data centre, one of which closes a ring; and, if it is a bridge,
-// one of each other data centre of its region and of each other region.
+// one for each link of the data centre that falls to it. There is a link to
+// each other data centre of the region and to each other region.
 func (s *Snapshot) Neighbours(id string) []Peer {
 	self, ok := s.Node(id)
 	if !ok {
@@ -49,9 +59,9 @@
 	}
 	chosen := map[string]bool{}
 	s.inRing(id, ring, chosen)
-	if s.bridges[id] {
-		for _, far := range []map[string][]string{centres, regions} {
-			for _, ids := range far {
+	if part, ok := s.bridges[id]; ok {
+		for i, ids := range append(inOrder(centres), inOrder(regions)...) {
+			if i%part.count == part.rank {
 				chosen[routing.Highest(ids, "link/"+id)] = true
 			}
 		}
@@ -77,3 +87,12 @@
 		chosen[other] = true
 	}
 }
+
+// inOrder returns the values in the order of their keys.
+func inOrder(m map[string][]string) [][]string {
+	var out [][]string
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[key])
+	}
+	return out
+}
