--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,7 +36,10 @@
 	// so that it is found again after a long cut.
 	ForgetAfter = 2 * time.Hour
 	// coarseInterval is how often other regions hear of a replica's load.
-	coarseInterval = 10 * time.Second
+	coarseInterval = time.Minute
+	// loadInterval is how often, in a fleet of more than smallFleet nodes,
+	// peers hear of mere changes of one replica's load.
+	loadInterval = 4 * time.Second
 	// rebuildInterval bounds how often mere changes of load make a new view,
 	// rebuildUrgent how often other changes do.
 	rebuildInterval = 200 * time.Millisecond
@@ -51,7 +54,9 @@
 	// maxNews bounds the changes in one message, maxLoadNews the mere changes
 	// of load.
 	maxNews     = 256
-	maxLoadNews = 24
+	maxLoadNews = 6
+	// smallFleet is the number of nodes up to which each change of load is told.
+	smallFleet = 64
 	// rebuildShare times the cost of the last view passes before the next,
 	// but no more than rebuildMost.
 	rebuildShare = 100
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -232,6 +232,7 @@
 		t.replicas[news.State.ID] = item
 	}
 	item.news = news
+	item.told = now
 	item.index = t.next()
 	item.from = from
 	if fresh || now.Sub(item.coarseAt) >= coarseInterval {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -43,7 +43,9 @@
 	index    uint64
 	coarse   uint64
 	coarseAt time.Time
-	from     uint64
+	// told is when the newest account was taken.
+	told time.Time
+	from uint64
 }
 
 // centreItem is the heartbeat of a data centre.
@@ -350,7 +352,7 @@
 		s.Pool = ""
 		s.DataCentre = ""
 		item := t.replicas[s.ID]
-		if item == nil || item.news.Owner != t.id || significant(item.news.State, s) {
+		if item == nil || item.news.Owner != t.id || (significant(item.news.State, s) && t.mayTell(now, item, s)) {
 			t.takeReplica(now, wire.ReplicaNews{Owner: t.id, Version: item.version() + 1, State: s}, 0)
 		}
 	}
@@ -362,6 +364,13 @@
 	t.refresh(now)
 }
 
+// mayTell tells whether a change of an own replica may be told now: what
+// matters at once, mere load not too often in a large fleet. The caller holds
+// mu.
+func (t *Table) mayTell(now time.Time, item *replicaItem, s wire.ReplicaState) bool {
+	return len(t.nodes) <= smallFleet || !sameService(item.news.State, s) || now.Sub(item.told) >= loadInterval
+}
+
 func (i *replicaItem) version() uint64 {
 	if i == nil {
 		return 0
