--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -21,7 +21,7 @@
 	start := time.Now()
 	seen := map[string]bool{}
 	for {
-		var s node.Status
+		var s node.Report
 		err := f.get(ctx, "/status", &s)
 		if err == nil && printInForce(cmd, s, number, seen, time.Since(start)) {
 			return nil
@@ -36,15 +36,15 @@
 
 // printInForce prints the nodes newly found to have the revision; it tells
 // whether all live ones do.
-func printInForce(cmd *cobra.Command, s node.Status, number uint64, seen map[string]bool, after time.Duration) bool {
+func printInForce(cmd *cobra.Command, s node.Report, number uint64, seen map[string]bool, after time.Duration) bool {
 	all := len(s.Nodes) > 0
 	for _, n := range s.Nodes {
 		switch {
-		case seen[n.State.ID]:
-		case n.State.Revision >= number:
-			seen[n.State.ID] = true
-			fmt.Fprintf(cmd.OutOrStdout(), "%s in %s has revision %d after %s\n", n.State.ID, n.State.DataCentre, n.State.Revision, after.Round(10*time.Millisecond))
-		case n.Live:
+		case seen[n.ID]:
+		case n.Revision >= number:
+			seen[n.ID] = true
+			fmt.Fprintf(cmd.OutOrStdout(), "%s in %s has revision %d after %s\n", n.ID, n.DataCentre, n.Revision, after.Round(10*time.Millisecond))
+		case n.State != node.StateDead:
 			all = false
 		}
 	}
@@ -52,8 +52,8 @@
 		return false
 	}
 	for _, n := range s.Nodes {
-		if !n.Live && !seen[n.State.ID] {
-			fmt.Fprintf(cmd.OutOrStdout(), "%s in %s is not live and was not waited for\n", n.State.ID, n.State.DataCentre)
+		if n.State == node.StateDead && !seen[n.ID] {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s in %s is not live and was not waited for\n", n.ID, n.DataCentre)
 		}
 	}
 	return true
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,21 +21,6 @@
 	closeTimeout = 2 * time.Second
 )
 
-// sayLeaving tells callers of a leaving node to come back elsewhere: /readyz
-// fails, and each answer closes its connection.
-func (n *Node) sayLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.leaving.Load() {
-			w.Header().Set("Connection", "close")
-			if r.URL.Path == "/readyz" {
-				http.Error(w, "leaving", http.StatusServiceUnavailable)
-				return
-			}
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Leave stops gracefully: the node leaves the directory, hands its queues
 // back, serves on until callers have heard of it, lets running requests end,
 // and stores its bills. It returns when ctx ends at the latest.
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -240,11 +240,16 @@
 type dialer struct {
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
+	// wrap changes how engines behave; nil changes nothing.
+	wrap func(backend.Engine) backend.Engine
 }
 
 // Engine returns a dead engine where there is none, as a node without a
 // configuration may ask a plain service.
 func (d *dialer) Engine(address string) backend.Engine {
+	if e := d.engines[address]; e != nil && d.wrap != nil {
+		return d.wrap(e)
+	}
 	if e := d.engines[address]; e != nil {
 		return e
 	}
@@ -266,7 +271,8 @@
 	shape    embedded.Deployment
 	nodes    map[string]*member
 	// peers gives nodes that start the inner addresses of those running.
-	peers bool
+	peers  bool
+	poolOf func(i int) string
 }
 
 // member is one entry node of the world.
@@ -284,8 +290,11 @@
 	nodes, engines, services int
 	engine                   standin.EngineOptions
 	engineOf                 func(i int) standin.EngineOptions // instead of engine
+	poolOf                   func(i int) string                // of an engine, instead of the deployment's
 	edit                     func(c *config.Config)
 	platform                 standin.PlatformOptions
+	// wrap changes how engines behave.
+	wrap func(backend.Engine) backend.Engine
 }
 
 // newWorld starts a deployment and waits until it is settled. Close it before
@@ -301,8 +310,8 @@
 		o.services = 2
 	}
 	w := &world{
-		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen,
-		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}, nodes: map[string]*member{},
+		faults: f, net: newNetwork(), platform: standin.NewPlatform(o.platform), shape: embedded.Virtanen, poolOf: o.poolOf,
+		dialer: &dialer{engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, wrap: o.wrap}, nodes: map[string]*member{},
 	}
 	w.loadConfig(o.edit)
 	for i := range o.engines {
@@ -358,6 +367,9 @@
 	if o.Quality == nil {
 		o.Quality = embedded.Qualities(w.config)
 	}
+	if w.poolOf != nil {
+		vm.Pool = w.poolOf(i)
+	}
 	w.dialer.engines[vm.Address] = standin.NewEngine(o)
 	w.vms = append(w.vms, vm)
 }
@@ -412,8 +424,11 @@
 // sleep lets virtual time pass.
 func (w *world) sleep(d time.Duration) { time.Sleep(d) }
 
-// close stops all nodes, so that the bubble can end.
+// close stops all nodes and thaws the engines, so that the bubble can end.
 func (w *world) close() {
+	for _, e := range w.dialer.engines {
+		e.Faults.Set(standin.FaultState{})
+	}
 	for _, id := range w.ids() {
 		w.kill(id)
 	}
