Sessions keep their version through outages and replaced nodes

Ruled out: the home's copy made late.

Now the asker sends, beside its proposal, the first version of the configured order, which is the same at all nodes, for use without the table; a new pin waits up to 2 s for the table unless that has failed for 5 s; the next node in the session's order remembers stored pins as well, and a leaving node hands on what it remembers. A node that stops without the table hands its bills to two others. Nodes that do not stand for a data centre look for a revision each 5 s instead of each 30 s, for the case that they are cut off from those that do (69 reads a second at 340 nodes).

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -160,10 +160,11 @@
 	if targets, err = d.withoutQuiet(a, targets); err != nil {
 		return nil, err
 	}
+	configured := targets[0]
 	targets = d.prefer(a, targets)
 	d.spill(a, targets)
 	if pinned && pin != targets[0] {
-		return d.pin(ctx, a, id, pin, targets), nil
+		return d.pin(ctx, a, id, pin, configured, targets), nil
 	}
 	return targets, nil
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -15,12 +15,13 @@
 }
 
 // pin puts a new session on the preferred version, or moves one that may not
-// keep its own; the session's home decides.
-func (d *Dispatcher) pin(ctx context.Context, a *answer, id ledger.PinID, old config.Target, targets []config.Target) []config.Target {
+// keep its own; the session's home decides. Without the table it is the first
+// of the configured order, which is the same at all nodes.
+func (d *Dispatcher) pin(ctx context.Context, a *answer, id ledger.PinID, old, configured config.Target, targets []config.Target) []config.Target {
 	rev := d.Config.Current()
 	for range maxPinMoves {
-		got := d.Pins.Decide(ctx, id, old, targets[0])
-		if got == targets[0] || routing.Allowed(rev, a.req.Organisation, got) {
+		got := d.Pins.Decide(ctx, id, old, targets[0], configured)
+		if got == targets[0] || got == configured || routing.Allowed(rev, a.req.Organisation, got) {
 			if old != (config.Target{}) {
 				d.Record.Add(a.req.ID, "session moved from %s, which is no longer allowed, to %s", old, got)
 			} else {
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -133,6 +133,18 @@
 	return number, out
 }
 
+// Unstored returns the bills that are not stored, and the number of the
+// first.
+func (b *Bills) Unstored() (uint64, []wire.Bill) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]wire.Bill, len(b.pending))
+	for i, p := range b.pending {
+		out[i] = p.bill
+	}
+	return b.first, out
+}
+
 // Uncopied returns how many bills only this process has.
 func (b *Bills) Uncopied() int {
 	total := 0
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,8 +26,12 @@
 	// pinStoreWait bounds how long a request waits for the table.
 	pinStoreWait = 2 * time.Second
 	pinBackoff   = 2 * time.Second
-	maxPinTries  = 3
-	pinPrefix    = "pin/"
+	// pinRetry is about how often the table is tried within that wait;
+	// pinOutage is how long it must fail until requests no longer wait.
+	pinRetry    = 200 * time.Millisecond
+	pinOutage   = 5 * time.Second
+	maxPinTries = 3
+	pinPrefix   = "pin/"
 )
 
 // PinID identifies what a session is pinned for.
@@ -59,6 +64,9 @@
 	// Copy hands a pin that the table lacks to the next node in the session's
 	// order, and returns what that node has.
 	Copy(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool)
+	// Tell hands a pin that the table has to the next node in the session's
+	// order, without waiting.
+	Tell(session string, args wire.PinArgs)
 }
 
 // Pins keeps the version of each session. The session's home decides, so that
@@ -73,6 +81,9 @@
 	mu       sync.Mutex
 	cache    map[string]config.Target // guarded by mu, by row
 	unstored map[string]wire.PinArgs  // guarded by mu, by row
+	// failingSince is when the table began to fail, zero while it answers;
+	// guarded by mu.
+	failingSince time.Time
 }
 
 // NewPins returns an empty set of pins; peers may be nil.
@@ -87,10 +98,11 @@
 	return p.cache[id.row()]
 }
 
-// Decide pins a session that is new, or on old, to the proposal, and returns
-// the version that it has in the end: another one, if that came first.
-func (p *Pins) Decide(ctx context.Context, id PinID, old, proposal config.Target) config.Target {
-	args := wire.PinArgs{Pin: id.row(), Session: id.Session, Old: old, Target: proposal}
+// Decide pins a session that is new, or on old, to the proposal, or to the
+// fallback while the table is away, and returns the version that it has in the
+// end: another one, if that came first.
+func (p *Pins) Decide(ctx context.Context, id PinID, old, proposal, fallback config.Target) config.Target {
+	args := wire.PinArgs{Pin: id.row(), Session: id.Session, Old: old, Target: proposal, Fallback: fallback}
 	if p.peers != nil {
 		if t, ok := p.peers.Decide(ctx, id.Session, args); ok {
 			p.remember(args.Pin, t)
@@ -103,15 +115,16 @@
 // Settle decides a pin at this node.
 func (p *Pins) Settle(ctx context.Context, session string, args wire.PinArgs) config.Target {
 	if t, ok := p.differs(args); ok {
+		p.tell(session, args, t)
 		return t
 	}
-	storeCtx, cancel := context.WithTimeout(ctx, pinStoreWait)
-	defer cancel()
-	t, err := p.store(storeCtx, args)
+	t, err := p.storeSoon(ctx, args)
 	if err == nil {
 		p.remember(args.Pin, t)
+		p.tell(session, args, t)
 		return t
 	}
+	args.Target = args.Fallback
 	if p.peers != nil {
 		if other, ok := p.peers.Copy(ctx, session, args); ok {
 			args.Target = other
@@ -120,6 +133,50 @@
 	return p.Hold(args)
 }
 
+// tell lets the next node in the session's order remember a version too.
+func (p *Pins) tell(session string, args wire.PinArgs, t config.Target) {
+	if p.peers == nil {
+		return
+	}
+	args.Target = t
+	p.peers.Tell(session, args)
+}
+
+// storeSoon stores a pin. While the table fails for the first time it is tried
+// again, since to decide without it may move a session; in an outage that
+// lasts, no request waits for it.
+func (p *Pins) storeSoon(ctx context.Context, args wire.PinArgs) (config.Target, error) {
+	ctx, cancel := context.WithTimeout(ctx, pinStoreWait)
+	defer cancel()
+	for {
+		t, err := p.store(ctx, args)
+		lasting := p.failing(err)
+		if err == nil || lasting {
+			return t, err
+		}
+		select {
+		case <-ctx.Done():
+			return t, err
+		case <-time.After(pinRetry/2 + rand.N(pinRetry)):
+		}
+	}
+}
+
+// failing notes whether the table answered, and tells whether it has been
+// failing for long.
+func (p *Pins) failing(err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil:
+		p.failingSince = time.Time{}
+	case p.failingSince.IsZero():
+		p.failingSince = now
+	}
+	return err != nil && now.Sub(p.failingSince) > pinOutage
+}
+
 // differs returns the remembered version if it is not the one to replace.
 func (p *Pins) differs(args wire.PinArgs) (config.Target, bool) {
 	p.mu.Lock()
@@ -178,6 +235,18 @@
 	return config.Target{}, err
 }
 
+// Remember keeps a pin that another node has stored.
+func (p *Pins) Remember(args wire.PinArgs) { p.remember(args.Pin, args.Target) }
+
+// Learn keeps what a leaving node remembers, unless this node knows better.
+func (p *Pins) Learn(args wire.PinArgs) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.cache[args.Pin]; !known {
+		p.keep(args.Pin, args.Target)
+	}
+}
+
 // remember keeps what is decided.
 func (p *Pins) remember(pin string, t config.Target) {
 	p.mu.Lock()
@@ -212,6 +281,30 @@
 	return out
 }
 
+// All lists what this node remembers of sessions.
+func (p *Pins) All() []wire.PinArgs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]wire.PinArgs, 0, len(p.cache))
+	for row, t := range p.cache {
+		out = append(out, wire.PinArgs{Pin: row, Session: sessionOf(row), Target: t, Stored: true})
+	}
+	return out
+}
+
+// sessionOf returns the session that a row's key names.
+func sessionOf(row string) string {
+	parts := strings.Split(row, "/")
+	if len(parts) < 3 {
+		return ""
+	}
+	session, err := url.PathUnescape(parts[2])
+	if err != nil {
+		return ""
+	}
+	return session
+}
+
 // Run stores the pins that the table lacks until ctx ends.
 func (p *Pins) Run(ctx context.Context) {
 	for {
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -84,6 +84,33 @@
 	return append(routing.Rendezvous(far, key), routing.Rendezvous(near, key)...)
 }
 
+const (
+	// spreadTo is how many nodes get the bills of a node that stops without
+	// the table, so that one of them may die before it has copied them on.
+	spreadTo    = 2
+	spreadBatch = 500
+)
+
+// spreadBills hands the bills that are not stored to several nodes.
+func (n *Node) spreadBills(ctx context.Context) {
+	first, bills := n.bills.Unstored()
+	for len(bills) > 0 {
+		batch := bills[:min(len(bills), spreadBatch)]
+		args := wire.HoldBillsArgs{From: n.process(), First: first, Bills: batch, StoredBelow: first}
+		took := 0
+		for _, id := range n.copyHolders() {
+			if took == spreadTo {
+				break
+			}
+			if (copies{n}).holdAt(ctx, id, args, settleTimeout) != (wire.Process{}) {
+				took++
+			}
+		}
+		bills = bills[len(batch):]
+		first += uint64(len(batch))
+	}
+}
+
 // flushWait is how often a leaving node tries to store what it has.
 const flushWait = 100 * time.Millisecond
 
@@ -95,6 +122,7 @@
 		n.bills.Adopt(func(wire.Process) bool { return false })
 		err := n.bills.Flush(ctx)
 		if n.claims.Pending() == 0 && (n.bills.Pending() == 0 || (err != nil && n.bills.Uncopied() == 0)) {
+			n.spreadBills(ctx)
 			return
 		}
 		pause(ctx, flushWait)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -16,7 +16,7 @@
 	// configInterval is how often the nodes that stand for a data centre look
 	// for a new configuration, configFallback how often the others do.
 	configInterval = 2 * time.Second
-	configFallback = 30 * time.Second
+	configFallback = 5 * time.Second
 	// vmShare times the number of live nodes is how often a node reads the
 	// list of VMs, so that the fleet reads it once each vmShare.
 	vmShare       = 500 * time.Millisecond
--- a/internal/node/pins.go
+++ b/internal/node/pins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
@@ -22,6 +23,11 @@
 
 // Pin implements wire.Handler.
 func (h *handler) Pin(args wire.PinArgs, reply *wire.PinReply) error {
+	if args.Stored {
+		h.n.pins.Remember(args)
+		reply.Target = args.Target
+		return nil
+	}
 	if args.Copy {
 		reply.Target = h.n.pins.Hold(args)
 		return nil
@@ -30,6 +36,14 @@
 	return nil
 }
 
+// Pins implements wire.Handler.
+func (h *handler) Pins(args wire.PinsArgs, _ *wire.PinsReply) error {
+	for _, p := range args.Pins {
+		h.n.pins.Learn(p)
+	}
+	return nil
+}
+
 // pinPeers reaches the homes of sessions.
 type pinPeers struct {
 	n *Node
@@ -78,6 +92,17 @@
 	return config.Target{}, false
 }
 
+// Tell implements ledger.PinPeers.
+func (p pinPeers) Tell(session string, args wire.PinArgs) {
+	args.Stored = true
+	for _, id := range p.homes(session) {
+		if id != p.n.options.Settings.ID {
+			go p.ask(p.n.life, id, session, args, copyPinTimeout)
+			return
+		}
+	}
+}
+
 func (p pinPeers) ask(ctx context.Context, id, session string, args wire.PinArgs, wait time.Duration) (config.Target, bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -89,10 +114,38 @@
 	return reply.Target, true
 }
 
-// handPins gives the pins that the table lacks to the next homes of their
-// sessions, before the process ends.
+const (
+	// pinsPerMessage bounds one message with what a node remembers.
+	pinsPerMessage = 1000
+	// pinKeepers is how many nodes are told of a session that a leaving node
+	// remembers.
+	pinKeepers      = 2
+	handPinsTimeout = 2 * time.Second
+)
+
+// handPins gives what this node remembers of sessions to their next homes,
+// before the process ends: pins that the table lacks to be stored, the others
+// to be remembered should the table be away.
 func (n *Node) handPins(ctx context.Context) {
 	for _, args := range n.pins.Unstored() {
 		pinPeers{n}.Copy(ctx, args.Session, args)
 	}
+	to := map[string][]wire.PinArgs{}
+	for _, args := range n.pins.All() {
+		homes := pinPeers{n}.homes(args.Session)
+		for _, id := range homes[:min(len(homes), pinKeepers)] {
+			to[id] = append(to[id], args)
+		}
+	}
+	for id, list := range to {
+		for batch := range slices.Chunk(list, pinsPerMessage) {
+			n.handBatch(ctx, id, batch)
+		}
+	}
+}
+
+func (n *Node) handBatch(ctx context.Context, id string, batch []wire.PinArgs) {
+	ctx, cancel := context.WithTimeout(ctx, handPinsTimeout)
+	defer cancel()
+	_ = n.call(ctx, id, "Pins", wire.PinsArgs{Pins: batch}, &wire.PinsReply{})
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -49,7 +49,10 @@
 	Target  config.Target
 	Prompt  string
 	Offset  int
+	// At is when the engine began with it, Arrived when the request came; a
+	// frozen engine begins late.
 	At      time.Time
+	Arrived time.Time
 }
 
 // Engine is a model engine with continuous batching. It is safe for
@@ -121,6 +124,7 @@
 
 // Generate implements backend.Engine.
 func (e *Engine) Generate(ctx context.Context, req backend.GenerateRequest) (backend.Stream, error) {
+	arrived := time.Now()
 	if err := e.Faults.Enter(ctx); err != nil {
 		return nil, &backend.Error{Kind: backend.KindConnect, Ran: outcome.RanNo, Message: err.Error()}
 	}
@@ -131,7 +135,7 @@
 	}
 	total := AnswerTokens(req.Prompt, req.MaxTokens)
 	s := &engineStream{engine: e, ctx: ctx, req: req, next: req.Offset, total: total, frames: make(chan backend.Frame, total+2), failed: make(chan struct{})}
-	e.runs = append(e.runs, EngineRun{Attempt: req.Attempt, Target: req.Target, Prompt: req.Prompt, Offset: req.Offset, At: time.Now()})
+	e.runs = append(e.runs, EngineRun{Attempt: req.Attempt, Target: req.Target, Prompt: req.Prompt, Offset: req.Offset, At: time.Now(), Arrived: arrived})
 	if e.options.CrashMark != "" && strings.Contains(req.Prompt, e.options.CrashMark) {
 		e.crash()
 		s.fail()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -272,11 +272,24 @@
 	// Old is the version to replace, zero for a new session.
 	Old    config.Target
 	Target config.Target
+	// Fallback replaces Target while the table does not answer: it follows
+	// from the configuration alone, so that all nodes propose the same.
+	Fallback config.Target
 	// Copy tells that the table does not answer: the pin is to be remembered
 	// and stored later.
 	Copy bool
+	// Stored tells that the table has the pin: it is to be remembered only.
+	Stored bool
 }
 
+// PinsArgs hands over what a leaving node remembers of sessions.
+type PinsArgs struct {
+	Pins []PinArgs
+}
+
+// PinsReply is empty.
+type PinsReply struct{}
+
 // PinReply holds the version that the session has.
 type PinReply struct {
 	Target config.Target
@@ -328,6 +341,7 @@
 	Alarm(args AlarmArgs, reply *AlarmReply) error
 	Inspect(args InspectArgs, reply *InspectReply) error
 	Pin(args PinArgs, reply *PinReply) error
+	Pins(args PinsArgs, reply *PinsReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
 	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
