--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -113,6 +113,9 @@
 	default:
 		return &backend.Error{Kind: backend.KindRejected, Ran: outcome.RanNo, Message: "unknown order " + strconv.Quote(string(order.Kind))}
 	}
+	if e.Faults.LoseReply() {
+		return &backend.Error{Kind: backend.KindBroken, Ran: outcome.RanMaybe, Message: "the reply was lost"}
+	}
 	return nil
 }
 
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -16,6 +16,8 @@
 
 // Paths by which tests and operators read and control a stand-in process.
 const (
+	// PathFaults is that of the table on a platform; "/objects", "/vms",
+	// "/ratings" and "/weights" after it name the other services.
 	PathFaults = "/standin/faults"
 	PathCalls  = "/standin/calls"
 	PathRuns   = "/standin/runs"
@@ -226,7 +228,11 @@
 		wait, err := p.Acquire(r.Context(), r.URL.Query().Get("target"))
 		answerPlatform(w, platform.WaitReply{WaitMilliseconds: wait.Milliseconds()}, err)
 	})
-	r.Post(PathFaults, faultsHandler(p.Faults))
+	for part, f := range map[string]*Faults{
+		"": p.Faults, "/objects": p.ObjectFaults, "/vms": p.VMFaults, "/ratings": p.RatingFaults, "/weights": p.WeightFaults,
+	} {
+		r.Post(PathFaults+part, faultsHandler(f))
+	}
 	r.Post(PathSetVMs, func(w http.ResponseWriter, r *http.Request) {
 		var vms []platform.VM
 		if err := readBody(r, &vms); err != nil {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -31,6 +31,8 @@
 	ObjectFaults *Faults
 	VMFaults     *Faults
 	RatingFaults *Faults
+	// WeightFaults is the weight store's state of failure.
+	WeightFaults *Faults
 
 	options PlatformOptions
 	weights *rate.Limiter
@@ -67,6 +69,7 @@
 		ObjectFaults: NewFaults(),
 		VMFaults:     NewFaults(),
 		RatingFaults: NewFaults(),
+		WeightFaults: NewFaults(),
 		options:      options,
 		weights:      rate.NewLimiter(rate.Limit(options.WeightLoadsPerMinute/60), 2),
 		objects:      map[string][]byte{},
@@ -82,6 +85,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.objects[name] = body
+	if p.ObjectFaults.LoseReply() {
+		return errors.Wrap(platform.ErrUnavailable, "the reply was lost")
+	}
 	return nil
 }
 
@@ -163,7 +169,10 @@
 }
 
 // Acquire implements platform.Weights.
-func (p *Platform) Acquire(_ context.Context, _ string) (time.Duration, error) {
+func (p *Platform) Acquire(ctx context.Context, _ string) (time.Duration, error) {
+	if err := p.WeightFaults.Enter(ctx); err != nil {
+		return 0, errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
 	r := p.weights.Reserve()
 	wait := r.Delay()
 	if wait > 0 {
