--- a/test/process/freeze_test.go
+++ b/test/process/freeze_test.go
@@ -111,7 +111,10 @@
 	f.platform.setFaults(t, standin.FaultState{})
 	for i := range offsets {
 		eventually(t, "the node is taken for dead", func() bool { return !f.sees(last, fmt.Sprintf("entry-%d", i)) })
-		tries = append(tries, f.confirm(t, last, fmt.Sprintf("seat-%d", i)))
+		c := f.confirm(t, last, fmt.Sprintf("seat-%d", i))
+		mu.Lock()
+		tries = append(tries, c)
+		mu.Unlock()
 	}
 	if signal == syscall.SIGSTOP {
 		for i := range offsets {
