--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -165,6 +165,7 @@
 		if !d.Claims.Finish(ctx, claim, &reply, &bill) {
 			d.Bills.Add(ctx, bill)
 		}
+		d.Record.Add(o.req.ID, "answered by service %s, billed once under this identity", o.req.Service)
 		return sent{reply: &reply}
 	}
 	failure := backendError(err)
