--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	hurryOnce   sync.Once
 	servers     []*http.Server
 	inner       *wire.Server
-	mu          sync.Mutex
+	mu          sync.Mutex // guards seeds; taken alone
 	exchanger   *exchanger
 	platform    *platform.Limited
 	registered  time.Time         // used by the registration's loop alone
