One counter of the store's calls

platform.Limited took an observer of each call, and the node gave it one that did nothing: meter.Store, which wraps Limited, counts the same calls by use and result, refused ones included. The observer is gone; behaviour is the same.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 	}
 	metrics := telemetry.NewMetrics()
 	health := &meter.HealthLog{}
-	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits, func(string, string) {})
+	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits)
 	o.Platform = limited
 	o = metered(o, metrics, tracer, health)
 	n := &Node{
--- a/internal/platform/limited.go
+++ b/internal/platform/limited.go
@@ -16,17 +16,12 @@
 	Weights
 }
 
-// Observe counts one call of the store by use and result: "ok", "conflict",
-// "unavailable" or "throttled".
-type Observe func(use, result string)
-
 // Limited keeps one node within its share of the store's rate. Calls take
 // turns by their use; after a failure they pause, so that nodes do not come
 // back all at once. It is safe for concurrent use.
 type Limited struct {
 	Services
 	limits  FleetLimits
-	observe Observe
 	reads   *rated
 	writes  *rated
 	table   outage
@@ -37,8 +32,8 @@
 
 // NewLimited returns a client of s for one node of a fleet; SetNodes tells how
 // many there are.
-func NewLimited(s Services, limits FleetLimits, observe Observe) *Limited {
-	return &Limited{Services: s, limits: limits, observe: observe, reads: newRated(limits.Reads), writes: newRated(limits.Writes)}
+func NewLimited(s Services, limits FleetLimits) *Limited {
+	return &Limited{Services: s, limits: limits, reads: newRated(limits.Reads), writes: newRated(limits.Writes)}
 }
 
 // SetNodes divides the fleet's rate by the number of nodes that may use it.
@@ -50,11 +45,9 @@
 // call makes one call in its turn. Nothing is sent if it returns ErrThrottled.
 func (l *Limited) call(ctx context.Context, b *rated, o *outage, use Use, do func() error) error {
 	if o.closed(time.Now()) {
-		l.observe(use.String(), "throttled")
 		return errors.Wrap(ErrThrottled, "the service did not answer a moment ago")
 	}
 	if err := b.take(ctx, use); err != nil {
-		l.observe(use.String(), "throttled")
 		return err
 	}
 	err := do()
@@ -62,22 +55,9 @@
 		l.reads.empty()
 		l.writes.empty()
 	}
-	l.observe(use.String(), result(err))
 	return err
 }
 
-// result names an outcome in metrics.
-func result(err error) string {
-	switch {
-	case err == nil, errors.Is(err, ErrNotFound):
-		return "ok"
-	case errors.Is(err, ErrConflict):
-		return "conflict"
-	default:
-		return "unavailable"
-	}
-}
-
 // Get implements Table.
 func (l *Limited) Get(ctx context.Context, key string) (row Row, err error) {
 	err = l.call(ctx, l.reads, &l.table, UseOf(key), func() error {
--- a/internal/platform/limited_test.go
+++ b/internal/platform/limited_test.go
@@ -62,7 +62,7 @@
 // once, until stop is closed. It returns how many calls each use was refused.
 func flood(table *counted, stop <-chan struct{}) {
 	for range fleetNodes {
-		l := NewLimited(table, FleetLimits{Reads: testWrites, Writes: testWrites}, func(string, string) {})
+		l := NewLimited(table, FleetLimits{Reads: testWrites, Writes: testWrites})
 		l.SetNodes(fleetNodes)
 		for _, key := range []string{"claim/a", "bill/a", "other/a"} {
 			for range 4 {
@@ -119,7 +119,7 @@
 	table := &counted{writes: map[Use]int{}}
 	var sent, refused int
 	synctest.Test(t, func(*testing.T) {
-		l := NewLimited(table, FleetLimits{Reads: 1, Writes: 1}, func(string, string) {})
+		l := NewLimited(table, FleetLimits{Reads: 1, Writes: 1})
 		for range 50 {
 			_, err := l.Commit(context.Background(), Op{Key: "claim/a"})
 			switch {
