Keep a roll-out's evidence beyond its driver

Cause: a new driver began its evidence anew, so that a bad version gave as many answers more as the dead driver had seen.

Found: a block with answers of one version only is no evidence, so that with one answer a block a version that always fails is never stopped.

--- a/internal/meter/store.go
+++ b/internal/meter/store.go
@@ -14,7 +14,7 @@
 
 // uses are those that calls of the table are counted by: the first part of
 // the key. Others count as "other".
-var uses = []string{"bill", "claim", "config", "fleet", "node", "outcome", "pin", "rollout", "suspect"}
+var uses = []string{"bill", "claim", "config", "fleet", "node", "outcome", "pin", "rollout", "snapshot", "suspect"}
 
 // Uses of the platform's other services.
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,7 @@
 		{rating.Interval, n.versions.ratings.Tick},
 		{membership.HeartbeatInterval, n.gatherHolds},
 		{evidenceInterval, n.driveRollouts},
+		{evidenceInterval, newKeeper(n).round},
 		{trustInterval, n.versions.cascade.watchRatings},
 	} {
 		n.loops.Go(func() { every(ctx, l.every, l.do) })
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -49,6 +49,10 @@
 	Choices *prometheus.CounterVec
 	// HeldVersions is the number of versions that get no new sessions.
 	HeldVersions prometheus.Gauge
+	// Snapshots counts snapshots of learned state by result, TakeOvers those
+	// read to go on with: "ok", "fenced", "unfit" or "unavailable".
+	Snapshots *prometheus.CounterVec
+	TakeOvers *prometheus.CounterVec
 	// Panics counts requests whose handler panicked.
 	Panics prometheus.Counter
 }
@@ -105,6 +109,8 @@
 		Verdicts:     f.counters("verdicts_total", "Verdicts of the rating service by version and result.", "version", "result"),
 		Choices:      f.counters("version_choices_total", "Choices between versions by their steps.", "steps"),
 		HeldVersions: f.gauge("held_versions", "Versions that get no new sessions at present."),
+		Snapshots:    f.counters("snapshots_total", "Snapshots of learned state by result.", "result"),
+		TakeOvers:    f.counters("snapshot_take_overs_total", "Take-overs of learned state by result.", "result"),
 		Panics:       f.counter("panics_total", "Requests whose handler panicked."),
 	}
 }
--- a/test/fleet/evidence_test.go
+++ b/test/fleet/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -108,3 +109,71 @@
 		}
 	})
 }
+
+// badAnswers returns how many answers of a version that always fails it takes
+// until the version gets no new sessions. After each few of them the traffic
+// pauses and, if kill is set, the driver of the roll-out dies.
+func badAnswers(f *faults, kill bool) int {
+	const (
+		few   = 6
+		times = 2
+		told  = 25 * time.Second // what was seen is told and kept
+		taken = 25 * time.Second // a death is found and the next node drives
+	)
+	w := newWorld(f, worldOptions{nodes: 6, platform: standin.PlatformOptions{RatingLag: time.Second},
+		engine: standin.EngineOptions{Quality: map[config.Target]float64{v1: 0.6, v2: 0}}, edit: plannedStages(stage(10, time.Hour))})
+	defer w.close()
+	w.rollOut("start", func(r *config.Revision) error { return rollout.Start(r, plan, time.Now()) })
+	w.sleep(told)
+	bad := func() int { return w.runs(v2, time.Time{}) }
+	stopped := func() bool { return w.head().IsWithdrawn(v2) || w.held(v2) }
+	for i := range times {
+		w.chatUntil(func() bool { return bad() >= few*(i+1) || stopped() })
+		w.sleep(told)
+		if kill {
+			w.kill(w.driver())
+		}
+		w.sleep(taken)
+	}
+	w.chatUntil(stopped)
+	f.check(stopped(), "the bad version still gets new sessions")
+	return bad()
+}
+
+// chatUntil sends some requests at a time, so that both versions answer
+// together, with a pause to be told of, until done says so.
+func (w *world) chatUntil(done func() bool) {
+	const most, together = 60, 20
+	for i := range most {
+		if done() {
+			return
+		}
+		var wg sync.WaitGroup
+		for k := range together {
+			id := w.ids()[k%len(w.nodes)]
+			wg.Go(func() {
+				w.post(id, org, chatPath, chatBody(fmt.Sprintf("request %d of %d at %s", k, i, time.Now()), 6), nil)
+			})
+		}
+		wg.Wait()
+		w.sleep(8 * time.Second)
+	}
+}
+
+// The driver of a roll-out dies twice in the middle of a stage. What it had
+// learned is kept, so that a bad version gives about as many answers as
+// without a death before it gets no new sessions.
+func TestDriverDiesAgain(t *testing.T) {
+	const (
+		rollouts = 10
+		more     = 5 // of 12 answers before the second death, on average
+	)
+	virtual(t, func(f *faults) {
+		calm, disturbed := 0, 0
+		for range rollouts {
+			calm += badAnswers(f, false)
+			disturbed += badAnswers(f, true)
+		}
+		f.check(disturbed <= calm+more*rollouts, "%d bad answers in %d roll-outs, %d while drivers died", calm, rollouts, disturbed)
+	})
+}
--- a/test/fleet/rollout_test.go
+++ b/test/fleet/rollout_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
-	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -83,7 +82,15 @@
 	wg.Wait()
 }
 
-func (w *world) driver() string { return routing.Highest(w.ids(), "rollout/"+plan) }
+// driver returns the node that drives the roll-out, as the first node sees it.
+func (w *world) driver() string {
+	for _, v := range w.nodes[w.ids()[0]].node.Report().Versions {
+		if v.Rollout == plan {
+			return v.Driver
+		}
+	}
+	return ""
+}
 
 // A good version goes through its stages to the end while the driving node
 // dies and the store is away for a while; the stages only rise.
