Refuse queued work in place of new within its patience or not at all

Cause, by a trace of who evicts whom: in the burst, before an overload counts as lasting, work was queued for its whole deadline (promised 16 to 82 s, 284 s allowed). Later, new work that may not overtake what was told to come back was allowed 0 s and took the place of the last work of a lane, however long that had waited and although the queue was short by then (2.6 to 15 s). No second owner was involved in these.

Waiting work is now kept once it has waited half of its rank's patience, as work that has begun is: two owners may hold a request in turn, so a refusal comes within the patience. New work of a less served organisation is then queued if its own turn comes in time.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -226,10 +226,16 @@
 	return virtual
 }
 
+// kept tells whether work that waits may not be refused any more in place of
+// new work.
+func (w *Work) kept(before time.Time) bool {
+	return w.Resumed || w.returned || w.Arrived.Before(before)
+}
+
 // excess returns the last work of the lane whose turn ends last, if it ends
-// after that of new work. Work whose answer has begun is never returned; begun
-// tells that some ends after that of the new work.
-func (s *accounts) excess(w *Work, rank int) (out *Work, begun bool) {
+// after that of new work. Work that is kept is never returned; kept tells that
+// some ends after that of the new work.
+func (s *accounts) excess(w *Work, rank int, before time.Time) (out *Work, kept bool) {
 	end := s.start(w, rank) + float64(w.Tokens)/weight(w)
 	latest := end
 	for _, l := range s.active[rank] {
@@ -237,13 +243,13 @@
 		at := l.end()
 		switch {
 		case l.name == w.Organisation || at <= end:
-		case last.Resumed || last.returned:
-			begun = true
+		case last.kept(before):
+			kept = true
 		case at > latest:
 			latest, out = at, last
 		}
 	}
-	return out, begun
+	return out, kept
 }
 
 // ahead returns the tokens that are served before the turn of new work.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -186,8 +186,8 @@
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
-	last, begun := g.order.Excess(w)
-	if last == nil && begun && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
+	last, kept := g.order.Excess(w, g.settled(now, g.rank(w.order())))
+	if last == nil && kept && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
@@ -218,7 +218,7 @@
 	if p <= 0 {
 		return left
 	}
-	short := min(left, max((p-g.speed.firstToken())/2, p/4))
+	short := min(left, g.settleTime(rank))
 	if !g.pressure[rank].observe(now, wait > short) {
 		return left
 	}
@@ -229,6 +229,23 @@
 	return short
 }
 
+// settleTime is half of a rank's patience, less the first token's time: two
+// owners may hold a request in turn.
+func (g *Gate) settleTime(rank int) time.Duration {
+	p := g.options.Ranks[rank].Patience
+	return max((p-g.speed.firstToken())/2, p/4)
+}
+
+// settled returns the time before which waiting work of a rank must have come
+// so that it is no longer refused in place of new work: a refusal comes within
+// the rank's patience or not at all.
+func (g *Gate) settled(now time.Time, rank int) time.Time {
+	if g.options.Ranks[rank].Patience <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-g.settleTime(rank))
+}
+
 // rank maps an unknown rank to the last.
 func (g *Gate) rank(order int) int {
 	return min(max(order, 0), len(g.options.Ranks)-1)
--- /dev/null
+++ b/internal/admission/settled_test.go
@@ -0,0 +1,54 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Waiting work is refused in place of new work within half of its rank's
+// patience or not at all, whatever was promised when it was queued: two owners
+// may hold a request in turn.
+func TestEvictionComesEarly(t *testing.T) {
+	evicted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		g := newTestGate(1)
+		rank := rapid.IntRange(0, len(testRanks)-1).Draw(t, "rank")
+		every := rapid.IntRange(2, 8).Draw(t, "every")
+		draw := rapid.Uint64().Draw(t, "draw")
+		for i := range 600 {
+			g.now = g.now.Add(100 * time.Millisecond)
+			draw = draw*6364136223846793005 + 1442695040888963407
+			v := g.offer(&Work{
+				Organisation: string('a' + rune(draw>>40%4)), Rank: rank, Tokens: 50, Memory: 100, Fingerprint: draw,
+				Arrived: g.now, Deadline: g.now.Add(5 * time.Minute),
+			})
+			if v.Evicted != nil {
+				evicted++
+				if waited := g.now.Sub(v.Evicted.Arrived); waited > testRanks[rank].Patience/2 {
+					t.Fatalf("work was refused after %s of patience %s", waited, testRanks[rank].Patience)
+				}
+			}
+			if i%every == 0 {
+				g.releaseOne()
+			}
+		}
+	})
+	if evicted == 0 {
+		t.Fatal("nothing was evicted")
+	}
+}
+
+// releaseOne ends one running stream, the first by name.
+func (g *testGate) releaseOne() {
+	first := ""
+	for id := range g.running {
+		if first == "" || id < first {
+			first = id
+		}
+	}
+	if first != "" {
+		g.release(first, Usage{Tokens: 50, Whole: true, Interval: 20 * time.Millisecond})
+	}
+}
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -126,7 +126,9 @@
 func (l *listOrder) Backlog(w *admission.Work) int { return l.Waiting(w.Rank) }
 
 // Excess implements admission.Order.
-func (l *listOrder) Excess(*admission.Work) (last *admission.Work, begun bool) { return nil, false }
+func (l *listOrder) Excess(*admission.Work, time.Time) (last *admission.Work, kept bool) {
+	return nil, false
+}
 
 // Ahead implements admission.Order.
 func (l *listOrder) Ahead(w *admission.Work) float64 { return l.Tokens(w.Rank) }
