Judge waiting work before half of its patience is over

In a lasting overload, work that was queued in the burst and whose turn does not come within its rank's patience is refused after three eighths of it, by the order as it then stands; work that has waited half is kept.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -263,6 +263,26 @@
 	return total
 }
 
+// before returns the tokens that are served before waiting work.
+func (s *accounts) before(w *Work, rank int) float64 {
+	own := 0.0
+	for _, other := range w.lane.waiting {
+		if other == w {
+			break
+		}
+		own += float64(other.Tokens)
+	}
+	start := w.lane.account.virtual + own/weight(w)
+	total := own
+	for _, l := range s.active[rank] {
+		if l != w.lane {
+			turn := (start - l.account.virtual) * weight(l.waiting[0])
+			total += min(float64(l.tokens), max(turn, 0))
+		}
+	}
+	return total
+}
+
 // modest tells whether the work's organisation was lately served less than a
 // given part of its fair share.
 func (s *accounts) modest(now time.Time, w *Work, part float64) bool {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // pauseTime is how long a place takes to come free by a pause.
 const pauseTime = 50 * time.Millisecond
@@ -153,11 +156,13 @@
 	g.order = NewQueue(floors(ranks))
 	g.speed.resize(len(ranks))
 	g.pressure = make([]pressure, len(ranks))
-	for _, w := range waiting {
+	for _, w := range slices.SortedFunc(slices.Values(waiting), compareArrival) {
 		g.order.Push(w)
 	}
 }
 
+func compareArrival(a, b *Work) int { return a.Arrived.Compare(b.Arrived) }
+
 // Verdict is a gate's answer to new work.
 type Verdict struct {
 	// Queued tells that the work waits for its place.
@@ -186,7 +191,7 @@
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
-	last, kept := g.order.Excess(w, g.settled(now, g.rank(w.order())))
+	last, kept := g.order.Excess(w, g.settleStart(now, g.rank(w.order())))
 	if last == nil && kept && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
 		g.order.Push(w)
 		return Verdict{Queued: true}
@@ -229,23 +234,6 @@
 	return short
 }
 
-// settleTime is half of a rank's patience, less the first token's time: two
-// owners may hold a request in turn.
-func (g *Gate) settleTime(rank int) time.Duration {
-	p := g.options.Ranks[rank].Patience
-	return max((p-g.speed.firstToken())/2, p/4)
-}
-
-// settled returns the time before which waiting work of a rank must have come
-// so that it is no longer refused in place of new work: a refusal comes within
-// the rank's patience or not at all.
-func (g *Gate) settled(now time.Time, rank int) time.Time {
-	if g.options.Ranks[rank].Patience <= 0 {
-		return time.Time{}
-	}
-	return now.Add(-g.settleTime(rank))
-}
-
 // rank maps an unknown rank to the last.
 func (g *Gate) rank(order int) int {
 	return min(max(order, 0), len(g.options.Ranks)-1)
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -21,6 +21,14 @@
 	waiting map[string]*Work
 	running map[string]*Work
 	next    int
+	settled []settled
+}
+
+// settled is work that was refused after a wait.
+type settled struct {
+	work       *Work
+	waited     time.Duration
+	retryAfter time.Duration
 }
 
 func newTestGate(reserve int) *testGate {
@@ -41,6 +49,7 @@
 	if v.Queued {
 		g.waiting[w.ID] = w
 	}
+	g.settle()
 	g.pump()
 	return v
 }
@@ -55,10 +64,25 @@
 func (g *testGate) release(id string, u Usage) {
 	g.Release(g.now, id, u)
 	delete(g.running, id)
+	g.settle()
 	g.pump()
 }
 
+// settle takes out what the gate refuses after a wait.
+func (g *testGate) settle() {
+	for w, retryAfter := g.Settle(g.now); w != nil; w, retryAfter = g.Settle(g.now) {
+		g.settled = append(g.settled, settled{work: w, waited: g.now.Sub(w.Arrived), retryAfter: retryAfter})
+		delete(g.waiting, w.ID)
+	}
+}
+
 func (g *testGate) check(t *rapid.T) {
+	for _, s := range g.settled {
+		if s.work.Resumed || s.retryAfter < MinRetryAfter || s.waited > testRanks[g.rank(s.work.order())].Patience/2 {
+			t.Fatalf("refused after %s with %s, resumed %t", s.waited, s.retryAfter, s.work.Resumed)
+		}
+	}
+	g.settled = nil
 	memory := 0
 	for _, w := range g.running {
 		memory += w.Memory
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -81,6 +81,12 @@
 	// Ahead returns the tokens that are served before new work within its
 	// rank.
 	Ahead(w *Work) float64
+	// Before returns the tokens that are served before waiting work within its
+	// rank.
+	Before(w *Work) float64
+	// Settle returns the next waiting work of a rank that came before the
+	// given time, each once, or nil.
+	Settle(rank int, before time.Time) *Work
 	// Tokens returns the tokens that wait in a rank.
 	Tokens(rank int) float64
 	// RankShare returns the least share of the replica that the rank can
@@ -90,8 +96,10 @@
 
 // rankQueue holds the waiting work of one rank.
 type rankQueue struct {
-	floor  float64
-	served float64
+	// unsettled holds the work in the order it came; some no longer waits.
+	unsettled []*Work
+	floor     float64
+	served    float64
 	// owed is what the rank has not yet got of its floor, in tokens.
 	owed   float64
 	tokens int
@@ -152,6 +160,7 @@
 	q.accounts.push(w, q.index(w.order()))
 	r.tokens += w.Tokens
 	r.count++
+	r.unsettled = append(r.unsettled, w)
 	q.work[w.ID] = w
 }
 
@@ -306,6 +315,26 @@
 // Ahead implements Order.
 func (q *Queue) Ahead(w *Work) float64 { return q.accounts.ahead(w, q.index(w.order())) }
 
+// Before implements Order.
+func (q *Queue) Before(w *Work) float64 { return q.accounts.before(w, q.index(w.order())) }
+
+// Settle implements Order.
+func (q *Queue) Settle(rank int, before time.Time) *Work {
+	r := q.rank(rank)
+	for len(r.unsettled) > 0 {
+		w := r.unsettled[0]
+		waits := q.work[w.ID] == w
+		if waits && !w.Arrived.Before(before) {
+			return nil
+		}
+		r.unsettled = r.unsettled[1:]
+		if waits {
+			return w
+		}
+	}
+	return nil
+}
+
 // Tokens implements Order.
 func (q *Queue) Tokens(rank int) float64 { return float64(q.rank(rank).tokens) }
 
--- a/internal/admission/settled_test.go
+++ b/internal/admission/settled_test.go
@@ -7,11 +7,11 @@
 	"pgregory.net/rapid"
 )
 
-// Waiting work is refused in place of new work within half of its rank's
-// patience or not at all, whatever was promised when it was queued: two owners
-// may hold a request in turn.
-func TestEvictionComesEarly(t *testing.T) {
-	evicted := 0
+// Waiting work is refused within half of its rank's patience or not at all,
+// whatever was promised when it was queued: two owners may hold a request in
+// turn.
+func TestRefusalOfWaitingWorkComesEarly(t *testing.T) {
+	evicted, judged := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		g := newTestGate(1)
 		rank := rapid.IntRange(0, len(testRanks)-1).Draw(t, "rank")
@@ -33,10 +33,12 @@
 			if i%every == 0 {
 				g.releaseOne()
 			}
+			judged += len(g.settled)
+			g.check(t)
 		}
 	})
-	if evicted == 0 {
-		t.Fatal("nothing was evicted")
+	if evicted == 0 || judged == 0 {
+		t.Fatalf("%d were evicted, %d judged", evicted, judged)
 	}
 }
 
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -135,6 +135,7 @@
 	}
 	w := &waiter{args: args, work: work, answer: make(chan wire.AcquireReply, 1)}
 	r.waiting[args.Grant] = w
+	r.settle(now)
 	r.pump(now)
 	return w, wire.AcquireReply{}
 }
@@ -154,6 +155,14 @@
 	return d + time.Duration(rand.Float64()*retryJitter*float64(d))
 }
 
+// settle refuses waiting work whose turn does not come in time. The caller
+// holds mu.
+func (r *replica) settle(now time.Time) {
+	for work, after := r.gate.Settle(now); work != nil; work, after = r.gate.Settle(now) {
+		r.refuse(work.ID, wire.AcquireReply{Reason: ReasonWait, RetryAfter: after})
+	}
+}
+
 // pump grants free places. The caller holds mu.
 func (r *replica) pump(now time.Time) {
 	for {
@@ -230,6 +239,7 @@
 	began := r.holders[args.Grant].since
 	delete(r.holders, args.Grant)
 	r.judge(args, now, began)
+	r.settle(now)
 	r.pump(now)
 }
 
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -133,6 +133,12 @@
 // Ahead implements admission.Order.
 func (l *listOrder) Ahead(w *admission.Work) float64 { return l.Tokens(w.Rank) }
 
+// Before implements admission.Order.
+func (l *listOrder) Before(*admission.Work) float64 { return 0 }
+
+// Settle implements admission.Order.
+func (l *listOrder) Settle(int, time.Time) *admission.Work { return nil }
+
 // Tokens implements admission.Order.
 func (l *listOrder) Tokens(rank int) float64 {
 	total := 0
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -115,14 +115,10 @@
 	}
 	last := s.waits+1 >= waitTries
 	v := o.gate.Offer(f.ev.now, work, last)
-	if e := v.Evicted; e != nil {
-		evicted := o.waiting[e.ID]
-		delete(o.waiting, e.ID)
-		f.ev.after(f.delay(f.nodes[evicted.req.home].dc, o.dc), func() {
-			f.nodes[evicted.req.home].told.Note(f.ev.now, fingerprint(evicted.req), o.id, v.EvictedRetryAfter)
-			f.refused(evicted, v.EvictedRetryAfter)
-		})
+	if v.Evicted != nil {
+		o.evict(v.Evicted, v.EvictedRetryAfter)
 	}
+	o.settle()
 	switch {
 	case v.Queued:
 		o.waiting[t.id] = t
@@ -138,6 +134,23 @@
 	}
 }
 
+// settle refuses waiting work whose turn does not come in time.
+func (o *simOwner) settle() {
+	for w, retryAfter := o.gate.Settle(o.f.ev.now); w != nil; w, retryAfter = o.gate.Settle(o.f.ev.now) {
+		o.evict(w, retryAfter)
+	}
+}
+
+// evict gives the caller of waiting work its refusal.
+func (o *simOwner) evict(w *admission.Work, retryAfter time.Duration) {
+	f, t := o.f, o.waiting[w.ID]
+	delete(o.waiting, w.ID)
+	f.ev.after(f.delay(f.nodes[t.req.home].dc, o.dc), func() {
+		f.nodes[t.req.home].told.Note(f.ev.now, fingerprint(t.req), o.id, retryAfter)
+		f.refused(t, retryAfter)
+	})
+}
+
 // choose returns the index of a replica.
 func (f *fleet) choose(r *simRequest, tried []string) int {
 	if f.policy.roundRobin {
