--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -202,11 +202,11 @@
 	return out
 }
 
-// end is what the lane's organisation will have been served once the lane is
-// empty.
-func (l *lane) end() float64 {
-	last := l.waiting[len(l.waiting)-1]
-	return l.account.virtual + float64(l.tokens)/weight(last)
+// last returns the lane's last work and what its organisation will have been
+// served when the work's turn comes.
+func (l *lane) last() (*Work, float64) {
+	w := l.waiting[len(l.waiting)-1]
+	return w, l.account.virtual + float64(l.tokens-w.Tokens)/weight(w)
 }
 
 // start returns what the organisation of new work will have been served when
@@ -232,24 +232,18 @@
 	return w.Resumed || w.returned || w.Arrived.Before(before)
 }
 
-// excess returns the last work of the lane whose turn ends last, if it ends
-// after that of new work. Work that is kept is never returned; kept tells that
-// some ends after that of the new work.
-func (s *accounts) excess(w *Work, rank int, before time.Time) (out *Work, kept bool) {
-	end := s.start(w, rank) + float64(w.Tokens)/weight(w)
-	latest := end
+// excess returns the last work of the lane whose last turn comes latest, if it
+// comes after that of new work. Work that is kept is never returned.
+func (s *accounts) excess(w *Work, rank int, before time.Time) *Work {
+	var out *Work
+	latest := s.start(w, rank)
 	for _, l := range s.active[rank] {
-		last := l.waiting[len(l.waiting)-1]
-		at := l.end()
-		switch {
-		case l.name == w.Organisation || at <= end:
-		case last.kept(before):
-			kept = true
-		case at > latest:
-			latest, out = at, last
+		last, turn := l.last()
+		if l.name != w.Organisation && turn > latest && !last.kept(before) {
+			latest, out = turn, last
 		}
 	}
-	return out, kept
+	return out
 }
 
 // ahead returns the tokens that are served before the turn of new work.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -191,8 +191,8 @@
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
-	last, kept := g.order.Excess(w, g.settleStart(now, g.rank(w.order())))
-	if last == nil && kept && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
+	last := g.order.Excess(w, g.settleStart(now, g.rank(w.order())))
+	if last == nil && g.order.Modest(now, w, g.options.Modest) && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -74,10 +74,10 @@
 	// rank.
 	Backlog(w *Work) int
 	// Excess returns the waiting work of the rank whose turn comes last, if it
-	// comes after that of new work; else nil. Kept tells that the turn of
-	// work that may not be refused comes after it: its answer has begun, it
-	// came back when told, or it waits since before the given time.
-	Excess(w *Work, before time.Time) (last *Work, kept bool)
+	// comes after that of new work, else nil. It passes over work that may not
+	// be refused: its answer has begun, it came back when told, or it waits
+	// since before the given time.
+	Excess(w *Work, before time.Time) *Work
 	// Ahead returns the tokens that are served before new work within its
 	// rank.
 	Ahead(w *Work) float64
@@ -308,7 +308,7 @@
 }
 
 // Excess implements Order.
-func (q *Queue) Excess(w *Work, before time.Time) (last *Work, kept bool) {
+func (q *Queue) Excess(w *Work, before time.Time) *Work {
 	return q.accounts.excess(w, q.index(w.order()), before)
 }
 
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -126,9 +126,7 @@
 func (l *listOrder) Backlog(w *admission.Work) int { return l.Waiting(w.Rank) }
 
 // Excess implements admission.Order.
-func (l *listOrder) Excess(*admission.Work, time.Time) (last *admission.Work, kept bool) {
-	return nil, false
-}
+func (l *listOrder) Excess(*admission.Work, time.Time) *admission.Work { return nil }
 
 // Ahead implements admission.Order.
 func (l *listOrder) Ahead(w *admission.Work) float64 { return l.Tokens(w.Rank) }
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -113,8 +113,8 @@
 		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
 		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
 	}
-	last := s.waits+1 >= waitTries
-	v := o.gate.Offer(f.ev.now, work, last)
+	v := o.gate.Offer(f.ev.now, work, s.waits+1 >= waitTries)
+	t.search = s
 	if v.Evicted != nil {
 		o.evict(v.Evicted, v.EvictedRetryAfter)
 	}
@@ -123,17 +123,26 @@
 	case v.Queued:
 		o.waiting[t.id] = t
 		o.pump()
-	case last:
-		f.ev.after(back, func() {
-			f.nodes[r.home].told.Note(f.ev.now, fingerprint(r), o.id, v.RetryAfter)
-			f.refused(t, v.RetryAfter)
-		})
 	default:
-		s.waits++
-		f.ev.after(back, func() { f.ask(r, s) })
+		f.tooLong(t, v.RetryAfter)
 	}
 }
 
+// tooLong tells the entry node that an owner's queue is too long. It asks one
+// more owner, then refuses.
+func (f *fleet) tooLong(t *simTry, retryAfter time.Duration) {
+	r, s := t.req, t.search
+	s.waits++
+	f.ev.after(f.delay(f.nodes[r.home].dc, t.owner.dc), func() {
+		if s.waits < waitTries {
+			f.ask(r, s)
+			return
+		}
+		f.nodes[r.home].told.Note(f.ev.now, fingerprint(r), t.owner.id, retryAfter)
+		f.refused(t, retryAfter)
+	})
+}
+
 // settle refuses waiting work whose turn does not come in time.
 func (o *simOwner) settle() {
 	for w, retryAfter := o.gate.Settle(o.f.ev.now); w != nil; w, retryAfter = o.gate.Settle(o.f.ev.now) {
@@ -141,14 +150,11 @@
 	}
 }
 
-// evict gives the caller of waiting work its refusal.
+// evict refuses waiting work.
 func (o *simOwner) evict(w *admission.Work, retryAfter time.Duration) {
-	f, t := o.f, o.waiting[w.ID]
+	t := o.waiting[w.ID]
 	delete(o.waiting, w.ID)
-	f.ev.after(f.delay(f.nodes[t.req.home].dc, o.dc), func() {
-		f.nodes[t.req.home].told.Note(f.ev.now, fingerprint(t.req), o.id, retryAfter)
-		f.refused(t, retryAfter)
-	})
+	o.f.tooLong(t, retryAfter)
 }
 
 // choose returns the index of a replica.
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -110,6 +110,7 @@
 	id      string
 	req     *simRequest
 	owner   *simOwner
+	search  search
 	stream  *simStream
 	tokens  int
 	granted time.Time
