Count the use of organisations over the fleet

The node that asks for a place tells the owner what the organisation used through it over the last minute, as one number in the ask; the owner adds up what the nodes told. Nothing goes through the exchange. Explain tells when work was put forward for it.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"math"
 	"slices"
 	"time"
 )
@@ -74,10 +73,11 @@
 	weights float64
 	charges int
 	total   usage
+	fleet   fleetUse
 }
 
 func newAccounts(ranks int) accounts {
-	return accounts{byName: map[string]*account{}, active: make([]laneHeap, ranks)}
+	return accounts{byName: map[string]*account{}, active: make([]laneHeap, ranks), fleet: newFleetUse()}
 }
 
 // least returns what the organisation served least has got, among those with
@@ -278,8 +278,12 @@
 }
 
 // modest tells whether the work's organisation was lately served less than a
-// given part of its fair share.
+// given part of its fair share: over the fleet as far as the asking nodes told,
+// else here.
 func (s *accounts) modest(now time.Time, w *Work, part float64) bool {
+	if used, fair, ok := s.fleet.share(now, w); ok {
+		return used < part*fair
+	}
 	a := s.byName[w.Organisation]
 	if a == nil {
 		return true
@@ -297,25 +301,3 @@
 		}
 	}
 }
-
-// usageTime is how long the use of an organisation is remembered.
-const usageTime = time.Minute
-
-// usage is a decaying sum of tokens.
-type usage struct {
-	tokens float64
-	last   time.Time
-}
-
-// at returns the sum as it stands now.
-func (u *usage) at(now time.Time) float64 {
-	if u.last.IsZero() {
-		return 0
-	}
-	return u.tokens * math.Exp(-float64(now.Sub(u.last))/float64(usageTime))
-}
-
-func (u *usage) add(now time.Time, tokens float64) {
-	u.tokens = u.at(now) + tokens
-	u.last = now
-}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -181,6 +181,7 @@
 func (g *Gate) Offer(now time.Time, w *Work, book bool) Verdict {
 	w.asked = w.Tokens
 	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.asked)
+	g.order.Tell(now, w)
 	g.promote(now, w)
 	left := w.Deadline.Sub(now)
 	w.Deadline = w.Deadline.Add(-min(g.speed.need(w.Tokens), left/2))
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,6 +15,10 @@
 	Weight float64
 	// Rank is the rank's order; 0 is the most urgent.
 	Rank int
+	// Node is the node that asks, Used what the organisation used through it
+	// over the last minute, in tokens; an empty Node tells nothing.
+	Node string
+	Used int
 	// Tokens is the estimated cost in tokens.
 	Tokens int
 	// Memory is the KV cache that it may fill, in tokens.
@@ -38,6 +42,10 @@
 	asked int
 }
 
+// Promoted tells that the work is treated as more urgent than its rank, as its
+// organisation uses little of its share.
+func (w *Work) Promoted() bool { return w.promoted }
+
 // order returns the rank that the work is treated as.
 func (w *Work) order() int {
 	if w.promoted {
@@ -67,6 +75,9 @@
 	Len() int
 	// Waiting returns the number of waiting requests of one rank.
 	Waiting(rank int) int
+	// Tell takes what the node that asks for the work tells of the use of its
+	// organisation.
+	Tell(now time.Time, w *Work)
 	// Modest tells whether the work's organisation was lately served less than
 	// a given part of its fair share.
 	Modest(now time.Time, w *Work, part float64) bool
@@ -293,6 +304,9 @@
 	return out
 }
 
+// Tell implements Order.
+func (q *Queue) Tell(now time.Time, w *Work) { q.accounts.fleet.tell(now, w) }
+
 // Modest implements Order.
 func (q *Queue) Modest(now time.Time, w *Work, part float64) bool {
 	return q.accounts.modest(now, w, part)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -72,6 +72,7 @@
 	recent  *routing.Recent                   // guarded by mu
 	cached  *routing.PrefixIndex              // guarded by mu
 	told    *admission.Told                   // guarded by mu
+	used    *admission.Used                   // guarded by mu
 	pace    *pace
 	// outliers has a lock of its own, taken alone.
 	outliers *outliers
@@ -86,7 +87,7 @@
 	}
 	return &Dispatcher{
 		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
-		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
+		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(), used: admission.NewUsed(),
 	}
 }
 
@@ -115,11 +116,12 @@
 
 // place is a granted place on a replica.
 type place struct {
-	replica routing.Replica
-	grant   string
-	owner   string
-	paused  chan struct{}
-	since   time.Time
+	organisation string
+	replica      routing.Replica
+	grant        string
+	owner        string
+	paused       chan struct{}
+	since        time.Time
 }
 
 const (
@@ -260,13 +262,14 @@
 
 // ask asks one owner for a place.
 func (d *Dispatcher) ask(ctx context.Context, req *Request, w wish, r routing.Replica, wait time.Duration) (*place, wire.AcquireReply, error) {
-	p := &place{replica: r, grant: NewID(), owner: r.Owner, paused: make(chan struct{}, 1)}
+	p := &place{organisation: req.Organisation, replica: r, grant: NewID(), owner: r.Owner, paused: make(chan struct{}, 1)}
 	args := wire.AcquireArgs{
 		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
 		Fingerprint: req.Fingerprint, Book: w.book,
 	}
 	d.mu.Lock()
+	args.Used = d.used.Of(time.Now(), req.Organisation)
 	d.pauses[p.grant] = p.paused
 	d.mu.Unlock()
 	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
@@ -275,7 +278,7 @@
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
 		d.mu.Unlock()
-		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
+		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s%s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond), promotion(reply))
 		return p, reply, nil
 	}
 	d.forget(p)
@@ -285,6 +288,14 @@
 	return nil, reply, err
 }
 
+// promotion tells of work that was treated as more urgent than its rank.
+func promotion(reply wire.AcquireReply) string {
+	if !reply.Promoted {
+		return ""
+	}
+	return ", before its rank as its organisation used little of its share"
+}
+
 func (d *Dispatcher) forget(p *place) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -293,6 +304,9 @@
 
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
+	d.mu.Lock()
+	d.used.Add(time.Now(), p.organisation, args.Tokens)
+	d.mu.Unlock()
 	d.forget(p)
 	d.outliers.note(time.Now(), p.since, p.replica.ID, args)
 	args.Grant = p.grant
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -142,7 +142,7 @@
 
 func newWork(args wire.AcquireArgs, weight float64, now time.Time) *admission.Work {
 	return &admission.Work{
-		ID: args.Grant, Organisation: args.Organisation, Caller: args.Caller, Weight: weight,
+		ID: args.Grant, Organisation: args.Organisation, Caller: args.Caller, Weight: weight, Node: args.Node, Used: args.Used,
 		Rank: args.Rank, Tokens: args.Tokens, Memory: args.Prompt + args.Tokens,
 		Resumed: args.Resumed, Pausable: args.Target != (config.Target{}), Fingerprint: args.Fingerprint,
 		Arrived: now, Deadline: now.Add(args.Wait),
@@ -173,7 +173,7 @@
 		w := r.waiting[work.ID]
 		delete(r.waiting, work.ID)
 		r.holders[work.ID] = holder{args: w.args, since: now}
-		w.answer <- wire.AcquireReply{Granted: true}
+		w.answer <- wire.AcquireReply{Granted: true, Promoted: work.Promoted()}
 	}
 }
 
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -119,6 +119,9 @@
 	return n
 }
 
+// Tell implements admission.Order.
+func (l *listOrder) Tell(time.Time, *admission.Work) {}
+
 // Modest implements admission.Order.
 func (l *listOrder) Modest(time.Time, *admission.Work, float64) bool { return false }
 
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -113,6 +113,7 @@
 		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
 		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
 	}
+	f.tell(work, r)
 	v := o.gate.Offer(f.ev.now, work, s.waits+1 >= waitTries)
 	t.search = s
 	if v.Evicted != nil {
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -60,6 +60,8 @@
 	direct bool
 	// prefixes tells what the choice knows of prefix caches.
 	prefixes prefixKnowledge
+	// counts tells whose use of the organisations the owners know.
+	counts countKnowledge
 }
 
 // fleet is a simulated deployment under one policy.
@@ -74,6 +76,8 @@
 	nodes   []*simNode
 	stats   *stats
 	turn    int
+	// used is what the whole fleet served, by organisation.
+	used *admission.Used
 	// nextReplica is where round robin goes on.
 	nextReplica int
 	// cut is the data centre that the others cannot reach; -1 is none.
@@ -103,6 +107,7 @@
 	recent *routing.Recent
 	memory *routing.PrefixIndex
 	told   *admission.Told
+	used   *admission.Used
 }
 
 // simTry is one request for a place and the stream that follows.
@@ -124,10 +129,10 @@
 func newFleet(s size, p policy, seed uint64) *fleet {
 	f := &fleet{
 		size: s, policy: p, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 3)),
-		traffic: newTraffic(seed, s.nodes), stats: newStats(s), cut: -1,
+		traffic: newTraffic(seed, s.nodes), stats: newStats(s), cut: -1, used: admission.NewUsed(),
 	}
 	for i := range s.nodes {
-		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes), told: admission.NewTold()})
+		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes), told: admission.NewTold(), used: admission.NewUsed()})
 	}
 	for i := range s.replicas {
 		f.owners = append(f.owners, f.newOwner(i))
--- a/internal/measure/sim_stream.go
+++ b/internal/measure/sim_stream.go
@@ -97,6 +97,7 @@
 	if o.gate.Stream(t.id) == nil {
 		return
 	}
+	f.use(t)
 	u := admission.Usage{Tokens: t.tokens, Whole: whole}
 	if t.tokens > 0 {
 		u.First = t.first.Sub(t.granted)
@@ -107,6 +108,7 @@
 	f.ev.after(f.delay(node.dc, o.dc), func() {
 		delete(o.holding, t.id)
 		o.gate.Release(f.ev.now, t.id, u)
+		o.settle()
 		o.pump()
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -133,9 +133,11 @@
 	Replica string
 	// Target is the version to run, zero for plain services.
 	Target config.Target
-	// Organisation and Caller are charged for the work.
+	// Organisation and Caller are charged for the work. Used is what the
+	// organisation used through the asker over the last minute, in tokens.
 	Organisation string
 	Caller       string
+	Used         int
 	// Rank is the rank's order.
 	Rank int
 	// Tokens is the most that may be generated, Prompt the length of the
@@ -159,6 +161,8 @@
 type AcquireReply struct {
 	// Granted tells that the place is the asker's until it releases it.
 	Granted bool
+	// Promoted tells that the work was treated as more urgent.
+	Promoted bool
 	// NotOwner tells that another node owns the replica now.
 	NotOwner bool
 	// RetryAfter is when a place is likely, if refused.
