Ask what a withdrawal promises of a moved session

Cause: the session left its model to the router ("auto"). After the withdrawal the router proposes by what the asked node has learned of the other versions, and a node with 26 verdicts had kuski@v1 at 0.79 by bad luck (true chance 0.9, target 0.8), so it rightly chose the strong version. Ruled out: verdicts of the withdrawn version counted for the one in place (the estimates of a failing run were printed; only its own verdicts are in them).

The check is replaced by stricter ones: a session that named its model is on the version in place at every node; one that left the choice is on another version than the withdrawn one, and on the same at every node, which was not looked at before.

Left: a node that had bad luck sends all of that kind to the dear version and learns only from one request in fifty, until its verdicts fade.

--- a/test/fleet/cascade_test.go
+++ b/test/fleet/cascade_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -177,7 +178,7 @@
 			return standin.EngineOptions{BaseInterval: 5 * time.Millisecond, Targets: []config.Target{emanta}}
 		}})
 		defer w.close()
-		session := w.sessionOn(v1)
+		session := w.sessionOn(v1, routing.AnyModel)
 		var wg sync.WaitGroup
 		for i := range 8 {
 			wg.Go(func() {
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/embedded"
 	"github.com/cowslipfall/cowslipfall/internal/node"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -368,7 +369,12 @@
 
 // chatBody asks for an answer.
 func chatBody(text string, tokens int) string {
-	return fmt.Sprintf(`{"model":"auto","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, text)
+	return askBody(routing.AnyModel, text, tokens)
+}
+
+// askBody is a chat that names its model.
+func askBody(model, text string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, tokens, text)
 }
 
 // calls returns how often each key was carried out, by all services.
--- a/test/fleet/rollout_test.go
+++ b/test/fleet/rollout_test.go
@@ -115,8 +115,9 @@
 }
 
 // A version that answers badly is withdrawn by its guard, though the driving
-// node dies; from then on nothing begins on it, and a session that was on it
-// moves.
+// node dies; from then on nothing begins on it, and the sessions that were on
+// it move, once: one that named the model to the version in place, one that
+// left the choice to the router to whatever was chosen then.
 func TestBadVersionIsWithdrawn(t *testing.T) {
 	virtual(t, func(f *faults) {
 		quality := map[config.Target]float64{v1: 0.9, v2: 0.4}
@@ -125,7 +126,7 @@
 		defer w.close()
 		w.rollOut("start", func(r *config.Revision) error { return rollout.Start(r, plan, time.Now()) })
 		w.sleep(5 * time.Second)
-		session := w.sessionOn(v2)
+		named, open := w.sessionOn(v2, v2.Model), w.sessionOn(v2, routing.AnyModel)
 		killed, start := false, time.Now()
 		w.chats(10*time.Minute, func() bool {
 			if !killed && time.Since(start) > 10*time.Second {
@@ -139,18 +140,29 @@
 		w.sleep(5 * time.Second)
 		gone := time.Now()
 		w.chats(20*time.Second, func() bool { return false })
-		_, model := completionText(w.post(w.ids()[0], org, chatPath, chatBody("again", 6), map[string]string{"X-Session": session}))
-		f.check(model == v1.String(), "the session is on %s", model)
+		moved := w.modelOf(w.ids()[0], routing.AnyModel, open)
+		f.check(moved != v2.String() && moved != "", "the session that left the choice is on %s", moved)
+		for _, id := range w.ids() {
+			got, again := w.modelOf(id, v2.Model, named), w.modelOf(id, routing.AnyModel, open)
+			f.check(got == v1.String(), "the session that named its model is on %s at %s", got, id)
+			f.check(again == moved, "the session moved twice: to %s, then at %s to %s", moved, id, again)
+		}
 		f.check(w.runs(v2, gone) == 0, "%d answers began on the withdrawn version", w.runs(v2, gone))
 	})
 }
 
-// sessionOn starts sessions until one is on the wanted version.
-func (w *world) sessionOn(t config.Target) string {
+// modelOf asks for a model in a session and returns what answered, or nothing.
+func (w *world) modelOf(id, asked, session string) string {
+	_, model := completionText(w.post(id, org, chatPath, askBody(asked, "hello", 6), map[string]string{"X-Session": session}))
+	return model
+}
+
+// sessionOn starts sessions that ask for a model until one is on the wanted
+// version.
+func (w *world) sessionOn(t config.Target, asked string) string {
 	for i := range 100 {
-		session := fmt.Sprint("session-", i)
-		_, model := completionText(w.post(w.ids()[0], org, chatPath, chatBody("hello", 6), map[string]string{"X-Session": session}))
-		if model == t.String() {
+		session := fmt.Sprint(asked, "-session-", i)
+		if w.modelOf(w.ids()[0], asked, session) == t.String() {
 			return session
 		}
 	}
@@ -168,7 +180,7 @@
 		defer w.close()
 		w.rollOut("start", func(r *config.Revision) error { return rollout.Start(r, plan, time.Now()) })
 		w.sleep(5 * time.Second)
-		session := w.sessionOn(v2)
+		session := w.sessionOn(v2, routing.AnyModel)
 		for _, m := range w.nodes {
 			m.platform.setAway(true)
 		}
