--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,6 +79,7 @@
 func newStandinEngine() *cobra.Command {
 	var listen string
 	var targets []string
+	var quality map[string]string
 	o := standin.EngineOptions{}
 	cmd := &cobra.Command{
 		Use:   "engine",
@@ -87,6 +89,10 @@
 			for _, t := range targets {
 				o.Targets = append(o.Targets, config.ParseTarget(t))
 			}
+			var err error
+			if o.Quality, err = parseQuality(quality); err != nil {
+				return err
+			}
 			return serveStandin(cmd, listen, standin.EngineHandler(standin.NewEngine(o)))
 		},
 	}
@@ -97,10 +103,24 @@
 	cmd.Flags().DurationVar(&o.BaseInterval, "base-interval", 5*time.Millisecond, "time between tokens of one stream")
 	cmd.Flags().DurationVar(&o.PerStream, "per-stream", 500*time.Microsecond, "what each further stream adds to the time between tokens")
 	cmd.Flags().BoolVar(&o.ChecksOrders, "checks-orders", false, "refuse orders with an old fencing number")
+	cmd.Flags().StringToStringVar(&quality, "quality", nil, "chance, 0 to 1, that a version's answer passes its rating, model@version=chance; may be repeated (default 0.9)")
 	cmd.Flags().StringVar(&o.CrashMark, "crash-mark", "", "prompt text that kills the engine")
 	return cmd
 }
 
+// parseQuality reads pass chances by version.
+func parseQuality(flags map[string]string) (map[config.Target]float64, error) {
+	out := map[config.Target]float64{}
+	for target, text := range flags {
+		chance, err := strconv.ParseFloat(text, 64)
+		if err != nil || chance < 0 || chance > 1 {
+			return nil, errors.Errorf("--quality %s=%s: give a chance from 0 to 1", target, text)
+		}
+		out[config.ParseTarget(target)] = chance
+	}
+	return out, nil
+}
+
 func newStandinService() *cobra.Command {
 	var listen, id string
 	var work time.Duration
