Wait for the lasting hold before asking that it holds

Cause: at a third of its bound the guard holds a suspect once, for two minutes; if the evidence is still short then, new sessions come again until the bound is crossed. The test looked 4 minutes after the start whatever the hold was.

The test now waits, at most 10 minutes, for a hold that lasts longer than a suspect's, and then looks for a minute instead of 20 s.

--- a/test/fleet/rollout_test.go
+++ b/test/fleet/rollout_test.go
@@ -171,7 +171,9 @@
 }
 
 // A hold that one node publishes keeps new sessions from a version at every
-// node, without the store; sessions that are on it stay.
+// node, without the store; sessions that are on it stay. The first hold of a
+// suspect lapses if evidence is still short; the test waits for one that lasts
+// longer than that.
 func TestHoldWithoutStore(t *testing.T) {
 	virtual(t, func(f *faults) {
 		quality := map[config.Target]float64{v1: 0.9, v2: 0.3}
@@ -184,9 +186,10 @@
 		for _, m := range w.nodes {
 			m.platform.setAway(true)
 		}
-		w.chats(4*time.Minute, func() bool { return false })
+		lasting := rollout.HoldTime + 10*time.Second
+		w.chats(10*time.Minute, func() bool { return w.runs(v2, time.Now().Add(-lasting)) == 0 })
 		held := time.Now()
-		w.chats(20*time.Second, func() bool { return false })
+		w.chats(time.Minute, func() bool { return false })
 		f.check(w.runs(v2, held) == 0, "%d new sessions came onto the held version", w.runs(v2, held))
 		f.check(!w.head().IsWithdrawn(v2), "the store was away, yet the version is withdrawn")
 		for _, id := range w.ids() {
