Run a package again where the race detector itself breaks down

Where a test failed, a race was reported or a panic printed, nothing is run again. Tried with a stand-in for the go command: ok, detector, detector beside a failed test, failed test, failed build.

--- a/test.sh
+++ b/test.sh
@@ -1,18 +1,26 @@
 #!/usr/bin/env bash
 # Runs all tests under the race detector, but for those in KNOWN-RED.txt.
-# Each entry's first word is the name of a test.
+# Each entry's first word is the name of a test. Where the race detector itself
+# breaks down, and no test has failed, its package is run once more.
 set -euo pipefail
 cd "$(dirname "$0")"
-skip=""
+flags=(-race -count=1 -timeout 30m)
 if [ -s KNOWN-RED.txt ]; then
   names=$(awk 'NF && !/^#/ {print $1}' KNOWN-RED.txt | sort -u | paste -sd '|' -)
   if [ -n "$names" ]; then
-    skip="^(${names})\$"
+    flags+=(-skip "^(${names})\$")
     echo "passed over, known to fail:"
     grep -v '^#' KNOWN-RED.txt
   fi
 fi
-if [ -n "$skip" ]; then
-  exec go test -race -count=1 -timeout 30m -skip "$skip" ./...
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+if go test "${flags[@]}" ./... 2>&1 | tee "$log"; then
+  exit 0
 fi
-exec go test -race -count=1 -timeout 30m ./...
+if ! grep -q '^ThreadSanitizer: CHECK failed' "$log" || grep -Eq -- '--- FAIL|DATA RACE|^panic:' "$log"; then
+  exit 1
+fi
+mapfile -t broken < <(awk '$1 == "FAIL" && NF > 1 {print $2}' "$log" | sort -u)
+echo "the race detector broke down, run once more: ${broken[*]}"
+go test "${flags[@]}" "${broken[@]}"
