--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -126,11 +126,17 @@
 func (l *listOrder) Backlog(w *admission.Work) int { return l.Waiting(w.Rank) }
 
 // Excess implements admission.Order.
-func (l *listOrder) Excess(*admission.Work) (last *admission.Work, begun bool) { return nil, false }
+func (l *listOrder) Excess(*admission.Work, time.Time) *admission.Work { return nil }
 
 // Ahead implements admission.Order.
 func (l *listOrder) Ahead(w *admission.Work) float64 { return l.Tokens(w.Rank) }
 
+// Before implements admission.Order.
+func (l *listOrder) Before(*admission.Work) float64 { return 0 }
+
+// Settle implements admission.Order.
+func (l *listOrder) Settle(int, time.Time) *admission.Work { return nil }
+
 // Tokens implements admission.Order.
 func (l *listOrder) Tokens(rank int) float64 {
 	total := 0
