Store pins in the transactions of bills, once home and next node have them

Now the home reads the row, has the node that would decide next take the pin too, answers, and stores the pin with its bills. Without that node, or while a node is neither live nor dead, it stores first, as before. Two homes that ask each other turn to the table. The holder of a copy stores the pin when the home is gone, or after 20 s.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -61,7 +61,7 @@
 	f.view = membership.NewTable(wire.NodeState{ID: "entry-1", Address: "127.0.0.1:1"}).Snapshot
 	f.handler = New(Options{
 		Config: holder, View: func() *membership.Snapshot { return f.view() }, Metrics: telemetry.NewMetrics(), Tracer: tracer, Log: zap.NewNop(),
-		Dispatcher: dispatch.New(dispatch.Options{Config: holder, Record: f.record, Bills: ledger.NewBills(nil, nil), View: func() *membership.Snapshot { return f.view() }}),
+		Dispatcher: dispatch.New(dispatch.Options{Config: holder, Record: f.record, Bills: ledger.NewBills(nil, nil, nil), View: func() *membership.Snapshot { return f.view() }}),
 		Draining:   func() bool { return f.draining }, Leaving: func() bool { return f.leaving },
 	})
 	return f
--- a/internal/ledger/bill.go
+++ b/internal/ledger/bill.go
@@ -17,9 +17,10 @@
 const (
 	// billBatch is the number of bills of one transaction.
 	billBatch = 100
-	// billInterval is the least time between transactions, unless a batch is
-	// full.
-	billInterval = 2 * time.Second
+	// flushInterval is the least time between transactions, unless a batch is
+	// full; copyInterval is about how often copies are looked after.
+	flushInterval = 5 * time.Second
+	copyInterval  = 2 * time.Second
 	// copyWait bounds how long an answer waits for its bill's copy.
 	copyWait = 100 * time.Millisecond
 	// maxPending bounds the bills that wait for the table, and the copies
@@ -50,11 +51,13 @@
 }
 
 // Bills stores one bill for each request: it buffers them, has a second node
-// keep a copy until they are stored, and keeps such copies for others. It is
-// safe for concurrent use. No lock is held during a call.
+// keep a copy until they are stored, and keeps such copies for others. Pins
+// are stored in the same transactions. It is safe for concurrent use. No lock
+// is held during a call.
 type Bills struct {
 	table  platform.Table
 	copies Copies
+	pins   *Pins
 	wake   chan struct{}
 
 	flushing chan struct{} // holds a token while a flush is under way
@@ -65,12 +68,17 @@
 	holders map[wire.Process]*copyHolder // guarded by mu; who has copies
 	held    map[wire.Process]*heldBills  // guarded by mu; copies for others
 	kept    int                          // guarded by mu; copies in held
+	flushed time.Time                    // guarded by mu; when something was last stored
 }
 
-// NewBills returns an empty buffer of bills.
-func NewBills(table platform.Table, copies Copies) *Bills {
+// NewBills returns an empty buffer of bills that stores the given pins too;
+// copies and pins may be nil.
+func NewBills(table platform.Table, copies Copies, pins *Pins) *Bills {
+	if pins == nil {
+		pins = NewPins(table, nil)
+	}
 	return &Bills{
-		table: table, copies: copies, wake: make(chan struct{}, 1), flushing: make(chan struct{}, 1), first: 1,
+		table: table, copies: copies, pins: pins, wake: make(chan struct{}, 1), flushing: make(chan struct{}, 1), first: 1,
 		holders: map[wire.Process]*copyHolder{}, held: map[wire.Process]*heldBills{},
 	}
 }
@@ -110,34 +118,47 @@
 // lost for lack of room.
 func (b *Bills) Room() bool { return b.Pending() < maxPending }
 
-// Run stores bills, and keeps their copies up to date, until ctx ends.
+// Run stores bills and pins, and keeps the copies of bills up to date, until
+// ctx ends.
 func (b *Bills) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-b.wake:
+		case <-b.pins.wake:
 		}
 		for b.busy() && ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(billInterval/2 + rand.N(billInterval)):
+			case <-time.After(copyInterval/2 + rand.N(copyInterval)):
+			}
+			if b.due(time.Now()) {
+				_ = b.Flush(ctx)
 			}
-			_ = b.Flush(ctx)
 			b.refreshCopies(ctx)
 		}
 	}
 }
 
-// busy tells whether bills wait for the table, or copies for their end.
+// busy tells whether bills or pins wait for the table, or copies for their
+// end.
 func (b *Bills) busy() bool {
+	b.mu.Lock()
+	waits := len(b.pending) > 0 || len(b.holders) > 0
+	b.mu.Unlock()
+	return waits || b.pins.Waiting() > 0
+}
+
+// due tells whether it is time to store what waits.
+func (b *Bills) due(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.pending) > 0 || len(b.holders) > 0
+	return len(b.pending) >= billBatch || now.Sub(b.flushed) >= flushInterval
 }
 
-// Flush stores the bills that wait now, batch after batch.
+// Flush stores the bills and pins that wait now, batch after batch.
 func (b *Bills) Flush(ctx context.Context) error {
 	select {
 	case b.flushing <- struct{}{}:
@@ -145,44 +166,87 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	for left := b.Pending(); left > 0; left -= billBatch {
-		if err := b.flushBatch(ctx); err != nil {
+	conflicts := 0
+	for left := b.Pending(); ; {
+		var pins []unstoredPin
+		if conflicts < maxPinTries {
+			pins = b.pins.batch(ctx)
+		}
+		if left <= 0 && len(pins) == 0 {
+			return nil
+		}
+		n, err := b.flushBatch(ctx, pins)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
+		if err != nil {
+			conflicts++
+		}
+		left -= n
 	}
-	return nil
 }
 
-// flushBatch stores the oldest bills. One flush runs at a time.
-func (b *Bills) flushBatch(ctx context.Context) error {
+// flushBatch stores the oldest bills, and the pins, and returns how many bills
+// it stored. One flush runs at a time. It returns ErrConflict if the pins were
+// not stored.
+func (b *Bills) flushBatch(ctx context.Context, pins []unstoredPin) (int, error) {
 	b.mu.Lock()
-	batch := make([]wire.Bill, min(len(b.pending), billBatch))
+	batch := make([]wire.Bill, min(len(b.pending), billBatch-len(pins)))
 	for i := range batch {
 		batch[i] = b.pending[i].bill
 	}
 	b.mu.Unlock()
-	if err := b.store(ctx, batch); err != nil {
-		return err
+	refused, err := b.storeAll(ctx, batch, pins)
+	if err != nil {
+		return 0, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.first += uint64(len(batch))
 	b.pending = append([]pendingBill(nil), b.pending[len(batch):]...)
-	return nil
+	b.flushed = time.Now()
+	return len(batch), refused
+}
+
+// storeAll stores bills and pins in one transaction. If it conflicts, the
+// bills are stored alone, and refused is set.
+func (b *Bills) storeAll(ctx context.Context, batch []wire.Bill, pins []unstoredPin) (refused, err error) {
+	if len(pins) == 0 {
+		return nil, b.store(ctx, batch)
+	}
+	ops, err := billOps(batch)
+	if err != nil {
+		return nil, err
+	}
+	for _, u := range pins {
+		op, err := pinOp(u)
+		if err != nil {
+			return nil, err
+		}
+		ops = append(ops, op)
+	}
+	versions, err := b.table.Commit(ctx, ops...)
+	if err == nil {
+		versions = versions[len(batch):]
+	}
+	b.pins.wrote(pins, versions, err)
+	if errors.Is(err, platform.ErrConflict) {
+		return err, b.store(ctx, batch)
+	}
+	return nil, err
 }
 
 // store inserts a batch in one transaction. If a bill of it is there already,
 // the halves are tried, down to that bill, which is done with.
 func (b *Bills) store(ctx context.Context, batch []wire.Bill) error {
-	ops := make([]platform.Op, len(batch))
-	for i, bill := range batch {
-		op, err := billOp(bill)
-		if err != nil {
-			return err
-		}
-		ops[i] = op
+	if len(batch) == 0 {
+		return nil
+	}
+	ops, err := billOps(batch)
+	if err != nil {
+		return err
 	}
-	_, err := b.table.Commit(ctx, ops...)
+	_, err = b.table.Commit(ctx, ops...)
 	if !errors.Is(err, platform.ErrConflict) {
 		return err
 	}
@@ -196,6 +260,19 @@
 	return b.store(ctx, batch[half:])
 }
 
+// billOps inserts bills.
+func billOps(batch []wire.Bill) ([]platform.Op, error) {
+	ops := make([]platform.Op, len(batch))
+	for i, bill := range batch {
+		op, err := billOp(bill)
+		if err != nil {
+			return nil, err
+		}
+		ops[i] = op
+	}
+	return ops, nil
+}
+
 // billOp inserts a bill.
 func billOp(bill wire.Bill) (platform.Op, error) {
 	value, err := json.Marshal(bill)
--- a/internal/ledger/bill_test.go
+++ b/internal/ledger/bill_test.go
@@ -64,7 +64,7 @@
 
 func (w *billWorld) start(i int, incarnation uint64) {
 	p := &billProcess{world: w, name: wire.Process{Node: fmt.Sprint(i), Incarnation: incarnation}}
-	p.bills = NewBills(w.table, p)
+	p.bills = NewBills(w.table, p, nil)
 	w.processes[i] = p
 }
 
@@ -229,7 +229,7 @@
 // Two flushes at once, as when a node stops, lose no bill that came between.
 func TestFlushesAtOnceLoseNothing(t *testing.T) {
 	table := &slowTable{Table: standin.NewTable(), enter: make(chan struct{}), leave: make(chan struct{})}
-	b := NewBills(table, nil)
+	b := NewBills(table, nil, nil)
 	b.Add(context.Background(), wire.Bill{Request: "1"})
 	done := make(chan error, 2)
 	go func() { done <- b.Flush(context.Background()) }()
--- a/internal/ledger/copies.go
+++ b/internal/ledger/copies.go
@@ -186,8 +186,9 @@
 	return nil
 }
 
-// Adopt takes over the copies of processes that are gone. If one of them only
-// paused, both store its bills, and each is there once.
+// Adopt takes over the copies of bills, and the pins, of processes that are
+// gone, and has them stored at once. If one of them only paused, both store its
+// bills, and each is there once.
 func (b *Bills) Adopt(live func(p wire.Process) bool) {
 	b.mu.Lock()
 	var adopted []wire.Bill
@@ -205,4 +206,14 @@
 	if len(adopted) > 0 {
 		b.push(adopted...)
 	}
+	if b.pins.Adopt(live) || len(adopted) > 0 {
+		b.hasten()
+	}
+}
+
+// hasten has what waits stored without waiting for more.
+func (b *Bills) hasten() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.flushed = time.Time{}
 }
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net/url"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
@@ -25,13 +21,7 @@
 	maxUnstoredPins = 100_000
 	// pinStoreWait bounds how long a request waits for the table.
 	pinStoreWait = 2 * time.Second
-	pinBackoff   = 2 * time.Second
-	// pinRetry is about how often the table is tried within that wait;
-	// pinOutage is how long it must fail until requests no longer wait.
-	pinRetry    = 200 * time.Millisecond
-	pinOutage   = 5 * time.Second
-	maxPinTries = 3
-	pinPrefix   = "pin/"
+	pinPrefix    = "pin/"
 )
 
 // PinID identifies what a session is pinned for.
@@ -61,6 +51,11 @@
 	// Decide has the session's home decide; false means that it did not
 	// answer, or is this node.
 	Decide(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool)
+	// Ahead hands a pin that this node stores soon to the node that would
+	// decide if this one died, and returns what that node has. It returns
+	// false unless this node is the session's home, sees every node, and the
+	// other one answered.
+	Ahead(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool)
 	// Copy hands a pin that the table lacks to the next node in the session's
 	// order, and returns what that node has.
 	Copy(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool)
@@ -70,9 +65,11 @@
 }
 
 // Pins keeps the version of each session. The session's home decides, so that
-// one node writes each pin; where it is away, the asking node does. While the
-// table is away, home and the next node remember what is not stored. It is
-// safe for concurrent use; no lock is held during a call.
+// one node writes each pin; where it is away, the asking node does. A pin is
+// answered once home and next node have it, and stored with the bills; without
+// the next node it is stored first. While the table is away, home and the next
+// node remember what is not stored. It is safe for concurrent use; no lock is
+// held during a call.
 type Pins struct {
 	table platform.Table
 	peers PinPeers
@@ -80,15 +77,25 @@
 
 	mu       sync.Mutex
 	cache    map[string]config.Target // guarded by mu, by row
-	unstored map[string]wire.PinArgs  // guarded by mu, by row
+	unstored map[string]unstoredPin   // guarded by mu, by row
+	deciding map[string]*decision     // guarded by mu, by row
 	// failingSince is when the table began to fail, zero while it answers;
 	// guarded by mu.
 	failingSince time.Time
 }
 
+// decision is a pin that this node decides at the moment.
+type decision struct {
+	// ended is closed at the end.
+	ended chan struct{}
+	// proposed is what the next node is asked to take, else zero; guarded by
+	// the mutex of Pins.
+	proposed config.Target
+}
+
 // NewPins returns an empty set of pins; peers may be nil.
 func NewPins(table platform.Table, peers PinPeers) *Pins {
-	return &Pins{table: table, peers: peers, wake: make(chan struct{}, 1), cache: map[string]config.Target{}, unstored: map[string]wire.PinArgs{}}
+	return &Pins{table: table, peers: peers, wake: make(chan struct{}, 1), cache: map[string]config.Target{}, unstored: map[string]unstoredPin{}, deciding: map[string]*decision{}}
 }
 
 // Known returns a session's version as this node remembers it, or zero.
@@ -112,17 +119,32 @@
 	return p.Settle(ctx, id.Session, args)
 }
 
-// Settle decides a pin at this node.
+// Settle decides a pin at this node, one decision after the other.
 func (p *Pins) Settle(ctx context.Context, session string, args wire.PinArgs) config.Target {
+	d := p.begin(ctx, args.Pin)
+	if d == nil {
+		return args.Target
+	}
+	defer p.end(args.Pin, d)
 	if t, ok := p.differs(args); ok {
 		p.tell(session, args, t)
 		return t
 	}
-	t, err := p.storeSoon(ctx, args)
+	wait, cancel := context.WithTimeout(ctx, pinStoreWait)
+	defer cancel()
+	found, err := p.findSoon(wait, args)
+	if err == nil && found.other == (config.Target{}) {
+		t, ok := p.ahead(ctx, d, session, args, found.version)
+		if ok {
+			return t
+		}
+		args.Target = t
+		found.other, err = p.storeSoon(wait, args)
+	}
 	if err == nil {
-		p.remember(args.Pin, t)
-		p.tell(session, args, t)
-		return t
+		p.remember(args.Pin, found.other)
+		p.tell(session, args, found.other)
+		return found.other
 	}
 	args.Target = args.Fallback
 	if p.peers != nil {
@@ -133,48 +155,86 @@
 	return p.Hold(args)
 }
 
-// tell lets the next node in the session's order remember a version too.
-func (p *Pins) tell(session string, args wire.PinArgs, t config.Target) {
-	if p.peers == nil {
-		return
-	}
-	args.Target = t
-	p.peers.Tell(session, args)
-}
-
-// storeSoon stores a pin. While the table fails for the first time it is tried
-// again, since to decide without it may move a session; in an outage that
-// lasts, no request waits for it.
-func (p *Pins) storeSoon(ctx context.Context, args wire.PinArgs) (config.Target, error) {
-	ctx, cancel := context.WithTimeout(ctx, pinStoreWait)
-	defer cancel()
+// begin waits until no other decision on the row is under way, and enters one;
+// it returns nil if ctx ends first.
+func (p *Pins) begin(ctx context.Context, row string) *decision {
 	for {
-		t, err := p.store(ctx, args)
-		lasting := p.failing(err)
-		if err == nil || lasting {
-			return t, err
+		p.mu.Lock()
+		other := p.deciding[row]
+		if other == nil {
+			d := &decision{ended: make(chan struct{})}
+			p.deciding[row] = d
+			p.mu.Unlock()
+			return d
 		}
+		p.mu.Unlock()
 		select {
+		case <-other.ended:
 		case <-ctx.Done():
-			return t, err
-		case <-time.After(pinRetry/2 + rand.N(pinRetry)):
+			return nil
 		}
 	}
 }
 
-// failing notes whether the table answered, and tells whether it has been
-// failing for long.
-func (p *Pins) failing(err error) bool {
+func (p *Pins) end(row string, d *decision) {
+	p.mu.Lock()
+	delete(p.deciding, row)
+	p.mu.Unlock()
+	close(d.ended)
+}
+
+// ahead decides a pin before it is stored: the node that would decide next
+// takes it too. It returns false where the table has to decide, on the version
+// returned. While it asks, others who ask this node to take another version
+// are told of the proposal, so that two homes that ask each other both turn to
+// the table.
+func (p *Pins) ahead(ctx context.Context, d *decision, session string, args wire.PinArgs, version uint64) (config.Target, bool) {
+	if p.peers == nil || !p.propose(d, args) {
+		return args.Target, false
+	}
+	asked := args
+	asked.Ahead = true
+	t, ok := p.peers.Ahead(ctx, session, asked)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	switch {
-	case err == nil:
-		p.failingSince = time.Time{}
-	case p.failingSince.IsZero():
-		p.failingSince = now
+	d.proposed = config.Target{}
+	if !ok {
+		return args.Target, false
+	}
+	if t != args.Target {
+		return t, false
+	}
+	return p.hold(unstoredPin{PinArgs: args, version: version, read: true, due: time.Now()}), true
+}
+
+// propose enters what the next node is asked to take, unless this node has
+// learned of a version meanwhile or remembers too many.
+func (p *Pins) propose(d *decision, args wire.PinArgs) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, known := p.cache[args.Pin]; known && t != args.Old || len(p.unstored) >= maxUnstoredPins {
+		return false
 	}
-	return err != nil && now.Sub(p.failingSince) > pinOutage
+	d.proposed = args.Target
+	return true
+}
+
+// tell lets the next node in the session's order remember a version that the
+// table has.
+func (p *Pins) tell(session string, args wire.PinArgs, t config.Target) {
+	if p.peers == nil || p.waits(args.Pin) {
+		return
+	}
+	args.Target = t
+	p.peers.Tell(session, args)
+}
+
+// waits tells whether a pin is not stored, as far as this node knows.
+func (p *Pins) waits(row string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, waits := p.unstored[row]
+	return waits
 }
 
 // differs returns the remembered version if it is not the one to replace.
@@ -190,54 +250,55 @@
 func (p *Pins) Hold(args wire.PinArgs) config.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t, known := p.cache[args.Pin]; known && t != args.Old {
+	if d := p.deciding[args.Pin]; d != nil && d.proposed != (config.Target{}) {
+		return d.proposed
+	}
+	due := time.Now()
+	if args.Ahead {
+		due = due.Add(pinCopyKeep)
+	}
+	return p.hold(unstoredPin{PinArgs: args, due: due})
+}
+
+// hold is Hold. The caller holds mu.
+func (p *Pins) hold(u unstoredPin) config.Target {
+	if t, known := p.cache[u.Pin]; known && t != u.Old {
 		return t
 	}
-	p.keep(args.Pin, args.Target)
-	if first, known := p.unstored[args.Pin]; known {
-		args.Old = first.Old
+	p.keep(u.Pin, u.Target)
+	if first, known := p.unstored[u.Pin]; known {
+		u.Old = first.Old
+		u.version = first.version
+		u.read = first.read
+		if first.due.Before(u.due) {
+			u.due = first.due
+		}
 	}
 	if len(p.unstored) < maxUnstoredPins {
-		p.unstored[args.Pin] = args
+		p.unstored[u.Pin] = u
 	}
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
-	return args.Target
+	return u.Target
 }
 
-// store writes a pin unless the table has another one, and returns the one
-// that it has.
-func (p *Pins) store(ctx context.Context, args wire.PinArgs) (config.Target, error) {
-	err := error(nil)
-	for range maxPinTries {
-		var stored pinRow
-		row, getErr := p.table.Get(ctx, args.Pin)
-		switch {
-		case errors.Is(getErr, platform.ErrNotFound):
-		case getErr != nil:
-			return config.Target{}, getErr
-		case json.Unmarshal(row.Value, &stored) != nil:
-			return config.Target{}, errors.Errorf("pin %s cannot be read: remove the row", args.Pin)
-		case stored.Target != args.Old:
-			return stored.Target, nil
-		}
-		value, encodeErr := json.Marshal(pinRow{Target: args.Target, From: args.Old, At: time.Now()})
-		if encodeErr != nil {
-			return config.Target{}, errors.Wrap(encodeErr, "encode pin")
-		}
-		_, err = p.table.Commit(ctx, platform.Op{Key: args.Pin, Value: value, Expect: row.Version})
-		if err == nil {
-			return args.Target, nil
-		}
+// Remember keeps a pin that another node has stored, unless this node has
+// moved the session on since.
+func (p *Pins) Remember(args wire.PinArgs) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, waits := p.unstored[args.Pin]
+	switch {
+	case waits && u.Target == args.Target:
+		delete(p.unstored, args.Pin) // the sender has stored it
+	case waits && u.Old == args.Target:
+		return
 	}
-	return config.Target{}, err
+	p.keep(args.Pin, args.Target)
 }
 
-// Remember keeps a pin that another node has stored.
-func (p *Pins) Remember(args wire.PinArgs) { p.remember(args.Pin, args.Target) }
-
 // Learn keeps what a leaving node remembers, unless this node knows better.
 func (p *Pins) Learn(args wire.PinArgs) {
 	p.mu.Lock()
@@ -275,8 +336,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]wire.PinArgs, 0, len(p.unstored))
-	for _, args := range p.unstored {
-		out = append(out, args)
+	for _, u := range p.unstored {
+		out = append(out, u.PinArgs)
 	}
 	return out
 }
@@ -304,48 +365,3 @@
 	}
 	return session
 }
-
-// Run stores the pins that the table lacks until ctx ends.
-func (p *Pins) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.wake:
-		}
-		for p.storeAll(ctx) > 0 && ctx.Err() == nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(pinBackoff/2 + rand.N(pinBackoff)):
-			}
-		}
-	}
-}
-
-// storeAll stores what it can, up to the first failure, and returns how many
-// pins are left.
-func (p *Pins) storeAll(ctx context.Context) int {
-	list := p.Unstored()
-	for i, args := range list {
-		t, err := p.store(ctx, args)
-		if err != nil {
-			return len(list) - i
-		}
-		p.stored(args, t)
-	}
-	return 0
-}
-
-// stored takes what the table has of a pin that waited; the table's version
-// wins. A pin that was moved meanwhile waits on.
-func (p *Pins) stored(args wire.PinArgs, t config.Target) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now := p.unstored[args.Pin]; now.Target != args.Target {
-		now.Old = t
-		p.unstored[args.Pin] = now
-		return
-	}
-	delete(p.unstored, args.Pin)
-	p.cache[args.Pin] = t
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,10 +114,10 @@
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
 		NewToken: dispatch.NewID, AskSender: n.askSender,
 	})
-	n.bills = ledger.NewBills(o.Platform, copies{n})
+	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
+	n.bills = ledger.NewBills(o.Platform, copies{n}, n.pins)
 	n.suspects = dispatch.NewSuspects()
 	n.owner.Watch(n.suspects)
-	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
 	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
@@ -173,7 +173,6 @@
 	n.loops.Go(func() { every(ctx, ordersInterval, orders.Round) })
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
-	n.loops.Go(func() { n.pins.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 }
 
--- a/internal/node/pins.go
+++ b/internal/node/pins.go
@@ -19,6 +19,9 @@
 	copyPinTimeout = 200 * time.Millisecond
 	// pinTries is how many nodes are asked in turn.
 	pinTries = 3
+	// pinYoung is how long a process counts as just started; pins that were
+	// decided before are stored by then.
+	pinYoung = 30 * time.Second
 )
 
 // Pin implements wire.Handler.
@@ -28,7 +31,7 @@
 		reply.Target = args.Target
 		return nil
 	}
-	if args.Copy {
+	if args.Copy || args.Ahead {
 		reply.Target = h.n.pins.Hold(args)
 		return nil
 	}
@@ -76,6 +79,29 @@
 	return config.Target{}, false
 }
 
+// Ahead implements ledger.PinPeers. A process that has just started may be the
+// home of a session that several nodes behind it have decided, of which the
+// next has just started too: it asks more of them.
+func (p pinPeers) Ahead(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
+	ids := p.homes(session)
+	view := p.n.members.Snapshot()
+	if len(ids) < 2 || ids[0] != p.n.options.Settings.ID || view.Live() < view.Sharers() {
+		return config.Target{}, false
+	}
+	tries := 1
+	if time.Since(time.Unix(0, int64(p.n.incarnation))) < pinYoung {
+		tries = pinTries
+	}
+	args.From = p.n.process()
+	for _, id := range ids[1:min(len(ids), 1+tries)] {
+		t, ok := p.ask(ctx, id, session, args, copyPinTimeout)
+		if !ok || t != args.Target {
+			return t, ok
+		}
+	}
+	return args.Target, true
+}
+
 // Copy implements ledger.PinPeers: the first other node that answers takes it.
 func (p pinPeers) Copy(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
 	args.Copy = true
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -278,6 +278,11 @@
 	// Copy tells that the table does not answer: the pin is to be remembered
 	// and stored later.
 	Copy bool
+	// Ahead tells that the sender, the session's home, stores the pin soon:
+	// it is to be remembered, and stored if the home does not.
+	Ahead bool
+	// From is the sender of a pin with Ahead.
+	From Process
 	// Stored tells that the table has the pin: it is to be remembered only.
 	Stored bool
 }
