--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // pauseTime is how long a place takes to come free by a pause.
 const pauseTime = 50 * time.Millisecond
@@ -159,11 +162,13 @@
 	g.order = NewQueue(floors(ranks))
 	g.speed.resize(len(ranks))
 	g.pressure = make([]pressure, len(ranks))
-	for _, w := range waiting {
+	for _, w := range slices.SortedFunc(slices.Values(waiting), compareArrival) {
 		g.order.Push(w)
 	}
 }
 
+func compareArrival(a, b *Work) int { return a.Arrived.Compare(b.Arrived) }
+
 // Verdict is a gate's answer to new work.
 type Verdict struct {
 	// Queued tells that the work waits for its place.
@@ -193,8 +198,8 @@
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
-	last, begun := g.order.Excess(w)
-	if last == nil && begun && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
+	last := g.order.Excess(w, g.settleStart(now, g.rank(w.order())))
+	if last == nil && g.order.Modest(now, w, g.options.Modest) && g.drainTime(g.rank(w.order()), g.order.Ahead(w)) <= allowed {
 		g.order.Push(w)
 		return Verdict{Queued: true}
 	}
@@ -225,7 +230,7 @@
 	if p <= 0 {
 		return left
 	}
-	short := min(left, max((p-g.speed.firstToken())/2, p/4))
+	short := min(left, g.settleTime(rank))
 	if !g.pressure[rank].observe(now, wait > short) {
 		return left
 	}
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -113,31 +113,50 @@
 		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
 		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
 	}
-	last := s.waits+1 >= waitTries
-	v := o.gate.Offer(f.ev.now, work, last)
-	if e := v.Evicted; e != nil {
-		evicted := o.waiting[e.ID]
-		delete(o.waiting, e.ID)
-		f.ev.after(f.delay(f.nodes[evicted.req.home].dc, o.dc), func() {
-			f.nodes[evicted.req.home].told.Note(f.ev.now, fingerprint(evicted.req), o.id, v.EvictedRetryAfter)
-			f.refused(evicted, v.EvictedRetryAfter)
-		})
+	v := o.gate.Offer(f.ev.now, work, s.waits+1 >= waitTries)
+	t.search = s
+	if v.Evicted != nil {
+		o.evict(v.Evicted, v.EvictedRetryAfter)
 	}
+	o.settle()
 	switch {
 	case v.Queued:
 		o.waiting[t.id] = t
 		o.pump()
-	case last:
-		f.ev.after(back, func() {
-			f.nodes[r.home].told.Note(f.ev.now, fingerprint(r), o.id, v.RetryAfter)
-			f.refused(t, v.RetryAfter)
-		})
 	default:
-		s.waits++
-		f.ev.after(back, func() { f.ask(r, s) })
+		f.tooLong(t, v.RetryAfter)
+	}
+}
+
+// tooLong tells the entry node that an owner's queue is too long. It asks one
+// more owner, then refuses.
+func (f *fleet) tooLong(t *simTry, retryAfter time.Duration) {
+	r, s := t.req, t.search
+	s.waits++
+	f.ev.after(f.delay(f.nodes[r.home].dc, t.owner.dc), func() {
+		if s.waits < waitTries {
+			f.ask(r, s)
+			return
+		}
+		f.nodes[r.home].told.Note(f.ev.now, fingerprint(r), t.owner.id, retryAfter)
+		f.refused(t, retryAfter)
+	})
+}
+
+// settle refuses waiting work whose turn does not come in time.
+func (o *simOwner) settle() {
+	for w, retryAfter := o.gate.Settle(o.f.ev.now); w != nil; w, retryAfter = o.gate.Settle(o.f.ev.now) {
+		o.evict(w, retryAfter)
 	}
 }
 
+// evict refuses waiting work.
+func (o *simOwner) evict(w *admission.Work, retryAfter time.Duration) {
+	t := o.waiting[w.ID]
+	delete(o.waiting, w.ID)
+	o.f.tooLong(t, retryAfter)
+}
+
 // choose returns the index of a replica.
 func (f *fleet) choose(r *simRequest, tried []string) int {
 	if f.policy.roundRobin {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,6 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
 // ReplicaState is what a replica's owner publishes of it.
@@ -278,6 +277,11 @@
 	// Copy tells that the table does not answer: the pin is to be remembered
 	// and stored later.
 	Copy bool
+	// Ahead tells that the sender, the session's home, stores the pin soon:
+	// it is to be remembered, and stored if the home does not.
+	Ahead bool
+	// From is the sender of a pin with Ahead.
+	From Process
 	// Stored tells that the table has the pin: it is to be remembered only.
 	Stored bool
 }
@@ -312,22 +316,6 @@
 	Steps []Step
 }
 
-// VersionEvidence is what a process saw of one version since its start.
-type VersionEvidence struct {
-	Target   config.Target
-	Evidence rollout.Evidence
-}
-
-// EvidenceArgs tells a driver of roll-outs a node's totals.
-type EvidenceArgs struct {
-	Node        string
-	Incarnation uint64
-	Evidence    []VersionEvidence
-}
-
-// EvidenceReply is empty.
-type EvidenceReply struct{}
-
 // Handler is what a node answers to its peers.
 type Handler interface {
 	Exchange(args ExchangeArgs, reply *ExchangeReply) error
@@ -343,5 +331,6 @@
 	Pin(args PinArgs, reply *PinReply) error
 	Pins(args PinsArgs, reply *PinsReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
+	Gather(args EvidenceArgs, reply *EvidenceReply) error
 	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
