Tell new owners of replicas which places are held there

A new owner knew nothing of its predecessor's grants, so both granted up to the limit until the old streams ended; two owners by a split view did so for as long as the split lasted.

Nodes now tell a new owner of the places they hold as soon as their view shows it, and releases go to every owner that may count the place.

Tried and dropped: letting the most urgent rank go beyond the limit beside foreign streams (no clear effect on its first token).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -62,6 +62,8 @@
 	Work  *Work
 	Since time.Time
 	area  float64
+	// adopted tells that another gate granted the place.
+	adopted bool
 	// Pausing tells that its holder was asked to pause it.
 	Pausing bool
 }
@@ -91,6 +93,7 @@
 	// promoted counts the streams of promoted work.
 	promoted int
 	lower    int // streams below the most urgent rank
+	foreign  int // streams that hold no place here
 	pausing  int
 	// area is the batch added up over time until tallied, in stream-seconds.
 	area    float64
@@ -241,32 +244,27 @@
 		return nil
 	}
 	g.order.Take(now, w)
-	g.tally(now)
-	g.running[w.ID] = &Stream{Work: w, Since: now, area: g.area}
-	g.memory += w.Memory
-	g.places[place{w.Organisation, w.order()}]++
-	if w.Rank > 0 {
-		g.lower++
-	}
-	if w.promoted {
-		g.promoted++
-	}
+	g.occupy(now, &Stream{Work: w, Since: now})
 	return w
 }
 
-// allowed tells whether a rank may take one more slot.
+// allowed tells whether a rank may take one more slot. Streams that hold no
+// place here count, but one place is always there.
 func (g *Gate) allowed(rank int) bool {
+	if len(g.running) == 0 {
+		return true
+	}
 	limit := g.limit.Limit()
-	if len(g.running) >= limit {
+	if g.Batch() >= limit {
 		return false
 	}
-	return rank == 0 || g.lower < max(limit-g.options.Reserve, minLimit)
+	return rank == 0 || g.lower+g.foreign < max(limit-g.options.Reserve, minLimit)
 }
 
 // tally adds up the batch over time, in stream-seconds.
 func (g *Gate) tally(now time.Time) {
 	if !g.tallied.IsZero() {
-		g.area += float64(len(g.running)) * now.Sub(g.tallied).Seconds()
+		g.area += float64(g.Batch()) * now.Sub(g.tallied).Seconds()
 	}
 	g.tallied = now
 }
@@ -287,11 +285,7 @@
 	delete(g.running, id)
 	g.memory -= s.Work.Memory
 	g.vacate(s)
-	g.order.Correct(s.Work, u.Tokens)
-	if held := now.Sub(s.Since).Seconds(); u.Interval > 0 && held > 0 {
-		g.limit.Observe(u.Interval, (g.area-s.area)/held)
-	}
-	g.speed.observe(g.rank(s.Work.Rank), s, u, now)
+	g.learn(now, s, u)
 	return true
 }
 
--- /dev/null
+++ b/internal/dispatch/adopt.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+const (
+	// knownProbes is the number of probes that a backend server's report may
+	// lag: what held a place since then may still be in it.
+	knownProbes = 2
+	// settleTime is how long after an owner took a replica on the holders of
+	// its predecessor's places take to tell, at most.
+	settleTime = 10 * time.Second
+)
+
+// span is the least and the most places held between two probes.
+type span struct {
+	least, most int
+}
+
+// spans are those of the last probes, the newest first.
+type spans [knownProbes]span
+
+// note takes the number of places held now.
+func (s *spans) note(n int) {
+	s[0].least = min(s[0].least, n)
+	s[0].most = max(s[0].most, n)
+}
+
+// bounds returns the least and the most places held within the last probes.
+func (s *spans) bounds() span {
+	out := s[0]
+	for _, one := range s[1:] {
+		out.least = min(out.least, one.least)
+		out.most = max(out.most, one.most)
+	}
+	return out
+}
+
+// next begins another interval with the given number of places held.
+func (s *spans) next(n int) {
+	copy(s[1:], s[:])
+	s[0] = span{least: n, most: n}
+}
+
+// hold notes who holds a place. The caller holds mu.
+func (r *replica) hold(h holder) {
+	r.holders[h.args.Grant] = h
+	r.known.note(len(r.holders))
+}
+
+// count compares the backend server's report with the places held here: what
+// it has more of was granted by another owner. The report lags, so that only
+// what exceeds all counts of late is sure; but what a new owner found at first
+// is there until a report shows that it ended or its holder tells. The caller
+// holds mu.
+func (r *replica) count(now time.Time, report backend.LoadReport) {
+	held := r.known.bounds()
+	batch := report.Running + report.Waiting
+	switch {
+	case r.taken.IsZero():
+		r.taken = now
+		r.gate.SetForeign(now, batch-len(r.holders))
+	case now.Sub(r.taken) < settleTime:
+		r.gate.SetForeign(now, min(r.gate.Foreign(), batch-held.least))
+	default:
+		r.gate.SetForeign(now, batch-held.most)
+	}
+	r.known.next(len(r.holders))
+	r.pump(now)
+}
+
+// endUnknown notes the release of a place that was not granted here: it came
+// before its request, or before the news of it. The caller holds mu.
+func (r *replica) endUnknown(grant string, now time.Time) {
+	if _, known := r.early[grant]; known {
+		return
+	}
+	r.early[grant] = now
+	r.gate.SetForeign(now, r.gate.Foreign()-1)
+	r.pump(now)
+}
+
+// Adopt counts places that other owners granted, as their holder tells. It
+// returns the grants on replicas that this node does not own. A place that is
+// counted already, or was released, is left alone.
+func (o *Owner) Adopt(list []wire.HeldPlace) []string {
+	now := time.Now()
+	var notOwner []string
+	for _, p := range list {
+		o.mu.Lock()
+		r := o.replicas[p.Request.Replica]
+		weight := o.weights[p.Request.Organisation]
+		o.mu.Unlock()
+		if r == nil {
+			notOwner = append(notOwner, p.Request.Grant)
+			continue
+		}
+		r.adopt(p, weight, now)
+	}
+	return notOwner
+}
+
+func (r *replica) adopt(p wire.HeldPlace, weight float64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	grant := p.Request.Grant
+	_, held := r.holders[grant]
+	_, over := r.early[grant]
+	if held || over || r.waiting[grant] != nil {
+		return
+	}
+	since := now.Add(-max(p.Held, 0))
+	r.gate.Adopt(now, since, newWork(p.Request, weight, since))
+	r.hold(holder{args: p.Request, since: since, adopted: true})
+}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -44,7 +44,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, inspectWait)
 	defer cancel()
-	if !d.Alarms.Died(ctx, p.owner, p.replica.ID, p.replica.Address) {
+	if !d.Alarms.Died(ctx, d.owner(p), p.replica.ID, p.replica.Address) {
 		return false
 	}
 	e := d.Suspects.Crashed(a.req.Fingerprint, p.replica.ID, time.Now())
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -69,10 +69,16 @@
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // guarded by mu, by organisation
 	pauses  map[string]chan struct{}          // guarded by mu, by grant
-	recent  *routing.Recent                   // guarded by mu
-	cached  *routing.PrefixIndex              // guarded by mu
-	told    *admission.Told                   // guarded by mu
-	pace    *pace
+	places  map[string]*place                 // guarded by mu, by grant
+	// handed is the view that the owners of places were last compared with,
+	// handAgain when those that do not count them are told again; both are
+	// guarded by mu.
+	handed    *membership.Snapshot
+	handAgain time.Time
+	recent    *routing.Recent      // guarded by mu
+	cached    *routing.PrefixIndex // guarded by mu
+	told      *admission.Told      // guarded by mu
+	pace      *pace
 	// outliers has a lock of its own, taken alone.
 	outliers *outliers
 	worked   atomic.Pointer[versionRules]
@@ -85,7 +91,7 @@
 		o.Observer = noObserver{}
 	}
 	return &Dispatcher{
-		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{},
+		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}, places: map[string]*place{},
 		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
 	}
 }
@@ -116,10 +122,11 @@
 // place is a granted place on a replica.
 type place struct {
 	replica routing.Replica
-	grant   string
-	owner   string
+	request wire.AcquireArgs
 	paused  chan struct{}
 	since   time.Time
+	owners  []string // guarded by the dispatcher's mu; who may count it, the newest last
+	counted bool     // guarded by the dispatcher's mu; the newest owner counts it
 }
 
 const (
@@ -260,44 +267,39 @@
 
 // ask asks one owner for a place.
 func (d *Dispatcher) ask(ctx context.Context, req *Request, w wish, r routing.Replica, wait time.Duration) (*place, wire.AcquireReply, error) {
-	p := &place{replica: r, grant: NewID(), owner: r.Owner, paused: make(chan struct{}, 1)}
 	args := wire.AcquireArgs{
-		Grant: p.grant, Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
+		Grant: NewID(), Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
 		Fingerprint: req.Fingerprint, Book: w.book,
 	}
+	p := &place{replica: r, request: args, owners: []string{r.Owner}, paused: make(chan struct{}, 1)}
 	d.mu.Lock()
-	d.pauses[p.grant] = p.paused
+	d.pauses[args.Grant] = p.paused
 	d.mu.Unlock()
 	reply, err := d.acquireFrom(ctx, r.Owner, args, w.first && quick(&r, req.Rank))
 	if err == nil && reply.Granted {
-		p.since = time.Now()
+		d.take(p)
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
 		d.mu.Unlock()
 		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
 		return p, reply, nil
 	}
-	d.forget(p)
+	d.give(p)
 	if err != nil {
-		d.Places.Release(r.Owner, wire.ReleaseArgs{Grant: p.grant, Replica: r.ID})
+		d.Places.Release(r.Owner, wire.ReleaseArgs{Grant: args.Grant, Replica: r.ID})
 	}
 	return nil, reply, err
 }
 
-func (d *Dispatcher) forget(p *place) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.pauses, p.grant)
-}
-
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
-	d.forget(p)
 	d.outliers.note(time.Now(), p.since, p.replica.ID, args)
-	args.Grant = p.grant
+	args.Grant = p.request.Grant
 	args.Replica = p.replica.ID
-	d.Places.Release(p.owner, args)
+	for _, owner := range d.give(p) {
+		d.Places.Release(owner, args)
+	}
 }
 
 // Ended returns those of the grants that no request of this node holds.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -66,15 +66,20 @@
 	outlier  routing.Outlier      // guarded by mu; failures of streams, whatever probes say
 	started  string               // guarded by mu; the backend server's incarnation
 	leaving  bool                 // guarded by mu
+	asked    bool                 // guarded by mu; a probe was sent
 	failures int                  // guarded by mu
 	suspects *Suspects            // nil keeps no requests apart
 	process  string               // guarded by mu; the incarnation last seen
+	known    spans                // guarded by mu; the places held between probes
+	taken    time.Time            // guarded by mu; when the replica first reported to this owner
 }
 
 // holder is who was granted a place, and when.
 type holder struct {
 	args  wire.AcquireArgs
 	since time.Time
+	// adopted tells that another owner granted the place.
+	adopted bool
 }
 
 // waiter is a request for a place.
@@ -163,7 +168,7 @@
 		}
 		w := r.waiting[work.ID]
 		delete(r.waiting, work.ID)
-		r.holders[work.ID] = holder{args: w.args, since: now}
+		r.hold(holder{args: w.args, since: now})
 		w.answer <- wire.AcquireReply{Granted: true}
 	}
 }
@@ -224,12 +229,16 @@
 	}
 	usage := admission.Usage{Tokens: args.Tokens, First: args.FirstToken, Interval: args.TokenInterval, Whole: args.Whole}
 	if !r.gate.Release(now, args.Grant, usage) {
-		r.early[args.Grant] = now
+		r.endUnknown(args.Grant, now)
 		return
 	}
-	began := r.holders[args.Grant].since
+	h := r.holders[args.Grant]
 	delete(r.holders, args.Grant)
-	r.judge(args, now, began)
+	r.known.note(len(r.holders))
+	if h.adopted {
+		r.early[args.Grant] = now
+	}
+	r.judge(args, now, h.since)
 	r.pump(now)
 }
 
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -127,11 +127,32 @@
 // Probe asks every owned replica for its load, all at once, and keeps what it
 // answers.
 func (o *Owner) Probe(ctx context.Context, dialer backend.Dialer, isService func(pool string) bool) {
-	ctx, cancel := context.WithTimeout(ctx, backend.ProbeTimeout)
-	defer cancel()
 	o.mu.Lock()
 	list := slices.Collect(maps.Values(o.replicas))
 	o.mu.Unlock()
+	probeAll(ctx, list, dialer, isService)
+}
+
+// ProbeNew does the same for the replicas that were not yet asked. It tells
+// whether there were any.
+func (o *Owner) ProbeNew(ctx context.Context, dialer backend.Dialer, isService func(pool string) bool) bool {
+	var list []*replica
+	o.mu.Lock()
+	for _, r := range o.replicas {
+		r.mu.Lock()
+		if !r.asked {
+			list = append(list, r)
+		}
+		r.mu.Unlock()
+	}
+	o.mu.Unlock()
+	probeAll(ctx, list, dialer, isService)
+	return len(list) > 0
+}
+
+func probeAll(ctx context.Context, list []*replica, dialer backend.Dialer, isService func(pool string) bool) {
+	ctx, cancel := context.WithTimeout(ctx, backend.ProbeTimeout)
+	defer cancel()
 	var wg sync.WaitGroup
 	for _, r := range list {
 		wg.Go(func() { r.probe(ctx, dialer, isService(r.pool)) })
@@ -140,6 +161,9 @@
 }
 
 func (r *replica) probe(ctx context.Context, dialer backend.Dialer, service bool) {
+	r.mu.Lock()
+	r.asked = true
+	r.mu.Unlock()
 	var report backend.LoadReport
 	var err error
 	if service {
@@ -165,6 +189,7 @@
 	r.healthy = !report.Draining && !r.outlier.Ejected(time.Now())
 	r.targets = report.Targets
 	r.process = report.Incarnation
+	r.count(time.Now(), report)
 	if report.Draining {
 		r.refuseWaiting()
 	}
@@ -214,7 +239,7 @@
 	defer r.mu.Unlock()
 	s := wire.ReplicaState{
 		ID: r.id, Address: r.address, Pool: r.pool, DataCentre: r.dataCentre,
-		Targets: r.targets, Running: r.gate.Running(), Limit: r.gate.Limit(),
+		Targets: r.targets, Running: r.gate.Batch(), Limit: r.gate.Limit(),
 		Healthy: r.healthy, Leaving: r.leaving,
 	}
 	for rank := range ranks {
--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -15,6 +15,44 @@
 	grantsTimeout  = time.Second
 )
 
+// handover tells new owners of the places that this node holds.
+func (n *Node) handover(ctx context.Context) { n.dispatcher.Handover(ctx, n.tellOwner) }
+
+// followOwners takes on and gives up replicas as the view changes, and asks
+// the new ones for their load at once.
+func (n *Node) followOwners(ctx context.Context) {
+	if view := n.members.Snapshot(); view != n.owned {
+		n.owned = view
+		n.own()
+	}
+	if n.owner.ProbeNew(ctx, n.options.Dialer, n.isService) {
+		n.members.Publish(time.Now(), n.owner.Published())
+	}
+}
+
+// tellOwner tells an owner of places that this node holds on its replicas.
+func (n *Node) tellOwner(ctx context.Context, owner string, args wire.AdoptArgs) (wire.AdoptReply, error) {
+	if owner == n.options.Settings.ID {
+		return n.adopt(args), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, grantsTimeout)
+	defer cancel()
+	reply := wire.AdoptReply{}
+	err := n.call(ctx, owner, "Adopt", args, &reply)
+	return reply, err
+}
+
+// adopt counts places that other owners granted. Where the own view shows the
+// replicas as this node's, it takes them on first.
+func (n *Node) adopt(args wire.AdoptArgs) wire.AdoptReply {
+	notOwner := n.owner.Adopt(args.Places)
+	if len(notOwner) > 0 {
+		n.own()
+		notOwner = n.owner.Adopt(args.Places)
+	}
+	return wire.AdoptReply{NotOwner: notOwner}
+}
+
 // reclaim frees places whose release was lost on the way.
 func (n *Node) reclaim(ctx context.Context) {
 	for holder, held := range n.owner.Held(time.Now().Add(-grantsInterval)) {
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -104,13 +104,14 @@
 
 // probe asks the owned replicas for their load.
 func (n *Node) probe(ctx context.Context) {
-	n.owner.Probe(ctx, n.options.Dialer, func(pool string) bool {
-		return n.config.Current().Config.Services[pool] != nil
-	})
+	n.owner.Probe(ctx, n.options.Dialer, n.isService)
 	n.metrics.PendingBills.Set(float64(n.bills.Pending()))
 	n.members.Publish(time.Now(), n.owner.Published())
 }
 
+// isService tells whether a pool is a plain service.
+func (n *Node) isService(pool string) bool { return n.config.Current().Config.Services[pool] != nil }
+
 // alive tells whether a node runs in the given incarnation.
 func (n *Node) alive(id string, incarnation uint64) bool {
 	if id == n.options.Settings.ID {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,11 +78,12 @@
 	mu          sync.Mutex // guards seeds; taken alone
 	exchanger   *exchanger
 	platform    *platform.Limited
-	registered  time.Time         // used by the registration's loop alone
-	configRead  time.Time         // used by the configuration's loop alone
-	vmsRead     time.Time         // used by the VM list's loop alone
-	seeds       map[string]string // guarded by mu; inner addresses by node, from the table
-	life        context.Context   // ends when the process stops at once
+	registered  time.Time            // used by the registration's loop alone
+	configRead  time.Time            // used by the configuration's loop alone
+	vmsRead     time.Time            // used by the VM list's loop alone
+	owned       *membership.Snapshot // the view that owned replicas follow; used by its loop alone
+	seeds       map[string]string    // guarded by mu; inner addresses by node, from the table
+	life        context.Context      // ends when the process stops at once
 	stop        context.CancelFunc
 	loops       sync.WaitGroup
 }
@@ -162,6 +163,8 @@
 		{probeInterval, n.probe},
 		{loopTick, n.register},
 		{grantsInterval, n.reclaim},
+		{dispatch.HandoverInterval, n.handover},
+		{dispatch.HandoverInterval, n.followOwners},
 		{rating.Interval, n.versions.ratings.Tick},
 		{membership.HeartbeatInterval, n.gatherHolds},
 		{evidenceInterval, n.driveRollouts},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// Adopt implements wire.Handler.
+func (h *handler) Adopt(args wire.AdoptArgs, reply *wire.AdoptReply) error {
+	*reply = h.n.adopt(args)
+	return nil
+}
+
 // HoldBills implements wire.Handler.
 func (h *handler) HoldBills(args wire.HoldBillsArgs, reply *wire.HoldBillsReply) error {
 	reply.Holder = h.n.process()
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -201,6 +201,14 @@
 	return e.dead
 }
 
+// Streams returns how many streams the engine holds, running or waiting in
+// its own queue.
+func (e *Engine) Streams() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
 // Runs returns every attempt started so far.
 func (e *Engine) Runs() []EngineRun {
 	e.mu.Lock()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -198,6 +198,24 @@
 	Ended []string
 }
 
+// HeldPlace is a place that a node holds on a replica.
+type HeldPlace struct {
+	// Request is what the place was granted for.
+	Request AcquireArgs
+	// Held is how long ago it was granted.
+	Held time.Duration
+}
+
+// AdoptArgs tells the new owner of replicas which places a node holds there.
+type AdoptArgs struct {
+	Places []HeldPlace
+}
+
+// AdoptReply lists the grants on replicas that the node does not own.
+type AdoptReply struct {
+	NotOwner []string
+}
+
 // PreemptArgs tells the holder of a grant to pause its stream.
 type PreemptArgs struct {
 	Grant string
@@ -336,6 +354,7 @@
 	Release(args ReleaseArgs, reply *ReleaseReply) error
 	Preempt(args PreemptArgs, reply *PreemptReply) error
 	Grants(args GrantsArgs, reply *GrantsReply) error
+	Adopt(args AdoptArgs, reply *AdoptReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
 	Alarm(args AlarmArgs, reply *AlarmReply) error
