Take a start number above the predecessor's

A node's incarnation was its clock's time, and peers ignore lower ones: a VM replaced under the same name with a clock an hour behind was ignored for an hour, and owners took its places for those of a dead process.

At its start a node now takes a number above the one in its row, by a conditional write; a peer that knows a higher one names it, and the newcomer takes one above, unless that process lives and the newcomer was accepted already. A stopping node leaves the row of its successor alone.

--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -86,7 +86,7 @@
 
 // Adopt counts places that other owners granted, as their holder tells. It
 // returns the grants on replicas that this node does not own. A place that is
-// counted already, or was released, is left alone.
+// counted already, or was released, is not counted again.
 func (o *Owner) Adopt(list []wire.HeldPlace) []string {
 	now := time.Now()
 	var notOwner []string
@@ -108,9 +108,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	grant := p.Request.Grant
-	_, held := r.holders[grant]
-	_, over := r.early[grant]
-	if held || over || r.waiting[grant] != nil {
+	if h, held := r.holders[grant]; held {
+		h.args.Incarnation = p.Request.Incarnation
+		r.holders[grant] = h
+		return
+	}
+	if _, over := r.early[grant]; over || r.waiting[grant] != nil {
 		return
 	}
 	since := now.Add(-max(p.Held, 0))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,9 +37,10 @@
 	// Life ends when the process stops at once; calls that outlast their
 	// caller run within it.
 	Life context.Context
-	// Node, Incarnation and DataCentre are the own node's.
+	// Node, Incarnation and DataCentre are the own node's; the incarnation may
+	// rise.
 	Node        string
-	Incarnation uint64
+	Incarnation func() uint64
 	DataCentre  string
 	// Config holds the revision in force, View the nodes and replicas.
 	Config *config.Holder
@@ -268,7 +269,7 @@
 // ask asks one owner for a place.
 func (d *Dispatcher) ask(ctx context.Context, req *Request, w wish, r routing.Replica, wait time.Duration) (*place, wire.AcquireReply, error) {
 	args := wire.AcquireArgs{
-		Grant: NewID(), Node: d.Node, Incarnation: d.Incarnation, Replica: r.ID, Target: w.target,
+		Grant: NewID(), Node: d.Node, Incarnation: d.Incarnation(), Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
 		Fingerprint: req.Fingerprint, Book: w.book,
 	}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -45,6 +45,7 @@
 // moved returns the places to tell of, by owner. From now on their release
 // goes to that owner too, as it may overtake the news.
 func (d *Dispatcher) moved(now time.Time, view *membership.Snapshot) map[string][]wire.HeldPlace {
+	incarnation := d.Incarnation()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if view == d.handed && now.Before(d.handAgain) {
@@ -58,6 +59,10 @@
 			continue
 		}
 		p.ownedBy(r.Owner)
+		if p.request.Incarnation != incarnation {
+			p.request.Incarnation = incarnation
+			p.counted = false
+		}
 		if !p.counted {
 			out[r.Owner] = append(out[r.Owner], wire.HeldPlace{Request: p.request, Held: now.Sub(p.since)})
 		}
--- a/internal/membership/compose.go
+++ b/internal/membership/compose.go
@@ -22,7 +22,7 @@
 	}
 	news.Have = t.have[to]
 	news.Next = t.index
-	c := composer{t: t, to: to, hash: nodeHash(to, news.Have.Incarnation), base: news.Base, revision: revision}
+	c := composer{t: t, to: to, incarnation: news.Have.Incarnation, hash: nodeHash(to, news.Have.Incarnation), base: news.Base, revision: revision}
 	if n := t.nodes[to]; n != nil {
 		c.peer = n.state
 	}
@@ -48,13 +48,15 @@
 // composer gathers the changes for one peer. Its methods are called with the
 // table's mu held.
 type composer struct {
-	t        *Table
-	to       string
-	hash     uint64
-	peer     wire.NodeState
-	base     uint64
-	revision uint64
-	changes  []change
+	t    *Table
+	to   string
+	hash uint64
+	// incarnation is the one in which the peer speaks, 0 if it has not.
+	incarnation uint64
+	peer        wire.NodeState
+	base        uint64
+	revision    uint64
+	changes     []change
 }
 
 // fresh tells whether the peer lacks a change; it does not lack what it told
@@ -68,6 +70,8 @@
 func (c *composer) nodes() {
 	for _, n := range c.t.nodes {
 		switch {
+		case n.state.ID == c.to && c.incarnation != 0 && n.state.Incarnation > c.incarnation:
+			c.add(n.index, func(news *wire.News) { news.Nodes = append(news.Nodes, n.news()) })
 		case n.state.ID == c.to && !n.doubt && !n.down:
 		case c.fresh(n.index, n.from):
 			c.add(n.index, func(news *wire.News) { news.Nodes = append(news.Nodes, n.news()) })
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -67,6 +67,7 @@
 	}
 	t.told[news.From] = news.Have
 	t.advance(news)
+	t.accepted = t.accepted || (news.Have.Incarnation == t.incarnation && !t.outranked(news))
 	from := nodeHash(news.From, news.Incarnation)
 	for _, n := range news.Nodes {
 		t.takeNode(now, n, from)
@@ -115,6 +116,7 @@
 // caller holds mu.
 func (t *Table) takeNode(now time.Time, news wire.NodeNews, from uint64) {
 	if news.State.ID == t.id {
+		t.supersede(now, news)
 		t.refute(now, news)
 		return
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -69,11 +69,14 @@
 
 // Table merges what nodes tell of themselves. It is safe for concurrent use.
 type Table struct {
-	id          string
-	incarnation uint64
-	alarm       func()
+	id    string
+	alarm func()
 
-	mu        sync.Mutex
+	mu          sync.Mutex
+	incarnation uint64 // guarded by mu
+	// accepted tells that a peer has taken news of this incarnation and knows
+	// no higher one; guarded by mu.
+	accepted  bool
 	index     uint64                   // guarded by mu
 	nodes     map[string]*nodeItem     // guarded by mu; the own node's included
 	hashes    map[uint64]*nodeItem     // guarded by mu
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -64,7 +64,7 @@
 
 // process names the own process.
 func (n *Node) process() wire.Process {
-	return wire.Process{Node: n.options.Settings.ID, Incarnation: n.incarnation}
+	return wire.Process{Node: n.options.Settings.ID, Incarnation: n.members.Incarnation()}
 }
 
 // copyHolders returns the nodes that may keep copies, the preferred first:
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -115,7 +115,7 @@
 // alive tells whether a node runs in the given incarnation.
 func (n *Node) alive(id string, incarnation uint64) bool {
 	if id == n.options.Settings.ID {
-		return incarnation == n.incarnation
+		return incarnation == n.members.Incarnation()
 	}
 	other, ok := n.members.Snapshot().Node(id)
 	return ok && other.Live && other.State.Incarnation == incarnation
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,46 +46,48 @@
 	Dialer    backend.Dialer
 	Dial      wire.Dial
 	Log       *zap.Logger
+	// Started is when the process started, by its own clock; zero stands for
+	// now.
+	Started time.Time
 }
 
 // Node is one entry VM's process. Lock order: none of its parts calls
 // another while it holds a lock of its own.
 type Node struct {
-	options     Options
-	incarnation uint64
-	config      *config.Holder
-	store       *config.Store
-	members     *membership.Table
-	peers       *wire.Peers
-	owner       *dispatch.Owner
-	dispatcher  *dispatch.Dispatcher
-	claims      *ledger.Claims
-	bills       *ledger.Bills
-	pins        *ledger.Pins
-	suspects    *dispatch.Suspects
-	record      *record.Log
-	versions    *versions
-	drivers     drivers
-	metrics     *telemetry.Metrics
-	tracer      *telemetry.Tracer
-	health      *meter.HealthLog
-	leaving     atomic.Bool   // says so to callers, serves on
-	refusing    atomic.Bool   // takes no new requests
-	hurry       chan struct{} // closed to leave sooner
-	hurryOnce   sync.Once
-	servers     []*http.Server
-	inner       *wire.Server
-	mu          sync.Mutex // guards seeds; taken alone
-	exchanger   *exchanger
-	platform    *platform.Limited
-	registered  time.Time            // used by the registration's loop alone
-	configRead  time.Time            // used by the configuration's loop alone
-	vmsRead     time.Time            // used by the VM list's loop alone
-	owned       *membership.Snapshot // the view that owned replicas follow; used by its loop alone
-	seeds       map[string]string    // guarded by mu; inner addresses by node, from the table
-	life        context.Context      // ends when the process stops at once
-	stop        context.CancelFunc
-	loops       sync.WaitGroup
+	options    Options
+	config     *config.Holder
+	store      *config.Store
+	members    *membership.Table
+	peers      *wire.Peers
+	owner      *dispatch.Owner
+	dispatcher *dispatch.Dispatcher
+	claims     *ledger.Claims
+	bills      *ledger.Bills
+	pins       *ledger.Pins
+	suspects   *dispatch.Suspects
+	record     *record.Log
+	versions   *versions
+	drivers    drivers
+	metrics    *telemetry.Metrics
+	tracer     *telemetry.Tracer
+	health     *meter.HealthLog
+	leaving    atomic.Bool   // says so to callers, serves on
+	refusing   atomic.Bool   // takes no new requests
+	hurry      chan struct{} // closed to leave sooner
+	hurryOnce  sync.Once
+	servers    []*http.Server
+	inner      *wire.Server
+	mu         sync.Mutex // guards seeds; taken alone
+	exchanger  *exchanger
+	platform   *platform.Limited
+	registered time.Time            // used by the registration's loop alone
+	configRead time.Time            // used by the configuration's loop alone
+	vmsRead    time.Time            // used by the VM list's loop alone
+	owned      *membership.Snapshot // the view that owned replicas follow; used by its loop alone
+	seeds      map[string]string    // guarded by mu; inner addresses by node, from the table
+	life       context.Context      // ends when the process stops at once
+	stop       context.CancelFunc
+	loops      sync.WaitGroup
 }
 
 // New provisions a node; Start sets it to work.
@@ -100,19 +102,23 @@
 	o.Platform = limited
 	o = metered(o, metrics, tracer, health)
 	n := &Node{
-		options: o, platform: limited, incarnation: uint64(time.Now().UnixNano()), config: config.NewHolder(),
+		options: o, platform: limited, config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
 		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, health: health, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
 	}
+	started := o.Started
+	if started.IsZero() {
+		started = time.Now()
+	}
 	n.members = membership.NewTable(wire.NodeState{
-		ID: o.Settings.ID, Incarnation: n.incarnation, Address: o.Listeners.Callers.Addr().String(),
+		ID: o.Settings.ID, Incarnation: uint64(started.UnixNano()), Address: o.Listeners.Callers.Addr().String(),
 		Inner: o.Listeners.Inner.Addr().String(), DataCentre: o.Settings.DataCentre, Region: o.Settings.Region,
 	})
 	n.life, n.stop = context.WithCancel(context.Background())
 	n.members.OnAlarm(n.kickPeers)
 	n.owner = dispatch.NewOwner(n.pause)
 	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
-		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.incarnation,
+		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.members.Incarnation(),
 		NewToken: dispatch.NewID, AskSender: n.askSender,
 	})
 	n.bills = ledger.NewBills(o.Platform, copies{n})
@@ -122,7 +128,7 @@
 	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
 	n.dispatcher = dispatch.New(dispatch.Options{
-		Life: n.life, Node: o.Settings.ID, Incarnation: n.incarnation, DataCentre: o.Settings.DataCentre,
+		Life: n.life, Node: o.Settings.ID, Incarnation: n.members.Incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: meter.Places{Next: places{n}, Metrics: metrics, Tracer: tracer}, Dialer: o.Dialer,
 		Claims: n.claims, Bills: n.bills, Pins: n.pins, Record: n.record, Suspects: n.suspects, Alarms: alarms{n},
 		Observer: n.versions, Cascade: n.versions.cascade, Held: n.versions.held,
@@ -152,6 +158,7 @@
 	})
 	n.serve(n.options.Listeners.Callers, callers)
 	n.serve(n.options.Listeners.Operators, n.operators())
+	n.succeed(ctx)
 	n.register(ctx)
 	n.refresh(ctx)
 	for _, l := range []struct {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -15,7 +15,7 @@
 // newOrders returns the orders to model engines of this node.
 func (n *Node) newOrders() *fleet.Orders {
 	return fleet.NewOrders(fleet.Options{
-		Node: n.options.Settings.ID, Incarnation: n.incarnation,
+		Node: n.options.Settings.ID, Incarnation: n.members.Incarnation(),
 		Table: n.platform, Weights: n.platform, Dialer: n.options.Dialer,
 		Config:    n.config.Current,
 		Replicas:  func() []routing.Replica { return n.members.Snapshot().Replicas },
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 )
 
@@ -23,10 +25,52 @@
 	registerLonely = 10 * time.Second
 	// nodeRowLifetime is how long a row without renewal stands.
 	nodeRowLifetime = 4 * registerInterval
+	// succeedTries bounds how often the own row is entered at the start.
+	succeedTries = 3
 	// maxRowsDeleted bounds the expired rows that one pass removes.
 	maxRowsDeleted = 20
 )
 
+// succeed takes a higher start number than the one in the own row, which a
+// predecessor with a clock ahead may have left, and enters it there. Where the
+// table does not answer, peers name the number.
+func (n *Node) succeed(ctx context.Context) {
+	for range succeedTries {
+		stored, version, err := n.ownRow(ctx)
+		if err != nil {
+			return
+		}
+		n.members.Raise(time.Now(), stored.Incarnation)
+		if !errors.Is(n.writeRow(ctx, version), platform.ErrConflict) {
+			return
+		}
+	}
+}
+
+// ownRow reads the own row; a missing one is empty.
+func (n *Node) ownRow(ctx context.Context) (nodeRow, uint64, error) {
+	var stored nodeRow
+	row, err := n.platform.Get(ctx, nodePrefix+n.options.Settings.ID)
+	if errors.Is(err, platform.ErrNotFound) {
+		return stored, 0, nil
+	}
+	if err != nil {
+		return stored, 0, err
+	}
+	return stored, row.Version, json.Unmarshal(row.Value, &stored)
+}
+
+// writeRow enters the own address and start number.
+func (n *Node) writeRow(ctx context.Context, expect uint64) error {
+	self := n.members.Self()
+	row, err := json.Marshal(nodeRow{Inner: self.Inner, Incarnation: self.Incarnation, At: time.Now()})
+	if err != nil {
+		return err
+	}
+	_, err = n.platform.Commit(ctx, platform.Op{Key: nodePrefix + self.ID, Value: row, Expect: expect})
+	return err
+}
+
 // register renews the own row and reads those of the others, when it is time.
 func (n *Node) register(ctx context.Context) {
 	interval := registerInterval
@@ -36,11 +80,7 @@
 	if !n.due(&n.registered, interval) {
 		return
 	}
-	row, err := json.Marshal(nodeRow{Inner: n.members.Self().Inner, Incarnation: n.incarnation, At: time.Now()})
-	if err != nil {
-		return
-	}
-	_, _ = n.platform.Commit(ctx, platform.Op{Key: nodePrefix + n.options.Settings.ID, Value: row, Expect: platform.AnyVersion})
+	_ = n.writeRow(ctx, platform.AnyVersion)
 	n.readNodes(ctx)
 }
 
@@ -76,7 +116,12 @@
 	n.seeds = seeds
 }
 
-// unregister removes the own row, so that nobody looks for the node.
+// unregister removes the own row, so that nobody looks for the node. The row
+// of a successor stays.
 func (n *Node) unregister(ctx context.Context) {
-	_, _ = n.platform.Commit(ctx, platform.Op{Key: nodePrefix + n.options.Settings.ID, Delete: true, Expect: platform.AnyVersion})
+	stored, version, err := n.ownRow(ctx)
+	if err != nil || stored.Incarnation != n.members.Incarnation() {
+		return
+	}
+	_, _ = n.platform.Commit(ctx, platform.Op{Key: nodePrefix + n.options.Settings.ID, Delete: true, Expect: version})
 }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -119,7 +119,7 @@
 	if len(evidence) == 0 {
 		return
 	}
-	args := wire.EvidenceArgs{Node: n.options.Settings.ID, Incarnation: n.incarnation, Evidence: evidence}
+	args := wire.EvidenceArgs{Node: n.options.Settings.ID, Incarnation: n.members.Incarnation(), Evidence: evidence}
 	if id == n.options.Settings.ID {
 		n.takeEvidence(args)
 		return
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -162,6 +162,7 @@
 	platform *view
 	address  string
 	dialer   backend.Dialer
+	started  time.Time // zero for now
 }
 
 // worldOptions shape a world; zero values give three nodes, three engines and
@@ -282,7 +283,7 @@
 	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers", dialer: w.dialer}
 	edit(m)
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
-	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop(), Started: m.started})
 	if err != nil {
 		w.faults.addf("new node %s: %v", id, err)
 		return nil
