--- a/internal/node/pins.go
+++ b/internal/node/pins.go
@@ -89,7 +89,7 @@
 		return config.Target{}, false
 	}
 	tries := 1
-	if time.Since(time.Unix(0, int64(p.n.incarnation))) < pinYoung {
+	if time.Since(p.n.started) < pinYoung {
 		tries = pinTries
 	}
 	args.From = p.n.process()
