Fit claims, bills and pins into the store's rate

The sum of the store's writes was 408 a second against 270.

Ruled out: all of the rate for claims (36 with 10 saved), which leaves nothing to bills under a flood of claims; 20 saved (1), as 6,800 writes could come at once.

A batch that was throttled is not read back, as nothing was sent.

--- a/internal/ledger/bill.go
+++ b/internal/ledger/bill.go
@@ -19,7 +19,7 @@
 	billBatch = 100
 	// flushInterval is the least time between transactions, unless a batch is
 	// full; copyInterval is about how often copies are looked after.
-	flushInterval = 5 * time.Second
+	flushInterval = 10 * time.Second
 	copyInterval  = 2 * time.Second
 	// copyWait bounds how long an answer waits for its bill's copy.
 	copyWait = 100 * time.Millisecond
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -267,6 +267,7 @@
 	}
 	p.keep(u.Pin, u.Target)
 	if first, known := p.unstored[u.Pin]; known {
+		u.passed = u.Old
 		u.Old = first.Old
 		u.version = first.version
 		u.read = first.read
@@ -284,18 +285,16 @@
 	return u.Target
 }
 
-// Remember keeps a pin that another node has stored, unless this node has
-// moved the session on since.
+// Remember keeps a pin that another node has stored, unless this node is to
+// store another version.
 func (p *Pins) Remember(args wire.PinArgs) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u, waits := p.unstored[args.Pin]
-	switch {
-	case waits && u.Target == args.Target:
-		delete(p.unstored, args.Pin) // the sender has stored it
-	case waits && u.Old == args.Target:
-		return
+	if waits && u.Target != args.Target {
+		return // the table tells which one holds when this node stores its own
 	}
+	delete(p.unstored, args.Pin)
 	p.keep(args.Pin, args.Target)
 }
 
--- a/internal/ledger/pin_store.go
+++ b/internal/ledger/pin_store.go
@@ -30,6 +30,9 @@
 // unstoredPin is a pin that the table lacks, as far as this node knows.
 type unstoredPin struct {
 	wire.PinArgs
+	// passed is the version that the session had before, and that the table
+	// may have, if it was moved on before it was stored; else zero.
+	passed config.Target
 	// version is the row's, 0 for none, if read is set.
 	version uint64
 	read    bool
@@ -37,10 +40,11 @@
 	due time.Time
 }
 
-// foundPin is what the table has of a pin: a version other than the one to
-// replace, or the row's version, 0 for none.
+// foundPin is what the table has of a pin.
 type foundPin struct {
-	other   config.Target
+	// other is zero if there is no row, or it has the version to replace.
+	other config.Target
+	// version is the row's, 0 for none.
 	version uint64
 }
 
@@ -107,10 +111,11 @@
 	if json.Unmarshal(row.Value, &stored) != nil {
 		return foundPin{}, errors.Errorf("pin %s cannot be read: remove the row", args.Pin)
 	}
+	found := foundPin{version: row.Version}
 	if stored.Target != args.Old {
-		return foundPin{other: stored.Target}, nil
+		found.other = stored.Target
 	}
-	return foundPin{version: row.Version}, nil
+	return found, nil
 }
 
 // store writes a pin unless the table has another one, and returns the one
@@ -157,10 +162,13 @@
 	for _, u := range p.due(time.Now()) {
 		if !u.read {
 			found, err := p.find(ctx, u.PinArgs)
+			if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrThrottled) {
+				return out
+			}
 			if err != nil {
 				continue
 			}
-			if found.other != (config.Target{}) {
+			if found.other != (config.Target{}) && found.other != u.passed {
 				p.stored(u, unstoredPin{PinArgs: wire.PinArgs{Target: found.other}})
 				continue
 			}
@@ -204,9 +212,12 @@
 	return out
 }
 
-// wrote takes how the write of a batch ended. If it failed, the rows are read
-// before the next try: it may have taken effect.
+// wrote takes how the write of a batch ended. If it was sent and failed, the
+// rows are read before the next try: it may have taken effect.
 func (p *Pins) wrote(batch []unstoredPin, versions []uint64, err error) {
+	if errors.Is(err, platform.ErrThrottled) {
+		return
+	}
 	for i, u := range batch {
 		if err != nil {
 			p.unknown(u)
--- /dev/null
+++ b/internal/ledger/writes_test.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/standin"
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// A tenth of the fleet at the design size works for some minutes, with a
+// tenth of the store's rate.
+const (
+	writeNodes    = 34
+	writeRequests = 190 // a second
+	writeOnce     = 20  // one call in so many runs once
+	writeTime     = 3 * time.Minute
+	writeWarm     = time.Minute
+	storeDelay    = 10 * time.Millisecond
+	peerDelay     = 40 * time.Millisecond
+	writeSeed     = 20261204
+	writeOthers   = 2  // writes a second of the whole fleet for its rows and leases
+	writeRefused  = 20 // at most one in so many calls that run once may be refused
+)
+
+// writeLoad is what a tenth of the fleet did to the store.
+type writeLoad struct {
+	reads, writes float64 // a second
+	calls         int     // that run once
+	refused       int
+	waits         []time.Duration
+}
+
+// farNode adds the way to another node.
+type farNode struct{ nextNode }
+
+func (f *farNode) Ahead(ctx context.Context, session string, args wire.PinArgs) (config.Target, bool) {
+	time.Sleep(peerDelay)
+	return f.nextNode.Ahead(ctx, session, args)
+}
+
+// load works with one new session in so many requests, none if 0; without
+// ahead each pin is stored before the answer.
+func load(newSession int, ahead bool) *writeLoad {
+	out := &writeLoad{}
+	services := standin.NewPlatform(standin.PlatformOptions{})
+	services.Faults.Set(standin.FaultState{Delay: storeDelay})
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops, calls sync.WaitGroup
+	homes, bills, stores := make([]*Pins, writeNodes), make([]*Bills, writeNodes), make([]*platform.Limited, writeNodes)
+	links := make([]*farNode, writeNodes)
+	for i := range homes {
+		links[i] = &farNode{}
+		stores[i] = platform.NewLimited(services, platform.DefaultFleetLimits)
+		stores[i].SetNodes(10 * writeNodes)
+		homes[i] = NewPins(stores[i], links[i])
+		bills[i] = NewBills(stores[i], nil, homes[i])
+		loops.Go(func() { bills[i].Run(ctx) })
+	}
+	for i := range links {
+		if ahead {
+			links[i].next = homes[(i+1)%writeNodes]
+		}
+	}
+	var mu sync.Mutex
+	reads, writes := 0, 0
+	draw := rand.New(rand.NewPCG(writeSeed, 0))
+	for n := range writeRequests * int(writeTime.Seconds()) {
+		at := draw.IntN(writeNodes)
+		warm := n > writeRequests*int(writeWarm.Seconds())
+		if !warm {
+			reads, writes = services.Counts()
+		}
+		calls.Go(func() {
+			if newSession > 0 && n%newSession == 0 {
+				began := time.Now()
+				homes[at].Decide(ctx, pinOf(n), config.Target{}, v1, v1)
+				mu.Lock()
+				out.waits = append(out.waits, time.Since(began))
+				mu.Unlock()
+			}
+			if n%writeOnce != 1 {
+				bills[at].Add(ctx, wire.Bill{Request: fmt.Sprint(n)})
+				return
+			}
+			versions, err := stores[at].Commit(ctx, platform.Op{Key: fmt.Sprint("claim/", n)})
+			if err == nil {
+				_, err = stores[at].Commit(ctx, platform.Op{Key: fmt.Sprint("claim/", n), Expect: versions[0]})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out.calls++
+			if err != nil {
+				out.refused++
+			}
+		})
+		time.Sleep(time.Second / writeRequests)
+	}
+	r, w := services.Counts()
+	span := (writeTime - writeWarm).Seconds()
+	out.reads, out.writes = float64(r-reads)/span, float64(w-writes)/span
+	calls.Wait()
+	cancel()
+	loops.Wait()
+	slices.Sort(out.waits)
+	return out
+}
+
+// The writes of the fleet at the design size stay within its rate however
+// many requests begin a session, few calls that run once are refused for it,
+// and no new session waits for a write. The figures are logged for
+// docs/CAPACITY.md.
+func TestWritesBySessionRate(t *testing.T) {
+	for _, ahead := range []bool{true, false} {
+		for _, every := range []int{0, 30, 10, 5} {
+			var got *writeLoad
+			synctest.Test(t, func(*testing.T) { got = load(every, ahead) })
+			wait := time.Duration(0)
+			if n := len(got.waits); n > 0 {
+				wait = got.waits[n*95/100]
+			}
+			t.Logf("copies %v, one new session in %d requests: %.0f writes and %.0f reads a second of the whole fleet, 95 in 100 wait at most %s, %d of %d calls refused",
+				ahead, every, 10*got.writes, 10*got.reads, wait, got.refused, got.calls)
+			if !ahead {
+				continue
+			}
+			if bound := platform.DefaultFleetLimits.Writes - writeOthers; 10*got.writes > bound {
+				t.Errorf("%.0f writes a second, the bound is %.0f", 10*got.writes, bound)
+			}
+			if got.refused > got.calls/writeRefused {
+				t.Errorf("%d of %d calls were refused", got.refused, got.calls)
+			}
+			if wait > storeDelay+peerDelay {
+				t.Errorf("new sessions wait %s, more than one read and one call of a node", wait)
+			}
+		}
+	}
+}
--- a/internal/node/pins.go
+++ b/internal/node/pins.go
@@ -21,7 +21,7 @@
 	pinTries = 3
 	// pinYoung is how long a process counts as just started; pins that were
 	// decided before are stored by then.
-	pinYoung = 30 * time.Second
+	pinYoung = time.Minute
 )
 
 // Pin implements wire.Handler.
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -55,9 +55,10 @@
 
 const (
 	// burstTime is how much of its rate a node may save up, minBurst the
-	// least number of calls.
-	burstTime = 4 * time.Second
-	minBurst  = 5
+	// least number of calls, firstBurst the least that it starts with.
+	burstTime  = 4 * time.Second
+	minBurst   = 15
+	firstBurst = 5
 	// minShare is the least rate of a node, in calls a second.
 	minShare = 0.05
 	// backoffFirst and backoffMost bound the pause after failed calls.
@@ -73,7 +74,7 @@
 
 // shares are the most of a node's rate that each use may have for long, so
 // that none of the later ones starves.
-var shares = [useCount]float64{0.7, 0.3, 0.4, 0.4, 0.2}
+var shares = [useCount]float64{0.8, 0.3, 0.4, 0.4, 0.2}
 
 // rated is a node's rate of one kind of call, as a whole and by use.
 type rated struct {
@@ -129,7 +130,7 @@
 func newBucket(rate float64) *bucket {
 	b := &bucket{filled: time.Now()}
 	b.setRate(rate)
-	b.tokens = b.burst()
+	b.tokens = max(firstBurst, rate*burstTime.Seconds())
 	return b
 }
 
--- a/test/fleet/sessions_test.go
+++ b/test/fleet/sessions_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -181,3 +182,34 @@
 		}
 	})
 }
+
+// Each node dies, or leaves, just after new sessions have begun, before their
+// pins are stored, and the roll-out steps on: the sessions keep their version.
+func TestNewSessionsOutliveTheirHomes(t *testing.T) {
+	for _, leave := range []bool{false, true} {
+		virtual(t, func(f *faults) {
+			w := newWorld(f, worldOptions{})
+			defer w.close()
+			w.peers = true
+			w.sleep(time.Minute)
+			s := newSessions(w)
+			for i, id := range w.ids() {
+				s.open(20*i, 20*i+20)
+				if leave {
+					w.addNode(fmt.Sprintf("entry-%d", i+4), w.shape.DataCentres[i%3])
+					ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+					f.check(w.nodes[id].node.Leave(ctx) == nil, "%s did not leave gracefully", id)
+					cancel()
+					delete(w.nodes, id)
+				} else {
+					w.kill(id)
+					w.addNode(fmt.Sprintf("entry-%d", i+4), w.shape.DataCentres[i%3])
+				}
+				w.sleep(faultSettle)
+				w.stage(3 - i)
+				s.askAll()
+			}
+			f.check(len(s.moves) == 0, "sessions changed their version (leave %v): %v", leave, s.moves)
+		})
+	}
+}
