--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -43,8 +43,10 @@
 	Memory int
 	// Interval is the target time between tokens.
 	Interval time.Duration
-	// Reserve is the number of slots kept free for the most urgent rank.
-	Reserve int
+	// Reserve is the number of slots kept free for the most urgent rank,
+	// Headroom the part of the limit that is while such work comes.
+	Reserve  int
+	Headroom float64
 	// Modest is the part of its fair share below which an organisation's least
 	// urgent work is promoted; 0 promotes nothing.
 	Modest float64
@@ -65,6 +67,8 @@
 	Work  *Work
 	Since time.Time
 	area  float64
+	// adopted tells that another gate granted the place.
+	adopted bool
 	// Pausing tells that its holder was asked to pause it.
 	Pausing bool
 }
@@ -94,7 +98,12 @@
 	// promoted counts the streams of promoted work.
 	promoted int
 	lower    int // streams below the most urgent rank
+	foreign  int // streams that hold no place here
 	pausing  int
+	// urgent is when work of the most urgent rank last came, roomy whether
+	// that was lately.
+	urgent time.Time
+	roomy  bool
 	// area is the batch added up over time until tallied, in stream-seconds.
 	area    float64
 	tallied time.Time
@@ -179,6 +188,7 @@
 // with the time after which it should be sent again. With book set, that time
 // is kept for it. Queued work gets the deadline by which it must have started.
 func (g *Gate) Offer(now time.Time, w *Work, book bool) Verdict {
+	g.noteUrgent(now, w)
 	w.asked = w.Tokens
 	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.asked)
 	g.order.Tell(now, w)
@@ -242,37 +252,33 @@
 
 // Grant takes the next work that may run now, or returns nil.
 func (g *Gate) Grant(now time.Time) *Work {
+	g.fadeHeadroom(now)
 	w := g.order.Next(now, g.allowed)
 	if w == nil || !g.fits(w) {
 		return nil
 	}
 	g.order.Take(now, w)
-	g.tally(now)
-	g.running[w.ID] = &Stream{Work: w, Since: now, area: g.area}
-	g.memory += w.Memory
-	g.places[place{w.Organisation, w.order()}]++
-	if w.Rank > 0 {
-		g.lower++
-	}
-	if w.promoted {
-		g.promoted++
-	}
+	g.occupy(now, &Stream{Work: w, Since: now})
 	return w
 }
 
-// allowed tells whether a rank may take one more slot.
+// allowed tells whether a rank may take one more slot. Streams that hold no
+// place here count, but one place is always there.
 func (g *Gate) allowed(rank int) bool {
+	if len(g.running) == 0 {
+		return true
+	}
 	limit := g.limit.Limit()
-	if len(g.running) >= limit {
+	if g.Batch() >= limit {
 		return false
 	}
-	return rank == 0 || g.lower < max(limit-g.options.Reserve, minLimit)
+	return rank == 0 || g.lower+g.foreign < max(limit-g.reserve(limit), minLimit)
 }
 
 // tally adds up the batch over time, in stream-seconds.
 func (g *Gate) tally(now time.Time) {
 	if !g.tallied.IsZero() {
-		g.area += float64(len(g.running)) * now.Sub(g.tallied).Seconds()
+		g.area += float64(g.Batch()) * now.Sub(g.tallied).Seconds()
 	}
 	g.tallied = now
 }
@@ -293,11 +299,7 @@
 	delete(g.running, id)
 	g.memory -= s.Work.Memory
 	g.vacate(s)
-	g.order.Correct(s.Work, u.Tokens)
-	if held := now.Sub(s.Since).Seconds(); u.Interval > 0 && held > 0 {
-		g.limit.Observe(u.Interval, (g.area-s.area)/held)
-	}
-	g.speed.observe(g.rank(s.Work.Rank), s, u, now)
+	g.learn(now, s, u)
 	return true
 }
 
@@ -331,7 +333,7 @@
 // PredictedWait estimates how long the work would wait for its place.
 func (g *Gate) PredictedWait(now time.Time, w *Work) time.Duration {
 	rank := g.rank(w.order())
-	if g.order.Len() == 0 && g.allowed(rank) && g.fits(w) {
+	if g.free(rank) && g.fits(w) {
 		return 0
 	}
 	if g.willPause(now, w) {
@@ -350,7 +352,7 @@
 // RankWait estimates how long all that waits in the rank takes to drain; it
 // makes replicas comparable.
 func (g *Gate) RankWait(rank int) time.Duration {
-	if g.order.Len() == 0 && g.allowed(rank) {
+	if g.free(rank) {
 		return 0
 	}
 	if g.willPauseLower(rank) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// Adopt implements wire.Handler.
+func (h *handler) Adopt(args wire.AdoptArgs, reply *wire.AdoptReply) error {
+	*reply = h.n.adopt(args)
+	return nil
+}
+
 // HoldBills implements wire.Handler.
 func (h *handler) HoldBills(args wire.HoldBillsArgs, reply *wire.HoldBillsReply) error {
 	reply.Holder = h.n.process()
@@ -100,10 +106,17 @@
 	return nil
 }
 
+// Gather implements wire.Handler.
+func (h *handler) Gather(args wire.EvidenceArgs, _ *wire.EvidenceReply) error {
+	if h.n.drivers.isStuck() {
+		return errStuck
+	}
+	return h.n.gather(args)
+}
+
 // Evidence implements wire.Handler.
 func (h *handler) Evidence(args wire.EvidenceArgs, _ *wire.EvidenceReply) error {
-	h.n.takeEvidence(args)
-	return nil
+	return h.n.takeEvidence(args)
 }
 
 // Explain implements wire.Handler.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,6 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
 // ReplicaState is what a replica's owner publishes of it.
@@ -202,6 +201,24 @@
 	Ended []string
 }
 
+// HeldPlace is a place that a node holds on a replica.
+type HeldPlace struct {
+	// Request is what the place was granted for.
+	Request AcquireArgs
+	// Held is how long ago it was granted.
+	Held time.Duration
+}
+
+// AdoptArgs tells the new owner of replicas which places a node holds there.
+type AdoptArgs struct {
+	Places []HeldPlace
+}
+
+// AdoptReply lists the grants on replicas that the node does not own.
+type AdoptReply struct {
+	NotOwner []string
+}
+
 // PreemptArgs tells the holder of a grant to pause its stream.
 type PreemptArgs struct {
 	Grant string
@@ -282,6 +299,11 @@
 	// Copy tells that the table does not answer: the pin is to be remembered
 	// and stored later.
 	Copy bool
+	// Ahead tells that the sender, the session's home, stores the pin soon:
+	// it is to be remembered, and stored if the home does not.
+	Ahead bool
+	// From is the sender of a pin with Ahead.
+	From Process
 	// Stored tells that the table has the pin: it is to be remembered only.
 	Stored bool
 }
@@ -316,22 +338,6 @@
 	Steps []Step
 }
 
-// VersionEvidence is what a process saw of one version since its start.
-type VersionEvidence struct {
-	Target   config.Target
-	Evidence rollout.Evidence
-}
-
-// EvidenceArgs tells a driver of roll-outs a node's totals.
-type EvidenceArgs struct {
-	Node        string
-	Incarnation uint64
-	Evidence    []VersionEvidence
-}
-
-// EvidenceReply is empty.
-type EvidenceReply struct{}
-
 // Handler is what a node answers to its peers.
 type Handler interface {
 	Exchange(args ExchangeArgs, reply *ExchangeReply) error
@@ -340,6 +346,7 @@
 	Release(args ReleaseArgs, reply *ReleaseReply) error
 	Preempt(args PreemptArgs, reply *PreemptReply) error
 	Grants(args GrantsArgs, reply *GrantsReply) error
+	Adopt(args AdoptArgs, reply *AdoptReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
 	Alarm(args AlarmArgs, reply *AlarmReply) error
@@ -347,5 +354,6 @@
 	Pin(args PinArgs, reply *PinReply) error
 	Pins(args PinsArgs, reply *PinsReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
+	Gather(args EvidenceArgs, reply *EvidenceReply) error
 	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/embedded"
 	"github.com/cowslipfall/cowslipfall/internal/node"
 	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -162,6 +163,7 @@
 	platform *view
 	address  string
 	dialer   backend.Dialer
+	started  time.Time // zero for now
 }
 
 // worldOptions shape a world; zero values give three nodes, three engines and
@@ -282,7 +284,7 @@
 	m := &member{settings: s, platform: &view{Platform: w.platform}, address: id + ":callers", dialer: w.dialer}
 	edit(m)
 	listeners := node.Listeners{Callers: w.net.listen(m.address), Inner: w.net.listen(id + ":inner"), Operators: w.net.listen(id + ":operators")}
-	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop()})
+	n, err := node.New(node.Options{Settings: m.settings, Listeners: listeners, Platform: m.platform, Dialer: m.dialer, Dial: w.net.dial(id), Log: zap.NewNop(), Started: m.started})
 	if err != nil {
 		w.faults.addf("new node %s: %v", id, err)
 		return nil
@@ -368,7 +370,12 @@
 
 // chatBody asks for an answer.
 func chatBody(text string, tokens int) string {
-	return fmt.Sprintf(`{"model":"auto","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, text)
+	return askBody(routing.AnyModel, text, tokens)
+}
+
+// askBody is a chat that names its model.
+func askBody(model, text string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, tokens, text)
 }
 
 // calls returns how often each key was carried out, by all services.
