--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -227,14 +227,15 @@
 
 // patience is how long work may be queued for when its deadline leaves the
 // given time: up to the deadline in a burst, but in a lasting overload no
-// longer than lets the first token come in time.
+// longer than lets the first token come in time. Promoted work has the patience
+// of its own rank.
 func (g *Gate) patience(now time.Time, w *Work, wait, left time.Duration) time.Duration {
 	rank := g.rank(w.order())
 	p := g.options.Ranks[rank].Patience
 	if p <= 0 {
 		return left
 	}
-	short := min(left, g.settleTime(rank))
+	short := min(left, g.settleTime(g.rank(w.Rank)))
 	if !g.pressure[rank].observe(now, wait > short) {
 		return left
 	}
--- a/internal/admission/used_test.go
+++ b/internal/admission/used_test.go
@@ -105,3 +105,23 @@
 		t.Fatalf("%+v would be refused", w)
 	}
 }
+
+// Promoted work waits as long as its own rank's patience allows, not as that
+// of the rank it is treated as.
+func TestPromotedWorkHasItsOwnPatience(t *testing.T) {
+	g := overloaded(t)
+	g.now = g.now.Add(testRanks[1].Patience)
+	work := func(rank int) *Work {
+		return &Work{Organisation: "small", Rank: rank, Tokens: 400, Memory: 100, Arrived: g.now, Deadline: g.now.Add(5 * time.Minute)}
+	}
+	if v := g.offer(work(1)); !v.Queued {
+		t.Fatalf("got %+v", v)
+	}
+	w := work(2)
+	if v := g.offer(w); !v.Queued || !w.Promoted() {
+		t.Fatalf("got %+v, promoted %t", v, w.Promoted())
+	}
+	if v := g.offer(work(1)); v.Queued {
+		t.Fatal("normal work is queued beyond its patience")
+	}
+}
