--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -1,9 +1,7 @@
 package admission
 
 import (
-	"cmp"
 	"container/heap"
-	"slices"
 	"time"
 )
 
@@ -20,15 +18,6 @@
 	waiting int
 }
 
-// lane is the waiting work of one organisation and rank.
-type lane struct {
-	account *account
-	name    string
-	waiting []*Work
-	tokens  int
-	at      int
-}
-
 // laneHeap orders the lanes with waiting work by what their organisations were
 // served.
 type laneHeap []*lane
@@ -92,26 +81,6 @@
 	return out
 }
 
-// compareWork orders the work of one lane: begun answers, then those that came
-// back when told, then by deadline.
-func compareWork(a, b *Work) int {
-	return cmp.Or(cmp.Compare(a.turn(), b.turn()), a.Deadline.Compare(b.Deadline))
-}
-
-// lastTurn is that of work that has neither begun nor been refused before.
-const lastTurn = 2
-
-func (w *Work) turn() int {
-	switch {
-	case w.Resumed:
-		return 0
-	case w.returned:
-		return 1
-	default:
-		return lastTurn
-	}
-}
-
 func (s *accounts) push(w *Work, rank int) {
 	a := s.byName[w.Organisation]
 	if a == nil {
@@ -127,26 +96,21 @@
 		l = &lane{account: a, name: w.Organisation}
 		a.lanes[rank] = l
 	}
-	w.lane = l
-	if len(l.waiting) == 0 {
+	if l.count == 0 {
 		heap.Push(&s.active[rank], l)
 	}
-	at, _ := slices.BinarySearchFunc(l.waiting, w, compareWork)
-	for at < len(l.waiting) && compareWork(l.waiting[at], w) == 0 {
-		at++
-	}
-	l.waiting = slices.Insert(l.waiting, at, w)
-	l.tokens += w.Tokens
+	l.push(w)
 	a.waiting++
 }
 
 // next returns the first work of a rank's organisation served least.
-func (s *accounts) next(rank int) *Work { return s.active[rank][0].waiting[0] }
+func (s *accounts) next(rank int) *Work { return s.active[rank][0].next() }
 
 // take removes work and charges its account.
 func (s *accounts) take(now time.Time, w *Work, rank int) {
 	s.level = max(s.level, s.least())
 	a := w.lane.account
+	w.lane.serve(w)
 	s.drop(w, rank)
 	s.charge(a, float64(w.Tokens)/weight(w))
 	a.usage.add(now, float64(w.Tokens))
@@ -160,11 +124,9 @@
 // drop removes work without a charge.
 func (s *accounts) drop(w *Work, rank int) {
 	l := w.lane
-	at := slices.Index(l.waiting, w)
-	l.waiting = slices.Delete(l.waiting, at, at+1)
-	l.tokens -= w.Tokens
+	l.drop(w)
 	l.account.waiting--
-	if len(l.waiting) == 0 {
+	if l.count == 0 {
 		heap.Remove(&s.active[rank], l.at)
 	}
 }
@@ -173,7 +135,7 @@
 func (s *accounts) charge(a *account, virtual float64) {
 	a.virtual += virtual
 	for rank, l := range a.lanes {
-		if l != nil && len(l.waiting) > 0 {
+		if l != nil && l.count > 0 {
 			heap.Fix(&s.active[rank], l.at)
 		}
 	}
@@ -188,27 +150,6 @@
 	}
 }
 
-// appendExpired appends the work whose deadline has passed.
-func (l *lane) appendExpired(out []*Work, now time.Time) []*Work {
-	for _, w := range l.waiting {
-		passed := !w.Deadline.After(now)
-		if passed {
-			out = append(out, w)
-		}
-		if !passed && w.turn() == lastTurn {
-			break
-		}
-	}
-	return out
-}
-
-// last returns the lane's last work and what its organisation will have been
-// served when the work's turn comes.
-func (l *lane) last() (*Work, float64) {
-	w := l.waiting[len(l.waiting)-1]
-	return w, l.account.virtual + float64(l.tokens-w.Tokens)/weight(w)
-}
-
 // start returns what the organisation of new work will have been served when
 // the work's turn comes.
 func (s *accounts) start(w *Work, rank int) float64 {
@@ -233,7 +174,8 @@
 }
 
 // excess returns the last work of the lane whose last turn comes latest, if it
-// comes after that of new work. Work that is kept is never returned.
+// comes after that of new work; else that of another caller of the work's
+// organisation. Work that is kept is never returned.
 func (s *accounts) excess(w *Work, rank int, before time.Time) *Work {
 	var out *Work
 	latest := s.start(w, rank)
@@ -243,6 +185,9 @@
 			latest, out = turn, last
 		}
 	}
+	if a := s.byName[w.Organisation]; out == nil && a != nil && a.lanes[rank] != nil {
+		return a.lanes[rank].excess(w, before)
+	}
 	return out
 }
 
@@ -251,7 +196,7 @@
 	start := s.start(w, rank)
 	total := 0.0
 	for _, l := range s.active[rank] {
-		turn := (start - l.account.virtual) * weight(l.waiting[0])
+		turn := (start - l.account.virtual) * l.weight
 		total += min(float64(l.tokens), max(turn, 0))
 	}
 	return total
@@ -259,18 +204,12 @@
 
 // before returns the tokens that are served before waiting work.
 func (s *accounts) before(w *Work, rank int) float64 {
-	own := 0.0
-	for _, other := range w.lane.waiting {
-		if other == w {
-			break
-		}
-		own += float64(other.Tokens)
-	}
+	own := w.lane.before(w)
 	start := w.lane.account.virtual + own/weight(w)
 	total := own
 	for _, l := range s.active[rank] {
 		if l != w.lane {
-			turn := (start - l.account.virtual) * weight(l.waiting[0])
+			turn := (start - l.account.virtual) * l.weight
 			total += min(float64(l.tokens), max(turn, 0))
 		}
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -35,6 +35,7 @@
 	Deadline time.Time
 
 	lane     *lane
+	caller   *callerQueue
 	promoted bool
 	// returned tells that the work came back when it was told to.
 	returned bool
@@ -318,7 +319,7 @@
 	if a == nil || a.lanes[q.index(w.order())] == nil {
 		return 0
 	}
-	return len(a.lanes[q.index(w.order())].waiting)
+	return a.lanes[q.index(w.order())].count
 }
 
 // Excess implements Order.
--- a/internal/measure/load_trials.go
+++ b/internal/measure/load_trials.go
@@ -21,13 +21,27 @@
 	register(loadTrial("trial-headroom-"+s.name, "headroom against pauses in the background flood, "+s.name, s, background, nil, headroomWays()))
 	register(loadTrial("trial-floors-"+s.name, "rank order with floors against shares in the urgent flood, "+s.name, s, urgent, nil, floorWays()))
 	register(loadTrial("trial-limits-"+s.name, "how the limit is learned, with 40 slots, in the background flood, "+s.name, s.withSlots(manySlots), background, nil, limitWays()))
-	register(Scenario{Name: "trial-order-" + s.name, About: "the order inside a rank with two large organisations, " + s.name, Run: func(seed uint64) *Table {
+	register(s.sharesTrial("trial-order", "the order inside a rank with two large organisations", orderWays()))
+	register(s.sharesTrial("trial-callers", "two large callers beside small ones of one organisation", callerWays()))
+}
+
+// sharesTrial compares ways on large beside small organisations.
+func (s size) sharesTrial(name, about string, ways []policy) Scenario {
+	return Scenario{Name: name + "-" + s.name, About: about + ", " + s.name, Run: func(seed uint64) *Table {
 		t := &Table{Columns: sharesColumns}
-		for _, p := range orderWays() {
+		for _, p := range ways {
 			addShares(t, p.name, runLoad(s, p, seed, s.sharesTraffic(true), nil), runLoad(s, p, seed, s.sharesTraffic(false), nil))
 		}
 		return t
-	}})
+	}}
+}
+
+// callerWays are with and without names of callers.
+func callerWays() []policy {
+	return []policy{
+		router.with("callers told", func(p *policy) { p.callers = callersTold }),
+		router.with("callers not told", func(p *policy) { p.callers = callersHidden }),
+	}
 }
 
 // manySlots is more than the engine can batch within the interval target.
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -109,7 +109,7 @@
 		return
 	}
 	work := &admission.Work{
-		ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
+		ID: t.id, Organisation: f.payer(r), Caller: f.caller(r), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
 		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
 		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
 	}
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -61,6 +61,9 @@
 	direct bool
 	// prefixes tells what the choice knows of prefix caches.
 	prefixes prefixKnowledge
+	// callers takes all organisations for callers of one, which are told to
+	// the owners or not.
+	callers callerKnowledge
 	// counts tells whose use of the organisations the owners know.
 	counts countKnowledge
 }
