Let nodes of two program versions run together by a stated rule

A roll of the program takes hours, and nothing said which changes of the inner protocol two programs survive, or told an operator why two nodes do not talk.

The handshake's nonces now tell the oldest and newest version that a program speaks; without a common one both sides get a VersionError that names which to upgrade, and the node logs it once. Within a range messages only gain fields and calls; a call that an older peer does not know is ErrUnsupported.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/rpc"
 	"slices"
 	"sync"
 	"time"
@@ -86,8 +85,7 @@
 // not asked again.
 func (d *Dispatcher) tell(ctx context.Context, owner string, list []wire.HeldPlace, tell Adopter) {
 	reply, err := tell(ctx, owner, wire.AdoptArgs{Places: list})
-	var remote rpc.ServerError
-	if err != nil && !errors.As(err, &remote) {
+	if err != nil && !errors.Is(err, wire.ErrUnsupported) {
 		return
 	}
 	d.mu.Lock()
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -231,7 +231,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply := &wire.ExchangeReply{}
-	if n.peers.Call(ctx, address, "Exchange", news, reply) != nil {
+	err := n.peers.Call(ctx, address, "Exchange", news, reply)
+	n.noteExchange(address, err)
+	if err != nil {
 		return "", false
 	}
 	n.members.Take(time.Now(), *reply)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	inner      *wire.Server
 	mu         sync.Mutex // guards seeds; taken alone
 	exchanger  *exchanger
+	refusals   refusals
 	platform   *platform.Limited
 	registered time.Time            // used by the registration's loop alone
 	configRead time.Time            // used by the configuration's loop alone
--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/hmac"
-	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"io"
@@ -21,13 +20,12 @@
 var ErrStranger = errors.New("the peer does not know the inner secret: set the same inner_secret on all nodes")
 
 // challenge makes a connecting peer prove that it knows the secret, and
-// proves the same to it.
-func challenge(conn net.Conn, secret []byte) error {
+// proves the same to it. The nonces tell the versions of the protocol.
+func challenge(conn net.Conn, secret []byte, own Versions) error {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
-	nonce := make([]byte, nonceBytes)
-	rand.Read(nonce)
+	nonce := newNonce(own)
 	if _, err := conn.Write(nonce); err != nil {
 		return errors.Wrap(err, "send challenge")
 	}
@@ -41,11 +39,14 @@
 	if _, err := conn.Write(sum(secret, "server", answer[sha256.Size:])); err != nil {
 		return errors.Wrap(err, "send proof")
 	}
+	if err := own.check(versionsOf(answer[sha256.Size:])); err != nil {
+		return err
+	}
 	return conn.SetDeadline(time.Time{})
 }
 
 // respond answers a server's challenge and checks its proof.
-func respond(conn net.Conn, secret []byte) error {
+func respond(conn net.Conn, secret []byte, versions Versions) error {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
@@ -53,8 +54,7 @@
 	if _, err := io.ReadFull(conn, nonce); err != nil {
 		return errors.Wrap(ErrPeer, err.Error())
 	}
-	own := make([]byte, nonceBytes)
-	rand.Read(own)
+	own := newNonce(versions)
 	if _, err := conn.Write(append(sum(secret, "client", nonce), own...)); err != nil {
 		return errors.Wrap(ErrPeer, err.Error())
 	}
@@ -65,6 +65,9 @@
 	if subtle.ConstantTimeCompare(proof, sum(secret, "server", own)) != 1 {
 		return ErrStranger
 	}
+	if err := versions.check(versionsOf(nonce)); err != nil {
+		return err
+	}
 	return conn.SetDeadline(time.Time{})
 }
 
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,13 @@
 // ErrPeer means that the peer could not be reached or did not answer.
 var ErrPeer = errors.New("the peer did not answer: it is taken for dead until it does")
 
+// ErrUnsupported means that the peer's program is older and does not know the
+// call.
+var ErrUnsupported = errors.New("the peer's program does not know this call: upgrade it")
+
+// unknownMethod begins net/rpc's answer to a call that it does not know.
+const unknownMethod = "rpc: can't find method"
+
 // Dial opens a connection to a peer's inner address. Tests replace it.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -73,16 +81,17 @@
 // Peers keeps one connection to each peer. It is safe for concurrent use.
 // Lock order: Peers.mu before peer.mu.
 type Peers struct {
-	secret []byte
-	dial   Dial
-	mu     sync.Mutex
-	peers  map[string]*peer // guarded by mu, by address
-	closed bool             // guarded by mu
+	secret   []byte
+	versions Versions
+	dial     Dial
+	mu       sync.Mutex
+	peers    map[string]*peer // guarded by mu, by address
+	closed   bool             // guarded by mu
 }
 
 // NewPeers returns an empty set of connections.
 func NewPeers(secret string, dial Dial) *Peers {
-	return &Peers{secret: []byte(secret), dial: dial, peers: map[string]*peer{}}
+	return &Peers{secret: []byte(secret), versions: Spoken, dial: dial, peers: map[string]*peer{}}
 }
 
 func (p *Peers) peer(address string) (*peer, error) {
@@ -167,7 +176,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrPeer, err.Error())
 	}
-	if err := respond(conn, p.secret); err != nil {
+	if err := respond(conn, p.secret, p.versions); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -211,9 +220,16 @@
 // result turns a finished call into its error.
 func (p *peer) result(c *connection, call *rpc.Call) error {
 	var remote rpc.ServerError
-	if call.Error != nil && !errors.As(call.Error, &remote) {
+	switch {
+	case call.Error == nil:
+		return nil
+	case !errors.As(call.Error, &remote):
 		p.drop(c)
 		return errors.Wrap(ErrPeer, call.Error.Error())
+	case strings.HasPrefix(remote.Error(), unknownMethod):
+		return errors.Wrap(ErrUnsupported, remote.Error())
+	case remote.Error() == ErrBusy.Error():
+		return ErrBusy
 	}
 	return call.Error
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -24,9 +24,13 @@
 // Ping answers at once.
 func (Link) Ping(Empty, *Empty) error { return nil }
 
+// Busy answers in place of a call that was too many.
+func (Link) Busy(Empty, *Empty) error { return ErrBusy }
+
 // Server answers peers on one listener.
 type Server struct {
 	secret   []byte
+	versions Versions
 	rpc      *rpc.Server
 	listener net.Listener
 	mu       sync.Mutex
@@ -36,7 +40,7 @@
 
 // NewServer returns a server that answers with h on listener.
 func NewServer(listener net.Listener, secret string, h Handler) (*Server, error) {
-	s := &Server{secret: []byte(secret), rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]struct{}{}}
+	s := &Server{secret: []byte(secret), versions: Spoken, rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]struct{}{}}
 	if err := s.rpc.RegisterName(serviceName, h); err != nil {
 		return nil, errors.Wrap(err, "register handler")
 	}
@@ -77,7 +81,7 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.remove(conn)
-	if err := challenge(conn, s.secret); err != nil {
+	if err := challenge(conn, s.secret, s.versions); err != nil {
 		conn.Close()
 		return
 	}
--- a/test/fleet/incarnation_test.go
+++ b/test/fleet/incarnation_test.go
@@ -133,6 +133,7 @@
 				w.net.cut(id, "late", true)
 			}
 		}, func(*member) {})
+		w.sleep(time.Second)
 		f.check(w.incarnation("late", "late") == before+1, "the replacement of %d starts as %d", before, w.incarnation("late", "late"))
 	})
 }
