--- a/test/fleet/mixed_test.go
+++ b/test/fleet/mixed_test.go
@@ -106,6 +106,20 @@
 	return err
 }
 
+// v1Conn is one side of a translator; its end ends the other side.
+type v1Conn struct {
+	net.Conn
+	other net.Conn
+}
+
+func (c v1Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.other.Close()
+	}
+	return n, err
+}
+
 // v1Translate serves the client at near with what the server at far answers.
 func v1Translate(near, far net.Conn) {
 	defer near.Close()
@@ -113,12 +127,12 @@
 	if v1Challenge(near) != nil || v1Respond(far) != nil {
 		return
 	}
-	client := rpc.NewClient(far)
+	client := rpc.NewClient(v1Conn{far, near})
 	defer client.Close()
 	server := rpc.NewServer()
 	_ = server.RegisterName("Node", &V1Node{client})
 	_ = server.RegisterName("Link", &V1Link{client})
-	server.ServeConn(near)
+	server.ServeConn(v1Conn{near, far})
 }
 
 // v1Listener gives a node the connections of its peers through a translator.
