--- a/internal/node/pins.go
+++ b/internal/node/pins.go
@@ -21,7 +21,7 @@
 	pinTries = 3
 	// pinYoung is how long a process counts as just started; pins that were
 	// decided before are stored by then.
-	pinYoung = 30 * time.Second
+	pinYoung = time.Minute
 )
 
 // Pin implements wire.Handler.
@@ -89,7 +89,7 @@
 		return config.Target{}, false
 	}
 	tries := 1
-	if time.Since(time.Unix(0, int64(p.n.incarnation))) < pinYoung {
+	if time.Since(p.n.started) < pinYoung {
 		tries = pinTries
 	}
 	args.From = p.n.process()
