--- a/internal/measure/load_scenarios.go
+++ b/internal/measure/load_scenarios.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -27,14 +28,30 @@
 		Name: name + "-" + s.name, About: about + ", " + s.name,
 		Run: func(seed uint64) *Table {
 			t := &Table{Columns: loadColumns}
-			for _, p := range s.policies() {
-				addLoad(t, p.name, runLoad(s, p, seed, sources, faults))
-			}
+			addLoads(t, s, s.policies(), seed, sources, faults)
 			return t
 		},
 	})
 }
 
+// addLoads adds the trials of policies, which run at the same time.
+func addLoads(t *Table, s size, policies []policy, seed uint64, sources []source, faults func(*fleet)) {
+	got := make([]*stats, len(policies))
+	together(len(policies), func(i int) { got[i] = runLoad(s, policies[i], seed, sources, faults) })
+	for i, p := range policies {
+		addLoad(t, p.name, got[i])
+	}
+}
+
+// together carries trials out at the same time; they share nothing.
+func together(n int, run func(i int)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { run(i) })
+	}
+	wg.Wait()
+}
+
 // runLoad carries one trial out.
 func runLoad(s size, p policy, seed uint64, sources []source, faults func(*fleet)) *stats {
 	f := newFleet(s, p, seed)
--- a/internal/measure/load_shares.go
+++ b/internal/measure/load_shares.go
@@ -54,14 +54,22 @@
 		Name: "large-and-small-" + s.name, About: "two large organisations ask 20 times the others, " + s.name,
 		Run: func(seed uint64) *Table {
 			t := &Table{Columns: sharesColumns}
-			for _, p := range s.policies() {
-				addShares(t, p.name, runLoad(s, p, seed, s.sharesTraffic(true), nil), runLoad(s, p, seed, s.sharesTraffic(false), nil))
-			}
+			s.addSharesOf(t, s.policies(), seed)
 			return t
 		},
 	})
 }
 
+// addSharesOf adds the trials of policies with and without large
+// organisations, which run at the same time.
+func (s size) addSharesOf(t *Table, policies []policy, seed uint64) {
+	got := make([]*stats, 2*len(policies))
+	together(len(got), func(i int) { got[i] = runLoad(s, policies[i/2], seed, s.sharesTraffic(i%2 == 0), nil) })
+	for i, p := range policies {
+		addShares(t, p.name, got[2*i], got[2*i+1])
+	}
+}
+
 func addShares(t *Table, name string, with, alone *stats) {
 	var row []string
 	for rank := range simRanks {
--- a/internal/measure/load_trials.go
+++ b/internal/measure/load_trials.go
@@ -23,9 +23,7 @@
 	register(loadTrial("trial-limits-"+s.name, "how the limit is learned, with 40 slots, in the background flood, "+s.name, s.withSlots(manySlots), background, nil, limitWays()))
 	register(Scenario{Name: "trial-order-" + s.name, About: "the order inside a rank with two large organisations, " + s.name, Run: func(seed uint64) *Table {
 		t := &Table{Columns: sharesColumns}
-		for _, p := range orderWays() {
-			addShares(t, p.name, runLoad(s, p, seed, s.sharesTraffic(true), nil), runLoad(s, p, seed, s.sharesTraffic(false), nil))
-		}
+		s.addSharesOf(t, orderWays(), seed)
 		return t
 	}})
 }
@@ -41,9 +39,7 @@
 func loadTrial(name, about string, s size, sources []source, faults func(*fleet), ways []policy) Scenario {
 	return Scenario{Name: name, About: about, Run: func(seed uint64) *Table {
 		t := &Table{Columns: loadColumns}
-		for _, p := range ways {
-			addLoad(t, p.name, runLoad(s, p, seed, sources, faults))
-		}
+		addLoads(t, s, ways, seed, sources, faults)
 		return t
 	}}
 }
@@ -95,14 +91,15 @@
 // runPrefix compares what the choice of a replica knows.
 func (s size) runPrefix(seed uint64) *Table {
 	t := &Table{Columns: []string{"cached %", "of full knowledge %", "busiest replica over mean", "urgent first p95 s", "normal p95 s"}}
-	full := runLoad(s, router.with("", func(p *policy) { p.prefixes = knowsAll }), seed, s.normalDay(obeys), nil)
-	for _, way := range []struct {
-		name  string
-		knows prefixKnowledge
-	}{{"what the node sent (router)", knowsOwn}, {"the same and a common guess", knowsShared}, {"nothing", knowsNothing}} {
-		addPrefix(t, way.name, runLoad(s, router.with(way.name, func(p *policy) { p.prefixes = way.knows }), seed, s.normalDay(obeys), nil), full)
+	ways := []policy{router.with("what the node sent (router)", func(p *policy) { p.prefixes = knowsOwn })}
+	ways = append(ways, router.with("the same and a common guess", func(p *policy) { p.prefixes = knowsShared }))
+	ways = append(ways, router.with("nothing", func(p *policy) { p.prefixes = knowsNothing }))
+	ways = append(ways, router.with("full knowledge", func(p *policy) { p.prefixes = knowsAll }))
+	got := make([]*stats, len(ways))
+	together(len(ways), func(i int) { got[i] = runLoad(s, ways[i], seed, s.normalDay(obeys), nil) })
+	for i, p := range ways {
+		addPrefix(t, p.name, got[i], got[len(got)-1])
 	}
-	addPrefix(t, "full knowledge", full, full)
 	return t
 }
 
