--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,6 +79,7 @@
 	recent    *routing.Recent      // guarded by mu
 	cached    *routing.PrefixIndex // guarded by mu
 	told      *admission.Told      // guarded by mu
+	used      *admission.Used      // guarded by mu
 	pace      *pace
 	// outliers has a lock of its own, taken alone.
 	outliers *outliers
@@ -93,7 +94,7 @@
 	}
 	return &Dispatcher{
 		Options: o, pace: newPace(), outliers: newOutliers(), budgets: map[string]*admission.RetryBudget{}, pauses: map[string]chan struct{}{}, places: map[string]*place{},
-		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(),
+		recent: routing.NewRecent(), cached: routing.NewPrefixIndex(rememberedBlocks), told: admission.NewTold(), used: admission.NewUsed(),
 	}
 }
 
@@ -273,7 +274,7 @@
 	args := wire.AcquireArgs{
 		Grant: NewID(), Node: d.Node, Incarnation: d.Incarnation(), Replica: r.ID, Target: w.target,
 		Organisation: req.Organisation, Caller: req.Caller, Rank: req.Rank, Tokens: w.tokens, Prompt: w.prompt, Wait: wait, Resumed: w.resumed,
-		Fingerprint: req.Fingerprint, Book: w.book,
+		Fingerprint: req.Fingerprint, Book: w.book, Used: d.usedBy(req.Organisation),
 	}
 	p := &place{replica: r, request: args, owners: []string{r.Owner}, paused: make(chan struct{}, 1)}
 	d.mu.Lock()
@@ -285,7 +286,7 @@
 		d.mu.Lock()
 		d.cached.Add(r.ID, w.prefixes)
 		d.mu.Unlock()
-		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond))
+		d.Record.Add(req.ID, "granted a place on replica %s by %s after %s%s", r.ID, r.Owner, reply.Queued.Round(time.Millisecond), promotion(reply))
 		return p, reply, nil
 	}
 	d.give(p)
@@ -297,6 +298,7 @@
 
 // release gives a place back with what was learned.
 func (d *Dispatcher) release(p *place, args wire.ReleaseArgs) {
+	d.use(p, args.Tokens)
 	d.outliers.note(time.Now(), p.since, p.replica.ID, args)
 	args.Grant = p.request.Grant
 	args.Replica = p.replica.ID
