Hand bills and pins on also when the time to leave has run out

Traced in a scratch copy: a leaving node waited its whole minute for a call's outcome that the absent store could not take, then ended without handing its bills to two nodes, and the one node with copies was killed 3 s later. Its pins were not handed on either, with a context that had ended. TestBillsOfANodeThatRanOutOfTime fails without it.

--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -122,7 +122,6 @@
 		n.bills.Adopt(func(wire.Process) bool { return false })
 		err := n.bills.Flush(ctx)
 		if n.claims.Pending() == 0 && (n.bills.Pending() == 0 || (err != nil && n.bills.Uncopied() == 0)) {
-			n.spreadBills(ctx)
 			return
 		}
 		pause(ctx, flushWait)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -33,7 +33,7 @@
 	n.waitNotice(ctx)
 	err := n.endRequests(ctx)
 	n.closeBooks(ctx)
-	n.handPins(ctx)
+	n.handOn(ctx)
 	n.sayDown()
 	n.Close()
 	return err
@@ -77,6 +77,18 @@
 	return first
 }
 
+// handOn gives what the table lacks to other nodes, and the pins that this
+// node remembers, also where the time to leave has run out.
+func (n *Node) handOn(ctx context.Context) {
+	if ctx.Err() != nil {
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		ctx = last
+	}
+	n.spreadBills(ctx)
+	n.handPins(ctx)
+}
+
 // sayDown tells the neighbours that the node stops now, and takes its row
 // from the table.
 func (n *Node) sayDown() {
--- a/test/fleet/bills_test.go
+++ b/test/fleet/bills_test.go
@@ -154,6 +154,40 @@
 	})
 }
 
+// A node whose time to leave ends in an outage, as the outcome of a call that
+// runs once can't be stored, has handed its bills to more than one node: one of
+// them dies right then.
+func TestBillsOfANodeThatRanOutOfTime(t *testing.T) {
+	for _, victim := range []string{"entry-2", "entry-3"} {
+		virtual(t, func(f *faults) {
+			w := newWorld(f, worldOptions{})
+			defer w.close()
+			c := newTill(w)
+			for _, service := range w.dialer.services {
+				service.Faults.Set(standin.FaultState{Delay: 2 * time.Second})
+			}
+			d := &desk{w: w}
+			go d.confirm("entry-1", "seat")
+			w.sleep(time.Second)
+			w.setStore(standin.FaultState{Stopped: true})
+			w.sleep(5 * time.Second)
+			for range 5 {
+				c.chat("entry-1")
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_ = w.nodes["entry-1"].node.Leave(ctx)
+			f.check(ctx.Err() != nil, "the node left in time: nothing kept it")
+			delete(w.nodes, "entry-1")
+			w.kill(victim)
+			w.sleep(time.Minute)
+			w.setStore(standin.FaultState{})
+			w.sleep(time.Minute)
+			c.check(1)
+		})
+	}
+}
+
 // A node that stops alone, with the store away at first, stores its bills
 // before it ends.
 func TestLastNodeStoresItsBillsBeforeItEnds(t *testing.T) {
