Bill repeatable calls with one key and another content apart

All calls with one key of one service shared the identity that bills are stored under, so of several different repeatable calls only the first was billed, and a call that runs once could not store its outcome with its bill where a repeatable one had used the key. The identity of a repeatable call now also covers method, path, query and body. Refusing would need a row, and so a write, for each such call; calls that run once refuse another content as before. TestKeyOfAnotherContentIsBilledApart failed with 1 bill for five calls.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
@@ -144,12 +142,6 @@
 	return ctx, span
 }
 
-// keyedID returns the identity that all tries of one call share.
-func keyedID(organisation, service, key string) string {
-	sum := sha256.Sum256([]byte(organisation + "\x00" + service + "\x00" + key))
-	return hex.EncodeToString(sum[:16])
-}
-
 // Fingerprint identifies organisation and content.
 func Fingerprint(organisation, content string) uint64 {
 	return xxhash.Sum64String(organisation + "\x00" + content)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"net/url"
 	pathpkg "path"
@@ -37,17 +39,17 @@
 		g.refuse(w, "service", rank, err)
 		return
 	}
-	key := r.Header.Get(backend.HeaderIdempotencyKey)
-	if key != "" {
-		req.ID = keyedID(req.Organisation, name, key)
+	call := backend.Call{
+		Method: r.Method, Path: path, Query: r.URL.RawQuery, Body: content,
+		ContentType: r.Header.Get("Content-Type"), Key: r.Header.Get(backend.HeaderIdempotencyKey),
+	}
+	if call.Key != "" {
+		req.ID = g.keyedID(req.Organisation, name, &call)
 	}
 	ctx, span := g.span(r, "service", req)
 	w.Header().Set(HeaderRequestID, req.ID)
 	start := time.Now()
-	reply, err := g.Dispatcher.Call(ctx, &dispatch.CallRequest{Request: *req, Service: name, Call: backend.Call{
-		Method: r.Method, Path: path, Query: r.URL.RawQuery, Body: content,
-		ContentType: r.Header.Get("Content-Type"), Key: key,
-	}})
+	reply, err := g.Dispatcher.Call(ctx, &dispatch.CallRequest{Request: *req, Service: name, Call: call})
 	span.End(err)
 	g.Metrics.RequestTime.WithLabelValues("service", rank).Observe(time.Since(start).Seconds())
 	if err != nil {
@@ -60,6 +62,19 @@
 	_, _ = w.Write(reply.Body)
 }
 
+// keyedID returns the identity that all tries of one call share. Of a call
+// that runs at most once the key tells, since its claim refuses another
+// content; of others key and content do, as nothing keeps them apart.
+func (g *Gateway) keyedID(organisation, service string, call *backend.Call) string {
+	parts := []string{organisation, service, call.Key}
+	s := g.Config.Current().Config.Services[service]
+	if s == nil || !dispatch.Once(s, call.Method, call.Path) {
+		parts = append(parts, call.Method, call.Path, call.Query, string(call.Body))
+	}
+	sum := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
+	return hex.EncodeToString(sum[:16])
+}
+
 // servicePath returns the path behind a service's name in its one canonical
 // form. Other spellings of a path are refused, since a backend server might
 // take them for a call that runs at most once.
--- a/test/fleet/bills_test.go
+++ b/test/fleet/bills_test.go
@@ -239,3 +239,24 @@
 	n, _, _ := strings.Cut(rest, ",")
 	return n
 }
+
+// Calls that may be repeated and carry one key are billed once for each
+// content: a repeat adds nothing, another content and another call do.
+func TestKeyOfAnotherContentIsBilledApart(t *testing.T) {
+	virtual(t, func(f *faults) {
+		w := newWorld(f, worldOptions{})
+		defer w.close()
+		const path = "/v1/services/kirjauspalvelu/events"
+		key := map[string]string{"Idempotency-Key": "seat-1"}
+		for _, call := range []struct{ node, path, body string }{
+			{"entry-1", path, `{"a":1}`}, {"entry-2", path, `{"a":1}`},
+			{"entry-1", path, `{"a":2}`}, {"entry-1", path + "?a=1", `{"a":1}`}, {"entry-3", path + "/more", `{"a":1}`},
+			{"entry-2", confirmPath, `{"a":1}`}, {"entry-1", confirmPath, `{"a":1}`},
+		} {
+			a := w.post(call.node, org, call.path, call.body, key)
+			f.check(a.status == http.StatusOK, "%v: %+v", call, a)
+		}
+		w.sleep(30 * time.Second)
+		f.check(len(w.bills()) == 5, "%d bills for five different calls", len(w.bills()))
+	})
+}
