--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	inner      *wire.Server
 	mu         sync.Mutex // guards seeds; taken alone
 	exchanger  *exchanger
+	refusals   refusals
 	platform   *platform.Limited
 	started    time.Time            // by the own clock, for ages only
 	registered time.Time            // used by the registration's loop alone
