Measure a crashing request that is sent again

Nobody else is refused.

Suspected and Convicted take the present time, so that the model asks the nodes' own record; the tests of the record pass it, unchanged otherwise.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -30,7 +30,7 @@
 
 // refuseConvicted refuses a request that has brought replicas down.
 func (d *Dispatcher) refuseConvicted(a *answer) error {
-	if d.Suspects == nil || !d.Suspects.Convicted(a.req.Fingerprint) {
+	if d.Suspects == nil || !d.Suspects.Convicted(a.req.Fingerprint, time.Now()) {
 		return nil
 	}
 	return &outcome.Refusal{Code: outcome.CodeCrashSuspect, Ran: a.ran, Message: "this request brought two backend servers down and is refused everywhere: change it, or ask the operator"}
@@ -92,16 +92,17 @@
 // crowded tells whether a suspect would meet another one. The caller holds
 // mu.
 func (r *replica) crowded(fingerprint uint64) bool {
-	if r.suspects == nil || !r.suspects.Suspected(fingerprint) {
+	now := time.Now()
+	if r.suspects == nil || !r.suspects.Suspected(fingerprint, now) {
 		return false
 	}
 	for _, h := range r.holders {
-		if h.args.Fingerprint != fingerprint && r.suspects.Suspected(h.args.Fingerprint) {
+		if h.args.Fingerprint != fingerprint && r.suspects.Suspected(h.args.Fingerprint, now) {
 			return true
 		}
 	}
 	for _, w := range r.waiting {
-		if w.args.Fingerprint != fingerprint && r.suspects.Suspected(w.args.Fingerprint) {
+		if w.args.Fingerprint != fingerprint && r.suspects.Suspected(w.args.Fingerprint, now) {
 			return true
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -64,19 +64,19 @@
 	first := a.Crashed(1, "x", now)
 	b.Merge(now, []wire.Suspect{first})
 	b.Crashed(1, "x", now.Add(time.Second))
-	is.True(!b.Convicted(1)) // the same crash
+	is.True(!b.Convicted(1, now)) // the same crash
 	second := b.Crashed(1, "x", now.Add(time.Minute))
-	is.True(b.Convicted(1)) // the replica died again
+	is.True(b.Convicted(1, now)) // the replica died again
 	is.True(a.Cleared(1, now))
-	is.True(!a.Suspected(1))
+	is.True(!a.Suspected(1, now))
 	a.Merge(now, []wire.Suspect{second})
-	is.True(a.Convicted(1))
+	is.True(a.Convicted(1, now))
 	is.True(!a.Cleared(1, now))
 	cleared := NewSuspects()
 	cleared.Merge(now, []wire.Suspect{first})
 	cleared.Cleared(1, now)
 	cleared.Merge(now, []wire.Suspect{first})
-	is.True(!cleared.Suspected(1)) // old news does not bring the suspicion back
+	is.True(!cleared.Suspected(1, now)) // old news does not bring the suspicion back
 }
 
 // A replica that came back as another process has died.
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -128,19 +128,19 @@
 }
 
 // Suspected tells whether a request may have brought a replica down.
-func (s *Suspects) Suspected(fingerprint uint64) bool {
+func (s *Suspects) Suspected(fingerprint uint64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[fingerprint]
-	return len(e.Lost) > 0 && e.Until.After(time.Now())
+	return len(e.Lost) > 0 && e.Until.After(now)
 }
 
 // Convicted tells whether a request is refused.
-func (s *Suspects) Convicted(fingerprint uint64) bool {
+func (s *Suspects) Convicted(fingerprint uint64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[fingerprint]
-	return e.Convicted && e.Until.After(time.Now())
+	return e.Convicted && e.Until.After(now)
 }
 
 // Changed returns all records if any has changed since the last call, and
--- a/internal/measure/load_test.go
+++ b/internal/measure/load_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 )
 
 // Targets of the trials.
@@ -16,6 +18,7 @@
 	mostSlowed    = 1.2
 	leastKept     = 0.9
 	testSeeds     = 3
+	mostCrashed   = 2
 	testSeed      = 1
 	percentFactor = 100
 )
@@ -139,3 +142,14 @@
 		t.Errorf("%s: %d of %d requests went to one of %d replicas", s.name, most, all, s.replicas)
 	}
 }
+
+// A request that crashes its engine brings down as many as convict it, however
+// often it is sent again, and nobody else is refused for it.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	s := shorter(virtanen)
+	p := router.with("", func(p *policy) { p.suspects = dispatch.NewSuspects })
+	got := runLoad(s, p, testSeed, s.normalDay(obeys), resend)
+	if c := got.crashes; c.replicas > mostCrashed || c.innocent > 0 || c.refused == 0 {
+		t.Errorf("%s: %d engines went down, %d crashing and %d other requests were refused", s.name, c.replicas, c.refused, c.innocent)
+	}
+}
--- a/internal/measure/load_trials.go
+++ b/internal/measure/load_trials.go
@@ -9,6 +9,7 @@
 	for _, s := range []size{virtanen, turnoflor, twoYears} {
 		registerTrials(s)
 		register(Scenario{Name: "prefix-" + s.name, About: "what the choice of a replica knows of prefix caches, on a normal day, " + s.name, Run: s.runPrefix})
+		register(Scenario{Name: "crash-" + s.name, About: "a request that crashes its engine is sent again each second, " + s.name, Run: s.runCrash})
 		register(Scenario{Name: "retry-storm-" + s.name, About: "refused callers come back at once, or when told, in the background flood, " + s.name, Run: s.runStorm})
 	}
 }
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -17,7 +17,7 @@
 
 // ask asks an owner for a place.
 func (f *fleet) ask(r *simRequest, s search) {
-	if r.done {
+	if r.done || f.convicted(r) {
 		return
 	}
 	node := f.nodes[r.home]
@@ -70,7 +70,12 @@
 	}
 }
 
-func fingerprint(r *simRequest) uint64 { return uint64(r.id) + 1 }
+func fingerprint(r *simRequest) uint64 {
+	if r.crashes {
+		return crashPrint
+	}
+	return uint64(r.id) + 1
+}
 
 // index returns the place of a replica, or -1.
 func (f *fleet) index(id string) int {
@@ -108,6 +113,10 @@
 		f.ev.after(back, func() { f.ask(r, s) })
 		return
 	}
+	if o.crowded(r) {
+		f.ev.after(back+suspectRetry, func() { f.ask(r, s) })
+		return
+	}
 	work := &admission.Work{
 		ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
 		Resumed: r.steps > 0 || r.paused > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/admission"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
@@ -59,6 +60,9 @@
 	choices    int
 	// direct sends work to the engines without an owner's queue.
 	direct bool
+	// suspects makes the record of requests that may crash engines; nil keeps
+	// none.
+	suspects func() *dispatch.Suspects
 	// prefixes tells what the choice knows of prefix caches.
 	prefixes prefixKnowledge
 }
@@ -75,6 +79,9 @@
 	nodes   []*simNode
 	stats   *stats
 	turn    int
+	// suspects remembers requests that may crash engines, on all nodes; nil
+	// remembers none.
+	suspects *dispatch.Suspects
 	// nextReplica is where round robin goes on.
 	nextReplica int
 	// cut is the data centre that the others cannot reach; -1 is none.
@@ -127,6 +134,9 @@
 		size: s, policy: p, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 3)),
 		traffic: newTraffic(seed, s.nodes), stats: newStats(s), cut: -1,
 	}
+	if p.suspects != nil {
+		f.suspects = p.suspects()
+	}
 	for i := range s.nodes {
 		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes), told: admission.NewTold()})
 	}
--- a/internal/measure/sim_stats.go
+++ b/internal/measure/sim_stats.go
@@ -26,6 +26,7 @@
 	// tries counts the engines' starts, sent the tries of callers.
 	tries, sent int
 	perOwner    map[string]int
+	crashes     crashes
 	// work is the useful engine time and waste what was done in vain, both
 	// as seconds of a full batch.
 	work, waste float64
--- a/internal/measure/sim_stream.go
+++ b/internal/measure/sim_stream.go
@@ -51,6 +51,10 @@
 // token counts a token on its way to the caller.
 func (f *fleet) token(t *simTry, delay time.Duration) {
 	r := t.req
+	if r.crashes {
+		f.ev.after(0, func() { f.crash(t.owner) })
+		return
+	}
 	if t.tokens == 0 {
 		t.first = f.ev.now
 		f.stats.prefill(f.ev.now, max(t.stream.prompt-t.stream.hit, 0), r.steps > 0)
@@ -72,6 +76,9 @@
 		return
 	}
 	t.req.done = true
+	if f.suspects != nil {
+		f.suspects.Cleared(fingerprint(t.req), f.ev.now)
+	}
 	f.end(t, true)
 	f.stats.finished(t.req, f.ev.now)
 }
--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -73,6 +73,7 @@
 	first        time.Duration
 	done         bool
 	late         bool
+	crashes      bool // brings its engine down
 	away         bool // refused, and not yet back
 	refused      bool
 	hit          int
