--- a/internal/measure/load_test.go
+++ b/internal/measure/load_test.go
@@ -153,3 +153,18 @@
 		t.Errorf("%s: %d engines went down, %d crashing and %d other requests were refused", s.name, c.replicas, c.refused, c.innocent)
 	}
 }
+
+// A roll-out withdrawn halfway ends within the time of a change, moves only
+// the sessions that were on it, and leaves no request without a version.
+func TestStoppedRolloutEnds(t *testing.T) {
+	s := runStoppedWay(testSeed, stoppedWay{withdraw: true, stage: 1})
+	if n := s.answers[settled][1]; n > 0 || s.none > 0 {
+		t.Errorf("%d answers of a withdrawn version, %d requests without a version", n, s.none)
+	}
+	if open := stoppedRate * stoppedPause.Seconds() / (1 - stoppedTurns); s.moved == 0 || float64(s.moved) > open {
+		t.Errorf("%d sessions moved, %.0f were open", s.moved, open)
+	}
+	if s := runStoppedWay(testSeed, stoppedWay{stage: 1, restored: 1}); s.moved > 0 {
+		t.Errorf("%d sessions moved while the roll-out was paused", s.moved)
+	}
+}
