Remove rows of claims, bills and pins after a stated life

They stayed for ever. claim_life, bill_life and pin_life (168h, 2160h, 720h) say how long they are kept at least. The place in hex digits that keys now hold spreads each kind over 256 parts with an owner each; every 8 s a node looks at rows of one of its parts from a drawn place and removes the old ones in one transaction of up to 100, after all other calls of the store. Ruled out: a walk that keeps its place, which each restart loses, so that the ends of large parts would never be reached; a drawn place without going round to the part's beginning, which left rows in small parts for ever (seen in the test).

No call runs twice within its claim's life: a claim more than an hour old is not sent, by the clock on the wall, and rows stay two hours longer, one for that and one for clocks that differ. Seen failing: no bound on a claim's age, no or too small margins, removal whatever the row is by now, removal by others than the owner, rows without a time removed.

TestClaimOfDeadNodeIsNotTakenOver writes a claim itself and now asks for its key, which changed. claimWorld gives a claim up when it may not be sent, as the dispatcher does.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -49,6 +49,12 @@
 	CertificateKey string `toml:"certificate_key"`
 	// OperatorKey opens the operators' interface; at least 16 characters.
 	OperatorKey string `toml:"operator_key"`
+	// ClaimLife, BillLife and PinLife are how long outcomes of calls that run
+	// once, bills, and versions of sessions are kept at least; the same on all
+	// nodes. Defaults 168h, 2160h and 720h.
+	ClaimLife Duration `toml:"claim_life"`
+	BillLife  Duration `toml:"bill_life"`
+	PinLife   Duration `toml:"pin_life"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `toml:"log_level"`
 	// LogFormat is json or console; default json.
@@ -65,11 +71,17 @@
 const (
 	defaultPlatformTimeout = time.Second
 	defaultTraceRatio      = 0.01
+	defaultClaimLife       = 7 * 24 * time.Hour
+	defaultBillLife        = 90 * 24 * time.Hour
+	defaultPinLife         = 30 * 24 * time.Hour
 )
 
 // DefaultSettings returns the settings of a process that is told nothing.
 func DefaultSettings() Settings {
-	return Settings{PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none", TraceRatio: defaultTraceRatio}
+	return Settings{
+		PlatformTimeout: Duration(defaultPlatformTimeout), LogLevel: "info", LogFormat: "json", TraceExporter: "none", TraceRatio: defaultTraceRatio,
+		ClaimLife: Duration(defaultClaimLife), BillLife: Duration(defaultBillLife), PinLife: Duration(defaultPinLife),
+	}
 }
 
 // LoadSettings reads a TOML file, lays the environment and then the overrides
--- a/internal/config/settings_check.go
+++ b/internal/config/settings_check.go
@@ -12,6 +12,8 @@
 const (
 	minSecretLength    = 16
 	maxPlatformTimeout = 30 * time.Second
+	minLife            = 24 * time.Hour
+	maxLife            = 10 * 365 * 24 * time.Hour
 )
 
 // Choices of the settings that take one of a few words.
@@ -24,7 +26,7 @@
 // Check returns the first fault of the settings as a *FolderError, always the
 // same for the same settings.
 func (s *Settings) Check(file string) error {
-	for _, step := range []func() error{s.checkIdentity, s.checkAddresses, s.checkPlatform, s.checkSecrets, s.checkCertificates, s.checkTelemetry} {
+	for _, step := range []func() error{s.checkIdentity, s.checkAddresses, s.checkPlatform, s.checkLives, s.checkSecrets, s.checkCertificates, s.checkTelemetry} {
 		if err := step(); err != nil {
 			return inFile(file, err)
 		}
@@ -102,6 +104,18 @@
 	return nil
 }
 
+func (s *Settings) checkLives() error {
+	for _, f := range []struct {
+		key   string
+		value Duration
+	}{{"claim_life", s.ClaimLife}, {"bill_life", s.BillLife}, {"pin_life", s.PinLife}} {
+		if d := f.value.Std(); d < minLife || d > maxLife {
+			return settingFault(f.key, "%s is out of range: write 24h to 87600h, the same on all nodes", d)
+		}
+	}
+	return nil
+}
+
 func (s *Settings) checkSecrets() error {
 	if len(s.InnerSecret) < minSecretLength {
 		return settingFault("inner_secret", "has %d characters: write at least %d, the same on all nodes", len(s.InnerSecret), minSecretLength)
--- a/internal/ledger/call.go
+++ b/internal/ledger/call.go
@@ -25,9 +25,12 @@
 
 // row returns the table key of the call's claim.
 func (id CallID) row() string {
-	return claimPrefix + url.PathEscape(id.Organisation) + "/" + url.PathEscape(id.Service) + "/" + url.PathEscape(id.Key)
+	return rowKey(claimPrefix, id.Organisation, id.Service, id.Key)
 }
 
+// ClaimKey returns the table key of a call's claim.
+func ClaimKey(id CallID) string { return id.row() }
+
 // StatusPath returns where a caller asks for the call's outcome.
 func (id CallID) StatusPath() string {
 	return outcomesPath + url.PathEscape(id.Service) + "/" + url.PathEscape(id.Key)
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -58,6 +58,8 @@
 	NewToken func() string
 	// AskSender reaches the senders of other claims.
 	AskSender AskSender
+	// Now is the clock; nil is the system's.
+	Now func() time.Time
 }
 
 // Claims makes sure that a non-idempotent call runs at most once: only the
@@ -81,6 +83,9 @@
 
 // NewClaims returns the claims of one process.
 func NewClaims(o ClaimsOptions) *Claims {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return &Claims{ClaimsOptions: o, process: o.NewToken(), active: map[string]*activeClaim{}, recent: newRecentCalls(), wake: make(chan struct{}, 1)}
 }
 
@@ -98,7 +103,7 @@
 // an earlier run, or a refusal.
 func (c *Claims) Begin(ctx context.Context, id CallID, content uint64) (*Claim, *backend.Reply, error) {
 	key := id.row()
-	row := claimRow{Token: c.NewToken(), Node: c.Node, Incarnation: c.Incarnation, Process: c.process, Content: content, At: time.Now()}
+	row := claimRow{Token: c.NewToken(), Node: c.Node, Incarnation: c.Incarnation, Process: c.process, Content: content, At: c.Now()}
 	if !c.reserve(key, row) {
 		return nil, nil, inProgress(id)
 	}
@@ -170,8 +175,12 @@
 }
 
 // Send marks the claim as used. The call may leave only after it returned
-// true, which it does once.
+// true, which it does once, and not for a claim so old, by the clock on the
+// wall, that its row may be removed before the call's life has passed.
 func (c *Claims) Send(claim *Claim) bool {
+	if c.Now().Round(0).Sub(claim.row.At.Round(0)) > maxClaimAge {
+		return false
+	}
 	return c.advance(claim, stateClaiming, stateSent)
 }
 
@@ -202,7 +211,7 @@
 // release marks the row of a claim that was given up, and returns the row's
 // new version. The row stays, so that its version never starts again.
 func (c *Claims) release(ctx context.Context, key string, version uint64) (uint64, error) {
-	value, err := json.Marshal(claimRow{GivenUp: true})
+	value, err := json.Marshal(claimRow{GivenUp: true, At: c.Now()})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -35,7 +35,7 @@
 
 // row returns the table key of the pin.
 func (id PinID) row() string {
-	return pinPrefix + url.PathEscape(id.Organisation) + "/" + url.PathEscape(id.Session) + "/" + url.PathEscape(id.Asked)
+	return rowKey(pinPrefix, id.Organisation, id.Session, id.Asked)
 }
 
 // pinRow is what the table holds of a pin.
@@ -355,10 +355,10 @@
 // sessionOf returns the session that a row's key names.
 func sessionOf(row string) string {
 	parts := strings.Split(row, "/")
-	if len(parts) < 3 {
+	if len(parts) < 4 {
 		return ""
 	}
-	session, err := url.PathUnescape(parts[2])
+	session, err := url.PathUnescape(parts[3])
 	if err != nil {
 		return ""
 	}
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -127,3 +127,20 @@
 		pause(ctx, flushWait)
 	}
 }
+
+// lives are how long rows are kept.
+func (n *Node) lives() ledger.Lives {
+	s := n.options.Settings
+	return ledger.Lives{Claims: s.ClaimLife.Std(), Bills: s.BillLife.Std(), Pins: s.PinLife.Std()}
+}
+
+// sweeps returns what tells whether this node removes the old rows of a part.
+func (n *Node) sweeps() func(shard string) bool {
+	var ids []string
+	for _, m := range n.members.Snapshot().Nodes {
+		if m.Live && !m.State.Leaving {
+			ids = append(ids, m.State.ID)
+		}
+	}
+	return func(shard string) bool { return routing.Highest(ids, "sweep/"+shard) == n.options.Settings.ID }
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,6 +176,8 @@
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
+	sweeper := ledger.NewSweeper(n.options.Platform, n.lives(), n.sweeps)
+	n.loops.Go(func() { every(ctx, ledger.SweepInterval, sweeper.Sweep) })
 }
 
 // refresh takes a first look at everything, so that a new node is ready soon.
--- a/internal/platform/limited.go
+++ b/internal/platform/limited.go
@@ -42,8 +42,19 @@
 	l.writes.setRate(l.limits.Writes / float64(max(n, 1)))
 }
 
+type background struct{}
+
+// Background returns a context whose calls of the store come after all others,
+// whatever their rows are.
+func Background(ctx context.Context) context.Context {
+	return context.WithValue(ctx, background{}, true)
+}
+
 // call makes one call in its turn. Nothing is sent if it returns ErrThrottled.
 func (l *Limited) call(ctx context.Context, b *rated, o *outage, use Use, do func() error) error {
+	if ctx.Value(background{}) != nil {
+		use = UseBackground
+	}
 	if o.closed(time.Now()) {
 		return errors.Wrap(ErrThrottled, "the service did not answer a moment ago")
 	}
--- a/internal/platform/limited_test.go
+++ b/internal/platform/limited_test.go
@@ -136,3 +136,24 @@
 	is.Equal(sent, table.total())
 	is.True(sent > 0)
 }
+
+// Calls for the removal of old rows come after those of claims, whatever rows
+// they touch.
+func TestBackgroundCallsComeLast(t *testing.T) {
+	is := is.New(t)
+	table := &counted{writes: map[Use]int{}}
+	var claims, removals int
+	synctest.Test(t, func(*testing.T) {
+		l := NewLimited(table, FleetLimits{Reads: 1, Writes: 1})
+		for range 100 {
+			if _, err := l.Commit(Background(context.Background()), Op{Key: "claim/a", Delete: true}); err == nil {
+				removals++
+			}
+			if _, err := l.Commit(context.Background(), Op{Key: "claim/b"}); err == nil {
+				claims++
+			}
+		}
+	})
+	is.True(claims > 2*removals)
+	is.True(removals > 0)
+}
