--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -43,8 +43,10 @@
 	Memory int
 	// Interval is the target time between tokens.
 	Interval time.Duration
-	// Reserve is the number of slots kept free for the most urgent rank.
-	Reserve int
+	// Reserve is the number of slots kept free for the most urgent rank,
+	// Headroom the part of the limit that is while such work comes.
+	Reserve  int
+	Headroom float64
 	// Modest is the part of its fair share below which an organisation's least
 	// urgent work is promoted; 0 promotes nothing.
 	Modest float64
@@ -65,6 +67,8 @@
 	Work  *Work
 	Since time.Time
 	area  float64
+	// adopted tells that another gate granted the place.
+	adopted bool
 	// Pausing tells that its holder was asked to pause it.
 	Pausing bool
 }
@@ -94,12 +98,18 @@
 	// promoted counts the streams of promoted work.
 	promoted int
 	lower    int // streams below the most urgent rank
+	foreign  int // streams that hold no place here
 	pausing  int
+	// urgent is when work of the most urgent rank last came, roomy whether
+	// that was lately.
+	urgent time.Time
+	roomy  bool
 	// area is the batch added up over time until tallied, in stream-seconds.
 	area    float64
 	tallied time.Time
 	speed   speed
 	returns returns
+	turns   turns
 	// pressure tells, by rank, whether an overload lasts.
 	pressure []pressure
 }
@@ -179,16 +189,21 @@
 // with the time after which it should be sent again. With book set, that time
 // is kept for it. Queued work gets the deadline by which it must have started.
 func (g *Gate) Offer(now time.Time, w *Work, book bool) Verdict {
+	g.noteUrgent(now, w)
 	w.asked = w.Tokens
 	w.Tokens = g.speed.estimate(g.rank(w.Rank), w.asked)
+	g.order.Tell(now, w)
 	g.promote(now, w)
 	left := w.Deadline.Sub(now)
 	w.Deadline = w.Deadline.Add(-min(g.speed.need(w.Tokens), left/2))
 	wait := g.PredictedWait(now, w)
 	allowed := g.patience(now, w, wait, w.Deadline.Sub(now))
-	w.returned = g.returns.honour(now, w.Fingerprint) && wait <= w.Deadline.Sub(now)
+	w.returned = g.returns.honour(now, w.Rank, w.Fingerprint) && wait <= w.Deadline.Sub(now)
 	if w.Resumed || w.returned || wait <= allowed {
 		g.order.Push(w)
+		if w.returned {
+			g.turns.add(w)
+		}
 		return Verdict{Queued: true}
 	}
 	last := g.order.Excess(w, g.settleStart(now, g.rank(w.order())))
@@ -216,14 +231,15 @@
 
 // patience is how long work may be queued for when its deadline leaves the
 // given time: up to the deadline in a burst, but in a lasting overload no
-// longer than lets the first token come in time.
+// longer than lets the first token come in time. Promoted work has the patience
+// of its own rank.
 func (g *Gate) patience(now time.Time, w *Work, wait, left time.Duration) time.Duration {
 	rank := g.rank(w.order())
 	p := g.options.Ranks[rank].Patience
 	if p <= 0 {
 		return left
 	}
-	short := min(left, g.settleTime(rank))
+	short := min(left, g.settleTime(g.rank(w.Rank)))
 	if !g.pressure[rank].observe(now, wait > short) {
 		return left
 	}
@@ -241,37 +257,37 @@
 
 // Grant takes the next work that may run now, or returns nil.
 func (g *Gate) Grant(now time.Time) *Work {
-	w := g.order.Next(now, g.allowed)
-	if w == nil || !g.fits(w) {
+	g.fadeHeadroom(now)
+	w := g.next(now)
+	if w == nil {
 		return nil
 	}
+	g.turns.remove(w.ID)
 	g.order.Take(now, w)
-	g.tally(now)
-	g.running[w.ID] = &Stream{Work: w, Since: now, area: g.area}
-	g.memory += w.Memory
-	g.places[place{w.Organisation, w.order()}]++
-	if w.Rank > 0 {
-		g.lower++
-	}
-	if w.promoted {
-		g.promoted++
-	}
+	g.occupy(now, &Stream{Work: w, Since: now})
 	return w
 }
 
-// allowed tells whether a rank may take one more slot.
+// allowed tells whether a rank may take one more slot. Streams that hold no
+// place here count, but one place is always there.
 func (g *Gate) allowed(rank int) bool {
+	if len(g.running) == 0 {
+		return true
+	}
 	limit := g.limit.Limit()
-	if len(g.running) >= limit {
+	if g.Batch() >= limit {
 		return false
 	}
-	return rank == 0 || g.lower < max(limit-g.options.Reserve, minLimit)
+	if rank > 0 && g.lower+g.foreign >= max(limit-g.reserve(limit), minLimit) {
+		return false
+	}
+	return !g.disputed(rank) || g.belowFloor(rank)
 }
 
 // tally adds up the batch over time, in stream-seconds.
 func (g *Gate) tally(now time.Time) {
 	if !g.tallied.IsZero() {
-		g.area += float64(len(g.running)) * now.Sub(g.tallied).Seconds()
+		g.area += float64(g.Batch()) * now.Sub(g.tallied).Seconds()
 	}
 	g.tallied = now
 }
@@ -292,11 +308,7 @@
 	delete(g.running, id)
 	g.memory -= s.Work.Memory
 	g.vacate(s)
-	g.order.Correct(s.Work, u.Tokens)
-	if held := now.Sub(s.Since).Seconds(); u.Interval > 0 && held > 0 {
-		g.limit.Observe(u.Interval, (g.area-s.area)/held)
-	}
-	g.speed.observe(g.rank(s.Work.Rank), s, u, now)
+	g.learn(now, s, u)
 	return true
 }
 
@@ -318,19 +330,13 @@
 	}
 }
 
-// Withdraw takes waiting work out and tells whether it was there.
-func (g *Gate) Withdraw(id string) bool { return g.order.Remove(id) }
-
-// Expire removes and returns the waiting work whose deadline has passed.
-func (g *Gate) Expire(now time.Time) []*Work { return g.order.Expire(now) }
-
 // Stream returns the stream that holds a place under the ID, or nil.
 func (g *Gate) Stream(id string) *Stream { return g.running[id] }
 
 // PredictedWait estimates how long the work would wait for its place.
 func (g *Gate) PredictedWait(now time.Time, w *Work) time.Duration {
 	rank := g.rank(w.order())
-	if g.order.Len() == 0 && g.allowed(rank) && g.fits(w) {
+	if g.free(rank) && g.fits(w) {
 		return 0
 	}
 	if g.willPause(now, w) {
@@ -343,13 +349,13 @@
 // the given tokens before it.
 func (g *Gate) drainTime(rank int, tokens float64) time.Duration {
 	ahead := tokens / (g.drain() * g.order.RankShare(rank))
-	return time.Duration((ahead + g.speed.nextSlot(g.running)) * float64(time.Second))
+	return time.Duration((ahead + g.nextSlot(rank)) * float64(time.Second))
 }
 
 // RankWait estimates how long all that waits in the rank takes to drain; it
 // makes replicas comparable.
 func (g *Gate) RankWait(rank int) time.Duration {
-	if g.order.Len() == 0 && g.allowed(rank) {
+	if g.free(rank) {
 		return 0
 	}
 	if g.willPauseLower(rank) {
--- a/internal/measure/load_test.go
+++ b/internal/measure/load_test.go
@@ -13,6 +13,9 @@
 	leastPrefix   = 0.9
 	mostRetried   = 1.1
 	mostPileUp    = 2.0
+	mostSlowed    = 1.2
+	leastKept     = 0.9
+	testSeeds     = 3
 	testSeed      = 1
 	percentFactor = 100
 )
@@ -54,6 +57,39 @@
 	}
 }
 
+// In a background flood the first token of urgent work comes nearly as soon as
+// on a normal day, and little work is done twice.
+func TestBackgroundFloodKeepsUrgentQuick(t *testing.T) {
+	s := turnoflor
+	var usual, got []time.Duration
+	for seed := range uint64(testSeeds) {
+		day := runLoad(s, router, testSeed+seed, s.normalDay(obeys), nil)
+		flood := runLoad(s, router, testSeed+seed, append(s.normalDay(obeys), s.flood(background, 5, s.everyone(), leaves)...), nil)
+		usual = append(usual, day.ranks[urgent].first...)
+		got = append(got, flood.ranks[urgent].first...)
+		if flood.utilisation() < leastUseful {
+			t.Errorf("%s: %.1f%% of the work was useful", s.name, percentFactor*flood.utilisation())
+		}
+	}
+	if a, b := percentile(got, 0.95), percentile(usual, 0.95); float64(a) > mostSlowed*float64(b) {
+		t.Errorf("%s: urgent first tokens took %s, %s on a normal day", s.name, a, b)
+	}
+}
+
+// In an urgent flood callers that come back when told are served then.
+func TestObeyingCallersAreServedWhenTold(t *testing.T) {
+	s := virtanen
+	kept, told := 0, 0
+	for seed := range uint64(testSeeds) {
+		got := runLoad(s, router, testSeed+seed, append(s.normalDay(obeys), s.flood(urgent, 3, s.everyone(), leaves)...), nil)
+		kept += got.kept
+		told += got.told + got.unserved
+	}
+	if float64(kept) < leastKept*float64(told) {
+		t.Errorf("%s: %d of %d callers that came back when told were served then", s.name, kept, told)
+	}
+}
+
 // In an urgent flood at 3 times capacity each lower rank keeps its floor.
 func TestUrgentFloodKeepsFloors(t *testing.T) {
 	s := turnoflor
--- a/internal/measure/sim_ask.go
+++ b/internal/measure/sim_ask.go
@@ -110,9 +110,10 @@
 	}
 	work := &admission.Work{
 		ID: t.id, Organisation: orgName(r.organisation), Rank: r.rank, Tokens: r.declared - r.steps, Memory: r.prompt + r.declared,
-		Resumed: r.steps > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
+		Resumed: r.steps > 0 || r.paused > 0 || f.policy.naive, Pausable: true, Fingerprint: fingerprint(r),
 		Arrived: f.ev.now, Deadline: r.asked.Add(kinds[r.rank].deadline),
 	}
+	f.tell(work, r)
 	v := o.gate.Offer(f.ev.now, work, s.waits+1 >= waitTries)
 	t.search = s
 	if v.Evicted != nil {
@@ -177,6 +178,10 @@
 		Draw: f.rng.Uint64(), Choices: f.policy.choices,
 	}
 	req.Cached = f.cached(r)
+	req.Began = r.began
+	if r.steps > 0 {
+		req.Began = r.began
+	}
 	req.Recent, req.Now = node.recent, f.ev.now
 	return routing.ChooseReplica(view, req)
 }
@@ -190,6 +195,7 @@
 
 func (f *fleet) refuse(r *simRequest, retryAfter time.Duration) {
 	f.stats.refusals++
+	r.away = true
 	again := r.manner
 	if r.tries >= maxTries {
 		again = leaves
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -45,6 +45,7 @@
 	limit func(interval time.Duration, highest int) admission.Limit
 	// reserve, preempts, floors and patience shape the gate.
 	reserve  int
+	headroom bool // kept on some replicas only
 	preempts bool
 	fair     bool
 	modest   float64
@@ -60,6 +61,8 @@
 	direct bool
 	// prefixes tells what the choice knows of prefix caches.
 	prefixes prefixKnowledge
+	// counts tells whose use of the organisations the owners know.
+	counts countKnowledge
 }
 
 // fleet is a simulated deployment under one policy.
@@ -74,6 +77,8 @@
 	nodes   []*simNode
 	stats   *stats
 	turn    int
+	// used is what the whole fleet served, by organisation.
+	used *admission.Used
 	// nextReplica is where round robin goes on.
 	nextReplica int
 	// cut is the data centre that the others cannot reach; -1 is none.
@@ -103,6 +108,7 @@
 	recent *routing.Recent
 	memory *routing.PrefixIndex
 	told   *admission.Told
+	used   *admission.Used
 }
 
 // simTry is one request for a place and the stream that follows.
@@ -124,10 +130,10 @@
 func newFleet(s size, p policy, seed uint64) *fleet {
 	f := &fleet{
 		size: s, policy: p, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 3)),
-		traffic: newTraffic(seed, s.nodes), stats: newStats(s), cut: -1,
+		traffic: newTraffic(seed, s.nodes), stats: newStats(s), cut: -1, used: admission.NewUsed(),
 	}
 	for i := range s.nodes {
-		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes), told: admission.NewTold()})
+		f.nodes = append(f.nodes, &simNode{dc: i % s.dataCentres, recent: routing.NewRecent(), memory: routing.NewPrefixIndex(nodePrefixes), told: admission.NewTold(), used: admission.NewUsed()})
 	}
 	for i := range s.replicas {
 		f.owners = append(f.owners, f.newOwner(i))
@@ -188,6 +194,9 @@
 		}
 		view = append(view, r)
 	}
+	if f.policy.headroom {
+		f.keepRoom(view)
+	}
 	f.views = append(f.views, view)
 	if len(f.views) > viewsKept {
 		f.views = f.views[1:]
@@ -195,6 +204,14 @@
 	f.ev.after(publishEvery, f.publish)
 }
 
+// keepRoom tells the owners which replicas keep headroom.
+func (f *fleet) keepRoom(view []routing.Replica) {
+	routing.ShareRoom(view)
+	for i, o := range f.owners {
+		o.gate.SetHeadroom(view[i].Room)
+	}
+}
+
 func (f *fleet) dcName(dc int) string { return dcNames[dc] }
 
 var dcNames = func() []string {
@@ -240,6 +257,7 @@
 // begin starts a try of the caller.
 func (f *fleet) begin(r *simRequest) {
 	r.tries++
+	r.away = false
 	f.stats.sent++
 	r.asked = f.ev.now
 	try := r.tries
@@ -253,7 +271,7 @@
 
 // expire ends a request whose caller stops waiting.
 func (f *fleet) expire(r *simRequest, try int) {
-	if r.done || r.tries != try || f.ev.now.Sub(r.asked) < kinds[r.rank].deadline {
+	if r.done || r.away || r.tries != try || f.ev.now.Sub(r.asked) < kinds[r.rank].deadline {
 		return
 	}
 	r.late, r.done = true, true
--- a/internal/measure/sim_stream.go
+++ b/internal/measure/sim_stream.go
@@ -82,6 +82,9 @@
 		return
 	}
 	t.req.paused++
+	if t.req.steps > 0 {
+		t.req.began = t.owner.id
+	}
 	f.end(t, false)
 	f.ask(t.req, search{})
 }
@@ -97,6 +100,7 @@
 	if o.gate.Stream(t.id) == nil {
 		return
 	}
+	f.use(t)
 	u := admission.Usage{Tokens: t.tokens, Whole: whole}
 	if t.tokens > 0 {
 		u.First = t.first.Sub(t.granted)
@@ -107,6 +111,7 @@
 	f.ev.after(f.delay(node.dc, o.dc), func() {
 		delete(o.holding, t.id)
 		o.gate.Release(f.ev.now, t.id, u)
+		o.settle()
 		o.pump()
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -132,9 +132,11 @@
 	Replica string
 	// Target is the version to run, zero for plain services.
 	Target config.Target
-	// Organisation and Caller are charged for the work.
+	// Organisation and Caller are charged for the work. Used is what the
+	// organisation used through the asker over the last minute, in tokens.
 	Organisation string
 	Caller       string
+	Used         int
 	// Rank is the rank's order.
 	Rank int
 	// Tokens is the most that may be generated, Prompt the length of the
@@ -143,7 +145,7 @@
 	Prompt int
 	// Wait is how long the asker can wait from now for the whole answer.
 	Wait time.Duration
-	// Resumed tells that the answer has begun, so that its rest is not
+	// Resumed tells that the answer had a place before, so that its rest is not
 	// refused.
 	Resumed bool
 	// Book asks to keep the come-back time of a refusal for this request.
@@ -158,6 +160,8 @@
 type AcquireReply struct {
 	// Granted tells that the place is the asker's until it releases it.
 	Granted bool
+	// Promoted tells that the work was treated as more urgent.
+	Promoted bool
 	// NotOwner tells that another node owns the replica now.
 	NotOwner bool
 	// RetryAfter is when a place is likely, if refused.
@@ -197,6 +201,24 @@
 	Ended []string
 }
 
+// HeldPlace is a place that a node holds on a replica.
+type HeldPlace struct {
+	// Request is what the place was granted for.
+	Request AcquireArgs
+	// Held is how long ago it was granted.
+	Held time.Duration
+}
+
+// AdoptArgs tells the new owner of replicas which places a node holds there.
+type AdoptArgs struct {
+	Places []HeldPlace
+}
+
+// AdoptReply lists the grants on replicas that the node does not own.
+type AdoptReply struct {
+	NotOwner []string
+}
+
 // PreemptArgs tells the holder of a grant to pause its stream.
 type PreemptArgs struct {
 	Grant string
@@ -324,6 +346,7 @@
 	Release(args ReleaseArgs, reply *ReleaseReply) error
 	Preempt(args PreemptArgs, reply *PreemptReply) error
 	Grants(args GrantsArgs, reply *GrantsReply) error
+	Adopt(args AdoptArgs, reply *AdoptReply) error
 	HoldBills(args HoldBillsArgs, reply *HoldBillsReply) error
 	Claim(args ClaimArgs, reply *ClaimReply) error
 	Alarm(args AlarmArgs, reply *AlarmReply) error
