--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,11 +15,15 @@
 	Weight float64
 	// Rank is the rank's order; 0 is the most urgent.
 	Rank int
+	// Node is the node that asks, Used what the organisation used through it
+	// over the last minute, in tokens; an empty Node tells nothing.
+	Node string
+	Used int
 	// Tokens is the estimated cost in tokens.
 	Tokens int
 	// Memory is the KV cache that it may fill, in tokens.
 	Memory int
-	// Resumed tells that its answer has begun: it is never refused and goes
+	// Resumed tells that it had a place before: it is never refused and goes
 	// before its organisation's other work.
 	Resumed bool
 	// Pausable tells that its stream may be paused for more urgent work.
@@ -31,6 +35,7 @@
 	Deadline time.Time
 
 	lane     *lane
+	caller   *callerQueue
 	promoted bool
 	// returned tells that the work came back when it was told to.
 	returned bool
@@ -38,6 +43,10 @@
 	asked int
 }
 
+// Promoted tells that the work is treated as more urgent than its rank, as its
+// organisation uses little of its share.
+func (w *Work) Promoted() bool { return w.promoted }
+
 // order returns the rank that the work is treated as.
 func (w *Work) order() int {
 	if w.promoted {
@@ -67,6 +76,9 @@
 	Len() int
 	// Waiting returns the number of waiting requests of one rank.
 	Waiting(rank int) int
+	// Tell takes what the node that asks for the work tells of the use of its
+	// organisation.
+	Tell(now time.Time, w *Work)
 	// Modest tells whether the work's organisation was lately served less than
 	// a given part of its fair share.
 	Modest(now time.Time, w *Work, part float64) bool
@@ -74,12 +86,19 @@
 	// rank.
 	Backlog(w *Work) int
 	// Excess returns the waiting work of the rank whose turn comes last, if it
-	// comes after that of new work; else nil. Begun tells that the turn of
-	// work that may not be refused comes after it.
-	Excess(w *Work) (last *Work, begun bool)
+	// comes after that of new work, else nil. It passes over work that may not
+	// be refused: its answer has begun, it came back when told, or it waits
+	// since before the given time.
+	Excess(w *Work, before time.Time) *Work
 	// Ahead returns the tokens that are served before new work within its
 	// rank.
 	Ahead(w *Work) float64
+	// Before returns the tokens that are served before waiting work within its
+	// rank.
+	Before(w *Work) float64
+	// Settle returns the next waiting work of a rank that came before the
+	// given time, each once, or nil.
+	Settle(rank int, before time.Time) *Work
 	// Tokens returns the tokens that wait in a rank.
 	Tokens(rank int) float64
 	// RankShare returns the least share of the replica that the rank can
@@ -89,8 +108,10 @@
 
 // rankQueue holds the waiting work of one rank.
 type rankQueue struct {
-	floor  float64
-	served float64
+	// unsettled holds the work in the order it came; some no longer waits.
+	unsettled []*Work
+	floor     float64
+	served    float64
 	// owed is what the rank has not yet got of its floor, in tokens.
 	owed   float64
 	tokens int
@@ -151,6 +172,7 @@
 	q.accounts.push(w, q.index(w.order()))
 	r.tokens += w.Tokens
 	r.count++
+	r.unsettled = append(r.unsettled, w)
 	q.work[w.ID] = w
 }
 
@@ -283,6 +305,9 @@
 	return out
 }
 
+// Tell implements Order.
+func (q *Queue) Tell(now time.Time, w *Work) { q.accounts.fleet.tell(now, w) }
+
 // Modest implements Order.
 func (q *Queue) Modest(now time.Time, w *Work, part float64) bool {
 	return q.accounts.modest(now, w, part)
@@ -294,17 +319,37 @@
 	if a == nil || a.lanes[q.index(w.order())] == nil {
 		return 0
 	}
-	return len(a.lanes[q.index(w.order())].waiting)
+	return a.lanes[q.index(w.order())].count
 }
 
 // Excess implements Order.
-func (q *Queue) Excess(w *Work) (last *Work, begun bool) {
-	return q.accounts.excess(w, q.index(w.order()))
+func (q *Queue) Excess(w *Work, before time.Time) *Work {
+	return q.accounts.excess(w, q.index(w.order()), before)
 }
 
 // Ahead implements Order.
 func (q *Queue) Ahead(w *Work) float64 { return q.accounts.ahead(w, q.index(w.order())) }
 
+// Before implements Order.
+func (q *Queue) Before(w *Work) float64 { return q.accounts.before(w, q.index(w.order())) }
+
+// Settle implements Order.
+func (q *Queue) Settle(rank int, before time.Time) *Work {
+	r := q.rank(rank)
+	for len(r.unsettled) > 0 {
+		w := r.unsettled[0]
+		waits := q.work[w.ID] == w
+		if waits && !w.Arrived.Before(before) {
+			return nil
+		}
+		r.unsettled = r.unsettled[1:]
+		if waits {
+			return w
+		}
+	}
+	return nil
+}
+
 // Tokens implements Order.
 func (q *Queue) Tokens(rank int) float64 { return float64(q.rank(rank).tokens) }
 
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -124,14 +124,54 @@
 	}
 }
 
+// KeepRoom takes from the view what the replicas keep free for the most urgent
+// rank.
+func (o *Owner) KeepRoom(view func(id string) (routing.Replica, bool)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, r := range o.replicas {
+		if seen, ok := view(id); ok {
+			r.keepRoom(seen.Room, time.Now())
+		}
+	}
+}
+
+func (r *replica) keepRoom(part float64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.SetHeadroom(part)
+	r.pump(now)
+}
+
 // Probe asks every owned replica for its load, all at once, and keeps what it
 // answers.
 func (o *Owner) Probe(ctx context.Context, dialer backend.Dialer, isService func(pool string) bool) {
-	ctx, cancel := context.WithTimeout(ctx, backend.ProbeTimeout)
-	defer cancel()
 	o.mu.Lock()
 	list := slices.Collect(maps.Values(o.replicas))
 	o.mu.Unlock()
+	probeAll(ctx, list, dialer, isService)
+}
+
+// ProbeNew does the same for the replicas that were not yet asked. It tells
+// whether there were any.
+func (o *Owner) ProbeNew(ctx context.Context, dialer backend.Dialer, isService func(pool string) bool) bool {
+	var list []*replica
+	o.mu.Lock()
+	for _, r := range o.replicas {
+		r.mu.Lock()
+		if !r.asked {
+			list = append(list, r)
+		}
+		r.mu.Unlock()
+	}
+	o.mu.Unlock()
+	probeAll(ctx, list, dialer, isService)
+	return len(list) > 0
+}
+
+func probeAll(ctx context.Context, list []*replica, dialer backend.Dialer, isService func(pool string) bool) {
+	ctx, cancel := context.WithTimeout(ctx, backend.ProbeTimeout)
+	defer cancel()
 	var wg sync.WaitGroup
 	for _, r := range list {
 		wg.Go(func() { r.probe(ctx, dialer, isService(r.pool)) })
@@ -140,6 +180,9 @@
 }
 
 func (r *replica) probe(ctx context.Context, dialer backend.Dialer, service bool) {
+	r.mu.Lock()
+	r.asked = true
+	r.mu.Unlock()
 	var report backend.LoadReport
 	var err error
 	if service {
@@ -165,6 +208,7 @@
 	r.healthy = !report.Draining && !r.outlier.Ejected(time.Now())
 	r.targets = report.Targets
 	r.process = report.Incarnation
+	r.count(time.Now(), report)
 	if report.Draining {
 		r.refuseWaiting()
 	}
@@ -214,7 +258,7 @@
 	defer r.mu.Unlock()
 	s := wire.ReplicaState{
 		ID: r.id, Address: r.address, Pool: r.pool, DataCentre: r.dataCentre,
-		Targets: r.targets, Running: r.gate.Running(), Limit: r.gate.Limit(),
+		Targets: r.targets, Running: r.gate.Batch(), Limit: r.gate.Limit(),
 		Healthy: r.healthy, Leaving: r.leaving,
 	}
 	for rank := range ranks {
--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -12,7 +12,7 @@
 
 // router is what the nodes do.
 var router = policy{
-	name: "router", preempts: true, fair: true, modest: 0.7, reserve: 1, floors: exampleFloors,
+	name: "router", preempts: true, fair: true, modest: 0.7, reserve: 1, headroom: true, floors: exampleFloors,
 	patience: [simRanks]time.Duration{kinds[urgent].target, kinds[normal].target, kinds[background].target},
 	choices:  routing.DefaultChoices, prefixes: knowsOwn,
 }
@@ -36,7 +36,7 @@
 	}
 	fifo := policy{name: "first-in-first-out, round robin", order: newFIFO, naive: true, roundRobin: true}
 	static := router.with("static priority", func(p *policy) {
-		p.order, p.floors, p.preempts, p.fair, p.reserve, p.naive = newStatic, [simRanks]float64{}, false, false, 0, true
+		p.order, p.floors, p.preempts, p.fair, p.headroom, p.reserve, p.naive = newStatic, [simRanks]float64{}, false, false, false, 0, true
 	})
 	return []policy{router, fifo, static, direct}
 }
@@ -119,6 +119,9 @@
 	return n
 }
 
+// Tell implements admission.Order.
+func (l *listOrder) Tell(time.Time, *admission.Work) {}
+
 // Modest implements admission.Order.
 func (l *listOrder) Modest(time.Time, *admission.Work, float64) bool { return false }
 
@@ -126,11 +129,17 @@
 func (l *listOrder) Backlog(w *admission.Work) int { return l.Waiting(w.Rank) }
 
 // Excess implements admission.Order.
-func (l *listOrder) Excess(*admission.Work) (last *admission.Work, begun bool) { return nil, false }
+func (l *listOrder) Excess(*admission.Work, time.Time) *admission.Work { return nil }
 
 // Ahead implements admission.Order.
 func (l *listOrder) Ahead(w *admission.Work) float64 { return l.Tokens(w.Rank) }
 
+// Before implements admission.Order.
+func (l *listOrder) Before(*admission.Work) float64 { return 0 }
+
+// Settle implements admission.Order.
+func (l *listOrder) Settle(int, time.Time) *admission.Work { return nil }
+
 // Tokens implements admission.Order.
 func (l *listOrder) Tokens(rank int) float64 {
 	total := 0
--- a/internal/measure/load_test.go
+++ b/internal/measure/load_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 )
 
 // Targets of the trials.
@@ -13,6 +15,10 @@
 	leastPrefix   = 0.9
 	mostRetried   = 1.1
 	mostPileUp    = 2.0
+	mostSlowed    = 1.2
+	leastKept     = 0.9
+	testSeeds     = 3
+	mostCrashed   = 2
 	testSeed      = 1
 	percentFactor = 100
 )
@@ -54,6 +60,39 @@
 	}
 }
 
+// In a background flood the first token of urgent work comes nearly as soon as
+// on a normal day, and little work is done twice.
+func TestBackgroundFloodKeepsUrgentQuick(t *testing.T) {
+	s := turnoflor
+	var usual, got []time.Duration
+	for seed := range uint64(testSeeds) {
+		day := runLoad(s, router, testSeed+seed, s.normalDay(obeys), nil)
+		flood := runLoad(s, router, testSeed+seed, append(s.normalDay(obeys), s.flood(background, 5, s.everyone(), leaves)...), nil)
+		usual = append(usual, day.ranks[urgent].first...)
+		got = append(got, flood.ranks[urgent].first...)
+		if flood.utilisation() < leastUseful {
+			t.Errorf("%s: %.1f%% of the work was useful", s.name, percentFactor*flood.utilisation())
+		}
+	}
+	if a, b := percentile(got, 0.95), percentile(usual, 0.95); float64(a) > mostSlowed*float64(b) {
+		t.Errorf("%s: urgent first tokens took %s, %s on a normal day", s.name, a, b)
+	}
+}
+
+// In an urgent flood callers that come back when told are served then.
+func TestObeyingCallersAreServedWhenTold(t *testing.T) {
+	s := virtanen
+	kept, told := 0, 0
+	for seed := range uint64(testSeeds) {
+		got := runLoad(s, router, testSeed+seed, append(s.normalDay(obeys), s.flood(urgent, 3, s.everyone(), leaves)...), nil)
+		kept += got.kept
+		told += got.told + got.unserved
+	}
+	if float64(kept) < leastKept*float64(told) {
+		t.Errorf("%s: %d of %d callers that came back when told were served then", s.name, kept, told)
+	}
+}
+
 // In an urgent flood at 3 times capacity each lower rank keeps its floor.
 func TestUrgentFloodKeepsFloors(t *testing.T) {
 	s := turnoflor
@@ -103,3 +142,29 @@
 		t.Errorf("%s: %d of %d requests went to one of %d replicas", s.name, most, all, s.replicas)
 	}
 }
+
+// A request that crashes its engine brings down as many as convict it, however
+// often it is sent again, and nobody else is refused for it.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	s := shorter(virtanen)
+	p := router.with("", func(p *policy) { p.suspects = dispatch.NewSuspects })
+	got := runLoad(s, p, testSeed, s.normalDay(obeys), resend)
+	if c := got.crashes; c.replicas > mostCrashed || c.innocent > 0 || c.refused == 0 {
+		t.Errorf("%s: %d engines went down, %d crashing and %d other requests were refused", s.name, c.replicas, c.refused, c.innocent)
+	}
+}
+
+// A roll-out withdrawn halfway ends within the time of a change, moves only
+// the sessions that were on it, and leaves no request without a version.
+func TestStoppedRolloutEnds(t *testing.T) {
+	s := runStoppedWay(testSeed, stoppedWay{withdraw: true, stage: 1})
+	if n := s.answers[settled][1]; n > 0 || s.none > 0 {
+		t.Errorf("%d answers of a withdrawn version, %d requests without a version", n, s.none)
+	}
+	if open := stoppedRate * stoppedPause.Seconds() / (1 - stoppedTurns); s.moved == 0 || float64(s.moved) > open {
+		t.Errorf("%d sessions moved, %.0f were open", s.moved, open)
+	}
+	if s := runStoppedWay(testSeed, stoppedWay{stage: 1, restored: 1}); s.moved > 0 {
+		t.Errorf("%d sessions moved while the roll-out was paused", s.moved)
+	}
+}
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -150,7 +150,7 @@
 // answers.
 func (n *Node) tell(ctx context.Context, duties duties, totals rollout.Totals, complete bool) {
 	self := n.options.Settings.ID
-	report := rollout.Report{Process: rollout.Process{Node: self, Incarnation: n.incarnation}, Totals: totals, Complete: complete}
+	report := rollout.Report{Process: rollout.Process{Node: self, Incarnation: n.members.Incarnation()}, Totals: totals, Complete: complete}
 	args := wire.PackEvidence([]rollout.Report{report}, complete)
 	gatherers := duties.gatherers[n.options.Settings.DataCentre]
 	if len(gatherers) == 0 || gatherers[0] == self {
