--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		if k.kept[name] == nil {
-			k.kept[name] = &kept{writer: k.store.NewWriter(rolloutKey(name), fmt.Sprintf("%s/%d", k.n.options.Settings.ID, k.n.incarnation))}
+			k.kept[name] = &kept{writer: k.store.NewWriter(rolloutKey(name), fmt.Sprintf("%s/%d", k.n.options.Settings.ID, k.n.members.Incarnation()))}
 		}
 		if one := k.kept[name]; !now.Before(one.next) {
 			one.next = now.Add(k.keep(ctx, one.writer, name, view.Live()))
--- a/internal/wire/evidence.go
+++ b/internal/wire/evidence.go
@@ -14,8 +14,19 @@
 // ErrEvidence means that a peer's evidence is malformed.
 var ErrEvidence = errors.New("the evidence does not fit its list of versions: run the same version on all nodes")
 
+// VersionEvidence is what a process saw of one version since its start.
+type VersionEvidence struct {
+	Target   config.Target
+	Evidence rollout.Evidence
+}
+
 // EvidenceArgs tells what processes saw of versions since their start.
 type EvidenceArgs struct {
+	// Node, Incarnation and Evidence are how a node of the first release tells
+	// its own totals.
+	Node        string
+	Incarnation uint64
+	Evidence    []VersionEvidence
 	// Targets are the versions spoken of, in the order of the counts; Complete
 	// tells that the processes saw no others.
 	Targets   []config.Target
@@ -64,7 +75,10 @@
 
 // Reports reads the message. It returns ErrEvidence if it is malformed.
 func (a EvidenceArgs) Reports() ([]rollout.Report, error) {
-	out := make([]rollout.Report, 0, len(a.Processes))
+	out := make([]rollout.Report, 0, len(a.Processes)+1)
+	if a.Node != "" {
+		out = append(out, a.single())
+	}
 	for _, p := range a.Processes {
 		if len(p.Counts) != countsPerVersion*len(a.Targets) {
 			return nil, ErrEvidence
@@ -78,6 +92,16 @@
 	return out, nil
 }
 
+// single reads the totals of one node as the first release tells them; what it
+// leaves out it has not seen, but may not have been asked for.
+func (a EvidenceArgs) single() rollout.Report {
+	r := rollout.Report{Process: rollout.Process{Node: a.Node, Incarnation: a.Incarnation}, Totals: rollout.Totals{}}
+	for _, e := range a.Evidence {
+		r.Totals[e.Target] = e.Evidence
+	}
+	return r
+}
+
 func evidenceOf(c []uint64) rollout.Evidence {
 	return rollout.Evidence{
 		Rated:  rollout.Counts{Good: int(c[0]), Bad: int(c[1])},
--- a/test/fleet/rollout_test.go
+++ b/test/fleet/rollout_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
