Keep a block of evidence open until both versions answered

Cause: outcomes of one version alone are explained as well by rates at which it is not worse, so that they are no evidence.

TestGuardOfSparseAnswers seen failing with every look closing a block.

--- a/internal/rollout/memory.go
+++ b/internal/rollout/memory.go
@@ -44,6 +44,7 @@
 type TestMemory struct {
 	Old    Counts                `json:"old"`
 	Wealth [len(effects)]float64 `json:"wealth"`
+	Open   block                 `json:"open"`
 }
 
 // ProcessMemory is what was counted of one process.
@@ -119,7 +120,7 @@
 		all = append(all, p.Old, p.Next)
 	}
 	for _, t := range m.Guard.Tests {
-		all = append(all, Evidence{Rated: t.Old})
+		all = append(all, Evidence{Rated: t.Old, Served: t.Open.Old, Timely: t.Open.Next})
 	}
 	for _, e := range all {
 		for _, c := range e.channels() {
@@ -134,7 +135,7 @@
 func (g *Guard) memory() GuardMemory {
 	m := GuardMemory{Suspect: g.suspect, Hold: g.hold}
 	for i, t := range g.tests {
-		m.Tests[i] = TestMemory{Old: t.old, Wealth: t.wealth}
+		m.Tests[i] = TestMemory{Old: t.old, Wealth: t.wealth, Open: t.open}
 	}
 	return m
 }
@@ -142,6 +143,6 @@
 func (g *Guard) recall(m GuardMemory) {
 	g.suspect, g.hold = m.Suspect, m.Hold
 	for i, t := range m.Tests {
-		g.tests[i].old, g.tests[i].wealth = t.Old, t.Wealth
+		g.tests[i].old, g.tests[i].wealth, g.tests[i].open = t.Old, t.Wealth, t.Open
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -154,6 +154,34 @@
 	is.Equal(withdrawals(rollouts, always(0.82), always(0.67)), rollouts)
 }
 
+// Where answers come one at a time, so that no look sees both versions, the
+// guard still finds a bad version and keeps its bound.
+func TestGuardOfSparseAnswers(t *testing.T) {
+	is := is.New(t)
+	run := func(quality float64) int {
+		withdrawn := 0
+		for i := range uint64(400) {
+			rng := rand.New(rand.NewPCG(20261204, i))
+			g := NewGuard()
+			for look := range 1500 {
+				e := [2]Evidence{}
+				if which := rng.IntN(6) / 5; which == 0 {
+					e[0].Rated = counts(rng, 1, 0.82)
+				} else {
+					e[1].Rated = counts(rng, 1, quality)
+				}
+				if g.Observe(e[0], e[1], time.Unix(int64(look)*6, 0)).Withdraw {
+					withdrawn++
+					break
+				}
+			}
+		}
+		return withdrawn
+	}
+	is.True(run(0.82) < 400*FalseAlarmBound)
+	is.True(run(0.4) == 400)
+}
+
 // Errors and slowness alone are found as well.
 func TestGuardChannels(t *testing.T) {
 	is := is.New(t)
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -46,11 +46,34 @@
 
 	old    Counts
 	wealth [len(effects)]float64 // logarithms
+	open   block
 }
 
-// Add takes the next block. Blocks before there is a baseline only count
-// towards it.
+// block is what both versions did over the same time.
+type block struct {
+	Old  Counts `json:"old"`
+	Next Counts `json:"next"`
+}
+
+// minBlockOld is the number of outcomes of the version in place without which
+// a block stays open.
+const minBlockOld = 4
+
+// Add takes what both versions did since the last call. A block stays open
+// until both have answered, as answers of one alone are no evidence; the
+// outcomes do not decide it, so that the bound holds.
 func (t *Test) Add(old, next Counts) {
+	t.open = block{t.open.Old.Plus(old), t.open.Next.Plus(next)}
+	if t.open.Next.Total() == 0 || t.open.Old.Total() < minBlockOld {
+		return
+	}
+	t.close(t.open.Old, t.open.Next)
+	t.open = block{}
+}
+
+// close counts a block. Blocks before there is a baseline only count towards
+// it.
+func (t *Test) close(old, next Counts) {
 	if t.old.Total() >= minBaseline && next.Total() > 0 {
 		base := clampRate(max(t.old.rate(priorRate), t.Margin+2*rateMargin))
 		for i, effect := range effects {
