Weigh the guard's effects and rate all answers of a model in a roll-out

Cause: the evidence for a loss of 15 points was a third of the sum, and at the 10% stage half of the other answers left 18% of the information unused.

--- a/internal/measure/versions_guard.go
+++ b/internal/measure/versions_guard.go
@@ -22,7 +22,7 @@
 	guardQuality = 0.82
 	guardLoss    = 0.15
 	guardSample  = 1.0 // share of the new version's answers that is rated
-	baseSample   = 0.5 // share of the other answers that is rated during a roll-out
+	baseSample   = 1.0 // share of the other answers that is rated during a roll-out
 	placeSample  = 0.2 // share that is rated at other times
 	seasonLag    = 2   // ticks until verdicts and reports are there
 )
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -20,7 +20,7 @@
 // Shares of answers that are rated; of a version that is coming in, all are.
 const (
 	inPlaceSample  = 0.2
-	baselineSample = 0.5 // while a roll-out of the same model is under way
+	baselineSample = 1.0 // while a roll-out of the same model is under way
 )
 
 // versions gathers what this node learns of versions, and which of them should
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -32,8 +32,12 @@
 
 func clampRate(p float64) float64 { return min(max(p, rateMargin), 1-rateMargin) }
 
-// effects are the losses beyond the margin that the test looks for at once.
-var effects = [...]float64{0.08, 0.15, 0.30}
+// effects are the losses beyond the margin that the test looks for at once,
+// effectShares the weights of their evidence, which add up to 1.
+var (
+	effects      = [...]float64{0.08, 0.15, 0.30}
+	effectShares = [len(effects)]float64{0.15, 0.7, 0.15}
+)
 
 // Test is a sequential test of "the new version is worse than the version in
 // place by more than a margin". It takes blocks of outcomes that both versions
@@ -115,10 +119,10 @@
 // Evidence returns the evidence so far; 1 means none.
 func (t *Test) Evidence() float64 {
 	sum := 0.0
-	for _, w := range t.wealth {
-		sum += math.Exp(min(w, maxLogEvidence))
+	for i, w := range t.wealth {
+		sum += effectShares[i] * math.Exp(min(w, maxLogEvidence))
 	}
-	return sum / float64(len(effects))
+	return sum
 }
 
 const maxLogEvidence = 50
