--- a/internal/rollout/memory_test.go
+++ b/internal/rollout/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"strings"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/snapshot"
 )
 
 // counted is all that a driver counted of a roll-out, seen by its guard or not.
@@ -143,3 +145,28 @@
 	restarted.Stages["r"] = config.RolloutState{Stage: 0, Since: now.Add(time.Hour)}
 	is.Equal(NewDriver().Recall(restarted, "r", body, now), ErrMemory)
 }
+
+// BenchmarkRemember measures what the memory of a roll-out takes at the design
+// size, stored.
+func BenchmarkRemember(b *testing.B) {
+	const nodes = 340
+	rev, d, rng := drivenRevision(0), NewDriver(), rand.New(rand.NewPCG(20261204, 1))
+	some := func(n int) Evidence {
+		return Evidence{Rated: counts(rng, n, 0.8), Served: counts(rng, n, 0.99), Timely: counts(rng, n, 0.95)}
+	}
+	for i := range nodes {
+		p := Process{fmt.Sprintf("entry-%03d", i), 1_790_000_000_000_000_000 + rng.Uint64N(1e15)}
+		d.Report(rev, Report{Process: p, Totals: Totals{old: some(20_000), next: some(2_000)}}, time.Unix(0, 0))
+	}
+	var stored []byte
+	for b.Loop() {
+		body, err := d.Remember(rev, "r")
+		if err != nil {
+			b.Fatal(err)
+		}
+		if stored, err = snapshot.Encode(snapshot.Content{Kind: "rollout/r", Schema: MemorySchema, Body: body}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(stored)), "bytes")
+}
