--- a/internal/measure/load_test.go
+++ b/internal/measure/load_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 )
 
 // Targets of the trials.
@@ -16,6 +18,7 @@
 	mostSlowed    = 1.2
 	leastKept     = 0.9
 	testSeeds     = 3
+	mostCrashed   = 2
 	testSeed      = 1
 	percentFactor = 100
 )
@@ -139,3 +142,29 @@
 		t.Errorf("%s: %d of %d requests went to one of %d replicas", s.name, most, all, s.replicas)
 	}
 }
+
+// A request that crashes its engine brings down as many as convict it, however
+// often it is sent again, and nobody else is refused for it.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	s := shorter(virtanen)
+	p := router.with("", func(p *policy) { p.suspects = dispatch.NewSuspects })
+	got := runLoad(s, p, testSeed, s.normalDay(obeys), resend)
+	if c := got.crashes; c.replicas > mostCrashed || c.innocent > 0 || c.refused == 0 {
+		t.Errorf("%s: %d engines went down, %d crashing and %d other requests were refused", s.name, c.replicas, c.refused, c.innocent)
+	}
+}
+
+// A roll-out withdrawn halfway ends within the time of a change, moves only
+// the sessions that were on it, and leaves no request without a version.
+func TestStoppedRolloutEnds(t *testing.T) {
+	s := runStoppedWay(testSeed, stoppedWay{withdraw: true, stage: 1})
+	if n := s.answers[settled][1]; n > 0 || s.none > 0 {
+		t.Errorf("%d answers of a withdrawn version, %d requests without a version", n, s.none)
+	}
+	if open := stoppedRate * stoppedPause.Seconds() / (1 - stoppedTurns); s.moved == 0 || float64(s.moved) > open {
+		t.Errorf("%d sessions moved, %.0f were open", s.moved, open)
+	}
+	if s := runStoppedWay(testSeed, stoppedWay{stage: 1, restored: 1}); s.moved > 0 {
+		t.Errorf("%d sessions moved while the roll-out was paused", s.moved)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	leaving    atomic.Bool   // says so to callers, serves on
 	refusing   atomic.Bool   // takes no new requests
 	hurry      chan struct{} // closed to leave sooner
+	releases   atomic.Int32  // releases that are sent again
 	hurryOnce  sync.Once
 	servers    []*http.Server
 	inner      *wire.Server
@@ -188,6 +189,8 @@
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
+	sweeper := ledger.NewSweeper(n.options.Platform, n.lives(), n.sweeps)
+	n.loops.Go(func() { every(ctx, ledger.SweepInterval, sweeper.Sweep) })
 }
 
 // refresh takes a first look at everything, so that a new node is ready soon.
