--- a/internal/measure/load_policies.go
+++ b/internal/measure/load_policies.go
@@ -14,6 +14,7 @@
 var router = policy{
 	name: "router", preempts: true, fair: true, modest: 0.7, reserve: 1, headroom: true, floors: exampleFloors,
 	patience: [simRanks]time.Duration{kinds[urgent].target, kinds[normal].target, kinds[background].target},
+	counts:   countsTold,
 	choices:  routing.DefaultChoices, prefixes: knowsOwn,
 }
 
