Headroom on few replicas only from nine up; give up on pauses not answered

Each of fewer than nine replicas keeps one slot again. A stream that does not pause within 500 ms is no longer counted on.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -71,6 +71,9 @@
 	adopted bool
 	// Pausing tells that its holder was asked to pause it.
 	Pausing bool
+	// pausedAt is when, silent that it has not paused in time.
+	pausedAt time.Time
+	silent   bool
 }
 
 // Usage is what a finished stream tells.
@@ -319,7 +322,7 @@
 	if g.places[key] == 0 {
 		delete(g.places, key)
 	}
-	if s.Pausing {
+	if s.Pausing && !s.silent {
 		g.pausing--
 	}
 	if s.Work.Rank > 0 {
--- a/internal/admission/headroom_test.go
+++ b/internal/admission/headroom_test.go
@@ -60,3 +60,25 @@
 		}
 	}
 }
+
+// A stream that does not pause when asked is counted on no longer: another one
+// is asked.
+func TestSilentStreamIsReplaced(t *testing.T) {
+	g := newTestGate(0)
+	fill(g)
+	g.offer(&Work{Organisation: "b", Rank: 0, Tokens: 10, Deadline: g.now.Add(time.Minute)})
+	first := g.Pause(g.now)
+	if first == nil || g.Pause(g.now) != nil {
+		t.Fatal("not one stream was asked to pause for one request")
+	}
+	now := g.now.Add(2 * pauseAnswer)
+	second := g.Pause(now)
+	if second == nil || second == first || g.Pause(now) != nil {
+		t.Fatalf("after %v another was to be asked, not %v", first, second)
+	}
+	g.Release(now, first.Work.ID, Usage{})
+	g.Release(now, second.Work.ID, Usage{})
+	if g.pausing != 0 {
+		t.Fatalf("%d streams are taken to pause after both did", g.pausing)
+	}
+}
--- a/internal/admission/pause.go
+++ b/internal/admission/pause.go
@@ -2,9 +2,14 @@
 
 import "time"
 
+// pauseAnswer is how long a stream may take to pause before another one is
+// asked.
+const pauseAnswer = 500 * time.Millisecond
+
 // Pause returns a running stream that should be paused now for waiting work,
 // or nil. Each stream is returned once.
 func (g *Gate) Pause(now time.Time) *Stream {
+	g.giveUpPauses(now)
 	waiting := 0
 	for rank := range g.options.Ranks {
 		n := g.order.Waiting(rank)
@@ -13,7 +18,7 @@
 			continue
 		}
 		if s := g.victimFor(now, rank); s != nil {
-			s.Pausing = true
+			s.Pausing, s.pausedAt = true, now
 			g.pausing++
 			return s
 		}
@@ -21,6 +26,19 @@
 	return nil
 }
 
+// giveUpPauses no longer counts on streams whose holders do not answer.
+func (g *Gate) giveUpPauses(now time.Time) {
+	if g.pausing == 0 {
+		return
+	}
+	for _, s := range g.running {
+		if s.Pausing && !s.silent && now.Sub(s.pausedAt) > pauseAnswer {
+			s.silent = true
+			g.pausing--
+		}
+	}
+}
+
 // victimFor returns a stream to be paused for the rank's first work, or nil.
 func (g *Gate) victimFor(now time.Time, rank int) *Stream {
 	if g.options.Ranks[rank].Preempts {
@@ -149,7 +167,7 @@
 	counts := g.byRank()
 	n := 0
 	for _, s := range g.running {
-		if s.Pausing || g.mayPause(s, rank, counts) {
+		if s.Pausing && !s.silent || g.mayPause(s, rank, counts) {
 			n++
 		}
 	}
--- a/internal/routing/headroom.go
+++ b/internal/routing/headroom.go
@@ -58,10 +58,10 @@
 // shareRoom gives headroom to some replicas of a group, one data centre after
 // the other.
 func shareRoom(group []*Replica) {
-	n := len(group) * roomyPart / roomyOf
-	if n == 0 {
+	if len(group) < roomyOf {
 		return
 	}
+	n := len(group) * roomyPart / roomyOf
 	order := make([]candidate, len(group))
 	for i, r := range group {
 		r.Room = 0
