Remove old claims and pins in the order of their keys, which stay as they were

Claims and pins keep their keys; a row tells how far all nodes have looked, and moves on by a conditional write in the transaction that removes the old rows. Bills, whose keys are drawn at random already, keep their owners and drawn places. Seen failing: a walk that stays where it is, removal whatever the row is by now, by others than the owner, rows without a time, no going round.

--- a/internal/ledger/call.go
+++ b/internal/ledger/call.go
@@ -25,7 +25,7 @@
 
 // row returns the table key of the call's claim.
 func (id CallID) row() string {
-	return rowKey(claimPrefix, id.Organisation, id.Service, id.Key)
+	return claimPrefix + url.PathEscape(id.Organisation) + "/" + url.PathEscape(id.Service) + "/" + url.PathEscape(id.Key)
 }
 
 // ClaimKey returns the table key of a call's claim.
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -35,7 +35,7 @@
 
 // row returns the table key of the pin.
 func (id PinID) row() string {
-	return rowKey(pinPrefix, id.Organisation, id.Session, id.Asked)
+	return pinPrefix + url.PathEscape(id.Organisation) + "/" + url.PathEscape(id.Session) + "/" + url.PathEscape(id.Asked)
 }
 
 // pinRow is what the table holds of a pin.
@@ -355,10 +355,10 @@
 // sessionOf returns the session that a row's key names.
 func sessionOf(row string) string {
 	parts := strings.Split(row, "/")
-	if len(parts) < 4 {
+	if len(parts) < 3 {
 		return ""
 	}
-	session, err := url.PathUnescape(parts[3])
+	session, err := url.PathUnescape(parts[2])
 	if err != nil {
 		return ""
 	}
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/url"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipfall/cowslipfall/internal/platform"
 )
 
@@ -26,11 +25,15 @@
 	ClockMargin = time.Hour
 	// maxClaimAge is how long after it was made a claim may still be sent.
 	maxClaimAge = time.Hour
-	// sweepShards is how many parts the rows of one kind have, each with one
-	// owner: the first two hex digits of a row's place.
+	// sweepShards is how many parts the bills have, each with one owner: the
+	// first two hex digits of the request's identity.
 	sweepShards = 256
-	// placeDigits is the length of a place in hex digits.
-	placeDigits = 8
+	// sweepShares is how many looks there are for one at claims and one at
+	// pins; the others are for bills.
+	sweepShares = 10
+	// sweepPrefix begins the keys of rows that tell how far claims and pins
+	// were looked at.
+	sweepPrefix = "sweep/"
 )
 
 // Lives are how long rows are kept at least, by kind; 0 keeps them for ever.
@@ -40,19 +43,11 @@
 	Pins   time.Duration
 }
 
-// rowKey joins a row's key: its place, which spreads rows evenly so that each
-// part of them has an owner, and its name.
-func rowKey(prefix string, parts ...string) string {
-	for i, part := range parts {
-		parts[i] = url.PathEscape(part)
-	}
-	name := strings.Join(parts, "/")
-	sum := sha256.Sum256([]byte(name))
-	return prefix + hex.EncodeToString(sum[:placeDigits/2]) + "/" + name
-}
-
-// Sweeper removes rows that are past their life. Each look is at a place drawn
-// anew, so that nothing has to be kept of where the last one ended.
+// Sweeper removes rows that are past their life. Bills are spread evenly by
+// their keys: each part has an owner, who looks at a place drawn anew, so that
+// nothing has to be kept of where the last look ended. Claims and pins are
+// not: a row of the table tells how far they were looked at, and moves on in
+// the transaction that removes the old ones.
 type Sweeper struct {
 	table platform.Table
 	lives Lives
@@ -66,26 +61,62 @@
 	return &Sweeper{table: table, lives: lives, owns: owns, now: time.Now}
 }
 
-// Sweep looks at some rows of one part that this node owns, and removes the old
-// ones. Its calls of the table come after all others.
+// Sweep looks at some rows, and removes the old ones. Its calls of the table
+// come after all others.
 func (s *Sweeper) Sweep(ctx context.Context) {
-	kind := []struct {
-		prefix string
-		life   time.Duration
-	}{{claimPrefix, s.lives.Claims}, {billPrefix, s.lives.Bills}, {pinPrefix, s.lives.Pins}}[rand.IntN(3)]
-	if kind.life <= 0 {
+	ctx = platform.Background(ctx)
+	switch rand.IntN(sweepShares) {
+	case 0:
+		s.walk(ctx, claimPrefix, s.lives.Claims)
+	case 1:
+		s.walk(ctx, pinPrefix, s.lives.Pins)
+	default:
+		s.sweepBills(ctx)
+	}
+}
+
+// sweepBills looks at bills of one part that this node owns.
+func (s *Sweeper) sweepBills(ctx context.Context) {
+	if s.lives.Bills <= 0 {
 		return
 	}
 	owns := s.owns()
 	for _, n := range rand.Perm(sweepShards) {
-		shard := fmt.Sprintf("%s%02x", kind.prefix, n)
+		shard := fmt.Sprintf("%s%02x", billPrefix, n)
 		if owns(shard) {
-			s.sweepShard(platform.Background(ctx), shard, bornBefore(s.now(), kind.life))
+			s.sweepShard(ctx, shard, bornBefore(s.now(), s.lives.Bills))
 			return
 		}
 	}
 }
 
+// walk looks at the rows after those that were looked at last, by any node. Of
+// two that look at once, the second's transaction conflicts.
+func (s *Sweeper) walk(ctx context.Context, prefix string, life time.Duration) {
+	if life <= 0 {
+		return
+	}
+	key := sweepPrefix + strings.TrimSuffix(prefix, "/")
+	at, err := s.table.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	after := string(at.Value)
+	rows, err := s.table.List(ctx, prefix, after, sweepPage)
+	if err != nil {
+		return
+	}
+	next := ""
+	if len(rows) == sweepPage {
+		next = rows[len(rows)-1].Key
+	}
+	ops := oldRows(rows, bornBefore(s.now(), life))
+	if next != after {
+		ops = append(ops, platform.Op{Key: key, Value: []byte(next), Expect: at.Version})
+	}
+	s.remove(ctx, ops)
+}
+
 // bornBefore returns before when a row must have been made to be removed now.
 // Its maker's clock may be ahead, and a claim may be sent some time after it
 // was made.
@@ -93,7 +124,7 @@
 	return now.Add(-life - ClockMargin - maxClaimAge)
 }
 
-// sweepShard removes rows of a part that were made before the given time, from
+// sweepShard removes bills of a part that were made before the given time, from
 // a drawn place on, and from the part's beginning where its end was reached.
 func (s *Sweeper) sweepShard(ctx context.Context, shard string, before time.Time) {
 	after := fmt.Sprintf("%s%06x", shard, rand.IntN(1<<24))
@@ -116,7 +147,7 @@
 	}
 }
 
-// remove tells whether it could remove the rows.
+// remove tells whether the rows could be removed.
 func (s *Sweeper) remove(ctx context.Context, old []platform.Op) bool {
 	if len(old) == 0 {
 		return true
