--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -7,10 +7,7 @@
 	// in tokens a second.
 	firstPerSlot = 25.0
 	speedGain    = 0.05
-	// firstRatio is the assumed length of answers over what they may have,
-	// before any was seen.
-	firstRatio = 0.5
-	ratioGain  = 0.1
+	ratioGain    = 0.1
 	// minPerSlot keeps predictions finite, in tokens a second.
 	minPerSlot = 1.0
 )
@@ -34,7 +31,7 @@
 
 func (s *speed) resize(ranks int) {
 	for len(s.ratio) < ranks {
-		s.ratio = append(s.ratio, firstRatio)
+		s.ratio = append(s.ratio, 1)
 	}
 }
 
