Keep the order of VMs between views

Of the processor time of a cold start a third goes into views, and a good part of that into sorting the IDs of VMs and replicas for each. The order now stands until a VM comes or goes.

--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -209,6 +209,9 @@
 	if item != nil && !newerVM(news, item.news) {
 		return
 	}
+	if item == nil {
+		t.vmOrder = nil
+	}
 	t.vms[news.VM.ID] = &vmItem{news: news, changed: now, index: t.next(), from: from}
 	t.urgent = true
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -82,6 +82,7 @@
 	hashes    map[uint64]*nodeItem     // guarded by mu
 	replicas  map[string]*replicaItem  // guarded by mu
 	vms       map[string]*vmItem       // guarded by mu
+	vmOrder   []string                 // guarded by mu; the IDs of vms in order, nil after one came or went
 	centres   map[string]*centreItem   // guarded by mu
 	have      map[string]wire.Position // guarded by mu; what is held of each peer's log
 	told      map[string]wire.Position // guarded by mu; what each peer holds of the own log
@@ -218,6 +219,7 @@
 	if item == nil {
 		item = &vmItem{}
 		t.vms[news.VM.ID] = item
+		t.vmOrder = nil
 	} else if item.changed.After(began) || (item.news.VM == news.VM && item.news.Gone == news.Gone) {
 		return
 	}
@@ -253,6 +255,7 @@
 	for id, item := range t.vms {
 		if item.news.Gone && now.Sub(item.changed) > ForgetAfter {
 			delete(t.vms, id)
+			t.vmOrder = nil
 			delete(t.replicas, id)
 		}
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -57,12 +57,12 @@
 	}
 	s.bridges = bridges(s.Nodes)
 	t.assign(s)
-	for _, v := range t.vms {
-		if v.news.VM.Role == platform.RoleBackend && !v.news.Gone {
+	s.Replicas = make([]routing.Replica, 0, len(t.vms))
+	for _, id := range t.vmIDs() {
+		if v := t.vms[id]; v.news.VM.Role == platform.RoleBackend && !v.news.Gone {
 			s.Replicas = append(s.Replicas, t.replica(s, v.news.VM))
 		}
 	}
-	slices.SortFunc(s.Replicas, func(a, b routing.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	for i, r := range s.Replicas {
 		s.replicas[r.ID] = i
 	}
@@ -74,18 +74,28 @@
 	t.snapshot.Store(s)
 }
 
-// owned groups the accounts of replicas by their owners. The caller holds mu.
+// owned groups the accounts of replicas by their owners, in order. The caller holds mu.
 func (t *Table) owned() map[string][]wire.ReplicaState {
 	out := map[string][]wire.ReplicaState{}
-	for _, id := range slices.Sorted(maps.Keys(t.replicas)) {
-		r := t.replicas[id]
+	for _, r := range t.replicas {
 		if r.news.Owner != "" {
 			out[r.news.Owner] = append(out[r.news.Owner], r.news.State)
 		}
 	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b wire.ReplicaState) int { return cmp.Compare(a.ID, b.ID) })
+	}
 	return out
 }
 
+// vmIDs returns the IDs of the known VMs in order. The caller holds mu.
+func (t *Table) vmIDs() []string {
+	if t.vmOrder == nil {
+		t.vmOrder = slices.Sorted(maps.Keys(t.vms))
+	}
+	return t.vmOrder
+}
+
 // replica joins the list of VMs with the account of the replica's owner. The
 // caller holds mu.
 func (t *Table) replica(s *Snapshot, vm platform.VM) routing.Replica {
@@ -122,7 +132,7 @@
 		t.owners = map[string]string{}
 	}
 	groups := group(s.Nodes)
-	for _, id := range slices.Sorted(maps.Keys(t.vms)) {
+	for _, id := range t.vmIDs() {
 		v := t.vms[id]
 		if v.news.VM.Role != platform.RoleBackend || v.news.Gone {
 			continue
