--- a/internal/measure/sim_stream.go
+++ b/internal/measure/sim_stream.go
@@ -51,6 +51,10 @@
 // token counts a token on its way to the caller.
 func (f *fleet) token(t *simTry, delay time.Duration) {
 	r := t.req
+	if r.crashes {
+		f.ev.after(0, func() { f.crash(t.owner) })
+		return
+	}
 	if t.tokens == 0 {
 		t.first = f.ev.now
 		f.stats.prefill(f.ev.now, max(t.stream.prompt-t.stream.hit, 0), r.steps > 0)
@@ -72,6 +76,9 @@
 		return
 	}
 	t.req.done = true
+	if f.suspects != nil {
+		f.suspects.Cleared(fingerprint(t.req), f.ev.now)
+	}
 	f.end(t, true)
 	f.stats.finished(t.req, f.ev.now)
 }
@@ -82,6 +89,9 @@
 		return
 	}
 	t.req.paused++
+	if t.req.steps > 0 {
+		t.req.began = t.owner.id
+	}
 	f.end(t, false)
 	f.ask(t.req, search{})
 }
@@ -97,6 +107,7 @@
 	if o.gate.Stream(t.id) == nil {
 		return
 	}
+	f.use(t)
 	u := admission.Usage{Tokens: t.tokens, Whole: whole}
 	if t.tokens > 0 {
 		u.First = t.first.Sub(t.granted)
@@ -107,6 +118,7 @@
 	f.ev.after(f.delay(node.dc, o.dc), func() {
 		delete(o.holding, t.id)
 		o.gate.Release(f.ev.now, t.id, u)
+		o.settle()
 		o.pump()
 	})
 }
--- a/internal/measure/sim_traffic.go
+++ b/internal/measure/sim_traffic.go
@@ -73,12 +73,15 @@
 	first        time.Duration
 	done         bool
 	late         bool
+	crashes      bool // brings its engine down
+	away         bool // refused, and not yet back
 	refused      bool
 	hit          int
 	steps        int
 	counted      int // tokens within the measured window
 	decoding     time.Duration
 	paused       int
+	began        string // the replica that last ran it
 }
 
 // traffic makes the requests of a trial. The same seed gives the same
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -63,6 +63,7 @@
 			s.Replicas = append(s.Replicas, t.replica(s, v.news.VM))
 		}
 	}
+	routing.ShareRoom(s.Replicas)
 	for i, r := range s.Replicas {
 		s.replicas[r.ID] = i
 	}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -105,6 +105,7 @@
 // probe asks the owned replicas for their load.
 func (n *Node) probe(ctx context.Context) {
 	n.owner.Probe(ctx, n.options.Dialer, n.isService)
+	n.owner.KeepRoom(n.members.Snapshot().Replica)
 	n.metrics.PendingBills.Set(float64(n.bills.Pending()))
 	n.members.Publish(time.Now(), n.owner.Published())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,7 @@
 	exchanger  *exchanger
 	refusals   refusals
 	platform   *platform.Limited
+	started    time.Time            // by the own clock, for ages only
 	registered time.Time            // used by the registration's loop alone
 	configRead time.Time            // used by the configuration's loop alone
 	vmsRead    time.Time            // used by the VM list's loop alone
@@ -104,7 +105,7 @@
 	o.Platform = limited
 	o = metered(o, metrics, tracer, health)
 	n := &Node{
-		options: o, platform: limited, config: config.NewHolder(),
+		options: o, platform: limited, started: time.Now(), config: config.NewHolder(),
 		store: config.NewStore(o.Platform, o.Platform), peers: wire.NewPeers(o.Settings.InnerSecret, o.Dial),
 		record: record.NewLog(o.Settings.ID), metrics: metrics, tracer: tracer, health: health, exchanger: newExchanger(), hurry: make(chan struct{}), seeds: map[string]string{},
 	}
@@ -123,12 +124,14 @@
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.members.Incarnation(),
 		NewToken: dispatch.NewID, AskSender: n.askSender,
 	})
-	n.bills = ledger.NewBills(o.Platform, copies{n})
+	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
+	n.bills = ledger.NewBills(o.Platform, copies{n}, n.pins)
 	n.suspects = dispatch.NewSuspects()
 	n.owner.Watch(n.suspects)
-	n.pins = ledger.NewPins(o.Platform, pinPeers{n})
 	n.versions = newVersions(o.Platform, n.metrics, func() *routing.Plan { return n.dispatcher.Plan() })
 	n.drivers.driver = rollout.NewDriver()
+	n.drivers.gather = rollout.NewGatherer()
+	n.drivers.stuck = map[string]bool{}
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Life: n.life, Node: o.Settings.ID, Incarnation: n.members.Incarnation, DataCentre: o.Settings.DataCentre,
 		Config: n.config, View: n.members.Snapshot, Places: meter.Places{Next: places{n}, Metrics: metrics, Tracer: tracer}, Dialer: o.Dialer,
@@ -185,8 +188,9 @@
 	n.loops.Go(func() { every(ctx, ordersInterval, orders.Round) })
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
-	n.loops.Go(func() { n.pins.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
+	sweeper := ledger.NewSweeper(n.options.Platform, n.lives(), n.sweeps)
+	n.loops.Go(func() { every(ctx, ledger.SweepInterval, sweeper.Sweep) })
 }
 
 // refresh takes a first look at everything, so that a new node is ready soon.
--- a/internal/wire/version_test.go
+++ b/internal/wire/version_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
 // between makes one call between programs of the given versions.
@@ -116,3 +119,15 @@
 	is.NoErr(release)
 	is.NoErr(later)
 }
+
+// The evidence of a node of version 1 is read.
+func TestOldEvidenceIsRead(t *testing.T) {
+	is := is.New(t)
+	target := config.Target{Model: "m", Version: "v"}
+	old := EvidenceArgs{Node: "a", Incarnation: 7, Evidence: []VersionEvidence{{Target: target, Evidence: rollout.Evidence{Served: rollout.Counts{Good: 3, Bad: 1}}}}}
+	reports, err := old.Reports()
+	is.NoErr(err)
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Process, rollout.Process{Node: "a", Incarnation: 7})
+	is.Equal(reports[0].Totals[target].Served, rollout.Counts{Good: 3, Bad: 1})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,6 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
 // ReplicaState is what a replica's owner publishes of it.
@@ -133,9 +132,11 @@
 	Replica string
 	// Target is the version to run, zero for plain services.
 	Target config.Target
-	// Organisation and Caller are charged for the work.
+	// Organisation and Caller are charged for the work. Used is what the
+	// organisation used through the asker over the last minute, in tokens.
 	Organisation string
 	Caller       string
+	Used         int
 	// Rank is the rank's order.
 	Rank int
 	// Tokens is the most that may be generated, Prompt the length of the
@@ -144,7 +145,7 @@
 	Prompt int
 	// Wait is how long the asker can wait from now for the whole answer.
 	Wait time.Duration
-	// Resumed tells that the answer has begun, so that its rest is not
+	// Resumed tells that the answer had a place before, so that its rest is not
 	// refused.
 	Resumed bool
 	// Book asks to keep the come-back time of a refusal for this request.
@@ -159,6 +160,8 @@
 type AcquireReply struct {
 	// Granted tells that the place is the asker's until it releases it.
 	Granted bool
+	// Promoted tells that the work was treated as more urgent.
+	Promoted bool
 	// NotOwner tells that another node owns the replica now.
 	NotOwner bool
 	// RetryAfter is when a place is likely, if refused.
@@ -296,6 +299,11 @@
 	// Copy tells that the table does not answer: the pin is to be remembered
 	// and stored later.
 	Copy bool
+	// Ahead tells that the sender, the session's home, stores the pin soon:
+	// it is to be remembered, and stored if the home does not.
+	Ahead bool
+	// From is the sender of a pin with Ahead.
+	From Process
 	// Stored tells that the table has the pin: it is to be remembered only.
 	Stored bool
 }
@@ -330,22 +338,6 @@
 	Steps []Step
 }
 
-// VersionEvidence is what a process saw of one version since its start.
-type VersionEvidence struct {
-	Target   config.Target
-	Evidence rollout.Evidence
-}
-
-// EvidenceArgs tells a driver of roll-outs a node's totals.
-type EvidenceArgs struct {
-	Node        string
-	Incarnation uint64
-	Evidence    []VersionEvidence
-}
-
-// EvidenceReply is empty.
-type EvidenceReply struct{}
-
 // Handler is what a node answers to its peers.
 type Handler interface {
 	Exchange(args ExchangeArgs, reply *ExchangeReply) error
@@ -362,5 +354,6 @@
 	Pin(args PinArgs, reply *PinReply) error
 	Pins(args PinsArgs, reply *PinsReply) error
 	Explain(args ExplainArgs, reply *ExplainReply) error
+	Gather(args EvidenceArgs, reply *EvidenceReply) error
 	Evidence(args EvidenceArgs, reply *EvidenceReply) error
 }
