--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -32,8 +32,12 @@
 
 func clampRate(p float64) float64 { return min(max(p, rateMargin), 1-rateMargin) }
 
-// effects are the losses beyond the margin that the test looks for at once.
-var effects = [...]float64{0.08, 0.15, 0.30}
+// effects are the losses beyond the margin that the test looks for at once,
+// effectShares the weights of their evidence, which add up to 1.
+var (
+	effects      = [...]float64{0.08, 0.15, 0.30}
+	effectShares = [len(effects)]float64{0.15, 0.7, 0.15}
+)
 
 // Test is a sequential test of "the new version is worse than the version in
 // place by more than a margin". It takes blocks of outcomes that both versions
@@ -46,11 +50,34 @@
 
 	old    Counts
 	wealth [len(effects)]float64 // logarithms
+	open   block
+}
+
+// block is what both versions did over the same time.
+type block struct {
+	Old  Counts `json:"old"`
+	Next Counts `json:"next"`
 }
 
-// Add takes the next block. Blocks before there is a baseline only count
-// towards it.
+// minBlockOld is the number of outcomes of the version in place without which
+// a block stays open.
+const minBlockOld = 4
+
+// Add takes what both versions did since the last call. A block stays open
+// until both have answered, as answers of one alone are no evidence; the
+// outcomes do not decide it, so that the bound holds.
 func (t *Test) Add(old, next Counts) {
+	t.open = block{t.open.Old.Plus(old), t.open.Next.Plus(next)}
+	if t.open.Next.Total() == 0 || t.open.Old.Total() < minBlockOld {
+		return
+	}
+	t.close(t.open.Old, t.open.Next)
+	t.open = block{}
+}
+
+// close counts a block. Blocks before there is a baseline only count towards
+// it.
+func (t *Test) close(old, next Counts) {
 	if t.old.Total() >= minBaseline && next.Total() > 0 {
 		base := clampRate(max(t.old.rate(priorRate), t.Margin+2*rateMargin))
 		for i, effect := range effects {
@@ -92,10 +119,10 @@
 // Evidence returns the evidence so far; 1 means none.
 func (t *Test) Evidence() float64 {
 	sum := 0.0
-	for _, w := range t.wealth {
-		sum += math.Exp(min(w, maxLogEvidence))
+	for i, w := range t.wealth {
+		sum += effectShares[i] * math.Exp(min(w, maxLogEvidence))
 	}
-	return sum / float64(len(effects))
+	return sum
 }
 
 const maxLogEvidence = 50
