--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
@@ -16,34 +17,19 @@
 	settleTime = 10 * time.Second
 )
 
-// span is the least and the most places held between two probes.
-type span struct {
-	least, most int
-}
-
-// spans are those of the last probes, the newest first.
-type spans [knownProbes]span
+// leasts are the least places held between two probes, the newest first.
+type leasts [knownProbes]int
 
 // note takes the number of places held now.
-func (s *spans) note(n int) {
-	s[0].least = min(s[0].least, n)
-	s[0].most = max(s[0].most, n)
-}
+func (l *leasts) note(n int) { l[0] = min(l[0], n) }
 
-// bounds returns the least and the most places held within the last probes.
-func (s *spans) bounds() span {
-	out := s[0]
-	for _, one := range s[1:] {
-		out.least = min(out.least, one.least)
-		out.most = max(out.most, one.most)
-	}
-	return out
-}
+// lowest returns the least places held within the last probes.
+func (l *leasts) lowest() int { return slices.Min(l[:]) }
 
 // next begins another interval with the given number of places held.
-func (s *spans) next(n int) {
-	copy(s[1:], s[:])
-	s[0] = span{least: n, most: n}
+func (l *leasts) next(n int) {
+	copy(l[1:], l[:])
+	l[0] = n
 }
 
 // hold notes who holds a place. The caller holds mu.
@@ -54,21 +40,21 @@
 
 // count compares the backend server's report with the places held here: what
 // it has more of was granted by another owner. The report lags, so that only
-// what exceeds all counts of late is sure; but what a new owner found at first
+// what two reports in a row exceed the places by is sure; but what a new owner found at first
 // is there until a report shows that it ended or its holder tells. The caller
 // holds mu.
 func (r *replica) count(now time.Time, report backend.LoadReport) {
-	held := r.known.bounds()
 	batch := report.Running + report.Waiting
 	switch {
 	case r.taken.IsZero():
 		r.taken = now
 		r.gate.SetForeign(now, batch-len(r.holders))
 	case now.Sub(r.taken) < settleTime:
-		r.gate.SetForeign(now, min(r.gate.Foreign(), batch-held.least))
+		r.gate.SetForeign(now, min(r.gate.Foreign(), batch-r.known.lowest()))
 	default:
-		r.gate.SetForeign(now, batch-held.most)
+		r.gate.SetForeign(now, min(batch-len(r.holders), r.excess))
 	}
+	r.excess = batch - len(r.holders)
 	r.known.next(len(r.holders))
 	r.pump(now)
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -66,11 +66,12 @@
 	outlier  routing.Outlier      // guarded by mu; failures of streams, whatever probes say
 	started  string               // guarded by mu; the backend server's incarnation
 	leaving  bool                 // guarded by mu
+	excess   int                  // guarded by mu; of the last report over the places held then
 	asked    bool                 // guarded by mu; a probe was sent
 	failures int                  // guarded by mu
 	suspects *Suspects            // nil keeps no requests apart
 	process  string               // guarded by mu; the incarnation last seen
-	known    spans                // guarded by mu; the places held between probes
+	known    leasts               // guarded by mu; the places held between probes
 	taken    time.Time            // guarded by mu; when the replica first reported to this owner
 }
 
