--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -51,6 +51,28 @@
 	return n, err
 }
 
+// loopback serves answerAll on loopback until the benchmark ends, and returns
+// its address, peers to call it with, and a count of their bytes.
+func loopback(b *testing.B) (address string, peers *Peers, bytes *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s, err := NewServer(l, secret, answerAll{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go s.Serve()
+	b.Cleanup(func() { s.Close() })
+	bytes = &atomic.Int64{}
+	peers = NewPeers(secret, func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := TCP(ctx, address)
+		return counter{conn, bytes}, err
+	})
+	b.Cleanup(peers.Close)
+	return l.Addr().String(), peers, bytes
+}
+
 // BenchmarkCalls measures time and bytes of one call and its answer over
 // loopback, both ends together.
 func BenchmarkCalls(b *testing.B) {
@@ -66,29 +88,14 @@
 		{"HoldBills", HoldBillsArgs{From: Process{Node: "entry-123", Incarnation: 1_790_000_000_000_000_000}, First: 1000, Bills: []Bill{bill}, StoredBelow: 900}, &HoldBillsReply{}},
 	} {
 		b.Run(c.method, func(b *testing.B) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			s, err := NewServer(l, secret, answerAll{})
-			if err != nil {
-				b.Fatal(err)
-			}
-			go s.Serve()
-			defer s.Close()
-			var bytes atomic.Int64
-			peers := NewPeers(secret, func(ctx context.Context, address string) (net.Conn, error) {
-				conn, err := TCP(ctx, address)
-				return counter{conn, &bytes}, err
-			})
-			defer peers.Close()
+			address, peers, bytes := loopback(b)
 			ctx := context.Background()
 			for range 10 {
-				_ = peers.Call(ctx, l.Addr().String(), c.method, c.args, c.reply)
+				_ = peers.Call(ctx, address, c.method, c.args, c.reply)
 			}
 			bytes.Store(0)
 			for b.Loop() {
-				if err := peers.Call(ctx, l.Addr().String(), c.method, c.args, c.reply); err != nil {
+				if err := peers.Call(ctx, address, c.method, c.args, c.reply); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/wire/evidence_bench_test.go
+++ b/internal/wire/evidence_bench_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"net"
-	"sync/atomic"
 	"testing"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
@@ -43,25 +41,10 @@
 
 // callBytes measures one telling and its answer over loopback, with headers.
 func callBytes(b *testing.B, reports []rollout.Report) float64 {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	s, err := NewServer(l, secret, answerAll{})
-	if err != nil {
-		b.Fatal(err)
-	}
-	go s.Serve()
-	defer s.Close()
-	var bytes atomic.Int64
-	peers := NewPeers(secret, func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := TCP(ctx, address)
-		return counter{conn, &bytes}, err
-	})
-	defer peers.Close()
+	address, peers, bytes := loopback(b)
 	args := PackEvidence(reports, false)
 	call := func() {
-		if err := peers.Call(context.Background(), l.Addr().String(), "Evidence", args, &EvidenceReply{}); err != nil {
+		if err := peers.Call(context.Background(), address, "Evidence", args, &EvidenceReply{}); err != nil {
 			b.Fatal(err)
 		}
 	}
