--- a/internal/dispatch/adopt.go
+++ b/internal/dispatch/adopt.go
@@ -40,9 +40,9 @@
 
 // count compares the backend server's report with the places held here: what
 // it has more of was granted by another owner. The report lags, so that only
-// what two reports in a row exceed the places by is sure; but what a new owner found at first
-// is there until a report shows that it ended or its holder tells. The caller
-// holds mu.
+// what two reports in a row exceed the places by is sure; but what a new owner
+// found at first is there until a report shows that it ended or its holder
+// tells. The caller holds mu.
 func (r *replica) count(now time.Time, report backend.LoadReport) {
 	batch := report.Running + report.Waiting
 	switch {
