--- /dev/null
+++ b/internal/cli/edge.go
@@ -0,0 +1,81 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/edge"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+	"github.com/cowslipfall/cowslipfall/platform"
+)
+
+// newEdge runs an entry VM's process on the users' platform. This file is the
+// one place that wires the platform's adapter.
+func newEdge() *cobra.Command {
+	var metricsPort int
+	var check bool
+	cmd := &cobra.Command{
+		Use:   "edge",
+		Short: "Run one entry VM's process on the users' platform",
+		Long:  "Run one entry VM's process on the users' platform, with the settings file that " + platform.SettingsVariable + " names.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := platform.LoadSettings()
+			if err != nil || check {
+				return err
+			}
+			return runEdge(cmd.Context(), settings, metricsPort)
+		},
+	}
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port that serves /metrics; 0 serves none")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	return cmd
+}
+
+func runEdge(ctx context.Context, settings edge.Settings, metricsPort int) error {
+	metrics := telemetry.NewForwardMetrics()
+	lines := telemetry.NewLineWriter(os.Stdout, metrics.DroppedLines.Inc)
+	log := telemetry.NewLineLogger(lines, settings.Node)
+	defer func() { _ = log.Sync() }()
+	tracer, err := telemetry.NewTracer(ctx, config.DefaultSettings())
+	if err != nil {
+		return err
+	}
+	n, err := edge.New(edge.Options{
+		Settings: settings, Reload: platform.LoadSettings, Schema: platform.Schema{}, Store: platform.NewStore(settings.Store),
+		Headers: platform.Headers(), ReadyPath: platform.PathReady, DirectoryPath: platform.PathDirectory,
+		MetricsPort: metricsPort, Log: log, Metrics: metrics, Tracer: tracer,
+	})
+	if err != nil {
+		log.Error("start failed", zap.Error(err))
+		return err
+	}
+	go reloadSettings(ctx, n)
+	n.Run(ctx)
+	return nil
+}
+
+// reloadSettings reads the settings again at SIGHUP and each interval.
+func reloadSettings(ctx context.Context, n *edge.Node) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticker := time.NewTicker(edge.ReloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			n.Reload(true)
+		case <-ticker.C:
+			n.Reload(false)
+		}
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newConfig(), newRollout(), newStatus(), newExplain(),
+		newServe(), newEdge(), newConfig(), newRollout(), newStatus(), newExplain(),
 		newDev(), newDemo(), newMeasure(), newCapacity(), newStandin(), newVersion(),
 	)
 	return root
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -27,13 +27,21 @@
 // fingerprint. The nodes merge what they know. It is safe for concurrent use.
 // Lock order: a replica's lock before that of Suspects.
 type Suspects struct {
+	convictAt int // replicas that a request may bring down
+
 	mu      sync.Mutex
 	entries map[uint64]wire.Suspect // guarded by mu
 	changed bool                    // guarded by mu
 }
 
 // NewSuspects returns an empty record.
-func NewSuspects() *Suspects { return &Suspects{entries: map[uint64]wire.Suspect{}} }
+func NewSuspects() *Suspects { return NewSuspectsAfter(crashesToConvict) }
+
+// NewSuspectsAfter returns an empty record that convicts a request after the
+// given number of crashes.
+func NewSuspectsAfter(crashes int) *Suspects {
+	return &Suspects{convictAt: crashes, entries: map[uint64]wire.Suspect{}}
+}
 
 // Crashed notes that a replica died while the request ran on it, and returns
 // the record.
@@ -48,7 +56,7 @@
 
 // put keeps a record. The caller holds mu.
 func (s *Suspects) put(e wire.Suspect, now time.Time) wire.Suspect {
-	e.Convicted = e.Convicted || len(e.Lost) >= crashesToConvict
+	e.Convicted = e.Convicted || len(e.Lost) >= s.convictAt
 	e.Until = now.Add(suspicionKept)
 	if e.Convicted {
 		e.Until = now.Add(convictionKept)
--- /dev/null
+++ b/internal/edge/config.go
@@ -0,0 +1,39 @@
+package edge
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/route"
+)
+
+// config holds the routes in force. A configuration that cannot be used leaves
+// the last good one.
+type config struct {
+	schema Schema
+	log    *zap.Logger
+	table  atomic.Pointer[route.Table]
+}
+
+func (c *config) take(r news.Row, from string) {
+	if r.Deleted {
+		return
+	}
+	t, err := c.schema.Routes(r.Data)
+	if err != nil {
+		c.log.Error("configuration refused, the last good one stays", zap.Uint64("row", r.Version), zap.Error(err))
+		return
+	}
+	old := c.table.Load()
+	if old != nil && old.Version >= t.Version {
+		return
+	}
+	c.table.Store(t)
+	fields := []zap.Field{zap.Int64("version", t.Version), zap.Uint64("row", r.Version), zap.String("from", from), zap.Int("routes", t.Len())}
+	if old != nil {
+		fields = append(fields, zap.Int64("before", old.Version))
+	}
+	c.log.Info("configuration in force", fields...)
+}
--- /dev/null
+++ b/internal/edge/drive.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+// standIn is how long a status must be overdue for the next node in line to
+// write it in place of the first.
+const standIn = 1200 * time.Millisecond
+
+// judge shares what this node saw of new versions, weighs what all saw, and
+// writes the statuses that are due. Any node may write: the condition on the
+// row's version lets one of them win.
+func (n *Node) judge(ctx context.Context) {
+	now := time.Now()
+	n.evidence.publish(n.rollouts, now)
+	for _, o := range n.rollouts.running() {
+		old, next := n.evidence.totals(o.Service, o.To)
+		n.rollouts.weigh(o.Service, o.To, old, next)
+	}
+	for _, d := range n.rollouts.dues(now) {
+		if d.late >= time.Duration(n.driverTurn(d.service))*standIn {
+			n.writeStatus(ctx, d)
+		}
+	}
+}
+
+// driverTurn returns this node's place among those that may write a service's
+// status.
+func (n *Node) driverTurn(service string) int {
+	var nodes []string
+	for _, m := range n.members.alive() {
+		if !m.Stopping {
+			nodes = append(nodes, m.Inner)
+		}
+	}
+	for i, inner := range routing.Rendezvous(nodes, "rollout/"+service) {
+		if inner == n.inner {
+			return i
+		}
+	}
+	return len(nodes)
+}
+
+func (n *Node) writeStatus(ctx context.Context, d due) {
+	raw, err := n.o.Schema.EncodeRolloutStatus(d.status)
+	if err != nil {
+		n.o.Log.Error("roll-out status is not written", zap.Error(err))
+		return
+	}
+	t := n.o.Schema.Tables()
+	ok, err := n.o.Store.Write(ctx, t.Status, t.RolloutPrefix+d.service, d.expected, raw)
+	n.reader.calls("status", outcomeOf(err))
+	n.o.Log.Info("roll-out status written", zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
+		zap.Uint64("expected", d.expected), zap.Bool("stored", ok), zap.Error(err), zap.Int64("late_ms", d.late.Milliseconds()))
+	// The row's own version is learned by reading it back: an answer may be lost
+	// after the write was done.
+	n.readStatus(ctx, t.Status)
+}
+
+// readStatus reads the statuses again.
+func (n *Node) readStatus(ctx context.Context, table string) {
+	rows, version, err := n.o.Store.Read(ctx, table)
+	n.reader.calls("read", outcomeOf(err))
+	if err != nil {
+		n.o.Log.Warn("roll-out statuses are not read back", zap.Error(err))
+		return
+	}
+	n.rows.Replace(table, rows, version)
+}
--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,287 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/route"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+)
+
+// Options are what a node is made of.
+type Options struct {
+	Settings Settings
+	// Reload reads the settings again.
+	Reload  func() (Settings, error)
+	Schema  Schema
+	Store   news.Store
+	Headers forward.Headers
+	// ReadyPath and DirectoryPath are the paths of the interfaces towards
+	// callers.
+	ReadyPath     string
+	DirectoryPath string
+	// MetricsPort serves the metrics; 0 serves none.
+	MetricsPort int
+	Log         *zap.Logger
+	Metrics     *telemetry.ForwardMetrics
+	Tracer      *telemetry.Tracer
+}
+
+// Node is one entry VM's process. Lock order: none of its parts calls another
+// while it holds a lock of its own, but for the rows' map, whose lock is
+// innermost.
+type Node struct {
+	o         Options
+	settings  atomic.Pointer[Settings]
+	inner     string // own inner address
+	key       string // of the own row: name and incarnation
+	epoch     uint64
+	version   atomic.Uint64 // of the newest own soft row
+	rows      *news.Map
+	exchange  *news.Exchange
+	reader    *reader
+	config    *config
+	servers   *servers
+	members   *members
+	sessions  *sessions
+	rollouts  *rollouts
+	evidence  *evidence
+	suspects  *suspects
+	pool      *pool.Pool
+	forwarder *forward.Forwarder
+	callers   *http.Server
+	stopping  atomic.Bool
+	mu        sync.Mutex
+	peers     map[string]*news.Peer // guarded by mu; by address
+	listeners []net.Listener
+	loops     sync.WaitGroup
+}
+
+// crashesToRefuse is how many backend servers a request may bring down before
+// it is refused.
+const crashesToRefuse = 3
+
+// New provisions a node.
+func New(o Options) (*Node, error) {
+	n := &Node{o: o, peers: map[string]*news.Peer{}, epoch: rand.Uint64()}
+	n.settings.Store(&o.Settings)
+	n.inner = net.JoinHostPort(o.Settings.IP, strconv.Itoa(o.Settings.InnerPort))
+	n.key = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
+	n.rows = news.NewMap(n.take)
+	n.members = newMembers(n.key, o.Log)
+	n.reader = newReader(o.Store, n.rows, o.Metrics, n.readerTurn, o.Log)
+	n.exchange = news.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.learned)
+	n.config = &config{schema: o.Schema, log: o.Log}
+	n.pool = pool.New(nil)
+	n.servers = newServers(o.Schema, n.pool, n.rows, n.reader.sinceOutage, o.Log)
+	n.sessions = newSessions(n.rows, n.nextVersion, o.Log)
+	n.rollouts = newRollouts(o.Schema, n.sessions, func() time.Duration { return n.settings.Load().SessionLife }, o.Log)
+	n.evidence = &evidence{self: n.key, rows: n.rows, next: n.nextVersion, log: o.Log, seen: map[string]counts{}}
+	n.suspects = &suspects{Suspects: dispatch.NewSuspectsAfter(crashesToRefuse), self: n.key, rows: n.rows, log: o.Log, next: n.nextVersion}
+	n.forwarder = forward.New(forward.Options{
+		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Versions: n.rollouts, Suspects: n.suspects,
+		Budget: forward.NewBudget(forward.BudgetOptions{
+			Ratio: o.Settings.RetryRatio, Allowance: o.Settings.RetryAllowance, Window: o.Settings.RetryWindow, Nodes: n.members.count,
+		}),
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, Stopping: n.stopping.Load,
+	})
+	return n, n.listen()
+}
+
+// nextVersion returns the version of the next own soft row. Versions of one
+// node rise; those of different nodes are never compared, as keys differ, but
+// for sessions, where any order will do.
+func (n *Node) nextVersion() uint64 {
+	for {
+		old := n.version.Load()
+		next := max(old+1, uint64(time.Now().UnixMilli()))
+		if n.version.CompareAndSwap(old, next) {
+			return next
+		}
+	}
+}
+
+func (n *Node) table() *route.Table { return n.config.table.Load() }
+
+// ready tells whether the node takes callers.
+func (n *Node) ready() bool { return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 }
+
+// take hands fresh rows to the parts that follow them.
+func (n *Node) take(rows []news.Row) {
+	now := time.Now()
+	byTable := map[string][]news.Row{}
+	for _, r := range rows {
+		byTable[r.Table] = append(byTable[r.Table], r)
+	}
+	t := n.o.Schema.Tables()
+	for _, r := range byTable[t.Operator] {
+		if r.Key == t.Config {
+			n.config.take(r, "")
+		}
+	}
+	n.rollouts.take(byTable[t.Operator], now)
+	n.rollouts.take(byTable[t.Status], now)
+	if list := byTable[t.Servers]; len(list) > 0 {
+		n.servers.take(list, now)
+	}
+	n.members.take(byTable[tableNodes], now)
+	n.sessions.take(byTable[tableSessions], now)
+	n.evidence.take(byTable[tableEvidence], n.rollouts, now)
+	n.suspects.take(byTable[tableSuspects], now)
+}
+
+const (
+	// headerTimeout bounds the header of a request; callers are held to the
+	// configuration's own bound, which is shorter.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an idle connection of a caller is kept. It is
+	// longer than callers keep theirs, so that no request meets a close.
+	idleTimeout = time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+func (n *Node) listen() error {
+	s := n.o.Settings
+	inner, err := net.Listen("tcp", n.inner)
+	if err != nil {
+		return errors.Wrap(err, "listen for nodes")
+	}
+	n.loops.Go(func() { _ = n.exchange.Serve(inner) })
+	n.listeners = append(n.listeners, inner)
+	n.callers = &http.Server{Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: quiet(n.o.Log)}
+	ready := chi.NewRouter()
+	ready.Get(n.o.ReadyPath, n.readiness)
+	directory := chi.NewRouter()
+	directory.Get(n.o.DirectoryPath, n.directory)
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{{s.Callers, n.callers}, {s.Readiness, helper(ready)}, {s.Directory, helper(directory)}, {n.metricsAddress(), helper(promhttp.HandlerFor(n.o.Metrics.Registry, promhttp.HandlerOpts{}))}} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", l.address)
+		}
+		n.listeners = append(n.listeners, listener)
+		n.loops.Go(func() { _ = l.server.Serve(listener) })
+	}
+	return nil
+}
+
+func (n *Node) metricsAddress() string {
+	if n.o.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(n.o.Settings.IP, strconv.Itoa(n.o.MetricsPort))
+}
+
+func helper(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// Run works until ctx ends and the stop is done.
+func (n *Node) Run(ctx context.Context) {
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	n.beat()
+	t := n.o.Schema.Tables()
+	for _, f := range []struct {
+		table       string
+		wait, pause time.Duration
+		current     bool
+	}{
+		{t.Operator, operatorWait, 0, true}, {t.Servers, restWait, serversPause, false},
+		{t.Status, restWait, 0, false}, {tableMembers, restWait, 0, false},
+	} {
+		n.loops.Go(func() { n.reader.follow(life, f.table, f.wait, f.pause, f.current) })
+	}
+	n.loops.Go(func() { n.register(life) })
+	n.loops.Go(func() { n.converse(life) })
+	for _, l := range []struct {
+		every time.Duration
+		do    func(context.Context)
+	}{{beatInterval, func(context.Context) { n.beat() }}, {judgeInterval, n.judge}, {pruneInterval, func(context.Context) { n.prune() }}} {
+		n.loops.Go(func() { every(life, l.every, l.do) })
+	}
+	n.o.Log.Info("started", zap.String("inner", n.inner), zap.String("callers", n.o.Settings.Callers), zap.String("data_centre", n.o.Settings.DataCentre))
+	<-ctx.Done()
+	n.stop(life)
+}
+
+const (
+	// judgeInterval is how often new versions are judged and roll-outs driven.
+	judgeInterval = 300 * time.Millisecond
+	// pruneInterval is how often what has ended is forgotten.
+	pruneInterval = 500 * time.Millisecond
+)
+
+func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do(ctx)
+		}
+	}
+}
+
+// beat tells the other nodes this one's state.
+func (n *Node) beat() {
+	s := n.settings.Load()
+	state := nodeState{
+		Node: s.Node, Inner: n.inner, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.ready(), Stopping: n.stopping.Load(),
+		Weight: s.Processor, Running: n.runningByServer(),
+	}
+	raw, err := json.Marshal(state)
+	if err != nil {
+		n.o.Log.Error("heartbeat is not told", zap.Error(err))
+		return
+	}
+	n.rows.Apply([]news.Row{{Table: tableNodes, Key: n.key, Version: n.nextVersion(), Data: raw}})
+}
+
+func (n *Node) runningByServer() map[string]int {
+	out := map[string]int{}
+	n.pool.Each(func(m *pool.Member) {
+		if running := m.Running(); running > 0 {
+			out[m.ID] = running
+		}
+	})
+	return out
+}
+
+// prune forgets what has ended, and hands the load that other nodes told to
+// the pool.
+func (n *Node) prune() {
+	now := time.Now()
+	n.members.prune(now)
+	n.servers.tick(now)
+	n.sessions.prune(n.settings.Load().SessionLife, now)
+	running := n.members.running()
+	n.pool.Each(func(m *pool.Member) { m.Peers(running[m.ID], now) })
+	old := uint64(now.Add(-forgetAfter).UnixMilli())
+	n.rows.Forget(tableNodes, func(r news.Row) bool { return r.Version > old })
+	n.rows.Forget(tableSessions, func(r news.Row) bool { return r.Version > old })
+}
--- /dev/null
+++ b/internal/edge/reader.go
@@ -0,0 +1,181 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+)
+
+const (
+	// operatorWait is how long one question for changes of the configuration
+	// stays open. It is also the heartbeat by which nodes know that the store
+	// is within reach.
+	operatorWait = 600 * time.Millisecond
+	// restWait is the same for tables whose changes may take longer to show.
+	restWait = 10 * time.Second
+	// serversPause is the least time between two questions for servers, so that
+	// one answer carries the changes of many.
+	serversPause = 350 * time.Millisecond
+	// staleAfter is the age of the store's news at which a node that is not the
+	// reader asks the store itself. It leaves half of the two seconds in which a
+	// configuration must be in force.
+	staleAfter = 1100 * time.Millisecond
+	// standbyStep spreads the standbys: the first in line begins first.
+	standbyStep = 120 * time.Millisecond
+	// retryPause is the wait after a failed call, with full jitter on top.
+	retryPause = 250 * time.Millisecond
+	// idlePause is how often a standby looks whether it must read.
+	idlePause = 60 * time.Millisecond
+)
+
+// reader follows the store's tables while this node is the one to read them,
+// or hears nothing of them from others.
+type reader struct {
+	store news.Store
+	rows  *news.Map
+	log   *zap.Logger
+	calls func(use, result string)
+	// turn returns this node's place among the readers; 0 reads.
+	turn func() int
+	mu   sync.Mutex
+	// heard is when the store's operator table was last known to be current.
+	heard time.Time // guarded by mu
+	// lost is when the store was last out of reach, own tells that the last
+	// call of this node failed.
+	lost time.Time // guarded by mu
+	own  bool      // guarded by mu
+}
+
+func newReader(store news.Store, rows *news.Map, m *telemetry.ForwardMetrics, turn func() int, log *zap.Logger) *reader {
+	return &reader{store: store, rows: rows, log: log, turn: turn, calls: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
+}
+
+// age returns how long ago the store's state was last known.
+func (r *reader) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heard.IsZero() {
+		return time.Hour
+	}
+	return time.Since(r.heard)
+}
+
+// learned takes the age of another node's knowledge.
+func (r *reader) learned(age time.Duration) {
+	at := time.Now().Add(-age)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.heard) {
+		r.heard = at
+	}
+}
+
+// reads tells whether this node is to ask the store.
+func (r *reader) reads() bool {
+	turn := r.turn()
+	return turn == 0 || r.age() > staleAfter+time.Duration(min(turn, 5))*standbyStep
+}
+
+// sinceOutage returns how long ago the store was last out of this node's reach.
+func (r *reader) sinceOutage() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost.IsZero() {
+		return time.Hour
+	}
+	return time.Since(r.lost)
+}
+
+func (r *reader) succeeded(current bool) {
+	r.mu.Lock()
+	was := r.own
+	r.own = false
+	if current {
+		r.heard = time.Now()
+	}
+	r.mu.Unlock()
+	if was {
+		r.log.Info("store regained")
+	}
+}
+
+func (r *reader) failed(table string, err error) {
+	r.mu.Lock()
+	was := r.own
+	r.own, r.lost = true, time.Now()
+	r.mu.Unlock()
+	if !was {
+		r.log.Warn("store lost", zap.String("table", table), zap.Error(err), zap.Int64("age_ms", r.age().Milliseconds()))
+	}
+}
+
+// follow reads one table until ctx ends. current tells that its answers show
+// the configuration's age.
+func (r *reader) follow(ctx context.Context, table string, wait, pause time.Duration, current bool) {
+	for ctx.Err() == nil {
+		if !r.reads() {
+			sleep(ctx, idlePause)
+			continue
+		}
+		if err := r.step(ctx, table, wait); err != nil {
+			if ctx.Err() == nil {
+				r.failed(table, err)
+			}
+			sleep(ctx, retryPause+time.Duration(rand.Float64()*float64(retryPause)))
+			continue
+		}
+		r.succeeded(current)
+		sleep(ctx, pause)
+	}
+}
+
+// step reads a table whole if it is not known, else its changes.
+func (r *reader) step(ctx context.Context, table string, wait time.Duration) error {
+	cursor := r.rows.Cursor(table)
+	if cursor == 0 {
+		rows, version, err := r.store.Read(ctx, table)
+		r.calls("read", outcomeOf(err))
+		if err == nil {
+			r.rows.Replace(table, rows, version)
+		}
+		return err
+	}
+	rows, version, err := r.store.Watch(ctx, table, cursor, wait)
+	r.calls("watch", outcomeOf(err))
+	if errors.Is(err, news.ErrHistory) {
+		r.log.Info("store's history is gone, reading the table whole", zap.String("table", table), zap.Uint64("version", cursor))
+		rows, version, err = r.store.Read(ctx, table)
+		r.calls("read", outcomeOf(err))
+		if err == nil {
+			r.rows.Replace(table, rows, version)
+		}
+		return err
+	}
+	if err == nil {
+		r.rows.Advance(table, rows, version)
+	}
+	return err
+}
+
+func outcomeOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/edge/rollouts.go
@@ -0,0 +1,265 @@
+package edge
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+)
+
+// stage is a share of sessions from a part of a roll-out's time on.
+type stage struct {
+	from  float64 // part of the duration, 0 to 1
+	share float64
+}
+
+// stages of a roll-out. In the first half only new sessions may move; then
+// the share rises while failures that show under load still have time to show.
+var stages = []stage{{0, canaryShare}, {0.52, 0.25}, {0.60, 0.5}, {0.68, 1}}
+
+// completeFrom is the part of a roll-out's time from which it is completed: by
+// then requests of the old version have ended, and a fifth is left for a store
+// that is away.
+const completeFrom = 0.80
+
+// release is one roll-out as this node sees it. It is guarded by
+// rollouts.mu.
+type release struct {
+	order   RolloutOrder
+	row     uint64 // version of the order's row
+	status  RolloutStatus
+	written uint64 // version of the status row; 0 if there is none
+	began   time.Time
+	judge   *judge
+	// bad is set once this node holds the version for bad.
+	bad bool
+}
+
+// current tells whether the status belongs to the order.
+func (r *release) current() bool {
+	return r.written > r.row && r.status.To == r.order.To
+}
+
+// state returns the roll-out's state, by the status if it belongs to the order.
+func (r *release) state() RolloutState {
+	switch {
+	case r.current() && r.status.State != RolloutRunning:
+		return r.status.State
+	case r.bad:
+		return RolloutReverted
+	default:
+		return RolloutRunning
+	}
+}
+
+func (r *release) elapsed(now time.Time) float64 {
+	return float64(now.Sub(r.began)) / float64(max(r.order.Duration, time.Second))
+}
+
+// share returns the share of sessions that the new version gets.
+func (r *release) share(now time.Time) float64 {
+	part, share := r.elapsed(now), 0.0
+	for _, s := range stages {
+		if part >= s.from {
+			share = s.share
+		}
+	}
+	return share
+}
+
+// rollouts decides which version of a service answers a session, judges new
+// versions, and tells the operator. It is safe for concurrent use.
+type rollouts struct {
+	schema   Schema
+	sessions *sessions
+	life     func() time.Duration
+	log      *zap.Logger
+	mu       sync.Mutex
+	releases map[string]*release // guarded by mu; by service
+	local    *tally              // what this node saw
+}
+
+func newRollouts(schema Schema, s *sessions, life func() time.Duration, log *zap.Logger) *rollouts {
+	return &rollouts{schema: schema, sessions: s, life: life, log: log, releases: map[string]*release{}, local: newTally()}
+}
+
+// take follows orders and statuses.
+func (r *rollouts) take(rows []news.Row, now time.Time) {
+	t := r.schema.Tables()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range rows {
+		if !strings.HasPrefix(row.Key, t.RolloutPrefix) || row.Deleted {
+			continue
+		}
+		if row.Table == t.Operator {
+			r.takeOrder(row, now)
+		} else {
+			r.takeStatus(strings.TrimPrefix(row.Key, t.RolloutPrefix), row)
+		}
+	}
+}
+
+func (r *rollouts) takeOrder(row news.Row, now time.Time) {
+	o, err := r.schema.Rollout(row.Data)
+	if err != nil {
+		r.log.Error("roll-out order passed over", zap.String("key", row.Key), zap.Error(err))
+		return
+	}
+	old := r.release(o.Service)
+	if old.row >= row.Version {
+		return
+	}
+	r.releases[o.Service] = &release{order: o, row: row.Version, status: old.status, written: old.written, began: now, judge: newJudge()}
+	r.local.reset(o.Service)
+	r.log.Info("roll-out ordered", zap.String("service", o.Service), zap.String("to", o.To), zap.Duration("duration", o.Duration), zap.Uint64("row", row.Version))
+}
+
+func (r *rollouts) takeStatus(service string, row news.Row) {
+	s, err := r.schema.RolloutStatus(row.Data)
+	if err != nil {
+		r.log.Error("roll-out status passed over", zap.String("service", service), zap.Error(err))
+		return
+	}
+	x := r.release(service)
+	if x.written >= row.Version {
+		return
+	}
+	x.status, x.written = s, row.Version
+	r.log.Info("roll-out status", zap.String("service", service), zap.String("to", s.To), zap.Int("state", int(s.State)), zap.Uint64("row", row.Version))
+}
+
+// release returns the roll-out of a service. The caller holds mu.
+func (r *rollouts) release(service string) *release {
+	x := r.releases[service]
+	if x == nil {
+		x = &release{judge: newJudge()}
+		r.releases[service] = x
+	}
+	return x
+}
+
+// Pick implements forward.Versions.
+func (r *rollouts) Pick(service, session string, now time.Time) forward.Choice {
+	r.mu.Lock()
+	x := r.releases[service]
+	if x == nil || x.order.To == "" {
+		r.mu.Unlock()
+		return forward.Choice{}
+	}
+	to, state, share, half := x.order.To, x.state(), x.share(now), x.elapsed(now) >= 0.5
+	r.mu.Unlock()
+	switch {
+	case state == RolloutCompleted:
+		return forward.Choice{Only: to}
+	case state == RolloutReverted:
+		return forward.Choice{Except: to}
+	case sessionPoint(service, session) >= share:
+		return forward.Choice{Except: to}
+	case !half && r.underWay(service, session, to, now):
+		return forward.Choice{Except: to}
+	default:
+		return forward.Choice{Prefer: to}
+	}
+}
+
+// underWay tells whether a session goes on with a version other than to.
+func (r *rollouts) underWay(service, session, to string, now time.Time) bool {
+	v := r.sessions.version(service, session, r.life(), now)
+	return v != "" && v != to
+}
+
+// Observe implements forward.Versions.
+func (r *rollouts) Observe(service, version string, o forward.Observation, now time.Time) {
+	if o.Session != "" {
+		r.sessions.used(service, o.Session, version, now)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.releases[service]
+	if x == nil || x.order.To == "" || x.state() != RolloutRunning {
+		return
+	}
+	r.local.add(service, version == x.order.To, o)
+}
+
+// adopt takes from another node how long a roll-out is under way, so that a
+// node that started meanwhile has the same stage.
+func (r *rollouts) adopt(service, to string, elapsed time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.releases[service]
+	if x != nil && x.order.To == to && now.Sub(x.began) < elapsed {
+		x.began = now.Add(-elapsed)
+	}
+}
+
+// weigh takes what all nodes saw of a service and tells whether its new
+// version was just found to be bad.
+func (r *rollouts) weigh(service string, to string, old, next rollout.Counts) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.releases[service]
+	if x == nil || x.order.To != to || x.bad || x.state() != RolloutRunning {
+		return false
+	}
+	evidence := x.judge.weigh(old, next)
+	if !x.judge.convicts(evidence) {
+		return false
+	}
+	x.bad = true
+	r.log.Warn("version found bad", zap.String("service", service), zap.String("version", to), zap.Float64("evidence", evidence),
+		zap.Int("new_good", next.Good), zap.Int("new_bad", next.Bad), zap.Int("old_good", old.Good), zap.Int("old_bad", old.Bad))
+	return true
+}
+
+// due is a status that is to be written.
+type due struct {
+	service  string
+	status   RolloutStatus
+	expected uint64
+	// late is how long it has been due, for a standby to wait before it steps in.
+	late time.Duration
+}
+
+// dues lists the statuses that are to be written.
+func (r *rollouts) dues(now time.Time) []due {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []due
+	for service, x := range r.releases {
+		if x.order.To == "" || (x.current() && x.status.State != RolloutRunning) {
+			continue
+		}
+		want, since := RolloutRunning, x.began
+		switch {
+		case x.bad:
+			want = RolloutReverted
+		case x.elapsed(now) >= completeFrom:
+			want, since = RolloutCompleted, x.began.Add(time.Duration(completeFrom*float64(x.order.Duration)))
+		}
+		if x.current() && x.status.State == want {
+			continue
+		}
+		out = append(out, due{service: service, status: RolloutStatus{State: want, To: x.order.To}, expected: x.written, late: now.Sub(since)})
+	}
+	return out
+}
+
+// running lists the roll-outs under way.
+func (r *rollouts) running() []RolloutOrder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []RolloutOrder
+	for _, x := range r.releases {
+		if x.order.To != "" && x.state() == RolloutRunning {
+			out = append(out, x.order)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+)
+
+// attempt is one send of a request to a server.
+type attempt struct {
+	member *pool.Member
+	model  string
+	load   float64
+	began  time.Time
+	resp   *http.Response
+	cancel context.CancelFunc
+	unread float64 // prompt tokens that count as not yet read
+}
+
+// result classifies how far an attempt came.
+type result int
+
+const (
+	// answered: the server's own answer is there.
+	answered result = iota
+	// notRun: the server promised that it did not run the request, or never
+	// got it.
+	notRun
+	// unknown: the request may have run.
+	unknown
+)
+
+// choose picks a server, or returns nil.
+func (x *exchange) choose(model string) *attempt {
+	now := time.Now()
+	q := pool.Query{
+		Service: x.q.Service, DataCentre: x.f.o.DataCentre, Exclude: x.tried, Draw: rand.Float64(),
+		Versions: x.f.o.Versions.Pick(x.q.Service, x.q.sessionKey(), now),
+	}
+	if x.q.Route.Sticky && x.q.Subject != "" {
+		q.Affinity = model + "/" + x.q.Subject
+	}
+	m := x.f.o.Pool.Choose(q, now)
+	if m == nil && len(x.tried) > 0 {
+		// Without another server, one that was tried is better than none.
+		q.Exclude = nil
+		m = x.f.o.Pool.Choose(q, now)
+	}
+	if m == nil {
+		return nil
+	}
+	return &attempt{member: m, model: model, load: m.Occupancy(now), began: now}
+}
+
+// send sends the request and waits for the header of the answer.
+func (x *exchange) send(ctx context.Context, a *attempt, lastEvent string) (result, error) {
+	if !a.member.Begin(a.began, x.q.PromptTokens) {
+		return notRun, errors.New("server has left")
+	}
+	a.unread = x.q.PromptTokens
+	ctx, a.cancel = context.WithCancel(ctx)
+	req := x.f.o.Headers.request(x.q, a.member.Address, a.member.ID, time.Now()).WithContext(ctx)
+	if a.model != "" {
+		req.Header.Set(x.f.o.Headers.Model, a.model)
+	}
+	if x.q.PromptTokens > 0 {
+		req.Header.Set(x.f.o.Headers.Priority, strconv.Itoa(enginePriority(x.q.Rank)))
+	}
+	if lastEvent != "" {
+		req.Header.Set(x.f.o.Headers.LastEventID, lastEvent)
+	}
+	x.tried = append(x.tried, a.member)
+	x.sends++
+	transport := x.f.kept
+	if !x.q.Route.Repeatable() {
+		transport = x.f.fresh
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return x.sendFailed(a, err)
+	}
+	a.resp = resp
+	x.reportLoad(a)
+	return x.classify(a)
+}
+
+// sendFailed tells whether a request that got no answer may have run.
+func (x *exchange) sendFailed(a *attempt, err error) (result, error) {
+	var connect *ConnectError
+	if errors.As(err, &connect) {
+		x.sends--
+		x.fail(a)
+		return notRun, err
+	}
+	x.mayHaveRun = true
+	x.runs++
+	if !errors.Is(err, context.Canceled) {
+		x.fail(a)
+	}
+	return unknown, err
+}
+
+// classify tells what an answer's header promises.
+func (x *exchange) classify(a *attempt) (result, error) {
+	h := a.resp.Header
+	if echo := h.Get(x.f.o.Headers.RequestID); echo != "" && echo != x.q.ID {
+		x.mayHaveRun = true
+		x.runs++
+		x.fail(a)
+		return unknown, errors.Errorf("answer belongs to request %s", echo)
+	}
+	switch {
+	case a.resp.StatusCode == http.StatusMisdirectedRequest:
+		x.fail(a)
+		return notRun, errors.New("another server has the address")
+	case h.Get(x.f.o.Headers.NotRun) != "":
+		return notRun, errors.Errorf("server refused with %d", a.resp.StatusCode)
+	}
+	x.runs++
+	return answered, nil
+}
+
+// fail notes a failure of the attempt's server.
+func (x *exchange) fail(a *attempt) {
+	if a.member.Fail(time.Now(), a.began, rand.Float64()) {
+		x.f.o.Log.Info("backend server ejected", serverFields(a.member)...)
+	}
+}
+
+// finish ends an attempt; its connection is closed unless the answer was read
+// to its end.
+func (x *exchange) finish(a *attempt) {
+	if a.cancel == nil {
+		return
+	}
+	a.cancel()
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
+	}
+	a.prefilled()
+	a.member.End()
+	a.cancel = nil
+}
+
+// prefilled notes that the prompt was read.
+func (a *attempt) prefilled() {
+	a.member.Prefilled(a.unread)
+	a.unread = 0
+}
+
+// reportLoad takes the load that an answer's header tells.
+func (x *exchange) reportLoad(a *attempt) {
+	parts := strings.Split(a.resp.Header.Get(x.f.o.Headers.Load), ",")
+	if len(parts) != 3 {
+		return
+	}
+	var v [3]int
+	for i, p := range parts {
+		n, err := strconv.Atoi(strings.TrimSpace(p))
+		if err != nil || n < 0 {
+			return
+		}
+		v[i] = n
+	}
+	a.member.Report(pool.Load{Running: v[0], Waiting: v[1], Slots: v[2], At: time.Now()})
+}
+
+// enginePriority maps ranks to the engines' priorities, 0 first to 9; 5 is
+// what an engine assumes of requests without one.
+func enginePriority(rank int) int { return min(max(rank, 0), 4) }
--- /dev/null
+++ b/internal/forward/budget.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// BudgetOptions bound what all nodes together may send beyond the first
+// attempt of each request.
+type BudgetOptions struct {
+	// Ratio is the share of requests, Allowance the number beside it, within
+	// Window.
+	Ratio     float64
+	Allowance float64
+	Window    time.Duration
+	// Nodes returns how many nodes share the allowance.
+	Nodes func() int
+}
+
+const (
+	budgetBuckets = 20
+	// budgetMargin keeps the sum of all nodes below the bound although their
+	// windows are not aligned and views of the number of nodes lag.
+	budgetMargin = 0.8
+)
+
+// Budget bounds the further attempts of each service. It is safe for
+// concurrent use.
+type Budget struct {
+	o        BudgetOptions
+	mu       sync.Mutex
+	services map[string]*budgetWindow // guarded by mu
+}
+
+// budgetWindow counts first and further attempts in buckets of time.
+type budgetWindow struct {
+	first, further [budgetBuckets]float64
+	at             int64 // number of the newest bucket
+}
+
+// NewBudget returns a budget.
+func NewBudget(o BudgetOptions) *Budget {
+	return &Budget{o: o, services: map[string]*budgetWindow{}}
+}
+
+// First counts a request for a service.
+func (b *Budget) First(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	w.first[w.at%budgetBuckets]++
+}
+
+// Take takes one further attempt from the budget and tells whether it was
+// there. reserve is the share of the budget, 0 to 1, that must stay for more
+// valuable attempts.
+func (b *Budget) Take(service string, reserve float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	if sum(w.further)+1 > b.limit(w)*(1-reserve) {
+		return false
+	}
+	w.further[w.at%budgetBuckets]++
+	return true
+}
+
+// Left returns the share of the budget that is left.
+func (b *Budget) Left(service string, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	return max(1-sum(w.further)/max(b.limit(w), 1), 0)
+}
+
+// limit is this node's part of the bound. The caller holds mu.
+func (b *Budget) limit(w *budgetWindow) float64 {
+	return budgetMargin * (b.o.Ratio*sum(w.first) + b.o.Allowance/float64(max(b.o.Nodes(), 1)))
+}
+
+// window returns the service's window moved on to now. The caller holds mu.
+func (b *Budget) window(service string, now time.Time) *budgetWindow {
+	at := now.UnixNano() / int64(b.o.Window/budgetBuckets)
+	w := b.services[service]
+	if w == nil {
+		w = &budgetWindow{at: at}
+		b.services[service] = w
+	}
+	for step := min(at-w.at, budgetBuckets); step > 0; step-- {
+		i := (at - step + 1) % budgetBuckets
+		w.first[i], w.further[i] = 0, 0
+	}
+	w.at = max(w.at, at)
+	return w
+}
+
+func sum(list [budgetBuckets]float64) float64 {
+	total := 0.0
+	for _, v := range list {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/internal/forward/exchange.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/route"
+)
+
+// Times after which a refused caller may come back.
+const (
+	// emptyReturn is for a service without a usable server: the next entry of
+	// the list of servers is a heartbeat away.
+	emptyReturn = 700 * time.Millisecond
+	// fullReturn is for servers that were full: a plain answer takes a few
+	// tens of milliseconds.
+	fullReturn = 100 * time.Millisecond
+	// convictedReturn is for requests that bring servers down.
+	convictedReturn = time.Minute
+)
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration
+}
+
+// exchange is one request on its way, and what its answer came to.
+type exchange struct {
+	f *Forwarder
+	w http.ResponseWriter
+	q *Request
+	// tried are the servers that the request was sent to, runs how many of
+	// these may have run it.
+	tried []*pool.Member
+	runs  int
+	sends int
+	steps []step
+	// mayHaveRun is set once a send left no promise that it did not run.
+	mayHaveRun bool
+	started    bool // the answer's header was sent
+	torn       bool // the answer ended early
+	status     int
+	outcome    string
+	firstByte  time.Time
+}
+
+// step is one decision of an exchange, for its log line.
+type step struct {
+	Server  string  `json:"server,omitempty"`
+	Version string  `json:"version,omitempty"`
+	Model   string  `json:"model,omitempty"`
+	Load    float64 `json:"load,omitempty"`
+	AtMS    int64   `json:"at_ms"`
+	Result  string  `json:"result"`
+}
+
+func (x *exchange) serve(ctx context.Context) {
+	if x.q.Route.Kind == route.Stream {
+		x.stream(ctx)
+		return
+	}
+	x.plain(ctx)
+}
+
+// note adds a step.
+func (x *exchange) note(a *attempt, result string) {
+	s := step{AtMS: time.Since(x.q.Arrived).Milliseconds(), Result: result}
+	if a != nil {
+		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
+	}
+	x.steps = append(x.steps, s)
+}
+
+// refuse sends an answer of the system's own.
+func (x *exchange) refuse(r refusal) {
+	x.status, x.outcome = r.status, r.reason
+	if x.started {
+		x.torn = true
+		return
+	}
+	x.started = true
+	if r.after > 0 {
+		x.w.Header().Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 2, 64))
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	x.w.WriteHeader(r.status)
+	_, _ = x.w.Write([]byte(`{"error":` + strconv.Quote(r.reason) + `}`))
+}
+
+// giveUp ends a request that cannot be served, truthfully about whether it ran.
+func (x *exchange) giveUp(ctx context.Context, reason string, after time.Duration) {
+	switch {
+	case ctx.Err() != nil && time.Now().Before(x.q.Deadline):
+		x.outcome, x.torn = "caller left", true
+	case !x.mayHaveRun && x.runs == 0:
+		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, after: after})
+	case ctx.Err() != nil:
+		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "time is up: " + reason})
+	default:
+		x.refuse(refusal{status: http.StatusBadGateway, reason: reason})
+	}
+}
+
+// mayRetry tells whether another server may be tried, and takes the attempt
+// from the budget.
+func (x *exchange) mayRetry(ctx context.Context, reserve float64) bool {
+	if ctx.Err() != nil || x.sends >= x.q.Route.MaxAttempts {
+		return false
+	}
+	if x.sends > 0 && !x.f.o.Budget.Take(x.q.Service, reserve, time.Now()) {
+		x.note(nil, "retry budget is used up")
+		return false
+	}
+	return true
+}
+
+// record logs and counts the exchange.
+func (x *exchange) record(began time.Time) {
+	kind := x.q.Route.Kind.String()
+	x.f.o.Metrics.Requests.WithLabelValues(kind, strconv.Itoa(x.status)).Inc()
+	x.f.o.Metrics.RequestTime.WithLabelValues(kind).Observe(time.Since(began).Seconds())
+	if !x.firstByte.IsZero() {
+		x.f.o.Metrics.FirstByteTime.WithLabelValues(kind).Observe(x.firstByte.Sub(began).Seconds())
+	}
+	ran := "no"
+	if x.mayHaveRun || x.runs > 0 {
+		ran = "maybe"
+	}
+	x.f.o.Log.Info("request", zap.String("request", x.q.ID), zap.String("route", x.q.Route.Name), zap.String("service", x.q.Service),
+		zap.String("organisation", organisationName(x.q.Organisation)), zap.Int64("config", x.q.TableVersion),
+		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("ran", ran), zap.Bool("torn", x.torn),
+		zap.Int64("ms", time.Since(began).Milliseconds()), zap.Int64("left_ms", time.Until(x.q.CallerDeadline).Milliseconds()),
+		zap.Any("steps", x.steps))
+}
--- /dev/null
+++ b/internal/forward/request.go
@@ -0,0 +1,140 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowslipfall/cowslipfall/internal/route"
+)
+
+// Request is a caller's request, read whole and matched to its route.
+type Request struct {
+	ID           string
+	Route        *route.Route
+	Service      string
+	Organisation *route.Organisation
+	Method       string
+	URI          string
+	Host         string
+	Header       http.Header
+	Body         []byte
+	// Arrived is when it was read, Deadline when its caller or its route gives
+	// up on it.
+	Arrived  time.Time
+	Deadline time.Time
+	// CallerDeadline is when the caller gives up.
+	CallerDeadline time.Time
+	// PromptTokens and OutputTokens are zero for plain requests.
+	PromptTokens float64
+	OutputTokens float64
+	// Subject is the last part of the prompt that other requests share, Part
+	// the part of its session or its own.
+	Subject string
+	Part    string
+	// Rank orders requests; 0 is the most urgent.
+	Rank int
+	// Fingerprint identifies requests of the same caller, path and content.
+	Fingerprint uint64
+	// TableVersion is the configuration that matched it.
+	TableVersion int64
+}
+
+// defaultTimeLeft stands for a caller that names no time; a minute is longer
+// than any route's own.
+const defaultTimeLeft = time.Minute
+
+// parse reads what the headers tell.
+func (n *Headers) parse(r *http.Request, rt *route.Route, org *route.Organisation, body []byte, now time.Time) *Request {
+	q := &Request{
+		ID: r.Header.Get(n.RequestID), Route: rt, Organisation: org, Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		Header: r.Header, Body: body, Arrived: now, Rank: rt.Rank,
+	}
+	if org != nil && org.Rank != nil {
+		q.Rank = *org.Rank
+	}
+	left := defaultTimeLeft
+	if ms, err := strconv.ParseFloat(r.Header.Get(n.TimeLeft), 64); err == nil && ms > 0 {
+		left = time.Duration(ms * float64(time.Millisecond))
+	}
+	q.CallerDeadline = now.Add(left)
+	q.Deadline = q.CallerDeadline
+	if rt.Timeout > 0 && rt.Timeout < left {
+		q.Deadline = now.Add(rt.Timeout)
+	}
+	in, out, _ := strings.Cut(r.Header.Get(n.Tokens), ",")
+	q.PromptTokens, _ = strconv.ParseFloat(strings.TrimSpace(in), 64)
+	q.OutputTokens, _ = strconv.ParseFloat(strings.TrimSpace(out), 64)
+	q.Subject, q.Part = promptParts(r.Header.Get(n.Prompt))
+	q.Fingerprint = fingerprint(q)
+	return q
+}
+
+// promptParts returns the identities of the last shared part of a prompt and
+// of its last part.
+func promptParts(list string) (subject, part string) {
+	parts := strings.Split(list, ",")
+	last := func(back int) string {
+		if len(parts) < back {
+			return ""
+		}
+		id, _, _ := strings.Cut(strings.TrimSpace(parts[len(parts)-back]), ":")
+		return id
+	}
+	part, subject = last(1), last(2)
+	if subject == "" {
+		subject = part
+	}
+	return subject, part
+}
+
+func fingerprint(q *Request) uint64 {
+	h := xxhash.New()
+	for _, s := range []string{q.Method, q.Host, q.URI, organisationName(q.Organisation)} {
+		_, _ = h.WriteString(s)
+		_, _ = h.WriteString("\x00")
+	}
+	_, _ = h.Write(q.Body)
+	return h.Sum64()
+}
+
+func organisationName(o *route.Organisation) string {
+	if o == nil {
+		return ""
+	}
+	return o.Name
+}
+
+// sessionKey identifies what keeps its version: the session, or the request
+// itself.
+func (q *Request) sessionKey() string {
+	if q.Part != "" {
+		return q.Part
+	}
+	return q.ID
+}
+
+// onceReader is a body that the transport cannot send a second time by itself.
+type onceReader struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceReader) Close() error { return nil }
+
+// outgoing makes the request for a server.
+func (n *Headers) request(q *Request, address, instance string, now time.Time) *http.Request {
+	out := &http.Request{Method: q.Method, Host: q.Host, Header: n.outgoing(q.Header), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	out.URL = requestURL(q.URI, address)
+	// A body without GetBody keeps the transport from repeating the request.
+	out.Body, out.ContentLength = onceReader{bytes.NewReader(q.Body)}, int64(len(q.Body))
+	out.Header.Set(n.TimeLeft, strconv.FormatInt(max(q.Deadline.Sub(now).Milliseconds(), 1), 10))
+	out.Header.Set(n.Instance, instance)
+	if q.Organisation != nil {
+		out.Header.Set(n.Organisation, q.Organisation.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/news/news.go
@@ -0,0 +1,194 @@
+// Package news passes rows of the platform's table, and soft state of the
+// nodes, from node to node. Each row bears a version; the newest wins, so that
+// rows may arrive in any order, from any node, any number of times.
+package news
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Row is one value under a table and key.
+type Row struct {
+	Table   string
+	Key     string
+	Version uint64
+	// Deleted rows stay for a while, so that an older copy cannot bring them
+	// back.
+	Deleted bool
+	Data    []byte
+}
+
+// ErrHistory is returned by a Store whose history no longer reaches back to
+// the version asked for. Read the whole table instead.
+var ErrHistory = errors.New("history is gone: read the whole table")
+
+// Store is the platform's table as a reader sees it.
+type Store interface {
+	// Read returns all rows of a table, and the version they are as of.
+	Read(ctx context.Context, table string) ([]Row, uint64, error)
+	// Watch returns rows changed after a version as soon as there is one, or
+	// none after wait.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
+	// Write stores a row if its version is still the expected one; 0 means
+	// that there is none. It returns false if the condition did not hold.
+	Write(ctx context.Context, table, key string, expected uint64, data []byte) (bool, error)
+	// Remove drops a row whatever its version.
+	Remove(ctx context.Context, table, key string) error
+}
+
+type id struct{ table, key string }
+
+type entry struct {
+	Row
+	place uint64 // position in the log of this node
+	from  string // address of the node that told it; empty for the store or this node
+}
+
+// Map is a node's copy of all rows. It is safe for concurrent use.
+type Map struct {
+	mu      sync.Mutex
+	rows    map[id]entry      // guarded by mu
+	place   uint64            // guarded by mu; of the newest change
+	cursors map[string]uint64 // guarded by mu; version up to which a table is known
+	changed chan struct{}     // guarded by mu; closed at a change
+	onRows  func([]Row)
+}
+
+// NewMap returns an empty map. onRows is called with each batch of rows that
+// were new, outside of locks.
+func NewMap(onRows func([]Row)) *Map {
+	return &Map{rows: map[id]entry{}, cursors: map[string]uint64{}, changed: make(chan struct{}), onRows: onRows}
+}
+
+// Apply takes rows and keeps those that are newer than what is known.
+func (m *Map) Apply(rows []Row) { m.mergeFrom("", rows, nil) }
+
+// mergeFrom takes rows that a node told, and the cursors of one that holds its
+// tables as a whole.
+func (m *Map) mergeFrom(from string, rows []Row, cursors map[string]uint64) {
+	m.mu.Lock()
+	fresh := m.apply(from, rows)
+	for table, version := range cursors {
+		m.cursors[table] = max(m.cursors[table], version)
+	}
+	m.mu.Unlock()
+	m.tell(fresh)
+}
+
+// apply keeps newer rows and returns them. The caller holds mu.
+func (m *Map) apply(from string, rows []Row) []Row {
+	var fresh []Row
+	for _, r := range rows {
+		at := id{r.Table, r.Key}
+		if old, ok := m.rows[at]; ok && old.Version >= r.Version {
+			continue
+		}
+		m.place++
+		m.rows[at] = entry{r, m.place, from}
+		fresh = append(fresh, r)
+	}
+	if len(fresh) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return fresh
+}
+
+func (m *Map) tell(fresh []Row) {
+	if len(fresh) > 0 && m.onRows != nil {
+		m.onRows(fresh)
+	}
+}
+
+// Replace takes a whole table as of a version: rows that it lacks were
+// deleted.
+func (m *Map) Replace(table string, rows []Row, version uint64) {
+	m.mu.Lock()
+	listed := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		listed[r.Key] = true
+	}
+	for at, e := range m.rows {
+		if at.table == table && !listed[at.key] && !e.Deleted && e.Version < version {
+			rows = append(rows, Row{Table: table, Key: at.key, Version: version, Deleted: true})
+		}
+	}
+	fresh := m.apply("", rows)
+	m.cursors[table] = max(m.cursors[table], version)
+	m.mu.Unlock()
+	m.tell(fresh)
+}
+
+// Advance takes the rows of a watch that reached version.
+func (m *Map) Advance(table string, rows []Row, version uint64) {
+	m.mu.Lock()
+	fresh := m.apply("", rows)
+	m.cursors[table] = max(m.cursors[table], version)
+	m.mu.Unlock()
+	m.tell(fresh)
+}
+
+// Cursor returns the version up to which a table is known; 0 if it is not.
+func (m *Map) Cursor(table string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cursors[table]
+}
+
+// Get returns a row that is not deleted.
+func (m *Map) Get(table, key string) (Row, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.rows[id{table, key}]
+	return e.Row, ok && !e.Deleted
+}
+
+// List returns the rows of a table that are not deleted, in no order.
+func (m *Map) List(table string) []Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Row
+	for at, e := range m.rows {
+		if at.table == table && !e.Deleted {
+			out = append(out, e.Row)
+		}
+	}
+	return out
+}
+
+// sinceFor returns the rows changed after a place of this map's log that the
+// node at an address did not tell itself, the place reached, the cursors, and a
+// channel that is closed at the next change.
+func (m *Map) sinceFor(address string, place uint64) ([]Row, uint64, map[string]uint64, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Row
+	if place < m.place {
+		for _, e := range m.rows {
+			if e.place > place && (e.from == "" || e.from != address) {
+				out = append(out, e.Row)
+			}
+		}
+	}
+	cursors := make(map[string]uint64, len(m.cursors))
+	for table, version := range m.cursors {
+		cursors[table] = version
+	}
+	return out, m.place, cursors, m.changed
+}
+
+// Forget drops the rows of a soft table that were not renewed since a version,
+// without telling others.
+func (m *Map) Forget(table string, keep func(Row) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for at, e := range m.rows {
+		if at.table == table && !keep(e.Row) {
+			delete(m.rows, at)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/member.go
@@ -0,0 +1,161 @@
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/routing"
+)
+
+// Load is what a server last said of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	At      time.Time
+}
+
+// loadLife is how long a reported load counts; two of the slowest report
+// intervals seen on a quiet pool.
+const loadLife = 2 * time.Second
+
+// Member is one backend server and what this node has learned of it.
+type Member struct {
+	Server
+	mu       sync.Mutex
+	draining bool            // guarded by mu
+	gone     bool            // guarded by mu
+	running  int             // guarded by mu; requests of this node
+	tokens   float64         // guarded by mu; prompt tokens of this node not yet read
+	load     Load            // guarded by mu
+	sent     int             // guarded by mu; requests sent since the load was reported
+	health   routing.Outlier // guarded by mu
+	peers    int             // guarded by mu; requests that other nodes have there
+	peersAt  time.Time       // guarded by mu
+}
+
+func newMember(s Server, now time.Time) *Member {
+	return &Member{Server: s, load: Load{Slots: s.Slots, At: now}}
+}
+
+// restarted tells whether s is another start of the member's server.
+func (m *Member) restarted(s Server) bool {
+	return m.Started != s.Started || m.Address != s.Address || m.Service != s.Service
+}
+
+func (m *Member) announce(s Server) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.draining = s.Draining
+}
+
+func (m *Member) leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gone = true
+}
+
+// Usable tells whether the server takes new requests as far as is known.
+func (m *Member) Usable(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.gone && !m.draining && !m.health.Ejected(now)
+}
+
+// Present tells whether the server is listed and not leaving.
+func (m *Member) Present() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.gone && !m.draining
+}
+
+// Begin counts a request with the given prompt tokens; it returns false if
+// the server has left since it was chosen.
+func (m *Member) Begin(now time.Time, tokens float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone || m.draining {
+		return false
+	}
+	m.running++
+	m.sent++
+	m.tokens += tokens
+	m.health.Try(now)
+	return true
+}
+
+// Prefilled notes that a request's prompt was read.
+func (m *Member) Prefilled(tokens float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tokens = max(m.tokens-tokens, 0)
+}
+
+// End counts the end of a request.
+func (m *Member) End() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+}
+
+// Succeed notes a sound answer.
+func (m *Member) Succeed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.Succeed()
+}
+
+// Fail notes a failure of a request that began at the given time, and tells
+// whether the server is ejected by it. draw is a random number within 0 to 1.
+func (m *Member) Fail(now, began time.Time, draw float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	was := m.health.Ejected(now)
+	m.health.Fail(now, began, draw)
+	return !was && m.health.Ejected(now)
+}
+
+// Report takes a load that the server told.
+func (m *Member) Report(l Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load, m.sent = l, 0
+}
+
+// Peers takes how many requests other nodes have at the server.
+func (m *Member) Peers(running int, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers, m.peersAt = running, now
+}
+
+// Running returns this node's requests at the server.
+func (m *Member) Running() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.running
+}
+
+// Occupancy estimates the share of slots in use, above 1 if work waits: the
+// larger of what the server reported, with this node's sends since, and what
+// the nodes together hold there.
+func (m *Member) Occupancy(now time.Time) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	busy := m.running
+	if now.Sub(m.peersAt) < loadLife {
+		busy += m.peers
+	}
+	if now.Sub(m.load.At) < loadLife {
+		busy = max(busy, m.load.Running+m.load.Waiting+m.sent)
+	}
+	return float64(busy) / float64(max(m.Slots, 1))
+}
+
+// Backlog returns the prompt tokens that this node sent and that were not yet
+// read.
+func (m *Member) Backlog() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tokens
+}
