--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -17,7 +17,7 @@
 	// operatorWait is how long one question for changes of the configuration
 	// stays open. It is also the heartbeat by which nodes know that the store
 	// is within reach.
-	operatorWait = 600 * time.Millisecond
+	operatorWait = 400 * time.Millisecond
 	// restWait is the same for tables whose changes may take longer to show.
 	restWait = 10 * time.Second
 	// serversPause is the least time between two questions for servers, so that
@@ -26,7 +26,7 @@
 	// staleAfter is the age of the store's news at which a node that is not the
 	// reader asks the store itself. It leaves half of the two seconds in which a
 	// configuration must be in force.
-	staleAfter = 1100 * time.Millisecond
+	staleAfter = 1300 * time.Millisecond
 	// standbyStep spreads the standbys: the first in line begins first.
 	standbyStep = 120 * time.Millisecond
 	// retryPause is the wait after a failed call, with full jitter on top.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -75,7 +75,7 @@
 	// connection may be closed by its server just when a request is sent.
 	kept    *http.Transport
 	fresh   *http.Transport
-	cascade *Cascade
+	cascade Cascade
 	running atomic.Int64
 }
 
@@ -83,10 +83,21 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept}), fresh: NewTransport(TransportOptions{Fresh: true}),
-		cascade: NewCascade(),
 	}
 }
 
+// modelOf returns a model of a service; an unknown one costs nothing.
+func (f *Forwarder) modelOf(service, name string) route.Model {
+	if s := f.o.Table().Service(service); s != nil {
+		for _, m := range s.Models {
+			if m.Name == name {
+				return m
+			}
+		}
+	}
+	return route.Model{Name: name}
+}
+
 // Running returns how many requests are under way.
 func (f *Forwarder) Running() int { return int(f.running.Load()) }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -34,6 +34,10 @@
 	Tokens string
 	// Prompt lists the parts of the prompt as "id:tokens", comma-separated.
 	Prompt string
+	// Session is alike for requests that belong together.
+	Session string
+	// LengthHint is the caller's estimate of the number of output tokens.
+	LengthHint string
 	// Confidence is the model's opinion of its answer, 0 to 100.
 	Confidence string
 	// Priority is the engine's priority, 0 (first) to 9.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -92,7 +92,7 @@
 // observe tells the roll-outs how an answer went.
 func (x *exchange) observe(a *attempt, bad bool) {
 	x.f.o.Versions.Observe(a.member.Service, a.member.Version, Observation{
-		Session: x.q.Part, Bad: bad, Latency: time.Since(a.began), Model: a.model, Route: x.q.Route.Name,
+		Session: x.q.Session, Bad: bad, Latency: time.Since(a.began), Model: a.model, Route: x.q.Route.Name,
 	}, time.Now())
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -33,10 +33,12 @@
 	// PromptTokens and OutputTokens are zero for plain requests.
 	PromptTokens float64
 	OutputTokens float64
-	// Subject is the last part of the prompt that other requests share, Part
-	// the part of its session or its own.
+	// ExpectedTokens is the caller's estimate of the output.
+	ExpectedTokens float64
+	// Subject is the last part of the prompt that other requests share.
 	Subject string
-	Part    string
+	// Session is empty for requests without one.
+	Session string
 	// Rank orders requests; 0 is the most urgent.
 	Rank int
 	// Fingerprint identifies requests of the same caller, path and content.
@@ -70,27 +72,21 @@
 	in, out, _ := strings.Cut(r.Header.Get(n.Tokens), ",")
 	q.PromptTokens, _ = strconv.ParseFloat(strings.TrimSpace(in), 64)
 	q.OutputTokens, _ = strconv.ParseFloat(strings.TrimSpace(out), 64)
-	q.Subject, q.Part = promptParts(r.Header.Get(n.Prompt))
+	q.ExpectedTokens = q.OutputTokens
+	if hint, err := strconv.ParseFloat(r.Header.Get(n.LengthHint), 64); err == nil && hint > 0 {
+		q.ExpectedTokens = min(hint, q.OutputTokens)
+	}
+	q.Subject, q.Session = promptSubject(r.Header.Get(n.Prompt)), r.Header.Get(n.Session)
 	q.Fingerprint = fingerprint(q)
 	return q
 }
 
-// promptParts returns the identities of the last shared part of a prompt and
-// of its last part.
-func promptParts(list string) (subject, part string) {
+// promptSubject returns the identity of the last part of a prompt that other
+// requests share: the last but one, as the last is the request's own.
+func promptSubject(list string) string {
 	parts := strings.Split(list, ",")
-	last := func(back int) string {
-		if len(parts) < back {
-			return ""
-		}
-		id, _, _ := strings.Cut(strings.TrimSpace(parts[len(parts)-back]), ":")
-		return id
-	}
-	part, subject = last(1), last(2)
-	if subject == "" {
-		subject = part
-	}
-	return subject, part
+	id, _, _ := strings.Cut(strings.TrimSpace(parts[max(len(parts)-2, 0)]), ":")
+	return id
 }
 
 func fingerprint(q *Request) uint64 {
@@ -113,8 +109,8 @@
 // sessionKey identifies what keeps its version: the session, or the request
 // itself.
 func (q *Request) sessionKey() string {
-	if q.Part != "" {
-		return q.Part
+	if q.Session != "" {
+		return q.Session
 	}
 	return q.ID
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,15 +12,18 @@
 const (
 	// firstEventShare is the share of the target within which the first event
 	// must come before another server is asked; the rest is for that one.
-	firstEventShare = 0.6
+	firstEventShare = 0.5
 	// leastFirstEvent is the least such wait: a cold prompt of the largest
 	// model takes about a second to read.
 	leastFirstEvent = 1200 * time.Millisecond
-	// stallShare is the share of the longest pause in time after which a stream
+	// pauseShare is the share of the longest pause in time after which a stream
 	// that made no progress is resumed elsewhere.
-	stallShare = 0.6
-	// leastStall keeps short pauses from moving streams.
-	leastStall = 700 * time.Millisecond
+	pauseShare = 0.6
+	// leastPause keeps short pauses from moving streams.
+	leastPause = 700 * time.Millisecond
+	// busyFactor is how many times longer a server is waited for while it
+	// answers other requests of this node: it is slow, not silent.
+	busyFactor = 3
 )
 
 // errStalled means that a server kept silent for too long.
@@ -30,7 +33,7 @@
 type streaming struct {
 	model     int    // index in the route's models
 	lastEvent string // newest event that the caller has
-	watch     *time.Timer
+	watch     *watch
 }
 
 // stream serves a request whose answer is a series of events.
@@ -72,8 +75,8 @@
 func (x *exchange) streamOnce(ctx context.Context, s *streaming, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = time.AfterFunc(x.firstEventWait(), func() { cancel(errStalled) })
-	defer s.watch.Stop()
+	s.watch = newWatch(a.member, x.firstEventWait(), func() { cancel(errStalled) })
+	defer s.watch.stop()
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != answered {
 		return false, x.streamFailed(ctx, a, err)
@@ -92,8 +95,9 @@
 	return max(time.Duration(firstEventShare*float64(x.q.Route.Target)), leastFirstEvent)
 }
 
-func (x *exchange) stallWait() time.Duration {
-	return max(time.Duration(stallShare*float64(x.q.Route.MaxPause)), leastStall)
+// pauseWait is how long a server may take between two events.
+func (x *exchange) pauseWait() time.Duration {
+	return max(time.Duration(pauseShare*float64(x.q.Route.MaxPause)), leastPause)
 }
 
 // streamFailed names the cause of a failure and notes it at the server.
@@ -138,7 +142,7 @@
 	}
 	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.o.Headers.Confidence), 64)
 	now := time.Now()
-	if err != nil || x.f.cascade.Accept(confidence, x.q, now) {
+	if err != nil || x.f.cascade.Accept(confidence, x.f.modelOf(x.q.Service, models[last]), x.q, 0) {
 		return false
 	}
 	if x.sends >= x.q.Route.MaxAttempts || x.f.o.Budget.Left(x.q.Service, now) < escalationReserve {
@@ -170,7 +174,7 @@
 			x.observe(a, false)
 			x.startStream(a)
 		}
-		s.watch.Reset(x.stallWait())
+		s.watch.progress(x.pauseWait())
 		if e.id != "" {
 			s.lastEvent = e.id
 		}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -30,6 +30,7 @@
 	load     Load            // guarded by mu
 	sent     int             // guarded by mu; requests sent since the load was reported
 	health   routing.Outlier // guarded by mu
+	progress time.Time       // guarded by mu; of the last event or answer
 	peers    int             // guarded by mu; requests that other nodes have there
 	peersAt  time.Time       // guarded by mu
 }
@@ -129,6 +130,20 @@
 	m.peers, m.peersAt = running, now
 }
 
+// Progress notes that the server sent something.
+func (m *Member) Progress(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.progress = now
+}
+
+// LastProgress returns when the server last sent something to this node.
+func (m *Member) LastProgress() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.progress
+}
+
 // Running returns this node's requests at the server.
 func (m *Member) Running() int {
 	m.mu.Lock()
