--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -44,6 +44,7 @@
 	lines := telemetry.NewLineWriter(os.Stdout, metrics.DroppedLines.Inc)
 	log := telemetry.NewLineLogger(lines, settings.Node)
 	defer func() { _ = log.Sync() }()
+	zap.RedirectStdLog(log)
 	tracer, err := telemetry.NewTracer(ctx, config.DefaultSettings())
 	if err != nil {
 		return err
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,6 +96,7 @@
 	var connect *ConnectError
 	if errors.As(err, &connect) {
 		x.sends--
+		a.member.Probed(false, time.Now())
 		x.fail(a)
 		return notRun, err
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,12 +18,9 @@
 	leastFirstEvent = 1200 * time.Millisecond
 	// pauseShare is the share of the longest pause in time after which a stream
 	// that made no progress is resumed elsewhere.
-	pauseShare = 0.6
+	pauseShare = 0.85
 	// leastPause keeps short pauses from moving streams.
 	leastPause = 700 * time.Millisecond
-	// busyFactor is how many times longer a server is waited for while it
-	// answers other requests of this node: it is slow, not silent.
-	busyFactor = 3
 )
 
 // errStalled means that a server kept silent for too long.
@@ -75,7 +72,7 @@
 func (x *exchange) streamOnce(ctx context.Context, s *streaming, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = newWatch(a.member, x.firstEventWait(), func() { cancel(errStalled) })
+	s.watch = newWatch(a.member, x.firstEventWait(), x.mayMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != answered {
@@ -95,6 +92,16 @@
 	return max(time.Duration(firstEventShare*float64(x.q.Route.Target)), leastFirstEvent)
 }
 
+// mayMove tells whether another server may still be tried for a stream.
+func (x *exchange) mayMove() bool {
+	now := time.Now()
+	return x.q.Route.Repeatable() && x.sends < x.q.Route.MaxAttempts && x.q.Deadline.Sub(now) > leastLeft &&
+		x.f.o.Budget.Left(x.q.Service, now) > 0
+}
+
+// leastLeft is the time left below which a stream is not moved any more.
+const leastLeft = 200 * time.Millisecond
+
 // pauseWait is how long a server may take between two events.
 func (x *exchange) pauseWait() time.Duration {
 	return max(time.Duration(pauseShare*float64(x.q.Route.MaxPause)), leastPause)
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -31,6 +31,8 @@
 	sent     int             // guarded by mu; requests sent since the load was reported
 	health   routing.Outlier // guarded by mu
 	progress time.Time       // guarded by mu; of the last event or answer
+	probed   time.Time       // guarded by mu; when a probe began or ended
+	cutOff   bool            // guarded by mu; the last probe failed
 	peers    int             // guarded by mu; requests that other nodes have there
 	peersAt  time.Time       // guarded by mu
 }
@@ -144,6 +146,32 @@
 	return m.progress
 }
 
+// ProbeDue tells whether a probe is due, and takes it for begun.
+func (m *Member) ProbeDue(now time.Time, life time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.probed) < life {
+		return false
+	}
+	m.probed = now
+	return true
+}
+
+// Probed notes whether a connection could be made.
+func (m *Member) Probed(reached bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.probed, m.cutOff = now, !reached
+}
+
+// Unreachable tells whether a probe within life failed and nothing was heard
+// since.
+func (m *Member) Unreachable(now time.Time, life time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cutOff && now.Sub(m.probed) < life && m.progress.Before(m.probed)
+}
+
 // Running returns this node's requests at the server.
 func (m *Member) Running() int {
 	m.mu.Lock()
