--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -49,6 +49,8 @@
 	status     int
 	outcome    string
 	firstByte  time.Time
+	// longestPause is the longest time between two events that were passed on.
+	longestPause time.Duration
 }
 
 // step is one decision of an exchange, for its log line.
@@ -137,5 +139,14 @@
 		zap.String("organisation", organisationName(x.q.Organisation)), zap.Int64("config", x.q.TableVersion),
 		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("ran", ran), zap.Bool("torn", x.torn),
 		zap.Int64("ms", time.Since(began).Milliseconds()), zap.Int64("left_ms", time.Until(x.q.CallerDeadline).Milliseconds()),
-		zap.Any("steps", x.steps))
+		zap.Int64("first_ms", x.firstMS()), zap.Int64("pause_ms", x.longestPause.Milliseconds()), zap.Int("rank", x.q.Rank),
+		zap.Float64("prompt_tokens", x.q.PromptTokens), zap.Any("steps", x.steps))
+}
+
+// firstMS returns the time to the answer's first byte in milliseconds, or -1.
+func (x *exchange) firstMS() int64 {
+	if x.firstByte.IsZero() {
+		return -1
+	}
+	return x.firstByte.Sub(x.q.Arrived).Milliseconds()
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -169,7 +169,7 @@
 // pump passes whole events on until the stream ends.
 func (x *exchange) pump(ctx context.Context, s *streaming, a *attempt) (bool, error) {
 	events := &eventReader{src: a.resp.Body}
-	first := true
+	first, last := true, time.Now()
 	for {
 		e, err := events.next()
 		if err != nil {
@@ -182,6 +182,11 @@
 			x.startStream(a)
 		}
 		s.watch.progress(x.pauseWait())
+		now := time.Now()
+		if len(s.lastEvent) > 0 {
+			x.longestPause = max(x.longestPause, now.Sub(last))
+		}
+		last = now
 		if e.id != "" {
 			s.lastEvent = e.id
 		}
