--- /dev/null
+++ b/internal/edge/beats.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+)
+
+// hubState is what this node last told as a hub.
+type hubState struct {
+	roster, loads string
+}
+
+// beat tells the hub this node's state, and, as a hub, the other data centres
+// those of its own.
+func (n *Node) beat() {
+	s := n.settings.Load()
+	state := nodeState{
+		Node: s.Node, Inner: n.inner, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.ready(), Stopping: n.stopping.Load(),
+		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
+	}
+	n.members.setSelf(state)
+	n.tell(tableBeats, n.key, beat{state, n.ownWork()})
+	if n.members.hubs(time.Now())[s.DataCentre] == n.inner {
+		n.tellRoster()
+	}
+}
+
+// tellRoster tells the other nodes who is in this hub's data centre, and what
+// they have at the servers.
+func (n *Node) tellRoster() {
+	nodes, total := n.members.ownRoster()
+	n.told.roster = n.tellChange(tableRosters, nodes, n.told.roster)
+	n.told.loads = n.tellChange(tableLoads, total, n.told.loads)
+	n.tell(tablePulses, n.key, struct{}{})
+}
+
+// tellChange tells a value under this node's key if it is not what was told
+// before, and returns what was told.
+func (n *Node) tellChange(table string, value any, before string) string {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		n.o.Log.Error("state is not told", zap.String("table", table), zap.Error(err))
+		return before
+	}
+	if string(raw) != before {
+		n.rows.Apply([]news.Row{{Table: table, Key: n.key, Version: n.nextVersion(), Data: raw}})
+	}
+	return string(raw)
+}
+
+// tell tells a value under a key.
+func (n *Node) tell(table, key string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		n.o.Log.Error("state is not told", zap.String("table", table), zap.Error(err))
+		return
+	}
+	n.rows.Apply([]news.Row{{Table: table, Key: key, Version: n.nextVersion(), Data: raw}})
+}
+
+// ownWork returns what this node has at each server.
+func (n *Node) ownWork() map[string]work {
+	out := map[string]work{}
+	n.pool.Each(func(m *pool.Member) {
+		if running, unread := m.Own(); running > 0 {
+			out[m.ID] = work{running, int(unread.Milliseconds())}
+		}
+	})
+	return out
+}
+
+// shareLoad hands what other nodes have at the servers to the pool.
+func (n *Node) shareLoad(now time.Time) {
+	total, own := n.members.work(), n.ownWork()
+	n.pool.Each(func(m *pool.Member) {
+		t, o := total[m.ID], own[m.ID]
+		m.Others(max(t.Running-o.Running, 0), time.Duration(max(t.UnreadMS-o.UnreadMS, 0))*time.Millisecond, now)
+	})
+}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -13,6 +15,8 @@
 	directoryTTL = 2 * time.Second
 	// directoryMost bounds the addresses of one answer.
 	directoryMost = 64
+	// directoryLeast leaves a caller others to turn to where one fails it.
+	directoryLeast = 4
 )
 
 // directoryAnswer tells a caller where to connect.
@@ -33,18 +37,40 @@
 	_ = json.NewEncoder(w).Encode(directoryAnswer{Addresses: addresses, TTL: ttl.Seconds()})
 }
 
-// callerAddresses lists the nodes that are ready, in random order.
+// callerAddresses draws the nodes that a caller is told. Callers choose among
+// them at random, so each node is told in proportion to what it can carry.
 func (n *Node) callerAddresses() []string {
-	var out []string
-	seen := map[string]bool{}
+	var ready []nodeState
 	for _, m := range n.members.alive() {
-		if m.Ready && !m.Stopping && !seen[m.Callers] {
-			seen[m.Callers] = true
-			out = append(out, m.Callers)
+		if m.Ready && !m.Stopping {
+			ready = append(ready, m)
 		}
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), directoryMost)]
+	return drawAddresses(ready, rand.Float64)
+}
+
+// drawAddresses draws from nodes by their weights; at least directoryLeast are
+// drawn where there are as many.
+func drawAddresses(nodes []nodeState, draw func() float64) []string {
+	heaviest := 0.0
+	for _, s := range nodes {
+		heaviest = max(heaviest, s.Weight)
+	}
+	slices.SortFunc(nodes, func(a, b nodeState) int { return cmp.Compare(b.Weight, a.Weight) })
+	var drawn, rest []string
+	for _, s := range nodes {
+		if draw()*heaviest < s.Weight {
+			drawn = append(drawn, s.Callers)
+		} else {
+			rest = append(rest, s.Callers)
+		}
+	}
+	for len(drawn) < directoryLeast && len(rest) > 0 {
+		i := int(draw() * float64(len(rest)))
+		drawn = append(drawn, rest[i])
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return drawn[:min(len(drawn), directoryMost)]
 }
 
 // readiness answers whether this node takes callers.
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -15,7 +15,10 @@
 
 // Soft tables are passed between nodes only.
 const (
-	tableNodes    = "soft/nodes"
+	tableBeats    = news.Upward + "beats" // each node's state, to its hub
+	tableRosters  = "soft/rosters"        // each hub's list of its data centre
+	tablePulses   = "soft/pulses"         // that a hub lives
+	tableLoads    = "soft/loads"          // what a data centre has at each server
 	tableSessions = "soft/sessions"
 	tableEvidence = "soft/evidence"
 	tableSuspects = "soft/suspects"
@@ -25,13 +28,18 @@
 const tableMembers = "members"
 
 const (
-	// beatInterval is how often a node tells its state.
+	// beatInterval is how often a node tells its hub its state, and a hub the
+	// other data centres that it lives.
 	beatInterval = 500 * time.Millisecond
-	// deadAfter is how long after its last heartbeat a node counts as gone: the
-	// way over two hubs takes up to three batches.
-	deadAfter = 2500 * time.Millisecond
-	// forgetAfter is when the row of a node that is gone is dropped.
-	forgetAfter = time.Minute
+	// deadAfter is how long after its last heartbeat a node counts as gone.
+	deadAfter = 2 * time.Second
+	// hubDeadAfter is the same for a hub, whose pulses pass through two others.
+	hubDeadAfter = 3 * time.Second
+	// reachFailure is how long a node that could not be reached is passed over.
+	reachFailure = 3 * time.Second
+	// hubWeight is the part of the largest node's weight that a hub needs: a
+	// hub's link carries the news of its whole data centre.
+	hubWeight = 0.5
 )
 
 // nodeState is what a node tells of itself.
@@ -41,134 +49,265 @@
 	Callers    string `json:"callers"`
 	DataCentre string `json:"dc"`
 	// Ready nodes take callers, Stopping ones are about to leave.
-	Ready    bool    `json:"ready"`
-	Stopping bool    `json:"stopping"`
-	Weight   float64 `json:"weight"`
-	// Running counts requests of this node by server.
-	Running map[string]int `json:"running,omitempty"`
+	Ready    bool `json:"ready,omitempty"`
+	Stopping bool `json:"stopping,omitempty"`
+	// Weight is the share of callers that the node can carry.
+	Weight float64 `json:"weight"`
 }
 
-// member is another node as this one sees it.
-type member struct {
+// beat is a node's heartbeat to its hub.
+type beat struct {
 	nodeState
-	heard time.Time // by the own clock, of the last new heartbeat
+	// Work is what the node has at each server.
+	Work map[string]work `json:"work,omitempty"`
+}
+
+// work is what some nodes have at a server.
+type work struct {
+	Running int `json:"r,omitempty"`
+	// UnreadMS is the time that the server needs for the prompts not yet read.
+	UnreadMS int `json:"u,omitempty"`
+}
+
+// roster is one hub's list.
+type roster struct {
+	nodes []nodeState
+	heard time.Time // by the own clock, of the last pulse
+}
+
+// heardBeat is a heartbeat with its time by the own clock.
+type heardBeat struct {
+	beat
+	at time.Time
 }
 
 // members knows the living nodes. It is safe for concurrent use.
 type members struct {
-	self string // key of the own row
-	log  *zap.Logger
-	mu   sync.Mutex
-	list map[string]*member // guarded by mu; by row key
-	down map[string]time.Time
+	log     *zap.Logger
+	mu      sync.Mutex
+	self    nodeState            // guarded by mu
+	beats   map[string]heardBeat // guarded by mu; by node key
+	rosters map[string]*roster   // guarded by mu; by hub key
+	down    map[string]time.Time // guarded by mu; by inner address
+	loads   map[string]map[string]work
+	known   map[string]bool // guarded by mu; names that were logged as joined
+}
+
+func newMembers(log *zap.Logger) *members {
+	return &members{
+		log: log, beats: map[string]heardBeat{}, rosters: map[string]*roster{}, down: map[string]time.Time{},
+		loads: map[string]map[string]work{}, known: map[string]bool{},
+	}
 }
 
-func newMembers(self string, log *zap.Logger) *members {
-	return &members{self: self, log: log, list: map[string]*member{}, down: map[string]time.Time{}}
+// setSelf notes this node's own state.
+func (m *members) setSelf(s nodeState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self = s
 }
 
-// take notes heartbeats.
-func (m *members) take(rows []news.Row, now time.Time) {
+// takeBeats notes heartbeats of the own data centre.
+func (m *members) takeBeats(rows []news.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range rows {
-		if r.Deleted {
-			delete(m.list, r.Key)
-			continue
-		}
-		var s nodeState
-		if err := json.Unmarshal(r.Data, &s); err != nil {
+		var b beat
+		if err := json.Unmarshal(r.Data, &b); err != nil {
 			m.log.Warn("heartbeat is unreadable", zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		if m.list[r.Key] == nil && r.Key != m.self {
-			m.log.Info("member joined", zap.String("member", s.Node), zap.String("data_centre", s.DataCentre))
+		m.beats[r.Key] = heardBeat{b, now}
+		delete(m.down, b.Inner)
+	}
+}
+
+// takeRosters notes the lists of hubs.
+func (m *members) takeRosters(rows []news.Row, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range rows {
+		var nodes []nodeState
+		if err := json.Unmarshal(r.Data, &nodes); err != nil {
+			m.log.Warn("roster is unreadable", zap.String("key", r.Key), zap.Error(err))
+			continue
 		}
-		m.list[r.Key] = &member{nodeState: s, heard: now}
-		delete(m.down, s.Inner)
+		m.rosters[r.Key] = &roster{nodes: nodes, heard: now}
 	}
 }
 
-// prune drops nodes that fell silent.
-func (m *members) prune(now time.Time) {
+// takePulses notes that hubs live.
+func (m *members) takePulses(rows []news.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for key, x := range m.list {
-		if key != m.self && now.Sub(x.heard) > deadAfter {
-			m.log.Info("member lost", zap.String("member", x.Node), zap.Int64("silent_ms", now.Sub(x.heard).Milliseconds()))
-			delete(m.list, key)
+	for _, r := range rows {
+		if x := m.rosters[r.Key]; x != nil {
+			x.heard = now
 		}
 	}
 }
 
-// failed notes that a node could not be reached.
-func (m *members) failed(inner string, now time.Time) {
+// takeLoads notes what data centres have at the servers.
+func (m *members) takeLoads(rows []news.Row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.down[inner] = now
+	for _, r := range rows {
+		var w map[string]work
+		if err := json.Unmarshal(r.Data, &w); err != nil {
+			m.log.Warn("load is unreadable", zap.String("key", r.Key), zap.Error(err))
+			continue
+		}
+		m.loads[r.Key] = w
+	}
 }
 
-// alive returns the living nodes in the order of their names.
-func (m *members) alive() []member {
+// prune drops heartbeats and rosters that fell silent, and logs who came and
+// went.
+func (m *members) prune(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]member, 0, len(m.list))
-	for _, x := range m.list {
-		out = append(out, *x)
+	for key, b := range m.beats {
+		if now.Sub(b.at) > deadAfter {
+			delete(m.beats, key)
+		}
+	}
+	for key, r := range m.rosters {
+		if now.Sub(r.heard) > hubDeadAfter {
+			delete(m.rosters, key)
+			delete(m.loads, key)
+		}
+	}
+	m.logChanges()
+}
+
+// logChanges logs which nodes came and went. The caller holds mu.
+func (m *members) logChanges() {
+	current := map[string]bool{}
+	for _, s := range m.living() {
+		current[s.Node] = true
+		if !m.known[s.Node] {
+			m.log.Info("member joined", zap.String("member", s.Node), zap.String("data_centre", s.DataCentre))
+		}
+	}
+	for name := range m.known {
+		if !current[name] {
+			m.log.Info("member lost", zap.String("member", name))
+		}
+	}
+	m.known = current
+}
+
+// living returns the nodes that count as alive, one for each address. The
+// caller holds mu.
+func (m *members) living() []nodeState {
+	seen := map[string]nodeState{m.self.Inner: m.self}
+	add := func(s nodeState) {
+		// A stopping node's word stands, whoever else still lists it as ready.
+		if old, ok := seen[s.Inner]; !ok || (s.Stopping && !old.Stopping && s.Inner != m.self.Inner) {
+			seen[s.Inner] = s
+		}
 	}
-	slices.SortFunc(out, func(a, b member) int { return cmp.Or(cmp.Compare(a.Inner, b.Inner), a.heard.Compare(b.heard)) })
+	for _, b := range m.beats {
+		add(b.nodeState)
+	}
+	for _, r := range m.rosters {
+		for _, s := range r.nodes {
+			add(s)
+		}
+	}
+	out := make([]nodeState, 0, len(seen))
+	for _, s := range seen {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b nodeState) int { return cmp.Compare(a.Inner, b.Inner) })
 	return out
 }
 
+// alive returns the living nodes in the order of their addresses.
+func (m *members) alive() []nodeState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.living()
+}
+
 // count returns the number of living nodes, this one included.
 func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(len(m.list), 1)
+	return len(m.living())
 }
 
-// reachFailure is how long a node that could not be reached is passed over.
-const reachFailure = 3 * time.Second
-
-// hub returns the inner address of a data centre's hub: the node through which
-// its news pass, alike on all nodes that see the same members.
-func (m *members) hub(dataCentre string, now time.Time) string {
+// failed notes that a node could not be reached.
+func (m *members) failed(inner string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var nodes []string
-	for _, x := range m.list {
-		if x.DataCentre == dataCentre && !x.Stopping && now.Sub(m.down[x.Inner]) > reachFailure {
-			nodes = append(nodes, x.Inner)
-		}
-	}
-	return routing.Highest(nodes, "hub")
+	m.down[inner] = now
 }
 
-// dataCentres returns those with a living node, sorted.
-func (m *members) dataCentres() []string {
+// hubs returns the inner address of each data centre's hub: the node through
+// which its news pass, alike on all nodes that see the same members.
+func (m *members) hubs(now time.Time) map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []string
-	for _, x := range m.list {
-		if !slices.Contains(out, x.DataCentre) {
-			out = append(out, x.DataCentre)
+	nodes := map[string][]nodeState{}
+	for _, s := range m.living() {
+		if !s.Stopping && now.Sub(m.down[s.Inner]) > reachFailure {
+			nodes[s.DataCentre] = append(nodes[s.DataCentre], s)
 		}
 	}
-	slices.Sort(out)
+	out := map[string]string{}
+	for dc, list := range nodes {
+		out[dc] = hubOf(list)
+	}
 	return out
 }
 
-// running returns how many requests other nodes have at each server.
-func (m *members) running() map[string]int {
+// hubOf returns the hub among the nodes of one data centre.
+func hubOf(list []nodeState) string {
+	largest := 0.0
+	for _, s := range list {
+		largest = max(largest, s.Weight)
+	}
+	var names []string
+	for _, s := range list {
+		if s.Weight >= hubWeight*largest {
+			names = append(names, s.Inner)
+		}
+	}
+	return routing.Highest(names, "hub")
+}
+
+// ownRoster returns the nodes of this hub's data centre, and what they have at
+// each server.
+func (m *members) ownRoster() ([]nodeState, map[string]work) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string]int{}
-	for key, x := range m.list {
-		if key == m.self {
+	nodes, total := []nodeState{m.self}, map[string]work{}
+	for _, b := range m.beats {
+		if b.DataCentre != m.self.DataCentre {
 			continue
 		}
-		for server, n := range x.Running {
-			out[server] += n
+		if b.Inner != m.self.Inner {
+			nodes = append(nodes, b.nodeState)
+		}
+		for server, w := range b.Work {
+			t := total[server]
+			total[server] = work{t.Running + w.Running, t.UnreadMS + w.UnreadMS}
+		}
+	}
+	slices.SortFunc(nodes, func(a, b nodeState) int { return cmp.Compare(a.Inner, b.Inner) })
+	return nodes, total
+}
+
+// work returns what all data centres have at each server.
+func (m *members) work() map[string]work {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]work{}
+	for _, list := range m.loads {
+		for server, w := range list {
+			t := out[server]
+			out[server] = work{t.Running + w.Running, t.UnreadMS + w.UnreadMS}
 		}
 	}
 	return out
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -47,30 +46,33 @@
 // while it holds a lock of its own, but for the rows' map, whose lock is
 // innermost.
 type Node struct {
-	o         Options
-	settings  atomic.Pointer[Settings]
-	inner     string // own inner address
-	key       string // of the own row: name and incarnation
-	epoch     uint64
-	version   atomic.Uint64 // of the newest own soft row
-	rows      *news.Map
-	exchange  *news.Exchange
-	reader    *reader
-	config    *config
-	servers   *servers
-	members   *members
-	sessions  *sessions
-	rollouts  *rollouts
-	evidence  *evidence
-	suspects  *suspects
-	pool      *pool.Pool
-	forwarder *forward.Forwarder
-	callers   *http.Server
-	stopping  atomic.Bool
-	mu        sync.Mutex
-	peers     map[string]*news.Peer // guarded by mu; by address
-	listeners []net.Listener
-	loops     sync.WaitGroup
+	o            Options
+	settings     atomic.Pointer[Settings]
+	inner        string // own inner address
+	key          string // of the own row: name and incarnation
+	epoch        uint64
+	version      atomic.Uint64 // of the newest own soft row
+	rows         *news.Map
+	exchange     *news.Exchange
+	reader       *reader
+	config       *config
+	servers      *servers
+	members      *members
+	told         hubState // used by the heartbeat's loop alone
+	sessions     *sessions
+	rollouts     *rollouts
+	evidence     *evidence
+	suspects     *suspects
+	pool         *pool.Pool
+	forwarder    *forward.Forwarder
+	callers      *http.Server
+	stopping     atomic.Bool
+	mu           sync.Mutex
+	peers        map[string]*news.Peer // guarded by mu; by address
+	lastStranger time.Time             // guarded by mu
+	started      time.Time
+	listeners    []net.Listener
+	loops        sync.WaitGroup
 }
 
 // crashesToRefuse is how many backend servers a request may bring down before
@@ -79,12 +81,12 @@
 
 // New provisions a node.
 func New(o Options) (*Node, error) {
-	n := &Node{o: o, peers: map[string]*news.Peer{}, epoch: rand.Uint64()}
+	n := &Node{o: o, peers: map[string]*news.Peer{}, started: time.Now(), epoch: rand.Uint64()}
 	n.settings.Store(&o.Settings)
 	n.inner = net.JoinHostPort(o.Settings.IP, strconv.Itoa(o.Settings.InnerPort))
 	n.key = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
 	n.rows = news.NewMap(n.take)
-	n.members = newMembers(n.key, o.Log)
+	n.members = newMembers(o.Log)
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.readerTurn, o.Log)
 	n.exchange = news.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.learned)
 	n.config = &config{schema: o.Schema, log: o.Log}
@@ -140,7 +142,10 @@
 	if list := byTable[t.Servers]; len(list) > 0 {
 		n.servers.take(list, now)
 	}
-	n.members.take(byTable[tableNodes], now)
+	n.members.takeBeats(byTable[tableBeats], now)
+	n.members.takeRosters(byTable[tableRosters], now)
+	n.members.takePulses(byTable[tablePulses], now)
+	n.members.takeLoads(byTable[tableLoads])
 	n.sessions.take(byTable[tableSessions], now)
 	n.evidence.take(byTable[tableEvidence], n.rollouts, now)
 	n.suspects.take(byTable[tableSuspects], now)
@@ -247,31 +252,6 @@
 	}
 }
 
-// beat tells the other nodes this one's state.
-func (n *Node) beat() {
-	s := n.settings.Load()
-	state := nodeState{
-		Node: s.Node, Inner: n.inner, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.ready(), Stopping: n.stopping.Load(),
-		Weight: s.Processor, Running: n.runningByServer(),
-	}
-	raw, err := json.Marshal(state)
-	if err != nil {
-		n.o.Log.Error("heartbeat is not told", zap.Error(err))
-		return
-	}
-	n.rows.Apply([]news.Row{{Table: tableNodes, Key: n.key, Version: n.nextVersion(), Data: raw}})
-}
-
-func (n *Node) runningByServer() map[string]int {
-	out := map[string]int{}
-	n.pool.Each(func(m *pool.Member) {
-		if running := m.Running(); running > 0 {
-			out[m.ID] = running
-		}
-	})
-	return out
-}
-
 // prune forgets what has ended, and hands the load that other nodes told to
 // the pool.
 func (n *Node) prune() {
@@ -279,9 +259,12 @@
 	n.members.prune(now)
 	n.servers.tick(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
-	running := n.members.running()
-	n.pool.Each(func(m *pool.Member) { m.Peers(running[m.ID], now) })
+	n.shareLoad(now)
 	old := uint64(now.Add(-forgetAfter).UnixMilli())
-	n.rows.Forget(tableNodes, func(r news.Row) bool { return r.Version > old })
-	n.rows.Forget(tableSessions, func(r news.Row) bool { return r.Version > old })
+	for _, table := range []string{tableBeats, tableRosters, tablePulses, tableLoads, tableSessions} {
+		n.rows.Forget(table, func(r news.Row) bool { return r.Version > old })
+	}
 }
+
+// forgetAfter is how long rows of soft tables are kept.
+const forgetAfter = time.Minute
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -31,14 +32,8 @@
 func (n *Node) converse(ctx context.Context) {
 	busy := make(chan string, 64)
 	running := map[string]bool{}
-	lastStranger := time.Time{}
 	for ctx.Err() == nil {
-		targets := n.upstreams(time.Now())
-		if s := n.stranger(); s != "" && time.Since(lastStranger) > strangerEvery {
-			lastStranger = time.Now()
-			targets = append(targets, s)
-		}
-		for _, address := range targets {
+		for _, address := range n.upstreams(time.Now()) {
 			if running[address] || len(running) > cap(busy)/2 {
 				continue
 			}
@@ -63,6 +58,7 @@
 // ask sends one question to a node.
 func (n *Node) ask(ctx context.Context, address string) {
 	p := n.peer(address)
+	p.Up = n.members.hubs(time.Now())[n.o.Settings.DataCentre] == address
 	if err := n.exchange.Ask(ctx, p); err != nil && ctx.Err() == nil {
 		n.members.failed(address, time.Now())
 		n.o.Log.Info("peer lost", zap.String("peer", address), zap.Error(err))
@@ -83,23 +79,37 @@
 // upstreams returns whom this node asks: the hub of its data centre, or, as a
 // hub, the hubs of the data centres after its own; the others ask it.
 func (n *Node) upstreams(now time.Time) []string {
-	own := n.settings.Load().DataCentre
-	hub := n.members.hub(own, now)
-	if hub != n.inner && hub != "" {
+	own, hubs := n.settings.Load().DataCentre, n.members.hubs(now)
+	if hub := hubs[own]; hub != n.inner && hub != "" {
 		return []string{hub}
 	}
 	var out []string
-	for _, dc := range n.members.dataCentres() {
-		if dc <= own {
-			continue
-		}
-		if hub := n.members.hub(dc, now); hub != "" {
+	for dc, hub := range hubs {
+		if dc > own {
 			out = append(out, hub)
 		}
 	}
+	if len(out) == 0 || n.lonely() {
+		if s := n.stranger(); s != "" {
+			out = append(out, s)
+		}
+	}
 	return out
 }
 
+// lonely tells whether this hub may be one of several parts of the fleet: it
+// looks for nodes that it does not know now and then.
+func (n *Node) lonely() bool {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Sub(n.lastStranger) < strangerEvery {
+		return false
+	}
+	n.lastStranger = now
+	return true
+}
+
 // stranger returns a node that is registered or named in the settings, but of
 // which nothing was heard, or "". All take their turn.
 func (n *Node) stranger() string {
@@ -128,19 +138,34 @@
 }
 
 // readerTurn returns this node's place among those that may read the store for
-// all: the hubs, in an order that all see alike.
+// all: the hubs, in an order that all see alike. A node that has just started
+// waits for the news of others.
 func (n *Node) readerTurn() int {
-	now := time.Now()
-	var hubs []string
-	for _, dc := range n.members.dataCentres() {
-		if hub := n.members.hub(dc, now); hub != "" {
-			hubs = append(hubs, hub)
-		}
+	hubs := n.members.hubs(time.Now())
+	if len(hubs) == 1 && n.members.count() == 1 && time.Since(n.started) < n.listenFirst() {
+		return len(hubs)
+	}
+	return readerPlace(slices.Sorted(maps.Values(hubs)), n.inner)
+}
+
+const (
+	// listenTime is how long a node that starts listens to the nodes that its
+	// settings name before it reads the store itself.
+	listenTime = 1500 * time.Millisecond
+)
+
+// listenFirst returns how long this node listens first; a node that others
+// look for does not.
+func (n *Node) listenFirst() time.Duration {
+	s := n.o.Settings
+	if len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.IP) {
+		return 0
 	}
-	return readerPlace(hubs, n.inner)
+	return listenTime
 }
 
-// register tells the store where this node is reached, so that others find it.
+// register tells the store where a hub is reached, so that nodes which know none
+// of the others find it.
 func (n *Node) register(ctx context.Context) {
 	raw, err := json.Marshal(memberRow{Inner: n.inner})
 	if err != nil {
@@ -149,11 +174,8 @@
 	}
 	for ctx.Err() == nil {
 		row, known := n.rows.Get(tableMembers, n.o.Settings.Node)
-		if known && string(row.Data) == string(raw) {
-			sleep(ctx, strangerEvery)
-			continue
-		}
-		if n.rows.Cursor(tableMembers) > 0 {
+		isHub := n.members.hubs(time.Now())[n.o.Settings.DataCentre] == n.inner
+		if isHub && !(known && string(row.Data) == string(raw)) && n.rows.Cursor(tableMembers) > 0 {
 			_, err := n.o.Store.Write(ctx, tableMembers, n.o.Settings.Node, row.Version, raw)
 			n.reader.calls("register", outcomeOf(err))
 			if err != nil {
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -43,8 +43,9 @@
 	log   *zap.Logger
 	calls func(use, result string)
 	// turn returns this node's place among the readers; 0 reads.
-	turn func() int
-	mu   sync.Mutex
+	turn  func() int
+	began time.Time
+	mu    sync.Mutex
 	// heard is when the store's operator table was last known to be current.
 	heard time.Time // guarded by mu
 	// lost is when the store was last out of reach, own tells that the last
@@ -54,7 +55,7 @@
 }
 
 func newReader(store news.Store, rows *news.Map, m *telemetry.ForwardMetrics, turn func() int, log *zap.Logger) *reader {
-	return &reader{store: store, rows: rows, log: log, turn: turn, calls: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
+	return &reader{store: store, rows: rows, log: log, turn: turn, began: time.Now(), calls: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
 }
 
 // age returns how long ago the store's state was last known.
@@ -80,7 +81,16 @@
 // reads tells whether this node is to ask the store.
 func (r *reader) reads() bool {
 	turn := r.turn()
-	return turn == 0 || r.age() > staleAfter+time.Duration(min(turn, 5))*standbyStep
+	if turn == 0 {
+		return true
+	}
+	r.mu.Lock()
+	never := r.heard.IsZero()
+	r.mu.Unlock()
+	if never {
+		return time.Since(r.began) > listenTime+time.Duration(min(turn, 5))*standbyStep
+	}
+	return r.age() > staleAfter+time.Duration(min(turn, 5))*standbyStep
 }
 
 // sinceOutage returns how long ago the store was last out of this node's reach.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -41,6 +41,9 @@
 // unregister removes this node's row; a row that stays is found to be of a
 // silent node.
 func (n *Node) unregister(ctx context.Context) {
+	if _, ok := n.rows.Get(tableMembers, n.o.Settings.Node); !ok {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, stopTick*4)
 	defer cancel()
 	if err := n.o.Store.Remove(ctx, tableMembers, n.o.Settings.Node); err != nil {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,10 +18,11 @@
 	member *pool.Member
 	model  string
 	load   float64
+	wait   time.Duration
 	began  time.Time
 	resp   *http.Response
 	cancel context.CancelFunc
-	unread float64 // prompt tokens that count as not yet read
+	unread time.Duration // work on the prompt that counts as not yet done
 }
 
 // result classifies how far an attempt came.
@@ -41,11 +42,12 @@
 func (x *exchange) choose(model string) *attempt {
 	now := time.Now()
 	q := pool.Query{
-		Service: x.q.Service, DataCentre: x.f.o.DataCentre, Exclude: x.tried, Draw: rand.Float64(),
+		Service: x.q.Service, DataCentre: x.f.o.DataCentre, Exclude: x.tried, Draw: rand.Float64,
 		Versions: x.f.o.Versions.Pick(x.q.Service, x.q.sessionKey(), now),
 	}
 	if x.q.Route.Sticky && x.q.Subject != "" {
 		q.Affinity = model + "/" + x.q.Subject
+		q.Cold, q.Warm = x.f.speeds.read(model, x.q.PromptTokens), x.f.speeds.read(model, x.q.ownTokens())
 	}
 	m := x.f.o.Pool.Choose(q, now)
 	if m == nil && len(x.tried) > 0 {
@@ -56,15 +58,14 @@
 	if m == nil {
 		return nil
 	}
-	return &attempt{member: m, model: model, load: m.Occupancy(now), began: now}
+	return &attempt{member: m, model: model, load: m.Occupancy(now), wait: m.Wait(now), began: now, unread: q.Warm}
 }
 
 // send sends the request and waits for the header of the answer.
 func (x *exchange) send(ctx context.Context, a *attempt, lastEvent string) (result, error) {
-	if !a.member.Begin(a.began, x.q.PromptTokens) {
+	if !a.member.Begin(a.began, a.unread) {
 		return notRun, errors.New("server has left")
 	}
-	a.unread = x.q.PromptTokens
 	ctx, a.cancel = context.WithCancel(ctx)
 	req := x.f.o.Headers.request(x.q, a.member.Address, a.member.ID, time.Now()).WithContext(ctx)
 	if a.model != "" {
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -21,7 +21,7 @@
 	budgetBuckets = 20
 	// budgetMargin keeps the sum of all nodes below the bound although their
 	// windows are not aligned and views of the number of nodes lag.
-	budgetMargin = 0.8
+	budgetMargin = 0.9
 )
 
 // Budget bounds the further attempts of each service. It is safe for
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,6 +59,7 @@
 	Version string  `json:"version,omitempty"`
 	Model   string  `json:"model,omitempty"`
 	Load    float64 `json:"load,omitempty"`
+	WaitMS  int64   `json:"wait_ms,omitempty"`
 	AtMS    int64   `json:"at_ms"`
 	Result  string  `json:"result"`
 }
@@ -76,6 +77,7 @@
 	s := step{AtMS: time.Since(x.q.Arrived).Milliseconds(), Result: result}
 	if a != nil {
 		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
+		s.WaitMS = a.wait.Milliseconds()
 	}
 	x.steps = append(x.steps, s)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -76,6 +76,7 @@
 	kept    *http.Transport
 	fresh   *http.Transport
 	cascade Cascade
+	speeds  *speeds
 	running atomic.Int64
 }
 
@@ -83,6 +84,7 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept}), fresh: NewTransport(TransportOptions{Fresh: true}),
+		speeds: newSpeeds(),
 	}
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -37,6 +37,8 @@
 	ExpectedTokens float64
 	// Subject is the last part of the prompt that other requests share.
 	Subject string
+	// sharedTokens are those of the parts that other requests share.
+	sharedTokens float64
 	// Session is empty for requests without one.
 	Session string
 	// Rank orders requests; 0 is the most urgent.
@@ -76,19 +78,37 @@
 	if hint, err := strconv.ParseFloat(r.Header.Get(n.LengthHint), 64); err == nil && hint > 0 {
 		q.ExpectedTokens = min(hint, q.OutputTokens)
 	}
-	q.Subject, q.Session = promptSubject(r.Header.Get(n.Prompt)), r.Header.Get(n.Session)
+	q.Subject, q.sharedTokens = promptSubject(r.Header.Get(n.Prompt))
+	q.Session = r.Header.Get(n.Session)
 	q.Fingerprint = fingerprint(q)
 	return q
 }
 
 // promptSubject returns the identity of the last part of a prompt that other
-// requests share: the last but one, as the last is the request's own.
-func promptSubject(list string) string {
+// requests share, and the tokens of all such parts. The last part is the
+// request's own.
+func promptSubject(list string) (subject string, shared float64) {
 	parts := strings.Split(list, ",")
-	id, _, _ := strings.Cut(strings.TrimSpace(parts[max(len(parts)-2, 0)]), ":")
-	return id
+	for i, part := range parts {
+		id, count, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if i == 0 {
+			subject = id
+		}
+		if i == len(parts)-1 {
+			break
+		}
+		tokens, err := strconv.ParseFloat(count, 64)
+		if err == nil {
+			shared += tokens
+		}
+		subject = id
+	}
+	return subject, shared
 }
 
+// ownTokens returns the tokens of the prompt that no other request shares.
+func (q *Request) ownTokens() float64 { return max(q.PromptTokens-q.sharedTokens, 0) }
+
 func fingerprint(q *Request) uint64 {
 	h := xxhash.New()
 	for _, s := range []string{q.Method, q.Host, q.URI, organisationName(q.Organisation)} {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -149,7 +149,11 @@
 	}
 	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.o.Headers.Confidence), 64)
 	now := time.Now()
-	if err != nil || x.f.cascade.Accept(confidence, x.f.modelOf(x.q.Service, models[last]), x.q, 0) {
+	larger := largerStep{
+		model: x.f.modelOf(x.q.Service, models[last]), read: x.f.speeds.read(models[last], x.q.ownTokens()),
+		wait: x.f.o.Pool.MeanWait(x.q.Service, now), left: x.q.Route.Target - now.Sub(x.q.Arrived),
+	}
+	if err != nil || x.f.cascade.Accept(confidence, x.q, larger) {
 		return false
 	}
 	if x.sends >= x.q.Route.MaxAttempts || x.f.o.Budget.Left(x.q.Service, now) < escalationReserve {
@@ -178,6 +182,7 @@
 		if first {
 			first = false
 			a.prefilled()
+			x.f.speeds.observe(a.model, x.q.PromptTokens, time.Since(a.began))
 			x.observe(a, false)
 			x.startStream(a)
 		}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -15,11 +15,11 @@
 	connectTimeout = 400 * time.Millisecond
 	// unacknowledged is how long sent data may stay unacknowledged before the
 	// connection counts as dead.
-	unacknowledged = 1500 * time.Millisecond
-	// keepAliveEvery is the interval of probes on a silent connection; two
+	unacknowledged = 5 * time.Second
+	// keepAliveEvery is the interval of probes on a silent connection; some
 	// without an answer end it.
 	keepAliveEvery = time.Second
-	keepAliveCount = 2
+	keepAliveCount = 5
 	// tcpUserTimeout is Linux' TCP_USER_TIMEOUT.
 	tcpUserTimeout = 0x12
 	// idlePerServer bounds idle connections to one address.
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -20,6 +22,8 @@
 	// back.
 	Deleted bool
 	Data    []byte
+	// Packed data is compressed; only rows on their way are.
+	Packed bool
 }
 
 // ErrHistory is returned by a Store whose history no longer reaches back to
@@ -42,6 +46,15 @@
 
 type id struct{ table, key string }
 
+// hash identifies a row in a digest.
+func (i id) hash() uint64 { return xxhash.Sum64String(i.table + "\x00" + i.key) }
+
+// Upward begins the names of tables whose rows pass from a node to its hub
+// only.
+const Upward = "up/"
+
+func (i id) upward() bool { return strings.HasPrefix(i.table, Upward) }
+
 type entry struct {
 	Row
 	place uint64 // position in the log of this node
@@ -160,25 +173,104 @@
 	return out
 }
 
-// sinceFor returns the rows changed after a place of this map's log that the
-// node at an address did not tell itself, the place reached, the cursors, and a
-// channel that is closed at the next change.
-func (m *Map) sinceFor(address string, place uint64) ([]Row, uint64, map[string]uint64, <-chan struct{}) {
+// change is what a map has for another node.
+type change struct {
+	rows    []Row
+	place   uint64 // reached in the log
+	cursors map[string]uint64
+	next    <-chan struct{} // closed at the next change
+}
+
+// since returns what changed after a place of this map's log and was not told
+// by the node at an address itself. Rows of upward tables are left out unless
+// up is set.
+func (m *Map) since(address string, place uint64, up bool) change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []Row
-	if place < m.place {
-		for _, e := range m.rows {
-			if e.place > place && (e.from == "" || e.from != address) {
-				out = append(out, e.Row)
-			}
+	c := change{place: m.place, cursors: m.cursorsNow(), next: m.changed}
+	if place >= m.place {
+		return c
+	}
+	for at, e := range m.rows {
+		if e.place > place && (e.from == "" || e.from != address) && (up || !at.upward()) {
+			c.rows = append(c.rows, e.Row)
 		}
 	}
-	cursors := make(map[string]uint64, len(m.cursors))
+	return c
+}
+
+// cursorsNow copies the cursors. The caller holds mu.
+func (m *Map) cursorsNow() map[string]uint64 {
+	out := make(map[string]uint64, len(m.cursors))
 	for table, version := range m.cursors {
-		cursors[table] = version
+		out[table] = version
 	}
-	return out, m.place, cursors, m.changed
+	return out
+}
+
+// digest returns the versions of all rows by their hash, and the place that
+// they are as of.
+func (m *Map) digest() (map[uint64]uint64, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[uint64]uint64, len(m.rows))
+	for at, e := range m.rows {
+		if !at.upward() {
+			out[at.hash()] = e.Version
+		}
+	}
+	return out, m.place
+}
+
+// compare returns what this map has beyond a digest, and the hashes of the
+// rows of which the digest has a newer version.
+func (m *Map) compare(digest map[uint64]uint64) (change, []uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := change{place: m.place, cursors: m.cursorsNow(), next: m.changed}
+	left := make(map[uint64]bool, len(digest))
+	for hash := range digest {
+		left[hash] = true
+	}
+	var want []uint64
+	for at, e := range m.rows {
+		if at.upward() {
+			continue
+		}
+		hash := at.hash()
+		theirs, known := digest[hash]
+		delete(left, hash)
+		switch {
+		case !known || e.Version > theirs:
+			c.rows = append(c.rows, e.Row)
+		case e.Version < theirs:
+			want = append(want, hash)
+		}
+	}
+	for hash := range left {
+		want = append(want, hash)
+	}
+	return c, want
+}
+
+// pick returns the rows with the given hashes.
+func (m *Map) pick(hashes []uint64) []Row {
+	if len(hashes) == 0 {
+		return nil
+	}
+	wanted := make(map[uint64]bool, len(hashes))
+	for _, h := range hashes {
+		wanted[h] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Row
+	for at, e := range m.rows {
+		if wanted[at.hash()] {
+			out = append(out, e.Row)
+		}
+	}
+	return out
 }
 
 // Forget drops the rows of a soft table that were not renewed since a version,
--- a/internal/news/sync.go
+++ b/internal/news/sync.go
@@ -27,9 +27,12 @@
 type Question struct {
 	From string
 	// Epoch and Place tell how far the asker has followed the log of the
-	// asked; another epoch means from the beginning.
+	// asked.
 	Epoch uint64
 	Place uint64
+	// Digest holds the versions of the asker's rows by their hash. It is set in
+	// the first question on a connection, in place of Epoch and Place.
+	Digest map[uint64]uint64
 	// Rows changed at the asker since its last question.
 	Rows []Row
 	// Cursors and Age tell up to where and how long ago the asker, or one it
@@ -40,9 +43,11 @@
 
 // Answer is what the asked node has that the asker lacks.
 type Answer struct {
-	Epoch   uint64
-	Place   uint64
-	Rows    []Row
+	Epoch uint64
+	Place uint64
+	Rows  []Row
+	// Want are the hashes of rows of which the digest told a newer version.
+	Want    []uint64
 	Cursors map[string]uint64
 	Age     time.Duration
 }
@@ -69,31 +74,46 @@
 // Sync takes a question's rows and answers with what is new.
 func (s Service) Sync(q Question, a *Answer) error {
 	e := s.e
-	e.rows.mergeFrom(q.From, q.Rows, q.Cursors)
+	rows, err := unpack(q.Rows)
+	if err != nil {
+		return err
+	}
+	e.rows.mergeFrom(q.From, rows, q.Cursors)
 	e.heard(q.Age)
-	place := q.Place
-	if q.Epoch != e.epoch {
-		place = 0
+	if q.Digest != nil || q.Epoch != e.epoch {
+		c, want := e.rows.compare(q.Digest)
+		*a = e.answer(c)
+		a.Want = want
+		return nil
 	}
+	*a = e.answer(e.await(q))
+	return nil
+}
+
+// await holds a question until there is news for it.
+func (e *Exchange) await(q Question) change {
 	asked := time.Now()
 	for {
-		rows, reached, cursors, changed := e.rows.sinceFor(q.From, place)
-		left := holdTime - time.Since(asked)
-		if wait := batchTime - time.Since(asked); len(rows) > 0 && wait > 0 && place > 0 {
-			time.Sleep(wait)
+		c := e.rows.since(q.From, q.Place, false)
+		waited := time.Since(asked)
+		switch {
+		case len(c.rows) > 0 && waited >= batchTime, waited >= holdTime:
+			return c
+		case len(c.rows) > 0:
+			time.Sleep(batchTime - waited)
 			continue
 		}
-		if len(rows) > 0 || left <= 0 {
-			*a = Answer{Epoch: e.epoch, Place: reached, Rows: rows, Cursors: cursors, Age: e.age()}
-			return nil
-		}
 		select {
-		case <-changed:
-		case <-time.After(left):
+		case <-c.next:
+		case <-time.After(holdTime - waited):
 		}
 	}
 }
 
+func (e *Exchange) answer(c change) Answer {
+	return Answer{Epoch: e.epoch, Place: c.place, Rows: pack(c.rows), Cursors: c.cursors, Age: e.age()}
+}
+
 // Serve answers peers on a listener until it is closed.
 func (e *Exchange) Serve(l net.Listener) error {
 	server := rpc.NewServer()
@@ -113,12 +133,16 @@
 // It is used by one goroutine at a time.
 type Peer struct {
 	Address string
-	self    string
-	epoch   uint64
-	place   uint64
-	sent    uint64 // place of the own log up to which rows were told
-	mu      sync.Mutex
-	client  *rpc.Client // guarded by mu
+	// Up marks the hub of this node, which gets the rows of upward tables.
+	Up     bool
+	self   string
+	epoch  uint64
+	place  uint64
+	sent   uint64   // place of the own log up to which rows were told
+	wanted []uint64 // hashes of rows that the peer asked for
+	fresh  bool     // no question was answered on this connection
+	mu     sync.Mutex
+	client *rpc.Client // guarded by mu
 }
 
 // NewPeer returns a peer that is not yet connected.
@@ -130,28 +154,49 @@
 	if err != nil {
 		return err
 	}
-	rows, reached, cursors, _ := e.rows.sinceFor(p.Address, p.sent)
-	q := Question{From: p.self, Epoch: p.epoch, Place: p.place, Rows: rows, Cursors: cursors, Age: e.age()}
+	q, reached := e.question(p)
 	var a Answer
-	call := client.Go(serviceName+".Sync", q, &a, make(chan *rpc.Call, 1))
+	if err := call(ctx, client, q, &a); err != nil {
+		p.Close()
+		return errors.Wrapf(err, "sync with %s", p.Address)
+	}
+	p.fresh, p.sent, p.epoch, p.place, p.wanted = false, reached, a.Epoch, a.Place, a.Want
+	rows, err := unpack(a.Rows)
+	if err != nil {
+		return err
+	}
+	e.rows.mergeFrom(p.Address, rows, a.Cursors)
+	e.heard(a.Age)
+	return nil
+}
+
+// question makes the next question for a peer, and returns the place of the
+// own log that it tells up to.
+func (e *Exchange) question(p *Peer) (Question, uint64) {
+	q := Question{From: p.self, Age: e.age()}
+	if p.fresh {
+		var reached uint64
+		q.Digest, reached = e.rows.digest()
+		return q, reached
+	}
+	c := e.rows.since(p.Address, p.sent, p.Up)
+	q.Epoch, q.Place, q.Cursors = p.epoch, p.place, c.cursors
+	q.Rows = pack(append(e.rows.pick(p.wanted), c.rows...))
+	return q, c.place
+}
+
+func call(ctx context.Context, client *rpc.Client, q Question, a *Answer) error {
+	pending := client.Go(serviceName+".Sync", q, a, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(callTimeout)
 	defer timer.Stop()
 	select {
-	case <-call.Done:
-		err = call.Error
+	case <-pending.Done:
+		return pending.Error
 	case <-timer.C:
-		err = errors.Errorf("peer %s is silent", p.Address)
+		return errors.New("peer is silent")
 	case <-ctx.Done():
-		err = ctx.Err()
+		return ctx.Err()
 	}
-	if err != nil {
-		p.Close()
-		return errors.Wrap(err, "sync")
-	}
-	p.sent, p.epoch, p.place = reached, a.Epoch, a.Place
-	e.rows.mergeFrom(p.Address, a.Rows, a.Cursors)
-	e.heard(a.Age)
-	return nil
 }
 
 func (p *Peer) connect(ctx context.Context) (*rpc.Client, error) {
@@ -165,8 +210,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
-	// Another connection may lead to another process: all is told again.
-	p.client, p.sent = rpc.NewClient(conn), 0
+	// Another connection may lead to another process: both compare anew.
+	p.client, p.fresh, p.wanted = rpc.NewClient(conn), true, nil
 	return p.client, nil
 }
 
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -9,16 +9,21 @@
 // Query tells what a server is chosen for.
 type Query struct {
 	Service string
-	// Affinity is the key of what the servers may have cached; empty for none.
+	// Affinity is the key of the part of the prompt that servers may have
+	// cached; empty for requests without a prompt.
 	Affinity string
+	// Cold is the time to read the prompt where nothing of it is cached, Warm
+	// where its shared parts are.
+	Cold time.Duration
+	Warm time.Duration
 	// DataCentre is preferred where servers are alike.
 	DataCentre string
 	// Versions restricts the versions that may be chosen.
 	Versions Versions
 	// Exclude lists servers that were tried.
 	Exclude []*Member
-	// Draw is a random number within 0 to 1.
-	Draw float64
+	// Draw returns random numbers from 0 to 1.
+	Draw func() float64
 }
 
 // Versions restricts the versions of servers. Its zero value allows all.
@@ -35,18 +40,21 @@
 }
 
 const (
-	// farPenalty is what another data centre adds to the occupancy: its links
-	// add a few milliseconds to answers that take tens of them.
-	farPenalty = 0.15
-	// spillOccupancy is the occupancy above which the server that holds a
-	// prompt's head is passed over for the next one in its order.
-	spillOccupancy = 0.55
-	// backlogPerSlot converts unread prompt tokens into occupancy: a chunk of
-	// 4,096 tokens delays a step as much as some running streams.
-	backlogOccupancy = 1.0 / 40000
-	// twinFactor is how much lower the occupancy of the next server in the
-	// order must be to take a full server's work.
-	twinFactor = 0.7
+	// farOccupancy is what another data centre adds to the occupancy of a
+	// plain server: its links add a few milliseconds to answers that take tens
+	// of them.
+	farOccupancy = 0.15
+	// farWait is the same for an engine: the price of the bytes between data
+	// centres stands for some time of it.
+	farWait = 30 * time.Millisecond
+	// randomChoices is how many engines beside those that may have the prompt
+	// cached are compared. Few of them keep nodes with the same late news from
+	// choosing the same engine.
+	randomChoices = 2
+	// fullOccupancy is the occupancy from which an engine counts as full, and
+	// fullWait what that adds to its wait.
+	fullOccupancy = 0.9
+	fullWait      = time.Second
 )
 
 // Choose returns the server for a request, or nil if none may take it. Ejected
@@ -68,7 +76,7 @@
 		return nil
 	}
 	if q.Affinity != "" {
-		return byAffinity(usable, q, now)
+		return soonest(usable, q, now)
 	}
 	return leastLoaded(usable, q, now)
 }
@@ -92,28 +100,38 @@
 	return false
 }
 
-func (m *Member) pressure(now time.Time) float64 {
-	return m.Occupancy(now) + m.Backlog()*backlogOccupancy
-}
-
-// byAffinity returns the first server in the key's rendezvous order with room,
-// or the least loaded of the first ones.
-func byAffinity(members []*Member, q Query, now time.Time) *Member {
+// soonest returns the engine that is expected to have read the prompt first:
+// the one that is first in the key's rendezvous order has its shared parts
+// cached, the second may have, and few others are compared with them.
+func soonest(members []*Member, q Query, now time.Time) *Member {
 	first, second := topTwo(members, q.Affinity)
-	load := first.pressure(now)
-	if load < spillOccupancy || second == nil {
-		return first
+	best, least := first, q.expected(first, q.Warm, now)
+	consider := func(m *Member, read time.Duration) {
+		if m == nil || m == first {
+			return
+		}
+		if t := q.expected(m, read, now); t < least {
+			best, least = m, t
+		}
 	}
-	if other := second.pressure(now); other < load*twinFactor {
-		first, load = second, other
+	consider(second, (q.Warm+q.Cold)/2)
+	for range randomChoices {
+		consider(members[int(q.Draw()*float64(len(members)))], q.Cold)
 	}
-	if load < spillOccupancy {
-		return first
+	return best
+}
+
+// expected is the time until an engine has read the prompt, with what else
+// speaks against it.
+func (q *Query) expected(m *Member, read time.Duration, now time.Time) time.Duration {
+	t := m.Wait(now) + read
+	if m.DataCentre != q.DataCentre {
+		t += farWait
 	}
-	if least := leastLoaded(members, q, now); least.pressure(now) < load*twinFactor {
-		return least
+	if m.Occupancy(now) >= fullOccupancy {
+		t += fullWait
 	}
-	return first
+	return t
 }
 
 // topTwo returns the two servers with the highest rendezvous scores.
@@ -135,14 +153,14 @@
 // centre preferred. Ties are broken at random, so that nodes which see the
 // same loads spread their requests.
 func leastLoaded(members []*Member, q Query, now time.Time) *Member {
-	start := int(q.Draw * float64(len(members)))
+	start := int(q.Draw() * float64(len(members)))
 	var best *Member
 	lowest := 0.0
 	for i := range members {
 		m := members[(start+i)%len(members)]
-		load := m.pressure(now)
+		load := m.Occupancy(now)
 		if m.DataCentre != q.DataCentre {
-			load += farPenalty
+			load += farOccupancy
 		}
 		if best == nil || load < lowest {
 			best, lowest = m, load
@@ -150,3 +168,16 @@
 	}
 	return best
 }
+
+// MeanWait returns the mean of the usable servers' waits of a service.
+func (p *Pool) MeanWait(service string, now time.Time) time.Duration {
+	var total time.Duration
+	n := 0
+	for _, m := range p.Members(service) {
+		if m.Usable(now) {
+			total += m.Wait(now)
+			n++
+		}
+	}
+	return total / time.Duration(max(n, 1))
+}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -15,9 +15,16 @@
 	At      time.Time
 }
 
-// loadLife is how long a reported load counts; two of the slowest report
-// intervals seen on a quiet pool.
-const loadLife = 2 * time.Second
+const (
+	// loadLife is how long a reported load counts; two of the slowest report
+	// intervals seen on a quiet pool.
+	loadLife = 2 * time.Second
+	// othersLife is the same for what other nodes told, which comes every
+	// 500 ms over two hubs.
+	othersLife = 3 * time.Second
+	// waitingCost is the wait that one request in a server's queue stands for.
+	waitingCost = 30 * time.Millisecond
+)
 
 // Member is one backend server and what this node has learned of it.
 type Member struct {
@@ -26,15 +33,21 @@
 	draining bool            // guarded by mu
 	gone     bool            // guarded by mu
 	running  int             // guarded by mu; requests of this node
-	tokens   float64         // guarded by mu; prompt tokens of this node not yet read
+	unread   time.Duration   // guarded by mu; work on prompts of this node that were not yet read
 	load     Load            // guarded by mu
 	sent     int             // guarded by mu; requests sent since the load was reported
 	health   routing.Outlier // guarded by mu
 	progress time.Time       // guarded by mu; of the last event or answer
 	probed   time.Time       // guarded by mu; when a probe began or ended
 	cutOff   bool            // guarded by mu; the last probe failed
-	peers    int             // guarded by mu; requests that other nodes have there
-	peersAt  time.Time       // guarded by mu
+	others   others          // guarded by mu
+}
+
+// others is what other nodes have at a server.
+type others struct {
+	running int
+	unread  time.Duration
+	at      time.Time
 }
 
 func newMember(s Server, now time.Time) *Member {
@@ -72,9 +85,9 @@
 	return !m.gone && !m.draining
 }
 
-// Begin counts a request with the given prompt tokens; it returns false if
-// the server has left since it was chosen.
-func (m *Member) Begin(now time.Time, tokens float64) bool {
+// Begin counts a request whose prompt takes the given time to read; it returns
+// false if the server has left since it was chosen.
+func (m *Member) Begin(now time.Time, unread time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.gone || m.draining {
@@ -82,16 +95,16 @@
 	}
 	m.running++
 	m.sent++
-	m.tokens += tokens
+	m.unread += unread
 	m.health.Try(now)
 	return true
 }
 
 // Prefilled notes that a request's prompt was read.
-func (m *Member) Prefilled(tokens float64) {
+func (m *Member) Prefilled(unread time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tokens = max(m.tokens-tokens, 0)
+	m.unread = max(m.unread-unread, 0)
 }
 
 // End counts the end of a request.
@@ -101,6 +114,21 @@
 	m.running--
 }
 
+// Own returns this node's requests at the server, and the time that it needs
+// for those of their prompts that were not yet read.
+func (m *Member) Own() (running int, unread time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.running, m.unread
+}
+
+// Others takes the same of all other nodes.
+func (m *Member) Others(running int, unread time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.others = others{running, unread, now}
+}
+
 // Succeed notes a sound answer.
 func (m *Member) Succeed() {
 	m.mu.Lock()
@@ -125,13 +153,6 @@
 	m.load, m.sent = l, 0
 }
 
-// Peers takes how many requests other nodes have at the server.
-func (m *Member) Peers(running int, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.peers, m.peersAt = running, now
-}
-
 // Progress notes that the server sent something.
 func (m *Member) Progress(now time.Time) {
 	m.mu.Lock()
@@ -172,13 +193,6 @@
 	return m.cutOff && now.Sub(m.probed) < life && m.progress.Before(m.probed)
 }
 
-// Running returns this node's requests at the server.
-func (m *Member) Running() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.running
-}
-
 // Occupancy estimates the share of slots in use, above 1 if work waits: the
 // larger of what the server reported, with this node's sends since, and what
 // the nodes together hold there.
@@ -186,8 +200,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	busy := m.running
-	if now.Sub(m.peersAt) < loadLife {
-		busy += m.peers
+	if now.Sub(m.others.at) < othersLife {
+		busy += m.others.running
 	}
 	if now.Sub(m.load.At) < loadLife {
 		busy = max(busy, m.load.Running+m.load.Waiting+m.sent)
@@ -195,10 +209,17 @@
 	return float64(busy) / float64(max(m.Slots, 1))
 }
 
-// Backlog returns the prompt tokens that this node sent and that were not yet
-// read.
-func (m *Member) Backlog() float64 {
+// Wait estimates how long a new prompt waits until the server begins to read
+// it.
+func (m *Member) Wait(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.tokens
+	wait := m.unread
+	if now.Sub(m.others.at) < othersLife {
+		wait += m.others.unread
+	}
+	if now.Sub(m.load.At) < loadLife {
+		wait += time.Duration(m.load.Waiting) * waitingCost
+	}
+	return wait
 }
