--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -21,6 +21,8 @@
 	// strangerEvery is how often a node asks one that it knows by its row in
 	// the store only, so that parts which lost each other meet again.
 	strangerEvery = 2 * time.Second
+	// aloneEvery is the same for a node that knows no other.
+	aloneEvery = 200 * time.Millisecond
 )
 
 // memberRow is a node's row in the store.
@@ -89,7 +91,7 @@
 			out = append(out, hub)
 		}
 	}
-	if len(out) == 0 || n.lonely() {
+	if n.lonely() {
 		if s := n.stranger(); s != "" {
 			out = append(out, s)
 		}
@@ -100,10 +102,13 @@
 // lonely tells whether this hub may be one of several parts of the fleet: it
 // looks for nodes that it does not know now and then.
 func (n *Node) lonely() bool {
-	now := time.Now()
+	now, pause := time.Now(), strangerEvery
+	if n.members.count() == 1 {
+		pause = aloneEvery
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if now.Sub(n.lastStranger) < strangerEvery {
+	if now.Sub(n.lastStranger) < pause {
 		return false
 	}
 	n.lastStranger = now
@@ -134,7 +139,7 @@
 	if len(list) == 0 {
 		return ""
 	}
-	return list[int(time.Now().UnixNano()/int64(strangerEvery))%len(list)]
+	return list[int(time.Now().UnixNano()/int64(aloneEvery))%len(list)]
 }
 
 // readerTurn returns this node's place among those that may read the store for
