--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,374 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/route"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+)
+
+// testSchema keeps everything as JSON of the product's own types.
+type testSchema struct{}
+
+func (testSchema) Tables() Tables {
+	return Tables{Operator: "o", Servers: "s", Status: "st", Config: "c", RolloutPrefix: "r/"}
+}
+
+func (testSchema) Routes(data []byte) (*route.Table, error) {
+	version, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return route.NewTable(route.Definition{Version: version})
+}
+
+func (testSchema) Server(id string, data []byte) (pool.Server, error) {
+	var s pool.Server
+	err := json.Unmarshal(data, &s)
+	s.ID = id
+	return s, err
+}
+
+func (testSchema) Rollout(data []byte) (RolloutOrder, error) {
+	var o RolloutOrder
+	return o, json.Unmarshal(data, &o)
+}
+
+func (testSchema) RolloutStatus(data []byte) (RolloutStatus, error) {
+	var s RolloutStatus
+	return s, json.Unmarshal(data, &s)
+}
+
+func (testSchema) EncodeRolloutStatus(s RolloutStatus) ([]byte, error) { return json.Marshal(s) }
+
+func encode(t *testing.T, v any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(v)
+	is.New(t).NoErr(err)
+	return raw
+}
+
+var start = time.Unix(1000, 0)
+
+func counter() func() uint64 {
+	n := uint64(0)
+	return func() uint64 { n++; return n }
+}
+
+// An older configuration, or one that cannot be read, leaves the one in force.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	c := &config{schema: testSchema{}, log: zap.NewNop()}
+	for _, step := range []struct {
+		data string
+		want int64
+	}{{"5", 5}, {"4", 5}, {"nonsense", 5}, {"9", 9}} {
+		c.take(news.Row{Table: "o", Key: "c", Data: []byte(step.data)}, "")
+		is.Equal(c.table.Load().Version, step.want)
+	}
+}
+
+// Servers whose entries lapsed while the store was away are kept until they
+// had the time to come back; one that announced its leaving is not.
+func TestLapsedServersAreKeptForAWhile(t *testing.T) {
+	is := is.New(t)
+	p, rows := pool.New(nil), news.NewMap(nil)
+	outage := time.Second
+	s := newServers(testSchema{}, p, rows, func() time.Duration { return outage }, zap.NewNop())
+	entry := func(id string, version uint64, draining bool) news.Row {
+		return news.Row{Table: "s", Key: id, Version: version, Data: encode(t, pool.Server{Service: "x", Slots: 1, Draining: draining})}
+	}
+	s.take([]news.Row{entry("a", 1, false), entry("b", 1, true)}, start)
+	s.take([]news.Row{{Table: "s", Key: "a", Version: 2, Deleted: true}, {Table: "s", Key: "b", Version: 2, Deleted: true}}, start)
+	is.True(p.Member("a") != nil)
+	is.True(p.Member("b") == nil)
+	s.tick(start.Add(lapseGrace + time.Millisecond))
+	is.True(p.Member("a") == nil)
+	outage = time.Hour
+	s.take([]news.Row{entry("c", 3, false)}, start)
+	s.take([]news.Row{{Table: "s", Key: "c", Version: 4, Deleted: true}}, start)
+	is.True(p.Member("c") == nil) // without an outage a missing entry is gone at once
+}
+
+func state(inner, dc string, weight float64) nodeState {
+	return nodeState{Node: inner, Inner: inner, Callers: "c" + inner, DataCentre: dc, Ready: true, Weight: weight}
+}
+
+// The hub carries the news of its data centre: it is a node with a large link,
+// the same for all, and another one as soon as it is not reached.
+func TestHubIsLargeAndReplaced(t *testing.T) {
+	is := is.New(t)
+	m := newMembers(zap.NewNop())
+	m.setSelf(state("n1", "a", 1))
+	m.takeRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{state("n2", "a", 1), state("n3", "a", 9), state("n4", "a", 9), state("m1", "b", 1)})}}, start)
+	hub := m.hubs(start)["a"]
+	is.True(hub == "n3" || hub == "n4")
+	is.Equal(m.hubs(start)["b"], "m1")
+	m.failed(hub, start)
+	next := m.hubs(start)["a"]
+	is.True(next != hub && (next == "n3" || next == "n4"))
+	m.failed(next, start)
+	is.True(m.hubs(start)["a"] != hub)
+	is.Equal(m.hubs(start.Add(reachFailure + time.Second))["a"], hub)
+}
+
+// A data centre whose hub fell silent counts as gone until another hub tells
+// of it; a stopping node is known as such although an older list says ready.
+func TestMembersFallSilent(t *testing.T) {
+	is := is.New(t)
+	m := newMembers(zap.NewNop())
+	m.setSelf(state("n1", "a", 1))
+	m.takeRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{state("m1", "b", 1), state("m2", "b", 1)})}}, start)
+	is.Equal(m.count(), 3)
+	stopping := state("m2", "b", 1)
+	stopping.Stopping = true
+	m.takeBeats([]news.Row{{Key: "m2", Data: encode(t, beat{nodeState: stopping})}}, start)
+	for _, s := range m.alive() {
+		is.Equal(s.Stopping, s.Inner == "m2")
+	}
+	m.takePulses([]news.Row{{Key: "h"}}, start.Add(2*time.Second))
+	m.prune(start.Add(hubDeadAfter + time.Second))
+	is.Equal(m.count(), 3) // the beat is gone, the list stands by its pulse
+	m.prune(start.Add(2*time.Second + hubDeadAfter + time.Second))
+	is.Equal(m.count(), 1)
+}
+
+// Callers choose among the addresses at random, so large nodes are told more
+// often, and no answer lacks a second choice.
+func TestAddressesByWeight(t *testing.T) {
+	is := is.New(t)
+	var nodes []nodeState
+	for i := range 10 {
+		nodes = append(nodes, state("small"+strconv.Itoa(i), "a", 1))
+	}
+	nodes = append(nodes, state("large", "a", 10))
+	told := map[string]int{}
+	next := rand.New(rand.NewPCG(1, 2)).Float64
+	for range 1000 {
+		list := drawAddresses(nodes, next)
+		is.True(len(list) >= directoryLeast)
+		for _, a := range list {
+			told[a]++
+		}
+	}
+	is.Equal(told["clarge"], 1000)
+	for i := range 10 {
+		is.True(told["csmall"+strconv.Itoa(i)] < 500)
+	}
+}
+
+func newTestRollouts(t *testing.T) (*rollouts, *sessions) {
+	t.Helper()
+	s := newSessions(news.NewMap(nil), counter(), zap.NewNop())
+	r := newRollouts(testSchema{}, s, func() time.Duration { return 5 * time.Second }, zap.NewNop())
+	return r, s
+}
+
+func order(t *testing.T, version uint64) news.Row {
+	return news.Row{Table: "o", Key: "r/x", Version: version, Data: encode(t, RolloutOrder{Service: "x", To: "v2", Duration: 20 * time.Second})}
+}
+
+func status(t *testing.T, version uint64, s RolloutState) news.Row {
+	return news.Row{Table: "st", Key: "r/x", Version: version, Data: encode(t, RolloutStatus{State: s, To: "v2"})}
+}
+
+// canarySession returns a session that a canary may get.
+func canarySession() string {
+	for i := 0; ; i++ {
+		if s := "s" + strconv.Itoa(i); inCanary("x", s) {
+			return s
+		}
+	}
+}
+
+// In the first half of a roll-out a session under way keeps its version, a
+// new one in the canary's share moves; later all move, and none comes back.
+func TestSessionsKeepTheirVersion(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRollouts(t)
+	session := canarySession()
+	r.take([]news.Row{order(t, 1)}, start)
+	r.Observe("x", "v1", forward.Observation{Session: session}, start)
+	is.Equal(r.Pick("x", session, start.Add(time.Second)), forward.Choice{Except: "v2"})
+	is.Equal(r.Pick("x", session, start.Add(7*time.Second)), forward.Choice{Prefer: "v2"}) // it had ended
+	r.Observe("x", "v2", forward.Observation{Session: session}, start.Add(7*time.Second))
+	is.Equal(r.Pick("x", session, start.Add(9*time.Second)), forward.Choice{Prefer: "v2"})
+	others := 0
+	for i := range 1000 {
+		if r.Pick("x", "o"+strconv.Itoa(i), start.Add(9*time.Second)) == (forward.Choice{Prefer: "v2"}) {
+			others++
+		}
+	}
+	is.True(others > 30 && others < 100) // the canary's share
+	is.Equal(r.Pick("x", "any", start.Add(15*time.Second)), forward.Choice{Prefer: "v2"})
+	r.take([]news.Row{status(t, 2, RolloutCompleted)}, start)
+	is.Equal(r.Pick("x", "any", start.Add(17*time.Second)), forward.Choice{Only: "v2"})
+}
+
+// The session's version is known to nodes that did not serve it.
+func TestSessionsAreShared(t *testing.T) {
+	is := is.New(t)
+	r, s := newTestRollouts(t)
+	session := canarySession()
+	r.take([]news.Row{order(t, 1)}, start)
+	s.take([]news.Row{{Table: tableSessions, Key: "x/" + session, Version: 1, Data: encode(t, sessionUse{Version: "v1"})}}, start)
+	is.Equal(r.Pick("x", session, start.Add(time.Second)), forward.Choice{Except: "v2"})
+}
+
+// A bad version is found from what all nodes saw, takes no request from then
+// on, and its status is due; a good one with some failures is not.
+func TestBadVersionIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		newGood int
+		newBad  int
+		bad     bool
+	}{{"half fails", 1, 1, true}, {"as the old one", 19, 1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r, _ := newTestRollouts(t)
+			r.take([]news.Row{order(t, 1)}, start)
+			old, next, found := rollout.Counts{}, rollout.Counts{}, 0
+			for range 30 {
+				old = old.Plus(rollout.Counts{Good: 19, Bad: 1})
+				next = next.Plus(rollout.Counts{Good: c.newGood, Bad: c.newBad})
+				if r.weigh("x", "v2", old, next) {
+					found = next.Total()
+				}
+			}
+			is.Equal(found > 0, c.bad)
+			if c.bad {
+				is.True(found <= 30) // few answers suffice
+				is.Equal(r.Pick("x", "any", start), forward.Choice{Except: "v2"})
+				is.Equal(r.dues(start)[0].status.State, RolloutReverted)
+			}
+		})
+	}
+}
+
+// Slow answers of a new version count against it, a slow start of caches does
+// not.
+func TestSlowVersionCounts(t *testing.T) {
+	is := is.New(t)
+	tl := newTally()
+	for range 50 {
+		tl.add("x", false, forward.Observation{Latency: 200 * time.Millisecond, Route: "r"})
+	}
+	tl.add("x", true, forward.Observation{Latency: 600 * time.Millisecond, Route: "r"})
+	tl.add("x", true, forward.Observation{Latency: 1600 * time.Millisecond, Route: "r"})
+	is.Equal(tl.services["x"].New, rollout.Counts{Good: 1, Bad: 1})
+}
+
+// A good version is completed in time, and only once; a newer order begins
+// anew.
+func TestStatusesThatAreDue(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRollouts(t)
+	r.take([]news.Row{order(t, 1)}, start)
+	is.Equal(r.dues(start)[0].status.State, RolloutRunning)
+	r.take([]news.Row{status(t, 2, RolloutRunning)}, start)
+	is.Equal(len(r.dues(start.Add(time.Second))), 0)
+	d := r.dues(start.Add(17 * time.Second))
+	is.Equal(d[0].status.State, RolloutCompleted)
+	is.Equal(d[0].expected, uint64(2))
+	r.take([]news.Row{status(t, 3, RolloutCompleted)}, start)
+	is.Equal(len(r.dues(start.Add(18*time.Second))), 0)
+	r.take([]news.Row{order(t, 4)}, start.Add(30*time.Second))
+	is.Equal(r.dues(start.Add(30 * time.Second))[0].status.State, RolloutRunning)
+}
+
+// A node that starts in the middle of a roll-out takes its stage from others.
+func TestStageIsAdopted(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRollouts(t)
+	r.take([]news.Row{order(t, 1)}, start)
+	e := &evidence{rows: news.NewMap(nil), next: counter(), log: zap.NewNop(), seen: map[string]counts{}}
+	e.take([]news.Row{{Key: "x/other", Data: encode(t, counts{To: "v2", ElapsedMS: 15000, New: rollout.Counts{Good: 3}})}}, r, start)
+	is.Equal(r.Pick("x", "any", start), forward.Choice{Prefer: "v2"})
+	_, next := e.totals("x", "v2")
+	is.Equal(next.Good, 3)
+}
+
+// fakeStore counts calls and fails while it is down.
+type fakeStore struct {
+	calls int
+	down  bool
+}
+
+func (f *fakeStore) Read(context.Context, string) ([]news.Row, uint64, error) {
+	f.calls++
+	if f.down {
+		return nil, 0, errors.New("down")
+	}
+	return nil, 1, nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]news.Row, uint64, error) {
+	f.calls++
+	if f.down {
+		return nil, 0, errors.New("down")
+	}
+	sleep(ctx, wait)
+	return nil, 1, nil
+}
+
+func (*fakeStore) Write(context.Context, string, string, uint64, []byte) (bool, error) {
+	return true, nil
+}
+
+func (*fakeStore) Remove(context.Context, string, string) error { return nil }
+
+// One node reads the store for all; a standby reads only once it hears nothing
+// of the store any more.
+func TestStandbyReadsWhenNewsAreStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{}
+		r := newReader(store, news.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 1 }, zap.NewNop())
+		r.learned(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.follow(ctx, "o", operatorWait, 0, true)
+		for range 20 {
+			time.Sleep(300 * time.Millisecond)
+			r.learned(100 * time.Millisecond) // the reader's news arrive
+		}
+		is.Equal(store.calls, 0)
+		time.Sleep(staleAfter + standbyStep + 2*idlePause)
+		is.True(store.calls > 0)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// While the store is down each node asks about twice a second, and knows how
+// old its news are.
+func TestOutageIsNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{down: true}
+		r := newReader(store, news.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 0 }, zap.NewNop())
+		r.learned(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.follow(ctx, "o", operatorWait, 0, true)
+		time.Sleep(10 * time.Second)
+		is.True(store.calls <= 40)
+		is.True(r.age() >= 10*time.Second)
+		is.True(r.sinceOutage() < time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -59,6 +59,8 @@
 	Metrics    *telemetry.ForwardMetrics
 	Tracer     *telemetry.Tracer
 	Log        *zap.Logger
+	// Dial opens connections to backend servers; nil stands for TCP.
+	Dial Dial
 	// Stopping tells that the process leaves: answers close their connection.
 	Stopping func() bool
 }
@@ -82,8 +84,11 @@
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
+	if o.Dial == nil {
+		o.Dial = TCP
+	}
 	return &Forwarder{
-		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept}), fresh: NewTransport(TransportOptions{Fresh: true}),
+		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept, Dial: o.Dial}), fresh: NewTransport(TransportOptions{Fresh: true, Dial: o.Dial}),
 		speeds: newSpeeds(),
 	}
 }
--- /dev/null
+++ b/internal/forward/harness_test.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/route"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+)
+
+// testHeaders are names that stand in for those of a platform.
+var testHeaders = Headers{
+	RequestID: "T-Id", TimeLeft: "T-Left", Key: "T-Key", Organisation: "T-Organisation", Instance: "T-Instance", Version: "T-Version",
+	Seal: "T-Seal", NotRun: "T-Not-Run", Load: "T-Load", Model: "T-Model", Tokens: "T-Tokens", Prompt: "T-Prompt", Session: "T-Session",
+	LengthHint: "T-Hint", Confidence: "T-Confidence", Priority: "T-Priority", LastEventID: "Last-Event-Id", Internal: []string{"T-Internal"},
+}
+
+// bench is a forwarder before scripted servers.
+type bench struct {
+	t        *testing.T
+	net      *network
+	pool     *pool.Pool
+	servers  []pool.Server
+	table    *route.Table
+	versions *fixedVersions
+	suspects *fakeSuspects
+	budget   *Budget
+	f        *Forwarder
+	client   *http.Client
+	mu       sync.Mutex
+	arrivals []*http.Request
+}
+
+type fixedVersions struct{ choice Choice }
+
+func (v *fixedVersions) Pick(string, string, time.Time) Choice { return v.choice }
+
+func (*fixedVersions) Observe(string, string, Observation, time.Time) {}
+
+type fakeSuspects struct{ convicted, crashes int }
+
+func (s *fakeSuspects) Crashed(uint64, string, time.Time)    { s.crashes++ }
+func (s *fakeSuspects) Cleared(uint64, time.Time)            {}
+func (s *fakeSuspects) Convicted(f uint64, _ time.Time) bool { return s.convicted != 0 }
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, net: newNetwork(), versions: &fixedVersions{}, suspects: &fakeSuspects{}}
+	b.pool = pool.New(nil)
+	var err error
+	b.table, err = route.NewTable(route.Definition{
+		Version: 3,
+		Routes: []route.Route{
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: route.Stream, Resumable: true, MaxAttempts: 3, Timeout: 20 * time.Second, Target: 2 * time.Second, MaxPause: 2 * time.Second, Models: []string{"small", "large"}, Sticky: true, Backends: []route.Backend{{Service: "s", Weight: 1}}},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.NonIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: 100 * time.Millisecond, Backends: []route.Backend{{Service: "s", Weight: 1}}},
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: route.Idempotent, MaxAttempts: 2, Timeout: time.Second, Target: 100 * time.Millisecond, Backends: []route.Backend{{Service: "s", Weight: 1}}},
+		},
+		Services:      []route.Service{{Name: "s", Models: []route.Model{{Name: "small", Cost: 0.02}, {Name: "large", Cost: 0.3}}}},
+		Organisations: []route.Organisation{{Name: "org", Keys: []string{"key"}}},
+		Limits:        route.Limits{MaxBodyBytes: 1 << 20},
+	})
+	is.New(t).NoErr(err)
+	tracer, err := telemetry.NewTracer(t.Context(), config.DefaultSettings())
+	is.New(t).NoErr(err)
+	b.budget = NewBudget(BudgetOptions{Ratio: 0.9, Allowance: 50, Window: 10 * time.Second, Nodes: func() int { return 1 }})
+	b.f = New(Options{
+		Headers: testHeaders, DataCentre: "a", Table: func() *route.Table { return b.table }, Pool: b.pool, Versions: b.versions,
+		Suspects: b.suspects, Budget: b.budget, Metrics: telemetry.NewForwardMetrics(), Tracer: tracer, Log: zap.NewNop(),
+		Dial: b.net.dial, Stopping: func() bool { return false },
+	})
+	front := &http.Server{Handler: b.f}
+	l := b.net.listen("front")
+	go func() { _ = front.Serve(l) }()
+	transport := &http.Transport{DialContext: b.net.dial, DisableCompression: true}
+	b.client = &http.Client{Transport: transport}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		b.f.kept.CloseIdleConnections()
+		b.f.fresh.CloseIdleConnections()
+		_ = front.Close()
+		b.net.mu.Lock()
+		defer b.net.mu.Unlock()
+		for _, l := range b.net.listeners {
+			_ = l.Close()
+		}
+	})
+	return b
+}
+
+// server adds a server that answers by do.
+func (b *bench) server(id string, do func(net.Conn, *http.Request)) {
+	l := b.net.listen(id)
+	go serveRaw(l, func(c net.Conn, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		b.mu.Lock()
+		b.arrivals = append(b.arrivals, r)
+		b.mu.Unlock()
+		do(c, r)
+	})
+	b.servers = append(b.servers, pool.Server{ID: id, Address: id, Service: "s", DataCentre: "a", Version: "v1", Slots: 8})
+	b.pool.Update(b.servers, time.Now())
+}
+
+// arrived returns the requests that reached servers, with the servers' names.
+func (b *bench) arrived() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrivals
+}
+
+// call sends a request and returns the status, the body and how reading it
+// ended.
+func (b *bench) call(ctx context.Context, method, path string, header map[string]string) (*http.Response, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://front"+path, strings.NewReader("body"))
+	is.New(b.t).NoErr(err)
+	r.Host = "h"
+	for name, value := range map[string]string{"T-Id": "r1", "T-Key": "key", "T-Left": "15000"} {
+		r.Header.Set(name, value)
+	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	resp, err := b.client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// chat are the headers of a request that leaves the model to the system.
+var chat = map[string]string{"T-Model": AnyModel, "T-Tokens": "700,400", "T-Prompt": "a:100,b:100,c:500", "T-Session": "s1"}
+
+// answer writes a whole answer.
+func answer(c net.Conn, r *http.Request, status int, header, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nT-Id: %s\r\nT-Seal: seal\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, r.Header.Get("T-Id"), header, len(body), body)
+}
+
+// streamHead writes the header of a stream in chunks.
+func streamHead(c net.Conn, r *http.Request, confidence int) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: seal\r\nT-Confidence: %d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("T-Id"), confidence)
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+// events writes events from one number to another, at an interval.
+func events(c net.Conn, from, to int, every time.Duration) {
+	for i := from; i <= to; i++ {
+		chunk(c, "id: "+strconv.Itoa(i)+"\ndata: x\n\n")
+		time.Sleep(every)
+	}
+}
+
+func end(c net.Conn) { fmt.Fprint(c, "0\r\n\r\n") }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,7 +72,7 @@
 func (x *exchange) streamOnce(ctx context.Context, s *streaming, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = newWatch(a.member, x.firstEventWait(), x.mayMove, func() { cancel(errStalled) })
+	s.watch = newWatch(a.member, x.f.o.Dial, x.firstEventWait(), x.mayMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != answered {
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -43,24 +43,38 @@
 	IdleTimeout time.Duration
 	// Fresh connections carry one request each.
 	Fresh bool
+	// Dial opens connections; nil stands for TCP.
+	Dial Dial
+}
+
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// TCP opens TCP connections that notice a silent peer.
+func TCP(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, network, address)
+}
+
+var dialer = &net.Dialer{
+	Timeout:         connectTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount},
+	Control: func(_, _ string, c syscall.RawConn) error {
+		var set error
+		err := c.Control(func(fd uintptr) {
+			set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
+		})
+		return errors.Wrap(firstError(err, set), "set user timeout")
+	},
 }
 
 // NewTransport returns a transport whose connections notice a silent peer.
 func NewTransport(o TransportOptions) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var set error
-			err := c.Control(func(fd uintptr) {
-				set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
-			})
-			return errors.Wrap(firstError(err, set), "set user timeout")
-		},
+	if o.Dial == nil {
+		o.Dial = TCP
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := o.Dial(ctx, network, address)
 			if err != nil {
 				return nil, &ConnectError{err}
 			}
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -31,6 +30,7 @@
 // meanwhile is given longer, and the last that may be tried is never given up.
 type watch struct {
 	member  *pool.Member
+	dial    Dial
 	mayMove func() bool
 	stalled func()
 	mu      sync.Mutex
@@ -42,8 +42,8 @@
 
 // newWatch calls stalled once the server kept silent for wait, while mayMove
 // tells that another one may be tried.
-func newWatch(m *pool.Member, wait time.Duration, mayMove func() bool, stalled func()) *watch {
-	w := &watch{member: m, mayMove: mayMove, stalled: stalled, since: time.Now(), wait: wait}
+func newWatch(m *pool.Member, dial Dial, wait time.Duration, mayMove func() bool, stalled func()) *watch {
+	w := &watch{member: m, dial: dial, mayMove: mayMove, stalled: stalled, since: time.Now(), wait: wait}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(watchTick, w.check)
@@ -68,7 +68,7 @@
 func (w *watch) over(silent, wait time.Duration, now time.Time) bool {
 	quiet := now.Sub(w.member.LastProgress())
 	if silent >= probeAfter && quiet >= probeAfter && w.member.ProbeDue(now, probeLife) {
-		go probe(w.member)
+		go probe(w.member, w.dial)
 	}
 	if w.member.Unreachable(now, probeLife+probeTimeout) {
 		return true
@@ -80,11 +80,10 @@
 }
 
 // probe tries a connection to a server and notes the result.
-func probe(m *pool.Member) {
+func probe(m *pool.Member, dial Dial) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", m.Address)
+	conn, err := dial(ctx, "tcp", m.Address)
 	if err == nil {
 		_ = conn.Close()
 	}
--- /dev/null
+++ b/internal/news/news_test.go
@@ -0,0 +1,124 @@
+package news
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func row(key string, version uint64) Row {
+	return Row{Table: "t", Key: key, Version: version, Data: []byte{byte(version)}}
+}
+
+// Whatever the order and the number of times in which rows arrive, the newest
+// of each stands, deleted ones included.
+func TestNewestRowStands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := NewMap(nil)
+		newest := map[string]Row{}
+		for range rapid.IntRange(1, 60).Draw(rt, "rows") {
+			r := row(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key"), uint64(rapid.IntRange(1, 20).Draw(rt, "version")))
+			r.Deleted = r.Version%5 == 0
+			m.Apply([]Row{r})
+			if r.Version > newest[r.Key].Version {
+				newest[r.Key] = r
+			}
+		}
+		for key, want := range newest {
+			got, ok := m.Get("t", key)
+			if ok == want.Deleted || got.Version != want.Version {
+				rt.Fatalf("%s: have version %d, there %v, want %d, deleted %v", key, got.Version, ok, want.Version, want.Deleted)
+			}
+		}
+	})
+}
+
+// A whole read drops rows that it lacks, but none that is newer than it.
+func TestReplaceDropsMissing(t *testing.T) {
+	is := is.New(t)
+	m := NewMap(nil)
+	m.Apply([]Row{row("old", 3), row("newer", 12)})
+	m.Replace("t", []Row{row("there", 9)}, 10)
+	_, ok := m.Get("t", "old")
+	is.True(!ok)
+	_, ok = m.Get("t", "newer")
+	is.True(ok)
+	is.Equal(m.Cursor("t"), uint64(10))
+	m.Apply([]Row{row("old", 3)})
+	_, ok = m.Get("t", "old")
+	is.True(!ok) // a late copy does not bring it back
+}
+
+// node is an exchange that listens on loopback.
+type node struct {
+	rows    *Map
+	e       *Exchange
+	address string
+}
+
+func newNode(t *testing.T, epoch uint64) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	n := &node{rows: NewMap(nil), address: l.Addr().String()}
+	n.e = NewExchange(epoch, n.rows, func() time.Duration { return 0 }, func(time.Duration) {})
+	go func() { _ = n.e.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return n
+}
+
+// The first question on a connection brings both sides to the same rows, the
+// next ones carry changes only, both ways.
+func TestExchangeBringsBothSidesLevel(t *testing.T) {
+	is := is.New(t)
+	a, b := newNode(t, 1), newNode(t, 2)
+	a.rows.Apply([]Row{row("x", 5), row("mine", 1)})
+	b.rows.Apply([]Row{row("x", 7), row("theirs", 1)})
+	p := NewPeer(a.address, b.address)
+	is.NoErr(a.e.Ask(t.Context(), p))
+	got, _ := a.rows.Get("t", "x")
+	is.Equal(got.Version, uint64(7))
+	_, ok := a.rows.Get("t", "theirs")
+	is.True(ok)
+	is.NoErr(a.e.Ask(t.Context(), p)) // tells what the answer asked for
+	_, ok = b.rows.Get("t", "mine")
+	is.True(ok)
+	b.rows.Apply([]Row{row("x", 9)})
+	is.NoErr(a.e.Ask(t.Context(), p))
+	got, _ = a.rows.Get("t", "x")
+	is.Equal(got.Version, uint64(9))
+}
+
+// Rows of upward tables reach the hub and go no further.
+func TestUpwardRowsStayAtTheHub(t *testing.T) {
+	is := is.New(t)
+	member, hub, other := newNode(t, 1), newNode(t, 2), newNode(t, 3)
+	member.rows.Apply([]Row{{Table: Upward + "x", Key: "k", Version: 1}})
+	up := NewPeer(member.address, hub.address)
+	up.Up = true
+	is.NoErr(member.e.Ask(t.Context(), up))
+	member.rows.Apply([]Row{{Table: Upward + "x", Key: "k", Version: 2}})
+	is.NoErr(member.e.Ask(t.Context(), up))
+	_, ok := hub.rows.Get(Upward+"x", "k")
+	is.True(ok)
+	is.NoErr(other.e.Ask(t.Context(), NewPeer(other.address, hub.address)))
+	_, ok = other.rows.Get(Upward+"x", "k")
+	is.True(!ok)
+}
+
+// A large row travels compressed and arrives as it was.
+func TestLargeRowsArePacked(t *testing.T) {
+	is := is.New(t)
+	data := make([]byte, 100<<10)
+	packed := pack([]Row{{Table: "t", Key: "k", Version: 1, Data: data}})
+	is.True(packed[0].Packed)
+	is.True(len(packed[0].Data) < len(data)/6)
+	rows, err := unpack(packed)
+	is.NoErr(err)
+	is.Equal(rows[0].Data, data)
+	_, err = unpack([]Row{{Packed: true, Data: []byte("nonsense")}})
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,116 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func half() float64 { return 0.5 }
+
+func engines(n int) []Server {
+	var out []Server
+	for i := range n {
+		out = append(out, Server{ID: string(rune('a' + i)), Address: string(rune('a' + i)), Service: "s", DataCentre: "dc", Version: "v1", Slots: 10})
+	}
+	return out
+}
+
+// Requests that share the head of a prompt meet at one engine, alike on all
+// nodes.
+func TestAffinityIsStable(t *testing.T) {
+	is := is.New(t)
+	p, other := New(nil), New(nil)
+	p.Update(engines(9), start)
+	other.Update(engines(9), start)
+	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
+	first := p.Choose(q, start)
+	is.Equal(first.ID, p.Choose(q, start).ID)
+	is.Equal(first.ID, other.Choose(q, start).ID)
+}
+
+// A prompt leaves the engine that has its head cached once the wait there is
+// longer than reading all of it elsewhere.
+func TestPromptSpillsWhenWaitExceedsColdRead(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	p.Update(engines(9), start)
+	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
+	home := p.Choose(q, start)
+	home.Others(3, 150*time.Millisecond, start)
+	is.Equal(p.Choose(q, start).ID, home.ID) // a short wait costs less than a cold read
+	home.Others(3, 2*time.Second, start)
+	is.True(p.Choose(q, start).ID != home.ID)
+}
+
+// Nodes that see the same late news do not all choose the same idle engine.
+func TestSpillSpreads(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	p.Update(engines(20), start)
+	q := Query{Service: "s", Affinity: "large/hot", Cold: 500 * time.Millisecond, Warm: 100 * time.Millisecond, DataCentre: "dc", Draw: half}
+	first, second := topTwo(p.Members("s"), q.Affinity)
+	first.Others(9, 5*time.Second, start)
+	second.Others(9, 5*time.Second, start)
+	seen := map[string]int{}
+	draw := 0.0
+	q.Draw = func() float64 { draw += 0.37; return draw - float64(int(draw)) }
+	for range 100 {
+		seen[p.Choose(q, start).ID]++
+	}
+	is.True(len(seen) >= 8)
+}
+
+// Servers that leave, fail or were tried are passed over; an ejected one is
+// better than none.
+func TestChooseSkips(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	list := engines(3)
+	list[0].Draining = true
+	p.Update(list, start)
+	q := Query{Service: "s", Draw: half, Exclude: []*Member{p.Member("b")}}
+	is.Equal(p.Choose(q, start).ID, "c")
+	for range 3 {
+		p.Member("c").Fail(start.Add(time.Millisecond), start.Add(time.Millisecond), 1)
+	}
+	is.Equal(p.Choose(q, start.Add(10*time.Millisecond)).ID, "c")
+	q.Exclude = nil
+	is.Equal(p.Choose(q, start.Add(10*time.Millisecond)).ID, "b")
+}
+
+// Versions restrict the choice; a preferred one that has no server does not.
+func TestChooseVersions(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	list := engines(2)
+	list[1].Version = "v2"
+	p.Update(list, start)
+	for _, c := range []struct {
+		versions Versions
+		id       string
+	}{{Versions{Only: "v2"}, "b"}, {Versions{Except: "v2"}, "a"}, {Versions{Prefer: "v2"}, "b"}} {
+		is.Equal(p.Choose(Query{Service: "s", Draw: half, Versions: c.versions}, start).ID, c.id)
+	}
+	is.True(p.Choose(Query{Service: "s", Draw: half, Versions: Versions{Prefer: "v3"}}, start) != nil)
+	is.True(p.Choose(Query{Service: "s", Draw: half, Versions: Versions{Only: "v3"}}, start) == nil)
+}
+
+// A server that left takes no request even if it was chosen just before, and
+// one that comes back under its ID is a new one.
+func TestLeftAndRestarted(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	p.Update(engines(1), start)
+	m := p.Member("a")
+	p.Update(nil, start)
+	is.True(!m.Begin(start, 0))
+	again := engines(1)
+	again[0].Started = 5
+	p.Update(again, start)
+	is.True(p.Member("a") != m)
+	is.True(p.Member("a").Begin(start, 0))
+}
