--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -305,12 +306,12 @@
 
 // fakeStore counts calls and fails while it is down.
 type fakeStore struct {
-	calls int
+	calls atomic.Int32
 	down  bool
 }
 
 func (f *fakeStore) Read(context.Context, string) ([]news.Row, uint64, error) {
-	f.calls++
+	f.calls.Add(1)
 	if f.down {
 		return nil, 0, errors.New("down")
 	}
@@ -318,7 +319,7 @@
 }
 
 func (f *fakeStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]news.Row, uint64, error) {
-	f.calls++
+	f.calls.Add(1)
 	if f.down {
 		return nil, 0, errors.New("down")
 	}
@@ -346,9 +347,9 @@
 			time.Sleep(300 * time.Millisecond)
 			r.learned(100 * time.Millisecond) // the reader's news arrive
 		}
-		is.Equal(store.calls, 0)
+		is.Equal(store.calls.Load(), int32(0))
 		time.Sleep(staleAfter + standbyStep + 2*idlePause)
-		is.True(store.calls > 0)
+		is.True(store.calls.Load() > 0)
 		cancel()
 		synctest.Wait()
 	})
@@ -365,7 +366,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.follow(ctx, "o", operatorWait, 0, true)
 		time.Sleep(10 * time.Second)
-		is.True(store.calls <= 40)
+		is.True(store.calls.Load() <= 40)
 		is.True(r.age() >= 10*time.Second)
 		is.True(r.sinceOutage() < time.Second)
 		cancel()
