Take confidence for a step between wrong and right

Cause: with doubt = 1 - confidence, answers of 55 to 70 were asked again though hardly any of them is wrong.

--- a/internal/forward/cascade.go
+++ b/internal/forward/cascade.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/route"
@@ -17,8 +18,12 @@
 	answerValue = 1.5
 	// readCost is the cost of a token read against that of one generated.
 	readCost = 0.25
+	// evenConfidence is the confidence at which an answer is as often right as
+	// wrong, confidenceScale how fast that changes around it.
+	evenConfidence  = 48
+	confidenceScale = 8
 	// leastDoubt is the doubt below which no larger model is worth its load.
-	leastDoubt = 0.35
+	leastDoubt = 0.3
 	// waitPrice is the price of a second of an engine's time for each second
 	// that prompts wait for engines on average: what runs longer makes all that
 	// waits later.
@@ -27,7 +32,9 @@
 
 // doubt is the chance that an answer with the given confidence, 0 to 100, is
 // not good enough.
-func doubt(confidence float64) float64 { return 1 - min(max(confidence, 0), 100)/100 }
+func doubt(confidence float64) float64 {
+	return 1 / (1 + math.Exp((confidence-evenConfidence)/confidenceScale))
+}
 
 // largerStep is what the larger model would take.
 type largerStep struct {
