--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -47,6 +47,7 @@
 	}
 	if x.q.Route.Sticky && x.q.Subject != "" {
 		q.Affinity = model + "/" + x.q.Subject
+		q.Local = x.q.isCostlyToMove()
 		q.Cold, q.Warm = x.f.speeds.read(model, x.q.PromptTokens), x.f.speeds.read(model, x.q.ownTokens())
 	}
 	m := x.f.o.Pool.Choose(q, now)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -126,6 +126,22 @@
 	return o.Name
 }
 
+const (
+	// tokensPerKB is how many cached tokens a kilobyte between data centres is
+	// weighed against: the platforms' prices are 120 to 390, and the engine's
+	// time for reading comes on top.
+	tokensPerKB = 150
+	// answerBytesPerToken is the size of a streamed token with its framing.
+	answerBytesPerToken = 30
+)
+
+// isCostlyToMove tells whether the bytes of a request and its answer cost more
+// between data centres than what an engine there may have cached saves.
+func (q *Request) isCostlyToMove() bool {
+	kilobytes := (float64(len(q.Body)) + q.ExpectedTokens*answerBytesPerToken) / 1024
+	return kilobytes*tokensPerKB > q.sharedTokens
+}
+
 // sessionKey identifies what keeps its version: the session, or the request
 // itself.
 func (q *Request) sessionKey() string {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -18,6 +18,9 @@
 	Warm time.Duration
 	// DataCentre is preferred where servers are alike.
 	DataCentre string
+	// Local keeps prompts whose way costs more than what may be cached within
+	// the data centre, if it has a server.
+	Local bool
 	// Versions restricts the versions that may be chosen.
 	Versions Versions
 	// Exclude lists servers that were tried.
@@ -104,7 +107,7 @@
 // the one that is first in the key's rendezvous order has its shared parts
 // cached, the second may have, and few others are compared with them.
 func soonest(members []*Member, q Query, now time.Time) *Member {
-	first, second := topTwo(members, q.Affinity)
+	first, second := topTwo(q.homes(members), q.Affinity)
 	best, least := first, q.expected(first, q.Warm, now)
 	consider := func(m *Member, read time.Duration) {
 		if m == nil || m == first {
@@ -121,6 +124,23 @@
 	return best
 }
 
+// homes returns the engines among which a prompt's head has its place.
+func (q *Query) homes(members []*Member) []*Member {
+	if !q.Local {
+		return members
+	}
+	var near []*Member
+	for _, m := range members {
+		if m.DataCentre == q.DataCentre {
+			near = append(near, m)
+		}
+	}
+	if len(near) == 0 {
+		return members
+	}
+	return near
+}
+
 // expected is the time until an engine has read the prompt, with what else
 // speaks against it.
 func (q *Query) expected(m *Member, read time.Duration, now time.Time) time.Duration {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -114,3 +114,21 @@
 	is.True(p.Member("a") != m)
 	is.True(p.Member("a").Begin(start, 0))
 }
+
+// Short prompts with long answers stay in the data centre: their bytes between
+// data centres cost more than reading what another engine has cached.
+func TestLocalPromptsStayNear(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	list := engines(9)
+	for i := range list {
+		list[i].DataCentre = string(rune('x' + i%3))
+	}
+	p.Update(list, start)
+	for i := range 20 {
+		q := Query{Service: "s", Affinity: string(rune('a' + i)), Cold: 20 * time.Millisecond, Warm: 10 * time.Millisecond, DataCentre: "y", Local: true, Draw: half}
+		is.Equal(p.Choose(q, start).DataCentre, "y")
+	}
+	q := Query{Service: "s", Affinity: "k", DataCentre: "nowhere", Local: true, Draw: half}
+	is.True(p.Choose(q, start) != nil)
+}
