--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -29,8 +29,13 @@
 	staleAfter = 1300 * time.Millisecond
 	// standbyStep spreads the standbys: the first in line begins first.
 	standbyStep = 120 * time.Millisecond
-	// retryPause is the wait after a failed call, with full jitter on top.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the wait after a first failed call. It doubles with each
+	// further one up to retryMost, for the reader up to readerRetryMost, with up
+	// to half of it off at random: a store that is away sees few calls, and the
+	// first node that it serves again tells the others.
+	retryPause      = 200 * time.Millisecond
+	readerRetryMost = 400 * time.Millisecond
+	retryMost       = 2 * time.Second
 	// idlePause is how often a standby looks whether it must read.
 	idlePause = 60 * time.Millisecond
 )
@@ -129,8 +134,10 @@
 // follow reads one table until ctx ends. current tells that its answers show
 // the configuration's age.
 func (r *reader) follow(ctx context.Context, table string, wait, pause time.Duration, current bool) {
+	failures := 0
 	for ctx.Err() == nil {
-		if !r.reads() {
+		// The operator's table alone finds out whether the store is back.
+		if !r.reads() || (!current && r.lostOwn()) {
 			sleep(ctx, idlePause)
 			continue
 		}
@@ -138,14 +145,34 @@
 			if ctx.Err() == nil {
 				r.failed(table, err)
 			}
-			sleep(ctx, retryPause+time.Duration(rand.Float64()*float64(retryPause)))
+			failures++
+			sleep(ctx, backoff(failures, r.turn() == 0, rand.Float64()))
 			continue
 		}
+		failures = 0
 		r.succeeded(current)
 		sleep(ctx, pause)
 	}
 }
 
+// backoff is the wait after some failed calls in a row; draw is a random number
+// within 0 to 1.
+func backoff(failures int, isReader bool, draw float64) time.Duration {
+	most := retryMost
+	if isReader {
+		most = readerRetryMost
+	}
+	pause := min(retryPause<<min(failures-1, 8), most)
+	return pause - time.Duration(draw*float64(pause)/2)
+}
+
+// lostOwn tells whether this node's last call failed.
+func (r *reader) lostOwn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own
+}
+
 // step reads a table whole if it is not known, else its changes.
 func (r *reader) step(ctx context.Context, table string, wait time.Duration) error {
 	cursor := r.rows.Cursor(table)
