--- a/internal/capacity/count.go
+++ b/internal/capacity/count.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -108,36 +108,36 @@
 	return name
 }
 
-// Get implements platform.Table.
-func (s *store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (s *store) Get(ctx context.Context, key string) (infra.Row, error) {
 	row, err := s.Platform.Get(ctx, key)
 	s.count("read "+kind(key), row)
 	return row, err
 }
 
-// List implements platform.Table.
-func (s *store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements infra.Table.
+func (s *store) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	rows, err := s.Platform.List(ctx, prefix, after, limit)
 	s.count("list "+kind(prefix), rows)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (s *store) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+// Commit implements infra.Table.
+func (s *store) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	versions, err := s.Platform.Commit(ctx, ops...)
 	s.count("write "+kind(ops[0].Key), ops)
 	return versions, err
 }
 
-// GetObject implements platform.ObjectStore.
+// GetObject implements infra.ObjectStore.
 func (s *store) GetObject(ctx context.Context, name string) ([]byte, error) {
 	body, err := s.Platform.GetObject(ctx, name)
 	s.count("object", body)
 	return body, err
 }
 
-// VMs implements platform.VMList.
-func (s *store) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements infra.VMList.
+func (s *store) VMs(ctx context.Context) ([]infra.VM, error) {
 	vms, err := s.Platform.VMs(ctx)
 	s.count("vm list", vms)
 	return vms, err
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -14,8 +14,8 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/node"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -85,17 +85,17 @@
 	return fmt.Sprintf("dc-%d", at+1), fmt.Sprintf("region-%d", at%s.Regions+1)
 }
 
-func (f *fleet) vms() []platform.VM {
-	var out []platform.VM
+func (f *fleet) vms() []infra.VM {
+	var out []infra.VM
 	add := func(id, role, pool string, i int) {
 		centre, region := f.shape.place(i)
-		out = append(out, platform.VM{ID: id, Address: fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250), DataCentre: centre, Region: region, Role: role, Pool: pool})
+		out = append(out, infra.VM{ID: id, Address: fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250), DataCentre: centre, Region: region, Role: role, Pool: pool})
 	}
 	for i := range f.shape.Replicas {
-		add(fmt.Sprintf("engine-%d", i+1), platform.RoleBackend, pool, i)
+		add(fmt.Sprintf("engine-%d", i+1), infra.RoleBackend, pool, i)
 	}
 	for i := range f.shape.Nodes {
-		add(fmt.Sprintf("entry-%d", i+1), platform.RoleEntry, "", i)
+		add(fmt.Sprintf("entry-%d", i+1), infra.RoleEntry, "", i)
 	}
 	return out
 }
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 const platformTimeout = 5 * time.Second
@@ -77,7 +77,7 @@
 
 // platformError names the platform in an error that tells of no answer.
 func platformError(base string, err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, infra.ErrUnavailable) {
 		return &PlatformError{Base: base, Cause: err}
 	}
 	return err
@@ -108,7 +108,7 @@
 				return err
 			}
 			printWarnings(cmd, c)
-			client := platform.NewClient(base, platformTimeout)
+			client := infra.NewClient(base, platformTimeout)
 			rev, err := apply(cmd.Context(), client, c, revision, note)
 			if err != nil {
 				return platformError(base, err)
@@ -132,7 +132,7 @@
 
 // apply replaces the configuration's content; a negative base means the
 // newest revision.
-func apply(ctx context.Context, client *platform.Client, c *config.Config, base int64, note string) (*config.Revision, error) {
+func apply(ctx context.Context, client *infra.Client, c *config.Config, base int64, note string) (*config.Revision, error) {
 	store := config.NewStore(client, client)
 	if base < 0 {
 		head, _, err := store.Head(ctx)
@@ -154,7 +154,7 @@
 		Short: "Show the newest accepted configuration",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client := platform.NewClient(base, platformTimeout)
+			client := infra.NewClient(base, platformTimeout)
 			rev, err := config.NewStore(client, client).Newest(cmd.Context())
 			if err != nil {
 				return platformError(base, err)
--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
@@ -93,7 +93,7 @@
 		Short: step.short,
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			client := platform.NewClient(base, platformTimeout)
+			client := infra.NewClient(base, platformTimeout)
 			store := config.NewStore(client, client)
 			now, err := store.Newest(cmd.Context())
 			if err != nil {
@@ -146,7 +146,7 @@
 		Short: "Show roll-outs and withdrawn versions",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client := platform.NewClient(base, platformTimeout)
+			client := infra.NewClient(base, platformTimeout)
 			rev, err := config.NewStore(client, client).Newest(cmd.Context())
 			if err != nil || rev == nil {
 				return errors.Wrap(err, "read the newest revision")
@@ -196,7 +196,7 @@
 			if err != nil {
 				return err
 			}
-			client := platform.NewClient(base, platformTimeout)
+			client := infra.NewClient(base, platformTimeout)
 			rev, err := config.NewStore(client, client).Newest(cmd.Context())
 			if err != nil {
 				return errors.Wrap(err, "read the newest revision")
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -14,8 +14,8 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/embedded"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/node"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -62,7 +62,7 @@
 		return err
 	}
 	n, err := node.New(node.Options{
-		Settings: settings, Listeners: listeners, Platform: platform.NewClient(settings.Platform, settings.PlatformTimeout.Std()),
+		Settings: settings, Listeners: listeners, Platform: infra.NewClient(settings.Platform, settings.PlatformTimeout.Std()),
 		Dialer: backend.NewHTTPDialer(), Dial: dial, Log: log,
 	})
 	if err != nil {
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -67,12 +67,12 @@
 	return cmd
 }
 
-func readVMs(path string) ([]platform.VM, error) {
+func readVMs(path string) ([]infra.VM, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the list of VMs")
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	return vms, errors.Wrapf(json.Unmarshal(raw, &vms), "%s is not a JSON list of VMs", path)
 }
 
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Keys of the platform's services that hold the configuration.
@@ -53,12 +53,12 @@
 
 // Store keeps the accepted revisions on the platform.
 type Store struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   infra.Table
+	objects infra.ObjectStore
 }
 
 // NewStore returns a store of revisions.
-func NewStore(table platform.Table, objects platform.ObjectStore) *Store {
+func NewStore(table infra.Table, objects infra.ObjectStore) *Store {
 	return &Store{table: table, objects: objects}
 }
 
@@ -66,7 +66,7 @@
 // version; revision 0 and version 0 if there is none.
 func (s *Store) Head(ctx context.Context) (*Revision, uint64, error) {
 	row, err := s.table.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return &Revision{}, 0, nil
 	}
 	if err != nil {
@@ -113,7 +113,7 @@
 }
 
 // Apply makes a new revision by a conditional write. It returns *RaceError if
-// another change came first, and platform.ErrUnavailable if the outcome is
+// another change came first, and infra.ErrUnavailable if the outcome is
 // unknown; applying the same change again is then safe.
 func (s *Store) Apply(ctx context.Context, c Change) (*Revision, error) {
 	head, version, err := s.Head(ctx)
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	if head.Number < c.Base {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "the store shows revision %d, older than the base %d", head.Number, c.Base)
+		return nil, errors.Wrapf(infra.ErrUnavailable, "the store shows revision %d, older than the base %d", head.Number, c.Base)
 	}
 	if head.Number > c.Base {
 		return s.raced(ctx, head, c)
@@ -135,8 +135,8 @@
 		return nil, errors.Wrap(err, "encode revision")
 	}
 	_, err = s.table.Commit(ctx,
-		platform.Op{Key: HeadKey, Value: value, Expect: version},
-		platform.Op{Key: RevisionKey(next.Number), Value: value})
+		infra.Op{Key: HeadKey, Value: value, Expect: version},
+		infra.Op{Key: RevisionKey(next.Number), Value: value})
 	if err == nil {
 		return next, nil
 	}
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -64,13 +64,13 @@
 
 // flaky is a table whose reads fail on demand.
 type flaky struct {
-	platform.Table
+	infra.Table
 	readsLeft int
 }
 
-func (f *flaky) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *flaky) Get(ctx context.Context, key string) (infra.Row, error) {
 	if f.readsLeft == 0 {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	f.readsLeft--
 	return f.Table.Get(ctx, key)
@@ -92,7 +92,7 @@
 
 	p.Faults.Set(standin.FaultState{LoseReplies: 1})
 	_, err = config.NewStore(&flaky{Table: p, readsLeft: 1}, p).Apply(ctx, change("third", 2))
-	is.True(errors.Is(err, platform.ErrUnavailable)) // the outcome is unknown
+	is.True(errors.Is(err, infra.ErrUnavailable)) // the outcome is unknown
 	rev, err = config.NewStore(p, p).Apply(ctx, change("third", 2))
 	is.NoErr(err)
 	is.Equal(rev.Number, uint64(3))
@@ -127,9 +127,9 @@
 }
 
 // frozenWrites is a table whose writes never take effect.
-type frozenWrites struct{ platform.Table }
+type frozenWrites struct{ infra.Table }
 
-func (frozenWrites) Commit(ctx context.Context, _ ...platform.Op) ([]uint64, error) {
+func (frozenWrites) Commit(ctx context.Context, _ ...infra.Op) ([]uint64, error) {
 	<-ctx.Done()
-	return nil, platform.ErrUnavailable
+	return nil, infra.ErrUnavailable
 }
--- a/internal/dispatch/adopt_test.go
+++ b/internal/dispatch/adopt_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -48,7 +48,7 @@
 	m.reign++
 	o := NewOwner(nil)
 	o.ranks = []*config.Rank{{Order: 0}, {Order: 1}}
-	m.owner = o.newReplica(platform.VM{ID: "replica", Pool: "pool"}, c)
+	m.owner = o.newReplica(infra.VM{ID: "replica", Pool: "pool"}, c)
 	m.most = max(len(m.running), adoptSlots-reservedSlots)
 	m.unseen = 0
 	m.probe()
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -27,7 +27,7 @@
 	o.Watch(suspects)
 	c := &config.Config{Pools: map[string]*config.Pool{"p": {Slots: 4, KVTokens: 10_000}}, Ranks: map[string]*config.Rank{"normal": {}}}
 	o.Configure(c)
-	o.Own([]platform.VM{{ID: "r", Address: "r", Pool: "p"}}, c)
+	o.Own([]infra.VM{{ID: "r", Address: "r", Pool: "p"}}, c)
 	dialer := oneEngine{standin.NewEngine(standin.EngineOptions{ID: "r"})}
 	o.Probe(context.Background(), dialer, func(string) bool { return false })
 	return o, dialer
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -12,7 +12,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/admission"
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -82,7 +82,7 @@
 
 // Own makes the owner's replicas those listed: new ones start with an empty
 // account, the waiting work of lost ones is sent away.
-func (o *Owner) Own(vms []platform.VM, c *config.Config) {
+func (o *Owner) Own(vms []infra.VM, c *config.Config) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	keep := map[string]bool{}
@@ -111,7 +111,7 @@
 	}
 }
 
-func (o *Owner) newReplica(vm platform.VM, c *config.Config) *replica {
+func (o *Owner) newReplica(vm infra.VM, c *config.Config) *replica {
 	slots, memory := size(c, vm.Pool)
 	gate := admission.NewGate(admission.GateOptions{
 		Ranks: policies(o.ranks), Slots: slots, Memory: memory,
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Deployment is the shape of one user's systems.
@@ -41,10 +41,10 @@
 
 // VM returns the list entry of the i-th replica of a pool or service, spread
 // evenly over the data centres.
-func (d Deployment) VM(pool string, i int, address string) platform.VM {
-	return platform.VM{
+func (d Deployment) VM(pool string, i int, address string) infra.VM {
+	return infra.VM{
 		ID: fmt.Sprintf("%s-%d", pool, i+1), Address: address, Region: d.Region,
-		DataCentre: d.DataCentres[i%len(d.DataCentres)], Role: platform.RoleBackend, Pool: pool,
+		DataCentre: d.DataCentres[i%len(d.DataCentres)], Role: infra.RoleBackend, Pool: pool,
 	}
 }
 
--- a/internal/embedded/fleet.go
+++ b/internal/embedded/fleet.go
@@ -12,8 +12,8 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/node"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -50,7 +50,7 @@
 	Settings []config.Settings
 
 	servers []*http.Server
-	vms     []platform.VM
+	vms     []infra.VM
 	log     *zap.Logger
 }
 
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	f.Platform.SetVMs(f.vms)
-	client := platform.NewClient("http://"+platformAddress, platformTimeout)
+	client := infra.NewClient("http://"+platformAddress, platformTimeout)
 	if err := publish(ctx, client, c); err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 	return f, f.waitReady(ctx)
 }
 
-func publish(ctx context.Context, client *platform.Client, c *config.Config) error {
+func publish(ctx context.Context, client *infra.Client, c *config.Config) error {
 	_, err := config.NewStore(client, client).Apply(ctx, config.Change{
 		Author: "embedded", Note: "example folder",
 		Edit: func(r *config.Revision) error { r.Config = c; return nil },
@@ -125,7 +125,7 @@
 	return nil
 }
 
-func (f *Fleet) startNode(i int, client *platform.Client, base string) error {
+func (f *Fleet) startNode(i int, client *infra.Client, base string) error {
 	settings := config.DefaultSettings()
 	settings.ID = fmt.Sprintf("entry-%d", i+1)
 	settings.DataCentre = f.Deployment.DataCentres[i%len(f.Deployment.DataCentres)]
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,7 +16,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/fleet"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
@@ -59,7 +59,7 @@
 
 // countedWeights counts the loads that the weight store let through.
 type countedWeights struct {
-	platform.Weights
+	infra.Weights
 	mu  sync.Mutex
 	let int // guarded by mu
 }
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 const (
@@ -35,7 +35,7 @@
 // only after it saw the row unchanged for LeaseTime on its own clock, so that
 // clocks need not agree. It is used by one goroutine.
 type Lease struct {
-	table platform.Table
+	table infra.Table
 	key   string
 	self  leaseRow
 
@@ -46,7 +46,7 @@
 }
 
 // NewLease returns the lease of a pool for one process.
-func NewLease(table platform.Table, pool, node string, incarnation uint64) *Lease {
+func NewLease(table infra.Table, pool, node string, incarnation uint64) *Lease {
 	return &Lease{table: table, key: LeasePrefix + pool, self: leaseRow{Node: node, Incarnation: incarnation}}
 }
 
@@ -93,10 +93,10 @@
 	return now.Sub(l.since) < LeaseTime
 }
 
-func (l *Lease) read(ctx context.Context) (platform.Row, leaseRow, error) {
+func (l *Lease) read(ctx context.Context) (infra.Row, leaseRow, error) {
 	row, err := l.table.Get(ctx, l.key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, leaseRow{}, nil
+	if errors.Is(err, infra.ErrNotFound) {
+		return infra.Row{}, leaseRow{}, nil
 	}
 	if err != nil {
 		return row, leaseRow{}, err
@@ -110,8 +110,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode lease")
 	}
-	if _, err := l.table.Commit(ctx, platform.Op{Key: l.key, Value: value, Expect: version}); err != nil {
-		if errors.Is(err, platform.ErrConflict) {
+	if _, err := l.table.Commit(ctx, infra.Op{Key: l.key, Value: value, Expect: version}); err != nil {
+		if errors.Is(err, infra.ErrConflict) {
 			l.held = false
 			return ErrNotHeld
 		}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -8,7 +8,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
@@ -25,8 +25,8 @@
 	// Node and Incarnation are the own process's.
 	Node        string
 	Incarnation uint64
-	Table       platform.Table
-	Weights     platform.Weights
+	Table       infra.Table
+	Weights     infra.Weights
 	Dialer      backend.Dialer
 	// Config returns the revision in force, Replicas the replicas with the
 	// versions they report.
--- a/internal/platform/platform.go
+++ b/internal/infra/platform.go
@@ -1,7 +1,7 @@
-// Package platform defines what the router needs of the platform it runs on,
+// Package infra defines what the router needs of the platform it runs on,
 // a transactional table, an object store, a list of VMs, a rating service and
 // a weight store, and holds the clients for them.
-package platform
+package infra
 
 import (
 	"context"
--- a/internal/ledger/bill.go
+++ b/internal/ledger/bill.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -55,7 +55,7 @@
 // are stored in the same transactions. It is safe for concurrent use. No lock
 // is held during a call.
 type Bills struct {
-	table  platform.Table
+	table  infra.Table
 	copies Copies
 	pins   *Pins
 	wake   chan struct{}
@@ -73,7 +73,7 @@
 
 // NewBills returns an empty buffer of bills that stores the given pins too;
 // copies and pins may be nil.
-func NewBills(table platform.Table, copies Copies, pins *Pins) *Bills {
+func NewBills(table infra.Table, copies Copies, pins *Pins) *Bills {
 	if pins == nil {
 		pins = NewPins(table, nil)
 	}
@@ -176,7 +176,7 @@
 			return nil
 		}
 		n, err := b.flushBatch(ctx, pins)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, infra.ErrConflict) {
 			return err
 		}
 		if err != nil {
@@ -230,7 +230,7 @@
 		versions = versions[len(batch):]
 	}
 	b.pins.wrote(pins, versions, err)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, infra.ErrConflict) {
 		return err, b.store(ctx, batch)
 	}
 	return nil, err
@@ -247,7 +247,7 @@
 		return err
 	}
 	_, err = b.table.Commit(ctx, ops...)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, infra.ErrConflict) {
 		return err
 	}
 	if len(batch) == 1 {
@@ -261,8 +261,8 @@
 }
 
 // billOps inserts bills.
-func billOps(batch []wire.Bill) ([]platform.Op, error) {
-	ops := make([]platform.Op, len(batch))
+func billOps(batch []wire.Bill) ([]infra.Op, error) {
+	ops := make([]infra.Op, len(batch))
 	for i, bill := range batch {
 		op, err := billOp(bill)
 		if err != nil {
@@ -274,7 +274,7 @@
 }
 
 // billOp inserts a bill.
-func billOp(bill wire.Bill) (platform.Op, error) {
+func billOp(bill wire.Bill) (infra.Op, error) {
 	value, err := json.Marshal(bill)
-	return platform.Op{Key: BillKey(bill.Request), Value: value}, errors.Wrap(err, "encode bill")
+	return infra.Op{Key: BillKey(bill.Request), Value: value}, errors.Wrap(err, "encode bill")
 }
--- a/internal/ledger/bill_test.go
+++ b/internal/ledger/bill_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -220,7 +220,7 @@
 	leave chan struct{}
 }
 
-func (s *slowTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (s *slowTable) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	s.enter <- struct{}{}
 	<-s.leave
 	return s.Table.Commit(ctx, ops...)
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -49,8 +49,8 @@
 // ClaimsOptions are what the claims of one process work with.
 type ClaimsOptions struct {
 	// Table holds the claims, Objects the large answers.
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   infra.Table
+	Objects infra.ObjectStore
 	// Node and Incarnation are the own node's.
 	Node        string
 	Incarnation uint64
@@ -113,7 +113,7 @@
 		if err == nil {
 			return &Claim{Fencing: version, id: id, key: key, row: row, version: version}, nil, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, infra.ErrConflict) {
 			c.forget(key, row.Token)
 			return nil, nil, storeAway(id)
 		}
@@ -156,11 +156,11 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
-	versions, err := c.Table.Commit(ctx, platform.Op{Key: key, Value: value, Expect: expect})
+	versions, err := c.Table.Commit(ctx, infra.Op{Key: key, Value: value, Expect: expect})
 	if err == nil {
 		return versions[0], nil
 	}
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, infra.ErrUnavailable) {
 		return 0, err
 	}
 	got, readErr := c.Table.Get(ctx, key)
@@ -169,7 +169,7 @@
 	}
 	var stored claimRow
 	if json.Unmarshal(got.Value, &stored) != nil || stored.Token != row.Token {
-		return 0, platform.ErrConflict
+		return 0, infra.ErrConflict
 	}
 	return got.Version, nil
 }
@@ -215,7 +215,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
-	versions, err := c.Table.Commit(ctx, platform.Op{Key: key, Value: value, Expect: version})
+	versions, err := c.Table.Commit(ctx, infra.Op{Key: key, Value: value, Expect: version})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/ledger/claim_test.go
+++ b/internal/ledger/claim_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -40,32 +40,32 @@
 type flakyTable struct {
 	*standin.Table
 	draw func() fate
-	late [][]platform.Op
+	late [][]infra.Op
 	away bool
 }
 
-func (f *flakyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *flakyTable) Get(ctx context.Context, key string) (infra.Row, error) {
 	if f.away {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	return f.Table.Get(ctx, key)
 }
 
-func (f *flakyTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (f *flakyTable) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	next := fateDone
 	if f.draw != nil {
 		next = f.draw()
 	}
 	switch {
 	case f.away || next == fateLostBefore:
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	case next == fateLate:
 		f.late = append(f.late, ops)
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	versions, err := f.Table.Commit(ctx, ops...)
 	if next == fateLostAfter && err == nil {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	return versions, err
 }
--- a/internal/ledger/lookup.go
+++ b/internal/ledger/lookup.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -70,7 +70,7 @@
 	key := id.row()
 	for range maxLookups {
 		got, err := c.Table.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, infra.ErrNotFound) {
 			return CallStatus{State: CallNone}, nil
 		}
 		if err != nil {
@@ -106,7 +106,7 @@
 
 // read interprets a claim's row. It returns false if the row has to be read
 // again.
-func (c *Claims) read(ctx context.Context, got platform.Row) (CallStatus, bool, error) {
+func (c *Claims) read(ctx context.Context, got infra.Row) (CallStatus, bool, error) {
 	var row claimRow
 	if err := json.Unmarshal(got.Value, &row); err != nil {
 		return CallStatus{}, true, errors.Wrapf(err, "decode claim %s: repair or remove the row", got.Key)
@@ -133,7 +133,7 @@
 }
 
 // said interprets what the claim's sender said.
-func (c *Claims) said(ctx context.Context, got platform.Row, s CallStatus, reply wire.ClaimReply) (CallStatus, bool, error) {
+func (c *Claims) said(ctx context.Context, got infra.Row, s CallStatus, reply wire.ClaimReply) (CallStatus, bool, error) {
 	switch {
 	case reply.Outcome != nil:
 		stored := &backend.Reply{}
--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -100,14 +100,14 @@
 		return false
 	}
 	_, err = c.Table.Commit(ctx, ops...)
-	if err != nil && !c.confirm(ctx, claim, errors.Is(err, platform.ErrConflict)) {
+	if err != nil && !c.confirm(ctx, claim, errors.Is(err, infra.ErrConflict)) {
 		return false
 	}
 	c.forget(claim.key, claim.row.Token)
 	return true
 }
 
-func (c *Claims) outcomeOps(ctx context.Context, claim *Claim, bill *wire.Bill) ([]platform.Op, error) {
+func (c *Claims) outcomeOps(ctx context.Context, claim *Claim, bill *wire.Bill) ([]infra.Op, error) {
 	row, err := c.moveLarge(ctx, claim.row)
 	if err != nil {
 		return nil, err
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode outcome")
 	}
-	ops := []platform.Op{{Key: claim.key, Value: value, Expect: claim.version}}
+	ops := []infra.Op{{Key: claim.key, Value: value, Expect: claim.version}}
 	if bill == nil {
 		return ops, nil
 	}
@@ -129,7 +129,7 @@
 func (c *Claims) confirm(ctx context.Context, claim *Claim, refused bool) bool {
 	got, err := c.Table.Get(ctx, claim.key)
 	if err != nil {
-		return refused && errors.Is(err, platform.ErrNotFound)
+		return refused && errors.Is(err, infra.ErrNotFound)
 	}
 	var row claimRow
 	if json.Unmarshal(got.Value, &row) != nil || row.Token != claim.row.Token {
--- a/internal/ledger/pin.go
+++ b/internal/ledger/pin.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -71,7 +71,7 @@
 // node remember what is not stored. It is safe for concurrent use; no lock is
 // held during a call.
 type Pins struct {
-	table platform.Table
+	table infra.Table
 	peers PinPeers
 	wake  chan struct{}
 
@@ -94,7 +94,7 @@
 }
 
 // NewPins returns an empty set of pins; peers may be nil.
-func NewPins(table platform.Table, peers PinPeers) *Pins {
+func NewPins(table infra.Table, peers PinPeers) *Pins {
 	return &Pins{table: table, peers: peers, wake: make(chan struct{}, 1), cache: map[string]config.Target{}, unstored: map[string]unstoredPin{}, deciding: map[string]*decision{}}
 }
 
--- a/internal/ledger/pin_store.go
+++ b/internal/ledger/pin_store.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -101,7 +101,7 @@
 // find reads what the table has of a pin.
 func (p *Pins) find(ctx context.Context, args wire.PinArgs) (foundPin, error) {
 	row, err := p.table.Get(ctx, args.Pin)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return foundPin{}, nil
 	}
 	if err != nil {
@@ -143,9 +143,9 @@
 }
 
 // pinOp writes a pin whose row was read.
-func pinOp(u unstoredPin) (platform.Op, error) {
+func pinOp(u unstoredPin) (infra.Op, error) {
 	value, err := json.Marshal(pinRow{Target: u.Target, From: u.Old, At: time.Now()})
-	return platform.Op{Key: u.Pin, Value: value, Expect: u.version}, errors.Wrap(err, "encode pin")
+	return infra.Op{Key: u.Pin, Value: value, Expect: u.version}, errors.Wrap(err, "encode pin")
 }
 
 // Waiting returns how many pins the table lacks.
@@ -162,7 +162,7 @@
 	for _, u := range p.due(time.Now()) {
 		if !u.read {
 			found, err := p.find(ctx, u.PinArgs)
-			if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrThrottled) {
+			if errors.Is(err, infra.ErrUnavailable) || errors.Is(err, infra.ErrThrottled) {
 				return out
 			}
 			if err != nil {
@@ -215,7 +215,7 @@
 // wrote takes how the write of a batch ended. If it was sent and failed, the
 // rows are read before the next try: it may have taken effect.
 func (p *Pins) wrote(batch []unstoredPin, versions []uint64, err error) {
-	if errors.Is(err, platform.ErrThrottled) {
+	if errors.Is(err, infra.ErrThrottled) {
 		return
 	}
 	for i, u := range batch {
--- a/internal/ledger/pin_test.go
+++ b/internal/ledger/pin_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -17,7 +17,7 @@
 	cross func()
 }
 
-func (c *crossedTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (c *crossedTable) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	if cross := c.cross; cross != nil {
 		c.cross = nil
 		cross()
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Bounds and times of the removal of old rows.
@@ -49,7 +49,7 @@
 // not: a row of the table tells how far they were looked at, and moves on in
 // the transaction that removes the old ones.
 type Sweeper struct {
-	table platform.Table
+	table infra.Table
 	lives Lives
 	owns  func() func(shard string) bool
 	now   func() time.Time
@@ -57,14 +57,14 @@
 
 // NewSweeper returns a sweeper; owns returns what tells whether this node is
 // now the owner of a part of the rows.
-func NewSweeper(table platform.Table, lives Lives, owns func() func(shard string) bool) *Sweeper {
+func NewSweeper(table infra.Table, lives Lives, owns func() func(shard string) bool) *Sweeper {
 	return &Sweeper{table: table, lives: lives, owns: owns, now: time.Now}
 }
 
 // Sweep looks at some rows, and removes the old ones. Its calls of the table
 // come after all others.
 func (s *Sweeper) Sweep(ctx context.Context) {
-	ctx = platform.Background(ctx)
+	ctx = infra.Background(ctx)
 	switch rand.IntN(sweepShares) {
 	case 0:
 		s.walk(ctx, claimPrefix, s.lives.Claims)
@@ -98,7 +98,7 @@
 	}
 	key := sweepPrefix + strings.TrimSuffix(prefix, "/")
 	at, err := s.table.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return
 	}
 	after := string(at.Value)
@@ -112,7 +112,7 @@
 	}
 	ops := oldRows(rows, bornBefore(s.now(), life))
 	if next != after {
-		ops = append(ops, platform.Op{Key: key, Value: []byte(next), Expect: at.Version})
+		ops = append(ops, infra.Op{Key: key, Value: []byte(next), Expect: at.Version})
 	}
 	s.remove(ctx, ops)
 }
@@ -148,7 +148,7 @@
 }
 
 // remove tells whether the rows could be removed.
-func (s *Sweeper) remove(ctx context.Context, old []platform.Op) bool {
+func (s *Sweeper) remove(ctx context.Context, old []infra.Op) bool {
 	if len(old) == 0 {
 		return true
 	}
@@ -158,8 +158,8 @@
 
 // oldRows returns the removal of the rows made before the given time, each on
 // the condition that it is as it was read. Rows without a time stay.
-func oldRows(rows []platform.Row, before time.Time) []platform.Op {
-	var ops []platform.Op
+func oldRows(rows []infra.Row, before time.Time) []infra.Op {
+	var ops []infra.Op
 	for _, row := range rows {
 		var made struct {
 			At time.Time `json:"at"`
@@ -167,7 +167,7 @@
 		if json.Unmarshal(row.Value, &made) != nil || made.At.IsZero() || !made.At.Before(before) {
 			continue
 		}
-		ops = append(ops, platform.Op{Key: row.Key, Delete: true, Expect: row.Version})
+		ops = append(ops, infra.Op{Key: row.Key, Delete: true, Expect: row.Version})
 	}
 	return ops
 }
--- a/internal/ledger/sweep_test.go
+++ b/internal/ledger/sweep_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -29,7 +29,7 @@
 	*claimWorld
 	now  time.Time
 	runs map[string]time.Time // the last send of each key
-	old  []platform.Op        // found to be removed
+	old  []infra.Op           // found to be removed
 }
 
 func newLifeWorld(t *rapid.T) *lifeWorld {
@@ -149,7 +149,7 @@
 	put := func(key string, value any) {
 		raw, err := json.Marshal(value)
 		is.NoErr(err)
-		_, err = table.Commit(ctx, platform.Op{Key: key, Value: raw, Expect: platform.AnyVersion})
+		_, err = table.Commit(ctx, infra.Op{Key: key, Value: raw, Expect: infra.AnyVersion})
 		is.NoErr(err)
 	}
 	old := bornBefore(now, testLife).Add(-time.Minute)
--- a/internal/ledger/writes_test.go
+++ b/internal/ledger/writes_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -55,11 +55,11 @@
 	services.Faults.Set(standin.FaultState{Delay: storeDelay})
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops, calls sync.WaitGroup
-	homes, bills, stores := make([]*Pins, writeNodes), make([]*Bills, writeNodes), make([]*platform.Limited, writeNodes)
+	homes, bills, stores := make([]*Pins, writeNodes), make([]*Bills, writeNodes), make([]*infra.Limited, writeNodes)
 	links := make([]*farNode, writeNodes)
 	for i := range homes {
 		links[i] = &farNode{}
-		stores[i] = platform.NewLimited(services, platform.DefaultFleetLimits)
+		stores[i] = infra.NewLimited(services, infra.DefaultFleetLimits)
 		stores[i].SetNodes(10 * writeNodes)
 		homes[i] = NewPins(stores[i], links[i])
 		bills[i] = NewBills(stores[i], nil, homes[i])
@@ -91,9 +91,9 @@
 				bills[at].Add(ctx, wire.Bill{Request: fmt.Sprint(n)})
 				return
 			}
-			versions, err := stores[at].Commit(ctx, platform.Op{Key: fmt.Sprint("claim/", n)})
+			versions, err := stores[at].Commit(ctx, infra.Op{Key: fmt.Sprint("claim/", n)})
 			if err == nil {
-				_, err = stores[at].Commit(ctx, platform.Op{Key: fmt.Sprint("claim/", n), Expect: versions[0]})
+				_, err = stores[at].Commit(ctx, infra.Op{Key: fmt.Sprint("claim/", n), Expect: versions[0]})
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -132,7 +132,7 @@
 			if !ahead {
 				continue
 			}
-			if bound := platform.DefaultFleetLimits.Writes - writeOthers; 10*got.writes > bound {
+			if bound := infra.DefaultFleetLimits.Writes - writeOthers; 10*got.writes > bound {
 				t.Errorf("%.0f writes a second, the bound is %.0f", 10*got.writes, bound)
 			}
 			if got.refused > got.calls/writeRefused {
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -69,10 +69,10 @@
 		centre, region := place(i)
 		f.start(fmt.Sprintf("entry-%d", i), centre, region, 1_790_000_000_000_000_000)
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	for i := range benchReplicas {
 		centre, region := place(i)
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("engine-%d", i), Address: "10.0.0.1:8000", DataCentre: centre, Region: region, Role: platform.RoleBackend, Pool: "engines"})
+		vms = append(vms, infra.VM{ID: fmt.Sprintf("engine-%d", i), Address: "10.0.0.1:8000", DataCentre: centre, Region: region, Role: infra.RoleBackend, Pool: "engines"})
 	}
 	f.tables["entry-0"].SetVMs(f.now, f.now, vms)
 	return f
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -83,7 +83,7 @@
 	Replicas []routing.Replica
 	byID     map[string]int
 	replicas map[string]int
-	assigned map[string][]platform.VM
+	assigned map[string][]infra.VM
 	bridges  map[string]bridge
 }
 
@@ -106,7 +106,7 @@
 }
 
 // Assigned returns the VMs of the replicas that a node should own.
-func (s *Snapshot) Assigned(node string) []platform.VM { return s.assigned[node] }
+func (s *Snapshot) Assigned(node string) []infra.VM { return s.assigned[node] }
 
 // Live returns the number of live nodes.
 func (s *Snapshot) Live() int {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -194,7 +194,7 @@
 // SetVMs takes the platform's list of VMs, read no earlier than began. Entries
 // that changed here since are left alone, as the answer may be the older. An
 // empty list is taken for a fault of the platform.
-func (t *Table) SetVMs(began, now time.Time, vms []platform.VM) {
+func (t *Table) SetVMs(began, now time.Time, vms []infra.VM) {
 	if len(vms) == 0 {
 		return
 	}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -110,8 +110,8 @@
 			case 0:
 				table.Update(m.now, func(s *wire.NodeState) { s.Address = fmt.Sprintf("%s/%d", id, step) })
 			case 1:
-				vm := platform.VM{ID: fmt.Sprintf("vm-%d", step%3), Address: fmt.Sprint(step), DataCentre: "a", Region: "north", Role: platform.RoleBackend}
-				table.SetVMs(m.now, m.now, []platform.VM{vm})
+				vm := infra.VM{ID: fmt.Sprintf("vm-%d", step%3), Address: fmt.Sprint(step), DataCentre: "a", Region: "north", Role: infra.RoleBackend}
+				table.SetVMs(m.now, m.now, []infra.VM{vm})
 			case 2:
 				table.Publish(m.now, []wire.ReplicaState{{ID: "vm-0", Running: step, Limit: 16, Healthy: true}})
 			default:
@@ -227,16 +227,16 @@
 func TestLateListDoesNotRevert(t *testing.T) {
 	is := is.New(t)
 	m := ten()
-	vm := platform.VM{ID: "vm", Address: "x", Role: platform.RoleBackend}
+	vm := infra.VM{ID: "vm", Address: "x", Role: infra.RoleBackend}
 	a, b := m.tables["node-0"], m.tables["node-1"]
-	a.SetVMs(m.now, m.now, []platform.VM{vm})
+	a.SetVMs(m.now, m.now, []infra.VM{vm})
 	m.rounds(5)
 	began := m.now
 	leaving := vm
 	leaving.Leaving = true
 	m.now = m.now.Add(time.Millisecond)
-	a.SetVMs(m.now, m.now, []platform.VM{leaving})
+	a.SetVMs(m.now, m.now, []infra.VM{leaving})
 	m.rounds(5)
-	b.SetVMs(began, m.now, []platform.VM{vm})
+	b.SetVMs(began, m.now, []infra.VM{vm})
 	is.True(b.vms["vm"].news.VM.Leaving)
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -44,7 +44,7 @@
 // rebuild publishes a new view. The caller holds mu.
 func (t *Table) rebuild(now time.Time) {
 	start := time.Now()
-	s := &Snapshot{byID: make(map[string]int, len(t.nodes)), replicas: make(map[string]int, len(t.vms)), assigned: map[string][]platform.VM{}}
+	s := &Snapshot{byID: make(map[string]int, len(t.nodes)), replicas: make(map[string]int, len(t.vms)), assigned: map[string][]infra.VM{}}
 	owned := t.owned()
 	for _, n := range t.nodes {
 		state := n.state
@@ -59,7 +59,7 @@
 	t.assign(s)
 	s.Replicas = make([]routing.Replica, 0, len(t.vms))
 	for _, id := range t.vmIDs() {
-		if v := t.vms[id]; v.news.VM.Role == platform.RoleBackend && !v.news.Gone {
+		if v := t.vms[id]; v.news.VM.Role == infra.RoleBackend && !v.news.Gone {
 			s.Replicas = append(s.Replicas, t.replica(s, v.news.VM))
 		}
 	}
@@ -99,7 +99,7 @@
 
 // replica joins the list of VMs with the account of the replica's owner. The
 // caller holds mu.
-func (t *Table) replica(s *Snapshot, vm platform.VM) routing.Replica {
+func (t *Table) replica(s *Snapshot, vm infra.VM) routing.Replica {
 	r := routing.Replica{ID: vm.ID, Address: vm.Address, Pool: vm.Pool, DataCentre: vm.DataCentre, Owner: t.owners[vm.ID]}
 	item := t.replicas[vm.ID]
 	if item == nil {
@@ -135,7 +135,7 @@
 	groups := group(s.Nodes)
 	for _, id := range t.vmIDs() {
 		v := t.vms[id]
-		if v.news.VM.Role != platform.RoleBackend || v.news.Gone {
+		if v.news.VM.Role != infra.RoleBackend || v.news.Gone {
 			continue
 		}
 		if t.owners[id] == "" {
@@ -168,7 +168,7 @@
 // owner returns the node that queues for a replica: the one with the highest
 // score among the live nodes of its data centre, else of its region, else of
 // all.
-func (g groups) owner(vm platform.VM) string {
+func (g groups) owner(vm infra.VM) string {
 	for _, near := range [][]string{g.centres[vm.DataCentre], g.regions[vm.Region], g.all} {
 		if owner := routing.Highest(near, vm.ID); owner != "" {
 			return owner
--- a/internal/meter/health.go
+++ b/internal/meter/health.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Health tells how the platform answered of late.
@@ -46,8 +46,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case errors.Is(err, platform.ErrThrottled):
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrThrottled):
+	case errors.Is(err, infra.ErrUnavailable):
 		l.now.LastFailure = at
 		l.now.FailuresInRow++
 		l.now.Cause = err.Error()
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
@@ -114,10 +114,10 @@
 }
 
 // failing is a platform that is away.
-type failing struct{ platform.Services }
+type failing struct{ infra.Services }
 
-func (failing) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, errors.Wrap(platform.ErrUnavailable, "away")
+func (failing) Get(context.Context, string) (infra.Row, error) {
+	return infra.Row{}, errors.Wrap(infra.ErrUnavailable, "away")
 }
 
 func TestStore(t *testing.T) {
@@ -128,10 +128,10 @@
 	s := Store{Next: inner, Metrics: m, Tracer: tracer, Health: health}
 	ctx := t.Context()
 	_, err := s.Get(ctx, "claim/a")
-	is.True(errors.Is(err, platform.ErrNotFound))
-	_, err = s.Commit(ctx, platform.Op{Key: "claim/a", Expect: 7})
-	is.True(errors.Is(err, platform.ErrConflict))
-	_, err = s.Commit(ctx, platform.Op{Key: "an organisation's own key", Expect: platform.AnyVersion})
+	is.True(errors.Is(err, infra.ErrNotFound))
+	_, err = s.Commit(ctx, infra.Op{Key: "claim/a", Expect: 7})
+	is.True(errors.Is(err, infra.ErrConflict))
+	_, err = s.Commit(ctx, infra.Op{Key: "an organisation's own key", Expect: infra.AnyVersion})
 	is.NoErr(err)
 	is.Equal(health.Now().FailuresInRow, 0) // a refusal is an answer
 	away := Store{Next: failing{inner}, Metrics: m, Tracer: tracer, Health: health}
--- a/internal/meter/store.go
+++ b/internal/meter/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -38,11 +38,11 @@
 	switch {
 	case err == nil:
 		return resultOK
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		return "not_found"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return "conflict"
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, infra.ErrThrottled):
 		return "throttled"
 	default:
 		return "unavailable"
@@ -51,13 +51,13 @@
 
 // Store counts, times and traces the calls of the platform.
 type Store struct {
-	Next    platform.Services
+	Next    infra.Services
 	Metrics *telemetry.Metrics
 	Tracer  *telemetry.Tracer
 	Health  *HealthLog
 }
 
-var _ platform.Services = Store{}
+var _ infra.Services = Store{}
 
 // begin starts one call; the function returned ends it.
 func (s Store) begin(ctx context.Context, use string) (context.Context, func(error)) {
@@ -72,24 +72,24 @@
 	}
 }
 
-// Get implements platform.Table.
-func (s Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (s Store) Get(ctx context.Context, key string) (infra.Row, error) {
 	ctx, end := s.begin(ctx, useOf(key))
 	row, err := s.Next.Get(ctx, key)
 	end(err)
 	return row, err
 }
 
-// List implements platform.Table.
-func (s Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements infra.Table.
+func (s Store) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	ctx, end := s.begin(ctx, useOf(prefix))
 	rows, err := s.Next.List(ctx, prefix, after, limit)
 	end(err)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (s Store) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+// Commit implements infra.Table.
+func (s Store) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	use := useOther
 	if len(ops) > 0 {
 		use = useOf(ops[0].Key)
@@ -100,7 +100,7 @@
 	return versions, err
 }
 
-// PutObject implements platform.ObjectStore.
+// PutObject implements infra.ObjectStore.
 func (s Store) PutObject(ctx context.Context, name string, body []byte) error {
 	ctx, end := s.begin(ctx, useObjects)
 	err := s.Next.PutObject(ctx, name, body)
@@ -108,7 +108,7 @@
 	return err
 }
 
-// GetObject implements platform.ObjectStore.
+// GetObject implements infra.ObjectStore.
 func (s Store) GetObject(ctx context.Context, name string) ([]byte, error) {
 	ctx, end := s.begin(ctx, useObjects)
 	body, err := s.Next.GetObject(ctx, name)
@@ -116,31 +116,31 @@
 	return body, err
 }
 
-// VMs implements platform.VMList.
-func (s Store) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements infra.VMList.
+func (s Store) VMs(ctx context.Context) ([]infra.VM, error) {
 	ctx, end := s.begin(ctx, useVMs)
 	vms, err := s.Next.VMs(ctx)
 	end(err)
 	return vms, err
 }
 
-// Submit implements platform.Ratings.
-func (s Store) Submit(ctx context.Context, samples []platform.Sample) error {
+// Submit implements infra.Ratings.
+func (s Store) Submit(ctx context.Context, samples []infra.Sample) error {
 	ctx, end := s.begin(ctx, useRatings)
 	err := s.Next.Submit(ctx, samples)
 	end(err)
 	return err
 }
 
-// Poll implements platform.Ratings.
-func (s Store) Poll(ctx context.Context, requests []string) ([]platform.Rating, error) {
+// Poll implements infra.Ratings.
+func (s Store) Poll(ctx context.Context, requests []string) ([]infra.Rating, error) {
 	ctx, end := s.begin(ctx, useRatings)
 	ratings, err := s.Next.Poll(ctx, requests)
 	end(err)
 	return ratings, err
 }
 
-// Acquire implements platform.Weights.
+// Acquire implements infra.Weights.
 func (s Store) Acquire(ctx context.Context, target string) (time.Duration, error) {
 	ctx, end := s.begin(ctx, useWeights)
 	wait, err := s.Next.Acquire(ctx, target)
--- a/internal/node/cascade.go
+++ b/internal/node/cascade.go
@@ -8,7 +8,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
@@ -37,7 +37,7 @@
 }
 
 // learn takes a verdict, unless the rating service is doubted.
-func (c *cascade) learn(s platform.Sample, t config.Target, passed bool) {
+func (c *cascade) learn(s infra.Sample, t config.Target, passed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.trusted {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,10 +15,10 @@
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/gateway"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/meter"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/record"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
@@ -28,7 +28,7 @@
 )
 
 // Platform is all that a node needs of the platform.
-type Platform = platform.Services
+type Platform = infra.Services
 
 // Listeners are where a node is reached.
 type Listeners struct {
@@ -81,7 +81,7 @@
 	mu         sync.Mutex // guards seeds; taken alone
 	exchanger  *exchanger
 	refusals   refusals
-	platform   *platform.Limited
+	platform   *infra.Limited
 	started    time.Time            // by the own clock, for ages only
 	registered time.Time            // used by the registration's loop alone
 	configRead time.Time            // used by the configuration's loop alone
@@ -101,7 +101,7 @@
 	}
 	metrics := telemetry.NewMetrics()
 	health := &meter.HealthLog{}
-	limited := platform.NewLimited(o.Platform, platform.DefaultFleetLimits)
+	limited := infra.NewLimited(o.Platform, infra.DefaultFleetLimits)
 	o.Platform = limited
 	o = metered(o, metrics, tracer, health)
 	n := &Node{
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // nodeRow is what the table holds of a node, for others to find it.
@@ -41,7 +41,7 @@
 			return
 		}
 		n.members.Raise(time.Now(), stored.Incarnation)
-		if !errors.Is(n.writeRow(ctx, version), platform.ErrConflict) {
+		if !errors.Is(n.writeRow(ctx, version), infra.ErrConflict) {
 			return
 		}
 	}
@@ -51,7 +51,7 @@
 func (n *Node) ownRow(ctx context.Context) (nodeRow, uint64, error) {
 	var stored nodeRow
 	row, err := n.platform.Get(ctx, nodePrefix+n.options.Settings.ID)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return stored, 0, nil
 	}
 	if err != nil {
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = n.platform.Commit(ctx, platform.Op{Key: nodePrefix + self.ID, Value: row, Expect: expect})
+	_, err = n.platform.Commit(ctx, infra.Op{Key: nodePrefix + self.ID, Value: row, Expect: expect})
 	return err
 }
 
@@ -80,7 +80,7 @@
 	if !n.due(&n.registered, interval) {
 		return
 	}
-	_ = n.writeRow(ctx, platform.AnyVersion)
+	_ = n.writeRow(ctx, infra.AnyVersion)
 	n.readNodes(ctx)
 }
 
@@ -88,7 +88,7 @@
 // that nobody renews.
 func (n *Node) readNodes(ctx context.Context) {
 	seeds := map[string]string{}
-	var expired []platform.Op
+	var expired []infra.Op
 	after := ""
 	for {
 		rows, err := n.platform.List(ctx, nodePrefix, after, nodeRowsPerRead)
@@ -102,7 +102,7 @@
 				seeds[r.Key[len(nodePrefix):]] = other.Inner
 				continue
 			}
-			expired = append(expired, platform.Op{Key: r.Key, Delete: true, Expect: r.Version})
+			expired = append(expired, infra.Op{Key: r.Key, Delete: true, Expect: r.Version})
 		}
 		if len(rows) < nodeRowsPerRead {
 			break
@@ -123,5 +123,5 @@
 	if err != nil || stored.Incarnation != n.members.Incarnation() {
 		return
 	}
-	_, _ = n.platform.Commit(ctx, platform.Op{Key: nodePrefix + n.options.Settings.ID, Delete: true, Expect: version})
+	_, _ = n.platform.Commit(ctx, infra.Op{Key: nodePrefix + n.options.Settings.ID, Delete: true, Expect: version})
 }
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -10,7 +10,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/rating"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
@@ -37,7 +37,7 @@
 
 var _ dispatch.Observer = (*versions)(nil)
 
-func newVersions(service platform.Ratings, metrics *telemetry.Metrics, plan func() *routing.Plan) *versions {
+func newVersions(service infra.Ratings, metrics *telemetry.Metrics, plan func() *routing.Plan) *versions {
 	v := &versions{plan: plan, metrics: metrics, totals: rollout.Totals{}}
 	v.ratings = rating.NewSampler(service, v.rated)
 	v.cascade = newCascade(v)
@@ -87,14 +87,14 @@
 	}
 }
 
-func sample(a dispatch.Answered) platform.Sample {
-	return platform.Sample{Request: a.Request, Organisation: a.Organisation, Kind: a.Kind, Target: a.Target.String(), Answer: a.Text}
+func sample(a dispatch.Answered) infra.Sample {
+	return infra.Sample{Request: a.Request, Organisation: a.Organisation, Kind: a.Kind, Target: a.Target.String(), Answer: a.Text}
 }
 
 // rated takes a verdict. Of answers that were judged while their callers
 // waited, only a sample counts as evidence, as of all others: they are of the
 // harder kinds.
-func (v *versions) rated(s platform.Sample, passed, judged bool) {
+func (v *versions) rated(s infra.Sample, passed, judged bool) {
 	t := config.ParseTarget(s.Target)
 	if !judged || rand.Float64() < v.share(t) {
 		v.add(t, rollout.Evidence{Rated: one(passed)})
--- a/internal/rating/sampler.go
+++ b/internal/rating/sampler.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Bounds of what is sent and remembered.
@@ -38,11 +38,11 @@
 
 // Sampler sends samples and passes verdicts on. It is safe for concurrent use.
 type Sampler struct {
-	service platform.Ratings
-	verdict func(s platform.Sample, passed, judged bool)
+	service infra.Ratings
+	verdict func(s infra.Sample, passed, judged bool)
 
 	mu      sync.Mutex
-	queue   []platform.Sample   // guarded by mu
+	queue   []infra.Sample      // guarded by mu
 	waiting map[string]*pending // guarded by mu, by request
 	delay   time.Duration       // guarded by mu
 	heard   time.Time           // guarded by mu
@@ -52,7 +52,7 @@
 
 // pending is a sample without a verdict.
 type pending struct {
-	sample platform.Sample
+	sample infra.Sample
 	sent   time.Time
 	next   time.Time
 	wait   time.Duration
@@ -61,12 +61,12 @@
 
 // NewSampler returns a sampler that passes each verdict on; judged tells that
 // somebody waited for it.
-func NewSampler(service platform.Ratings, verdict func(s platform.Sample, passed, judged bool)) *Sampler {
+func NewSampler(service infra.Ratings, verdict func(s infra.Sample, passed, judged bool)) *Sampler {
 	return &Sampler{service: service, verdict: verdict, waiting: map[string]*pending{}}
 }
 
 // Add queues a sample; it is dropped when there are too many.
-func (s *Sampler) Add(sample platform.Sample) {
+func (s *Sampler) Add(sample infra.Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.queue) >= maxQueued || s.bytes+len(sample.Answer) > maxQueuedBytes || len(s.waiting) >= maxWaiting {
@@ -79,7 +79,7 @@
 
 // Judge asks for a verdict and waits for it; ok is false if none came before
 // ctx ended.
-func (s *Sampler) Judge(ctx context.Context, sample platform.Sample) (passed, ok bool) {
+func (s *Sampler) Judge(ctx context.Context, sample infra.Sample) (passed, ok bool) {
 	p := &pending{sample: sample, judge: make(chan bool, 1)}
 	s.mu.Lock()
 	if len(s.waiting) >= maxWaiting {
@@ -88,7 +88,7 @@
 		return false, false
 	}
 	s.mu.Unlock()
-	if s.submit(ctx, []platform.Sample{sample}) != nil {
+	if s.submit(ctx, []infra.Sample{sample}) != nil {
 		return false, false
 	}
 	s.mu.Lock()
@@ -123,7 +123,7 @@
 	s.poll(ctx)
 }
 
-func (s *Sampler) submit(ctx context.Context, batch []platform.Sample) error {
+func (s *Sampler) submit(ctx context.Context, batch []infra.Sample) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return s.service.Submit(ctx, batch)
@@ -139,7 +139,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue = append([]platform.Sample(nil), s.queue[len(batch):]...)
+	s.queue = append([]infra.Sample(nil), s.queue[len(batch):]...)
 	for _, sample := range batch {
 		s.bytes -= len(sample.Answer)
 		s.wait(&pending{sample: sample}, now)
@@ -193,7 +193,7 @@
 	return out
 }
 
-func (s *Sampler) settle(v platform.Rating, now time.Time) {
+func (s *Sampler) settle(v infra.Rating, now time.Time) {
 	s.mu.Lock()
 	p := s.waiting[v.Request]
 	if p == nil {
--- a/internal/rating/sampler_test.go
+++ b/internal/rating/sampler_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -25,7 +25,7 @@
 func newSampler(lag time.Duration) (*Sampler, *standin.Platform, map[string]int) {
 	service := standin.NewPlatform(standin.PlatformOptions{RatingLag: lag})
 	heard := map[string]int{}
-	return NewSampler(service, func(s platform.Sample, _, _ bool) { heard[s.Request]++ }), service, heard
+	return NewSampler(service, func(s infra.Sample, _, _ bool) { heard[s.Request]++ }), service, heard
 }
 
 // Each verdict is passed on once, though the service is away for a while.
@@ -35,7 +35,7 @@
 		s, service, got := newSampler(3 * time.Second)
 		heard = got
 		for i := range 200 {
-			s.Add(platform.Sample{Request: fmt.Sprint(i), Answer: "q=0.90 "})
+			s.Add(infra.Sample{Request: fmt.Sprint(i), Answer: "q=0.90 "})
 		}
 		run(s, 2*time.Second)
 		service.RatingFaults.Set(standin.FaultState{Stopped: true})
@@ -60,7 +60,7 @@
 		s, service, _ := newSampler(24 * time.Hour)
 		text := strings.Repeat("word ", 10_000)
 		for i := range 50 * maxQueued {
-			s.Add(platform.Sample{Request: fmt.Sprint(i), Answer: text})
+			s.Add(infra.Sample{Request: fmt.Sprint(i), Answer: text})
 			if i%(batchSize/2) == 0 {
 				s.Tick(context.Background())
 			}
@@ -70,7 +70,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		start := time.Now()
-		_, ok = s.Judge(ctx, platform.Sample{Request: "judged"})
+		_, ok = s.Judge(ctx, infra.Sample{Request: "judged"})
 		took = time.Since(start)
 	})
 	is := is.New(t)
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -108,7 +108,7 @@
 
 // number reads the number of a write out of a snapshot.
 func number(t *rapid.T, c Content, err error) int {
-	if errors.Is(err, platform.ErrNotFound) || (err == nil && c.Body == nil) {
+	if errors.Is(err, infra.ErrNotFound) || (err == nil && c.Body == nil) {
 		return 0
 	}
 	n := 0
@@ -216,7 +216,7 @@
 				}
 			}
 			_, err = w.store.Newest(ctx, kind, schema)
-			is.True(errors.Is(err, platform.ErrNotFound))
+			is.True(errors.Is(err, infra.ErrNotFound))
 		})
 	}
 }
@@ -252,7 +252,7 @@
 	w.write(0)
 	w.platform.ObjectFaults.Set(standin.FaultState{Stopped: true})
 	_, err = w.writers[1].TakeOver(ctx, schema)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, infra.ErrUnavailable))
 	is.True(!w.writers[1].Held())
 }
 
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 const (
@@ -48,14 +48,14 @@
 
 // Store is where snapshots are kept.
 type Store struct {
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   infra.Table
+	Objects infra.ObjectStore
 }
 
 // read returns the head row of a kind, empty if there is none.
 func (s Store) read(ctx context.Context, kind string) (head, uint64, error) {
 	row, err := s.Table.Get(ctx, Prefix+kind)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return head{}, 0, nil
 	}
 	if err != nil {
@@ -66,7 +66,7 @@
 }
 
 // Newest returns the newest usable snapshot of a kind whose schema is at most
-// the given one, or platform.ErrNotFound.
+// the given one, or infra.ErrNotFound.
 func (s Store) Newest(ctx context.Context, kind string, schema int) (Content, error) {
 	h, _, err := s.read(ctx, kind)
 	if err != nil {
@@ -80,7 +80,7 @@
 func (s Store) newest(ctx context.Context, kind string, schema int, h head) (Content, error) {
 	for _, g := range h.Newest {
 		stored, err := s.Objects.GetObject(ctx, g.Object)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, infra.ErrNotFound) {
 			continue
 		}
 		if err != nil {
@@ -90,7 +90,7 @@
 			return c, nil
 		}
 	}
-	return Content{}, platform.ErrNotFound
+	return Content{}, infra.ErrNotFound
 }
 
 // open decodes a stored snapshot and holds it against what the head row says.
@@ -150,7 +150,7 @@
 		return Content{}, err
 	}
 	c, err := w.store.newest(ctx, w.kind, schema, next)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		w.held = false
 		return Content{}, err
 	}
@@ -219,12 +219,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the head of snapshots")
 	}
-	versions, err := w.store.Table.Commit(ctx, platform.Op{Key: Prefix + w.kind, Value: value, Expect: version})
+	versions, err := w.store.Table.Commit(ctx, infra.Op{Key: Prefix + w.kind, Value: value, Expect: version})
 	switch {
 	case err == nil:
 		w.head, w.version = next, versions[0]
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return w.settle(ctx, value, next)
 	default:
 		return err
@@ -243,5 +243,5 @@
 	if same, err := json.Marshal(now); err == nil && string(same) == string(value) {
 		return nil
 	}
-	return errors.Wrap(platform.ErrUnavailable, "an earlier write had taken effect")
+	return errors.Wrap(infra.ErrUnavailable, "an earlier write had taken effect")
 }
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Paths by which tests and operators read and control a stand-in process.
@@ -172,33 +172,33 @@
 // PlatformHandler serves a platform over HTTP.
 func PlatformHandler(p *Platform) http.Handler {
 	r := chi.NewRouter()
-	r.Get(platform.PathRow, func(w http.ResponseWriter, r *http.Request) {
+	r.Get(infra.PathRow, func(w http.ResponseWriter, r *http.Request) {
 		row, err := p.Get(r.Context(), r.URL.Query().Get("key"))
 		answerPlatform(w, row, err)
 	})
-	r.Get(platform.PathRows, func(w http.ResponseWriter, r *http.Request) {
+	r.Get(infra.PathRows, func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
 		limit, _ := strconv.Atoi(q.Get("limit"))
 		rows, err := p.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
 		answerPlatform(w, rows, err)
 	})
-	r.Post(platform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
-		var req platform.CommitRequest
+	r.Post(infra.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+		var req infra.CommitRequest
 		if err := readBody(r, &req); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		versions, err := p.Commit(r.Context(), req.Ops...)
-		answerPlatform(w, platform.CommitReply{Versions: versions}, err)
+		answerPlatform(w, infra.CommitReply{Versions: versions}, err)
 	})
-	r.Put(platform.PathObjects+"{name}", func(w http.ResponseWriter, r *http.Request) {
+	r.Put(infra.PathObjects+"{name}", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 		if err == nil {
 			err = p.PutObject(r.Context(), chi.URLParam(r, "name"), body)
 		}
 		answerPlatform(w, struct{}{}, err)
 	})
-	r.Get(platform.PathObjects+"{name}", func(w http.ResponseWriter, r *http.Request) {
+	r.Get(infra.PathObjects+"{name}", func(w http.ResponseWriter, r *http.Request) {
 		body, err := p.GetObject(r.Context(), chi.URLParam(r, "name"))
 		if err != nil {
 			answerPlatform(w, nil, err)
@@ -206,27 +206,27 @@
 		}
 		_, _ = w.Write(body)
 	})
-	r.Get(platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	r.Get(infra.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		vms, err := p.VMs(r.Context())
 		answerPlatform(w, vms, err)
 	})
-	r.Post(platform.PathSubmit, func(w http.ResponseWriter, r *http.Request) {
-		var samples []platform.Sample
+	r.Post(infra.PathSubmit, func(w http.ResponseWriter, r *http.Request) {
+		var samples []infra.Sample
 		err := readBody(r, &samples)
 		if err == nil {
 			err = p.Submit(r.Context(), samples)
 		}
 		answerPlatform(w, struct{}{}, err)
 	})
-	r.Post(platform.PathPoll, func(w http.ResponseWriter, r *http.Request) {
+	r.Post(infra.PathPoll, func(w http.ResponseWriter, r *http.Request) {
 		var ids []string
 		_ = readBody(r, &ids)
 		ratings, err := p.Poll(r.Context(), ids)
 		answerPlatform(w, ratings, err)
 	})
-	r.Post(platform.PathWeights, func(w http.ResponseWriter, r *http.Request) {
+	r.Post(infra.PathWeights, func(w http.ResponseWriter, r *http.Request) {
 		wait, err := p.Acquire(r.Context(), r.URL.Query().Get("target"))
-		answerPlatform(w, platform.WaitReply{WaitMilliseconds: wait.Milliseconds()}, err)
+		answerPlatform(w, infra.WaitReply{WaitMilliseconds: wait.Milliseconds()}, err)
 	})
 	for part, f := range map[string]*Faults{
 		"": p.Faults, "/objects": p.ObjectFaults, "/vms": p.VMFaults, "/ratings": p.RatingFaults, "/weights": p.WeightFaults,
@@ -234,7 +234,7 @@
 		r.Post(PathFaults+part, faultsHandler(f))
 	}
 	r.Post(PathSetVMs, func(w http.ResponseWriter, r *http.Request) {
-		var vms []platform.VM
+		var vms []infra.VM
 		if err := readBody(r, &vms); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -248,9 +248,9 @@
 	switch {
 	case err == nil:
 		writeJSON(w, v)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		http.Error(w, err.Error(), http.StatusConflict)
 	default:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // PlatformOptions sizes a platform.
@@ -44,19 +44,19 @@
 
 type vmChange struct {
 	at  time.Time
-	vms []platform.VM
+	vms []infra.VM
 }
 
 type rated struct {
 	at      time.Time
-	verdict platform.Rating
+	verdict infra.Rating
 }
 
 var (
-	_ platform.ObjectStore = (*Platform)(nil)
-	_ platform.VMList      = (*Platform)(nil)
-	_ platform.Ratings     = (*Platform)(nil)
-	_ platform.Weights     = (*Platform)(nil)
+	_ infra.ObjectStore = (*Platform)(nil)
+	_ infra.VMList      = (*Platform)(nil)
+	_ infra.Ratings     = (*Platform)(nil)
+	_ infra.Weights     = (*Platform)(nil)
 )
 
 // NewPlatform returns an empty platform.
@@ -77,49 +77,49 @@
 	}
 }
 
-// PutObject implements platform.ObjectStore.
+// PutObject implements infra.ObjectStore.
 func (p *Platform) PutObject(ctx context.Context, name string, body []byte) error {
 	if err := p.ObjectFaults.Enter(ctx); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.objects[name] = body
 	if p.ObjectFaults.LoseReply() {
-		return errors.Wrap(platform.ErrUnavailable, "the reply was lost")
+		return errors.Wrap(infra.ErrUnavailable, "the reply was lost")
 	}
 	return nil
 }
 
-// GetObject implements platform.ObjectStore.
+// GetObject implements infra.ObjectStore.
 func (p *Platform) GetObject(ctx context.Context, name string) ([]byte, error) {
 	if err := p.ObjectFaults.Enter(ctx); err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	body, ok := p.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return body, nil
 }
 
 // SetVMs replaces the true list; callers of VMs see it after the lag.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []infra.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := time.Now().Add(p.options.VMLag)
 	if len(p.changes) == 0 {
 		at = time.Now()
 	}
-	p.changes = append(p.changes, vmChange{at: at, vms: append([]platform.VM(nil), vms...)})
+	p.changes = append(p.changes, vmChange{at: at, vms: append([]infra.VM(nil), vms...)})
 }
 
-// VMs implements platform.VMList.
-func (p *Platform) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements infra.VMList.
+func (p *Platform) VMs(ctx context.Context) ([]infra.VM, error) {
 	if err := p.VMFaults.Enter(ctx); err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,35 +130,35 @@
 	if len(p.changes) == 0 {
 		return nil, nil
 	}
-	return append([]platform.VM(nil), p.changes[0].vms...), nil
+	return append([]infra.VM(nil), p.changes[0].vms...), nil
 }
 
-// Submit implements platform.Ratings. An answer passes with the chance that
+// Submit implements infra.Ratings. An answer passes with the chance that
 // its text's mark gives; see PassChance.
-func (p *Platform) Submit(ctx context.Context, samples []platform.Sample) error {
+func (p *Platform) Submit(ctx context.Context, samples []infra.Sample) error {
 	if err := p.RatingFaults.Enter(ctx); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, s := range samples {
 		draw := float64(xxhash.Sum64String(s.Request)%10_000) / 10_000
-		verdict := platform.Rating{Request: s.Request, Passed: draw < PassChance(s.Answer), At: now}
+		verdict := infra.Rating{Request: s.Request, Passed: draw < PassChance(s.Answer), At: now}
 		p.ratings[s.Request] = rated{at: now.Add(p.options.RatingLag), verdict: verdict}
 	}
 	return nil
 }
 
-// Poll implements platform.Ratings.
-func (p *Platform) Poll(ctx context.Context, requests []string) ([]platform.Rating, error) {
+// Poll implements infra.Ratings.
+func (p *Platform) Poll(ctx context.Context, requests []string) ([]infra.Rating, error) {
 	if err := p.RatingFaults.Enter(ctx); err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	out := []platform.Rating{}
+	out := []infra.Rating{}
 	for _, id := range requests {
 		if r, ok := p.ratings[id]; ok && !r.at.After(now) {
 			out = append(out, r.verdict)
@@ -168,10 +168,10 @@
 	return out, nil
 }
 
-// Acquire implements platform.Weights.
+// Acquire implements infra.Weights.
 func (p *Platform) Acquire(ctx context.Context, _ string) (time.Duration, error) {
 	if err := p.WeightFaults.Enter(ctx); err != nil {
-		return 0, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return 0, errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	r := p.weights.Reserve()
 	wait := r.Delay()
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 )
 
 // Table is the platform's transactional table in memory. It is safe for
@@ -17,16 +17,16 @@
 	// Faults is its state of failure.
 	Faults *Faults
 	mu     sync.Mutex
-	rows   map[string]platform.Row // guarded by mu
-	last   uint64                  // guarded by mu
-	reads  int                     // guarded by mu
-	writes int                     // guarded by mu
+	rows   map[string]infra.Row // guarded by mu
+	last   uint64               // guarded by mu
+	reads  int                  // guarded by mu
+	writes int                  // guarded by mu
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ infra.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{Faults: NewFaults(), rows: map[string]platform.Row{}} }
+func NewTable() *Table { return &Table{Faults: NewFaults(), rows: map[string]infra.Row{}} }
 
 // Counts returns how many reads and transactions were carried out.
 func (t *Table) Counts() (reads, writes int) {
@@ -37,35 +37,35 @@
 
 func (t *Table) enter(ctx context.Context) error {
 	if err := t.Faults.Enter(ctx); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(infra.ErrUnavailable, err.Error())
 	}
 	return nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	if err := t.enter(ctx); err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return infra.Row{}, infra.ErrNotFound
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements infra.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
-	rows := []platform.Row{}
+	rows := []infra.Row{}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
@@ -78,25 +78,25 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	versions, err := t.apply(ops)
 	if err == nil && t.Faults.LoseReply() {
-		return nil, errors.Wrap(platform.ErrUnavailable, "the reply was lost")
+		return nil, errors.Wrap(infra.ErrUnavailable, "the reply was lost")
 	}
 	return versions, err
 }
 
-func (t *Table) apply(ops []platform.Op) ([]uint64, error) {
+func (t *Table) apply(ops []infra.Op) ([]uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.writes++
 	for _, op := range ops {
-		if op.Expect != platform.AnyVersion && t.rows[op.Key].Version != op.Expect {
-			return nil, platform.ErrConflict
+		if op.Expect != infra.AnyVersion && t.rows[op.Key].Version != op.Expect {
+			return nil, infra.ErrConflict
 		}
 	}
 	versions := make([]uint64, len(ops))
@@ -106,7 +106,7 @@
 			continue
 		}
 		t.last++
-		t.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: t.last}
+		t.rows[op.Key] = infra.Row{Key: op.Key, Value: op.Value, Version: t.last}
 		versions[i] = t.last
 	}
 	return versions, nil
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -1,6 +1,6 @@
 package wire
 
-import "github.com/cowslipfall/cowslipfall/internal/platform"
+import "github.com/cowslipfall/cowslipfall/internal/infra"
 
 // Position is a place in a node's log of changes.
 type Position struct {
@@ -54,7 +54,7 @@
 
 // VMNews is an entry of the platform's list of VMs.
 type VMNews struct {
-	VM platform.VM
+	VM infra.VM
 	// Version rises with each change that a node sees in the list.
 	Version uint64
 	// Gone tells that the list no longer has the entry.
--- a/test/fleet/claims_test.go
+++ b/test/fleet/claims_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/embedded"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -312,7 +312,7 @@
 		w := newWorld(f, worldOptions{})
 		defer w.close()
 		d := &desk{w: w}
-		_, err := w.platform.Commit(context.Background(), platform.Op{Key: ledger.ClaimKey(ledger.CallID{Organisation: org, Service: "kirjauspalvelu", Key: "seat-1"}), Value: []byte(`{"token":"t","node":"entry-9","process":"p","content":1}`)})
+		_, err := w.platform.Commit(context.Background(), infra.Op{Key: ledger.ClaimKey(ledger.CallID{Organisation: org, Service: "kirjauspalvelu", Key: "seat-1"}), Value: []byte(`{"token":"t","node":"entry-9","process":"p","content":1}`)})
 		f.check(err == nil, "write claim: %v", err)
 		again := d.confirm("entry-1", "seat-1")
 		f.check(again.status != http.StatusOK, "the claim was taken over: %+v", again.answer)
--- a/test/fleet/config_test.go
+++ b/test/fleet/config_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -60,7 +60,7 @@
 		f.check(err == nil, "read head: %v", err)
 		newest := w.apply("newest", func(*config.Revision) {})
 		w.sleep(inForceWithin)
-		_, err = w.platform.Commit(ctx, platform.Op{Key: config.HeadKey, Value: old.Value, Expect: platform.AnyVersion})
+		_, err = w.platform.Commit(ctx, infra.Op{Key: config.HeadKey, Value: old.Value, Expect: infra.AnyVersion})
 		f.check(err == nil, "take the store back: %v", err)
 		w.sleep(time.Minute)
 		w.kill("entry-2")
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -24,8 +24,8 @@
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/embedded"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/node"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
@@ -78,26 +78,26 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.away {
-		return errors.Wrap(platform.ErrUnavailable, "cut off")
+		return errors.Wrap(infra.ErrUnavailable, "cut off")
 	}
 	return nil
 }
 
-func (v *view) Get(ctx context.Context, key string) (platform.Row, error) {
+func (v *view) Get(ctx context.Context, key string) (infra.Row, error) {
 	if err := v.reach(); err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	return v.Platform.Get(ctx, key)
 }
 
-func (v *view) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (v *view) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if err := v.reach(); err != nil {
 		return nil, err
 	}
 	return v.Platform.List(ctx, prefix, after, limit)
 }
 
-func (v *view) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (v *view) Commit(ctx context.Context, ops ...infra.Op) ([]uint64, error) {
 	if err := v.reach(); err != nil {
 		return nil, err
 	}
@@ -111,7 +111,7 @@
 	return v.Platform.GetObject(ctx, name)
 }
 
-func (v *view) VMs(ctx context.Context) ([]platform.VM, error) {
+func (v *view) VMs(ctx context.Context) ([]infra.VM, error) {
 	if err := v.reach(); err != nil {
 		return nil, err
 	}
@@ -148,7 +148,7 @@
 	net      *network
 	platform *standin.Platform
 	dialer   *dialer
-	vms      []platform.VM
+	vms      []infra.VM
 	config   *config.Config
 	shape    embedded.Deployment
 	nodes    map[string]*member
--- a/test/fleet/store_test.go
+++ b/test/fleet/store_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -31,8 +31,8 @@
 				w.sleep(time.Second)
 				r, wr := w.platform.Counts()
 				seconds := time.Since(start).Seconds()
-				f.check(float64(r-reads) <= seconds*platform.DefaultFleetLimits.Reads, "%s: %d reads in %g s", what, r-reads, seconds)
-				f.check(float64(wr-writes) <= seconds*platform.DefaultFleetLimits.Writes, "%s: %d writes in %g s", what, wr-writes, seconds)
+				f.check(float64(r-reads) <= seconds*infra.DefaultFleetLimits.Reads, "%s: %d reads in %g s", what, r-reads, seconds)
+				f.check(float64(wr-writes) <= seconds*infra.DefaultFleetLimits.Writes, "%s: %d writes in %g s", what, wr-writes, seconds)
 			}
 		}
 		watch("at work", 20*time.Second)
--- a/test/fleet/wirev1_test.go
+++ b/test/fleet/wirev1_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
 	"github.com/cowslipfall/cowslipfall/internal/config"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
 )
 
@@ -211,7 +211,7 @@
 	State   V1ReplicaState
 }
 type V1VMNews struct {
-	VM      platform.VM
+	VM      infra.VM
 	Version uint64
 	Gone    bool
 }
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/node"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 	"github.com/cowslipfall/cowslipfall/internal/standin"
 )
 
@@ -108,9 +108,9 @@
 func startFleet(t *testing.T, nodes, engines, services int, engineFlags ...string) *fleet {
 	t.Helper()
 	f := &fleet{platform: start(t, "standin", "platform", "--vm-lag", "200ms")}
-	var vms []platform.VM
+	var vms []infra.VM
 	add := func(p *process, pool string, i int) {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("%s-%d", pool, i), Address: p.addresses["address"], DataCentre: dataCentres[i%3], Region: "etelainen", Role: platform.RoleBackend, Pool: pool})
+		vms = append(vms, infra.VM{ID: fmt.Sprintf("%s-%d", pool, i), Address: p.addresses["address"], DataCentre: dataCentres[i%3], Region: "etelainen", Role: infra.RoleBackend, Pool: pool})
 	}
 	for i := range engines {
 		args := append([]string{"standin", "engine", "--id", fmt.Sprintf("engine-%d", i), "--target", "kuski@v1,kuski@v2,emanta@v3"}, engineFlags...)
@@ -143,7 +143,7 @@
 // base returns the platform's URL.
 func (f *fleet) base() string { return "http://" + f.platform.addresses["address"] }
 
-func (f *fleet) setVMs(t *testing.T, vms []platform.VM) {
+func (f *fleet) setVMs(t *testing.T, vms []infra.VM) {
 	t.Helper()
 	raw, err := json.Marshal(vms)
 	is.New(t).NoErr(err)
--- a/test/process/stop_test.go
+++ b/test/process/stop_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
-	"github.com/cowslipfall/cowslipfall/internal/platform"
 )
 
 // caller sends requests as callers do: it asks for addresses, keeps the answer
@@ -148,7 +148,7 @@
 // bills counts the bills that the platform holds.
 func (f *fleet) bills(t *testing.T) int {
 	t.Helper()
-	client := platform.NewClient(f.base(), eventTimeout)
+	client := infra.NewClient(f.base(), eventTimeout)
 	rows, err := client.List(context.Background(), ledger.BillKey(""), "", 1_000_000)
 	is.New(t).NoErr(err)
 	return len(rows)
