--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -77,7 +77,7 @@
 	// connection may be closed by its server just when a request is sent.
 	kept    *http.Transport
 	fresh   *http.Transport
-	cascade Cascade
+	cascade *Cascade
 	speeds  *speeds
 	running atomic.Int64
 }
@@ -89,7 +89,7 @@
 	}
 	return &Forwarder{
 		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept, Dial: o.Dial}), fresh: NewTransport(TransportOptions{Fresh: true, Dial: o.Dial}),
-		speeds: newSpeeds(),
+		speeds: newSpeeds(), cascade: NewCascade(),
 	}
 }
 
