--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newEdge(), newConfig(), newRollout(), newStatus(), newExplain(),
+		newServe(), newEdge(), newLogs(), newConfig(), newRollout(), newStatus(), newExplain(),
 		newDev(), newDemo(), newMeasure(), newCapacity(), newStandin(), newVersion(),
 	)
 	return root
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -133,16 +133,42 @@
 	if !x.firstByte.IsZero() {
 		x.f.o.Metrics.FirstByteTime.WithLabelValues(kind).Observe(x.firstByte.Sub(began).Seconds())
 	}
+	isFailure := x.torn || x.status >= http.StatusInternalServerError
+	if !isFailure && !x.f.sampler.Keep(x.q.ID, time.Now()) {
+		return
+	}
 	ran := "no"
 	if x.mayHaveRun || x.runs > 0 {
 		ran = "maybe"
 	}
-	x.f.o.Log.Info("request", zap.String("request", x.q.ID), zap.String("route", x.q.Route.Name), zap.String("service", x.q.Service),
+	fields := []zap.Field{zap.String("request", x.q.ID), zap.String("route", x.q.Route.Name), zap.String("service", x.q.Service),
 		zap.String("organisation", organisationName(x.q.Organisation)), zap.Int64("config", x.q.TableVersion),
 		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("ran", ran), zap.Bool("torn", x.torn),
 		zap.Int64("ms", time.Since(began).Milliseconds()), zap.Int64("left_ms", time.Until(x.q.CallerDeadline).Milliseconds()),
 		zap.Int64("first_ms", x.firstMS()), zap.Int64("pause_ms", x.longestPause.Milliseconds()), zap.Int("rank", x.q.Rank),
-		zap.Float64("prompt_tokens", x.q.PromptTokens), zap.Any("steps", x.steps))
+		zap.Float64("prompt_tokens", x.q.PromptTokens), zap.Any("steps", x.steps)}
+	if isFailure {
+		fields = append(fields, x.circumstances()...)
+	}
+	x.f.o.Log.Info("request", fields...)
+}
+
+// circumstances are what else decided about a request that failed: the servers
+// that could have been chosen, the retry budget and the wait for engines.
+func (x *exchange) circumstances() []zap.Field {
+	now, present, usable := time.Now(), 0, 0
+	for _, m := range x.f.o.Pool.Members(x.q.Service) {
+		if m.Present() {
+			present++
+		}
+		if m.Usable(now) {
+			usable++
+		}
+	}
+	return []zap.Field{
+		zap.Int("servers_present", present), zap.Int("servers_usable", usable), zap.Int("sends", x.sends), zap.Int("attempts", x.q.Route.MaxAttempts),
+		zap.Float64("budget_left", x.f.o.Budget.Left(x.q.Service, now)), zap.Int64("mean_wait_ms", x.f.o.Pool.MeanWait(x.q.Service, now).Milliseconds()),
+	}
 }
 
 // firstMS returns the time to the answer's first byte in milliseconds, or -1.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -79,6 +79,7 @@
 	fresh   *http.Transport
 	cascade *Cascade
 	speeds  *speeds
+	sampler telemetry.RequestSampler
 	running atomic.Int64
 }
 
--- /dev/null
+++ b/internal/telemetry/lines_test.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// blockedWriter never returns until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(b)
+}
+
+// A reader of standard output that stops does not slow a request: lines beyond
+// the buffer are dropped and counted, and warnings have room of their own.
+func TestLogNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	var dropped atomic.Int32
+	w := NewLineWriter(out, func() { dropped.Add(1) })
+	log := NewLineLogger(w, "n1")
+	began := time.Now()
+	for range 2 * linesKept {
+		log.Info("request", zap.Int("status", 200))
+	}
+	for range linesReserved / 2 {
+		log.Warn("store lost")
+	}
+	is.True(time.Since(began) < 10*time.Second) // nothing waited for the writer
+	is.True(dropped.Load() > 0)
+	close(out.release)
+	is.NoErr(w.Sync())
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	is.Equal(strings.Count(out.out.String(), "store lost"), linesReserved/2) // none was dropped
+}
+
+// Under load a request is logged whole or not, alike in all processes, and the
+// volume stays bounded.
+func TestSamplingIsAlike(t *testing.T) {
+	is := is.New(t)
+	var a, b RequestSampler
+	kept := 0
+	for second := range 5 {
+		now := time.Unix(int64(100+second), 0)
+		for i := range 1000 {
+			id := strconv.Itoa(second*1000 + i)
+			x, y := a.Keep(id, now), b.Keep(id, now)
+			is.Equal(x, y)
+			if x && second > 0 {
+				kept++
+			}
+		}
+	}
+	is.True(kept/4 <= 2*linesPerSecond)
+	is.True(kept > 0)
+}
+
+func BenchmarkRequestLine(b *testing.B) {
+	w := NewLineWriter(&bytes.Buffer{}, func() {})
+	log := NewLineLogger(w, "n1")
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("request", zap.String("request", "9c41d07be2a35f68"), zap.String("route", "r"), zap.Int("status", 200), zap.Int64("ms", 120), zap.String("outcome", "answered"))
+	}
+}
