--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,16 +50,16 @@
 		q.Local = x.q.isCostlyToMove()
 		q.Cold, q.Warm = x.f.speeds.read(model, x.q.PromptTokens), x.f.speeds.read(model, x.q.ownTokens())
 	}
-	m := x.f.o.Pool.Choose(q, now)
+	m, read := x.f.o.Pool.Choose(q, now)
 	if m == nil && len(x.tried) > 0 {
 		// Without another server, one that was tried is better than none.
 		q.Exclude = nil
-		m = x.f.o.Pool.Choose(q, now)
+		m, read = x.f.o.Pool.Choose(q, now)
 	}
 	if m == nil {
 		return nil
 	}
-	return &attempt{member: m, model: model, load: m.Occupancy(now), wait: m.Wait(now), began: now, unread: q.Warm}
+	return &attempt{member: m, model: model, load: m.Occupancy(now), wait: m.Wait(now), began: now, unread: read}
 }
 
 // send sends the request and waits for the header of the answer.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -16,6 +16,9 @@
 	// leastFirstEvent is the least such wait: a cold prompt of the largest
 	// model takes about a second to read.
 	leastFirstEvent = 1200 * time.Millisecond
+	// expectedFactor is how many times longer than expected a first event may
+	// take beyond that: what is known of waits is up to two seconds old.
+	expectedFactor = 3
 	// pauseShare is the share of the longest pause in time after which a stream
 	// that made no progress is resumed elsewhere.
 	pauseShare = 0.85
@@ -72,7 +75,7 @@
 func (x *exchange) streamOnce(ctx context.Context, s *streaming, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = newWatch(a.member, x.f.o.Dial, x.firstEventWait(), x.mayMove, func() { cancel(errStalled) })
+	s.watch = newWatch(a.member, x.f.o.Dial, x.firstEventWait(a), x.mayMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != answered {
@@ -87,9 +90,12 @@
 	return x.pump(ctx, s, a)
 }
 
-// firstEventWait is how long a server may take for the first event.
-func (x *exchange) firstEventWait() time.Duration {
-	return max(time.Duration(firstEventShare*float64(x.q.Route.Target)), leastFirstEvent)
+// firstEventWait is how long a server may take for the first event. While
+// prompts wait at all servers, another one would not be sooner, and a prompt
+// that was read in part is read again.
+func (x *exchange) firstEventWait(a *attempt) time.Duration {
+	expected := a.wait + a.unread + x.f.o.Pool.MeanWait(x.q.Service, a.began)
+	return max(time.Duration(firstEventShare*float64(x.q.Route.Target)), leastFirstEvent) + expectedFactor*expected
 }
 
 // mayMove tells whether another server may still be tried for a stream.
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -182,3 +182,27 @@
 	later := now.Add(11 * time.Second)
 	is.True(b.Take("s", 0, later)) // the window has passed, a share of the allowance is back
 }
+
+// A flood: prompts wait at all servers. A stream is not moved while its server
+// is as late as was to be expected, since it would be read anew elsewhere.
+func TestExpectedWaitMovesNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newBench(t)
+		serve := func(c net.Conn, r *http.Request) {
+			time.Sleep(2500 * time.Millisecond) // longer than the silence of an idle server
+			streamHead(c, r, 90)
+			events(c, 1, 2, time.Millisecond)
+			end(c)
+		}
+		for _, id := range []string{"x", "y"} {
+			b.server(id, serve)
+		}
+		for _, id := range []string{"x", "y"} {
+			b.pool.Member(id).Others(10, time.Second, time.Now())
+		}
+		_, body, err := b.call(t.Context(), http.MethodPost, "/chat/1", chat)
+		is.NoErr(err)
+		is.Equal(ids(body), "1 2")
+		is.Equal(len(b.arrived()), 1)
+	})
+}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -60,13 +60,14 @@
 	fullWait      = time.Second
 )
 
-// Choose returns the server for a request, or nil if none may take it. Ejected
-// servers are chosen only when all are ejected.
-func (p *Pool) Choose(q Query, now time.Time) *Member {
+// Choose returns the server for a request, and how long it is expected to read
+// the prompt; the server is nil if none may take the request. Ejected servers
+// are chosen only when all are ejected.
+func (p *Pool) Choose(q Query, now time.Time) (*Member, time.Duration) {
 	if to := q.Versions.Prefer; to != "" {
 		q.Versions.Prefer, q.Versions.Only = "", to
-		if m := p.Choose(q, now); m != nil {
-			return m
+		if m, read := p.Choose(q, now); m != nil {
+			return m, read
 		}
 		q.Versions.Only = ""
 	}
@@ -76,12 +77,12 @@
 		usable = filter(members, q, (*Member).Present)
 	}
 	if len(usable) == 0 {
-		return nil
+		return nil, 0
 	}
 	if q.Affinity != "" {
 		return soonest(usable, q, now)
 	}
-	return leastLoaded(usable, q, now)
+	return leastLoaded(usable, q, now), 0
 }
 
 func filter(members []*Member, q Query, ok func(*Member) bool) []*Member {
@@ -106,22 +107,22 @@
 // soonest returns the engine that is expected to have read the prompt first:
 // the one that is first in the key's rendezvous order has its shared parts
 // cached, the second may have, and few others are compared with them.
-func soonest(members []*Member, q Query, now time.Time) *Member {
+func soonest(members []*Member, q Query, now time.Time) (*Member, time.Duration) {
 	first, second := topTwo(q.homes(members), q.Affinity)
-	best, least := first, q.expected(first, q.Warm, now)
+	best, bestRead, least := first, q.Warm, q.expected(first, q.Warm, now)
 	consider := func(m *Member, read time.Duration) {
 		if m == nil || m == first {
 			return
 		}
 		if t := q.expected(m, read, now); t < least {
-			best, least = m, t
+			best, bestRead, least = m, read, t
 		}
 	}
 	consider(second, (q.Warm+q.Cold)/2)
 	for range randomChoices {
 		consider(members[int(q.Draw()*float64(len(members)))], q.Cold)
 	}
-	return best
+	return best, bestRead
 }
 
 // homes returns the engines among which a prompt's head has its place.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -11,6 +11,12 @@
 
 func half() float64 { return 0.5 }
 
+// choose returns the chosen server alone.
+func choose(p *Pool, q Query, now time.Time) *Member {
+	m, _ := p.Choose(q, now)
+	return m
+}
+
 func engines(n int) []Server {
 	var out []Server
 	for i := range n {
@@ -27,9 +33,9 @@
 	p.Update(engines(9), start)
 	other.Update(engines(9), start)
 	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
-	first := p.Choose(q, start)
-	is.Equal(first.ID, p.Choose(q, start).ID)
-	is.Equal(first.ID, other.Choose(q, start).ID)
+	first := choose(p, q, start)
+	is.Equal(first.ID, choose(p, q, start).ID)
+	is.Equal(first.ID, choose(other, q, start).ID)
 }
 
 // A prompt leaves the engine that has its head cached once the wait there is
@@ -39,11 +45,11 @@
 	p := New(nil)
 	p.Update(engines(9), start)
 	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
-	home := p.Choose(q, start)
+	home := choose(p, q, start)
 	home.Others(3, 150*time.Millisecond, start)
-	is.Equal(p.Choose(q, start).ID, home.ID) // a short wait costs less than a cold read
+	is.Equal(choose(p, q, start).ID, home.ID) // a short wait costs less than a cold read
 	home.Others(3, 2*time.Second, start)
-	is.True(p.Choose(q, start).ID != home.ID)
+	is.True(choose(p, q, start).ID != home.ID)
 }
 
 // Nodes that see the same late news do not all choose the same idle engine.
@@ -59,7 +65,7 @@
 	draw := 0.0
 	q.Draw = func() float64 { draw += 0.37; return draw - float64(int(draw)) }
 	for range 100 {
-		seen[p.Choose(q, start).ID]++
+		seen[choose(p, q, start).ID]++
 	}
 	is.True(len(seen) >= 8)
 }
@@ -73,13 +79,13 @@
 	list[0].Draining = true
 	p.Update(list, start)
 	q := Query{Service: "s", Draw: half, Exclude: []*Member{p.Member("b")}}
-	is.Equal(p.Choose(q, start).ID, "c")
+	is.Equal(choose(p, q, start).ID, "c")
 	for range 3 {
 		p.Member("c").Fail(start.Add(time.Millisecond), start.Add(time.Millisecond), 1)
 	}
-	is.Equal(p.Choose(q, start.Add(10*time.Millisecond)).ID, "c")
+	is.Equal(choose(p, q, start.Add(10*time.Millisecond)).ID, "c")
 	q.Exclude = nil
-	is.Equal(p.Choose(q, start.Add(10*time.Millisecond)).ID, "b")
+	is.Equal(choose(p, q, start.Add(10*time.Millisecond)).ID, "b")
 }
 
 // Versions restrict the choice; a preferred one that has no server does not.
@@ -93,10 +99,10 @@
 		versions Versions
 		id       string
 	}{{Versions{Only: "v2"}, "b"}, {Versions{Except: "v2"}, "a"}, {Versions{Prefer: "v2"}, "b"}} {
-		is.Equal(p.Choose(Query{Service: "s", Draw: half, Versions: c.versions}, start).ID, c.id)
+		is.Equal(choose(p, Query{Service: "s", Draw: half, Versions: c.versions}, start).ID, c.id)
 	}
-	is.True(p.Choose(Query{Service: "s", Draw: half, Versions: Versions{Prefer: "v3"}}, start) != nil)
-	is.True(p.Choose(Query{Service: "s", Draw: half, Versions: Versions{Only: "v3"}}, start) == nil)
+	is.True(choose(p, Query{Service: "s", Draw: half, Versions: Versions{Prefer: "v3"}}, start) != nil)
+	is.True(choose(p, Query{Service: "s", Draw: half, Versions: Versions{Only: "v3"}}, start) == nil)
 }
 
 // A server that left takes no request even if it was chosen just before, and
@@ -127,8 +133,8 @@
 	p.Update(list, start)
 	for i := range 20 {
 		q := Query{Service: "s", Affinity: string(rune('a' + i)), Cold: 20 * time.Millisecond, Warm: 10 * time.Millisecond, DataCentre: "y", Local: true, Draw: half}
-		is.Equal(p.Choose(q, start).DataCentre, "y")
+		is.Equal(choose(p, q, start).DataCentre, "y")
 	}
 	q := Query{Service: "s", Affinity: "k", DataCentre: "nowhere", Local: true, Draw: half}
-	is.True(p.Choose(q, start) != nil)
+	is.True(choose(p, q, start) != nil)
 }
