--- a/internal/forward/cascade.go
+++ b/internal/forward/cascade.go
@@ -56,7 +56,7 @@
 	// waitPrice is the price of a second of an engine's time for each second
 	// that prompts wait for engines on average: what runs longer makes all that
 	// waits later.
-	waitPrice = 3.0
+	waitPrice = 8.0
 )
 
 // doubt is the chance that an answer with the given confidence, 0 to 100, is
