--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
@@ -45,7 +47,7 @@
 func (n *Node) tellChange(table string, value any, before string) string {
 	raw, err := json.Marshal(value)
 	if err != nil {
-		n.o.Log.Error("state is not told", zap.String("table", table), zap.Error(err))
+		n.o.Log.Error("state is not told", zap.String("table", table), telemetry.Cause(err))
 		return before
 	}
 	if string(raw) != before {
@@ -58,7 +60,7 @@
 func (n *Node) tell(table, key string, value any) {
 	raw, err := json.Marshal(value)
 	if err != nil {
-		n.o.Log.Error("state is not told", zap.String("table", table), zap.Error(err))
+		n.o.Log.Error("state is not told", zap.String("table", table), telemetry.Cause(err))
 		return
 	}
 	n.rows.Apply([]news.Row{{Table: table, Key: key, Version: n.nextVersion(), Data: raw}})
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -5,6 +5,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
@@ -23,7 +25,7 @@
 	}
 	t, err := c.schema.Routes(r.Data)
 	if err != nil {
-		c.log.Error("configuration refused, the last good one stays", zap.Uint64("row", r.Version), zap.Error(err))
+		c.log.Error("configuration refused, the last good one stays", zap.Uint64("row", r.Version), telemetry.Cause(err))
 		return
 	}
 	old := c.table.Load()
--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
@@ -50,14 +52,14 @@
 func (n *Node) writeStatus(ctx context.Context, d due) {
 	raw, err := n.o.Schema.EncodeRolloutStatus(d.status)
 	if err != nil {
-		n.o.Log.Error("roll-out status is not written", zap.Error(err))
+		n.o.Log.Error("roll-out status is not written", telemetry.Cause(err))
 		return
 	}
 	t := n.o.Schema.Tables()
 	ok, err := n.o.Store.Write(ctx, t.Status, t.RolloutPrefix+d.service, d.expected, raw)
 	n.reader.calls("status", outcomeOf(err))
 	n.o.Log.Info("roll-out status written", zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
-		zap.Uint64("expected", d.expected), zap.Bool("stored", ok), zap.Error(err), zap.Int64("late_ms", d.late.Milliseconds()))
+		zap.Uint64("expected", d.expected), zap.Bool("stored", ok), telemetry.Cause(err), zap.Int64("late_ms", d.late.Milliseconds()))
 	// The row's own version is learned by reading it back: an answer may be lost
 	// after the write was done.
 	n.readStatus(ctx, t.Status)
@@ -68,7 +70,7 @@
 	rows, version, err := n.o.Store.Read(ctx, table)
 	n.reader.calls("read", outcomeOf(err))
 	if err != nil {
-		n.o.Log.Warn("roll-out statuses are not read back", zap.Error(err))
+		n.o.Log.Warn("roll-out statuses are not read back", telemetry.Cause(err))
 		return
 	}
 	n.rows.Replace(table, rows, version)
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
@@ -132,7 +134,7 @@
 		key := service + "/" + e.self
 		raw, err := json.Marshal(c)
 		if err != nil {
-			e.log.Error("evidence is not told", zap.Error(err))
+			e.log.Error("evidence is not told", telemetry.Cause(err))
 			continue
 		}
 		e.rows.Apply([]news.Row{{Table: tableEvidence, Key: key, Version: e.next(), Data: raw}})
@@ -154,7 +156,7 @@
 	for _, r := range rows {
 		var c counts
 		if err := json.Unmarshal(r.Data, &c); err != nil {
-			e.log.Warn("evidence is unreadable", zap.String("key", r.Key), zap.Error(err))
+			e.log.Warn("evidence is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		e.seen[r.Key] = c
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
@@ -114,7 +116,7 @@
 	for _, r := range rows {
 		var b beat
 		if err := json.Unmarshal(r.Data, &b); err != nil {
-			m.log.Warn("heartbeat is unreadable", zap.String("key", r.Key), zap.Error(err))
+			m.log.Warn("heartbeat is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		m.beats[r.Key] = heardBeat{b, now}
@@ -129,7 +131,7 @@
 	for _, r := range rows {
 		var nodes []nodeState
 		if err := json.Unmarshal(r.Data, &nodes); err != nil {
-			m.log.Warn("roster is unreadable", zap.String("key", r.Key), zap.Error(err))
+			m.log.Warn("roster is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		m.rosters[r.Key] = &roster{nodes: nodes, heard: now}
@@ -154,7 +156,7 @@
 	for _, r := range rows {
 		var w map[string]work
 		if err := json.Unmarshal(r.Data, &w); err != nil {
-			m.log.Warn("load is unreadable", zap.String("key", r.Key), zap.Error(err))
+			m.log.Warn("load is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		m.loads[r.Key] = w
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
@@ -63,7 +65,7 @@
 	p.Up = n.members.hubs(time.Now())[n.o.Settings.DataCentre] == address
 	if err := n.exchange.Ask(ctx, p); err != nil && ctx.Err() == nil {
 		n.members.failed(address, time.Now())
-		n.o.Log.Info("peer lost", zap.String("peer", address), zap.Error(err))
+		n.o.Log.Info("peer lost", zap.String("peer", address), telemetry.Cause(err))
 	}
 }
 
@@ -126,7 +128,7 @@
 	for _, r := range n.rows.List(tableMembers) {
 		var m memberRow
 		if err := json.Unmarshal(r.Data, &m); err != nil {
-			n.o.Log.Warn("member's row is unreadable", zap.String("key", r.Key), zap.Error(err))
+			n.o.Log.Warn("member's row is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		list = append(list, m.Inner)
@@ -174,7 +176,7 @@
 func (n *Node) register(ctx context.Context) {
 	raw, err := json.Marshal(memberRow{Inner: n.inner})
 	if err != nil {
-		n.o.Log.Error("node is not registered", zap.Error(err))
+		n.o.Log.Error("node is not registered", telemetry.Cause(err))
 		return
 	}
 	for ctx.Err() == nil {
@@ -184,7 +186,7 @@
 			_, err := n.o.Store.Write(ctx, tableMembers, n.o.Settings.Node, row.Version, raw)
 			n.reader.calls("register", outcomeOf(err))
 			if err != nil {
-				n.o.Log.Warn("node is not registered", zap.Error(err))
+				n.o.Log.Warn("node is not registered", telemetry.Cause(err))
 			}
 		}
 		sleep(ctx, strangerEvery)
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -127,7 +127,7 @@
 	r.own, r.lost = true, time.Now()
 	r.mu.Unlock()
 	if !was {
-		r.log.Warn("store lost", zap.String("table", table), zap.Error(err), zap.Int64("age_ms", r.age().Milliseconds()))
+		r.log.Warn("store lost", zap.String("table", table), telemetry.Cause(err), zap.Int64("age_ms", r.age().Milliseconds()))
 	}
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // ReloadInterval is how often the settings are read again without a signal.
@@ -16,7 +18,7 @@
 func (n *Node) Reload(signalled bool) {
 	next, err := n.o.Reload()
 	if err != nil {
-		n.o.Log.Error("settings refused, the last good ones stay", zap.Error(err))
+		n.o.Log.Error("settings refused, the last good ones stay", telemetry.Cause(err))
 		return
 	}
 	old := n.settings.Load()
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
@@ -108,7 +110,7 @@
 func (r *rollouts) takeOrder(row news.Row, now time.Time) {
 	o, err := r.schema.Rollout(row.Data)
 	if err != nil {
-		r.log.Error("roll-out order passed over", zap.String("key", row.Key), zap.Error(err))
+		r.log.Error("roll-out order passed over", zap.String("key", row.Key), telemetry.Cause(err))
 		return
 	}
 	old := r.release(o.Service)
@@ -123,7 +125,7 @@
 func (r *rollouts) takeStatus(service string, row news.Row) {
 	s, err := r.schema.RolloutStatus(row.Data)
 	if err != nil {
-		r.log.Error("roll-out status passed over", zap.String("service", service), zap.Error(err))
+		r.log.Error("roll-out status passed over", zap.String("service", service), telemetry.Cause(err))
 		return
 	}
 	x := r.release(service)
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
@@ -72,7 +74,7 @@
 	}
 	next, err := s.schema.Server(r.Key, r.Data)
 	if err != nil {
-		s.log.Warn("entry passed over", zap.String("server", r.Key), zap.Error(err))
+		s.log.Warn("entry passed over", zap.String("server", r.Key), telemetry.Cause(err))
 		delete(s.known, r.Key)
 		return
 	}
--- a/internal/edge/sessions.go
+++ b/internal/edge/sessions.go
@@ -8,6 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/news"
 )
 
@@ -86,7 +88,7 @@
 	}
 	raw, err := json.Marshal(u)
 	if err != nil {
-		s.log.Error("session is not told", zap.Error(err))
+		s.log.Error("session is not told", telemetry.Cause(err))
 		return
 	}
 	s.rows.Apply([]news.Row{{Table: tableSessions, Key: key, Version: s.next(), Data: raw}})
@@ -99,7 +101,7 @@
 	for _, r := range rows {
 		var u sessionUse
 		if err := json.Unmarshal(r.Data, &u); err != nil {
-			s.log.Warn("session is unreadable", zap.String("key", r.Key), zap.Error(err))
+			s.log.Warn("session is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		old := s.uses[r.Key]
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 const (
@@ -31,7 +33,7 @@
 	ctx, cancel := context.WithDeadline(life, began.Add(time.Duration(finishShare*float64(s.StopTime))))
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
-		n.o.Log.Warn("requests are cut by the stop", zap.Int("running", n.forwarder.Running()), zap.Error(err))
+		n.o.Log.Warn("requests are cut by the stop", zap.Int("running", n.forwarder.Running()), telemetry.Cause(err))
 	}
 	_ = n.callers.Close()
 	n.unregister(life)
@@ -47,6 +49,6 @@
 	ctx, cancel := context.WithTimeout(ctx, stopTick*4)
 	defer cancel()
 	if err := n.o.Store.Remove(ctx, tableMembers, n.o.Settings.Node); err != nil {
-		n.o.Log.Warn("node stays registered", zap.Error(err))
+		n.o.Log.Warn("node stays registered", telemetry.Cause(err))
 	}
 }
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
@@ -38,7 +40,7 @@
 	}
 	raw, err := json.Marshal(e)
 	if err != nil {
-		s.log.Error("suspect is not told", zap.Error(err))
+		s.log.Error("suspect is not told", telemetry.Cause(err))
 		return
 	}
 	key := strconv.FormatUint(e.Fingerprint, 16) + "/" + s.self
@@ -50,7 +52,7 @@
 	for _, r := range rows {
 		var e wire.Suspect
 		if err := json.Unmarshal(r.Data, &e); err != nil {
-			s.log.Warn("suspect is unreadable", zap.String("key", r.Key), zap.Error(err))
+			s.log.Warn("suspect is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
 		s.Merge(now, []wire.Suspect{e})
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -20,6 +20,9 @@
 	// fullReturn is for servers that were full: a plain answer takes a few
 	// tens of milliseconds.
 	fullReturn = 100 * time.Millisecond
+	// startingReturn is for a node that has no configuration yet: another node
+	// or the store tells it within a few hundred milliseconds.
+	startingReturn = 400 * time.Millisecond
 	// convictedReturn is for requests that bring servers down.
 	convictedReturn = time.Minute
 )
@@ -84,12 +87,12 @@
 
 // refuse sends an answer of the system's own.
 func (x *exchange) refuse(r refusal) {
-	x.status, x.outcome = r.status, r.reason
+	x.outcome = r.reason
 	if x.started {
 		x.torn = true
 		return
 	}
-	x.started = true
+	x.started, x.status = true, r.status
 	if r.after > 0 {
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 2, 64))
 	}
@@ -144,7 +147,7 @@
 	fields := []zap.Field{zap.String("request", x.q.ID), zap.String("route", x.q.Route.Name), zap.String("service", x.q.Service),
 		zap.String("organisation", organisationName(x.q.Organisation)), zap.Int64("config", x.q.TableVersion),
 		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("ran", ran), zap.Bool("torn", x.torn),
-		zap.Int64("ms", time.Since(began).Milliseconds()), zap.Int64("left_ms", time.Until(x.q.CallerDeadline).Milliseconds()),
+		zap.Int64("ms", time.Since(began).Milliseconds()), zap.Int64("left_ms", x.leftMS()),
 		zap.Int64("first_ms", x.firstMS()), zap.Int64("pause_ms", x.longestPause.Milliseconds()), zap.Int("rank", x.q.Rank),
 		zap.Float64("prompt_tokens", x.q.PromptTokens), zap.Any("steps", x.steps)}
 	if isFailure {
@@ -171,6 +174,15 @@
 	}
 }
 
+// leftMS returns how long the caller would still wait in milliseconds, 0 if
+// the request was refused before that was read.
+func (x *exchange) leftMS() int64 {
+	if x.q.CallerDeadline.IsZero() {
+		return 0
+	}
+	return time.Until(x.q.CallerDeadline).Milliseconds()
+}
+
 // firstMS returns the time to the answer's first byte in milliseconds, or -1.
 func (x *exchange) firstMS() int64 {
 	if x.firstByte.IsZero() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -142,7 +142,7 @@
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*Request, *refusal) {
 	table := f.o.Table()
 	if table == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", after: time.Second}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", after: startingReturn}
 	}
 	rt, ok := table.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
--- a/internal/telemetry/linewriter.go
+++ b/internal/telemetry/linewriter.go
@@ -103,3 +103,12 @@
 	core := zapcore.NewTee(zapcore.NewCore(encoder, ordinary{w}, low), zapcore.NewCore(encoder, w, high))
 	return zap.New(core).With(zap.String("node", node))
 }
+
+// Cause is the field of an error's message, without the stack that pkg/errors
+// adds; nothing for nil.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
