--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -7,10 +7,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // hubState is what this node last told as a hub.
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -5,10 +5,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/route"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // config holds the routes in force. A configuration that cannot be used leaves
--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -6,9 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // standIn is how long a status must be overdue for the next node in line to
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -8,11 +8,10 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 const (
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -9,10 +9,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // Soft tables are passed between nodes only.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,10 +11,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 const (
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -7,11 +7,10 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // stage is a share of sessions from a part of a roll-out's time on.
--- a/internal/edge/sessions.go
+++ b/internal/edge/sessions.go
@@ -8,9 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
 // canaryShare is the share of sessions that an unproved version may get. Twice
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -7,10 +7,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/telemetry"
-
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
