Run streams that may not be resumed once, count the budget on the steady clock, tell rosters again

Found by reading: a cascade on a stream without resume would run it twice; the budget's window followed the time of day; rosters that do not change for a minute were forgotten, so that a node joining later would not learn of other data centres; a whole URL as request target was passed on as a path.

--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -15,8 +15,13 @@
 // hubState is what this node last told as a hub.
 type hubState struct {
 	roster, loads string
+	at            time.Time // when both were told whatever they were
 }
 
+// tellAgain is how often a roster that has not changed is told again: rows of
+// soft tables are forgotten after a while, and nodes that join later need it.
+const tellAgain = forgetAfter / 4
+
 // beat tells the hub this node's state, and, as a hub, the other data centres
 // those of its own.
 func (n *Node) beat() {
@@ -35,6 +40,9 @@
 // tellRoster tells the other nodes who is in this hub's data centre, and what
 // they have at the servers.
 func (n *Node) tellRoster() {
+	if now := time.Now(); now.Sub(n.told.at) > tellAgain {
+		n.told = hubState{at: now}
+	}
 	nodes, total := n.members.ownRoster()
 	n.told.roster = n.tellChange(tableRosters, nodes, n.told.roster)
 	n.told.loads = n.tellChange(tableLoads, total, n.told.loads)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/rollout"
@@ -323,7 +324,7 @@
 	if f.down {
 		return nil, 0, errors.New("down")
 	}
-	sleep(ctx, wait)
+	loop.Sleep(ctx, wait)
 	return nil, 1, nil
 }
 
@@ -382,3 +383,22 @@
 		})
 	}
 }
+
+// A node that joins late learns of data centres whose rosters have not changed
+// for longer than soft rows are kept.
+func TestRostersAreToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &Node{o: Options{Log: zap.NewNop(), Schema: testSchema{}}, key: "n1", inner: "n1", members: newMembers(zap.NewNop()), pool: pool.New(nil), config: &config{}}
+		n.settings.Store(&Settings{Node: "n1", DataCentre: "a"})
+		n.rows = news.NewMap(nil)
+		for range 300 {
+			n.beat()
+			old := uint64(time.Now().Add(-forgetAfter).UnixMilli())
+			n.rows.Forget(tableRosters, func(r news.Row) bool { return r.Version > old })
+			time.Sleep(beatInterval)
+		}
+		_, ok := n.rows.Get(tableRosters, "n1")
+		is.True(ok)
+	})
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/route"
@@ -225,7 +226,7 @@
 		every time.Duration
 		do    func(context.Context)
 	}{{beatInterval, func(context.Context) { n.beat() }}, {judgeInterval, n.judge}, {pruneInterval, func(context.Context) { n.prune() }}} {
-		n.loops.Go(func() { every(life, l.every, l.do) })
+		n.loops.Go(func() { loop.Every(life, l.every, l.do) })
 	}
 	n.o.Log.Info("started", zap.String("inner", n.inner), zap.String("callers", n.o.Settings.Callers), zap.String("data_centre", n.o.Settings.DataCentre))
 	<-ctx.Done()
@@ -239,19 +240,6 @@
 	pruneInterval = 500 * time.Millisecond
 )
 
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do(ctx)
-		}
-	}
-}
-
 // prune forgets what has ended, and hands the load that other nodes told to
 // the pool.
 func (n *Node) prune() {
@@ -260,11 +248,18 @@
 	n.servers.tick(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.shareLoad(now)
-	old := uint64(now.Add(-forgetAfter).UnixMilli())
-	for _, table := range []string{tableBeats, tableRosters, tablePulses, tableLoads, tableSessions} {
+	for table, life := range softLives {
+		old := uint64(now.Add(-life).UnixMilli())
 		n.rows.Forget(table, func(r news.Row) bool { return r.Version > old })
 	}
 }
 
-// forgetAfter is how long rows of soft tables are kept.
+// forgetAfter is how long rows are kept that their nodes tell all the time.
 const forgetAfter = time.Minute
+
+// softLives is how long rows of soft tables are kept: suspicions as long as
+// they hold, evidence longer than any roll-out.
+var softLives = map[string]time.Duration{
+	tableBeats: forgetAfter, tableRosters: forgetAfter, tablePulses: forgetAfter, tableLoads: forgetAfter, tableSessions: forgetAfter,
+	tableSuspects: 10 * time.Minute, tableEvidence: 24 * time.Hour,
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
@@ -51,7 +52,7 @@
 		case <-ctx.Done():
 		case address := <-busy:
 			delete(running, address)
-			sleep(ctx, conversePause)
+			loop.Sleep(ctx, conversePause)
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -188,7 +189,7 @@
 				n.o.Log.Warn("node is not registered", telemetry.Cause(err))
 			}
 		}
-		sleep(ctx, strangerEvery)
+		loop.Sleep(ctx, strangerEvery)
 	}
 }
 
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -138,7 +139,7 @@
 	for ctx.Err() == nil {
 		// The operator's table alone finds out whether the store is back.
 		if !r.reads() || (!current && r.lostOwn()) {
-			sleep(ctx, idlePause)
+			loop.Sleep(ctx, idlePause)
 			continue
 		}
 		if err := r.step(ctx, table, wait); err != nil {
@@ -146,12 +147,12 @@
 				r.failed(table, err)
 			}
 			failures++
-			sleep(ctx, backoff(failures, r.turn() == 0, rand.Float64()))
+			loop.Sleep(ctx, backoff(failures, r.turn() == 0, rand.Float64()))
 			continue
 		}
 		failures = 0
 		r.succeeded(current)
-		sleep(ctx, pause)
+		loop.Sleep(ctx, pause)
 	}
 }
 
@@ -207,12 +208,3 @@
 	}
 	return "ok"
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -29,7 +30,7 @@
 	n.stopping.Store(true)
 	n.beat()
 	n.o.Log.Info("stopping", zap.Int("running", n.forwarder.Running()), zap.Duration("time", s.StopTime))
-	sleep(life, time.Duration(acceptShare*float64(s.StopTime)))
+	loop.Sleep(life, time.Duration(acceptShare*float64(s.StopTime)))
 	ctx, cancel := context.WithDeadline(life, began.Add(time.Duration(finishShare*float64(s.StopTime))))
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -29,6 +29,7 @@
 type Budget struct {
 	o        BudgetOptions
 	mu       sync.Mutex
+	began    time.Time                // guarded by mu; time is counted from here, on the steady clock
 	services map[string]*budgetWindow // guarded by mu
 }
 
@@ -80,14 +81,17 @@
 
 // window returns the service's window moved on to now. The caller holds mu.
 func (b *Budget) window(service string, now time.Time) *budgetWindow {
-	at := now.UnixNano() / int64(b.o.Window/budgetBuckets)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := int64(now.Sub(b.began) / (b.o.Window / budgetBuckets))
 	w := b.services[service]
 	if w == nil {
 		w = &budgetWindow{at: at}
 		b.services[service] = w
 	}
 	for step := min(at-w.at, budgetBuckets); step > 0; step-- {
-		i := (at - step + 1) % budgetBuckets
+		i := (w.at + step) % budgetBuckets
 		w.first[i], w.further[i] = 0, 0
 	}
 	w.at = max(w.at, at)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -56,7 +56,7 @@
 // parse reads what the headers tell.
 func (n *Headers) parse(r *http.Request, rt *route.Route, org *route.Organisation, body []byte, now time.Time) *Request {
 	q := &Request{
-		ID: r.Header.Get(n.RequestID), Route: rt, Organisation: org, Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		ID: r.Header.Get(n.RequestID), Route: rt, Organisation: org, Method: r.Method, URI: requestURI(r), Host: r.Host,
 		Header: r.Header, Body: body, Arrived: now, Rank: rt.Rank,
 	}
 	if org != nil && org.Rank != nil {
@@ -126,6 +126,15 @@
 	return o.Name
 }
 
+// requestURI returns path and query as the caller wrote them, without scheme
+// and host where the caller sent those too.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 const (
 	// tokensPerKB is how many cached tokens a kilobyte between data centres is
 	// weighed against: the platforms' prices are 120 to 390, and the engine's
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -39,6 +39,10 @@
 // stream serves a request whose answer is a series of events.
 func (x *exchange) stream(ctx context.Context) {
 	s := &streaming{lastEvent: x.q.Header.Get(x.f.o.Headers.LastEventID)}
+	if !x.q.Route.Repeatable() {
+		// It runs once: the first model must do.
+		s.model = len(x.q.Route.Models) - 1
+	}
 	reason, after := "no backend server", emptyReturn
 	for x.sends == 0 || x.mayRetry(ctx, 0) {
 		a := x.choose(x.modelName(s))
@@ -150,7 +154,7 @@
 func (x *exchange) escalate(s *streaming, a *attempt) bool {
 	models := x.q.Route.Models
 	last := len(models) - 1
-	if a.model == "" || x.started || s.model >= last {
+	if a.model == "" || x.started || s.model >= last || !x.q.Route.Repeatable() {
 		return false
 	}
 	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.o.Headers.Confidence), 64)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -206,3 +206,24 @@
 		is.Equal(len(b.arrived()), 1)
 	})
 }
+
+// A stream that may not be resumed runs at most once: no cascade, no second
+// server after a break.
+func TestStreamThatMayNotBeResumedRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newBench(t)
+		r, _ := b.table.Match("h", "/chat/1")
+		r.Resumable = false
+		for _, id := range []string{"x", "y"} {
+			b.server(id, func(c net.Conn, r *http.Request) {
+				streamHead(c, r, 5)
+				events(c, 1, 2, time.Millisecond)
+			})
+		}
+		_, body, err := b.call(t.Context(), http.MethodPost, "/chat/1", chat)
+		is.True(err != nil)
+		is.Equal(ids(body), "1 2")
+		is.Equal(len(b.arrived()), 1)
+		is.Equal(b.arrived()[0].Header.Get("T-Model"), "large")
+	})
+}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -23,7 +23,7 @@
 	// tcpUserTimeout is Linux' TCP_USER_TIMEOUT.
 	tcpUserTimeout = 0x12
 	// idlePerServer bounds idle connections to one address.
-	idlePerServer = 32
+	idlePerServer = 8
 	// maxAnswerHeader bounds the header of an answer in bytes.
 	maxAnswerHeader = 64 << 10
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/gateway"
 	"github.com/cowslipfall/cowslipfall/internal/infra"
 	"github.com/cowslipfall/cowslipfall/internal/ledger"
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
 	"github.com/cowslipfall/cowslipfall/internal/meter"
 	"github.com/cowslipfall/cowslipfall/internal/rating"
@@ -183,15 +184,15 @@
 		{evidenceInterval, newKeeper(n).round},
 		{trustInterval, n.versions.cascade.watchRatings},
 	} {
-		n.loops.Go(func() { every(ctx, l.every, l.do) })
+		n.loops.Go(func() { loop.Every(ctx, l.every, l.do) })
 	}
 	orders := n.newOrders()
-	n.loops.Go(func() { every(ctx, ordersInterval, orders.Round) })
+	n.loops.Go(func() { loop.Every(ctx, ordersInterval, orders.Round) })
 	n.loops.Go(func() { n.runExchange(ctx) })
 	n.loops.Go(func() { n.claims.Run(ctx) })
 	n.loops.Go(func() { n.bills.Run(ctx) })
 	sweeper := ledger.NewSweeper(n.options.Platform, n.lives(), n.sweeps)
-	n.loops.Go(func() { every(ctx, ledger.SweepInterval, sweeper.Sweep) })
+	n.loops.Go(func() { loop.Every(ctx, ledger.SweepInterval, sweeper.Sweep) })
 }
 
 // refresh takes a first look at everything, so that a new node is ready soon.
@@ -206,20 +207,6 @@
 	n.round(ctx, true)
 }
 
-// every calls do at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do(ctx)
-		}
-	}
-}
-
 const (
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
