Sharpen three tests that a broken mechanism survived

TestLocalPromptsStayNear drew a server that happened to be near, TestBadVersionIsFound asked for a session outside the canary, and an end within an event had no test of its own.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -255,7 +255,7 @@
 			is.Equal(found > 0, c.bad)
 			if c.bad {
 				is.True(found <= 30) // few answers suffice
-				is.Equal(r.Pick("x", "any", start), forward.Choice{Except: "v2"})
+				is.Equal(r.Pick("x", canarySession(), start), forward.Choice{Except: "v2"})
 				is.Equal(r.dues(start)[0].status.State, RolloutReverted)
 			}
 		})
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -154,7 +154,7 @@
 func (x *exchange) escalate(s *streaming, a *attempt) bool {
 	models := x.q.Route.Models
 	last := len(models) - 1
-	if a.model == "" || x.started || s.model >= last || !x.q.Route.Repeatable() {
+	if a.model == "" || x.started || s.model >= last {
 		return false
 	}
 	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.o.Headers.Confidence), 64)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -227,3 +227,28 @@
 		is.Equal(b.arrived()[0].Header.Get("T-Model"), "large")
 	})
 }
+
+// A server that ends a stream within an event, as if it were whole, has not
+// ended it.
+func TestStreamThatEndsWithinAnEventIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newBench(t)
+		serve := func(c net.Conn, r *http.Request) {
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			streamHead(c, r, 90)
+			if last == 0 {
+				events(c, 1, 2, time.Millisecond)
+				chunk(c, "id: 3\ndata: t")
+				end(c)
+				return
+			}
+			events(c, last+1, 4, time.Millisecond)
+			end(c)
+		}
+		b.server("x", serve)
+		b.server("y", serve)
+		_, body, err := b.call(t.Context(), http.MethodPost, "/chat/1", chat)
+		is.NoErr(err)
+		is.Equal(ids(body), "1 2 3 4")
+	})
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -132,7 +132,7 @@
 	}
 	p.Update(list, start)
 	for i := range 20 {
-		q := Query{Service: "s", Affinity: string(rune('a' + i)), Cold: 20 * time.Millisecond, Warm: 10 * time.Millisecond, DataCentre: "y", Local: true, Draw: half}
+		q := Query{Service: "s", Affinity: string(rune('a' + i)), Cold: 20 * time.Millisecond, Warm: 10 * time.Millisecond, DataCentre: "y", Local: true, Draw: func() float64 { return 0 }}
 		is.Equal(choose(p, q, start).DataCentre, "y")
 	}
 	q := Query{Service: "s", Affinity: "k", DataCentre: "nowhere", Local: true, Draw: half}
