--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -402,3 +402,25 @@
 		is.True(ok)
 	})
 }
+
+// Entries may lapse only while nobody hears of the store. A node that the store
+// refuses alone must drop a server that left as soon as the others.
+func TestRefusedNodeSeesNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReader(&fakeStore{down: true}, news.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 0 }, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.follow(ctx, "o", operatorWait, 0, true)
+		for range 20 {
+			r.learned(200 * time.Millisecond) // another node's news
+			time.Sleep(pruneInterval)
+			r.watchAge()
+		}
+		is.Equal(r.sinceOutage(), time.Hour)
+		time.Sleep(outageAge + pruneInterval)
+		r.watchAge()
+		is.True(r.sinceOutage() < time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -244,6 +244,7 @@
 // the pool.
 func (n *Node) prune() {
 	now := time.Now()
+	n.reader.watchAge()
 	n.members.prune(now)
 	n.servers.tick(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -37,6 +37,9 @@
 	retryPause      = 200 * time.Millisecond
 	readerRetryMost = 400 * time.Millisecond
 	retryMost       = 2 * time.Second
+	// outageAge is the age of the store's news from which entries may lapse: a
+	// server's is removed after three of its heartbeats, of a second or more.
+	outageAge = 2500 * time.Millisecond
 	// idlePause is how often a standby looks whether it must read.
 	idlePause = 60 * time.Millisecond
 )
@@ -54,10 +57,10 @@
 	mu    sync.Mutex
 	// heard is when the store's operator table was last known to be current.
 	heard time.Time // guarded by mu
-	// lost is when the store was last out of reach, own tells that the last
-	// call of this node failed.
-	lost time.Time // guarded by mu
-	own  bool      // guarded by mu
+	// outage is when news of the store were last so old that entries of servers
+	// may have lapsed meanwhile.
+	outage time.Time // guarded by mu
+	own    bool      // guarded by mu; the last call of this node failed
 }
 
 func newReader(store news.Store, rows *news.Map, m *telemetry.ForwardMetrics, turn func() int, log *zap.Logger) *reader {
@@ -99,14 +102,25 @@
 	return r.age() > staleAfter+time.Duration(min(turn, 5))*standbyStep
 }
 
-// sinceOutage returns how long ago the store was last out of this node's reach.
+// sinceOutage returns how long ago the last outage of the store ended. A store
+// that only this node cannot reach is none: its news come from others.
 func (r *reader) sinceOutage() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lost.IsZero() {
+	if r.outage.IsZero() {
 		return time.Hour
 	}
-	return time.Since(r.lost)
+	return time.Since(r.outage)
+}
+
+// watchAge notes an outage while it lasts.
+func (r *reader) watchAge() {
+	age := r.age()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.heard.IsZero() && age > outageAge {
+		r.outage = time.Now()
+	}
 }
 
 func (r *reader) succeeded(current bool) {
@@ -125,7 +139,7 @@
 func (r *reader) failed(table string, err error) {
 	r.mu.Lock()
 	was := r.own
-	r.own, r.lost = true, time.Now()
+	r.own = true
 	r.mu.Unlock()
 	if !was {
 		r.log.Warn("store lost", zap.String("table", table), telemetry.Cause(err), zap.Int64("age_ms", r.age().Milliseconds()))
