Learn models' speeds from the tokens that were to be read

Cause: the time to the first event was divided by the whole prompt, whether its head was cached or not and with the way in it, and its median taken: 30 us a token where the small model takes 8, 95 where the large takes 79, so that waits were told four times too long. Engines are now compared with a price for reading again what another has cached, which the wrong speed had stood for. The test of speeds is replaced by one that has waits and the way in it and holds the estimate within a fifth of the truth.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -23,6 +23,7 @@
 	resp   *http.Response
 	cancel context.CancelFunc
 	unread time.Duration // work on the prompt that counts as not yet done
+	tokens float64       // of the prompt that the server is expected to read
 }
 
 // result classifies how far an attempt came.
@@ -48,7 +49,7 @@
 	if x.q.Route.Sticky && x.q.Subject != "" {
 		q.Affinity = model + "/" + x.q.Subject
 		q.Local = x.q.isCostlyToMove()
-		q.Cold, q.Warm = x.f.speeds.read(model, x.q.PromptTokens), x.f.speeds.read(model, x.q.ownTokens())
+		q.Cold, q.Warm = x.f.speeds.weight(model, x.q.PromptTokens), x.f.speeds.weight(model, x.q.ownTokens())
 	}
 	m, read := x.f.o.Pool.Choose(q, now)
 	if m == nil && len(x.tried) > 0 {
@@ -59,7 +60,20 @@
 	if m == nil {
 		return nil
 	}
-	return &attempt{member: m, model: model, load: m.Occupancy(now), wait: m.Wait(now), began: now, unread: read}
+	tokens := readTokens(x.q.PromptTokens, read, q.Cold)
+	return &attempt{
+		member: m, model: model, load: m.Occupancy(now), wait: m.Wait(now), began: now,
+		tokens: tokens, unread: x.f.speeds.read(model, tokens),
+	}
+}
+
+// readTokens returns the part of a prompt's tokens that takes the time read,
+// where all of them take cold.
+func readTokens(prompt float64, read, cold time.Duration) float64 {
+	if cold <= 0 {
+		return prompt
+	}
+	return prompt * float64(read) / float64(cold)
 }
 
 // send sends the request and waits for the header of the answer.
--- a/internal/forward/cascade_test.go
+++ b/internal/forward/cascade_test.go
@@ -65,15 +65,22 @@
 	is.True(!c.Accept(30, prompt("r", 30000), step))
 }
 
-// The speed of a model is learned from the first events of its answers.
+// The speed of a model is learned from the first events of its answers, without
+// the way and although some of them had to wait.
 func TestSpeedIsLearned(t *testing.T) {
 	is := is.New(t)
 	s := newSpeeds()
+	const tokens, each = 2000, 8 * time.Microsecond
 	for i := range 400 {
-		s.observe("m", 1000, time.Duration(20+i%10)*time.Millisecond)
+		first := wayTime + tokens*each
+		if i%2 == 0 {
+			first += time.Duration(i) * time.Millisecond // waits
+		}
+		s.observe("m", tokens, first)
 	}
-	got := s.read("m", 1000)
-	is.True(got > 19*time.Millisecond && got < 30*time.Millisecond)
+	got := s.read("m", tokens)
+	is.True(got > tokens*each*9/10 && got < tokens*each*12/10)
 	s.observe("m", 10, time.Hour) // short prompts tell nothing
-	is.Equal(s.read("m", 1000), got)
+	is.Equal(s.read("m", tokens), got)
+	is.Equal(s.weight("m", 1000), 1000*rereadPrice) // even a fast model reads at a price
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -192,7 +192,7 @@
 		if first {
 			first = false
 			a.prefilled()
-			x.f.speeds.observe(a.model, x.q.PromptTokens, time.Since(a.began))
+			x.f.speeds.observe(a.model, a.tokens, time.Since(a.began))
 			x.observe(a, false)
 			x.startStream(a)
 		}
