--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -18,7 +18,7 @@
 	table  atomic.Pointer[route.Table]
 }
 
-func (c *config) take(r news.Row, from string) {
+func (c *config) take(r news.Row) {
 	if r.Deleted {
 		return
 	}
@@ -32,7 +32,7 @@
 		return
 	}
 	c.table.Store(t)
-	fields := []zap.Field{zap.Int64("version", t.Version), zap.Uint64("row", r.Version), zap.String("from", from), zap.Int("routes", t.Len())}
+	fields := []zap.Field{zap.Int64("version", t.Version), zap.Uint64("row", r.Version), zap.Int("routes", t.Len())}
 	if old != nil {
 		fields = append(fields, zap.Int64("before", old.Version))
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -79,7 +79,7 @@
 		data string
 		want int64
 	}{{"5", 5}, {"4", 5}, {"nonsense", 5}, {"9", 9}} {
-		c.take(news.Row{Table: "o", Key: "c", Data: []byte(step.data)}, "")
+		c.take(news.Row{Table: "o", Key: "c", Data: []byte(step.data)})
 		is.Equal(c.table.Load().Version, step.want)
 	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -135,7 +135,7 @@
 	t := n.o.Schema.Tables()
 	for _, r := range byTable[t.Operator] {
 		if r.Key == t.Config {
-			n.config.take(r, "")
+			n.config.take(r)
 		}
 	}
 	n.rollouts.take(byTable[t.Operator], now)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -22,8 +22,6 @@
 	Instance string
 	// Version names the version of the weights that is meant.
 	Version string
-	// Seal is the server's seal of its answer.
-	Seal string
 	// NotRun marks a server's answer that promises that nothing ran.
 	NotRun string
 	// Load is "running,waiting,slots" of a server.
