Count a crash only where the server died, tell cleared suspicions, keep addresses out of refusals

Found by reading the change: a reset before an answer's header was no crash at all, so that a request which crashes servers was never refused; one within an answer always was, also from servers that only break off. A server that takes no connection afterwards has crashed. Suspicions that were cleared stayed at the other nodes. Refusals showed callers the addresses of servers. The heartbeat of a stop ran beside that of the loop.

--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// Record returns what is known of a request.
+func (s *Suspects) Record(fingerprint uint64) (wire.Suspect, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[fingerprint]
+	return e, ok
+}
+
 // Suspected tells whether a request may have brought a replica down.
 func (s *Suspects) Suspected(fingerprint uint64, now time.Time) bool {
 	s.mu.Lock()
--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -25,6 +25,8 @@
 // beat tells the hub this node's state, and, as a hub, the other data centres
 // those of its own.
 func (n *Node) beat() {
+	n.beating.Lock()
+	defer n.beating.Unlock()
 	s := n.settings.Load()
 	state := nodeState{
 		Node: s.Node, Inner: n.inner, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.ready(), Stopping: n.stopping.Load(),
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
@@ -424,3 +425,21 @@
 		synctest.Wait()
 	})
 }
+
+// A suspicion that one node clears is cleared at the others.
+func TestClearedSuspicionIsTold(t *testing.T) {
+	is := is.New(t)
+	var told []news.Row
+	rows := news.NewMap(func(r []news.Row) { told = append(told, r...) })
+	a := &suspects{Suspects: dispatch.NewSuspectsAfter(2), self: "a", rows: rows, log: zap.NewNop(), next: counter()}
+	b := &suspects{Suspects: dispatch.NewSuspectsAfter(2), self: "b", rows: news.NewMap(nil), log: zap.NewNop(), next: counter()}
+	a.Crashed(7, "s1", start)
+	a.Cleared(7, start)
+	a.Crashed(7, "s2", start)
+	b.take(told, start)
+	is.True(b.Suspected(7, start))
+	is.True(!b.Convicted(7, start)) // one crash since it ran to its end
+	a.Crashed(7, "s3", start)
+	b.take(told, start)
+	is.True(b.Convicted(7, start))
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -59,7 +59,8 @@
 	config       *config
 	servers      *servers
 	members      *members
-	told         hubState // used by the heartbeat's loop alone
+	beating      sync.Mutex // held during a heartbeat, before all others
+	told         hubState   // guarded by beating
 	sessions     *sessions
 	rollouts     *rollouts
 	evidence     *evidence
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -30,7 +30,12 @@
 
 // Cleared implements forward.Suspects.
 func (s *suspects) Cleared(fingerprint uint64, now time.Time) {
-	s.Suspects.Cleared(fingerprint, now)
+	if !s.Suspects.Cleared(fingerprint, now) {
+		return
+	}
+	if e, ok := s.Record(fingerprint); ok {
+		s.publish(e)
+	}
 }
 
 func (s *suspects) publish(e wire.Suspect) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -121,6 +121,9 @@
 	if !errors.Is(err, context.Canceled) {
 		x.fail(a)
 	}
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		x.f.suspectCrash(x.q.Fingerprint, a.member)
+	}
 	return unknown, err
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -27,10 +28,12 @@
 	convictedReturn = time.Minute
 )
 
-// refusal is an answer of the system's own.
+// refusal is an answer of the system's own. Callers are told the reason, the
+// log also the detail, which may name servers.
 type refusal struct {
 	status int
 	reason string
+	detail string
 	after  time.Duration
 }
 
@@ -87,7 +90,7 @@
 
 // refuse sends an answer of the system's own.
 func (x *exchange) refuse(r refusal) {
-	x.outcome = r.reason
+	x.outcome = cmp.Or(r.detail, r.reason)
 	if x.started {
 		x.torn = true
 		return
@@ -102,16 +105,17 @@
 }
 
 // giveUp ends a request that cannot be served, truthfully about whether it ran.
-func (x *exchange) giveUp(ctx context.Context, reason string, after time.Duration) {
+// detail is the last cause.
+func (x *exchange) giveUp(ctx context.Context, detail string, after time.Duration) {
 	switch {
 	case ctx.Err() != nil && time.Now().Before(x.q.Deadline):
 		x.outcome, x.torn = "caller left", true
 	case !x.mayHaveRun && x.runs == 0:
-		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, after: after})
+		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no backend server took the request", detail: detail, after: after})
 	case ctx.Err() != nil:
-		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "time is up: " + reason})
+		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "time is up", detail: "time is up: " + detail})
 	default:
-		x.refuse(refusal{status: http.StatusBadGateway, reason: reason})
+		x.refuse(refusal{status: http.StatusBadGateway, reason: "backend server failed", detail: detail})
 	}
 }
 
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,9 +51,12 @@
 
 func (*fixedVersions) Observe(string, string, Observation, time.Time) {}
 
-type fakeSuspects struct{ convicted, crashes int }
+type fakeSuspects struct {
+	convicted int
+	crashes   atomic.Int32
+}
 
-func (s *fakeSuspects) Crashed(uint64, string, time.Time)    { s.crashes++ }
+func (s *fakeSuspects) Crashed(uint64, string, time.Time)    { s.crashes.Add(1) }
 func (s *fakeSuspects) Cleared(uint64, time.Time)            {}
 func (s *fakeSuspects) Convicted(f uint64, _ time.Time) bool { return s.convicted != 0 }
 
@@ -87,6 +91,7 @@
 	transport := &http.Transport{DialContext: b.net.dial, DisableCompression: true}
 	b.client = &http.Client{Transport: transport}
 	t.Cleanup(func() {
+		time.Sleep(time.Second) // probes of servers end
 		transport.CloseIdleConnections()
 		b.f.kept.CloseIdleConnections()
 		b.f.fresh.CloseIdleConnections()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -85,7 +85,9 @@
 	x.mayHaveRun = true
 	x.fail(a)
 	x.observe(a, true)
-	x.f.o.Suspects.Crashed(x.q.Fingerprint, a.member.ID, time.Now())
+	if ctx.Err() == nil {
+		x.f.suspectCrash(x.q.Fingerprint, a.member)
+	}
 	return unknown, nil, errors.Wrap(err, "answer broke off")
 }
 
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -178,3 +178,29 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// A request under which a server dies is noted; one whose answer breaks off at
+// a server that lives on is not.
+func TestOnlyDeadServersCountAsCrashes(t *testing.T) {
+	for _, dies := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is, b := is.New(t), newBench(t)
+			for _, id := range []string{"x", "y"} {
+				b.server(id, func(net.Conn, *http.Request) {
+					if dies {
+						b.net.mu.Lock()
+						l := b.net.listeners[id]
+						delete(b.net.listeners, id)
+						b.net.mu.Unlock()
+						_ = l.Close()
+					}
+				})
+			}
+			_, _, err := b.call(t.Context(), http.MethodGet, "/read/1", nil)
+			is.NoErr(err)
+			time.Sleep(time.Second)
+			crashes := b.suspects.crashes.Load()
+			is.Equal(crashes > 0, dies)
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -255,7 +255,7 @@
 		x.fail(a)
 		x.observe(a, true)
 		if cause == nil {
-			x.f.o.Suspects.Crashed(x.q.Fingerprint, a.member.ID, time.Now())
+			x.f.suspectCrash(x.q.Fingerprint, a.member)
 		}
 	}
 	if errors.Is(cause, errStalled) {
