--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -24,6 +24,10 @@
 	cancel context.CancelFunc
 	unread time.Duration // work on the prompt that counts as not yet done
 	tokens float64       // of the prompt that the server is expected to read
+	// loadAge and passed are for the log: how old the news were by which the
+	// server was chosen, and which others were not there to choose.
+	loadAge time.Duration
+	passed  pool.PassedOver
 }
 
 // result classifies how far an attempt came.
@@ -63,7 +67,7 @@
 	tokens := readTokens(x.q.PromptTokens, read, q.Cold)
 	return &attempt{
 		member: m, model: model, load: m.Occupancy(now), wait: m.Wait(now), began: now,
-		tokens: tokens, unread: x.f.speeds.read(model, tokens),
+		tokens: tokens, unread: x.f.speeds.read(model, tokens), loadAge: m.LoadAge(now), passed: x.f.o.Pool.PassedOver(q, now),
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -66,8 +66,11 @@
 	Model   string  `json:"model,omitempty"`
 	Load    float64 `json:"load,omitempty"`
 	WaitMS  int64   `json:"wait_ms,omitempty"`
-	AtMS    int64   `json:"at_ms"`
-	Result  string  `json:"result"`
+	// LoadAgeMS is how old the news of the load were.
+	LoadAgeMS  int64           `json:"load_age_ms,omitempty"`
+	PassedOver pool.PassedOver `json:"passed_over,omitzero"`
+	AtMS       int64           `json:"at_ms"`
+	Result     string          `json:"result"`
 }
 
 func (x *exchange) serve(ctx context.Context) {
@@ -83,7 +86,7 @@
 	s := step{AtMS: time.Since(x.q.Arrived).Milliseconds(), Result: result}
 	if a != nil {
 		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
-		s.WaitMS = a.wait.Milliseconds()
+		s.WaitMS, s.LoadAgeMS, s.PassedOver = a.wait.Milliseconds(), a.loadAge.Milliseconds(), a.passed
 	}
 	x.steps = append(x.steps, s)
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -38,10 +38,11 @@
 			x.answer(a, body)
 			return
 		}
-		if err != nil {
-			x.note(a, err.Error())
-			reason, after = err.Error(), fullReturn
+		if err == nil {
+			err = errors.Errorf("server answered %d, asked again", a.resp.StatusCode)
 		}
+		x.note(a, err.Error())
+		reason, after = err.Error(), fullReturn
 		if res == unknown && !x.q.Route.Repeatable() {
 			break
 		}
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // A confirmation whose answer was lost is never sent again: the caller is told
@@ -82,6 +84,27 @@
 	})
 }
 
+// Each attempt has its step in the request's line, a repeated failure too.
+func TestRepeatedFailureIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newBench(t)
+		core, lines := observer.New(zap.InfoLevel)
+		b.f.o.Log = zap.New(core)
+		for _, id := range []string{"x", "y", "z"} {
+			b.server(id, func(c net.Conn, r *http.Request) { answer(c, r, http.StatusInternalServerError, "", "no") })
+		}
+		_, _, err := b.call(t.Context(), http.MethodGet, "/read/1", nil)
+		is.NoErr(err)
+		synctest.Wait()
+		entries := lines.FilterMessage("request").All()
+		is.Equal(len(entries), 1)
+		steps, ok := entries[0].ContextMap()["steps"].([]step)
+		is.True(ok)
+		is.Equal(len(steps), 2)
+		is.True(steps[0].Server != "" && steps[0].Server != steps[1].Server)
+	})
+}
+
 // The last failure of a server is passed on as it is, with its seal.
 func TestLastFailureIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -138,3 +138,19 @@
 	q := Query{Service: "s", Affinity: "k", DataCentre: "nowhere", Local: true, Draw: half}
 	is.True(choose(p, q, start) != nil)
 }
+
+// A log line tells why servers were not there to choose.
+func TestPassedOver(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	list := engines(5)
+	list[0].Draining = true
+	list[1].Version = "v2"
+	p.Update(list, start)
+	for range 3 {
+		p.Member("d").Fail(start.Add(time.Millisecond), start.Add(time.Millisecond), 1)
+	}
+	q := Query{Service: "s", Versions: Versions{Except: "v2"}, Exclude: []*Member{p.Member("c")}}
+	is.Equal(p.PassedOver(q, start.Add(2*time.Millisecond)), PassedOver{Draining: 1, Version: 1, Tried: 1, Ejected: 1})
+	is.Equal(p.Member("e").LoadAge(start.Add(time.Second)), time.Second)
+}
