--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -12,15 +12,15 @@
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
-// hubState is what this node last told as a hub.
+// hubState is what this node last published as a hub.
 type hubState struct {
 	roster, loads string
-	at            time.Time // when both were told whatever they were
+	at            time.Time // when both were last published whether changed or not
 }
 
-// tellAgain is how often a roster that has not changed is told again: rows of
+// republishInterval is how often a roster that has not changed is told again: rows of
 // soft tables are forgotten after a while, and nodes that join later need it.
-const tellAgain = forgetAfter / 4
+const republishInterval = forgetAfter / 4
 
 // beat tells the hub this node's state, and, as a hub, the other data centres
 // those of its own.
@@ -33,30 +33,30 @@
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
-	n.tell(tableBeats, n.key, beat{state, n.ownWork()})
+	n.publish(tableBeats, n.key, beat{state, n.ownWork()})
 	if n.members.hubs(time.Now())[s.DataCentre] == n.inner {
-		n.tellRoster()
+		n.publishRoster()
 	}
 }
 
-// tellRoster tells the other nodes who is in this hub's data centre, and what
+// publishRoster tells the other nodes who is in this hub's data centre, and what
 // they have at the servers.
-func (n *Node) tellRoster() {
-	if now := time.Now(); now.Sub(n.told.at) > tellAgain {
-		n.told = hubState{at: now}
+func (n *Node) publishRoster() {
+	if now := time.Now(); now.Sub(n.published.at) > republishInterval {
+		n.published = hubState{at: now}
 	}
 	nodes, total := n.members.ownRoster()
-	n.told.roster = n.tellChange(tableRosters, nodes, n.told.roster)
-	n.told.loads = n.tellChange(tableLoads, total, n.told.loads)
-	n.tell(tablePulses, n.key, struct{}{})
+	n.published.roster = n.publishChange(tableRosters, nodes, n.published.roster)
+	n.published.loads = n.publishChange(tableLoads, total, n.published.loads)
+	n.publish(tablePulses, n.key, struct{}{})
 }
 
-// tellChange tells a value under this node's key if it is not what was told
+// publishChange tells a value under this node's key if it is not what was told
 // before, and returns what was told.
-func (n *Node) tellChange(table string, value any, before string) string {
+func (n *Node) publishChange(table string, value any, before string) string {
 	raw, err := json.Marshal(value)
 	if err != nil {
-		n.o.Log.Error("state is not told", zap.String("table", table), telemetry.Cause(err))
+		n.o.Log.Error("state is not published", zap.String("table", table), telemetry.Cause(err))
 		return before
 	}
 	if string(raw) != before {
@@ -65,11 +65,11 @@
 	return string(raw)
 }
 
-// tell tells a value under a key.
-func (n *Node) tell(table, key string, value any) {
+// publish tells a value under a key.
+func (n *Node) publish(table, key string, value any) {
 	raw, err := json.Marshal(value)
 	if err != nil {
-		n.o.Log.Error("state is not told", zap.String("table", table), telemetry.Cause(err))
+		n.o.Log.Error("state is not published", zap.String("table", table), telemetry.Cause(err))
 		return
 	}
 	n.rows.Apply([]news.Row{{Table: table, Key: key, Version: n.nextVersion(), Data: raw}})
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -18,7 +18,7 @@
 	table  atomic.Pointer[route.Table]
 }
 
-func (c *config) take(r news.Row) {
+func (c *config) apply(r news.Row) {
 	if r.Deleted {
 		return
 	}
--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -22,9 +22,9 @@
 	n.evidence.publish(n.rollouts, now)
 	for _, o := range n.rollouts.running() {
 		old, next := n.evidence.totals(o.Service, o.To)
-		n.rollouts.weigh(o.Service, o.To, old, next)
+		n.rollouts.evaluate(o.Service, o.To, old, next)
 	}
-	for _, d := range n.rollouts.dues(now) {
+	for _, d := range n.rollouts.pendingStatuses(now) {
 		if d.late >= time.Duration(n.driverTurn(d.service))*standIn {
 			n.writeStatus(ctx, d)
 		}
@@ -48,7 +48,7 @@
 	return len(nodes)
 }
 
-func (n *Node) writeStatus(ctx context.Context, d due) {
+func (n *Node) writeStatus(ctx context.Context, d pendingStatus) {
 	raw, err := n.o.Schema.EncodeRolloutStatus(d.status)
 	if err != nil {
 		n.o.Log.Error("roll-out status is not written", telemetry.Cause(err))
@@ -59,7 +59,7 @@
 	n.reader.calls("status", outcomeOf(err))
 	n.o.Log.Info("roll-out status written", zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
 		zap.Uint64("expected", d.expected), zap.Bool("stored", ok), telemetry.Cause(err), zap.Int64("late_ms", d.late.Milliseconds()))
-	// The row's own version is learned by reading it back: an answer may be lost
+	// The row's own version is observeAge by reading it back: an answer may be lost
 	// after the write was done.
 	n.readStatus(ctx, t.Status)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -80,7 +80,7 @@
 		data string
 		want int64
 	}{{"5", 5}, {"4", 5}, {"nonsense", 5}, {"9", 9}} {
-		c.take(news.Row{Table: "o", Key: "c", Data: []byte(step.data)})
+		c.apply(news.Row{Table: "o", Key: "c", Data: []byte(step.data)})
 		is.Equal(c.table.Load().Version, step.want)
 	}
 }
@@ -95,15 +95,15 @@
 	entry := func(id string, version uint64, draining bool) news.Row {
 		return news.Row{Table: "s", Key: id, Version: version, Data: encode(t, pool.Server{Service: "x", Slots: 1, Draining: draining})}
 	}
-	s.take([]news.Row{entry("a", 1, false), entry("b", 1, true)}, start)
-	s.take([]news.Row{{Table: "s", Key: "a", Version: 2, Deleted: true}, {Table: "s", Key: "b", Version: 2, Deleted: true}}, start)
+	s.apply([]news.Row{entry("a", 1, false), entry("b", 1, true)}, start)
+	s.apply([]news.Row{{Table: "s", Key: "a", Version: 2, Deleted: true}, {Table: "s", Key: "b", Version: 2, Deleted: true}}, start)
 	is.True(p.Member("a") != nil)
 	is.True(p.Member("b") == nil)
 	s.tick(start.Add(lapseGrace + time.Millisecond))
 	is.True(p.Member("a") == nil)
 	outage = time.Hour
-	s.take([]news.Row{entry("c", 3, false)}, start)
-	s.take([]news.Row{{Table: "s", Key: "c", Version: 4, Deleted: true}}, start)
+	s.apply([]news.Row{entry("c", 3, false)}, start)
+	s.apply([]news.Row{{Table: "s", Key: "c", Version: 4, Deleted: true}}, start)
 	is.True(p.Member("c") == nil) // without an outage a missing entry is gone at once
 }
 
@@ -117,7 +117,7 @@
 	is := is.New(t)
 	m := newMembers(zap.NewNop())
 	m.setSelf(state("n1", "a", 1))
-	m.takeRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{state("n2", "a", 1), state("n3", "a", 9), state("n4", "a", 9), state("m1", "b", 1)})}}, start)
+	m.applyRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{state("n2", "a", 1), state("n3", "a", 9), state("n4", "a", 9), state("m1", "b", 1)})}}, start)
 	hub := m.hubs(start)["a"]
 	is.True(hub == "n3" || hub == "n4")
 	is.Equal(m.hubs(start)["b"], "m1")
@@ -135,15 +135,15 @@
 	is := is.New(t)
 	m := newMembers(zap.NewNop())
 	m.setSelf(state("n1", "a", 1))
-	m.takeRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{state("m1", "b", 1), state("m2", "b", 1)})}}, start)
+	m.applyRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{state("m1", "b", 1), state("m2", "b", 1)})}}, start)
 	is.Equal(m.count(), 3)
 	stopping := state("m2", "b", 1)
 	stopping.Stopping = true
-	m.takeBeats([]news.Row{{Key: "m2", Data: encode(t, beat{nodeState: stopping})}}, start)
+	m.applyBeats([]news.Row{{Key: "m2", Data: encode(t, beat{nodeState: stopping})}}, start)
 	for _, s := range m.alive() {
 		is.Equal(s.Stopping, s.Inner == "m2")
 	}
-	m.takePulses([]news.Row{{Key: "h"}}, start.Add(2*time.Second))
+	m.applyPulses([]news.Row{{Key: "h"}}, start.Add(2*time.Second))
 	m.prune(start.Add(hubDeadAfter + time.Second))
 	is.Equal(m.count(), 3) // the beat is gone, the list stands by its pulse
 	m.prune(start.Add(2*time.Second + hubDeadAfter + time.Second))
@@ -204,7 +204,7 @@
 	is := is.New(t)
 	r, _ := newTestRollouts(t)
 	session := canarySession()
-	r.take([]news.Row{order(t, 1)}, start)
+	r.apply([]news.Row{order(t, 1)}, start)
 	r.Observe("x", "v1", forward.Observation{Session: session}, start)
 	is.Equal(r.Pick("x", session, start.Add(time.Second)), forward.Choice{Except: "v2"})
 	is.Equal(r.Pick("x", session, start.Add(7*time.Second)), forward.Choice{Prefer: "v2"}) // it had ended
@@ -218,7 +218,7 @@
 	}
 	is.True(others > 30 && others < 100) // the canary's share
 	is.Equal(r.Pick("x", "any", start.Add(15*time.Second)), forward.Choice{Prefer: "v2"})
-	r.take([]news.Row{status(t, 2, RolloutCompleted)}, start)
+	r.apply([]news.Row{status(t, 2, RolloutCompleted)}, start)
 	is.Equal(r.Pick("x", "any", start.Add(17*time.Second)), forward.Choice{Only: "v2"})
 }
 
@@ -227,8 +227,8 @@
 	is := is.New(t)
 	r, s := newTestRollouts(t)
 	session := canarySession()
-	r.take([]news.Row{order(t, 1)}, start)
-	s.take([]news.Row{{Table: tableSessions, Key: "x/" + session, Version: 1, Data: encode(t, sessionUse{Version: "v1"})}}, start)
+	r.apply([]news.Row{order(t, 1)}, start)
+	s.apply([]news.Row{{Table: tableSessions, Key: "x/" + session, Version: 1, Data: encode(t, sessionUse{Version: "v1"})}}, start)
 	is.Equal(r.Pick("x", session, start.Add(time.Second)), forward.Choice{Except: "v2"})
 }
 
@@ -244,12 +244,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r, _ := newTestRollouts(t)
-			r.take([]news.Row{order(t, 1)}, start)
+			r.apply([]news.Row{order(t, 1)}, start)
 			old, next, found := rollout.Counts{}, rollout.Counts{}, 0
 			for range 30 {
 				old = old.Plus(rollout.Counts{Good: 19, Bad: 1})
 				next = next.Plus(rollout.Counts{Good: c.newGood, Bad: c.newBad})
-				if r.weigh("x", "v2", old, next) {
+				if r.evaluate("x", "v2", old, next) {
 					found = next.Total()
 				}
 			}
@@ -257,7 +257,7 @@
 			if c.bad {
 				is.True(found <= 30) // few answers suffice
 				is.Equal(r.Pick("x", canarySession(), start), forward.Choice{Except: "v2"})
-				is.Equal(r.dues(start)[0].status.State, RolloutReverted)
+				is.Equal(r.pendingStatuses(start)[0].status.State, RolloutReverted)
 			}
 		})
 	}
@@ -281,26 +281,26 @@
 func TestStatusesThatAreDue(t *testing.T) {
 	is := is.New(t)
 	r, _ := newTestRollouts(t)
-	r.take([]news.Row{order(t, 1)}, start)
-	is.Equal(r.dues(start)[0].status.State, RolloutRunning)
-	r.take([]news.Row{status(t, 2, RolloutRunning)}, start)
-	is.Equal(len(r.dues(start.Add(time.Second))), 0)
-	d := r.dues(start.Add(17 * time.Second))
+	r.apply([]news.Row{order(t, 1)}, start)
+	is.Equal(r.pendingStatuses(start)[0].status.State, RolloutRunning)
+	r.apply([]news.Row{status(t, 2, RolloutRunning)}, start)
+	is.Equal(len(r.pendingStatuses(start.Add(time.Second))), 0)
+	d := r.pendingStatuses(start.Add(17 * time.Second))
 	is.Equal(d[0].status.State, RolloutCompleted)
 	is.Equal(d[0].expected, uint64(2))
-	r.take([]news.Row{status(t, 3, RolloutCompleted)}, start)
-	is.Equal(len(r.dues(start.Add(18*time.Second))), 0)
-	r.take([]news.Row{order(t, 4)}, start.Add(30*time.Second))
-	is.Equal(r.dues(start.Add(30 * time.Second))[0].status.State, RolloutRunning)
+	r.apply([]news.Row{status(t, 3, RolloutCompleted)}, start)
+	is.Equal(len(r.pendingStatuses(start.Add(18*time.Second))), 0)
+	r.apply([]news.Row{order(t, 4)}, start.Add(30*time.Second))
+	is.Equal(r.pendingStatuses(start.Add(30 * time.Second))[0].status.State, RolloutRunning)
 }
 
 // A node that starts in the middle of a roll-out takes its stage from others.
 func TestStageIsAdopted(t *testing.T) {
 	is := is.New(t)
 	r, _ := newTestRollouts(t)
-	r.take([]news.Row{order(t, 1)}, start)
+	r.apply([]news.Row{order(t, 1)}, start)
 	e := &evidence{rows: news.NewMap(nil), next: counter(), log: zap.NewNop(), seen: map[string]counts{}}
-	e.take([]news.Row{{Key: "x/other", Data: encode(t, counts{To: "v2", ElapsedMS: 15000, New: rollout.Counts{Good: 3}})}}, r, start)
+	e.apply([]news.Row{{Key: "x/other", Data: encode(t, counts{To: "v2", ElapsedMS: 15000, New: rollout.Counts{Good: 3}})}}, r, start)
 	is.Equal(r.Pick("x", "any", start), forward.Choice{Prefer: "v2"})
 	_, next := e.totals("x", "v2")
 	is.Equal(next.Good, 3)
@@ -342,12 +342,12 @@
 		is := is.New(t)
 		store := &fakeStore{}
 		r := newReader(store, news.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 1 }, zap.NewNop())
-		r.learned(0)
+		r.observeAge(0)
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.follow(ctx, "o", operatorWait, 0, true)
 		for range 20 {
 			time.Sleep(300 * time.Millisecond)
-			r.learned(100 * time.Millisecond) // the reader's news arrive
+			r.observeAge(100 * time.Millisecond) // the reader's news arrive
 		}
 		is.Equal(store.calls.Load(), int32(0))
 		time.Sleep(staleAfter + standbyStep + 2*idlePause)
@@ -371,7 +371,7 @@
 				is := is.New(t)
 				store := &fakeStore{down: true}
 				r := newReader(store, news.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return c.turn }, zap.NewNop())
-				r.learned(0)
+				r.observeAge(0)
 				ctx, cancel := context.WithCancel(t.Context())
 				go r.follow(ctx, "o", operatorWait, 0, c.current)
 				time.Sleep(10 * time.Second)
@@ -413,13 +413,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.follow(ctx, "o", operatorWait, 0, true)
 		for range 20 {
-			r.learned(200 * time.Millisecond) // another node's news
+			r.observeAge(200 * time.Millisecond) // another node's news
 			time.Sleep(pruneInterval)
-			r.watchAge()
+			r.noteOutage()
 		}
 		is.Equal(r.sinceOutage(), time.Hour)
 		time.Sleep(outageAge + pruneInterval)
-		r.watchAge()
+		r.noteOutage()
 		is.True(r.sinceOutage() < time.Second)
 		cancel()
 		synctest.Wait()
@@ -436,10 +436,10 @@
 	a.Crashed(7, "s1", start)
 	a.Cleared(7, start)
 	a.Crashed(7, "s2", start)
-	b.take(told, start)
+	b.apply(told, start)
 	is.True(b.Suspected(7, start))
 	is.True(!b.Convicted(7, start)) // one crash since it ran to its end
 	a.Crashed(7, "s3", start)
-	b.take(told, start)
+	b.apply(told, start)
 	is.True(b.Convicted(7, start))
 }
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -37,8 +37,8 @@
 
 func newJudge() *judge { return &judge{test: rollout.Test{Margin: badMargin}} }
 
-// weigh takes totals so far and returns the evidence against the new version.
-func (j *judge) weigh(old, next rollout.Counts) float64 {
+// evaluate takes totals so far and returns the evidence against the new version.
+func (j *judge) evaluate(old, next rollout.Counts) float64 {
 	// A node that left takes its counts along: totals never fall.
 	old, next = atLeast(old, j.old), atLeast(next, j.next)
 	j.test.Add(old.Minus(j.old), next.Minus(j.next))
@@ -133,15 +133,15 @@
 		key := service + "/" + e.self
 		raw, err := json.Marshal(c)
 		if err != nil {
-			e.log.Error("evidence is not told", telemetry.Cause(err))
+			e.log.Error("evidence is not published", telemetry.Cause(err))
 			continue
 		}
 		e.rows.Apply([]news.Row{{Table: tableEvidence, Key: key, Version: e.next(), Data: raw}})
 	}
 }
 
-// take notes what a node saw.
-func (e *evidence) take(rows []news.Row, r *rollouts, now time.Time) {
+// apply notes what a node saw.
+func (e *evidence) apply(rows []news.Row, r *rollouts, now time.Time) {
 	for service, c := range e.keep(rows) {
 		r.adopt(service, c.To, time.Duration(c.ElapsedMS)*time.Millisecond, now)
 	}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -86,12 +86,12 @@
 type members struct {
 	log     *zap.Logger
 	mu      sync.Mutex
-	self    nodeState            // guarded by mu
-	beats   map[string]heardBeat // guarded by mu; by node key
-	rosters map[string]*roster   // guarded by mu; by hub key
-	down    map[string]time.Time // guarded by mu; by inner address
-	loads   map[string]map[string]work
-	known   map[string]bool // guarded by mu; names that were logged as joined
+	self    nodeState                  // guarded by mu
+	beats   map[string]heardBeat       // guarded by mu; by node key
+	rosters map[string]*roster         // guarded by mu; by hub key
+	down    map[string]time.Time       // guarded by mu; by inner address
+	loads   map[string]map[string]work // guarded by mu; by hub key and server
+	known   map[string]bool            // guarded by mu; names that were logged as joined
 }
 
 func newMembers(log *zap.Logger) *members {
@@ -108,8 +108,8 @@
 	m.self = s
 }
 
-// takeBeats notes heartbeats of the own data centre.
-func (m *members) takeBeats(rows []news.Row, now time.Time) {
+// applyBeats notes heartbeats of the own data centre.
+func (m *members) applyBeats(rows []news.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range rows {
@@ -123,8 +123,8 @@
 	}
 }
 
-// takeRosters notes the lists of hubs.
-func (m *members) takeRosters(rows []news.Row, now time.Time) {
+// applyRosters notes the lists of hubs.
+func (m *members) applyRosters(rows []news.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range rows {
@@ -137,8 +137,8 @@
 	}
 }
 
-// takePulses notes that hubs live.
-func (m *members) takePulses(rows []news.Row, now time.Time) {
+// applyPulses notes that hubs live.
+func (m *members) applyPulses(rows []news.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range rows {
@@ -148,8 +148,8 @@
 	}
 }
 
-// takeLoads notes what data centres have at the servers.
-func (m *members) takeLoads(rows []news.Row) {
+// applyLoads notes what data centres have at the servers.
+func (m *members) applyLoads(rows []news.Row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range rows {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -47,34 +47,34 @@
 // while it holds a lock of its own, but for the rows' map, whose lock is
 // innermost.
 type Node struct {
-	o            Options
-	settings     atomic.Pointer[Settings]
-	inner        string // own inner address
-	key          string // of the own row: name and incarnation
-	epoch        uint64
-	version      atomic.Uint64 // of the newest own soft row
-	rows         *news.Map
-	exchange     *news.Exchange
-	reader       *reader
-	config       *config
-	servers      *servers
-	members      *members
-	beating      sync.Mutex // held during a heartbeat, before all others
-	told         hubState   // guarded by beating
-	sessions     *sessions
-	rollouts     *rollouts
-	evidence     *evidence
-	suspects     *suspects
-	pool         *pool.Pool
-	forwarder    *forward.Forwarder
-	callers      *http.Server
-	stopping     atomic.Bool
-	mu           sync.Mutex
-	peers        map[string]*news.Peer // guarded by mu; by address
-	lastStranger time.Time             // guarded by mu
-	started      time.Time
-	listeners    []net.Listener
-	loops        sync.WaitGroup
+	o             Options
+	settings      atomic.Pointer[Settings]
+	inner         string // own inner address
+	key           string // of the own row: name and incarnation
+	epoch         uint64
+	version       atomic.Uint64 // of the newest own soft row
+	rows          *news.Map
+	exchange      *news.Exchange
+	reader        *reader
+	config        *config
+	servers       *servers
+	members       *members
+	beating       sync.Mutex // held during a heartbeat, before all others
+	published     hubState   // guarded by beating
+	sessions      *sessions
+	rollouts      *rollouts
+	evidence      *evidence
+	suspects      *suspects
+	pool          *pool.Pool
+	forwarder     *forward.Forwarder
+	callers       *http.Server
+	stopping      atomic.Bool
+	mu            sync.Mutex
+	peers         map[string]*news.Peer // guarded by mu; by address
+	lastDiscovery time.Time             // guarded by mu
+	started       time.Time
+	listeners     []net.Listener
+	loops         sync.WaitGroup
 }
 
 // crashesToRefuse is how many backend servers a request may bring down before
@@ -87,10 +87,10 @@
 	n.settings.Store(&o.Settings)
 	n.inner = net.JoinHostPort(o.Settings.IP, strconv.Itoa(o.Settings.InnerPort))
 	n.key = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
-	n.rows = news.NewMap(n.take)
+	n.rows = news.NewMap(n.apply)
 	n.members = newMembers(o.Log)
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.readerTurn, o.Log)
-	n.exchange = news.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.learned)
+	n.exchange = news.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
 	n.config = &config{schema: o.Schema, log: o.Log}
 	n.pool = pool.New(nil)
 	n.servers = newServers(o.Schema, n.pool, n.rows, n.reader.sinceOutage, o.Log)
@@ -126,8 +126,8 @@
 // ready tells whether the node takes callers.
 func (n *Node) ready() bool { return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 }
 
-// take hands fresh rows to the parts that follow them.
-func (n *Node) take(rows []news.Row) {
+// apply hands fresh rows to the parts that follow them.
+func (n *Node) apply(rows []news.Row) {
 	now := time.Now()
 	byTable := map[string][]news.Row{}
 	for _, r := range rows {
@@ -136,21 +136,21 @@
 	t := n.o.Schema.Tables()
 	for _, r := range byTable[t.Operator] {
 		if r.Key == t.Config {
-			n.config.take(r)
+			n.config.apply(r)
 		}
 	}
-	n.rollouts.take(byTable[t.Operator], now)
-	n.rollouts.take(byTable[t.Status], now)
+	n.rollouts.apply(byTable[t.Operator], now)
+	n.rollouts.apply(byTable[t.Status], now)
 	if list := byTable[t.Servers]; len(list) > 0 {
-		n.servers.take(list, now)
+		n.servers.apply(list, now)
 	}
-	n.members.takeBeats(byTable[tableBeats], now)
-	n.members.takeRosters(byTable[tableRosters], now)
-	n.members.takePulses(byTable[tablePulses], now)
-	n.members.takeLoads(byTable[tableLoads])
-	n.sessions.take(byTable[tableSessions], now)
-	n.evidence.take(byTable[tableEvidence], n.rollouts, now)
-	n.suspects.take(byTable[tableSuspects], now)
+	n.members.applyBeats(byTable[tableBeats], now)
+	n.members.applyRosters(byTable[tableRosters], now)
+	n.members.applyPulses(byTable[tablePulses], now)
+	n.members.applyLoads(byTable[tableLoads])
+	n.sessions.apply(byTable[tableSessions], now)
+	n.evidence.apply(byTable[tableEvidence], n.rollouts, now)
+	n.suspects.apply(byTable[tableSuspects], now)
 }
 
 const (
@@ -222,7 +222,7 @@
 		n.loops.Go(func() { n.reader.follow(life, f.table, f.wait, f.pause, f.current) })
 	}
 	n.loops.Go(func() { n.register(life) })
-	n.loops.Go(func() { n.converse(life) })
+	n.loops.Go(func() { n.syncPeers(life) })
 	for _, l := range []struct {
 		every time.Duration
 		do    func(context.Context)
@@ -245,7 +245,7 @@
 // the pool.
 func (n *Node) prune() {
 	now := time.Now()
-	n.reader.watchAge()
+	n.reader.noteOutage()
 	n.members.prune(now)
 	n.servers.tick(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	// conversePause is the least time between two rounds of questions.
-	conversePause = 40 * time.Millisecond
-	// strangerEvery is how often a node asks one that it knows by its row in
+	// syncPause is the least time between two rounds of questions.
+	syncPause = 40 * time.Millisecond
+	// discoveryInterval is how often a node asks one that it knows by its row in
 	// the store only, so that parts which lost each other meet again.
-	strangerEvery = 2 * time.Second
-	// aloneEvery is the same for a node that knows no other.
-	aloneEvery = 200 * time.Millisecond
+	discoveryInterval = 2 * time.Second
+	// bootstrapInterval is the same for a node that knows no other.
+	bootstrapInterval = 200 * time.Millisecond
 )
 
 // memberRow is a node's row in the store.
@@ -32,8 +32,8 @@
 	Inner string `json:"inner"`
 }
 
-// converse keeps one question open to each upstream.
-func (n *Node) converse(ctx context.Context) {
+// syncPeers keeps one question open to each upstream.
+func (n *Node) syncPeers(ctx context.Context) {
 	busy := make(chan string, 64)
 	running := map[string]bool{}
 	for ctx.Err() == nil {
@@ -52,7 +52,7 @@
 		case <-ctx.Done():
 		case address := <-busy:
 			delete(running, address)
-			loop.Sleep(ctx, conversePause)
+			loop.Sleep(ctx, syncPause)
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -93,33 +93,33 @@
 			out = append(out, hub)
 		}
 	}
-	if n.lonely() {
-		if s := n.stranger(); s != "" {
+	if n.isDiscoveryDue() {
+		if s := n.unknownPeer(); s != "" {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
-// lonely tells whether this hub may be one of several parts of the fleet: it
-// looks for nodes that it does not know now and then.
-func (n *Node) lonely() bool {
-	now, pause := time.Now(), strangerEvery
+// isDiscoveryDue tells whether this hub looks for nodes that it does not know:
+// after a partition the fleet may consist of parts that lost each other.
+func (n *Node) isDiscoveryDue() bool {
+	now, pause := time.Now(), discoveryInterval
 	if n.members.count() == 1 {
-		pause = aloneEvery
+		pause = bootstrapInterval
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if now.Sub(n.lastStranger) < pause {
+	if now.Sub(n.lastDiscovery) < pause {
 		return false
 	}
-	n.lastStranger = now
+	n.lastDiscovery = now
 	return true
 }
 
-// stranger returns a node that is registered or named in the settings, but of
+// unknownPeer returns a node that is registered or named in the settings, but of
 // which nothing was heard, or "". All take their turn.
-func (n *Node) stranger() string {
+func (n *Node) unknownPeer() string {
 	known := map[string]bool{n.inner: true}
 	for _, m := range n.members.alive() {
 		known[m.Inner] = true
@@ -141,7 +141,7 @@
 	if len(list) == 0 {
 		return ""
 	}
-	return list[int(time.Now().UnixNano()/int64(aloneEvery))%len(list)]
+	return list[int(time.Now().UnixNano()/int64(bootstrapInterval))%len(list)]
 }
 
 // readerTurn returns this node's place among those that may read the store for
@@ -189,7 +189,7 @@
 				n.o.Log.Warn("node is not registered", telemetry.Cause(err))
 			}
 		}
-		loop.Sleep(ctx, strangerEvery)
+		loop.Sleep(ctx, discoveryInterval)
 	}
 }
 
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -77,8 +77,8 @@
 	return time.Since(r.heard)
 }
 
-// learned takes the age of another node's knowledge.
-func (r *reader) learned(age time.Duration) {
+// observeAge takes the age of another node's knowledge.
+func (r *reader) observeAge(age time.Duration) {
 	at := time.Now().Add(-age)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,8 +113,8 @@
 	return time.Since(r.outage)
 }
 
-// watchAge notes an outage while it lasts.
-func (r *reader) watchAge() {
+// noteOutage notes an outage while it lasts.
+func (r *reader) noteOutage() {
 	age := r.age()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -89,8 +89,8 @@
 	return &rollouts{schema: schema, sessions: s, life: life, log: log, releases: map[string]*release{}, local: newTally()}
 }
 
-// take follows orders and statuses.
-func (r *rollouts) take(rows []news.Row, now time.Time) {
+// apply follows orders and statuses.
+func (r *rollouts) apply(rows []news.Row, now time.Time) {
 	t := r.schema.Tables()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -99,14 +99,14 @@
 			continue
 		}
 		if row.Table == t.Operator {
-			r.takeOrder(row, now)
+			r.applyOrder(row, now)
 		} else {
-			r.takeStatus(strings.TrimPrefix(row.Key, t.RolloutPrefix), row)
+			r.applyStatus(strings.TrimPrefix(row.Key, t.RolloutPrefix), row)
 		}
 	}
 }
 
-func (r *rollouts) takeOrder(row news.Row, now time.Time) {
+func (r *rollouts) applyOrder(row news.Row, now time.Time) {
 	o, err := r.schema.Rollout(row.Data)
 	if err != nil {
 		r.log.Error("roll-out order passed over", zap.String("key", row.Key), telemetry.Cause(err))
@@ -121,7 +121,7 @@
 	r.log.Info("roll-out ordered", zap.String("service", o.Service), zap.String("to", o.To), zap.Duration("duration", o.Duration), zap.Uint64("row", row.Version))
 }
 
-func (r *rollouts) takeStatus(service string, row news.Row) {
+func (r *rollouts) applyStatus(service string, row news.Row) {
 	s, err := r.schema.RolloutStatus(row.Data)
 	if err != nil {
 		r.log.Error("roll-out status passed over", zap.String("service", service), telemetry.Cause(err))
@@ -200,16 +200,16 @@
 	}
 }
 
-// weigh takes what all nodes saw of a service and tells whether its new
+// evaluate takes what all nodes saw of a service and tells whether its new
 // version was just found to be bad.
-func (r *rollouts) weigh(service string, to string, old, next rollout.Counts) bool {
+func (r *rollouts) evaluate(service string, to string, old, next rollout.Counts) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.releases[service]
 	if x == nil || x.order.To != to || x.bad || x.state() != RolloutRunning {
 		return false
 	}
-	evidence := x.judge.weigh(old, next)
+	evidence := x.judge.evaluate(old, next)
 	if !x.judge.convicts(evidence) {
 		return false
 	}
@@ -219,8 +219,8 @@
 	return true
 }
 
-// due is a status that is to be written.
-type due struct {
+// pendingStatus is a status that is to be written.
+type pendingStatus struct {
 	service  string
 	status   RolloutStatus
 	expected uint64
@@ -228,11 +228,11 @@
 	late time.Duration
 }
 
-// dues lists the statuses that are to be written.
-func (r *rollouts) dues(now time.Time) []due {
+// pendingStatuses lists the statuses that are to be written.
+func (r *rollouts) pendingStatuses(now time.Time) []pendingStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []due
+	var out []pendingStatus
 	for service, x := range r.releases {
 		if x.order.To == "" || (x.current() && x.status.State != RolloutRunning) {
 			continue
@@ -247,7 +247,7 @@
 		if x.current() && x.status.State == want {
 			continue
 		}
-		out = append(out, due{service: service, status: RolloutStatus{State: want, To: x.order.To}, expected: x.written, late: now.Sub(since)})
+		out = append(out, pendingStatus{service: service, status: RolloutStatus{State: want, To: x.order.To}, expected: x.written, late: now.Sub(since)})
 	}
 	return out
 }
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -38,12 +38,12 @@
 	return &servers{schema: schema, pool: p, rows: rows, log: log, sinceOutage: sinceOutage, known: map[string]pool.Server{}, lapsed: map[string]time.Time{}}
 }
 
-// take follows changed entries.
-func (s *servers) take(rows []news.Row, now time.Time) {
+// apply follows changed entries.
+func (s *servers) apply(rows []news.Row, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
-		s.takeOne(r, now)
+		s.applyOne(r, now)
 	}
 	s.publish(now)
 }
@@ -57,7 +57,7 @@
 	}
 }
 
-func (s *servers) takeOne(r news.Row, now time.Time) {
+func (s *servers) applyOne(r news.Row, now time.Time) {
 	old, known := s.known[r.Key]
 	if r.Deleted {
 		if known && !old.Draining && s.sinceOutage() < outageTail {
--- a/internal/edge/sessions.go
+++ b/internal/edge/sessions.go
@@ -17,8 +17,8 @@
 // sessions may hold much of the traffic.
 const canaryShare = 0.06
 
-// sessionTell is how often a session under way is told to the other nodes.
-const sessionTell = time.Second
+// sessionPublishInterval is how often a session under way is told to the other nodes.
+const sessionPublishInterval = time.Second
 
 // sessionPoint places a session within 0 to 1, alike on all nodes.
 func sessionPoint(service, session string) float64 {
@@ -31,9 +31,9 @@
 
 // sessionUse is the last use of a session.
 type sessionUse struct {
-	Version string `json:"v"`
-	at      time.Time
-	told    time.Time
+	Version   string `json:"v"`
+	at        time.Time
+	published time.Time
 }
 
 // sessions remembers the versions of the sessions that a canary may get, and
@@ -75,26 +75,26 @@
 	key := service + "/" + session
 	s.mu.Lock()
 	u := s.uses[key]
-	tell := u.Version != version || now.Sub(u.told) > sessionTell
+	publish := u.Version != version || now.Sub(u.published) > sessionPublishInterval
 	u.Version, u.at = version, now
-	if tell {
-		u.told = now
+	if publish {
+		u.published = now
 	}
 	s.uses[key] = u
 	s.mu.Unlock()
-	if !tell {
+	if !publish {
 		return
 	}
 	raw, err := json.Marshal(u)
 	if err != nil {
-		s.log.Error("session is not told", telemetry.Cause(err))
+		s.log.Error("session is not published", telemetry.Cause(err))
 		return
 	}
 	s.rows.Apply([]news.Row{{Table: tableSessions, Key: key, Version: s.next(), Data: raw}})
 }
 
-// take notes what other nodes tell.
-func (s *sessions) take(rows []news.Row, now time.Time) {
+// apply notes what other nodes tell.
+func (s *sessions) apply(rows []news.Row, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
@@ -104,7 +104,7 @@
 			continue
 		}
 		old := s.uses[r.Key]
-		u.at, u.told = now, old.told
+		u.at, u.published = now, old.published
 		s.uses[r.Key] = u
 	}
 }
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -44,15 +44,15 @@
 	}
 	raw, err := json.Marshal(e)
 	if err != nil {
-		s.log.Error("suspect is not told", telemetry.Cause(err))
+		s.log.Error("suspect is not published", telemetry.Cause(err))
 		return
 	}
 	key := strconv.FormatUint(e.Fingerprint, 16) + "/" + s.self
 	s.rows.Apply([]news.Row{{Table: tableSuspects, Key: key, Version: s.next(), Data: raw}})
 }
 
-// take merges what other nodes know.
-func (s *suspects) take(rows []news.Row, now time.Time) {
+// apply merges what other nodes know.
+func (s *suspects) apply(rows []news.Row, now time.Time) {
 	for _, r := range rows {
 		var e wire.Suspect
 		if err := json.Unmarshal(r.Data, &e); err != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,7 +40,7 @@
 func (x *exchange) stream(ctx context.Context) {
 	s := &streaming{lastEvent: x.q.Header.Get(x.f.o.Headers.LastEventID)}
 	if !x.q.Route.Repeatable() {
-		// It runs once: the first model must do.
+		// A request that runs once cannot be asked again of a larger model.
 		s.model = len(x.q.Route.Models) - 1
 	}
 	reason, after := "no backend server", emptyReturn
