Drop settings and parameters that nothing reads, follow changed bounds of retries and exposure

The retry budget kept the bounds of the start after a change of the settings, and the canary's share was a constant that the deployment's bound on exposure did not lower.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -89,7 +89,7 @@
 // had the time to come back; one that announced its leaving is not.
 func TestLapsedServersAreKeptForAWhile(t *testing.T) {
 	is := is.New(t)
-	p, rows := pool.New(nil), news.NewMap(nil)
+	p, rows := pool.New(), news.NewMap(nil)
 	outage := time.Second
 	s := newServers(testSchema{}, p, rows, func() time.Duration { return outage }, zap.NewNop())
 	entry := func(id string, version uint64, draining bool) news.Row {
@@ -177,7 +177,7 @@
 func newTestRollouts(t *testing.T) (*rollouts, *sessions) {
 	t.Helper()
 	s := newSessions(news.NewMap(nil), counter(), zap.NewNop())
-	r := newRollouts(testSchema{}, s, func() time.Duration { return 5 * time.Second }, zap.NewNop())
+	r := newRollouts(testSchema{}, s, func() *Settings { return &Settings{SessionLife: 5 * time.Second, ExposureRatio: 0.15} }, zap.NewNop())
 	return r, s
 }
 
@@ -222,6 +222,14 @@
 	is.Equal(r.Pick("x", "any", start.Add(17*time.Second)), forward.Choice{Only: "v2"})
 }
 
+// The canary's share keeps a margin to the deployment's bound on exposure.
+func TestCanaryShareFollowsTheBound(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ bound, want float64 }{{0.15, canaryMost}, {0.0975, 0.04875}, {0.02, 0.01}, {0, 0}} {
+		is.Equal(canaryShare(c.bound), c.want)
+	}
+}
+
 // The session's version is known to nodes that did not serve it.
 func TestSessionsAreShared(t *testing.T) {
 	is := is.New(t)
@@ -390,7 +398,7 @@
 func TestRostersAreToldAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &Node{o: Options{Log: zap.NewNop(), Schema: testSchema{}}, key: "n1", inner: "n1", members: newMembers(zap.NewNop()), pool: pool.New(nil), config: &config{}}
+		n := &Node{o: Options{Log: zap.NewNop(), Schema: testSchema{}}, key: "n1", inner: "n1", members: newMembers(zap.NewNop()), pool: pool.New(), config: &config{}}
 		n.settings.Store(&Settings{Node: "n1", DataCentre: "a"})
 		n.rows = news.NewMap(nil)
 		for range 300 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -92,17 +92,15 @@
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.readerTurn, o.Log)
 	n.exchange = news.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
 	n.config = &config{schema: o.Schema, log: o.Log}
-	n.pool = pool.New(nil)
+	n.pool = pool.New()
 	n.servers = newServers(o.Schema, n.pool, n.rows, n.reader.sinceOutage, o.Log)
 	n.sessions = newSessions(n.rows, n.nextVersion, o.Log)
-	n.rollouts = newRollouts(o.Schema, n.sessions, func() time.Duration { return n.settings.Load().SessionLife }, o.Log)
+	n.rollouts = newRollouts(o.Schema, n.sessions, n.settings.Load, o.Log)
 	n.evidence = &evidence{self: n.key, rows: n.rows, next: n.nextVersion, log: o.Log, seen: map[string]counts{}}
 	n.suspects = &suspects{Suspects: dispatch.NewSuspectsAfter(crashesToRefuse), self: n.key, rows: n.rows, log: o.Log, next: n.nextVersion}
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Versions: n.rollouts, Suspects: n.suspects,
-		Budget: forward.NewBudget(forward.BudgetOptions{
-			Ratio: o.Settings.RetryRatio, Allowance: o.Settings.RetryAllowance, Window: o.Settings.RetryWindow, Nodes: n.members.count,
-		}),
+		Budget:  forward.NewBudget(n.retryBounds, n.members.count),
 		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, Stopping: n.stopping.Load,
 	})
 	return n, n.listen()
@@ -121,6 +119,12 @@
 	}
 }
 
+// retryBounds returns the bounds of the retry budget by the settings in force.
+func (n *Node) retryBounds() forward.BudgetBounds {
+	s := n.settings.Load()
+	return forward.BudgetBounds{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow}
+}
+
 func (n *Node) table() *route.Table { return n.config.table.Load() }
 
 // ready tells whether the node takes callers.
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -19,9 +19,10 @@
 	share float64
 }
 
-// stages of a roll-out. In the first half only new sessions may move; then
-// the share rises while failures that show under load still have time to show.
-var stages = []stage{{0, canaryShare}, {0.52, 0.25}, {0.60, 0.5}, {0.68, 1}}
+// stages of a roll-out after the canary's. In the first half only new sessions
+// may move; then the share rises while failures that show under load still have
+// time to show.
+var stages = []stage{{0.52, 0.25}, {0.60, 0.5}, {0.68, 1}}
 
 // completeFrom is the part of a roll-out's time from which it is completed: by
 // then requests of the old version have ended, and a fifth is left for a store
@@ -62,9 +63,10 @@
 	return float64(now.Sub(r.began)) / float64(max(r.order.Duration, time.Second))
 }
 
-// share returns the share of sessions that the new version gets.
-func (r *release) share(now time.Time) float64 {
-	part, share := r.elapsed(now), 0.0
+// share returns the share of sessions that the new version gets, canary in the
+// first stage.
+func (r *release) share(canary float64, now time.Time) float64 {
+	part, share := r.elapsed(now), canary
 	for _, s := range stages {
 		if part >= s.from {
 			share = s.share
@@ -78,15 +80,15 @@
 type rollouts struct {
 	schema   Schema
 	sessions *sessions
-	life     func() time.Duration
+	settings func() *Settings
 	log      *zap.Logger
 	mu       sync.Mutex
 	releases map[string]*release // guarded by mu; by service
 	local    *tally              // what this node saw
 }
 
-func newRollouts(schema Schema, s *sessions, life func() time.Duration, log *zap.Logger) *rollouts {
-	return &rollouts{schema: schema, sessions: s, life: life, log: log, releases: map[string]*release{}, local: newTally()}
+func newRollouts(schema Schema, s *sessions, settings func() *Settings, log *zap.Logger) *rollouts {
+	return &rollouts{schema: schema, sessions: s, settings: settings, log: log, releases: map[string]*release{}, local: newTally()}
 }
 
 // apply follows orders and statuses.
@@ -153,7 +155,7 @@
 		r.mu.Unlock()
 		return forward.Choice{}
 	}
-	to, state, share, half := x.order.To, x.state(), x.share(now), x.elapsed(now) >= 0.5
+	to, state, share, half := x.order.To, x.state(), x.share(canaryShare(r.settings().ExposureRatio), now), x.elapsed(now) >= 0.5
 	r.mu.Unlock()
 	switch {
 	case state == RolloutCompleted:
@@ -171,7 +173,7 @@
 
 // underWay tells whether a session goes on with a version other than to.
 func (r *rollouts) underWay(service, session, to string, now time.Time) bool {
-	v := r.sessions.version(service, session, r.life(), now)
+	v := r.sessions.version(service, session, r.settings().SessionLife, now)
 	return v != "" && v != to
 }
 
--- a/internal/edge/sessions.go
+++ b/internal/edge/sessions.go
@@ -12,10 +12,18 @@
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
-// canaryShare is the share of sessions that an unproved version may get. Twice
-// of it stays below the bound on exposure of all deployments seen, since few
-// sessions may hold much of the traffic.
-const canaryShare = 0.06
+const (
+	// canaryMost bounds the share of sessions that an unproved version gets: a
+	// bad one is found within few answers, so a larger share gains little.
+	canaryMost = 0.06
+	// canaryPart is the part of the bound on exposure that the canary's share of
+	// sessions may be; few sessions may hold much of the traffic.
+	canaryPart = 0.5
+)
+
+// canaryShare returns the share of sessions that an unproved version gets under
+// a bound on its share of requests.
+func canaryShare(exposure float64) float64 { return min(canaryMost, canaryPart*exposure) }
 
 // sessionPublishInterval is how often a session under way is told to the other nodes.
 const sessionPublishInterval = time.Second
@@ -53,7 +61,7 @@
 
 // inCanary tells whether a session is one that a canary may get.
 func inCanary(service, session string) bool {
-	return session != "" && sessionPoint(service, session) < canaryShare
+	return session != "" && sessionPoint(service, session) < canaryMost
 }
 
 // version returns the version of a session used within life, or "".
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -24,25 +24,21 @@
 	Directory string
 	// InnerPort is where other nodes connect, the same on all nodes.
 	InnerPort int
-	// MemoryMB, Bandwidth (Mbit/s) and Processor (cores) are the VM's limits.
-	MemoryMB  int
+	// Bandwidth (Mbit/s) and Processor (cores) are the VM's limits.
 	Bandwidth float64
 	Processor float64
 	// Seeds are IP numbers of nodes that may be there.
 	Seeds []string
 	// StopTime is how long a stop may take from SIGTERM to SIGKILL.
 	StopTime time.Duration
-	// DrainTime is how long a leaving server still serves.
-	DrainTime time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance bound what all nodes send
 	// beyond the first attempt of each request.
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
-	// ExposureRatio and ExposureAllowance bound the requests that an unproved
+	// ExposureRatio bounds the share of a service's requests that an unproved
 	// version may get.
-	ExposureRatio     float64
-	ExposureAllowance float64
+	ExposureRatio float64
 	// SessionLife is how long after a request its session goes on.
 	SessionLife time.Duration
 	// DirectoryTTL is the longest time that a directory answer counts.
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -5,16 +5,14 @@
 	"time"
 )
 
-// BudgetOptions bound what all nodes together may send beyond the first
+// BudgetBounds bound what all nodes together may send beyond the first
 // attempt of each request.
-type BudgetOptions struct {
+type BudgetBounds struct {
 	// Ratio is the share of requests, Allowance the number beside it, within
 	// Window.
 	Ratio     float64
 	Allowance float64
 	Window    time.Duration
-	// Nodes returns how many nodes share the allowance.
-	Nodes func() int
 }
 
 const (
@@ -27,8 +25,10 @@
 // Budget bounds the further attempts of each service. It is safe for
 // concurrent use.
 type Budget struct {
-	o        BudgetOptions
+	bounds   func() BudgetBounds
+	nodes    func() int
 	mu       sync.Mutex
+	span     time.Duration            // guarded by mu; the window that the counts are for
 	began    time.Time                // guarded by mu; time is counted from here, on the steady clock
 	services map[string]*budgetWindow // guarded by mu
 }
@@ -39,9 +39,10 @@
 	at             int64 // number of the newest bucket
 }
 
-// NewBudget returns a budget.
-func NewBudget(o BudgetOptions) *Budget {
-	return &Budget{o: o, services: map[string]*budgetWindow{}}
+// NewBudget returns a budget whose bounds may change at any time; nodes returns
+// how many nodes share the allowance.
+func NewBudget(bounds func() BudgetBounds, nodes func() int) *Budget {
+	return &Budget{bounds: bounds, nodes: nodes, services: map[string]*budgetWindow{}}
 }
 
 // First counts a request for a service.
@@ -53,13 +54,12 @@
 }
 
 // Take takes one further attempt from the budget and tells whether it was
-// there. reserve is the share of the budget, 0 to 1, that must stay for more
-// valuable attempts.
-func (b *Budget) Take(service string, reserve float64, now time.Time) bool {
+// there.
+func (b *Budget) Take(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	if sum(w.further)+1 > b.limit(w)*(1-reserve) {
+	if sum(w.further)+1 > b.limit(w) {
 		return false
 	}
 	w.further[w.at%budgetBuckets]++
@@ -76,15 +76,18 @@
 
 // limit is this node's part of the bound. The caller holds mu.
 func (b *Budget) limit(w *budgetWindow) float64 {
-	return budgetMargin * (b.o.Ratio*sum(w.first) + b.o.Allowance/float64(max(b.o.Nodes(), 1)))
+	bounds := b.bounds()
+	return budgetMargin * (bounds.Ratio*sum(w.first) + bounds.Allowance/float64(max(b.nodes(), 1)))
 }
 
 // window returns the service's window moved on to now. The caller holds mu.
 func (b *Budget) window(service string, now time.Time) *budgetWindow {
-	if b.began.IsZero() {
-		b.began = now
+	if span := b.bounds().Window; b.began.IsZero() || span != b.span {
+		// Counts of another window cannot be moved over.
+		b.began, b.span = now, span
+		clear(b.services)
 	}
-	at := int64(now.Sub(b.began) / (b.o.Window / budgetBuckets))
+	at := int64(now.Sub(b.began) / max(b.span/budgetBuckets, 1))
 	w := b.services[service]
 	if w == nil {
 		w = &budgetWindow{at: at}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -124,11 +124,11 @@
 
 // mayRetry tells whether another server may be tried, and takes the attempt
 // from the budget.
-func (x *exchange) mayRetry(ctx context.Context, reserve float64) bool {
+func (x *exchange) mayRetry(ctx context.Context) bool {
 	if ctx.Err() != nil || x.sends >= x.q.Route.MaxAttempts {
 		return false
 	}
-	if x.sends > 0 && !x.f.o.Budget.Take(x.q.Service, reserve, time.Now()) {
+	if x.sends > 0 && !x.f.o.Budget.Take(x.q.Service, time.Now()) {
 		x.note(nil, "retry budget is used up")
 		return false
 	}
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -63,7 +63,7 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{t: t, net: newNetwork(), versions: &fixedVersions{}, suspects: &fakeSuspects{}}
-	b.pool = pool.New(nil)
+	b.pool = pool.New()
 	var err error
 	b.table, err = route.NewTable(route.Definition{
 		Version: 3,
@@ -79,7 +79,7 @@
 	is.New(t).NoErr(err)
 	tracer, err := telemetry.NewTracer(t.Context(), config.DefaultSettings())
 	is.New(t).NoErr(err)
-	b.budget = NewBudget(BudgetOptions{Ratio: 0.9, Allowance: 50, Window: 10 * time.Second, Nodes: func() int { return 1 }})
+	b.budget = fixedBudget(BudgetBounds{Ratio: 0.9, Allowance: 50, Window: 10 * time.Second}, 1)
 	b.f = New(Options{
 		Headers: testHeaders, DataCentre: "a", Table: func() *route.Table { return b.table }, Pool: b.pool, Versions: b.versions,
 		Suspects: b.suspects, Budget: b.budget, Metrics: telemetry.NewForwardMetrics(), Tracer: tracer, Log: zap.NewNop(),
@@ -172,3 +172,8 @@
 }
 
 func end(c net.Conn) { fmt.Fprint(c, "0\r\n\r\n") }
+
+// fixedBudget returns a budget whose bounds stay.
+func fixedBudget(b BudgetBounds, nodes int) *Budget {
+	return NewBudget(func() BudgetBounds { return b }, func() int { return nodes })
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -26,7 +26,7 @@
 // plain serves a request whose answer is one body.
 func (x *exchange) plain(ctx context.Context) {
 	reason, after := "no backend server", emptyReturn
-	for x.sends == 0 || x.mayRetry(ctx, 0) {
+	for x.sends == 0 || x.mayRetry(ctx) {
 		a := x.choose("")
 		if a == nil {
 			break
--- a/internal/forward/request_test.go
+++ b/internal/forward/request_test.go
@@ -39,17 +39,17 @@
 // steady clock.
 func TestBudgetKeepsToTheSteadyClock(t *testing.T) {
 	is := is.New(t)
-	b := NewBudget(BudgetOptions{Ratio: 0.9, Allowance: 0, Window: 10 * time.Second, Nodes: func() int { return 1 }})
+	b := fixedBudget(BudgetBounds{Ratio: 0.9, Allowance: 0, Window: 10 * time.Second}, 1)
 	now := time.Now()
 	for range 100 {
 		b.First("s", now)
 	}
 	taken := 0
 	for i := range 100 {
-		if b.Take("s", 0, now.Add(time.Duration(i)*50*time.Millisecond)) {
+		if b.Take("s", now.Add(time.Duration(i)*50*time.Millisecond)) {
 			taken++
 		}
 	}
 	is.Equal(taken, 81) // 0.9 of 0.9 * 100
-	is.True(!b.Take("s", 0, now.Add(9*time.Second)))
+	is.True(!b.Take("s", now.Add(9*time.Second)))
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -44,7 +44,7 @@
 		s.model = len(x.q.Route.Models) - 1
 	}
 	reason, after := "no backend server", emptyReturn
-	for x.sends == 0 || x.mayRetry(ctx, 0) {
+	for x.sends == 0 || x.mayRetry(ctx) {
 		a := x.choose(x.modelName(s))
 		if a == nil {
 			break
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -168,19 +168,19 @@
 // The retry budget bounds what is sent beyond first attempts.
 func TestBudgetBoundsFurtherAttempts(t *testing.T) {
 	is := is.New(t)
-	b := NewBudget(BudgetOptions{Ratio: 0.5, Allowance: 8, Window: 10 * time.Second, Nodes: func() int { return 4 }})
+	b := fixedBudget(BudgetBounds{Ratio: 0.5, Allowance: 8, Window: 10 * time.Second}, 4)
 	now := time.Unix(100, 0)
 	for range 20 {
 		b.First("s", now)
 	}
 	taken := 0
-	for b.Take("s", 0, now) {
+	for b.Take("s", now) {
 		taken++
 	}
 	is.Equal(taken, 10) // 0.9 of (0.5 * 20 + 8 / 4)
 	is.Equal(b.Left("s", now) < 0.1, true)
 	later := now.Add(11 * time.Second)
-	is.True(b.Take("s", 0, later)) // the window has passed, a share of the allowance is back
+	is.True(b.Take("s", later)) // the window has passed, a share of the allowance is back
 }
 
 // A flood: prompts wait at all servers. A stream is not moved while its server
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -30,13 +30,11 @@
 	mu       sync.RWMutex
 	members  map[string]*Member   // guarded by mu; by server ID
 	services map[string][]*Member // guarded by mu; sorted by ID; replaced, never changed
-	onLeave  func(*Member)
 }
 
-// New returns an empty pool. onLeave is called, outside of locks, for each
-// member that has left.
-func New(onLeave func(*Member)) *Pool {
-	return &Pool{members: map[string]*Member{}, services: map[string][]*Member{}, onLeave: onLeave}
+// New returns an empty pool.
+func New() *Pool {
+	return &Pool{members: map[string]*Member{}, services: map[string][]*Member{}}
 }
 
 // Update replaces the whole list of servers. Members that stay keep what was
@@ -67,9 +65,6 @@
 	p.mu.Unlock()
 	for _, m := range gone {
 		m.leave()
-		if p.onLeave != nil {
-			p.onLeave(m)
-		}
 	}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -29,7 +29,7 @@
 // nodes.
 func TestAffinityIsStable(t *testing.T) {
 	is := is.New(t)
-	p, other := New(nil), New(nil)
+	p, other := New(), New()
 	p.Update(engines(9), start)
 	other.Update(engines(9), start)
 	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
@@ -42,7 +42,7 @@
 // longer than reading all of it elsewhere.
 func TestPromptSpillsWhenWaitExceedsColdRead(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	p.Update(engines(9), start)
 	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
 	home := choose(p, q, start)
@@ -55,7 +55,7 @@
 // Nodes that see the same late news do not all choose the same idle engine.
 func TestSpillSpreads(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	p.Update(engines(20), start)
 	q := Query{Service: "s", Affinity: "large/hot", Cold: 500 * time.Millisecond, Warm: 100 * time.Millisecond, DataCentre: "dc", Draw: half}
 	first, second := topTwo(p.Members("s"), q.Affinity)
@@ -74,7 +74,7 @@
 // better than none.
 func TestChooseSkips(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	list := engines(3)
 	list[0].Draining = true
 	p.Update(list, start)
@@ -91,7 +91,7 @@
 // Versions restrict the choice; a preferred one that has no server does not.
 func TestChooseVersions(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	list := engines(2)
 	list[1].Version = "v2"
 	p.Update(list, start)
@@ -109,7 +109,7 @@
 // one that comes back under its ID is a new one.
 func TestLeftAndRestarted(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	p.Update(engines(1), start)
 	m := p.Member("a")
 	p.Update(nil, start)
@@ -125,7 +125,7 @@
 // data centres cost more than reading what another engine has cached.
 func TestLocalPromptsStayNear(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	list := engines(9)
 	for i := range list {
 		list[i].DataCentre = string(rune('x' + i%3))
@@ -142,7 +142,7 @@
 // A log line tells why servers were not there to choose.
 func TestPassedOver(t *testing.T) {
 	is := is.New(t)
-	p := New(nil)
+	p := New()
 	list := engines(5)
 	list[0].Draining = true
 	list[1].Version = "v2"
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -101,11 +101,7 @@
 
 // Service is a pool of backend servers.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections bounds the connections that one backend server accepts
-	// from all callers together.
-	MaxConnections int
+	Name string
 	// Models are those of a pool of model engines; empty for a plain service.
 	Models []Model
 }
