--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -33,7 +33,7 @@
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
-	n.publish(tableBeats, n.key, beat{state, n.ownWork()})
+	n.publish(tableBeats, beat{state, n.ownWork()}, "")
 	if n.members.hubs(time.Now())[s.DataCentre] == n.inner {
 		n.publishRoster()
 	}
@@ -46,14 +46,14 @@
 		n.published = hubState{at: now}
 	}
 	nodes, total := n.members.ownRoster()
-	n.published.roster = n.publishChange(tableRosters, nodes, n.published.roster)
-	n.published.loads = n.publishChange(tableLoads, total, n.published.loads)
-	n.publish(tablePulses, n.key, struct{}{})
+	n.published.roster = n.publish(tableRosters, nodes, n.published.roster)
+	n.published.loads = n.publish(tableLoads, total, n.published.loads)
+	n.publish(tablePulses, struct{}{}, "")
 }
 
-// publishChange tells a value under this node's key if it is not what was told
-// before, and returns what was told.
-func (n *Node) publishChange(table string, value any, before string) string {
+// publish tells a value under this node's key if it is not what was told before,
+// and returns what was told.
+func (n *Node) publish(table string, value any, before string) string {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		n.o.Log.Error("state is not published", zap.String("table", table), telemetry.Cause(err))
@@ -65,16 +65,6 @@
 	return string(raw)
 }
 
-// publish tells a value under a key.
-func (n *Node) publish(table, key string, value any) {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		n.o.Log.Error("state is not published", zap.String("table", table), telemetry.Cause(err))
-		return
-	}
-	n.rows.Apply([]news.Row{{Table: table, Key: key, Version: n.nextVersion(), Data: raw}})
-}
-
 // ownWork returns what this node has at each server.
 func (n *Node) ownWork() map[string]work {
 	out := map[string]work{}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -92,6 +92,7 @@
 	down    map[string]time.Time       // guarded by mu; by inner address
 	loads   map[string]map[string]work // guarded by mu; by hub key and server
 	known   map[string]bool            // guarded by mu; names that were logged as joined
+	current []nodeState                // guarded by mu; what living returns, nil after a change
 }
 
 func newMembers(log *zap.Logger) *members {
@@ -105,13 +106,17 @@
 func (m *members) setSelf(s nodeState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self = s
+	m.self, m.current = s, nil
 }
 
 // applyBeats notes heartbeats of the own data centre.
 func (m *members) applyBeats(rows []news.Row, now time.Time) {
+	if len(rows) == 0 {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.current = nil
 	for _, r := range rows {
 		var b beat
 		if err := json.Unmarshal(r.Data, &b); err != nil {
@@ -125,8 +130,12 @@
 
 // applyRosters notes the lists of hubs.
 func (m *members) applyRosters(rows []news.Row, now time.Time) {
+	if len(rows) == 0 {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.current = nil
 	for _, r := range rows {
 		var nodes []nodeState
 		if err := json.Unmarshal(r.Data, &nodes); err != nil {
@@ -170,11 +179,13 @@
 	for key, b := range m.beats {
 		if now.Sub(b.at) > deadAfter {
 			delete(m.beats, key)
+			m.current = nil
 		}
 	}
 	for key, r := range m.rosters {
 		if now.Sub(r.heard) > hubDeadAfter {
 			delete(m.rosters, key)
+			m.current = nil
 			delete(m.loads, key)
 		}
 	}
@@ -198,9 +209,17 @@
 	m.known = current
 }
 
-// living returns the nodes that count as alive, one for each address. The
-// caller holds mu.
+// living returns the nodes that count as alive, one for each address, in the
+// order of their addresses. The caller holds mu and does not change the list.
 func (m *members) living() []nodeState {
+	if m.current == nil {
+		m.current = m.merge()
+	}
+	return m.current
+}
+
+// merge joins the own state, heartbeats and rosters. The caller holds mu.
+func (m *members) merge() []nodeState {
 	seen := map[string]nodeState{m.self.Inner: m.self}
 	add := func(s nodeState) {
 		// A stopping node's word stands, whoever else still lists it as ready.
@@ -224,7 +243,8 @@
 	return out
 }
 
-// alive returns the living nodes in the order of their addresses.
+// alive returns the living nodes in the order of their addresses. The caller
+// does not change the list.
 func (m *members) alive() []nodeState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
