Hold callers to the configuration's bounds on headers and idle connections

The configuration's limits on headers and idle time were decoded and read nowhere; a connection was kept for a minute whatever it said, and a configuration without a bound on bodies refused every body.

--- /dev/null
+++ b/internal/edge/idle_test.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// deadlineConn counts the read deadlines that it is given.
+type deadlineConn struct {
+	net.Conn
+	deadlines atomic.Int32
+}
+
+func (c *deadlineConn) SetReadDeadline(time.Time) error {
+	c.deadlines.Add(1)
+	return nil
+}
+
+// A connection without a request ends at the bound in force, one that carries
+// requests is kept, and a changed bound holds from the next request on.
+func TestIdleConnectionsEndAtTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limit := 10 * time.Second
+		g := newIdleGuard(func() time.Duration { return limit })
+		silent, busy := &deadlineConn{}, &deadlineConn{}
+		g.observe(silent, http.StateNew)
+		g.observe(busy, http.StateNew)
+		for range 4 {
+			time.Sleep(8 * time.Second) // callers reuse connections up to four fifths of the bound
+			g.observe(busy, http.StateActive)
+			time.Sleep(20 * time.Second) // a stream
+			g.observe(busy, http.StateIdle)
+		}
+		is.Equal(silent.deadlines.Load(), int32(1))
+		is.Equal(busy.deadlines.Load(), int32(0))
+		limit = time.Second
+		g.observe(busy, http.StateActive)
+		g.observe(busy, http.StateIdle)
+		time.Sleep(2 * time.Second)
+		is.Equal(busy.deadlines.Load(), int32(1))
+		g.observe(busy, http.StateClosed)
+		is.Equal(len(g.timers), 0)
+	})
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -161,8 +161,8 @@
 	// headerTimeout bounds the header of a request; callers are held to the
 	// configuration's own bound, which is shorter.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept. It is
-	// longer than callers keep theirs, so that no request meets a close.
+	// idleTimeout is how long an idle connection is kept where the configuration
+	// sets no bound, and on interfaces that it does not bound.
 	idleTimeout = time.Minute
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
@@ -176,7 +176,10 @@
 	}
 	n.loops.Go(func() { _ = n.exchange.Serve(inner) })
 	n.listeners = append(n.listeners, inner)
-	n.callers = &http.Server{Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: quiet(n.o.Log)}
+	n.callers = &http.Server{
+		Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: quiet(n.o.Log),
+		ConnState: newIdleGuard(n.callerIdleTimeout).observe,
+	}
 	ready := chi.NewRouter()
 	ready.Get(n.o.ReadyPath, n.readiness)
 	directory := chi.NewRouter()
@@ -198,6 +201,14 @@
 	return nil
 }
 
+// callerIdleTimeout returns how long a caller's connection may carry no request.
+func (n *Node) callerIdleTimeout() time.Duration {
+	if t := n.table(); t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout
+	}
+	return idleTimeout
+}
+
 func (n *Node) metricsAddress() string {
 	if n.o.MetricsPort == 0 {
 		return ""
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -69,6 +70,10 @@
 // idle timeout of a server is a few seconds.
 const idleKept = 2 * time.Second
 
+// defaultMaxBody bounds a body in bytes where the configuration does not; a
+// prompt of 40,000 tokens takes a tenth of it.
+const defaultMaxBody = 4 << 20
+
 // Forwarder answers callers' requests by those of backend servers. It is safe
 // for concurrent use.
 type Forwarder struct {
@@ -152,7 +157,10 @@
 	if !ok {
 		return nil, &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, table.Limits.MaxBodyBytes))
+	if most := table.Limits.MaxHeaderBytes; most > 0 && headerBytes(r) > most {
+		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header is too large"}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cmp.Or(table.Limits.MaxBodyBytes, defaultMaxBody)))
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// headerBytes returns the size of a request's line and header in bytes.
+func headerBytes(r *http.Request) int {
+	const framing = len(": \r\n")
+	total := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			total += len(name) + len(v) + framing
+		}
+	}
+	return total
+}
+
 // outgoing returns the headers for a server: the caller's, without those of
 // the connection, the key, and what only the system may set.
 func (n *Headers) outgoing(in http.Header) http.Header {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -114,11 +114,11 @@
 	Keys []string
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send, and how long its connection may carry no
+// request. Zero leaves the node's own bounds.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
 
