Let other nodes write a roll-out's status before its time is over

The time to stand in now is a quarter of what is left at most; a version found bad is written by one node, not by all at once, as its time counts from when it was found.

--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -10,9 +10,18 @@
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
-// standIn is how long a status must be overdue for the next node in line to
-// write it in place of the first.
-const standIn = 1200 * time.Millisecond
+const (
+	// standIn is how long a status must be overdue for the next node in line to
+	// write it in place of the first, which may be gone or refused by the store.
+	standIn = 1200 * time.Millisecond
+	// writers is how many nodes in line have their turn before a roll-out's time
+	// is over.
+	writers = 4
+)
+
+// standInFor returns the stand-in time of a status that must be written within
+// some time of its being due.
+func standInFor(left time.Duration) time.Duration { return min(standIn, left/writers) }
 
 // judge shares what this node saw of new versions, weighs what all saw, and
 // writes the statuses that are due. Any node may write: the condition on the
@@ -24,7 +33,7 @@
 		n.rollouts.evaluate(o.Service, o.To, n.evidence.totals(o.Service, o.To), now)
 	}
 	for _, d := range n.rollouts.pendingStatuses(now) {
-		if d.late >= time.Duration(n.driverTurn(d.service))*standIn {
+		if d.late >= time.Duration(n.driverTurn(d.service))*standInFor(d.left) {
 			n.writeStatus(ctx, d)
 		}
 	}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -21,8 +21,9 @@
 	written uint64 // version of the status row; 0 if there is none
 	began   time.Time
 	judge   *judge
-	// bad is set once this node holds the version for bad.
-	bad bool
+	// bad is set once this node holds the version for bad, found is when.
+	bad   bool
+	found time.Time
 	// logged is the last share of sessions that was logged.
 	logged float64
 }
@@ -189,6 +190,7 @@
 	fields := []zap.Field{zap.String("service", service), zap.String("version", to), zap.Float64("evidence", evidence), zap.Any("old", x.judge.all.seen.Old),
 		zap.Any("new", x.judge.all.seen.New), zap.Float64("elapsed", x.elapsed(now))}
 	if x.bad {
+		x.found = now
 		r.log.Warn("version found bad", append(fields, zap.Any("routes", totals))...)
 	} else if share := r.share(x, now); share != x.logged {
 		x.logged = share
@@ -212,8 +214,10 @@
 	service  string
 	status   RolloutStatus
 	expected uint64
-	// late is how long it has been due, for a standby to wait before it steps in.
+	// late is how long it has been due, for a standby to wait before it steps in;
+	// left is the time from when it was due to the end of the roll-out's time.
 	late time.Duration
+	left time.Duration
 }
 
 // pendingStatuses lists the statuses that are to be written.
@@ -228,14 +232,14 @@
 		want, since, from := RolloutRunning, x.began, r.schedule(x).completeFrom
 		switch {
 		case x.bad:
-			want = RolloutReverted
+			want, since = RolloutReverted, x.found
 		case x.elapsed(now) >= from:
 			want, since = RolloutCompleted, x.began.Add(time.Duration(from*float64(x.order.Duration)))
 		}
 		if x.current() && x.status.State == want {
 			continue
 		}
-		out = append(out, pendingStatus{service: service, status: RolloutStatus{State: want, To: x.order.To}, expected: x.written, late: now.Sub(since)})
+		out = append(out, pendingStatus{service: service, status: RolloutStatus{State: want, To: x.order.To}, expected: x.written, late: now.Sub(since), left: x.began.Add(x.order.Duration).Sub(since)})
 	}
 	return out
 }
