Tell soft news across data centres once, give a status several writers before its time is over

Each hub passed on to every other hub what a third had told it, so that each row crossed the links between five data centres up to 16 times. A process now says whom it hears, and others leave these their own soft rows; when one falls silent, a digest with each of the others makes up for what was left out.

The canary now gets what the later stages leave of the bound on exposure, statuses are looked at each 150 ms, and eight nodes have their turn before the time of a roll-out is over: with four, a status was stored 40 ms before the end and counted as late. Nodes tell their evidence the less often the more they are.

--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -16,7 +16,7 @@
 	standIn = 1200 * time.Millisecond
 	// writers is how many nodes in line have their turn before a roll-out's time
 	// is over.
-	writers = 4
+	writers = 8
 )
 
 // standInFor returns the stand-in time of a status that must be written within
@@ -28,7 +28,7 @@
 // row's version lets one of them win.
 func (n *Node) judge(ctx context.Context) {
 	now := time.Now()
-	n.evidence.publish(n.rollouts, now)
+	n.evidence.publish(n.rollouts, n.members.count(), now)
 	for _, o := range n.rollouts.running() {
 		n.rollouts.evaluate(o.Service, o.To, n.evidence.totals(o.Service, o.To), now)
 	}
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -20,6 +20,12 @@
 	slowFactor = 4
 	// leastSlow keeps jitter of short answers from counting.
 	leastSlow = 250 * time.Millisecond
+	// evidenceShare is how often all nodes together tell their counts, and
+	// evidenceLeast and evidenceMost bound the interval of one: the more nodes,
+	// the more answers they see together.
+	evidenceShare = 20 * time.Millisecond
+	evidenceLeast = 300 * time.Millisecond
+	evidenceMost  = 2 * time.Second
 	// latencyStep is by how much one answer moves the usual latency towards it.
 	latencyStep = 0.06
 )
@@ -94,12 +100,22 @@
 	rows *news.Map
 	next func() uint64
 	log  *zap.Logger
+	told time.Time // used by publish alone
 	mu   sync.Mutex
 	seen map[string]counts // guarded by mu; by service and node
 }
 
-// publish tells this node's counts of each roll-out under way.
-func (e *evidence) publish(r *rollouts, now time.Time) {
+// evidenceInterval is how often a node among so many tells its counts.
+func evidenceInterval(nodes int) time.Duration {
+	return min(max(time.Duration(nodes)*evidenceShare, evidenceLeast), evidenceMost)
+}
+
+// publish tells this node's counts of each roll-out under way, at intervals.
+func (e *evidence) publish(r *rollouts, nodes int, now time.Time) {
+	if now.Sub(e.told) < evidenceInterval(nodes) {
+		return
+	}
+	e.told = now
 	r.mu.Lock()
 	list := map[string]counts{}
 	for service, x := range r.releases {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -17,12 +17,12 @@
 // Soft tables are passed between nodes only.
 const (
 	tableBeats    = news.Upward + "beats" // each node's state, to its hub
-	tableRosters  = "soft/rosters"        // each hub's list of its data centre
-	tablePulses   = "soft/pulses"         // that a hub lives
-	tableLoads    = "soft/loads"          // what a data centre has at each server
-	tableSessions = "soft/sessions"
-	tableEvidence = "soft/evidence"
-	tableSuspects = "soft/suspects"
+	tableRosters  = news.Soft + "rosters" // each hub's list of its data centre
+	tablePulses   = news.Soft + "pulses"  // that a hub lives
+	tableLoads    = news.Soft + "loads"   // what a data centre has at each server
+	tableSessions = news.Soft + "sessions"
+	tableEvidence = news.Soft + "evidence"
+	tableSuspects = news.Soft + "suspects"
 )
 
 // tableMembers is the system's table in the store: where nodes find each other.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -250,8 +250,9 @@
 }
 
 const (
-	// judgeInterval is how often new versions are judged and roll-outs driven.
-	judgeInterval = 300 * time.Millisecond
+	// judgeInterval is how often new versions are judged and roll-outs driven; a
+	// status has some turns of other nodes within a second.
+	judgeInterval = 150 * time.Millisecond
 	// pruneInterval is how often what has ended is forgotten.
 	pruneInterval = 500 * time.Millisecond
 )
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -74,7 +74,7 @@
 	defer n.mu.Unlock()
 	p := n.peers[address]
 	if p == nil {
-		p = news.NewPeer(n.inner, address)
+		p = news.NewPeer(address)
 		n.peers[address] = p
 	}
 	return p
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -20,36 +20,41 @@
 const (
 	// usualExposure stands for a deployment that sets no bound.
 	usualExposure = 0.15
-	// canaryPart is the canary's share of sessions as a part of the bound on
-	// exposure. The canary lasts longest, as it finds nearly all bad versions.
-	canaryPart = 0.4
 	// completeBefore is how long before the end a roll-out is completed, as a part
-	// of the bound on exposure, and leastLead the least such time: it leaves a
-	// second node time to write the status if the first is gone.
-	completeBefore = 0.27
+	// of the bound on exposure, and leastLead the least such time: it leaves other
+	// nodes time to write the status if the store refuses the first.
+	completeBefore = 0.35
 	leastLead      = 1200 * time.Millisecond
+	// stageWidth is how long each later stage lasts, as a part of the bound.
+	stageWidth = 0.15
+	// leastCanary is the least share of the canary as a part of the bound.
+	leastCanary = 0.2
 )
 
-// promotion lists the later stages, each from so long before the end, as a part
-// of the bound on exposure. A tenth stays with the old version until the end, as
-// answers of one version alone are no evidence.
-var promotion = []struct{ before, share float64 }{{0.9, 0.25}, {0.7, 0.5}, {0.5, 0.9}}
+// promotion lists the shares of the later stages. A tenth stays with the old
+// version until the end, as answers of one version alone are no evidence.
+var promotion = []float64{0.25, 0.5, 0.9}
 
 // newSchedule plans a roll-out under a bound on the share of requests that a bad
 // version may get. A version that turns bad under full load shows it late, so
-// the shares are such that the bound, with its allowance, holds even if nobody
-// finds it.
+// the shares are such that the bound holds even if nobody finds it: the canary,
+// which lasts longest and finds nearly all bad versions, gets what the later
+// stages leave.
 func newSchedule(exposure float64, duration time.Duration) schedule {
 	if exposure <= 0 {
 		exposure = usualExposure
 	}
-	s := schedule{canary: min(canaryPart*exposure, canaryMost), completeFrom: 1 - completeBefore*exposure}
+	s := schedule{completeFrom: 1 - completeBefore*exposure}
 	if duration > 0 {
 		s.completeFrom = min(s.completeFrom, 1-float64(leastLead)/float64(duration))
 	}
-	for _, p := range promotion {
-		s.stages = append(s.stages, stage{1 - p.before*exposure, p.share})
+	width := stageWidth * exposure
+	from, left := s.completeFrom-width*float64(len(promotion)), exposure-(1-s.completeFrom)
+	for i, share := range promotion {
+		s.stages = append(s.stages, stage{from + width*float64(i), share})
+		left -= share * width
 	}
+	s.canary = min(max(left/max(from, 0.5), leastCanary*exposure), canaryMost)
 	return s
 }
 
--- a/internal/edge/sessions.go
+++ b/internal/edge/sessions.go
@@ -14,7 +14,7 @@
 
 // canaryMost bounds the share of sessions that a canary may get, and so of those
 // that nodes tell each other.
-const canaryMost = 0.06
+const canaryMost = 0.08
 
 // sessionPublishInterval is how often a session under way is told to the other nodes.
 const sessionPublishInterval = time.Second
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -55,10 +56,17 @@
 
 func (i id) upward() bool { return strings.HasPrefix(i.table, Upward) }
 
+// Soft begins the names of tables whose rows are left to the node that told them
+// where the reader hears it itself. They are told often, and may come a little
+// late; the others take every way.
+const Soft = "soft/"
+
+func (i id) soft() bool { return strings.HasPrefix(i.table, Soft) }
+
 type entry struct {
 	Row
 	place uint64 // position in the log of this node
-	from  string // address of the node that told it; empty for the store or this node
+	from  uint64 // epoch of the process that told it; 0 for the store or this node
 }
 
 // Map is a node's copy of all rows. It is safe for concurrent use.
@@ -78,11 +86,11 @@
 }
 
 // Apply takes rows and keeps those that are newer than what is known.
-func (m *Map) Apply(rows []Row) { m.mergeFrom("", rows, nil) }
+func (m *Map) Apply(rows []Row) { m.mergeFrom(0, rows, nil) }
 
-// mergeFrom takes rows that a node told, and the cursors of one that holds its
-// tables as a whole.
-func (m *Map) mergeFrom(from string, rows []Row, cursors map[string]uint64) {
+// mergeFrom takes rows that a process told, by its epoch, and the cursors of one
+// that holds its tables as a whole.
+func (m *Map) mergeFrom(from uint64, rows []Row, cursors map[string]uint64) {
 	m.mu.Lock()
 	fresh := m.apply(from, rows)
 	for table, version := range cursors {
@@ -93,7 +101,7 @@
 }
 
 // apply keeps newer rows and returns them. The caller holds mu.
-func (m *Map) apply(from string, rows []Row) []Row {
+func (m *Map) apply(from uint64, rows []Row) []Row {
 	var fresh []Row
 	for _, r := range rows {
 		at := id{r.Table, r.Key}
@@ -130,7 +138,7 @@
 			rows = append(rows, Row{Table: table, Key: at.key, Version: version, Deleted: true})
 		}
 	}
-	fresh := m.apply("", rows)
+	fresh := m.apply(0, rows)
 	m.cursors[table] = max(m.cursors[table], version)
 	m.mu.Unlock()
 	m.tell(fresh)
@@ -139,7 +147,7 @@
 // Advance takes the rows of a watch that reached version.
 func (m *Map) Advance(table string, rows []Row, version uint64) {
 	m.mu.Lock()
-	fresh := m.apply("", rows)
+	fresh := m.apply(0, rows)
 	m.cursors[table] = max(m.cursors[table], version)
 	m.mu.Unlock()
 	m.tell(fresh)
@@ -181,10 +189,10 @@
 	next    <-chan struct{} // closed at the next change
 }
 
-// since returns what changed after a place of this map's log and was not told
-// by the node at an address itself. Rows of upward tables are left out unless
-// up is set.
-func (m *Map) since(address string, place uint64, up bool) change {
+// since returns what changed after a place of this map's log, but for what the
+// reader told itself, and soft rows of the processes that it hears. Rows of
+// upward tables are left out unless up is set.
+func (m *Map) since(place, reader uint64, hears []uint64, up bool) change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := change{place: m.place, cursors: m.cursorsNow(), next: m.changed}
@@ -192,7 +200,8 @@
 		return c
 	}
 	for at, e := range m.rows {
-		if e.place > place && (e.from == "" || e.from != address) && (up || !at.upward()) {
+		isKnown := e.from != 0 && (e.from == reader || (at.soft() && slices.Contains(hears, e.from)))
+		if e.place > place && !isKnown && (up || !at.upward()) {
 			c.rows = append(c.rows, e.Row)
 		}
 	}
--- a/internal/news/sync.go
+++ b/internal/news/sync.go
@@ -25,7 +25,11 @@
 
 // Question is what one node tells another, and from where it wants to go on.
 type Question struct {
-	From string
+	// Self is the epoch of the asker, Up is set by one that asks its hub.
+	Self uint64
+	Up   bool
+	// Hears are the epochs of the processes that the asker has news from itself.
+	Hears []uint64
 	// Epoch and Place tell how far the asker has followed the log of the
 	// asked.
 	Epoch uint64
@@ -46,8 +50,13 @@
 	Epoch uint64
 	Place uint64
 	Rows  []Row
+	// Hears are the epochs of the processes that the asked one has news from
+	// itself.
+	Hears []uint64
 	// Want are the hashes of rows of which the digest told a newer version.
-	Want    []uint64
+	Want []uint64
+	// Anew asks for a digest in the next question.
+	Anew    bool
 	Cursors map[string]uint64
 	Age     time.Duration
 }
@@ -56,16 +65,17 @@
 type Exchange struct {
 	epoch uint64
 	rows  *Map
-	// Age returns how long ago the store was last heard of, Heard takes such a
-	// time from another node.
-	age   func() time.Duration
-	heard func(time.Duration)
+	heard *contacts
+	// age returns how long ago the store was last heard of, observeAge takes such
+	// a time from another node.
+	age        func() time.Duration
+	observeAge func(time.Duration)
 }
 
 // NewExchange returns an exchange. epoch distinguishes this process from its
 // predecessors.
-func NewExchange(epoch uint64, rows *Map, age func() time.Duration, heard func(time.Duration)) *Exchange {
-	return &Exchange{epoch: epoch, rows: rows, age: age, heard: heard}
+func NewExchange(epoch uint64, rows *Map, age func() time.Duration, observeAge func(time.Duration)) *Exchange {
+	return &Exchange{epoch: epoch, rows: rows, heard: newContacts(), age: age, observeAge: observeAge}
 }
 
 // Service is the RPC interface of an exchange.
@@ -78,15 +88,18 @@
 	if err != nil {
 		return err
 	}
-	e.rows.mergeFrom(q.From, rows, q.Cursors)
-	e.heard(q.Age)
+	e.rows.mergeFrom(q.Self, rows, q.Cursors)
+	e.observeAge(q.Age)
+	e.heard.note(q.Self, !q.Up, time.Now())
 	if q.Digest != nil || q.Epoch != e.epoch {
 		c, want := e.rows.compare(q.Digest)
 		*a = e.answer(c)
 		a.Want = want
+		e.heard.settled(q.Self)
 		return nil
 	}
 	*a = e.answer(e.await(q))
+	a.Anew = e.heard.isOpen(q.Self)
 	return nil
 }
 
@@ -94,7 +107,7 @@
 func (e *Exchange) await(q Question) change {
 	asked := time.Now()
 	for {
-		c := e.rows.since(q.From, q.Place, false)
+		c := e.rows.since(q.Place, q.Self, q.Hears, false)
 		waited := time.Since(asked)
 		switch {
 		case len(c.rows) > 0 && waited >= batchTime, waited >= holdTime:
@@ -111,7 +124,7 @@
 }
 
 func (e *Exchange) answer(c change) Answer {
-	return Answer{Epoch: e.epoch, Place: c.place, Rows: pack(c.rows), Cursors: c.cursors, Age: e.age()}
+	return Answer{Epoch: e.epoch, Place: c.place, Rows: pack(c.rows), Cursors: c.cursors, Age: e.age(), Hears: e.heard.list(time.Now())}
 }
 
 // Serve answers peers on a listener until it is closed.
@@ -135,18 +148,18 @@
 	Address string
 	// Up marks the hub of this node, which gets the rows of upward tables.
 	Up     bool
-	self   string
 	epoch  uint64
 	place  uint64
 	sent   uint64   // place of the own log up to which rows were told
 	wanted []uint64 // hashes of rows that the peer asked for
-	fresh  bool     // no question was answered on this connection
+	hears  []uint64 // epochs of the processes that the peer has news from itself
+	fresh  bool     // the next question is to bear a digest
 	mu     sync.Mutex
 	client *rpc.Client // guarded by mu
 }
 
 // NewPeer returns a peer that is not yet connected.
-func NewPeer(self, address string) *Peer { return &Peer{Address: address, self: self} }
+func NewPeer(address string) *Peer { return &Peer{Address: address} }
 
 // Ask sends one question and merges its answer.
 func (e *Exchange) Ask(ctx context.Context, p *Peer) error {
@@ -160,26 +173,31 @@
 		p.Close()
 		return errors.Wrapf(err, "sync with %s", p.Address)
 	}
-	p.fresh, p.sent, p.epoch, p.place, p.wanted = false, reached, a.Epoch, a.Place, a.Want
+	if q.Digest != nil {
+		e.heard.settled(a.Epoch)
+	}
+	e.heard.note(a.Epoch, !p.Up, time.Now())
+	p.fresh = a.Anew || e.heard.isOpen(a.Epoch)
+	p.sent, p.epoch, p.place, p.wanted, p.hears = reached, a.Epoch, a.Place, a.Want, a.Hears
 	rows, err := unpack(a.Rows)
 	if err != nil {
 		return err
 	}
-	e.rows.mergeFrom(p.Address, rows, a.Cursors)
-	e.heard(a.Age)
+	e.rows.mergeFrom(a.Epoch, rows, a.Cursors)
+	e.observeAge(a.Age)
 	return nil
 }
 
 // question makes the next question for a peer, and returns the place of the
 // own log that it tells up to.
 func (e *Exchange) question(p *Peer) (Question, uint64) {
-	q := Question{From: p.self, Age: e.age()}
+	q := Question{Self: e.epoch, Up: p.Up, Hears: e.heard.list(time.Now()), Age: e.age()}
 	if p.fresh {
 		var reached uint64
 		q.Digest, reached = e.rows.digest()
 		return q, reached
 	}
-	c := e.rows.since(p.Address, p.sent, p.Up)
+	c := e.rows.since(p.sent, p.epoch, p.hears, p.Up)
 	q.Epoch, q.Place, q.Cursors = p.epoch, p.place, c.cursors
 	q.Rows = pack(append(e.rows.pick(p.wanted), c.rows...))
 	return q, c.place
