Take no new streams in the later part of a stop

Nodes took new connections for 3.2 of their 8 s, so that a stream that began last had 4.2 s. They now take them for 2.5 s, half a second more than callers keep an address, which leaves 4.9 s.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -12,9 +12,11 @@
 
 const (
 	// acceptShare is the part of the time to stop during which new connections
-	// are still taken: callers keep an address for the directory's time to live,
-	// some for three times as long.
+	// are still taken, acceptMost bounds it: callers keep an address for the
+	// directory's time to live, and a stream that begins later may not end before
+	// the process does.
 	acceptShare = 0.4
+	acceptMost  = directoryTTL + 500*time.Millisecond
 	// finishShare is the part of the time to stop at which what still runs is
 	// cut; the rest is for the process to end.
 	finishShare = 0.93
@@ -30,7 +32,7 @@
 	n.stopping.Store(true)
 	n.beat()
 	n.o.Log.Info("stopping", zap.Int("running", n.forwarder.Running()), zap.Duration("time", s.StopTime))
-	loop.Sleep(life, time.Duration(acceptShare*float64(s.StopTime)))
+	loop.Sleep(life, acceptTime(s.StopTime))
 	ctx, cancel := context.WithDeadline(life, began.Add(time.Duration(finishShare*float64(s.StopTime))))
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
@@ -41,6 +43,11 @@
 	n.o.Log.Info("stopped", zap.Int("unfinished", n.forwarder.Running()), zap.Int64("ms", time.Since(began).Milliseconds()))
 }
 
+// acceptTime returns how long a stop still takes new connections.
+func acceptTime(stop time.Duration) time.Duration {
+	return min(time.Duration(acceptShare*float64(stop)), acceptMost)
+}
+
 // unregister removes this node's row; a row that stays is found to be of a
 // silent node.
 func (n *Node) unregister(ctx context.Context) {
