Metrics of attempts, refusals and beliefs of the routes' face, held to their page

Histograms knew the whole request and its first byte only, and nothing told the age of what a process believes.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -103,9 +103,26 @@
 		Budget:  forward.NewBudget(n.retryBounds, n.members.count),
 		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, Stopping: n.stopping.Load,
 	})
+	o.Metrics.Observe(n.state())
 	return n, n.listen()
 }
 
+// state returns what metrics tell of the node.
+func (n *Node) state() telemetry.ForwardState {
+	return telemetry.ForwardState{
+		StoreAge: func() float64 { return n.reader.age().Seconds() },
+		ConfigVersion: func() float64 {
+			if t := n.table(); t != nil {
+				return float64(t.Version)
+			}
+			return 0
+		},
+		Members: func() float64 { return float64(n.members.count()) },
+		Servers: func() float64 { return float64(n.pool.Len()) },
+		Running: func() float64 { return float64(n.forwarder.Running()) },
+	}
+}
+
 // nextVersion returns the version of the next own soft row. Versions of one
 // node rise; those of different nodes are never compared, as keys differ, but
 // for sessions, where any order will do.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,6 +43,18 @@
 	unknown
 )
 
+// String implements fmt.Stringer.
+func (r result) String() string {
+	switch r {
+	case answered:
+		return "answered"
+	case notRun:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
+
 // choose picks a server, or returns nil.
 func (x *exchange) choose(model string) *attempt {
 	now := time.Now()
@@ -82,6 +94,13 @@
 
 // send sends the request and waits for the header of the answer.
 func (x *exchange) send(ctx context.Context, a *attempt, lastEvent string) (result, error) {
+	began := time.Now()
+	res, err := x.roundTrip(ctx, a, lastEvent)
+	x.f.o.Metrics.AttemptTime.WithLabelValues(x.q.Route.Kind.String(), res.String()).Observe(time.Since(began).Seconds())
+	return res, err
+}
+
+func (x *exchange) roundTrip(ctx context.Context, a *attempt, lastEvent string) (result, error) {
 	if !a.member.Begin(a.began, a.unread) {
 		return notRun, errors.New("server has left")
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -99,6 +99,7 @@
 		return
 	}
 	x.started, x.status = true, r.status
+	x.f.o.Metrics.Refusals.WithLabelValues(strconv.Itoa(r.status), r.reason).Inc()
 	if r.after > 0 {
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 2, 64))
 	}
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -19,13 +19,17 @@
 	docRow     = regexp.MustCompile("^\\| `(cowslipfall_[a-z_]+)` \\|([^|]*)\\|")
 )
 
-// programMetrics lists the program's metrics as "name: labels".
+// programMetrics lists the program's metrics, those of its own interface and
+// those of routes, as "name: labels".
 func programMetrics() []string {
-	reg := telemetry.NewMetrics().Registry
-	reg.MustRegister(gauges{})
+	own := telemetry.NewMetrics().Registry
+	own.MustRegister(gauges{})
+	routes := telemetry.NewForwardMetrics()
+	routes.Observe(telemetry.ForwardState{})
 	ch := make(chan *prometheus.Desc)
 	go func() {
-		reg.Describe(ch)
+		own.Describe(ch)
+		routes.Registry.Describe(ch)
 		close(ch)
 	}()
 	var out []string
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -81,6 +81,10 @@
 	return f.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func (f factory) gaugeFunc(name, help string, value func() float64) {
+	f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
+}
+
 func (f factory) histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
 	return f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
