--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,9 @@
 // row's version lets one of them win.
 func (n *Node) judge(ctx context.Context) {
 	now := time.Now()
+	if clock, ok := n.o.Store.Clock(); ok {
+		n.rollouts.resume(clock, now)
+	}
 	n.evidence.publish(n.rollouts, n.members.count(), now)
 	for _, o := range n.rollouts.running() {
 		n.rollouts.evaluate(o.Service, o.To, n.evidence.totals(o.Service, o.To), now)
@@ -70,6 +74,30 @@
 	// The row's own version is observeAge by reading it back: an answer may be lost
 	// after the write was done.
 	n.readStatus(ctx, t.Status)
+	if ok && d.status.State == RolloutRunning {
+		n.writeStart(ctx, d.service)
+	}
+}
+
+// writeStart keeps when a roll-out began in the store: all nodes may be lost at
+// once.
+func (n *Node) writeStart(ctx context.Context, service string) {
+	clock, known := n.o.Store.Clock()
+	if !known {
+		n.o.Log.Warn("start of the roll-out is not kept: the store has not told its time", zap.String("service", service))
+		return
+	}
+	raw, err := json.Marshal(n.rollouts.start(service, clock, time.Now()))
+	if err != nil {
+		n.o.Log.Error("start of the roll-out is not kept", telemetry.Cause(err))
+		return
+	}
+	row, _ := n.rows.Get(tableSystem, prefixStart+service)
+	stored, err := n.o.Store.Write(ctx, tableSystem, prefixStart+service, row.Version, raw)
+	n.reader.calls("status", outcomeOf(err))
+	if err != nil || !stored {
+		n.o.Log.Warn("start of the roll-out is not kept", zap.String("service", service), zap.Bool("stored", stored), telemetry.Cause(err))
+	}
 }
 
 // readStatus reads the statuses again.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -314,6 +314,30 @@
 	is.Equal(e.totals("x", "v2")["r"].New.Good, 3)
 }
 
+// When all nodes are lost at once, the roll-out goes on where it was, by the
+// store's clock; a start of an older order says nothing.
+func TestRollOutGoesOnAfterTheLossOfAllNodes(t *testing.T) {
+	is := is.New(t)
+	before, _ := newTestRollouts(t)
+	before.apply([]news.Row{order(t, 5)}, start)
+	kept := before.start("x", time.Hour+4*time.Second, start.Add(4*time.Second))
+	is.Equal(kept.StartedMS, time.Hour.Milliseconds())
+	rows := []news.Row{{Key: prefixStart + "x", Version: 6, Data: encode(t, kept)}, {Key: prefixMember + "n", Version: 7}}
+
+	restarted := start.Add(12 * time.Second)
+	after, _ := newTestRollouts(t)
+	after.apply([]news.Row{order(t, 5)}, restarted)
+	after.applyStarts(rows)
+	after.resume(time.Hour+12*time.Second, restarted)
+	is.Equal(after.release("x").elapsed(restarted), 0.6)
+
+	newer, _ := newTestRollouts(t)
+	newer.apply([]news.Row{order(t, 9)}, restarted)
+	newer.applyStarts(rows)
+	newer.resume(time.Hour+12*time.Second, restarted)
+	is.Equal(newer.release("x").elapsed(restarted), 0.0)
+}
+
 // fakeStore counts calls and fails while it is down.
 type fakeStore struct {
 	calls atomic.Int32
@@ -343,6 +367,8 @@
 
 func (*fakeStore) Remove(context.Context, string, string) error { return nil }
 
+func (*fakeStore) Clock() (time.Duration, bool) { return 0, false }
+
 // One node reads the store for all; a standby reads only once it hears nothing
 // of the store any more.
 func TestStandbyReadsWhenNewsAreStale(t *testing.T) {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -25,8 +25,14 @@
 	tableSuspects = news.Soft + "suspects"
 )
 
-// tableMembers is the system's table in the store: where nodes find each other.
-const tableMembers = "members"
+const (
+	// tableSystem is the system's own table in the store.
+	tableSystem = "system"
+	// prefixMember begins the keys of the rows by which nodes find each other,
+	// prefixStart those that tell when roll-outs began.
+	prefixMember = "member/"
+	prefixStart  = "rollout/"
+)
 
 const (
 	// beatInterval is how often a node tells its hub its state, and a hub the
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -162,6 +162,7 @@
 	}
 	n.rollouts.apply(byTable[t.Operator], now)
 	n.rollouts.apply(byTable[t.Status], now)
+	n.rollouts.applyStarts(byTable[tableSystem])
 	if list := byTable[t.Servers]; len(list) > 0 {
 		n.servers.apply(list, now)
 	}
@@ -249,7 +250,7 @@
 		current     bool
 	}{
 		{t.Operator, operatorWait, 0, true}, {t.Servers, restWait, serversPause, false},
-		{t.Status, restWait, 0, false}, {tableMembers, restWait, 0, false},
+		{t.Status, restWait, 0, false}, {tableSystem, restWait, 0, false},
 	} {
 		n.loops.Go(func() { n.reader.follow(life, f.table, f.wait, f.pause, f.current) })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -125,7 +126,10 @@
 		known[m.Inner] = true
 	}
 	var list []string
-	for _, r := range n.rows.List(tableMembers) {
+	for _, r := range n.rows.List(tableSystem) {
+		if !strings.HasPrefix(r.Key, prefixMember) {
+			continue
+		}
 		var m memberRow
 		if err := json.Unmarshal(r.Data, &m); err != nil {
 			n.o.Log.Warn("member's row is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
@@ -171,6 +175,8 @@
 	return listenTime
 }
 
+func (n *Node) memberKey() string { return prefixMember + n.o.Settings.Node }
+
 // register tells the store where a hub is reached, so that nodes which know none
 // of the others find it.
 func (n *Node) register(ctx context.Context) {
@@ -180,10 +186,10 @@
 		return
 	}
 	for ctx.Err() == nil {
-		row, known := n.rows.Get(tableMembers, n.o.Settings.Node)
+		row, known := n.rows.Get(tableSystem, n.memberKey())
 		isHub := n.members.hubs(time.Now())[n.o.Settings.DataCentre] == n.inner
-		if isHub && !(known && string(row.Data) == string(raw)) && n.rows.Cursor(tableMembers) > 0 {
-			_, err := n.o.Store.Write(ctx, tableMembers, n.o.Settings.Node, row.Version, raw)
+		if isHub && !(known && string(row.Data) == string(raw)) && n.rows.Cursor(tableSystem) > 0 {
+			_, err := n.o.Store.Write(ctx, tableSystem, n.memberKey(), row.Version, raw)
 			n.reader.calls("register", outcomeOf(err))
 			if err != nil {
 				n.o.Log.Warn("node is not registered", telemetry.Cause(err))
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -57,12 +58,13 @@
 	settings func() *Settings
 	log      *zap.Logger
 	mu       sync.Mutex
-	releases map[string]*release // guarded by mu; by service
-	local    *tally              // what this node saw
+	releases map[string]*release     // guarded by mu; by service
+	starts   map[string]rolloutStart // guarded by mu; by service
+	local    *tally                  // what this node saw
 }
 
 func newRollouts(schema Schema, s *sessions, settings func() *Settings, log *zap.Logger) *rollouts {
-	return &rollouts{schema: schema, sessions: s, settings: settings, log: log, releases: map[string]*release{}, local: newTally()}
+	return &rollouts{schema: schema, sessions: s, settings: settings, log: log, releases: map[string]*release{}, starts: map[string]rolloutStart{}, local: newTally()}
 }
 
 // apply follows orders and statuses.
@@ -165,6 +167,62 @@
 	r.local.add(service, version == x.order.To, o)
 }
 
+// rolloutStart tells when a roll-out began, for nodes that start when none is
+// left that knows.
+type rolloutStart struct {
+	To string `json:"to"`
+	// Order is the version of the order's row, StartedMS the time by the store's
+	// clock.
+	Order     uint64 `json:"order"`
+	StartedMS int64  `json:"started_ms"`
+}
+
+// applyStarts notes when roll-outs began.
+func (r *rollouts) applyStarts(rows []news.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range rows {
+		service, ok := strings.CutPrefix(row.Key, prefixStart)
+		if !ok || row.Deleted {
+			continue
+		}
+		var s rolloutStart
+		if err := json.Unmarshal(row.Data, &s); err != nil {
+			r.log.Warn("start of a roll-out is unreadable", zap.String("service", service), telemetry.Cause(err))
+			continue
+		}
+		r.starts[service] = s
+	}
+}
+
+// start returns the row that tells when a roll-out began, by the store's clock.
+func (r *rollouts) start(service string, clock time.Duration, now time.Time) rolloutStart {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.release(service)
+	return rolloutStart{To: x.order.To, Order: x.row, StartedMS: (clock - now.Sub(x.began)).Milliseconds()}
+}
+
+// resume takes the time that roll-outs are under way from their starts.
+func (r *rollouts) resume(clock time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, s := range r.starts {
+		x := r.releases[service]
+		if x == nil || x.row != s.Order {
+			continue
+		}
+		elapsed := clock - time.Duration(s.StartedMS)*time.Millisecond
+		if began := now.Add(-elapsed); began.Before(x.began.Add(-resumeSlack)) {
+			r.log.Info("roll-out goes on", zap.String("service", service), zap.String("to", s.To), zap.Duration("elapsed", elapsed))
+			x.began = began
+		}
+	}
+}
+
+// resumeSlack is the difference between clocks that does not count.
+const resumeSlack = 500 * time.Millisecond
+
 // adopt takes from another node how long a roll-out is under way, so that a
 // node that started meanwhile has the same stage.
 func (r *rollouts) adopt(service, to string, elapsed time.Duration, now time.Time) {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -51,12 +51,12 @@
 // unregister removes this node's row; a row that stays is found to be of a
 // silent node.
 func (n *Node) unregister(ctx context.Context) {
-	if _, ok := n.rows.Get(tableMembers, n.o.Settings.Node); !ok {
+	if _, ok := n.rows.Get(tableSystem, n.memberKey()); !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTick*4)
 	defer cancel()
-	if err := n.o.Store.Remove(ctx, tableMembers, n.o.Settings.Node); err != nil {
+	if err := n.o.Store.Remove(ctx, tableSystem, n.memberKey()); err != nil {
 		n.o.Log.Warn("node stays registered", telemetry.Cause(err))
 	}
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -43,6 +43,9 @@
 	Write(ctx context.Context, table, key string, expected uint64, data []byte) (bool, error)
 	// Remove drops a row whatever its version.
 	Remove(ctx context.Context, table, key string) error
+	// Clock returns the store's steady clock by its last answer, and whether there
+	// was one.
+	Clock() (time.Duration, bool)
 }
 
 type id struct{ table, key string }
