--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -33,8 +33,8 @@
 		n.rollouts.resume(clock, now)
 	}
 	n.evidence.publish(n.rollouts, n.members.count(), now)
-	for _, o := range n.rollouts.running() {
-		n.rollouts.evaluate(o.Service, o.To, n.evidence.totals(o.Service, o.To), now)
+	for service, order := range n.rollouts.running() {
+		n.rollouts.evaluate(service, order, n.evidence.totals(service, order), now)
 	}
 	for _, d := range n.rollouts.pendingStatuses(now) {
 		if d.late >= time.Duration(n.driverTurn(d.service))*standInFor(d.left) {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -253,7 +253,7 @@
 			found := 0
 			for range 30 {
 				seen = seen.plus(comparison{outcomes{Good: 19, Failed: 1}, outcomes{Good: c.newGood, Failed: c.newBad}})
-				if r.evaluate("x", "v2", map[string]comparison{"route": seen}, start) {
+				if r.evaluate("x", 1, map[string]comparison{"route": seen}, start) {
 					found = seen.New.Good + seen.New.Failed
 				}
 			}
@@ -309,9 +309,23 @@
 	r, _ := newTestRollouts(t)
 	r.apply([]news.Row{order(t, 1)}, start)
 	e := &evidence{rows: news.NewMap(nil), next: counter(), log: zap.NewNop(), seen: map[string]counts{}}
-	e.apply([]news.Row{{Key: "x/other", Data: encode(t, counts{To: "v2", ElapsedMS: 18500, Routes: map[string]comparison{"r": {New: outcomes{Good: 3}}}})}}, r, start)
+	e.apply([]news.Row{{Key: "x/other", Data: encode(t, counts{Order: 1, ElapsedMS: 18500, Routes: map[string]comparison{"r": {New: outcomes{Good: 3}}}})}}, r, start)
 	is.Equal(r.Pick("x", sessionAt(0.9), start).Prefer, "v2")
-	is.Equal(e.totals("x", "v2")["r"].New.Good, 3)
+	is.Equal(e.totals("x", 1)["r"].New.Good, 3)
+}
+
+// A node that did not see enough itself takes the verdict of another one, of the
+// same order only: the version may have been mended and ordered again.
+func TestVerdictIsShared(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRollouts(t)
+	r.apply([]news.Row{order(t, 9)}, start)
+	e := &evidence{rows: news.NewMap(nil), next: counter(), log: zap.NewNop(), seen: map[string]counts{}}
+	e.apply([]news.Row{{Key: "x/other", Data: encode(t, counts{Order: 4, Bad: true})}}, r, start)
+	is.Equal(r.pendingStatuses(start.Add(19 * time.Second))[0].status.State, RolloutCompleted)
+	e.apply([]news.Row{{Key: "x/other", Data: encode(t, counts{Order: 9, Bad: true})}}, r, start)
+	is.Equal(r.pendingStatuses(start.Add(19 * time.Second))[0].status.State, RolloutReverted)
+	is.Equal(r.Pick("x", canarySession(), start), forward.Choice{Except: "v2"})
 }
 
 // When all nodes are lost at once, the roll-out goes on where it was, by the
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -32,10 +32,14 @@
 
 // counts are what one node saw of one roll-out.
 type counts struct {
-	To string `json:"to"`
+	// Order is the version of the order's row: the same version of a service may
+	// be ordered again.
+	Order uint64 `json:"order"`
 	// ElapsedMS is how long the roll-out is under way, as far as this node
 	// knows.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// Bad is set once the node holds the new version for bad.
+	Bad bool `json:"bad,omitempty"`
 	// Routes holds what both versions did, by route.
 	Routes map[string]comparison `json:"routes"`
 }
@@ -119,8 +123,8 @@
 	r.mu.Lock()
 	list := map[string]counts{}
 	for service, x := range r.releases {
-		if c := r.local.services[service]; c != nil && x.state() == RolloutRunning {
-			list[service] = counts{To: x.order.To, ElapsedMS: now.Sub(x.began).Milliseconds(), Routes: maps.Clone(c.Routes)}
+		if c := r.local.services[service]; c != nil && !x.isDecided() {
+			list[service] = counts{Order: x.row, ElapsedMS: now.Sub(x.began).Milliseconds(), Bad: x.bad, Routes: maps.Clone(c.Routes)}
 		}
 	}
 	r.mu.Unlock()
@@ -135,40 +139,29 @@
 	}
 }
 
-// apply notes what a node saw.
+// apply notes what nodes saw.
 func (e *evidence) apply(rows []news.Row, r *rollouts, now time.Time) {
-	for service, c := range e.keep(rows) {
-		r.adopt(service, c.To, time.Duration(c.ElapsedMS)*time.Millisecond, now)
-	}
-}
-
-// keep stores the counts and returns one of each service.
-func (e *evidence) keep(rows []news.Row) map[string]counts {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	out := map[string]counts{}
-	for _, r := range rows {
+	for _, row := range rows {
 		var c counts
-		if err := json.Unmarshal(r.Data, &c); err != nil {
-			e.log.Warn("evidence is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
+		if err := json.Unmarshal(row.Data, &c); err != nil {
+			e.log.Warn("evidence is unreadable", zap.String("key", row.Key), telemetry.Cause(err))
 			continue
 		}
-		e.seen[r.Key] = c
-		service, _, _ := strings.Cut(r.Key, "/")
-		if c.ElapsedMS >= out[service].ElapsedMS {
-			out[service] = c
-		}
+		e.mu.Lock()
+		e.seen[row.Key] = c
+		e.mu.Unlock()
+		service, _, _ := strings.Cut(row.Key, "/")
+		r.adopt(service, c, now)
 	}
-	return out
 }
 
-// totals sums what all nodes saw of a service's roll-out to a version, by route.
-func (e *evidence) totals(service, to string) map[string]comparison {
+// totals sums what all nodes saw of an order's roll-out, by route.
+func (e *evidence) totals(service string, order uint64) map[string]comparison {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := map[string]comparison{}
 	for key, c := range e.seen {
-		if !strings.HasPrefix(key, service+"/") || c.To != to {
+		if !strings.HasPrefix(key, service+"/") || c.Order != order {
 			continue
 		}
 		for name, x := range c.Routes {
--- a/internal/edge/judge.go
+++ b/internal/edge/judge.go
@@ -47,6 +47,8 @@
 	return outcomes{o.Good - x.Good, o.Failed - x.Failed, o.Slow - x.Slow}
 }
 
+func (o outcomes) half() outcomes { return outcomes{o.Good / 2, o.Failed / 2, o.Slow / 2} }
+
 func (o outcomes) atLeast(x outcomes) outcomes {
 	return outcomes{max(o.Good, x.Good), max(o.Failed, x.Failed), max(o.Slow, x.Slow)}
 }
@@ -83,6 +85,13 @@
 func (t *trial) add(c comparison) {
 	// A node that left takes its counts along: totals never fall.
 	c = comparison{c.Old.atLeast(t.seen.Old), c.New.atLeast(t.seen.New)}
+	if t.seen == (comparison{}) {
+		// A node that starts in the middle of a roll-out gets all that the others
+		// saw at once; without a baseline the test would not weigh it.
+		t.seen.Old = c.Old.half()
+		t.failed.Baseline(t.seen.Old.failures())
+		t.slow.Baseline(t.seen.Old.slowness())
+	}
 	old, next := c.Old.minus(t.seen.Old), c.New.minus(t.seen.New)
 	t.failed.Add(old.failures(), next.failures())
 	t.slow.Add(old.slowness(), next.slowness())
--- a/internal/edge/judge_test.go
+++ b/internal/edge/judge_test.go
@@ -59,7 +59,7 @@
 				seen[name] = c
 			}
 		}
-		v.reverted = r.evaluate("x", "v2", seen, start.Add(at)) || v.reverted
+		v.reverted = r.evaluate("x", 0, seen, start.Add(at)) || v.reverted
 	}
 	return v
 }
@@ -151,3 +151,13 @@
 		})
 	}
 }
+
+// A node that starts in the middle of a roll-out weighs what the others saw
+// before, all of which it gets at once.
+func TestRestartedNodeWeighsWhatOthersSaw(t *testing.T) {
+	is := is.New(t)
+	seen := comparison{outcomes{Good: 200, Failed: 4, Slow: 6}, outcomes{Good: 14, Failed: 13}}
+	is.True(convicts(newJudge().evaluate(map[string]comparison{"route": seen}), 0.3))
+	seen.New = outcomes{Good: 27, Slow: 1}
+	is.True(!convicts(newJudge().evaluate(map[string]comparison{"route": seen}), 0.9))
+}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -34,10 +34,13 @@
 	return r.written > r.row && r.status.To == r.order.To
 }
 
+// isDecided tells whether the status tells how the roll-out ended.
+func (r *release) isDecided() bool { return r.current() && r.status.State != RolloutRunning }
+
 // state returns the roll-out's state, by the status if it belongs to the order.
 func (r *release) state() RolloutState {
 	switch {
-	case r.current() && r.status.State != RolloutRunning:
+	case r.isDecided():
 		return r.status.State
 	case r.bad:
 		return RolloutReverted
@@ -224,28 +227,36 @@
 const resumeSlack = 500 * time.Millisecond
 
 // adopt takes from another node how long a roll-out is under way, so that a
-// node that started meanwhile has the same stage.
-func (r *rollouts) adopt(service, to string, elapsed time.Duration, now time.Time) {
+// node that started meanwhile has the same stage, and its verdict: one node that
+// did not see enough must not complete what the others hold for bad.
+func (r *rollouts) adopt(service string, c counts, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.releases[service]
-	if x != nil && x.order.To == to && now.Sub(x.began) < elapsed {
+	if x == nil || x.row != c.Order {
+		return
+	}
+	if elapsed := time.Duration(c.ElapsedMS) * time.Millisecond; now.Sub(x.began) < elapsed {
 		x.began = now.Add(-elapsed)
 	}
+	if c.Bad && !x.bad && !x.isDecided() {
+		x.bad, x.found = true, now
+		r.log.Warn("version found bad by another node", zap.String("service", service), zap.String("version", x.order.To))
+	}
 }
 
 // evaluate takes what all nodes saw of a service, by route, and tells whether
 // its new version was just found to be bad.
-func (r *rollouts) evaluate(service, to string, totals map[string]comparison, now time.Time) bool {
+func (r *rollouts) evaluate(service string, order uint64, totals map[string]comparison, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.releases[service]
-	if x == nil || x.order.To != to || x.bad || x.state() != RolloutRunning {
+	if x == nil || x.row != order || x.bad || x.state() != RolloutRunning {
 		return false
 	}
 	evidence := x.judge.evaluate(totals)
 	x.bad = convicts(evidence, x.elapsed(now))
-	fields := []zap.Field{zap.String("service", service), zap.String("version", to), zap.Float64("evidence", evidence), zap.Any("old", x.judge.all.seen.Old),
+	fields := []zap.Field{zap.String("service", service), zap.String("version", x.order.To), zap.Float64("evidence", evidence), zap.Any("old", x.judge.all.seen.Old),
 		zap.Any("new", x.judge.all.seen.New), zap.Float64("elapsed", x.elapsed(now))}
 	if x.bad {
 		x.found = now
@@ -284,7 +295,7 @@
 	defer r.mu.Unlock()
 	var out []pendingStatus
 	for service, x := range r.releases {
-		if x.order.To == "" || (x.current() && x.status.State != RolloutRunning) {
+		if x.order.To == "" || x.isDecided() {
 			continue
 		}
 		want, since, from := RolloutRunning, x.began, r.schedule(x).completeFrom
@@ -302,14 +313,14 @@
 	return out
 }
 
-// running lists the roll-outs under way.
-func (r *rollouts) running() []RolloutOrder {
+// running returns the versions of the orders under way, by service.
+func (r *rollouts) running() map[string]uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []RolloutOrder
-	for _, x := range r.releases {
+	out := map[string]uint64{}
+	for service, x := range r.releases {
 		if x.order.To != "" && x.state() == RolloutRunning {
-			out = append(out, x.order)
+			out[service] = x.row
 		}
 	}
 	return out
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -63,6 +63,10 @@
 // a block stays open.
 const minBlockOld = 4
 
+// Baseline takes outcomes of the version in place that are compared with none of
+// the new version's.
+func (t *Test) Baseline(old Counts) { t.old = t.old.Plus(old) }
+
 // Add takes what both versions did since the last call. A block stays open
 // until both have answered, as answers of one alone are no evidence; the
 // outcomes do not decide it, so that the bound holds.
