--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -314,6 +314,24 @@
 	is.Equal(e.totals("x", 1)["r"].New.Good, 3)
 }
 
+// While a whole fleet starts, each node takes itself for a hub; those that others
+// look for read the store, the rest stand by. A node that starts alone reads at
+// once where it is first.
+func TestStartingFleetLeavesReadingToItsSeeds(t *testing.T) {
+	is := is.New(t)
+	place := func(ip string, first bool, age time.Duration) int {
+		s := Settings{IP: ip, DataCentre: "a", Seeds: []string{"10.0.0.1"}, FirstStart: first}
+		n := &Node{o: Options{Settings: s}, inner: ip, started: time.Now().Add(-age), members: newMembers(zap.NewNop())}
+		n.members.setSelf(nodeState{Inner: ip, DataCentre: "a", Weight: 1})
+		n.members.applyRosters([]news.Row{{Key: "h", Data: encode(t, []nodeState{{Inner: "z", DataCentre: "a"}})}}, time.Now())
+		return n.readerTurn()
+	}
+	is.Equal(place("10.0.0.1", true, time.Second), 0)
+	is.Equal(place("10.0.0.2", true, time.Second), 1)
+	is.Equal(place("10.0.0.2", true, meetTime+time.Second), 0)
+	is.Equal(place("10.0.0.2", false, time.Second), 0)
+}
+
 // A node that did not see enough itself takes the verdict of another one, of the
 // same order only: the version may have been mended and ordered again.
 func TestVerdictIsShared(t *testing.T) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -156,13 +156,21 @@
 	if len(hubs) == 1 && n.members.count() == 1 && time.Since(n.started) < n.listenFirst() {
 		return len(hubs)
 	}
-	return readerPlace(slices.Sorted(maps.Values(hubs)), n.inner)
+	place := readerPlace(slices.Sorted(maps.Values(hubs)), n.inner)
+	if n.o.Settings.FirstStart && time.Since(n.started) < meetTime && n.listenFirst() > 0 {
+		// Until the nodes have met, each takes itself for its data centre's hub.
+		return max(place, 1)
+	}
+	return place
 }
 
 const (
 	// listenTime is how long a node that starts listens to the nodes that its
 	// settings name before it reads the store itself.
 	listenTime = 1500 * time.Millisecond
+	// meetTime is how long a whole fleet takes to meet: 79 nodes that start at
+	// once have agreed on their hubs within 5 s.
+	meetTime = 6 * time.Second
 )
 
 // listenFirst returns how long this node listens first; a node that others
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -29,6 +29,8 @@
 	Processor float64
 	// Seeds are IP numbers of nodes that may be there.
 	Seeds []string
+	// FirstStart is set when the whole fleet starts for the first time.
+	FirstStart bool
 	// StopTime is how long a stop may take from SIGTERM to SIGKILL.
 	StopTime time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance bound what all nodes send
