--- a/internal/edge/judge.go
+++ b/internal/edge/judge.go
@@ -12,9 +12,8 @@
 	failedMargin = 0.02
 	slowMargin   = 0.04
 	// convictEvidence is the evidence at which a version counts as bad; a good
-	// one reaches it in one of 8 roll-outs at most, of simulated ones in one of
-	// 30. Bringing a good version in once more costs callers nothing, a bad one
-	// that stays does.
+	// one reaches it in one of 8 roll-outs at most. Bringing a good version in
+	// once more costs callers nothing, a bad one that stays does.
 	convictEvidence = 8
 	// promoteEvidence is the same once the canary's time is over: a version that
 	// looks rather bad than good by then does not get more of the sessions.
