--- a/internal/edge/drive.go
+++ b/internal/edge/drive.go
@@ -71,7 +71,7 @@
 	n.reader.calls("status", outcomeOf(err))
 	n.o.Log.Info("roll-out status written", zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
 		zap.Uint64("expected", d.expected), zap.Bool("stored", ok), telemetry.Cause(err), zap.Int64("late_ms", d.late.Milliseconds()))
-	// The row's own version is observeAge by reading it back: an answer may be lost
+	// The row's own version is learned by reading it back: an answer may be lost
 	// after the write was done.
 	n.readStatus(ctx, t.Status)
 	if ok && d.status.State == RolloutRunning {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -120,6 +120,21 @@
 	b.pool.Update(b.servers, time.Now())
 }
 
+// firstAnswers adds two servers: whichever is asked first answers as given, the
+// next one with success.
+func (b *bench) firstAnswers(status int, header, body string) {
+	sent := 0
+	for _, id := range []string{"x", "y"} {
+		b.server(id, func(c net.Conn, r *http.Request) {
+			if sent++; sent == 1 {
+				answer(c, r, status, header, body)
+				return
+			}
+			answer(c, r, http.StatusOK, "", "ok")
+		})
+	}
+}
+
 // arrived returns the requests that reached servers, with the servers' names.
 func (b *bench) arrived() []*http.Request {
 	b.mu.Lock()
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -32,16 +32,7 @@
 func TestRefusedConfirmationGoesElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, b := is.New(t), newBench(t)
-		sent := 0
-		for _, id := range []string{"x", "y"} {
-			b.server(id, func(c net.Conn, r *http.Request) {
-				if sent++; sent == 1 {
-					answer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
-					return
-				}
-				answer(c, r, http.StatusOK, "", "ok")
-			})
-		}
+		b.firstAnswers(http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
 		resp, body, err := b.call(t.Context(), http.MethodPost, "/once/1", nil)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusOK)
@@ -67,16 +58,7 @@
 func TestIdempotentFailureIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, b := is.New(t), newBench(t)
-		sent := 0
-		for _, id := range []string{"x", "y"} {
-			b.server(id, func(c net.Conn, r *http.Request) {
-				if sent++; sent == 1 {
-					answer(c, r, http.StatusInternalServerError, "", "no")
-					return
-				}
-				answer(c, r, http.StatusOK, "", "ok")
-			})
-		}
+		b.firstAnswers(http.StatusInternalServerError, "", "no")
 		resp, body, err := b.call(t.Context(), http.MethodGet, "/read/1", nil)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusOK)
