Heed backend servers that leave by their own word, and refusals with a time

Cause: nothing read a server's leaving mark nor the Retry-After of its 503, so both went on getting requests until the store's entry changed; a server's unmarked 503, 429 or 408 was passed on although callers take these for the promise that nothing ran.

What a server says in any answer holds until its next start: it gets nothing new, other nodes are told, also those that start later, and it outlives an entry that lapses. A 503 with a time keeps requests and probes of this node away until its end; where all servers hold off, the refusal is immediate and names the shortest hold. Times to come back are spread by 30%. An unmarked promise status becomes 502.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -23,6 +23,7 @@
 	tableSessions = news.Soft + "sessions"
 	tableEvidence = news.Soft + "evidence"
 	tableSuspects = news.Soft + "suspects"
+	tableLeaving  = news.Soft + "leaving" // servers that said in an answer that they leave
 )
 
 const (
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -65,6 +65,7 @@
 	rollouts      *rollouts
 	evidence      *evidence
 	suspects      *suspects
+	leaving       *leaving
 	pool          *pool.Pool
 	forwarder     *forward.Forwarder
 	callers       *http.Server
@@ -98,10 +99,11 @@
 	n.rollouts = newRollouts(o.Schema, n.sessions, n.settings.Load, o.Log)
 	n.evidence = &evidence{self: n.key, rows: n.rows, next: n.nextVersion, log: o.Log, seen: map[string]counts{}}
 	n.suspects = &suspects{Suspects: dispatch.NewSuspectsAfter(crashesToRefuse), self: n.key, rows: n.rows, log: o.Log, next: n.nextVersion}
+	n.leaving = &leaving{pool: n.pool, rows: n.rows, next: n.nextVersion, log: o.Log}
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.members.count),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, Stopping: n.stopping.Load,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnLeaving: n.leaving.publish, Stopping: n.stopping.Load,
 	})
 	o.Metrics.Observe(n.state())
 	return n, n.listen()
@@ -173,6 +175,7 @@
 	n.sessions.apply(byTable[tableSessions], now)
 	n.evidence.apply(byTable[tableEvidence], n.rollouts, now)
 	n.suspects.apply(byTable[tableSuspects], now)
+	n.leaving.apply(byTable[tableLeaving], now)
 }
 
 const (
@@ -294,8 +297,9 @@
 const forgetAfter = time.Minute
 
 // softLives is how long rows of soft tables are kept: suspicions as long as
-// they hold, evidence longer than any roll-out.
+// they hold, servers that leave until their entries are gone, evidence longer
+// than any roll-out.
 var softLives = map[string]time.Duration{
 	tableBeats: forgetAfter, tableRosters: forgetAfter, tablePulses: forgetAfter, tableLoads: forgetAfter, tableSessions: forgetAfter,
-	tableSuspects: 10 * time.Minute, tableEvidence: 24 * time.Hour,
+	tableSuspects: 10 * time.Minute, tableLeaving: 10 * time.Minute, tableEvidence: 24 * time.Hour,
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -102,7 +102,8 @@
 
 func (x *exchange) roundTrip(ctx context.Context, a *attempt, lastEvent string) (result, error) {
 	if !a.member.Begin(a.began, a.unread) {
-		return notRun, errors.New("server has left")
+		x.tried = append(x.tried, a.member)
+		return notRun, errors.New("server takes no requests any more")
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	req := x.f.o.Headers.request(x.q, a.member.Address, a.member.ID, time.Now()).WithContext(ctx)
@@ -163,8 +164,17 @@
 	case a.resp.StatusCode == http.StatusMisdirectedRequest:
 		x.fail(a)
 		return notRun, errors.New("another server has the address")
+	}
+	x.heedNotices(a)
+	switch {
 	case h.Get(x.f.o.Headers.NotRun) != "":
 		return notRun, errors.Errorf("server refused with %d", a.resp.StatusCode)
+	case promisesNoRun(a.resp.StatusCode):
+		// Passed on, the status would promise what the server did not.
+		x.mayHaveRun = true
+		x.runs++
+		x.observe(a, true)
+		return unknown, errors.Errorf("server answered %d without a promise", a.resp.StatusCode)
 	}
 	x.runs++
 	return answered, nil
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -18,6 +18,9 @@
 func (f *Forwarder) suspectCrash(fingerprint uint64, m *pool.Member) {
 	go func() {
 		time.Sleep(crashProbeDelay)
+		if m.Hold(time.Now()) > 0 {
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		conn, err := f.o.Dial(ctx, "tcp", m.Address)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +29,15 @@
 	convictedReturn = time.Minute
 )
 
+// returnSpread is the share by which times to come back differ, so that callers
+// that were refused together do not return together.
+const returnSpread = 0.3
+
+// spread lengthens a time by a random share; draw is within 0 to 1.
+func spread(d time.Duration, draw float64) time.Duration {
+	return d + time.Duration(returnSpread*draw*float64(d))
+}
+
 // refusal is an answer of the system's own. Callers are told the reason, the
 // log also the detail, which may name servers.
 type refusal struct {
@@ -50,8 +60,9 @@
 	steps []step
 	// mayHaveRun is set once a send left no promise that it did not run.
 	mayHaveRun bool
-	started    bool // the answer's header was sent
-	torn       bool // the answer ended early
+	held       int64 // bytes of plain answers that were read
+	started    bool  // the answer's header was sent
+	torn       bool  // the answer ended early
 	status     int
 	outcome    string
 	firstByte  time.Time
@@ -101,7 +112,7 @@
 	x.started, x.status = true, r.status
 	x.f.o.Metrics.Refusals.WithLabelValues(strconv.Itoa(r.status), r.reason).Inc()
 	if r.after > 0 {
-		x.w.Header().Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 2, 64))
+		x.w.Header().Set(headerRetryAfter, strconv.FormatFloat(spread(r.after, rand.Float64()).Seconds(), 'f', 2, 64))
 	}
 	x.w.Header().Set("Content-Type", "application/json")
 	x.w.WriteHeader(r.status)
@@ -109,12 +120,14 @@
 }
 
 // giveUp ends a request that cannot be served, truthfully about whether it ran.
-// detail is the last cause.
+// detail is the last cause, after when the caller may
+// come back unless all servers want to be left alone for longer.
 func (x *exchange) giveUp(ctx context.Context, detail string, after time.Duration) {
 	switch {
 	case ctx.Err() != nil && time.Now().Before(x.q.Deadline):
 		x.outcome, x.torn = "caller left", true
 	case !x.mayHaveRun && x.runs == 0:
+		after = max(after, x.f.o.Pool.ShortestHold(x.q.Service, time.Now()))
 		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no backend server took the request", detail: detail, after: after})
 	case ctx.Err() != nil:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "time is up", detail: "time is up: " + detail})
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,6 +62,9 @@
 	Log        *zap.Logger
 	// Dial opens connections to backend servers; nil stands for TCP.
 	Dial Dial
+	// OnLeaving is called once for each start of a server that says in an answer
+	// that it leaves; nil tells nobody.
+	OnLeaving func(pool.Server)
 	// Stopping tells that the process leaves: answers close their connection.
 	Stopping func() bool
 }
@@ -86,6 +89,7 @@
 	speeds  *speeds
 	sampler telemetry.RequestSampler
 	running atomic.Int64
+	held    atomic.Int64 // bytes of plain answers that are held
 }
 
 // New returns a forwarder.
@@ -93,6 +97,9 @@
 	if o.Dial == nil {
 		o.Dial = TCP
 	}
+	if o.OnLeaving == nil {
+		o.OnLeaving = func(pool.Server) {}
+	}
 	return &Forwarder{
 		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept, Dial: o.Dial}), fresh: NewTransport(TransportOptions{Fresh: true, Dial: o.Dial}),
 		speeds: newSpeeds(), cascade: NewCascade(),
@@ -133,6 +140,7 @@
 		x.serve(ctx)
 		cancel()
 	}
+	f.held.Add(-x.held)
 	span.Text("request", x.q.ID)
 	span.Text("outcome", x.outcome)
 	span.End(nil)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -24,6 +24,8 @@
 	Version string
 	// NotRun marks a server's answer that promises that nothing ran.
 	NotRun string
+	// Leaving marks the answers of a server that is about to stop.
+	Leaving string
 	// Load is "running,waiting,slots" of a server.
 	Load string
 	// Model is the model asked for; AnyModel leaves it to the system.
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -67,7 +67,7 @@
 // over tells whether the server is to be given up.
 func (w *watch) over(silent, wait time.Duration, now time.Time) bool {
 	quiet := now.Sub(w.member.LastProgress())
-	if silent >= probeAfter && quiet >= probeAfter && w.member.ProbeDue(now, probeLife) {
+	if silent >= probeAfter && quiet >= probeAfter && w.member.Hold(now) == 0 && w.member.ProbeDue(now, probeLife) {
 		go probe(w.member, w.dial)
 	}
 	if w.member.Unreachable(now, probeLife+probeTimeout) {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -81,7 +81,7 @@
 	members := p.Members(q.Service)
 	usable := filter(members, q, func(m *Member) bool { return m.Usable(now) })
 	if len(usable) == 0 {
-		usable = filter(members, q, (*Member).Present)
+		usable = filter(members, q, func(m *Member) bool { return m.Available(now) })
 	}
 	if len(usable) == 0 {
 		return nil, 0
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -30,17 +30,20 @@
 type Member struct {
 	Server
 	mu       sync.Mutex
-	draining bool            // guarded by mu
-	gone     bool            // guarded by mu
-	running  int             // guarded by mu; requests of this node
-	unread   time.Duration   // guarded by mu; work on prompts of this node that were not yet read
-	load     Load            // guarded by mu
-	sent     int             // guarded by mu; requests sent since the load was reported
-	health   routing.Outlier // guarded by mu
-	progress time.Time       // guarded by mu; of the last event or answer
-	probed   time.Time       // guarded by mu; when a probe began or ended
-	cutOff   bool            // guarded by mu; the last probe failed
-	others   others          // guarded by mu
+	draining bool // guarded by mu
+	gone     bool // guarded by mu
+	leaving  bool // guarded by mu; the server said so itself
+	// heldUntil is when the server wants requests of this node again.
+	heldUntil time.Time       // guarded by mu
+	running   int             // guarded by mu; requests of this node
+	unread    time.Duration   // guarded by mu; work on prompts of this node that were not yet read
+	load      Load            // guarded by mu
+	sent      int             // guarded by mu; requests sent since the load was reported
+	health    routing.Outlier // guarded by mu
+	progress  time.Time       // guarded by mu; of the last event or answer
+	probed    time.Time       // guarded by mu; when a probe began or ended
+	cutOff    bool            // guarded by mu; the last probe failed
+	others    others          // guarded by mu
 }
 
 // others is what other nodes have at a server.
@@ -65,32 +68,39 @@
 	m.draining = s.Draining
 }
 
-func (m *Member) leave() {
+func (m *Member) depart() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.gone = true
 }
 
+// rejoin takes up a member whose entry came back.
+func (m *Member) rejoin() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gone = false
+}
+
 // Usable tells whether the server takes new requests as far as is known.
 func (m *Member) Usable(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.gone && !m.draining && !m.health.Ejected(now)
+	return m.available(now) && !m.health.Ejected(now)
 }
 
 // Present tells whether the server is listed and not leaving.
 func (m *Member) Present() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.gone && !m.draining
+	return m.present()
 }
 
 // Begin counts a request whose prompt takes the given time to read; it returns
-// false if the server has left since it was chosen.
+// false if the server takes none any more since it was chosen.
 func (m *Member) Begin(now time.Time, unread time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.gone || m.draining {
+	if !m.available(now) {
 		return false
 	}
 	m.running++
@@ -129,6 +139,13 @@
 	m.others = others{running, unread, now}
 }
 
+// Healthy tells whether no failure stands against the server.
+func (m *Member) Healthy() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.Healthy()
+}
+
 // Succeed notes a sound answer.
 func (m *Member) Succeed() {
 	m.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -30,15 +30,19 @@
 	mu       sync.RWMutex
 	members  map[string]*Member   // guarded by mu; by server ID
 	services map[string][]*Member // guarded by mu; sorted by ID; replaced, never changed
+	departed map[string]departed  // guarded by mu; by server ID
+	notices  map[string]notice    // guarded by mu; by server ID
 }
 
 // New returns an empty pool.
 func New() *Pool {
-	return &Pool{members: map[string]*Member{}, services: map[string][]*Member{}}
+	return &Pool{
+		members: map[string]*Member{}, services: map[string][]*Member{}, departed: map[string]departed{}, notices: map[string]notice{},
+	}
 }
 
-// Update replaces the whole list of servers. Members that stay keep what was
-// learned of them.
+// Update replaces the whole list of servers. Members that stay, or come back
+// with the same start, keep what was learned of them.
 func (p *Pool) Update(servers []Server, now time.Time) {
 	p.mu.Lock()
 	next := make(map[string]*Member, len(servers))
@@ -46,7 +50,7 @@
 	for _, s := range servers {
 		m := p.members[s.ID]
 		if m == nil || m.restarted(s) {
-			m = newMember(s, now)
+			m = p.recall(s, now)
 		}
 		m.announce(s)
 		next[s.ID] = m
@@ -56,6 +60,7 @@
 	for id, m := range p.members {
 		if next[id] != m {
 			gone = append(gone, m)
+			p.depart(m, now)
 		}
 	}
 	for _, list := range services {
@@ -64,7 +69,7 @@
 	p.members, p.services = next, services
 	p.mu.Unlock()
 	for _, m := range gone {
-		m.leave()
+		m.depart()
 	}
 }
 
--- a/internal/pool/standing.go
+++ b/internal/pool/standing.go
@@ -8,6 +8,7 @@
 	Draining int `json:"draining,omitempty"`
 	Version  int `json:"version,omitempty"`
 	Tried    int `json:"tried,omitempty"`
+	Held     int `json:"held,omitempty"`
 	Ejected  int `json:"ejected,omitempty"`
 }
 
@@ -22,6 +23,8 @@
 			out.Version++
 		case contains(q.Exclude, m):
 			out.Tried++
+		case !m.Available(now):
+			out.Held++
 		case !m.Usable(now):
 			out.Ejected++
 		}
