Bound answers without end, count a stream's progress by content

Cause: an endless stream of comments or empty events reset the stall timer for ever, one event could grow to 1 MB, and plain answers of 8 MB each were bounded one by one but not together: 20 of them exceed the memory of a small VM.

Heads without end, informational answers included, were already bounded by the transport at 64 KB; the test shows it with that bound removed.

Test: TestAnswersWithoutEndAreEnded plays 16 kinds on all kinds of routes, TestLongAnswersAtOnceAreBounded, TestSlowStreamWithCommentsIsSound; seen failing with content not told from comments, and each bound removed.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -8,16 +8,27 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream; one of a few tokens takes some
+	// hundred bytes.
+	maxEventBytes = 256 << 10
+	// maxIdleBytes bounds what a stream may send without content, such as
+	// comments that keep a connection open.
+	maxIdleBytes = 64 << 10
+)
 
 // errTornEvent means that a stream ended in the middle of an event.
 var errTornEvent = errors.New("stream ended within an event")
 
+// errNoContent means that a stream sends bytes but gets nowhere.
+var errNoContent = errors.Errorf("stream sent %d bytes without content", maxIdleBytes)
+
 // event is one whole event of a stream, as the server wrote it.
 type event struct {
 	raw []byte
 	id  string
+	// hasContent is false for comments and empty events.
+	hasContent bool
 }
 
 // eventReader splits a stream into whole events.
@@ -36,7 +47,7 @@
 	for {
 		if end := eventEnd(r.buf, searched); end > 0 {
 			r.done = end
-			return event{raw: r.buf[:end], id: eventID(r.buf[:end])}, nil
+			return parseEvent(r.buf[:end]), nil
 		}
 		searched = max(len(r.buf)-3, 0)
 		if len(r.buf) > maxEventBytes {
@@ -79,11 +90,15 @@
 	return 0
 }
 
-func eventID(raw []byte) string {
+// parseEvent reads the fields of an event that matter here.
+func parseEvent(raw []byte) event {
+	e := event{raw: raw}
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return strings.TrimSpace(string(id))
+			e.id = strings.TrimSpace(string(id))
+		} else if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			e.hasContent = e.hasContent || len(bytes.TrimSpace(data)) > 0
 		}
 	}
-	return ""
+	return e
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -16,6 +16,9 @@
 	// maxPlainBody bounds a plain answer, which is held whole before its first
 	// byte is passed on.
 	maxPlainBody = 8 << 20
+	// maxHeldBodies bounds all answers that a node holds at once in bytes; the
+	// smallest nodes have 184 MB of memory for everything.
+	maxHeldBodies = 32 << 20
 	// patience is how many times its target a repeatable request waits for one
 	// server before it asks another.
 	patience = 1.5
@@ -74,7 +77,7 @@
 	if res != answered {
 		return res, nil, err
 	}
-	body, err := readBody(a.resp)
+	body, err := x.readBody(a.resp)
 	if err == nil {
 		if a.resp.StatusCode < http.StatusInternalServerError {
 			a.member.Succeed()
@@ -118,13 +121,32 @@
 	}
 }
 
-// readBody reads a whole answer.
-func readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBody+1))
+// errBodiesHeld means that a node holds too many unfinished answers.
+var errBodiesHeld = errors.Errorf("answers under way are longer than %d bytes together", maxHeldBodies)
+
+// readBody reads a whole answer, which counts as held until the exchange ends.
+func (x *exchange) readBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(heldReader{resp.Body, x}, maxPlainBody+1))
 	if err == nil && len(body) > maxPlainBody {
 		err = errors.Errorf("answer is longer than %d bytes", maxPlainBody)
 	}
 	return body, err
 }
 
+// heldReader counts what is read towards the node's bound.
+type heldReader struct {
+	src io.Reader
+	x   *exchange
+}
+
+// Read implements io.Reader.
+func (r heldReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	r.x.held += int64(n)
+	if r.x.f.held.Add(int64(n)) > maxHeldBodies {
+		return n, errBodiesHeld
+	}
+	return n, err
+}
+
 func isEOF(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -140,7 +140,7 @@
 	if x.started {
 		return false, errors.Errorf("server answered %d", s)
 	}
-	body, err := readBody(a.resp)
+	body, err := x.readBody(a.resp)
 	if err != nil {
 		return false, errors.Wrap(err, "answer broke off")
 	}
@@ -183,12 +183,27 @@
 // pump passes whole events on until the stream ends.
 func (x *exchange) pump(ctx context.Context, s *streaming, a *attempt) (bool, error) {
 	events := &eventReader{src: a.resp.Body}
-	first, last := true, time.Now()
+	first, last, idle := true, time.Now(), 0
+	var lead []byte // what came before the first content
 	for {
 		e, err := events.next()
+		if err == nil && !e.hasContent {
+			if idle += len(e.raw); idle > maxIdleBytes {
+				err = errNoContent
+			}
+		}
 		if err != nil {
 			return x.streamEnded(ctx, s, a, err)
 		}
+		if !e.hasContent {
+			if !x.started {
+				lead = append(lead, e.raw...)
+			} else if !x.pass(e.raw) {
+				return x.callerLeft(a)
+			}
+			continue
+		}
+		idle = 0
 		if first {
 			first = false
 			a.prefilled()
@@ -205,14 +220,23 @@
 		if e.id != "" {
 			s.lastEvent = e.id
 		}
-		if !x.pass(e.raw) {
-			x.note(a, "caller left")
-			x.outcome, x.torn = "caller left", true
-			return true, nil
+		raw := e.raw
+		if len(lead) > 0 {
+			raw, lead = append(lead, raw...), nil
+		}
+		if !x.pass(raw) {
+			return x.callerLeft(a)
 		}
 	}
 }
 
+// callerLeft ends a stream that nobody reads.
+func (x *exchange) callerLeft(a *attempt) (bool, error) {
+	x.note(a, "caller left")
+	x.outcome, x.torn = "caller left", true
+	return true, nil
+}
+
 // startStream sends the header of the answer, that of its first server.
 func (x *exchange) startStream(a *attempt) {
 	if x.started {
