Know which engines have read which parts of prompts, tell loads in compact form

Nodes note which parts a server was given, for each model, and tell the others: eight bytes a part in heartbeats, the hubs pass them on. Choice, unread work, the learned speeds and the price of a larger model use what is to be read there. The bytes of a prompt and its answer count as time in place of a fixed 30 ms. Loads travel in eight bytes a server where JSON took about 32.

--- a/internal/edge/beats.go
+++ b/internal/edge/beats.go
@@ -3,12 +3,13 @@
 import (
 	"encoding/json"
 	"math"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/news"
-	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -33,9 +34,33 @@
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
-	n.publish(tableBeats, beat{state, n.ownWork()}, "")
+	n.publish(tableBeats, beat{state, n.ownWork().encode(), prefix.Encode(n.prefixes.Take())}, "")
+	reads := n.members.takeReads()
 	if n.members.hubs(time.Now())[s.DataCentre] == n.inner {
 		n.publishRoster()
+		n.publishReads(reads)
+	}
+}
+
+// readsSlots is how many rows a hub uses in turn for what servers read, so that
+// a node that asks late misses none.
+const readsSlots = 8
+
+// publishReads tells the other nodes which prompts the nodes of this hub's data
+// centre gave to servers.
+func (n *Node) publishReads(entries []prefix.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	n.readsSlot = (n.readsSlot + 1) % readsSlots
+	key := n.key + "/" + strconv.Itoa(n.readsSlot)
+	n.rows.Apply([]news.Row{{Table: tableReads, Key: key, Version: n.nextVersion(), Data: prefix.Encode(entries)}})
+}
+
+// applyReads notes which prompts other nodes gave to servers.
+func (n *Node) applyReads(rows []news.Row, now time.Time) {
+	for _, r := range rows {
+		n.prefixes.Merge(prefix.Decode(r.Data), now)
 	}
 }
 
@@ -47,7 +72,7 @@
 	}
 	nodes, total := n.members.ownRoster()
 	n.published.roster = n.publish(tableRosters, nodes, n.published.roster)
-	n.published.loads = n.publish(tableLoads, total, n.published.loads)
+	n.published.loads = n.publishRaw(tableLoads, total.encode(), n.published.loads)
 	n.publish(tablePulses, struct{}{}, "")
 }
 
@@ -59,28 +84,13 @@
 		n.o.Log.Error("state is not published", zap.String("table", table), telemetry.Cause(err))
 		return before
 	}
+	return n.publishRaw(table, raw, before)
+}
+
+// publishRaw is publish for an encoded value.
+func (n *Node) publishRaw(table string, raw []byte, before string) string {
 	if string(raw) != before {
 		n.rows.Apply([]news.Row{{Table: table, Key: n.key, Version: n.nextVersion(), Data: raw}})
 	}
 	return string(raw)
 }
-
-// ownWork returns what this node has at each server.
-func (n *Node) ownWork() map[string]work {
-	out := map[string]work{}
-	n.pool.Each(func(m *pool.Member) {
-		if running, unread := m.Own(); running > 0 {
-			out[m.ID] = work{running, int(unread.Milliseconds())}
-		}
-	})
-	return out
-}
-
-// shareLoad hands what other nodes have at the servers to the pool.
-func (n *Node) shareLoad(now time.Time) {
-	total, own := n.members.work(), n.ownWork()
-	n.pool.Each(func(m *pool.Member) {
-		t, o := total[m.ID], own[m.ID]
-		m.Others(max(t.Running-o.Running, 0), time.Duration(max(t.UnreadMS-o.UnreadMS, 0))*time.Millisecond, now)
-	})
-}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -18,6 +18,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -276,10 +277,10 @@
 func TestRostersAreToldAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &Node{o: Options{Log: zap.NewNop(), Schema: testSchema{}}, key: "n1", inner: "n1", members: newMembers(zap.NewNop()), pool: pool.New(), config: &config{}}
+		n := &Node{prefixes: prefix.New(), o: Options{Log: zap.NewNop(), Schema: testSchema{}}, key: "n1", inner: "n1", members: newMembers(zap.NewNop()), pool: pool.New(), config: &config{}}
 		n.settings.Store(&Settings{Node: "n1", DataCentre: "a"})
 		n.rows = news.NewMap(nil)
-		for range 300 {
+		for range int(150 * time.Second / beatInterval) {
 			n.beat()
 			old := uint64(time.Now().Add(-forgetAfter).UnixMilli())
 			n.rows.Forget(tableRosters, func(r news.Row) bool { return r.Version > old })
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -20,6 +21,7 @@
 	tableRosters  = news.Soft + "rosters" // each hub's list of its data centre
 	tablePulses   = news.Soft + "pulses"  // that a hub lives
 	tableLoads    = news.Soft + "loads"   // what a data centre has at each server
+	tableReads    = news.Soft + "reads"   // prompts that servers were given to read
 	tableSessions = news.Soft + "sessions"
 	tableEvidence = news.Soft + "evidence"
 	tableSuspects = news.Soft + "suspects"
@@ -66,15 +68,11 @@
 // beat is a node's heartbeat to its hub.
 type beat struct {
 	nodeState
-	// Work is what the node has at each server.
-	Work map[string]work `json:"work,omitempty"`
-}
-
-// work is what some nodes have at a server.
-type work struct {
-	Running int `json:"r,omitempty"`
-	// UnreadMS is the time that the server needs for the prompts not yet read.
-	UnreadMS int `json:"u,omitempty"`
+	// Work is what the node has at each server, encoded.
+	Work []byte `json:"work,omitempty"`
+	// Reads are the parts of prompts that the node gave to servers since its
+	// last heartbeat, encoded.
+	Reads []byte `json:"reads,omitempty"`
 }
 
 // roster is one hub's list.
@@ -85,27 +83,29 @@
 
 // heardBeat is a heartbeat with its time by the own clock.
 type heardBeat struct {
-	beat
-	at time.Time
+	nodeState
+	work workload
+	at   time.Time
 }
 
 // members knows the living nodes. It is safe for concurrent use.
 type members struct {
 	log     *zap.Logger
 	mu      sync.Mutex
-	self    nodeState                  // guarded by mu
-	beats   map[string]heardBeat       // guarded by mu; by node key
-	rosters map[string]*roster         // guarded by mu; by hub key
-	down    map[string]time.Time       // guarded by mu; by inner address
-	loads   map[string]map[string]work // guarded by mu; by hub key and server
-	known   map[string]bool            // guarded by mu; names that were logged as joined
-	current []nodeState                // guarded by mu; what living returns, nil after a change
+	self    nodeState            // guarded by mu
+	beats   map[string]heardBeat // guarded by mu; by node key
+	rosters map[string]*roster   // guarded by mu; by hub key
+	down    map[string]time.Time // guarded by mu; by inner address
+	loads   map[string]workload  // guarded by mu; by hub key
+	known   map[string]bool      // guarded by mu; names that were logged as joined
+	reads   []prefix.Entry       // guarded by mu; told in heartbeats, not yet taken
+	current []nodeState          // guarded by mu; what living returns, nil after a change
 }
 
 func newMembers(log *zap.Logger) *members {
 	return &members{
 		log: log, beats: map[string]heardBeat{}, rosters: map[string]*roster{}, down: map[string]time.Time{},
-		loads: map[string]map[string]work{}, known: map[string]bool{},
+		loads: map[string]workload{}, known: map[string]bool{},
 	}
 }
 
@@ -130,7 +130,8 @@
 			m.log.Warn("heartbeat is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
 			continue
 		}
-		m.beats[r.Key] = heardBeat{b, now}
+		m.reads = append(m.reads, prefix.Decode(b.Reads)...)
+		m.beats[r.Key] = heardBeat{b.nodeState, decodeWork(b.Work), now}
 		delete(m.down, b.Inner)
 	}
 }
@@ -169,12 +170,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range rows {
-		var w map[string]work
-		if err := json.Unmarshal(r.Data, &w); err != nil {
-			m.log.Warn("load is unreadable", zap.String("key", r.Key), telemetry.Cause(err))
-			continue
-		}
-		m.loads[r.Key] = w
+		m.loads[r.Key] = decodeWork(r.Data)
 	}
 }
 
@@ -307,10 +303,10 @@
 
 // ownRoster returns the nodes of this hub's data centre, and what they have at
 // each server.
-func (m *members) ownRoster() ([]nodeState, map[string]work) {
+func (m *members) ownRoster() ([]nodeState, workload) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	nodes, total := []nodeState{m.self}, map[string]work{}
+	nodes, total := []nodeState{m.self}, workload{}
 	for _, b := range m.beats {
 		if b.DataCentre != m.self.DataCentre {
 			continue
@@ -318,25 +314,28 @@
 		if b.Inner != m.self.Inner {
 			nodes = append(nodes, b.nodeState)
 		}
-		for server, w := range b.Work {
-			t := total[server]
-			total[server] = work{t.Running + w.Running, t.UnreadMS + w.UnreadMS}
-		}
+		total.add(b.work)
 	}
 	slices.SortFunc(nodes, func(a, b nodeState) int { return cmp.Compare(a.Inner, b.Inner) })
 	return nodes, total
 }
 
+// takeReads returns what heartbeats told of prompts since it was called last.
+func (m *members) takeReads() []prefix.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := m.reads
+	m.reads = nil
+	return out
+}
+
 // work returns what all data centres have at each server.
-func (m *members) work() map[string]work {
+func (m *members) work() workload {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string]work{}
+	out := workload{}
 	for _, list := range m.loads {
-		for server, w := range list {
-			t := out[server]
-			out[server] = work{t.Running + w.Running, t.UnreadMS + w.UnreadMS}
-		}
+		out.add(list)
 	}
 	return out
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -20,6 +20,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/news"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -61,12 +62,14 @@
 	members       *members
 	beating       sync.Mutex // held during a heartbeat, before all others
 	published     hubState   // guarded by beating
+	readsSlot     int        // guarded by beating
 	sessions      *sessions
 	rollouts      *rollouts
 	evidence      *evidence
 	suspects      *suspects
 	leaving       *leaving
 	pool          *pool.Pool
+	prefixes      *prefix.Index
 	forwarder     *forward.Forwarder
 	callers       *http.Server
 	stopping      atomic.Bool
@@ -94,6 +97,7 @@
 	n.exchange = news.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
 	n.config = &config{schema: o.Schema, log: o.Log}
 	n.pool = pool.New()
+	n.prefixes = prefix.New()
 	n.servers = newServers(o.Schema, n.pool, n.rows, n.reader.sinceOutage, o.Log)
 	n.sessions = newSessions(n.rows, n.nextVersion, o.Log)
 	n.rollouts = newRollouts(o.Schema, n.sessions, n.settings.Load, o.Log)
@@ -101,7 +105,7 @@
 	n.suspects = &suspects{Suspects: dispatch.NewSuspectsAfter(crashesToRefuse), self: n.key, rows: n.rows, log: o.Log, next: n.nextVersion}
 	n.leaving = &leaving{pool: n.pool, rows: n.rows, next: n.nextVersion, log: o.Log}
 	n.forwarder = forward.New(forward.Options{
-		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Versions: n.rollouts, Suspects: n.suspects,
+		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.members.count),
 		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnLeaving: n.leaving.publish, Stopping: n.stopping.Load,
 	})
@@ -171,7 +175,10 @@
 	n.members.applyBeats(byTable[tableBeats], now)
 	n.members.applyRosters(byTable[tableRosters], now)
 	n.members.applyPulses(byTable[tablePulses], now)
-	n.members.applyLoads(byTable[tableLoads])
+	if loads := byTable[tableLoads]; len(loads) > 0 {
+		n.members.applyLoads(loads)
+	}
+	n.applyReads(byTable[tableReads], now)
 	n.sessions.apply(byTable[tableSessions], now)
 	n.evidence.apply(byTable[tableEvidence], n.rollouts, now)
 	n.suspects.apply(byTable[tableSuspects], now)
@@ -287,6 +294,7 @@
 	n.servers.tick(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.shareLoad(now)
+	n.prefixes.Prune(now)
 	for table, life := range softLives {
 		old := uint64(now.Add(-life).UnixMilli())
 		n.rows.Forget(table, func(r news.Row) bool { return r.Version > old })
@@ -300,6 +308,6 @@
 // they hold, servers that leave until their entries are gone, evidence longer
 // than any roll-out.
 var softLives = map[string]time.Duration{
-	tableBeats: forgetAfter, tableRosters: forgetAfter, tablePulses: forgetAfter, tableLoads: forgetAfter, tableSessions: forgetAfter,
+	tableBeats: forgetAfter, tableRosters: forgetAfter, tablePulses: forgetAfter, tableLoads: forgetAfter, tableReads: forgetAfter, tableSessions: forgetAfter,
 	tableSuspects: 10 * time.Minute, tableLeaving: 10 * time.Minute, tableEvidence: 24 * time.Hour,
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 )
 
 // attempt is one send of a request to a server.
@@ -24,6 +25,7 @@
 	cancel context.CancelFunc
 	unread time.Duration // work on the prompt that counts as not yet done
 	tokens float64       // of the prompt that the server is expected to read
+	parts  []prefix.Part // of the prompt that the server reads for the first time
 	// loadAge and passed are for the log: how old the news were by which the
 	// server was chosen, and which others were not there to choose.
 	loadAge time.Duration
@@ -58,15 +60,8 @@
 // choose picks a server, or returns nil.
 func (x *exchange) choose(model string) *attempt {
 	now := time.Now()
-	q := pool.Query{
-		Service: x.q.Service, DataCentre: x.f.o.DataCentre, Exclude: x.tried, Draw: rand.Float64,
-		Versions: x.f.o.Versions.Pick(x.q.Service, x.q.sessionKey(), now),
-	}
-	if x.q.Route.Sticky && x.q.Subject != "" {
-		q.Affinity = model + "/" + x.q.Subject
-		q.Local = x.q.isCostlyToMove()
-		q.Cold, q.Warm = x.f.speeds.weight(model, x.q.PromptTokens), x.f.speeds.weight(model, x.q.ownTokens())
-	}
+	q := x.query(model, now)
+	q.Exclude = x.tried
 	m, read := x.f.o.Pool.Choose(q, now)
 	if m == nil && len(x.tried) > 0 {
 		// Without another server, one that was tried is better than none.
@@ -83,6 +78,25 @@
 	}
 }
 
+// query describes the request to the pool.
+func (x *exchange) query(model string, now time.Time) pool.Query {
+	q := pool.Query{
+		Service: x.q.Service, DataCentre: x.f.o.DataCentre, Draw: rand.Float64,
+		Versions: x.f.o.Versions.Pick(x.q.Service, x.q.sessionKey(), now),
+	}
+	if !x.q.Route.Sticky || x.q.Subject == "" {
+		return q
+	}
+	q.Affinity = model + "/" + x.q.Subject
+	q.Far = x.f.speeds.weight(model, x.q.kilobytes()*tokensPerKB)
+	q.Cold = x.f.speeds.weight(model, x.q.PromptTokens)
+	q.Read = map[prefix.Server]time.Duration{}
+	for server, n := range x.f.o.Prefixes.Cached(x.q.keys(model), now) {
+		q.Read[server] = x.f.speeds.weight(model, x.q.uncached(n))
+	}
+	return q
+}
+
 // readTokens returns the part of a prompt's tokens that takes the time read,
 // where all of them take cold.
 func readTokens(prompt float64, read, cold time.Duration) float64 {
@@ -118,17 +132,23 @@
 	}
 	x.tried = append(x.tried, a.member)
 	x.sends++
+	a.parts = x.f.o.Prefixes.Use(a.member.Key(), x.q.keys(a.model), a.began)
 	transport := x.f.kept
 	if !x.q.Route.Repeatable() {
 		transport = x.f.fresh
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		x.f.o.Prefixes.Drop(a.member.Key(), a.parts)
 		return x.sendFailed(a, err)
 	}
 	a.resp = resp
 	x.reportLoad(a)
-	return x.classify(a)
+	res, err := x.classify(a)
+	if res != answered {
+		x.f.o.Prefixes.Drop(a.member.Key(), a.parts)
+	}
+	return res, err
 }
 
 // sendFailed tells whether a request that got no answer may have run.
--- a/internal/forward/cascade.go
+++ b/internal/forward/cascade.go
@@ -68,7 +68,7 @@
 // largerStep is what the larger model would take.
 type largerStep struct {
 	model route.Model
-	// read is the time of an engine for the prompt, wait the mean wait for one.
+	// read is the time of an engine for the prompt, wait that for the engine.
 	read time.Duration
 	wait time.Duration
 	// left is the time left until the answer loses its full value.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -23,12 +23,21 @@
 	// tens of milliseconds.
 	fullReturn = 100 * time.Millisecond
 	// startingReturn is for a node that has no configuration yet: another node
-	// or the store tells it within a few hundred milliseconds.
-	startingReturn = 400 * time.Millisecond
+	// or the store tells it within a few hundred milliseconds, unless all started
+	// while the store is out of reach. Then it grows to mostStartingReturn.
+	startingReturn     = 400 * time.Millisecond
+	mostStartingReturn = 2 * time.Second
 	// convictedReturn is for requests that bring servers down.
 	convictedReturn = time.Minute
 )
 
+// returnWhileStarting returns when callers may come back to a node that has had
+// no configuration since it started: an outage that has lasted for a while is
+// likely to last about as long again.
+func returnWhileStarting(age time.Duration) time.Duration {
+	return min(max(age/2, startingReturn), mostStartingReturn)
+}
+
 // returnSpread is the share by which times to come back differ, so that callers
 // that were refused together do not return together.
 const returnSpread = 0.3
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -54,6 +55,7 @@
 	DataCentre string
 	Table      func() *route.Table
 	Pool       *pool.Pool
+	Prefixes   *prefix.Index
 	Versions   Versions
 	Suspects   Suspects
 	Budget     *Budget
@@ -88,6 +90,7 @@
 	cascade *Cascade
 	speeds  *speeds
 	sampler telemetry.RequestSampler
+	started time.Time
 	running atomic.Int64
 	held    atomic.Int64 // bytes of plain answers that are held
 }
@@ -102,7 +105,7 @@
 	}
 	return &Forwarder{
 		o: o, kept: NewTransport(TransportOptions{IdleTimeout: idleKept, Dial: o.Dial}), fresh: NewTransport(TransportOptions{Fresh: true, Dial: o.Dial}),
-		speeds: newSpeeds(), cascade: NewCascade(),
+		speeds: newSpeeds(), cascade: NewCascade(), started: time.Now(),
 	}
 }
 
@@ -155,7 +158,7 @@
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*Request, *refusal) {
 	table := f.o.Table()
 	if table == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", after: startingReturn}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", after: returnWhileStarting(now.Sub(f.started))}
 	}
 	rt, ok := table.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -81,7 +82,7 @@
 	is.New(t).NoErr(err)
 	b.budget = fixedBudget(BudgetBounds{Ratio: 0.9, Allowance: 50, Window: 10 * time.Second}, 1)
 	b.f = New(Options{
-		Headers: testHeaders, DataCentre: "a", Table: func() *route.Table { return b.table }, Pool: b.pool, Versions: b.versions,
+		Headers: testHeaders, DataCentre: "a", Table: func() *route.Table { return b.table }, Pool: b.pool, Prefixes: prefix.New(), Versions: b.versions,
 		Suspects: b.suspects, Budget: b.budget, Metrics: telemetry.NewForwardMetrics(), Tracer: tracer, Log: zap.NewNop(),
 		Dial: b.net.dial, Stopping: func() bool { return false },
 	})
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -243,3 +243,12 @@
 		})
 	}
 }
+
+// A node that started in an outage sends callers back at longer and longer
+// intervals, within a bound.
+func TestReturnGrowsWithTheOutage(t *testing.T) {
+	is := is.New(t)
+	is.Equal(returnWhileStarting(0), 400*time.Millisecond)
+	is.Equal(returnWhileStarting(2*time.Second), time.Second)
+	is.Equal(returnWhileStarting(time.Hour), 2*time.Second)
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
@@ -39,6 +40,8 @@
 	Subject string
 	// sharedTokens are those of the parts that other requests share.
 	sharedTokens float64
+	// heads are these parts, from the beginning of the prompt.
+	heads []promptPart
 	// Session is empty for requests without one.
 	Session string
 	// Rank orders requests; 0 is the most urgent.
@@ -78,16 +81,24 @@
 	if hint, err := strconv.ParseFloat(r.Header.Get(n.LengthHint), 64); err == nil && hint > 0 {
 		q.ExpectedTokens = min(hint, q.OutputTokens)
 	}
-	q.Subject, q.sharedTokens = promptSubject(r.Header.Get(n.Prompt))
+	q.Subject, q.heads = promptParts(r.Header.Get(n.Prompt))
+	for _, h := range q.heads {
+		q.sharedTokens += h.tokens
+	}
 	q.Session = r.Header.Get(n.Session)
 	q.Fingerprint = fingerprint(q)
 	return q
 }
 
-// promptSubject returns the identity of the last part of a prompt that other
-// requests share, and the tokens of all such parts. The last part is the
-// request's own.
-func promptSubject(list string) (subject string, shared float64) {
+// promptPart is a part of a prompt that other requests share.
+type promptPart struct {
+	id     string
+	tokens float64
+}
+
+// promptParts returns the identity of the last part of a prompt that other
+// requests share, and all such parts. The last part is the request's own.
+func promptParts(list string) (subject string, shared []promptPart) {
 	parts := strings.Split(list, ",")
 	for i, part := range parts {
 		id, count, _ := strings.Cut(strings.TrimSpace(part), ":")
@@ -98,14 +109,41 @@
 			break
 		}
 		tokens, err := strconv.ParseFloat(count, 64)
-		if err == nil {
-			shared += tokens
+		if err != nil || tokens < 0 {
+			tokens = 0
 		}
+		shared = append(shared, promptPart{id, tokens})
 		subject = id
 	}
 	return subject, shared
 }
 
+// leastPart is the size in tokens below which a part is not worth finding in a
+// cache: reading it takes a few milliseconds.
+const leastPart = 200
+
+// keys returns the identities of the prompt's shared parts for a model, down to
+// the first that is too small.
+func (q *Request) keys(model string) []prefix.Part {
+	var out []prefix.Part
+	for _, h := range q.heads {
+		if h.tokens < leastPart {
+			break
+		}
+		out = append(out, prefix.PartOf(model, h.id))
+	}
+	return out
+}
+
+// uncached returns the tokens to read where the first n parts are cached.
+func (q *Request) uncached(n int) float64 {
+	tokens := q.PromptTokens
+	for _, h := range q.heads[:n] {
+		tokens -= h.tokens
+	}
+	return max(tokens, 0)
+}
+
 // ownTokens returns the tokens of the prompt that no other request shares.
 func (q *Request) ownTokens() float64 { return max(q.PromptTokens-q.sharedTokens, 0) }
 
@@ -144,11 +182,9 @@
 	answerBytesPerToken = 30
 )
 
-// isCostlyToMove tells whether the bytes of a request and its answer cost more
-// between data centres than what an engine there may have cached saves.
-func (q *Request) isCostlyToMove() bool {
-	kilobytes := (float64(len(q.Body)) + q.ExpectedTokens*answerBytesPerToken) / 1024
-	return kilobytes*tokensPerKB > q.sharedTokens
+// kilobytes is the expected size of the request and its answer.
+func (q *Request) kilobytes() float64 {
+	return (float64(len(q.Body)) + q.ExpectedTokens*answerBytesPerToken) / 1024
 }
 
 // sessionKey identifies what keeps its version: the session, or the request
--- a/internal/forward/request_test.go
+++ b/internal/forward/request_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
@@ -26,7 +27,11 @@
 	is.Equal(q.Subject, "91")
 	is.Equal(q.ownTokens(), 250.0)
 	is.Equal(q.ExpectedTokens, 40.0)
-	is.True(q.isCostlyToMove() == (40.0*answerBytesPerToken/1024*tokensPerKB > 1210))
+	is.Equal(q.kilobytes(), 40.0*answerBytesPerToken/1024)
+	is.Equal(q.uncached(0), 1460.0)
+	is.Equal(q.uncached(1), 660.0)
+	is.Equal(q.uncached(2), 250.0)
+	is.Equal(q.keys("m"), []prefix.Part{prefix.PartOf("m", "5c"), prefix.PartOf("m", "91")})
 	r.Header.Del("T-Prompt")
 	q = testHeaders.parse(r, &route.Route{}, nil, nil, now)
 	is.Equal(q.Subject, "")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -159,9 +159,9 @@
 	}
 	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.o.Headers.Confidence), 64)
 	now := time.Now()
-	larger := largerStep{
-		model: x.f.modelOf(x.q.Service, models[last]), read: x.f.speeds.read(models[last], x.q.ownTokens()),
-		wait: x.f.o.Pool.MeanWait(x.q.Service, now), left: x.q.Route.Target - now.Sub(x.q.Arrived),
+	larger := largerStep{model: x.f.modelOf(x.q.Service, models[last]), left: x.q.Route.Target - now.Sub(x.q.Arrived)}
+	if m, read := x.f.o.Pool.Choose(x.query(models[last], now), now); m != nil {
+		larger.read, larger.wait = read, m.Wait(now)
 	}
 	if err != nil || x.f.cascade.Accept(confidence, x.q, larger) {
 		return false
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
@@ -15,15 +16,15 @@
 	// Affinity is the key of the part of the prompt that servers may have
 	// cached; empty for requests without a prompt.
 	Affinity string
-	// Cold is the time to read the prompt where nothing of it is cached, Warm
-	// where its shared parts are.
+	// Cold is the time to read the prompt where nothing of it is cached, Read
+	// that at the servers that have parts of it.
 	Cold time.Duration
-	Warm time.Duration
+	Read map[prefix.Server]time.Duration
 	// DataCentre is preferred where servers are alike.
 	DataCentre string
-	// Local keeps prompts whose way costs more than what may be cached within
-	// the data centre, if it has a server.
-	Local bool
+	// Far is what an engine in another data centre counts for: the price of the
+	// bytes on the way stands for some time of an engine.
+	Far time.Duration
 	// Versions restricts the versions that may be chosen.
 	Versions Versions
 	// Exclude lists servers that were tried.
@@ -53,9 +54,6 @@
 	// plain server: its links add a few milliseconds to answers that take tens
 	// of them.
 	farOccupancy = 0.15
-	// farWait is the same for an engine: the price of the bytes between data
-	// centres stands for some time of it.
-	farWait = 30 * time.Millisecond
 	// randomChoices is how many engines beside those that may have the prompt
 	// cached are compared. Few of them keep nodes with the same late news from
 	// choosing the same engine.
@@ -127,42 +125,76 @@
 	return false
 }
 
-// soonest returns the engine that is expected to have read the prompt first:
-// the one that is first in the key's rendezvous order has its shared parts
-// cached, the second may have, and few others are compared with them.
+// soonest returns the engine that is expected to have read the prompt first.
+// Compared are two of those that have most of it cached and few others, one of
+// them in the own data centre. Where
+// none has any of it, the first in the key's rendezvous order stands in, so that
+// nodes which have not heard of each other's prompts meet there.
 func soonest(members []*Member, q Query, now time.Time) (*Member, time.Duration) {
-	first, second := topTwo(q.homes(members), q.Affinity)
-	best, bestRead, least := first, q.Warm, q.expected(first, q.Warm, now)
-	consider := func(m *Member, read time.Duration) {
-		if m == nil || m == first {
+	var best *Member
+	var bestRead, least time.Duration
+	consider := func(m *Member) {
+		if m == nil || m == best {
 			return
 		}
-		if t := q.expected(m, read, now); t < least {
+		read := q.read(m)
+		if t := q.expected(m, read, now); best == nil || t < least {
 			best, bestRead, least = m, read, t
 		}
 	}
-	consider(second, (q.Warm+q.Cold)/2)
+	first, second := topTwo(q.holders(members), q.Affinity)
+	if first == nil {
+		first, _ = topTwo(members, q.Affinity)
+	}
+	consider(first)
+	consider(second)
 	for range randomChoices {
-		consider(members[int(q.Draw()*float64(len(members)))], q.Cold)
+		consider(q.random(members))
 	}
+	consider(q.random(q.near(members)))
 	return best, bestRead
 }
 
-// homes returns the engines among which a prompt's head has its place.
-func (q *Query) homes(members []*Member) []*Member {
-	if !q.Local {
-		return members
+// random returns one of some engines, or nil of none.
+func (q *Query) random(members []*Member) *Member {
+	if len(members) == 0 {
+		return nil
 	}
-	var near []*Member
+	return members[int(q.Draw()*float64(len(members)))]
+}
+
+// near returns the engines of the own data centre.
+func (q *Query) near(members []*Member) []*Member {
+	var out []*Member
 	for _, m := range members {
 		if m.DataCentre == q.DataCentre {
-			near = append(near, m)
+			out = append(out, m)
 		}
 	}
-	if len(near) == 0 {
-		return members
+	return out
+}
+
+// read returns the time to read the prompt at an engine.
+func (q *Query) read(m *Member) time.Duration {
+	if d, ok := q.Read[m.key]; ok {
+		return d
 	}
-	return near
+	return q.Cold
+}
+
+// holders returns the engines that have most of the prompt cached.
+func (q *Query) holders(members []*Member) []*Member {
+	shortest := q.Cold
+	var out []*Member
+	for _, m := range members {
+		switch d := q.read(m); {
+		case d < shortest:
+			shortest, out = d, append(out[:0], m)
+		case d == shortest && d < q.Cold:
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // expected is the time until an engine has read the prompt, with what else
@@ -170,7 +202,7 @@
 func (q *Query) expected(m *Member, read time.Duration, now time.Time) time.Duration {
 	t := m.Wait(now) + read
 	if m.DataCentre != q.DataCentre {
-		t += farWait
+		t += q.Far
 	}
 	if m.Occupancy(now) >= fullOccupancy {
 		t += fullWait
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
@@ -29,6 +30,7 @@
 // Member is one backend server and what this node has learned of it.
 type Member struct {
 	Server
+	key      prefix.Server
 	mu       sync.Mutex
 	draining bool // guarded by mu
 	gone     bool // guarded by mu
@@ -54,7 +56,7 @@
 }
 
 func newMember(s Server, now time.Time) *Member {
-	return &Member{Server: s, load: Load{Slots: s.Slots, At: now}}
+	return &Member{Server: s, key: prefix.ServerOf(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}}
 }
 
 // restarted tells whether s is another start of the member's server.
@@ -62,6 +64,9 @@
 	return m.Started != s.Started || m.Address != s.Address || m.Service != s.Service
 }
 
+// Key identifies this start of the server in an index of prompts.
+func (m *Member) Key() prefix.Server { return m.key }
+
 func (m *Member) announce(s Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cowslipfall/cowslipfall/internal/prefix"
 )
 
 var start = time.Unix(1000, 0)
@@ -32,7 +34,7 @@
 	p, other := New(), New()
 	p.Update(engines(9), start)
 	other.Update(engines(9), start)
-	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
+	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, DataCentre: "dc", Draw: half}
 	first := choose(p, q, start)
 	is.Equal(first.ID, choose(p, q, start).ID)
 	is.Equal(first.ID, choose(other, q, start).ID)
@@ -44,8 +46,9 @@
 	is := is.New(t)
 	p := New()
 	p.Update(engines(9), start)
-	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, Warm: 200 * time.Millisecond, DataCentre: "dc", Draw: half}
+	q := Query{Service: "s", Affinity: "large/subject", Cold: 700 * time.Millisecond, DataCentre: "dc", Draw: half}
 	home := choose(p, q, start)
+	q.Read = map[prefix.Server]time.Duration{home.Key(): 200 * time.Millisecond}
 	home.Others(3, 150*time.Millisecond, start)
 	is.Equal(choose(p, q, start).ID, home.ID) // a short wait costs less than a cold read
 	home.Others(3, 2*time.Second, start)
@@ -57,8 +60,9 @@
 	is := is.New(t)
 	p := New()
 	p.Update(engines(20), start)
-	q := Query{Service: "s", Affinity: "large/hot", Cold: 500 * time.Millisecond, Warm: 100 * time.Millisecond, DataCentre: "dc", Draw: half}
+	q := Query{Service: "s", Affinity: "large/hot", Cold: 500 * time.Millisecond, DataCentre: "dc", Draw: half}
 	first, second := topTwo(p.Members("s"), q.Affinity)
+	q.Read = map[prefix.Server]time.Duration{first.Key(): 100 * time.Millisecond, second.Key(): 100 * time.Millisecond}
 	first.Others(9, 5*time.Second, start)
 	second.Others(9, 5*time.Second, start)
 	seen := map[string]int{}
@@ -132,10 +136,10 @@
 	}
 	p.Update(list, start)
 	for i := range 20 {
-		q := Query{Service: "s", Affinity: string(rune('a' + i)), Cold: 20 * time.Millisecond, Warm: 10 * time.Millisecond, DataCentre: "y", Local: true, Draw: func() float64 { return 0 }}
+		q := Query{Service: "s", Affinity: string(rune('a' + i)), Cold: 20 * time.Millisecond, DataCentre: "y", Far: 60 * time.Millisecond, Draw: func() float64 { return 0 }}
 		is.Equal(choose(p, q, start).DataCentre, "y")
 	}
-	q := Query{Service: "s", Affinity: "k", DataCentre: "nowhere", Local: true, Draw: half}
+	q := Query{Service: "s", Affinity: "k", DataCentre: "nowhere", Far: time.Second, Draw: half}
 	is.True(choose(p, q, start) != nil)
 }
 
@@ -168,7 +172,7 @@
 	seen := func(share float64) map[string]bool {
 		out := map[string]bool{}
 		for i := range 200 {
-			q := Query{Service: "s", Affinity: "m/" + string(rune('a'+i%26)), Cold: time.Second, Warm: time.Second, DataCentre: "dc", Draw: half}
+			q := Query{Service: "s", Affinity: "m/" + string(rune('a'+i%26)), Cold: time.Second, DataCentre: "dc", Draw: half}
 			q.Versions = Versions{Prefer: "v2", Share: share}
 			out[choose(p, q, start).ID] = true
 		}
