Tell loads every 200 ms and use them when they arrive

Cause: a node's load reached the others after 1.2 s: 250 ms until its heartbeat, 150 ms until its next question, 250 ms until the hub's own heartbeat, 300 ms over two questions, 250 ms until the loads were handed to the pool. An engine is given three prompts in that time.

Heartbeats come every 200 ms, questions are held 150 ms (batches of 50 ms), and loads go to the pool when they arrive.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -40,7 +40,7 @@
 const (
 	// beatInterval is how often a node tells its hub its state, and a hub the
 	// other data centres that it lives.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = 200 * time.Millisecond
 	// deadAfter is how long after its last heartbeat a node counts as gone.
 	deadAfter = 2 * time.Second
 	// hubDeadAfter is the same for a hub, whose pulses pass through two others.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -177,6 +177,7 @@
 	n.members.applyPulses(byTable[tablePulses], now)
 	if loads := byTable[tableLoads]; len(loads) > 0 {
 		n.members.applyLoads(loads)
+		n.shareLoad(now)
 	}
 	n.applyReads(byTable[tableReads], now)
 	n.sessions.apply(byTable[tableSessions], now)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -20,7 +20,7 @@
 
 const (
 	// syncPause is the least time between two rounds of questions.
-	syncPause = 40 * time.Millisecond
+	syncPause = 20 * time.Millisecond
 	// discoveryInterval is how often a node asks one that it knows by its row in
 	// the store only, so that parts which lost each other meet again.
 	discoveryInterval = 2 * time.Second
--- a/internal/news/sync.go
+++ b/internal/news/sync.go
@@ -13,13 +13,13 @@
 const (
 	serviceName = "News"
 	// holdTime is how long a question without news is held open.
-	holdTime = 250 * time.Millisecond
+	holdTime = 150 * time.Millisecond
 	// batchTime is the least time a question is held, so that one answer
 	// carries the changes of many nodes.
-	batchTime = 100 * time.Millisecond
+	batchTime = 50 * time.Millisecond
 	// callTimeout bounds a question: the hold, a round trip and the time that a
 	// slow node takes.
-	callTimeout = holdTime + 500*time.Millisecond
+	callTimeout = holdTime + 600*time.Millisecond
 	dialTimeout = 400 * time.Millisecond
 )
 
