Keep rows that are gone from coming back by processes that have not heard

A row that the own position covers but that is not there is taken for deleted, and the deletion is told on. Tests seen failing first: TestRowsThatAreGoneDoNotComeBack (either side asks), TestRowsThatAreThereAgainCount.

--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -107,12 +107,18 @@
 func (m *Map) apply(from uint64, rows []Row) []Row {
 	var fresh []Row
 	for _, r := range rows {
-		at := id{r.Table, r.Key}
-		if old, ok := m.rows[at]; ok && old.Version >= r.Version {
+		at, teller := id{r.Table, r.Key}, from
+		old, ok := m.rows[at]
+		if ok && old.Version >= r.Version {
 			continue
 		}
+		if known := m.cursors[r.Table]; !ok && from != 0 && !r.Deleted && r.Version <= known {
+			// The table was known up to here without the row: it is gone, and
+			// its teller has not heard.
+			r, teller = Row{Table: r.Table, Key: r.Key, Version: known, Deleted: true}, 0
+		}
 		m.place++
-		m.rows[at] = entry{r, m.place, from}
+		m.rows[at] = entry{r, m.place, teller}
 		fresh = append(fresh, r)
 	}
 	if len(fresh) > 0 {
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -122,3 +122,53 @@
 	_, err = unpack([]Row{{Packed: true, Data: []byte("nonsense")}})
 	is.True(err != nil)
 }
+
+// A process that has read a table whole knows which rows are gone, though it
+// never saw them: one that was cut off or frozen meanwhile must not bring a
+// server back that left, or a key that was withdrawn, and learns of it.
+func TestRowsThatAreGoneDoNotComeBack(t *testing.T) {
+	for _, asks := range []string{"stale", "restarted"} {
+		t.Run(asks+" asks", func(t *testing.T) {
+			is := is.New(t)
+			stale, restarted := newNode(t, 1), newNode(t, 2)
+			stale.rows.Replace("t", []Row{row("gone", 3), row("kept", 4), row("changed", 5)}, 6)
+			restarted.rows.Replace("t", []Row{row("kept", 4), row("changed", 9)}, 10)
+			from, to := stale, restarted
+			if asks == "restarted" {
+				from, to = restarted, stale
+			}
+			p := NewPeer(to.address)
+			defer p.Close()
+			for range 4 {
+				is.NoErr(from.e.Ask(t.Context(), p))
+				_, ok := restarted.rows.Get("t", "gone")
+				is.True(!ok)
+			}
+			for _, n := range []*node{stale, restarted} {
+				_, ok := n.rows.Get("t", "gone")
+				is.True(!ok)
+				_, ok = n.rows.Get("t", "kept")
+				is.True(ok)
+				r, _ := n.rows.Get("t", "changed")
+				is.Equal(r.Version, uint64(9))
+				is.Equal(n.rows.Cursor("t"), uint64(10))
+			}
+		})
+	}
+}
+
+// A row that comes back after it was gone has a newer version, and counts.
+func TestRowsThatAreThereAgainCount(t *testing.T) {
+	is := is.New(t)
+	m := NewMap(nil)
+	m.Replace("t", nil, 10)
+	m.mergeFrom(7, []Row{row("a", 3)}, nil)
+	_, ok := m.Get("t", "a")
+	is.True(!ok)
+	m.mergeFrom(7, []Row{row("a", 11)}, nil)
+	_, ok = m.Get("t", "a")
+	is.True(ok)
+	m.mergeFrom(7, []Row{{Table: Soft + "x", Key: "a", Version: 1}}, nil)
+	_, ok = m.Get(Soft+"x", "a")
+	is.True(ok) // tables that nobody reads whole have no such bound
+}
