--- /dev/null
+++ b/internal/edge/stop_load_test.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	productconfig "github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/news"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/route"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
+)
+
+// stopSchema has one route, to one service.
+type stopSchema struct{ testSchema }
+
+func (stopSchema) Routes([]byte) (*route.Table, error) {
+	return route.NewTable(route.Definition{Version: 1, Routes: []route.Route{{
+		Name: "once", Host: "h", Prefix: "/once/", Kind: route.NonIdempotent, MaxAttempts: 1, Timeout: 5 * time.Second,
+		Target: time.Second, Anonymous: true, Backends: []route.Backend{{Service: "s", Weight: 1}},
+	}}})
+}
+
+// listStore is a store with a configuration and one server.
+type listStore struct {
+	fakeStore
+	rows map[string][]news.Row
+}
+
+func (s *listStore) Read(_ context.Context, table string) ([]news.Row, uint64, error) {
+	return s.rows[table], 5, nil
+}
+
+// freeAddress returns an address of this machine that is free now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// loadedNode runs a node before one server, and returns its address for callers
+// and a function that waits until its stop is over.
+func loadedNode(t *testing.T, server string, stop context.Context, stopTime time.Duration) (callers string, stopped func()) {
+	t.Helper()
+	is := is.New(t)
+	_, port, err := net.SplitHostPort(freeAddress(t))
+	is.NoErr(err)
+	inner, err := strconv.Atoi(port)
+	is.NoErr(err)
+	callers = freeAddress(t)
+	tracer, err := telemetry.NewTracer(t.Context(), productconfig.DefaultSettings())
+	is.NoErr(err)
+	store := &listStore{rows: map[string][]news.Row{
+		"o": {{Table: "o", Key: "c", Version: 1, Data: []byte("1")}},
+		"s": {{Table: "s", Key: "x", Version: 2, Data: encode(t, pool.Server{Address: server, Service: "s", DataCentre: "a", Slots: 100})}},
+	}}
+	n, err := New(Options{
+		Settings: Settings{Node: "n1", IP: "127.0.0.1", DataCentre: "a", Callers: callers, InnerPort: inner, StopTime: stopTime, SessionLife: time.Second},
+		Schema:   stopSchema{}, Store: store, Headers: forward.Headers{RequestID: "T-Id", TimeLeft: "T-Left", Instance: "T-Instance"},
+		ReadyPath: "/ready", DirectoryPath: "/directory", Log: zap.NewNop(), Metrics: telemetry.NewForwardMetrics(), Tracer: tracer,
+	})
+	is.NoErr(err)
+	done := make(chan struct{})
+	go func() {
+		n.Run(stop)
+		close(done)
+	}()
+	for !n.ready() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return callers, func() { <-done }
+}
+
+// A planned stop under load: callers with kept and with new connections send on
+// until the process is gone. Every request that was passed on to a server is
+// answered whole, and none is refused after it was read.
+func TestPlannedStopAnswersWhatItTook(t *testing.T) {
+	is := is.New(t)
+	var ran sync.Map
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("T-Id"), true)
+		time.Sleep(20 * time.Millisecond)
+		w.Header().Set("T-Id", r.Header.Get("T-Id"))
+		_, _ = io.WriteString(w, "done "+r.Header.Get("T-Id"))
+	}))
+	defer server.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	const stopTime = 2 * time.Second
+	address, stopped := loadedNode(t, strings.TrimPrefix(server.URL, "http://"), ctx, stopTime)
+	var gone atomic.Bool
+	var callers sync.WaitGroup
+	answered := make([]map[string]bool, 24)
+	failed := make([]map[string]string, len(answered))
+	for i := range answered {
+		answered[i], failed[i] = map[string]bool{}, map[string]string{}
+		callers.Go(func() {
+			transport := &http.Transport{DisableKeepAlives: i%2 == 0}
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+			for k := 0; !gone.Load(); k++ {
+				id := fmt.Sprintf("%d-%d", i, k)
+				body, status, err := post(client, address, id)
+				switch {
+				case err != nil:
+					failed[i][id] = err.Error()
+					time.Sleep(time.Millisecond)
+				case status != http.StatusOK || body != "done "+id:
+					failed[i][id] = fmt.Sprint(status, body)
+				default:
+					answered[i][id] = true
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	stop()
+	stopped()
+	is.True(time.Since(began) < stopTime)
+	gone.Store(true)
+	callers.Wait()
+	total := 0
+	for i := range answered {
+		total += len(answered[i])
+		for id, cause := range failed[i] {
+			if _, didRun := ran.Load(id); didRun {
+				t.Errorf("request %s ran and its caller got no answer: %s", id, cause)
+			}
+		}
+	}
+	is.True(total > 500)
+}
+
+// post sends a request and returns its answer, whole.
+func post(client *http.Client, address, id string) (body string, status int, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/once/1", strings.NewReader("x"))
+	if err != nil {
+		return "", 0, err
+	}
+	r.Host = "h"
+	r.Header.Set("T-Id", id)
+	r.Header.Set("T-Left", "4000")
+	resp, err := client.Do(r)
+	if err != nil {
+		return "", 0, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), resp.StatusCode, err
+}
