Bound endless answers on the product's own path, count repeats as silence

Cause: a stalled engine that repeated a frame, or sent frames of another attempt, reset the timer of silence for ever; comments and blank lines were skipped without a bound, and heads up to the library's 10 MB.

Only unit tests of these packages were run on it so far.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -42,7 +42,11 @@
 	connectTimeout = 500 * time.Millisecond
 	maxReplyBytes  = 16 << 20
 	maxFrameBytes  = 1 << 20
-	idlePerHost    = 64
+	maxHeaderBytes = 64 << 10
+	// maxIdleBytes bounds what a stream may send between two frames, such as
+	// comments that keep a connection open.
+	maxIdleBytes = 64 << 10
+	idlePerHost  = 64
 )
 
 // HTTPDialer opens HTTP clients; all share one pool of connections, except
@@ -66,9 +70,10 @@
 			}
 			return conn, nil
 		},
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	once := transport.Clone()
 	once.DisableKeepAlives = true
@@ -199,9 +204,13 @@
 
 // Next implements Stream.
 func (s *httpStream) Next() (Frame, error) {
+	idle := 0
 	for s.scanner.Scan() {
 		data, ok := strings.CutPrefix(s.scanner.Text(), "data: ")
 		if !ok {
+			if idle += len(s.scanner.Bytes()) + 1; idle > maxIdleBytes {
+				return Frame{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: "the stream sends bytes without frames"}
+			}
 			continue
 		}
 		var f Frame
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -131,11 +131,14 @@
 		if next.err != nil {
 			return backend.Frame{}, false, next.err
 		}
-		silence.Reset(frameWait)
 		ready, err := s.accept(next.frame)
 		if err != nil {
 			return backend.Frame{}, false, err
 		}
+		if len(ready) > 0 {
+			// Repeats and frames of others are no progress.
+			silence.Reset(frameWait)
+		}
 		for _, f := range ready {
 			if f.Final {
 				return f, false, nil
