--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -125,11 +125,11 @@
 	return false
 }
 
-// soonest returns the engine that is expected to have read the prompt first.
-// Compared are two of those that have most of it cached and few others, one of
-// them in the own data centre. Where
-// none has any of it, the first in the key's rendezvous order stands in, so that
-// nodes which have not heard of each other's prompts meet there.
+// soonest returns the engine that is expected to have read the prompt first, and
+// how long it reads. Compared are two of those that have most of it cached and
+// few others, one of them in the own data centre. Where none has any of it, the
+// first in the key's rendezvous order stands in, so that nodes which have not
+// heard of each other's prompts meet there.
 func soonest(members []*Member, q Query, now time.Time) (*Member, time.Duration) {
 	var best *Member
 	var bestRead, least time.Duration
