--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,26 +13,26 @@
 	"github.com/matryer/is"
 )
 
-// countingConn counts what was written and notes when writing failed.
+// countingConn counts what was written and notes that writing failed.
 type countingConn struct {
 	net.Conn
-	bytes  int
-	closed time.Time
+	bytes  atomic.Int64
+	closed atomic.Bool
 }
 
 // Write implements io.Writer.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.bytes += n
-	if err != nil && c.closed.IsZero() {
-		c.closed = time.Now()
+	c.bytes.Add(int64(n))
+	if err != nil {
+		c.closed.Store(true)
 	}
 	return n, err
 }
 
 // endlessly writes a text again and again until the other side closes.
 func endlessly(c *countingConn, text string, every time.Duration) {
-	for c.closed.IsZero() {
+	for !c.closed.Load() {
 		_, _ = c.Write([]byte(text))
 		time.Sleep(every)
 	}
@@ -75,17 +76,17 @@
 			t.Run(kind.name+" "+path, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					is, b := is.New(t), newBench(t)
-					var endless *countingConn
+					var endless countingConn
 					first := b.firstSays(func(c net.Conn, _ *http.Request) {
-						endless = &countingConn{Conn: c}
-						kind.do(endless)
+						endless.Conn = c
+						kind.do(&endless)
 					})
 					began := time.Now()
 					resp, body, err := b.call(t.Context(), http.MethodPost, "/"+path+"/1", chat)
 					took := time.Since(began)
 					time.Sleep(time.Second)
-					is.True(!endless.closed.IsZero()) // the connection was closed
-					is.True(endless.bytes < bound)
+					is.True(endless.closed.Load()) // the connection was closed
+					is.True(endless.bytes.Load() < bound)
 					if path == "chat" {
 						is.NoErr(err) // the stream went on elsewhere
 						is.Equal(ids(body), "1 2 3 4")
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,11 +29,10 @@
 // all other requests are answered with success. It returns a function that
 // names the first.
 func (b *bench) firstSays(do func(net.Conn, *http.Request)) func() string {
-	first := ""
+	var first atomic.Value
 	for _, id := range []string{"x", "y"} {
 		b.server(id, func(c net.Conn, r *http.Request) {
-			if first == "" {
-				first = id
+			if first.CompareAndSwap(nil, id) {
 				do(c, r)
 				return
 			}
@@ -46,7 +46,7 @@
 			answer(c, r, http.StatusOK, "", "ok")
 		})
 	}
-	return func() string { return first }
+	return func() string { return first.Load().(string) }
 }
 
 // A server that says in any answer that it leaves gets nothing new from then
@@ -227,10 +227,10 @@
 	for _, confidence := range []int{5, 90} {
 		synctest.Test(t, func(t *testing.T) {
 			is, b := is.New(t), newBench(t)
-			sends := 0
+			var sends atomic.Int32
 			for _, id := range []string{"x", "y"} {
 				b.server(id, func(c net.Conn, r *http.Request) {
-					if sends++; sends > 1 {
+					if sends.Add(1) > 1 {
 						answer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
 						return
 					}
