Show which node knows which limit of a backend server

An operator could not tell from logs whether a node had heard the Server-Limit of a server, when, and how many requests it sent there since: no line, no metric. Nothing is routed otherwise.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -121,9 +121,10 @@
 			}
 			return 0
 		},
-		Members: func() float64 { return float64(n.members.count()) },
-		Servers: func() float64 { return float64(n.pool.Len()) },
-		Running: func() float64 { return float64(n.forwarder.Running()) },
+		Members:        func() float64 { return float64(n.members.count()) },
+		Servers:        func() float64 { return float64(n.pool.Len()) },
+		LimitedServers: func() float64 { return float64(n.pool.CountLimited()) },
+		Running:        func() float64 { return float64(n.forwarder.Running()) },
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -31,6 +31,7 @@
 	// chosen.
 	loadAge time.Duration
 	skipped pool.Skipped
+	limit   float64 // of the server when it was chosen, or pool.NoLimit
 }
 
 // result classifies the end of an attempt.
@@ -78,6 +79,7 @@
 	return &attempt{
 		member: m, model: model, load: m.Occupancy(now), expectedWait: m.Wait(now), began: now,
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
+		limit: m.Limit(),
 	}
 }
 
@@ -124,6 +126,9 @@
 		x.tried = append(x.tried, a.member)
 		return resultNotRun, errors.New("server stopped taking requests")
 	}
+	if a.limit != pool.NoLimit {
+		x.f.opts.Metrics.LimitedAttempts.Inc()
+	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	req := x.f.opts.Headers.newRequest(x.req, a.member.Address, a.member.ID, time.Now()).WithContext(ctx)
 	if a.model != "" {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -90,10 +90,13 @@
 	Load    float64 `json:"load,omitempty"`
 	WaitMS  int64   `json:"wait_ms,omitempty"`
 	// LoadAgeMS is the age of the load information.
-	LoadAgeMS int64        `json:"load_age_ms,omitempty"`
-	Skipped   pool.Skipped `json:"passed_over,omitzero"`
-	AtMS      int64        `json:"at_ms"`
-	Result    string       `json:"result"`
+	LoadAgeMS int64 `json:"load_age_ms,omitempty"`
+	// Limit is the limit of the server that was known when it was chosen, in
+	// requests per second.
+	Limit   *float64     `json:"limit,omitempty"`
+	Skipped pool.Skipped `json:"passed_over,omitzero"`
+	AtMS    int64        `json:"at_ms"`
+	Result  string       `json:"result"`
 }
 
 // serve serves the request according to the kind of its route.
@@ -111,6 +114,9 @@
 	if a != nil {
 		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
 		s.WaitMS, s.LoadAgeMS, s.Skipped = a.expectedWait.Milliseconds(), a.loadAge.Milliseconds(), a.skipped
+		if a.limit != pool.NoLimit {
+			s.Limit = &a.limit
+		}
 	}
 	x.steps = append(x.steps, s)
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -26,7 +26,7 @@
 // testHeaders stands in for the header names of a platform.
 var testHeaders = Headers{
 	RequestID: "T-Id", TimeLeft: "T-Left", Key: "T-Key", Organisation: "T-Organisation", Instance: "T-Instance", Version: "T-Version",
-	NotRun: "T-Not-Run", Draining: "T-Leaving", Load: "T-Load", Model: "T-Model", Tokens: "T-Tokens", Prompt: "T-Prompt", Session: "T-Session",
+	NotRun: "T-Not-Run", Draining: "T-Leaving", Load: "T-Load", Limit: "T-Limit", Model: "T-Model", Tokens: "T-Tokens", Prompt: "T-Prompt", Session: "T-Session",
 	LengthHint: "T-Hint", Confidence: "T-Confidence", Priority: "T-Priority", LastEventID: "Last-Event-Id", Internal: []string{"T-Internal"},
 }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -31,6 +31,9 @@
 	Draining string
 	// Load is the load of a server as "running,waiting,slots".
 	Load string
+	// Limit is the number of requests per second that a server takes from all
+	// nodes together, for as long as its answers name it.
+	Limit string
 	// Model is the requested model. AnyModel leaves the choice to the router.
 	Model string
 	// Tokens is "prompt tokens,maximum output tokens".
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -47,6 +47,7 @@
 	lastProbe       time.Time       // guarded by mu; time at which the last probe began or ended
 	probeFailed     bool            // guarded by mu; whether the last probe failed
 	remote          remoteWork      // guarded by mu
+	limit           limit           // guarded by mu
 }
 
 // remoteWork is the work that all other nodes have at a server.
@@ -57,7 +58,7 @@
 }
 
 func newMember(s Server, now time.Time) *Member {
-	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}}
+	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: NoLimit}}
 }
 
 // restarted reports whether s is another incarnation of the member's server.
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -19,6 +19,9 @@
 	// AttemptTime is the time from sending to a backend server until the header
 	// of its answer arrives or sending fails, by kind and result, in seconds.
 	AttemptTime *prometheus.HistogramVec
+	// LimitedAttempts counts requests sent to servers whose limit the process
+	// knew.
+	LimitedAttempts prometheus.Counter
 	// Refusals counts answers that the router generated itself by status and
 	// reason.
 	Refusals *prometheus.CounterVec
@@ -40,6 +43,8 @@
 	// servers in the list.
 	Members func() float64
 	Servers func() float64
+	// LimitedServers is the number of servers whose limit is in force.
+	LimitedServers func() float64
 	// Running is the number of requests in progress.
 	Running func() float64
 }
@@ -51,6 +56,7 @@
 	f.gaugeFunc("route_config_version", "Version of the configuration in force, 0 if there is none.", s.ConfigVersion)
 	f.gaugeFunc("route_members", "Living nodes that this one knows, itself included.", s.Members)
 	f.gaugeFunc("route_servers", "Backend servers in the list.", s.Servers)
+	f.gaugeFunc("route_servers_limited", "Backend servers that have named a limit of requests per second, as far as this node knows.", s.LimitedServers)
 	f.gaugeFunc("route_requests_running", "Requests under way.", s.Running)
 }
 
@@ -59,13 +65,14 @@
 	reg := prometheus.NewRegistry()
 	f := factory{promauto.With(reg)}
 	return &ForwardMetrics{
-		Registry:      reg,
-		Requests:      f.counters("route_requests_total", "Finished requests by kind of route and status.", "kind", "status"),
-		RequestTime:   f.histograms("route_request_seconds", "Time from arrival to the end of the answer by kind of route.", requestBuckets, "kind"),
-		FirstByteTime: f.histograms("route_first_byte_seconds", "Time from arrival to the first byte of the answer by kind of route.", requestBuckets, "kind"),
-		AttemptTime:   f.histograms("route_attempt_seconds", "Time from a send to a backend server to its header or failure by kind of route and result.", requestBuckets, "kind", "result"),
-		Refusals:      f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
-		StoreCalls:    f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
-		DroppedLines:  f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
+		Registry:        reg,
+		Requests:        f.counters("route_requests_total", "Finished requests by kind of route and status.", "kind", "status"),
+		RequestTime:     f.histograms("route_request_seconds", "Time from arrival to the end of the answer by kind of route.", requestBuckets, "kind"),
+		FirstByteTime:   f.histograms("route_first_byte_seconds", "Time from arrival to the first byte of the answer by kind of route.", requestBuckets, "kind"),
+		AttemptTime:     f.histograms("route_attempt_seconds", "Time from a send to a backend server to its header or failure by kind of route and result.", requestBuckets, "kind", "result"),
+		LimitedAttempts: f.counter("route_limited_attempts_total", "Requests sent to backend servers that had named a limit."),
+		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
+		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
+		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
 	}
 }
