Grant requests to servers with limits at one node, for all nodes together

Class of fault: a quantity that is promised for the fleet and counted by each node alone.

Now the coordinator, a node chosen by rendezvous hash, grants each request to such a server. It grants its share only after the node before it has noticed, leaves the share of nodes that may be cut off, and learns from the store whether they are. What has no permit goes to another server or is refused with when to return, by rank and alike for organisations. Limits pass from node to node, fall at once, and rise or end with answers to requests that began after the limit was known.

--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -30,7 +30,7 @@
 	defer n.heartbeatMu.Unlock()
 	s := n.settings.Load()
 	state := nodeState{
-		Node: s.Node, Inner: n.innerAddress, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.isReady(), Stopping: n.stopping.Load(),
+		Node: s.Node, Inner: n.innerAddress, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.isReady(), Stopping: n.stopping.Load(), GrantsPermits: true,
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -26,6 +26,7 @@
 	tableEvidence      = gossip.SoftPrefix + "evidence"
 	tableSuspects      = gossip.SoftPrefix + "suspects"
 	tableDraining      = gossip.SoftPrefix + "leaving" // servers that announced in an answer that they drain
+	tableLimits        = gossip.SoftPrefix + "limits"  // limits that servers named in an answer
 )
 
 const (
@@ -63,6 +64,8 @@
 	// Ready nodes accept callers, Stopping ones are shutting down.
 	Ready    bool `json:"ready,omitempty"`
 	Stopping bool `json:"stopping,omitempty"`
+	// GrantsPermits is set by nodes that can grant requests to limited servers.
+	GrantsPermits bool `json:"permits,omitempty"`
 	// Weight is the share of callers that the node can carry.
 	Weight float64 `json:"weight"`
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -66,6 +66,8 @@
 	evidence      *evidence
 	suspects      *suspects
 	drainNotices  *drainNotices
+	serverLimits  *serverLimits
+	permits       *permits
 	pool          *pool.Pool
 	prefixes      *prefix.Index
 	forwarder     *forward.Forwarder
@@ -87,7 +89,7 @@
 func New(o Options) (*Node, error) {
 	n := &Node{options: o, peers: map[string]*gossip.Peer{}, startedAt: time.Now(), epoch: rand.Uint64()}
 	n.settings.Store(&o.Settings)
-	n.innerAddress = net.JoinHostPort(o.Settings.IP, strconv.Itoa(o.Settings.InnerPort))
+	n.innerAddress = n.innerAddressOf(o.Settings.IP)
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
 	n.rows = gossip.NewMap(n.apply)
 	n.members = newMembers(o.Log)
@@ -102,15 +104,28 @@
 	n.evidence = &evidence{nodeKey: n.rowKey, rows: n.rows, nextVersion: n.nextVersion, log: o.Log, countsByKey: map[string]rolloutCounts{}}
 	n.suspects = &suspects{Suspects: dispatch.NewSuspectsWithLimit(crashesToRefuse), nodeKey: n.rowKey, rows: n.rows, log: o.Log, nextVersion: n.nextVersion}
 	n.drainNotices = &drainNotices{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
+	n.serverLimits = &serverLimits{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
+	n.permits = newPermits(n.innerAddress, n.startedAt, o.Log)
+	for _, ip := range o.Settings.Seeds {
+		n.permits.roster.ObserveRegistered(n.innerAddressOf(ip), n.startedAt)
+	}
+	if err := n.exchange.Register(permitService, PermitService{n.permits}); err != nil {
+		return nil, err
+	}
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.members.count),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, ShuttingDown: n.stopping.Load,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
 	return n, n.listen()
 }
 
+// innerAddressOf returns the address for other nodes of the node at an IP address.
+func (n *Node) innerAddressOf(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(n.options.Settings.InnerPort))
+}
+
 // metricsState returns the functions by which the metrics read the node's state.
 func (n *Node) metricsState() telemetry.ForwardState {
 	return telemetry.ForwardState{
@@ -124,7 +139,11 @@
 		Members:        func() float64 { return float64(n.members.count()) },
 		Servers:        func() float64 { return float64(n.pool.Len()) },
 		LimitedServers: func() float64 { return float64(n.pool.CountLimited()) },
-		Running:        func() float64 { return float64(n.forwarder.Running()) },
+		PermitShare: func() float64 {
+			share, _ := n.permits.roster.Share(time.Now())
+			return share
+		},
+		Running: func() float64 { return float64(n.forwarder.Running()) },
 	}
 }
 
@@ -183,6 +202,8 @@
 	n.evidence.apply(byTable[tableEvidence], n.rollouts, now)
 	n.suspects.apply(byTable[tableSuspects], now)
 	n.drainNotices.apply(byTable[tableDraining], now)
+	n.serverLimits.apply(byTable[tableLimits], now)
+	n.applyPresence(byTable[tableSystem], now)
 }
 
 const (
@@ -255,6 +276,7 @@
 	lifetime, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.sendHeartbeat()
+	n.updateRoster()
 	t := n.options.Schema.Tables()
 	for _, f := range []struct {
 		table       string
@@ -271,7 +293,7 @@
 	for _, l := range []struct {
 		interval time.Duration
 		run      func(context.Context)
-	}{{heartbeatInterval, func(context.Context) { n.sendHeartbeat() }}, {rolloutControlInterval, n.controlRollouts}, {pruneInterval, func(context.Context) { n.prune() }}} {
+	}{{heartbeatInterval, func(context.Context) { n.sendHeartbeat(); n.updateRoster() }}, {rolloutControlInterval, n.controlRollouts}, {presenceInterval, n.publishPresence}, {pruneInterval, func(context.Context) { n.prune() }}} {
 		n.loops.Go(func() { loop.Every(lifetime, l.interval, l.run) })
 	}
 	n.options.Log.Info("started", zap.String("inner", n.innerAddress), zap.String("callers", n.options.Settings.Callers), zap.String("data_centre", n.options.Settings.DataCentre))
@@ -297,6 +319,9 @@
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.applyRemoteLoad(now)
 	n.prefixes.Prune(now)
+	if n.permits.roster.Coordinator() == n.innerAddress {
+		n.serverLimits.refresh(now)
+	}
 	for table, ttl := range softTableTTLs {
 		oldest := uint64(now.Add(-ttl).UnixMilli())
 		n.rows.Forget(table, func(r gossip.Row) bool { return r.Version > oldest })
@@ -307,9 +332,9 @@
 const softRowTTL = time.Minute
 
 // softTableTTLs is how long rows of soft tables are kept: suspicions as long as they
-// hold, draining servers until their entries are gone, evidence longer than any
-// roll-out.
+// hold, draining servers until their entries are gone, limits until they are published
+// again, evidence longer than any roll-out.
 var softTableTTLs = map[string]time.Duration{
 	tableHeartbeats: softRowTTL, tableMemberLists: softRowTTL, tableHubHeartbeats: softRowTTL, tableLoads: softRowTTL, tablePrefixes: softRowTTL, tableSessions: softRowTTL,
-	tableSuspects: 10 * time.Minute, tableDraining: 10 * time.Minute, tableEvidence: 24 * time.Hour,
+	tableSuspects: 10 * time.Minute, tableDraining: 10 * time.Minute, tableLimits: 10 * time.Minute, tableEvidence: 24 * time.Hour,
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -142,7 +140,7 @@
 		list = append(list, m.Inner)
 	}
 	for _, ip := range n.options.Settings.Seeds {
-		list = append(list, net.JoinHostPort(ip, strconv.Itoa(n.options.Settings.InnerPort)))
+		list = append(list, n.innerAddressOf(ip))
 	}
 	slices.Sort(list)
 	list = slices.DeleteFunc(slices.Compact(list), func(a string) bool { return known[a] })
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -30,6 +30,7 @@
 	began := time.Now()
 	s := n.settings.Load()
 	n.stopping.Store(true)
+	n.permits.roster.Stop()
 	n.sendHeartbeat()
 	n.options.Log.Info("stopping", zap.Int("running", n.forwarder.Running()), zap.Duration("time", s.StopTime))
 	loop.Sleep(lifetime, acceptTime(s.StopTime))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -59,22 +59,49 @@
 	}
 }
 
-// choose selects a server for the next attempt. It returns nil if there is
-// none.
-func (x *exchange) choose(model string) *attempt {
+// choose selects a server for the next attempt, and acquires a permit if the server
+// has a limit. It returns nil if there is none.
+func (x *exchange) choose(ctx context.Context, model string) *attempt {
+	if a := x.reserved; a != nil {
+		x.reserved = nil
+		return a
+	}
 	now := time.Now()
 	q := x.query(model, now)
+	if !x.f.opts.Pool.HasUnlimited(q, now) {
+		if a, ok := x.chooseLimited(ctx, q, model); ok {
+			return a
+		}
+	}
 	q.Exclude = x.tried
-	m, read := x.f.opts.Pool.Choose(q, now)
-	if m == nil && len(x.tried) > 0 {
+	a := x.chooseAny(ctx, q, model)
+	if a == nil && len(x.tried) > 0 {
 		// If no untried server is left, a server that was tried may be used
 		// again.
 		q.Exclude = nil
-		m, read = x.f.opts.Pool.Choose(q, now)
+		a = x.chooseAny(ctx, q, model)
 	}
-	if m == nil {
-		return nil
+	return a
+}
+
+// chooseAny selects a server of a query. Servers that refuse a permit are passed over.
+func (x *exchange) chooseAny(ctx context.Context, q pool.Query, model string) *attempt {
+	for asked := 0; ; asked++ {
+		now := time.Now()
+		q.ExcludeLimited = asked == maxPermitAsks
+		m, read := x.f.opts.Pool.Choose(q, now)
+		if m == nil {
+			return nil
+		}
+		if m.Limit() == pool.NoLimit || x.acquirePermit(ctx, []*pool.Member{m}, false) != nil {
+			return x.newAttempt(q, m, model, read, now)
+		}
 	}
+}
+
+// newAttempt returns an attempt at the chosen server. read is the expected time to read
+// the prompt there.
+func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, now time.Time) *attempt {
 	tokens := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime)
 	return &attempt{
 		member: m, model: model, load: m.Occupancy(now), expectedWait: m.Wait(now), began: now,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
@@ -71,7 +72,11 @@
 	steps []step
 	// mayHaveRun is set once an attempt ended without a promise that the
 	// request did not run.
-	mayHaveRun    bool
+	mayHaveRun bool
+	// reserved is the next attempt, for which a permit was acquired.
+	reserved *attempt
+	// permitAfter is the last refusal of a permit.
+	permitAfter   permit.Reply
 	bufferedBytes int64 // bytes of plain answers that were read
 	started       bool  // the header of the answer was sent
 	truncated     bool  // the answer ended early
@@ -148,6 +153,9 @@
 		x.outcome, x.truncated = "caller left", true
 	case !x.mayHaveRun && x.runs == 0:
 		retryAfter = max(retryAfter, x.f.opts.Pool.ShortestBackoff(x.req.Service, time.Now()))
+		if x.permitAfter.RetryAfter > 0 {
+			retryAfter, detail = x.permitAfter.RetryAfter, "servers limit their requests: "+detail
+		}
 		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no backend server took the request", detail: detail, retryAfter: retryAfter})
 	case ctx.Err() != nil:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "time is up", detail: "time is up: " + detail})
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/route"
@@ -53,6 +54,20 @@
 	IsQuarantined(fingerprint uint64, now time.Time) bool
 }
 
+// Permits grants requests to servers that limit their rate.
+type Permits interface {
+	// Acquire asks for a permit to send one request at once.
+	Acquire(ctx context.Context, q permit.Request) permit.Reply
+}
+
+// localPermits grants permits of a single node.
+type localPermits struct{ *permit.Coordinator }
+
+// Acquire implements Permits.
+func (p localPermits) Acquire(_ context.Context, q permit.Request) permit.Reply {
+	return p.Coordinator.Acquire(q, time.Now())
+}
+
 // Options are the settings and dependencies of a Forwarder.
 type Options struct {
 	Headers    Headers
@@ -63,14 +78,20 @@
 	Versions   Versions
 	Suspects   Suspects
 	Budget     *Budget
-	Metrics    *telemetry.ForwardMetrics
-	Tracer     *telemetry.Tracer
-	Log        *zap.Logger
+	// Permits grants requests to limited servers. Nil grants the whole limit to this
+	// node.
+	Permits Permits
+	Metrics *telemetry.ForwardMetrics
+	Tracer  *telemetry.Tracer
+	Log     *zap.Logger
 	// Dial opens connections to backend servers. Nil means TCP.
 	Dial Dial
 	// OnDraining is called once for each incarnation of a server that announces
 	// in an answer that it is draining. It may be nil.
 	OnDraining func(pool.Server)
+	// OnLimit is called when a server's answer changes its limit, in requests per
+	// second or pool.NoLimit. It may be nil.
+	OnLimit func(s pool.Server, limit float64)
 	// ShuttingDown reports whether the process is shutting down. Answers then close
 	// their connections.
 	ShuttingDown func() bool
@@ -109,6 +130,12 @@
 	if o.OnDraining == nil {
 		o.OnDraining = func(pool.Server) {}
 	}
+	if o.OnLimit == nil {
+		o.OnLimit = func(pool.Server, float64) {}
+	}
+	if o.Permits == nil {
+		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, bool) { return 1, true })}
+	}
 	return &Forwarder{
 		opts: o, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: o.Dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: o.Dial}),
 		readSpeeds: newReadSpeeds(), cascade: NewCascade(), started: time.Now(),
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -77,6 +77,7 @@
 	if !a.member.RecordLimit(limit, a.began, time.Now()) {
 		return
 	}
+	x.f.opts.OnLimit(a.member.Server, limit)
 	if limit == pool.NoLimit {
 		x.f.opts.Log.Info("backend server ended its limit", append(serverFields(a.member), zap.Float64("before", old))...)
 		return
--- /dev/null
+++ b/internal/forward/permit.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/loop"
+	"github.com/cowslipfall/cowslipfall/internal/permit"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
+)
+
+const (
+	// maxPermitAsks is how many limited servers are asked for beside servers without a
+	// limit. Each ask takes a round trip to another node.
+	maxPermitAsks = 2
+	// minHoldOff is the least time for which a server is passed over after it refused a
+	// permit.
+	minHoldOff = 5 * time.Millisecond
+	// maxPermitWait is how long a request that has run waits for a permit to go on
+	// elsewhere.
+	maxPermitWait = 2 * time.Second
+)
+
+// acquirePermit asks for a permit to send to one of the servers, and returns that server
+// or nil. isLast is set if no other server can take the request.
+func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool) *pool.Member {
+	q := permit.Request{
+		Service: x.req.Service, IsLast: isLast, Rank: x.req.Rank, Organisation: organisationName(x.req.Organisation),
+		Fingerprint: x.req.Fingerprint, TimeLeft: time.Until(x.req.CallerDeadline),
+	}
+	for _, m := range servers {
+		q.Servers = append(q.Servers, permit.Server{ID: m.ID, Started: m.Started, Limit: max(m.Limit(), 0)})
+	}
+	reply := x.f.opts.Permits.Acquire(ctx, q)
+	if reply.Granted >= 0 && reply.Granted < len(servers) {
+		x.f.opts.Metrics.Permits.WithLabelValues("granted").Inc()
+		return servers[reply.Granted]
+	}
+	result := "refused"
+	if !reply.IsCoordinator {
+		result = "no_coordinator"
+	}
+	x.f.opts.Metrics.Permits.WithLabelValues(result).Inc()
+	x.permitAfter = reply
+	if !isLast {
+		servers[0].HoldOff(max(reply.Next, minHoldOff), time.Now())
+	}
+	return nil
+}
+
+// chooseLimited selects among the servers of a query that all have a limit. It returns
+// false if there are none.
+func (x *exchange) chooseLimited(ctx context.Context, q pool.Query, model string) (*attempt, bool) {
+	for end := time.Now().Add(maxPermitWait); ; {
+		now := time.Now()
+		q.Exclude = x.tried
+		servers := x.f.opts.Pool.Limited(q, now)
+		if len(servers) == 0 {
+			q.Exclude = nil
+			servers = x.f.opts.Pool.Limited(q, now)
+		}
+		if len(servers) == 0 {
+			return nil, false
+		}
+		if m := x.acquirePermit(ctx, servers, true); m != nil {
+			return x.newAttempt(q, m, model, q.ReadTime(m), now), true
+		}
+		next := max(x.permitAfter.Next, minHoldOff)
+		if !x.mayHaveRun && x.runs == 0 || ctx.Err() != nil || now.Add(next).After(end) {
+			// The caller can be told that the request has not run, and when to return.
+			return nil, true
+		}
+		loop.Sleep(ctx, next)
+	}
+}
+
+// reserveNext reports whether another server can take the request, so that an answer at
+// hand may be dropped. If all have limits, it reserves a permit for the next attempt.
+func (x *exchange) reserveNext(ctx context.Context, model string) bool {
+	now := time.Now()
+	q := x.query(model, now)
+	if x.f.opts.Pool.HasUnlimited(q, now) {
+		return true
+	}
+	servers := x.f.opts.Pool.Limited(q, now)
+	if len(servers) == 0 {
+		return true
+	}
+	if m := x.acquirePermit(ctx, servers, true); m != nil {
+		x.reserved = x.newAttempt(q, m, model, q.ReadTime(m), now)
+	}
+	return x.reserved != nil
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -31,7 +31,7 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	cause, retryAfter := "no backend server", noServerRetryAfter
 	for x.sends == 0 || x.reserveRetry(ctx) {
-		a := x.choose("")
+		a := x.choose(ctx, "")
 		if a == nil {
 			break
 		}
@@ -66,7 +66,7 @@
 func (x *exchange) shouldRepeatFailure(ctx context.Context, a *attempt) bool {
 	x.observe(a, true)
 	return x.req.Route.Kind == route.Idempotent && ctx.Err() == nil && x.sends < x.req.Route.MaxAttempts &&
-		x.f.opts.Budget.RemainingShare(x.req.Service, time.Now()) > 0.1
+		x.f.opts.Budget.RemainingShare(x.req.Service, time.Now()) > 0.1 && x.reserveNext(ctx, "")
 }
 
 // fetch sends the request and reads the complete answer.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,7 +48,7 @@
 	}
 	cause, retryAfter := "no backend server", noServerRetryAfter
 	for x.sends == 0 || x.reserveRetry(ctx) {
-		a := x.choose(x.modelName(s))
+		a := x.choose(ctx, x.modelName(s))
 		if a == nil {
 			break
 		}
@@ -91,7 +91,7 @@
 	if a.resp.StatusCode != http.StatusOK {
 		return x.handleNonStream(ctx, a)
 	}
-	if x.escalate(s, a) {
+	if x.escalate(ctx, s, a) {
 		return false, nil
 	}
 	return x.forwardEvents(ctx, s, a)
@@ -138,7 +138,7 @@
 	if status >= http.StatusInternalServerError {
 		x.recordFailure(a)
 		x.observe(a, true)
-		if x.req.Route.IsRepeatable() && ctx.Err() == nil && x.sends < x.req.Route.MaxAttempts && x.f.opts.Budget.RemainingShare(x.req.Service, time.Now()) > 0.1 {
+		if x.req.Route.IsRepeatable() && ctx.Err() == nil && x.sends < x.req.Route.MaxAttempts && x.f.opts.Budget.RemainingShare(x.req.Service, time.Now()) > 0.1 && x.reserveNext(ctx, a.model) {
 			return false, errors.Errorf("server answered %d", status)
 		}
 	}
@@ -156,7 +156,7 @@
 
 // escalate reports whether the answer is dropped for one of a larger model, and
 // selects that model.
-func (x *exchange) escalate(s *streamState, a *attempt) bool {
+func (x *exchange) escalate(ctx context.Context, s *streamState, a *attempt) bool {
 	models := x.req.Route.Models
 	largest := len(models) - 1
 	if a.model == "" || x.started || s.model >= largest {
@@ -171,7 +171,7 @@
 	if err != nil || x.f.cascade.Accept(confidence, x.req, larger) {
 		return false
 	}
-	if x.sends >= x.req.Route.MaxAttempts || x.f.opts.Budget.RemainingShare(x.req.Service, now) < escalationReserve {
+	if x.sends >= x.req.Route.MaxAttempts || x.f.opts.Budget.RemainingShare(x.req.Service, now) < escalationReserve || !x.reserveNext(ctx, models[largest]) {
 		return false
 	}
 	s.model = largest
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -70,6 +70,7 @@
 	epoch    uint64
 	rows     *Map
 	contacts *contacts
+	server   *rpc.Server
 	// age returns how long ago the cached store state was current, observeAge receives
 	// such an age from another node.
 	age        func() time.Duration
@@ -79,7 +80,7 @@
 // NewExchange returns an exchange. epoch distinguishes this process from its
 // predecessors.
 func NewExchange(epoch uint64, rows *Map, age func() time.Duration, observeAge func(time.Duration)) *Exchange {
-	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), age: age, observeAge: observeAge}
+	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), age: age, observeAge: observeAge}
 }
 
 // Service is the RPC interface of an exchange.
@@ -131,18 +132,22 @@
 	return Answer{Epoch: e.epoch, Place: c.position, Rows: pack(c.rows), Cursors: c.cursors, Age: e.age(), Hears: e.contacts.expireAndList(time.Now())}
 }
 
+// Register adds a service that Serve offers beside the exchange.
+func (e *Exchange) Register(name string, service any) error {
+	return errors.Wrapf(e.server.RegisterName(name, service), "register %s", name)
+}
+
 // Serve answers peers on a listener until it is closed.
 func (e *Exchange) Serve(l net.Listener) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, Service{e}); err != nil {
-		return errors.Wrap(err, "register")
+	if err := e.Register(serviceName, Service{e}); err != nil {
+		return err
 	}
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return err
 		}
-		go server.ServeConn(conn)
+		go e.server.ServeConn(conn)
 	}
 }
 
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -31,6 +31,8 @@
 	Versions Versions
 	// Exclude lists servers that were already tried.
 	Exclude []*Member
+	// ExcludeLimited excludes the servers that have a limit.
+	ExcludeLimited bool
 	// Draw returns random numbers from 0 to 1.
 	Draw func() float64
 }
@@ -69,7 +71,8 @@
 
 // Choose returns the server for a request and the expected time to read the
 // prompt there. The server is nil if none may take the request. Ejected servers
-// are chosen only if all servers are ejected.
+// are chosen only if all servers are ejected. Servers without a permit for a request
+// are not chosen.
 func (p *Pool) Choose(q Query, now time.Time) (*Member, time.Duration) {
 	if version := q.Versions.Prefer; version != "" {
 		preferred := q
@@ -80,9 +83,9 @@
 		q.Versions = Versions{}
 	}
 	members := p.Members(q.Service)
-	usable := filter(members, q, func(m *Member) bool { return m.IsUsable(now) })
+	usable := filter(members, q, func(m *Member) bool { return m.IsUsable(now) && !m.isHeldOff(now) })
 	if len(usable) == 0 {
-		usable = filter(members, q, func(m *Member) bool { return m.IsAvailable(now) })
+		usable = filter(members, q, func(m *Member) bool { return m.IsAvailable(now) && !m.isHeldOff(now) })
 	}
 	if len(usable) == 0 {
 		return nil, 0
@@ -112,7 +115,7 @@
 func filter(members []*Member, q Query, accept func(*Member) bool) []*Member {
 	var accepted []*Member
 	for _, m := range members {
-		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && accept(m) {
+		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.Limit() != NoLimit) && accept(m) {
 			accepted = append(accepted, m)
 		}
 	}
@@ -141,7 +144,7 @@
 		if m == nil || m == best {
 			return
 		}
-		read := q.readTime(m)
+		read := q.ReadTime(m)
 		if cost := q.estimatedCost(m, read, now); best == nil || cost < lowest {
 			best, bestRead, lowest = m, read, cost
 		}
@@ -178,8 +181,8 @@
 	return local
 }
 
-// readTime returns the time to read the prompt at an engine.
-func (q *Query) readTime(m *Member) time.Duration {
+// ReadTime returns the time to read the prompt at an engine.
+func (q *Query) ReadTime(m *Member) time.Duration {
 	if d, ok := q.CachedReadTimes[m.key]; ok {
 		return d
 	}
@@ -191,7 +194,7 @@
 	shortest := q.ColdReadTime
 	var best []*Member
 	for _, m := range members {
-		switch d := q.readTime(m); {
+		switch d := q.ReadTime(m); {
 		case d < shortest:
 			shortest, best = d, append(best[:0], m)
 		case d == shortest && d < q.ColdReadTime:
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // NoLimit is the limit of a server that names none.
 const NoLimit = -1.0
@@ -14,6 +18,15 @@
 	since time.Time
 	// invalid describes the last invalid limit.
 	invalid string
+	// heldUntil is when the server may have a permit for a request again.
+	heldUntil time.Time
+}
+
+// limitNotice is a limit that another node learned of one incarnation of a server.
+type limitNotice struct {
+	started int64
+	rate    float64
+	at      time.Time
 }
 
 // Limit returns the number of requests per second that the server takes from
@@ -60,3 +73,74 @@
 	})
 	return n
 }
+
+// SetLimit records the limit, or NoLimit, that another node learned.
+func (m *Member) SetLimit(rate float64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rate != m.limit.rate {
+		m.limit.rate, m.limit.since = rate, now
+	}
+}
+
+// SetLimit records the limit, or NoLimit, that another node learned of a server. The
+// server's entry may not have been received yet.
+func (p *Pool) SetLimit(id string, started int64, rate float64, now time.Time) {
+	p.mu.Lock()
+	for id, n := range p.limits {
+		if now.Sub(n.at) > memoryTTL {
+			delete(p.limits, id)
+		}
+	}
+	if old, ok := p.limits[id]; !ok || started >= old.started {
+		p.limits[id] = limitNotice{started, rate, now}
+	}
+	m := p.members[id]
+	p.mu.Unlock()
+	if m != nil && m.Started == started {
+		m.SetLimit(rate, now)
+	}
+}
+
+// HoldOff keeps the server from being chosen for a time in which it has no permit for a
+// request.
+func (m *Member) HoldOff(d time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit.heldUntil = now.Add(d)
+}
+
+// isHeldOff reports whether the server has no permit for a request. It is false for
+// servers without a limit.
+func (m *Member) isHeldOff(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.limit.rate != NoLimit && now.Before(m.limit.heldUntil)
+}
+
+// HasUnlimited reports whether a usable server of a query has no limit.
+func (p *Pool) HasUnlimited(q Query, now time.Time) bool {
+	q.allowFallbackVersions()
+	return len(filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() == NoLimit })) > 0
+}
+
+// Limited returns the usable servers of a query that have a limit, the best one first.
+func (p *Pool) Limited(q Query, now time.Time) []*Member {
+	q.allowFallbackVersions()
+	members := filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() != NoLimit })
+	slices.SortStableFunc(members, func(a, b *Member) int {
+		if q.Affinity != "" {
+			return cmp.Compare(q.estimatedCost(a, q.ReadTime(a), now), q.estimatedCost(b, q.ReadTime(b), now))
+		}
+		return cmp.Compare(a.Occupancy(now), b.Occupancy(now))
+	})
+	return members
+}
+
+// allowFallbackVersions lifts the preference for a version, as Choose does if no server
+// of that version can be chosen.
+func (q *Query) allowFallbackVersions() {
+	if q.Versions.Prefer != "" {
+		q.Versions = Versions{}
+	}
+}
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -103,6 +103,9 @@
 	if n, ok := p.drainNotices[s.ID]; ok && n.started == s.Started {
 		m.announcedDraining = true
 	}
+	if n, ok := p.limits[s.ID]; ok && n.started == s.Started {
+		m.limit.rate, m.limit.since = n.rate, n.at
+	}
 	return m
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,12 +32,13 @@
 	services     map[string][]*Member      // guarded by mu; sorted by ID; slices are replaced, never modified
 	delisted     map[string]delistedMember // guarded by mu; by server ID
 	drainNotices map[string]drainNotice    // guarded by mu; by server ID
+	limits       map[string]limitNotice    // guarded by mu; by server ID
 }
 
 // New returns an empty pool.
 func New() *Pool {
 	return &Pool{
-		members: map[string]*Member{}, services: map[string][]*Member{}, delisted: map[string]delistedMember{}, drainNotices: map[string]drainNotice{},
+		members: map[string]*Member{}, services: map[string][]*Member{}, delisted: map[string]delistedMember{}, drainNotices: map[string]drainNotice{}, limits: map[string]limitNotice{},
 	}
 }
 
--- a/internal/pool/skipped.go
+++ b/internal/pool/skipped.go
@@ -9,6 +9,7 @@
 	Version   int `json:"version,omitempty"`
 	Tried     int `json:"tried,omitempty"`
 	BackedOff int `json:"held,omitempty"`
+	Limited   int `json:"limited,omitempty"`
 	Ejected   int `json:"ejected,omitempty"`
 }
 
@@ -28,6 +29,8 @@
 			counts.BackedOff++
 		case !m.IsUsable(now):
 			counts.Ejected++
+		case m.isHeldOff(now):
+			counts.Limited++
 		}
 	}
 	return counts
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -22,6 +22,8 @@
 	// LimitedAttempts counts requests sent to servers whose limit the process
 	// knew.
 	LimitedAttempts prometheus.Counter
+	// Permits counts asks for permits to send to limited servers by result.
+	Permits *prometheus.CounterVec
 	// Refusals counts answers that the router generated itself by status and
 	// reason.
 	Refusals *prometheus.CounterVec
@@ -45,6 +47,8 @@
 	Servers func() float64
 	// LimitedServers is the number of servers whose limit is in force.
 	LimitedServers func() float64
+	// PermitShare is the part of the servers' limits that the process may grant.
+	PermitShare func() float64
 	// Running is the number of requests in progress.
 	Running func() float64
 }
@@ -57,6 +61,7 @@
 	f.gaugeFunc("route_members", "Living nodes that this one knows, itself included.", s.Members)
 	f.gaugeFunc("route_servers", "Backend servers in the list.", s.Servers)
 	f.gaugeFunc("route_servers_limited", "Backend servers that have named a limit of requests per second, as far as this node knows.", s.LimitedServers)
+	f.gaugeFunc("route_permit_share", "Part of the servers' limits that this node may grant, 0 if it is not the coordinator.", s.PermitShare)
 	f.gaugeFunc("route_requests_running", "Requests under way.", s.Running)
 }
 
@@ -71,6 +76,7 @@
 		FirstByteTime:   f.histograms("route_first_byte_seconds", "Time from arrival to the first byte of the answer by kind of route.", requestBuckets, "kind"),
 		AttemptTime:     f.histograms("route_attempt_seconds", "Time from a send to a backend server to its header or failure by kind of route and result.", requestBuckets, "kind", "result"),
 		LimitedAttempts: f.counter("route_limited_attempts_total", "Requests sent to backend servers that had named a limit."),
+		Permits:         f.counters("route_permits_total", "Asks for permits to send to backend servers that limit their requests, by result.", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
 		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
 		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
