Keep to the limits of servers on the product's own interface

The routes' face kept to Server-Limit, the product's own interface did not: two services and two engines that named 1.3 a second got 13 to 20 requests in 4 s (allowed 12.8), probes included.

The gate of a replica's owner now grants at the limit, so that its queue decides who comes first, who is refused early and when to return; probes count and take a tenth of the limit at most. TestOwnInterfaceKeepsToServerLimits failed with the bound switched off (18, 18, 20 and 13 in 4 s) and passes (6, 6, 7 and 7).

Open: while data centres have lost each other, each part has an owner of the replica, which grants the whole limit.

--- a/internal/admission/booked_work_test.go
+++ b/internal/admission/booked_work_test.go
@@ -86,7 +86,7 @@
 	g.release("0", Usage{})
 	g.Gate.running["x"] = &Stream{Work: &Work{ID: "x", Rank: 1, Tokens: 1000}, Since: g.now}
 	g.Gate.running["y"] = &Stream{Work: &Work{ID: "y", Rank: 1, Tokens: 1000}, Since: g.now}
-	if wait := g.RankWait(1); wait < 10*time.Second {
+	if wait := g.RankWait(g.now, 1); wait < 10*time.Second {
 		t.Fatalf("normal work is predicted to wait only %s for a slot of a long stream", wait)
 	}
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -117,6 +117,7 @@
 	booked        bookedWork
 	// pressure detects lasting overloads, by rank.
 	pressure []pressure
+	rate     rateLimit
 }
 
 // slotHolder identifies the streams of one organisation and rank.
@@ -265,12 +266,18 @@
 // and returns it, or returns nil.
 func (g *Gate) Grant(now time.Time) *Work {
 	g.expireHeadroom(now)
+	if g.rateWait(now, 0) > 0 {
+		return nil
+	}
 	w := g.next(now)
 	if w == nil {
 		return nil
 	}
 	g.booked.remove(w.ID)
 	g.order.Take(now, w)
+	if g.rate.rate > 0 {
+		g.rate.bucket.Tokens--
+	}
 	g.occupy(now, &Stream{Work: w, Since: now})
 	return w
 }
@@ -344,6 +351,11 @@
 // PredictedWait estimates how long the work would wait for a slot.
 func (g *Gate) PredictedWait(now time.Time, w *Work) time.Duration {
 	rank := g.rank(w.order())
+	return max(g.slotWait(now, w, rank), g.rateWait(now, g.waitingAhead(rank)))
+}
+
+// slotWait estimates how long the work would wait for a free slot.
+func (g *Gate) slotWait(now time.Time, w *Work, rank int) time.Duration {
 	if g.hasFreeSlot(rank) && g.fits(w) {
 		return 0
 	}
@@ -362,7 +374,11 @@
 
 // RankWait estimates how long the waiting work of the rank takes to drain, for
 // comparisons between replicas.
-func (g *Gate) RankWait(rank int) time.Duration {
+func (g *Gate) RankWait(now time.Time, rank int) time.Duration {
+	return max(g.rankSlotWait(rank), g.rateWait(now, g.waitingAhead(rank)))
+}
+
+func (g *Gate) rankSlotWait(rank int) time.Duration {
 	if g.hasFreeSlot(rank) {
 		return 0
 	}
@@ -375,10 +391,3 @@
 // throughput returns the replica's throughput at its limit, in tokens per
 // second.
 func (g *Gate) throughput() float64 { return float64(g.limit.Limit()) * g.speed.perSlot }
-
-// drainTimeOf returns how long the work's rank takes to drain the work itself,
-// when bookings fill bookedShare of its throughput.
-func (g *Gate) drainTimeOf(w *Work) time.Duration {
-	share := bookedShare * g.throughput() * g.order.RankShare(g.rank(w.order()))
-	return time.Duration(float64(w.Tokens) / share * float64(time.Second))
-}
--- a/internal/admission/headroom_test.go
+++ b/internal/admission/headroom_test.go
@@ -23,10 +23,10 @@
 	if n := g.Running(); n != 5 {
 		t.Fatalf("%d of 8 slots are used while half is kept", n)
 	}
-	if wait := g.RankWait(0); wait != 0 {
+	if wait := g.RankWait(g.now, 0); wait != 0 {
 		t.Fatalf("urgent work would wait %s beside free slots", wait)
 	}
-	if wait := g.RankWait(2); wait == 0 {
+	if wait := g.RankWait(g.now, 2); wait == 0 {
 		t.Fatal("background work would not wait")
 	}
 	g.release("0", Usage{Tokens: 10})
--- a/internal/admission/pause.go
+++ b/internal/admission/pause.go
@@ -10,6 +10,10 @@
 // nil. It returns each stream once.
 func (g *Gate) TakeVictim(now time.Time) *Stream {
 	g.expirePauses(now)
+	if g.rateWait(now, 0) > 0 {
+		// A free slot would not be granted, and the paused stream takes one more request.
+		return nil
+	}
 	waiting := 0
 	for rank := range g.options.Ranks {
 		n := g.order.Waiting(rank)
--- a/internal/admission/retry_times.go
+++ b/internal/admission/retry_times.go
@@ -60,3 +60,14 @@
 		}
 	}
 }
+
+// drainTimeOf returns how long the work's rank takes to drain the work itself,
+// when bookings fill bookedShare of its throughput.
+func (g *Gate) drainTimeOf(w *Work) time.Duration {
+	rankShare := g.order.RankShare(g.rank(w.order()))
+	seconds := float64(w.Tokens) / (bookedShare * g.throughput() * rankShare)
+	if g.rate.rate > 0 {
+		seconds = max(seconds, 1/(bookedShare*g.rate.rate*rankShare))
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -76,6 +76,11 @@
 	Draining bool `json:"draining"`
 	// Incarnation changes when the engine restarts.
 	Incarnation string `json:"incarnation"`
+	// Limit is the number of requests per second that the server takes from all
+	// nodes together, or nil if it names none. LimitError describes a malformed
+	// limit. Both come from the header of the answer.
+	Limit      *float64 `json:"-"`
+	LimitError error    `json:"-"`
 }
 
 // CacheEvent reports that a prompt prefix entered or left an engine's cache.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -36,6 +37,7 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderFencing        = "X-Fencing-Number"
 	HeaderErrorKind      = "X-Error-Kind"
+	HeaderLimit          = "Server-Limit"
 )
 
 const (
@@ -235,37 +237,42 @@
 
 // exchange sends a small request and returns the complete reply body. The call
 // is bounded by ProbeTimeout.
-func (c *httpClient) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+func (c *httpClient) exchange(ctx context.Context, method, path string, body []byte) ([]byte, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
 	resp, err := send(ctx, c.http, method, c.base+path, body, nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, readRefusal(resp)
+		return nil, nil, readRefusal(resp)
 	}
 	defer resp.Body.Close()
 	raw, err := readBody(resp.Body)
 	if err != nil {
-		return nil, asError(err)
+		return nil, nil, asError(err)
 	}
-	return raw, nil
+	return raw, resp.Header, nil
 }
 
 // Load implements Engine and Service.
 func (c *httpClient) Load(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
-	raw, err := c.exchange(ctx, http.MethodGet, PathLoad, nil)
+	raw, header, err := c.exchange(ctx, http.MethodGet, PathLoad, nil)
 	if err != nil {
 		return report, err
 	}
+	limit, err := permit.ParseLimit(header.Values(HeaderLimit))
+	report.LimitError = err
+	if limit != permit.NoLimit {
+		report.Limit = &limit
+	}
 	return report, errors.Wrap(json.Unmarshal(raw, &report), "decode load report")
 }
 
 // CacheEvents implements Engine.
 func (c *httpClient) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
-	raw, err := c.exchange(ctx, http.MethodGet, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil)
+	raw, _, err := c.exchange(ctx, http.MethodGet, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -279,18 +286,19 @@
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
-	_, err = c.exchange(ctx, http.MethodPost, PathOrders, body)
+	_, _, err = c.exchange(ctx, http.MethodPost, PathOrders, body)
 	return err
 }
 
 // ExportKV implements Engine.
 func (c *httpClient) ExportKV(ctx context.Context, attempt string) ([]byte, error) {
-	return c.exchange(ctx, http.MethodGet, PathKV+url.PathEscape(attempt), nil)
+	kv, _, err := c.exchange(ctx, http.MethodGet, PathKV+url.PathEscape(attempt), nil)
+	return kv, err
 }
 
 // ImportKV implements Engine.
 func (c *httpClient) ImportKV(ctx context.Context, attempt string, kv []byte) error {
-	_, err := c.exchange(ctx, http.MethodPut, PathKV+url.PathEscape(attempt), kv)
+	_, _, err := c.exchange(ctx, http.MethodPut, PathKV+url.PathEscape(attempt), kv)
 	return err
 }
 
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -39,6 +39,7 @@
 type Owner struct {
 	pause    Pauser
 	suspects *Suspects
+	onLimit  func(LimitChange)
 	mu       sync.Mutex
 	replicas map[string]*replica // guarded by mu
 	ranks    []*config.Rank      // guarded by mu; sorted by order
@@ -47,7 +48,7 @@
 
 // NewOwner returns an owner without replicas.
 func NewOwner(pause Pauser) *Owner {
-	return &Owner{pause: pause, replicas: map[string]*replica{}, weights: map[string]float64{}}
+	return &Owner{pause: pause, onLimit: func(LimitChange) {}, replicas: map[string]*replica{}, weights: map[string]float64{}}
 }
 
 // replica is the owner's exact accounting of one replica.
@@ -75,6 +76,9 @@
 	lastIncarnation    string               // guarded by mu; the backend server's incarnation in its last answer
 	minHeld            heldMinima           // guarded by mu; least slots held between probes
 	firstReportAt      time.Time            // guarded by mu; when the replica first reported to this owner
+	probedAt           time.Time            // guarded by mu; when the last probe was sent
+	limitError         string               // guarded by mu; describes the last malformed limit
+	grantTimer         *time.Timer          // guarded by mu; grants queued work once the rate limit allows it; nil if none is due
 }
 
 // holder is the request that a slot was granted to, and the time of the grant.
@@ -179,6 +183,7 @@
 	for {
 		work := r.gate.Grant(now)
 		if work == nil {
+			r.scheduleGrant(now)
 			return
 		}
 		w := r.waiting[work.ID]
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -155,7 +155,7 @@
 	o.mu.Lock()
 	list := slices.Collect(maps.Values(o.replicas))
 	o.mu.Unlock()
-	probeAll(ctx, list, dialer, isService)
+	o.probeAll(ctx, list, dialer, isService)
 }
 
 // ProbeNew probes the owned replicas that were never probed, as Probe does. It
@@ -171,27 +171,35 @@
 		r.mu.Unlock()
 	}
 	o.mu.Unlock()
-	probeAll(ctx, list, dialer, isService)
+	o.probeAll(ctx, list, dialer, isService)
 	return len(list) > 0
 }
 
 // probeAll probes the listed replicas in parallel, within backend.ProbeTimeout.
-func probeAll(ctx context.Context, list []*replica, dialer backend.Dialer, isService func(pool string) bool) {
+func (o *Owner) probeAll(ctx context.Context, list []*replica, dialer backend.Dialer, isService func(pool string) bool) {
 	ctx, cancel := context.WithTimeout(ctx, backend.ProbeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, r := range list {
-		wg.Go(func() { r.probe(ctx, dialer, isService(r.pool)) })
+		wg.Go(func() {
+			if change, ok := r.probe(ctx, dialer, isService(r.pool)); ok {
+				o.onLimit(change)
+			}
+		})
 	}
 	wg.Wait()
 }
 
-// probe queries the load of the replica and updates its health, versions and
-// streams.
-func (r *replica) probe(ctx context.Context, dialer backend.Dialer, isService bool) {
+// probe queries the load of the replica and updates its health, versions, streams and
+// limit. It returns what changed of the limit, or false.
+func (r *replica) probe(ctx context.Context, dialer backend.Dialer, isService bool) (LimitChange, bool) {
 	r.mu.Lock()
+	isDue := r.isProbeDue(time.Now())
 	r.probed = true
 	r.mu.Unlock()
+	if !isDue {
+		return LimitChange{}, false
+	}
 	var report backend.LoadReport
 	var err error
 	if isService {
@@ -207,7 +215,7 @@
 			r.isHealthy = false
 			r.refuseWaiting()
 		}
-		return
+		return LimitChange{}, false
 	}
 	r.failedProbes = 0
 	if report.Incarnation != r.outlierIncarnation {
@@ -221,6 +229,7 @@
 	if report.Draining {
 		r.refuseWaiting()
 	}
+	return r.applyLimit(report, time.Now())
 }
 
 // ReleaseLostNodes frees the slots held by nodes that no longer run. isLive
@@ -271,8 +280,9 @@
 		Targets: r.targets, Running: r.gate.Batch(), Limit: r.gate.Limit(),
 		Healthy: r.isHealthy, Leaving: r.isDraining,
 	}
+	now := time.Now()
 	for rank := range ranks {
-		s.Waits = append(s.Waits, r.gate.RankWait(rank).Round(time.Millisecond))
+		s.Waits = append(s.Waits, r.gate.RankWait(now, rank).Round(time.Millisecond))
 	}
 	return s
 }
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/gossip"
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -27,7 +28,7 @@
 	Limit   float64 `json:"limit"`
 }
 
-// publish sends a server's limit, or pool.NoLimit, to the other nodes.
+// publish sends a server's limit, or permit.NoLimit, to the other nodes.
 func (l *serverLimits) publish(s pool.Server, limit float64) {
 	raw, err := json.Marshal(limitedServer{s.ID, s.Started, limit})
 	if err != nil {
@@ -64,7 +65,7 @@
 		if r.Version > oldest || json.Unmarshal(r.Data, &s) != nil {
 			continue
 		}
-		if m := l.pool.Member(s.Server); m != nil && m.Started == s.Started && m.Limit() != pool.NoLimit {
+		if m := l.pool.Member(s.Server); m != nil && m.Started == s.Started && m.Limit() != permit.NoLimit {
 			l.publish(m.Server, m.Limit())
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/prefix"
 )
@@ -31,7 +32,7 @@
 	// chosen.
 	loadAge time.Duration
 	skipped pool.Skipped
-	limit   float64 // of the server when it was chosen, or pool.NoLimit
+	limit   float64 // of the server when it was chosen, or permit.NoLimit
 }
 
 // result classifies the end of an attempt.
@@ -93,7 +94,7 @@
 		if m == nil {
 			return nil
 		}
-		if m.Limit() == pool.NoLimit || x.acquirePermit(ctx, []*pool.Member{m}, false) != nil {
+		if m.Limit() == permit.NoLimit || x.acquirePermit(ctx, []*pool.Member{m}, false) != nil {
 			return x.newAttempt(q, m, model, read, now)
 		}
 	}
@@ -153,7 +154,7 @@
 		x.tried = append(x.tried, a.member)
 		return resultNotRun, errors.New("server stopped taking requests")
 	}
-	if a.limit != pool.NoLimit {
+	if a.limit != permit.NoLimit {
 		x.f.opts.Metrics.LimitedAttempts.Inc()
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -119,7 +119,7 @@
 	if a != nil {
 		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
 		s.WaitMS, s.LoadAgeMS, s.Skipped = a.expectedWait.Milliseconds(), a.loadAge.Milliseconds(), a.skipped
-		if a.limit != pool.NoLimit {
+		if a.limit != permit.NoLimit {
 			s.Limit = &a.limit
 		}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -90,7 +90,7 @@
 	// in an answer that it is draining. It may be nil.
 	OnDraining func(pool.Server)
 	// OnLimit is called when a server's answer changes its limit, in requests per
-	// second or pool.NoLimit. It may be nil.
+	// second or permit.NoLimit. It may be nil.
 	OnLimit func(s pool.Server, limit float64)
 	// ShuttingDown reports whether the process is shutting down. Answers then close
 	// their connections.
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -66,11 +66,11 @@
 // applyLimit records the rate limit that a server names in its answer, or that
 // it names none.
 func (x *exchange) applyLimit(a *attempt, values []string) {
-	limit, err := parseLimit(values)
+	limit, err := permit.ParseLimit(values)
 	if err != nil && a.member.RecordInvalidLimit(err.Error()) {
 		x.f.opts.Log.Warn("invalid limit of backend server", append(serverFields(a.member), telemetry.ErrorField(err), zap.Float64("in_force", a.member.Limit()))...)
 	}
-	if err != nil && limit == pool.NoLimit {
+	if err != nil && limit == permit.NoLimit {
 		return
 	}
 	old := a.member.Limit()
@@ -78,47 +78,13 @@
 		return
 	}
 	x.f.opts.OnLimit(a.member.Server, limit)
-	if limit == pool.NoLimit {
+	if limit == permit.NoLimit {
 		x.f.opts.Log.Info("backend server ended its limit", append(serverFields(a.member), zap.Float64("before", old))...)
 		return
 	}
 	x.f.opts.Log.Info("backend server named a limit", append(serverFields(a.member), zap.Float64("limit", limit), zap.Float64("before", old))...)
 }
 
-// maxLimit bounds the limits of servers in requests per second. It is far above
-// what one server can answer.
-const maxLimit = 1e6
-
-// parseLimit returns the lowest valid limit of the given header values, in
-// requests per second, or pool.NoLimit if there is none. The error describes
-// values that were ignored or changed.
-func parseLimit(values []string) (float64, error) {
-	limit := pool.NoLimit
-	var invalid error
-	if len(values) > 0 {
-		values = strings.Split(strings.Join(values, ","), ",")
-	}
-	if len(values) > 1 {
-		invalid = errors.Errorf("limit named %d times: %.40q", len(values), values)
-	}
-	for _, value := range values {
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		isTooLarge := errors.Is(err, strconv.ErrRange) && v > 0
-		if err != nil && !isTooLarge || math.IsNaN(v) || math.Signbit(v) || math.IsInf(v, 0) && !isTooLarge {
-			invalid = errors.Errorf("limit %.40q is not a number of requests per second", value)
-			continue
-		}
-		if v > maxLimit {
-			invalid = errors.Errorf("limit %.40q is above %g requests per second", value, maxLimit)
-			v = maxLimit
-		}
-		if limit == pool.NoLimit || v < limit {
-			limit = v
-		}
-	}
-	return limit, invalid
-}
-
 // promisesNoRun reports whether callers take a status as a promise that the
 // request has not run and never will.
 func promisesNoRun(status int) bool {
--- a/internal/forward/permit_test.go
+++ b/internal/forward/permit_test.go
@@ -316,20 +316,20 @@
 		for _, step := range []struct {
 			limit string
 			want  float64
-		}{{"8", 8}, {"2.5", 2.5}, {"-3", 2.5}, {"NaN", 2.5}, {"none", 2.5}, {"5;3", 3}, {"20", 20}, {"1e300", maxLimit}, {"", pool.NoLimit}, {"0", 0}} {
+		}{{"8", 8}, {"2.5", 2.5}, {"-3", 2.5}, {"NaN", 2.5}, {"none", 2.5}, {"5;3", 3}, {"20", 20}, {"1e300", permit.MaxLimit}, {"", permit.NoLimit}, {"0", 0}} {
 			b.setLimit("x", step.limit)
 			statuses := b.load(4*time.Second, 10*time.Millisecond, "/once/1")
 			is.Equal(len(statuses), 1)
 			is.Equal(b.pool.Member("x").Limit(), step.want)
 			is.Equal(b.pool.Member("y").Limit(), 2.0)
-			is.Equal(b.pool.Member("z").Limit(), pool.NoLimit)
+			is.Equal(b.pool.Member("z").Limit(), permit.NoLimit)
 		}
 		is.Equal(lines.FilterMessage("invalid limit of backend server").Len(), 5)
-		is.Equal(fmt.Sprint(published), fmt.Sprint([]float64{8, 2.5, 3, 20, maxLimit, pool.NoLimit, 0}))
+		is.Equal(fmt.Sprint(published), fmt.Sprint([]float64{8, 2.5, 3, 20, permit.MaxLimit, permit.NoLimit, 0}))
 		before := time.Now()
 		b.setLimit("x", "")
 		b.load(15*time.Second, 10*time.Millisecond, "/once/1")
-		is.Equal(b.pool.Member("x").Limit(), pool.NoLimit) // also a limit of 0 ends
+		is.Equal(b.pool.Member("x").Limit(), permit.NoLimit) // also a limit of 0 ends
 		is.True(b.between("x", before, before.Add(15*time.Second)) > 0)
 	})
 }
--- a/internal/measure/sim_fleet.go
+++ b/internal/measure/sim_fleet.go
@@ -206,7 +206,7 @@
 		} else {
 			r.Running, r.Limit = o.gate.Running(), o.gate.Limit()
 			for rank := range rankCount {
-				r.Waits = append(r.Waits, o.gate.RankWait(rank))
+				r.Waits = append(r.Waits, o.gate.RankWait(f.ev.now, rank))
 			}
 		}
 		view = append(view, r)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
+	"github.com/cowslipfall/cowslipfall/internal/dispatch"
+	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
@@ -114,6 +116,16 @@
 	n.members.Publish(time.Now(), n.owner.ReplicaStates())
 }
 
+// logLimit logs a change of the limit that a backend server names.
+func (n *Node) logLimit(c dispatch.LimitChange) {
+	fields := []zap.Field{zap.String("replica", c.Replica), zap.Float64("limit", c.Limit), zap.Float64("before", c.Before)}
+	if c.Err != nil {
+		n.options.Log.Warn("invalid limit of backend server", append(fields, telemetry.ErrorField(c.Err))...)
+		return
+	}
+	n.options.Log.Info("backend server changed its limit", fields...)
+}
+
 // isService reports whether a pool is a plain service.
 func (n *Node) isService(pool string) bool { return n.config.Current().Config.Services[pool] != nil }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,7 @@
 	n.processContext, n.stop = context.WithCancel(context.Background())
 	n.members.OnUrgentChange(n.triggerExchange)
 	n.owner = dispatch.NewOwner(n.pauseHolder)
+	n.owner.OnLimit(n.logLimit)
 	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.members.Incarnation(),
 		NewToken: dispatch.NewID, AskSender: n.askSender,
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -8,6 +8,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/admission"
 )
 
 // Server is a backend server whose limit is in force.
@@ -49,9 +51,9 @@
 }
 
 const (
-	// minRate is the rate, in requests per second, granted to a server that names a lower
+	// MinRate is the rate, in requests per second, granted to a server that names a lower
 	// limit. Without any answer of the server the end of its limit could not be learned.
-	minRate = 0.1
+	MinRate = 0.1
 	// minBurst and burstTime bound the permits that a server saves up: a number of
 	// requests, and a time of its limit.
 	minBurst  = 4
@@ -65,20 +67,12 @@
 
 // bucket holds the unused permits of one server.
 type bucket struct {
+	admission.RateBucket
 	started int64
-	limit   float64 // requests per second
-	tokens  float64
-	at      time.Time // when tokens was computed
 }
 
 func burst(rate float64) float64 { return max(minBurst, rate*burstTime.Seconds()) }
 
-// refill adds the permits since the last call at the given rate.
-func (b *bucket) refill(rate float64, now time.Time) {
-	b.tokens = min(b.tokens+rate*max(now.Sub(b.at), 0).Seconds(), burst(rate)+spareBurst)
-	b.at = now
-}
-
 // Coordinator grants permits. It is safe for concurrent use.
 type Coordinator struct {
 	// share returns the part of each limit that this node may grant, or false if it may
@@ -121,8 +115,8 @@
 	claim := k.claim(q, supply, now)
 	for i, s := range q.Servers {
 		b := c.buckets[s.ID]
-		if b.tokens >= threshold(s, share, claim) {
-			b.tokens--
+		if b.Tokens >= threshold(s, share, claim) {
+			b.Tokens--
 			k.recordGrant(q, now)
 			return Reply{Granted: i, IsCoordinator: true}
 		}
@@ -140,18 +134,18 @@
 }
 
 // rate returns the rate at which a coordinator with a share of a limit grants permits.
-func rate(limit, share float64) float64 { return max(limit, minRate) * share }
+func rate(limit, share float64) float64 { return max(limit, MinRate) * share }
 
 // refill brings the bucket of a server up to date. The caller holds mu.
 func (c *Coordinator) refill(s Server, share float64, now time.Time) {
 	b := c.buckets[s.ID]
 	if b == nil || b.started != s.Started {
 		// What other nodes sent lately is unknown, so nothing is saved up.
-		b = &bucket{started: s.Started, at: now}
+		b = &bucket{started: s.Started}
 		c.buckets[s.ID] = b
 	}
-	b.limit = s.Limit
-	b.refill(rate(s.Limit, share), now)
+	r := rate(s.Limit, share)
+	b.Refill(r, burst(r)+spareBurst, now)
 }
 
 // next returns the time until the first of the servers has a permit. The caller holds
@@ -159,7 +153,7 @@
 func (c *Coordinator) next(servers []Server, share float64, cl claim) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for _, s := range servers {
-		missing := max(threshold(s, share, cl)-c.buckets[s.ID].tokens, 0)
+		missing := max(threshold(s, share, cl)-c.buckets[s.ID].Tokens, 0)
 		shortest = min(shortest, seconds(missing/rate(s.Limit, share)))
 	}
 	return shortest
@@ -177,7 +171,7 @@
 	}
 	c.lastPrune = now
 	for id, b := range c.buckets {
-		if now.Sub(b.at) > serverTTL {
+		if now.Sub(b.RefilledAt()) > serverTTL {
 			delete(c.buckets, id)
 		}
 	}
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -112,5 +112,5 @@
 func TestServerWithoutPermitsIsAskedNowAndThen(t *testing.T) {
 	is := is.New(t)
 	got := play(NewCoordinator(fullShare), []Server{{ID: "x"}}, []demand{{0, "a", 20}}, 200*time.Second)
-	is.True(got["0a"] > 0.05 && got["0a"] <= minRate)
+	is.True(got["0a"] > 0.05 && got["0a"] <= MinRate)
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
@@ -115,7 +116,7 @@
 func filter(members []*Member, q Query, accept func(*Member) bool) []*Member {
 	var accepted []*Member
 	for _, m := range members {
-		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.Limit() != NoLimit) && accept(m) {
+		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.Limit() != permit.NoLimit) && accept(m) {
 			accepted = append(accepted, m)
 		}
 	}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -4,15 +4,14 @@
 	"cmp"
 	"slices"
 	"time"
-)
 
-// NoLimit is the limit of a server that names none.
-const NoLimit = -1.0
+	"github.com/cowslipfall/cowslipfall/internal/permit"
+)
 
 // limit is the rate limit that a server names in its answers.
 type limit struct {
 	// rate is the number of requests per second that the server takes from all
-	// nodes together, or NoLimit.
+	// nodes together, or permit.NoLimit.
 	rate float64
 	// since is when the rate was learned.
 	since time.Time
@@ -30,14 +29,14 @@
 }
 
 // Limit returns the number of requests per second that the server takes from
-// all nodes together, or NoLimit.
+// all nodes together, or permit.NoLimit.
 func (m *Member) Limit() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.limit.rate
 }
 
-// RecordLimit records the limit, or NoLimit, of an answer to a request that
+// RecordLimit records the limit, or permit.NoLimit, of an answer to a request that
 // began at the given time, and reports whether the limit in force changes.
 // Answers may overtake each other: a higher limit, or none, counts only if its
 // request began after the limit in force was learned.
@@ -45,7 +44,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.limit.rate
-	isLower := rate != NoLimit && (old == NoLimit || rate < old)
+	isLower := rate != permit.NoLimit && (old == permit.NoLimit || rate < old)
 	if rate == old || !isLower && !began.After(m.limit.since) {
 		return false
 	}
@@ -67,14 +66,14 @@
 func (p *Pool) CountLimited() int {
 	n := 0
 	p.Each(func(m *Member) {
-		if m.Limit() != NoLimit {
+		if m.Limit() != permit.NoLimit {
 			n++
 		}
 	})
 	return n
 }
 
-// SetLimit records the limit, or NoLimit, that another node learned.
+// SetLimit records the limit, or permit.NoLimit, that another node learned.
 func (m *Member) SetLimit(rate float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -83,7 +82,7 @@
 	}
 }
 
-// SetLimit records the limit, or NoLimit, that another node learned of a server. The
+// SetLimit records the limit, or permit.NoLimit, that another node learned of a server. The
 // server's entry may not have been received yet.
 func (p *Pool) SetLimit(id string, started int64, rate float64, now time.Time) {
 	p.mu.Lock()
@@ -115,19 +114,19 @@
 func (m *Member) isHeldOff(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.limit.rate != NoLimit && now.Before(m.limit.heldUntil)
+	return m.limit.rate != permit.NoLimit && now.Before(m.limit.heldUntil)
 }
 
 // HasUnlimited reports whether a usable server of a query has no limit.
 func (p *Pool) HasUnlimited(q Query, now time.Time) bool {
 	q.allowFallbackVersions()
-	return len(filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() == NoLimit })) > 0
+	return len(filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() == permit.NoLimit })) > 0
 }
 
 // Limited returns the usable servers of a query that have a limit, the best one first.
 func (p *Pool) Limited(q Query, now time.Time) []*Member {
 	q.allowFallbackVersions()
-	members := filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() != NoLimit })
+	members := filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() != permit.NoLimit })
 	slices.SortStableFunc(members, func(a, b *Member) int {
 		if q.Affinity != "" {
 			return cmp.Compare(q.estimatedCost(a, q.ReadTime(a), now), q.estimatedCost(b, q.ReadTime(b), now))
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/prefix"
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
@@ -58,7 +59,7 @@
 }
 
 func newMember(s Server, now time.Time) *Member {
-	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: NoLimit}}
+	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: permit.NoLimit}}
 }
 
 // restarted reports whether s is another incarnation of the member's server.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -61,7 +61,9 @@
 // concurrent use.
 type Engine struct {
 	// Faults are the faults that the engine injects into calls.
-	Faults  *Faults
+	Faults *Faults
+	// Limit is the limit that the engine names.
+	Limit   Limit
 	options EngineOptions
 
 	mu          sync.Mutex
@@ -128,6 +130,7 @@
 
 // Generate implements backend.Engine.
 func (e *Engine) Generate(ctx context.Context, req backend.GenerateRequest) (backend.Stream, error) {
+	e.Limit.record()
 	arrived := time.Now()
 	if err := e.Faults.BeforeCall(ctx); err != nil {
 		return nil, &backend.Error{Kind: backend.KindConnect, Ran: outcome.RanNo, Message: err.Error()}
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -47,6 +47,7 @@
 // Load implements backend.Engine. The counts are as old as the report lag; the
 // versions, the incarnation and the draining state are current.
 func (e *Engine) Load(ctx context.Context) (backend.LoadReport, error) {
+	e.Limit.record()
 	if err := e.checkReachable(ctx); err != nil {
 		return backend.LoadReport{}, err
 	}
@@ -58,7 +59,7 @@
 	lagged.Targets = slices.Clone(e.targets)
 	lagged.Draining = e.isDraining
 	lagged.Incarnation = e.incarnation
-	return lagged, nil
+	return e.Limit.apply(lagged), nil
 }
 
 // checkReachable waits out a freeze and a delay, and returns an error if the
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -102,7 +102,7 @@
 	})
 	r.Post(PathFaults, faultsHandler(e.Faults))
 	r.Get(PathRuns, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
-	return r
+	return e.Limit.handler(r)
 }
 
 // writeResult writes v as JSON, or err if it is not nil.
@@ -172,7 +172,7 @@
 		w.WriteHeader(reply.Status)
 		_, _ = w.Write(reply.Body)
 	})
-	return r
+	return s.Limit.handler(r)
 }
 
 // PlatformHandler returns the HTTP interface of a platform.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -28,6 +28,8 @@
 type Service struct {
 	// Faults are the faults that the replica injects into calls.
 	Faults *Faults
+	// Limit is the limit that the replica names.
+	Limit Limit
 	// ChecksFencing makes the replica refuse a call whose fencing number is
 	// lower than one that it received before for the same key.
 	ChecksFencing bool
@@ -52,6 +54,7 @@
 
 // Do implements backend.Service.
 func (s *Service) Do(ctx context.Context, call backend.Call) (backend.Reply, error) {
+	s.Limit.record()
 	if err := s.Faults.BeforeCall(ctx); err != nil {
 		return backend.Reply{}, &backend.Error{Kind: backend.KindConnect, Ran: outcome.RanNo, Message: err.Error()}
 	}
@@ -100,12 +103,13 @@
 
 // Load implements backend.Service.
 func (s *Service) Load(ctx context.Context) (backend.LoadReport, error) {
+	s.Limit.record()
 	if err := s.Faults.BeforeCall(ctx); err != nil {
 		return backend.LoadReport{}, &backend.Error{Kind: backend.KindConnect, Ran: outcome.RanNo, Message: err.Error()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return backend.LoadReport{Running: s.running, Draining: s.isDraining, Incarnation: s.id}, nil
+	return s.Limit.apply(backend.LoadReport{Running: s.running, Draining: s.isDraining, Incarnation: s.id}), nil
 }
 
 // Calls returns a record of every call executed so far.
