Count nodes that lost contact when the retry allowance is shared

Now nodes that lost contact and may only be cut off count as well, as in the roster of permits.

TestRetryAllowanceHoldsInDividedFleet: six nodes of two data centres that lost each other kept to the allowance of 60 only with the change; with the count of live nodes the test fails. It is not known that a caller has seen this.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -114,7 +114,7 @@
 	}
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
-		Budget:  forward.NewBudget(n.retryBounds, n.members.count),
+		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
 		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -185,6 +185,10 @@
 	}
 }
 
+// fleetSize returns the number of nodes that share what the fleet may use: the live ones,
+// and those that lost contact and may only be cut off.
+func (n *Node) fleetSize() int { return n.permits.roster.Known() }
+
 // publishPresence writes to the store which nodes belong to this part of the fleet while
 // it misses others. One node of the part writes for all.
 func (n *Node) publishPresence(ctx context.Context) {
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -39,7 +39,8 @@
 }
 
 // NewBudget returns a budget. The bounds may change at any time. nodes returns
-// the number of nodes that share the allowance.
+// the number of nodes that share the allowance, those included that lost contact
+// and may only be cut off.
 func NewBudget(bounds func() BudgetBounds, nodes func() int) *Budget {
 	return &Budget{bounds: bounds, nodes: nodes, services: map[string]*budgetWindow{}}
 }
