Permits: tell the time of the refusal that counts, keep sessions with their version

A request that was refused a permit for one server and then refused by a full one was told the time of the permit; during a takeover callers were told 0.3 s again and again though it ends after up to 2 s; and where all servers limit their requests, a session's version no longer came first.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -67,6 +67,7 @@
 		x.reserved = nil
 		return a
 	}
+	x.permitAfter = 0
 	now := time.Now()
 	q := x.query(model, now)
 	if !x.f.opts.Pool.HasUnlimited(q, now) {
@@ -94,9 +95,12 @@
 		if m == nil {
 			return nil
 		}
-		if m.Limit() == permit.NoLimit || x.acquirePermit(ctx, []*pool.Member{m}, false) != nil {
-			return x.newAttempt(q, m, model, read, now)
+		if m.Limit() != permit.NoLimit {
+			if granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false); granted == nil {
+				continue
+			}
 		}
+		return x.newAttempt(q, m, model, read, now)
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -75,8 +75,9 @@
 	mayHaveRun bool
 	// reserved is the next attempt, for which a permit was acquired.
 	reserved *attempt
-	// permitAfter is the last refusal of a permit.
-	permitAfter   permit.Reply
+	// permitAfter is when the caller may return, if the last attempt was refused a
+	// permit and no server without a limit was left.
+	permitAfter   time.Duration
 	bufferedBytes int64 // bytes of plain answers that were read
 	started       bool  // the header of the answer was sent
 	truncated     bool  // the answer ended early
@@ -153,8 +154,8 @@
 		x.outcome, x.truncated = "caller left", true
 	case !x.mayHaveRun && x.runs == 0:
 		retryAfter = max(retryAfter, x.f.opts.Pool.ShortestBackoff(x.req.Service, time.Now()))
-		if x.permitAfter.RetryAfter > 0 {
-			retryAfter, detail = x.permitAfter.RetryAfter, "servers limit their requests: "+detail
+		if x.permitAfter > 0 {
+			retryAfter, detail = x.permitAfter, "servers limit their requests: "+detail
 		}
 		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no backend server took the request", detail: detail, retryAfter: retryAfter})
 	case ctx.Err() != nil:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -134,7 +134,7 @@
 		o.OnLimit = func(pool.Server, float64) {}
 	}
 	if o.Permits == nil {
-		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, bool) { return 1, true })}
+		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, time.Duration) { return 1, 0 })}
 	}
 	return &Forwarder{
 		opts: o, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: o.Dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: o.Dial}),
--- a/internal/forward/permit.go
+++ b/internal/forward/permit.go
@@ -21,9 +21,9 @@
 	maxPermitWait = 2 * time.Second
 )
 
-// acquirePermit asks for a permit to send to one of the servers, and returns that server
-// or nil. isLast is set if no other server can take the request.
-func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool) *pool.Member {
+// acquirePermit asks for a permit to send to one of the servers, and returns that server,
+// or nil and the refusal. isLast is set if no other server can take the request.
+func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool) (*pool.Member, permit.Reply) {
 	q := permit.Request{
 		Service: x.req.Service, IsLast: isLast, Rank: x.req.Rank, Organisation: organisationName(x.req.Organisation),
 		Fingerprint: x.req.Fingerprint, TimeLeft: time.Until(x.req.CallerDeadline),
@@ -34,18 +34,17 @@
 	reply := x.f.opts.Permits.Acquire(ctx, q)
 	if reply.Granted >= 0 && reply.Granted < len(servers) {
 		x.f.opts.Metrics.Permits.WithLabelValues("granted").Inc()
-		return servers[reply.Granted]
+		return servers[reply.Granted], reply
 	}
 	result := "refused"
 	if !reply.IsCoordinator {
 		result = "no_coordinator"
 	}
 	x.f.opts.Metrics.Permits.WithLabelValues(result).Inc()
-	x.permitAfter = reply
 	if !isLast {
 		servers[0].HoldOff(max(reply.Next, minHoldOff), time.Now())
 	}
-	return nil
+	return nil, reply
 }
 
 // chooseLimited selects among the servers of a query that all have a limit. It returns
@@ -62,10 +61,12 @@
 		if len(servers) == 0 {
 			return nil, false
 		}
-		if m := x.acquirePermit(ctx, servers, true); m != nil {
+		m, reply := x.acquirePermit(ctx, servers, true)
+		if m != nil {
 			return x.newAttempt(q, m, model, q.ReadTime(m), now), true
 		}
-		next := max(x.permitAfter.Next, minHoldOff)
+		x.permitAfter = reply.RetryAfter
+		next := max(reply.Next, minHoldOff)
 		if !x.mayHaveRun && x.runs == 0 || ctx.Err() != nil || now.Add(next).After(end) {
 			// The caller can be told that the request has not run, and when to return.
 			return nil, true
@@ -86,7 +87,7 @@
 	if len(servers) == 0 {
 		return true
 	}
-	if m := x.acquirePermit(ctx, servers, true); m != nil {
+	if m, _ := x.acquirePermit(ctx, servers, true); m != nil {
 		x.reserved = x.newAttempt(q, m, model, q.ReadTime(m), now)
 	}
 	return x.reserved != nil
--- a/internal/forward/permit_test.go
+++ b/internal/forward/permit_test.go
@@ -333,3 +333,23 @@
 		is.True(b.between("x", before, before.Add(15*time.Second)) > 0)
 	})
 }
+
+// A request that was refused a permit for one server, and then refused by a full server
+// without a limit, is told the time of the full servers, not that of the permit.
+func TestTimeToReturnIsThatOfTheLastRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newLimitedHarness(t, map[string]string{"x": "0.1"})
+		b.addServer("x", serveAnything(90))
+		b.addServer("y", func(c net.Conn, r *http.Request, header string) {
+			writeAnswer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
+		})
+		b.pool.SetLimit("x", 0, 0.1, time.Now())
+		b.f.opts.Permits = &fixedPermits{}
+		resp, _, err := b.send(t.Context(), http.MethodPost, "/once/1", nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after < 0.2)
+	})
+}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -75,9 +75,9 @@
 
 // Coordinator grants permits. It is safe for concurrent use.
 type Coordinator struct {
-	// share returns the part of each limit that this node may grant, or false if it may
-	// grant none.
-	share      func(now time.Time) (float64, bool)
+	// share returns the part of each limit that this node may grant, or 0 and when to ask
+	// again.
+	share      func(now time.Time) (float64, time.Duration)
 	mu         sync.Mutex
 	buckets    map[string]*bucket     // guarded by mu; by server ID
 	contention map[string]*contention // guarded by mu; by service
@@ -85,19 +85,16 @@
 }
 
 // NewCoordinator returns a coordinator that has granted nothing. share returns the part
-// of each limit that this node may grant, and whether it may grant any.
-func NewCoordinator(share func(now time.Time) (float64, bool)) *Coordinator {
+// of each limit that this node may grant, or 0 and when to ask again.
+func NewCoordinator(share func(now time.Time) (float64, time.Duration)) *Coordinator {
 	return &Coordinator{share: share, buckets: map[string]*bucket{}, contention: map[string]*contention{}}
 }
 
-// notCoordinatorRetry is when to ask again if no node may grant permits at present.
-const notCoordinatorRetry = 300 * time.Millisecond
-
 // Acquire grants or refuses a request.
 func (c *Coordinator) Acquire(q Request, now time.Time) Reply {
-	share, ok := c.share(now)
-	if !ok || share <= 0 {
-		return Reply{Granted: -1, Next: notCoordinatorRetry, RetryAfter: notCoordinatorRetry}
+	share, wait := c.share(now)
+	if share <= 0 {
+		return Reply{Granted: -1, Next: min(wait, retryInterval), RetryAfter: wait}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -10,7 +10,7 @@
 )
 
 // fullShare lets a coordinator grant the whole limits.
-func fullShare(time.Time) (float64, bool) { return 1, true }
+func fullShare(time.Time) (float64, time.Duration) { return 1, 0 }
 
 var epoch = time.Unix(1000, 0)
 
@@ -114,3 +114,49 @@
 	got := play(NewCoordinator(fullShare), []Server{{ID: "x"}}, []demand{{0, "a", 20}}, 200*time.Second)
 	is.True(got["0a"] > 0.05 && got["0a"] <= MinRate)
 }
+
+// While a node takes over from another one it refuses, and tells when it will grant.
+func TestRefusalDuringTakeoverTellsItsEnd(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster("a", epoch)
+	c := NewCoordinator(r.Share)
+	r.Update([]Node{{Address: "a", IsEligible: true}}, true, epoch)
+	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: 2}}, IsLast: true}
+	reply := c.Acquire(q, epoch.Add(500*time.Millisecond))
+	is.Equal(reply.Granted, -1)
+	is.Equal(reply.RetryAfter, takeoverDelay-500*time.Millisecond)
+	for at := epoch; at.Before(epoch.Add(10 * time.Second)); at = at.Add(200 * time.Millisecond) {
+		r.Update([]Node{{Address: "a", IsEligible: true}}, true, at)
+	}
+	c.Acquire(q, epoch.Add(9*time.Second))
+	is.Equal(c.Acquire(q, epoch.Add(10*time.Second)).Granted, 0)
+}
+
+// A coordinator that announces its stop is followed at once, as it grants no more.
+func TestStoppedCoordinatorIsFollowedAtOnce(t *testing.T) {
+	is := is.New(t)
+	nodes := []Node{{Address: "a", IsEligible: true}, {Address: "b", IsEligible: true}}
+	rosters := map[string]*Roster{"a": NewRoster("a", epoch), "b": NewRoster("b", epoch)}
+	now := epoch
+	for range 30 {
+		now = now.Add(200 * time.Millisecond)
+		for _, r := range rosters {
+			r.Update(nodes, true, now)
+		}
+	}
+	first, next := "a", "b"
+	if rosters["a"].Coordinator() == "b" {
+		first, next = "b", "a"
+	}
+	share, _ := rosters[first].Share(now)
+	is.Equal(share, 1.0)
+	rosters[first].Stop()
+	for i := range nodes {
+		nodes[i].IsStopping = nodes[i].Address == first
+	}
+	rosters[next].Update(nodes, true, now)
+	share, _ = rosters[first].Share(now)
+	is.Equal(share, 0.0)
+	share, _ = rosters[next].Share(now)
+	is.Equal(share, 1.0)
+}
--- a/internal/permit/roster.go
+++ b/internal/permit/roster.go
@@ -18,6 +18,10 @@
 	// maxStall is the pause between two updates from which the node must have been
 	// frozen, and may have missed that others took over.
 	maxStall = time.Second
+	// retryInterval is when to ask again at a node that is not the coordinator,
+	// presenceRetryInterval when the coordinator has no share.
+	retryInterval         = 300 * time.Millisecond
+	presenceRetryInterval = 2 * time.Second
 	// forgottenTTL is how long a forgotten node is remembered as such.
 	forgottenTTL = 10 * time.Minute
 )
@@ -225,26 +229,32 @@
 	return r.coordinator
 }
 
-// Share returns the part of each limit that this node may grant as the coordinator, and
-// false if it may grant none.
-func (r *Roster) Share(now time.Time) (float64, bool) {
+// Share returns the part of each limit that this node may grant as the coordinator. If it
+// may grant none, the second result is when to ask again.
+func (r *Roster) Share(now time.Time) (float64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isStopped || r.coordinator != r.self || now.Before(r.activeFrom) || now.Sub(r.updatedAt) > maxStall {
-		return 0, false
+	switch {
+	case r.isStopped || r.coordinator != r.self || now.Sub(r.updatedAt) > maxStall:
+		return 0, retryInterval
+	case now.Before(r.activeFrom):
+		return 0, r.activeFrom.Sub(now)
 	}
 	share, isMajority := r.shareLocked()
 	if share == 1 {
-		return 1, true
+		return 1, 0
 	}
 	limit := minoritySilenceLimit
 	if isMajority {
 		limit = majoritySilenceLimit
 	}
 	if now.Sub(latest(r.firstMissing(), r.entries[r.self].namedAt)) > limit {
-		return 0, false
+		return 0, presenceRetryInterval
+	}
+	if share == 0 {
+		return 0, presenceRetryInterval
 	}
-	return share, share > 0
+	return share, 0
 }
 
 // shareLocked returns the share of this part of the fleet, by the number of nodes before
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -117,17 +117,28 @@
 	return m.limit.rate != permit.NoLimit && now.Before(m.limit.heldUntil)
 }
 
-// HasUnlimited reports whether a usable server of a query has no limit.
+// HasUnlimited reports whether a usable server of a query has no limit. Servers that were
+// tried count as well.
 func (p *Pool) HasUnlimited(q Query, now time.Time) bool {
 	q.allowFallbackVersions()
-	return len(filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() == permit.NoLimit })) > 0
+	return slices.ContainsFunc(p.Members(q.Service), func(m *Member) bool {
+		return q.Versions.allows(m.Version) && m.Limit() == permit.NoLimit && m.IsUsable(now)
+	})
 }
 
-// Limited returns the usable servers of a query that have a limit, the best one first.
+// Limited returns the usable servers of a query that have a limit, those of the preferred
+// version and the best ones first.
 func (p *Pool) Limited(q Query, now time.Time) []*Member {
+	preferred := q.Versions.Prefer
 	q.allowFallbackVersions()
 	members := filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() != permit.NoLimit })
 	slices.SortStableFunc(members, func(a, b *Member) int {
+		if isPreferred := a.Version == preferred; isPreferred != (b.Version == preferred) {
+			if isPreferred {
+				return -1
+			}
+			return 1
+		}
 		if q.Affinity != "" {
 			return cmp.Compare(q.estimatedCost(a, q.ReadTime(a), now), q.estimatedCost(b, q.ReadTime(b), now))
 		}
