Bound the share of owners in a divided fleet on the product's own interface

The roster of the routes' face bounds the share here too. New owners grant nothing under a limit until the one before has noticed, and owners tell through the table, only while nodes are missing, whom they see.

--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -53,6 +53,11 @@
 	g.rate.bucket.Tokens--
 }
 
+// DelayRate puts off the next request under the rate limit.
+func (g *Gate) DelayRate(d time.Duration) {
+	g.rate.bucket.Tokens = min(g.rate.bucket.Tokens, 0) - g.rate.rate*d.Seconds()
+}
+
 func (g *Gate) refillRate(now time.Time) {
 	g.rate.bucket.Refill(g.rate.rate, maxSavedUp, now)
 }
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -16,7 +16,7 @@
 // and is reported once.
 func TestReplicaLimitFollowsProbes(t *testing.T) {
 	is := is.New(t)
-	r := &replica{gate: admission.NewGate(admission.GateOptions{Slots: 4})}
+	r := &replica{limitShare: 1, gate: admission.NewGate(admission.GateOptions{Slots: 4})}
 	now := time.Unix(1000, 0)
 	rate := func(v float64) *float64 { return &v }
 	malformed := errors.New("malformed")
@@ -43,7 +43,7 @@
 // Probes count against a replica's limit and take a small part of it.
 func TestProbesAreSparseUnderLimit(t *testing.T) {
 	is := is.New(t)
-	r := &replica{gate: admission.NewGate(admission.GateOptions{Slots: 4})}
+	r := &replica{limitShare: 1, gate: admission.NewGate(admission.GateOptions{Slots: 4})}
 	now := time.Unix(1000, 0)
 	probes := func(duration time.Duration) int {
 		n := 0
@@ -55,7 +55,8 @@
 		return n
 	}
 	is.Equal(probes(20*time.Second), 20)
-	r.gate.SetRateLimit(1.3, now)
+	r.limit = 1.3
+	r.applyRate(now)
 	n := probes(100 * time.Second)
 	is.True(n >= 10 && n <= 13)
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -41,14 +41,16 @@
 	suspects *Suspects
 	onLimit  func(LimitChange)
 	mu       sync.Mutex
-	replicas map[string]*replica // guarded by mu
-	ranks    []*config.Rank      // guarded by mu; sorted by order
-	weights  map[string]float64  // guarded by mu; by organisation
+	// limitShare is the part of the replicas' limits that this node may grant.
+	limitShare float64             // guarded by mu
+	replicas   map[string]*replica // guarded by mu
+	ranks      []*config.Rank      // guarded by mu; sorted by order
+	weights    map[string]float64  // guarded by mu; by organisation
 }
 
 // NewOwner returns an owner without replicas.
 func NewOwner(pause Pauser) *Owner {
-	return &Owner{pause: pause, onLimit: func(LimitChange) {}, replicas: map[string]*replica{}, weights: map[string]float64{}}
+	return &Owner{pause: pause, onLimit: func(LimitChange) {}, limitShare: 1, replicas: map[string]*replica{}, weights: map[string]float64{}}
 }
 
 // replica is the owner's exact accounting of one replica.
@@ -77,7 +79,10 @@
 	minHeld            heldMinima           // guarded by mu; least slots held between probes
 	firstReportAt      time.Time            // guarded by mu; when the replica first reported to this owner
 	probedAt           time.Time            // guarded by mu; when the last probe was sent
+	limit              float64              // guarded by mu; requests per second that the replica takes from all nodes, 0 if unlimited
+	limitShare         float64              // guarded by mu; part of the limit that this owner may grant
 	limitError         string               // guarded by mu; describes the last malformed limit
+	ownedSince         time.Time            // when this node became the owner
 	grantTimer         *time.Timer          // guarded by mu; grants queued work once the rate limit allows it; nil if none is due
 }
 
--- a/internal/dispatch/owner_sync.go
+++ b/internal/dispatch/owner_sync.go
@@ -126,7 +126,7 @@
 	return &replica{
 		id: vm.ID, address: vm.Address, pool: vm.Pool, dataCentre: vm.DataCentre,
 		ranks: o.ranks, gate: gate, suspects: o.suspects, holders: map[string]holder{},
-		waiting: map[string]*waiter{}, earlyReleases: map[string]time.Time{},
+		waiting: map[string]*waiter{}, earlyReleases: map[string]time.Time{}, limitShare: o.limitShare, ownedSince: time.Now(),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	mu             sync.Mutex // guards seeds; never held together with another lock
 	exchanger      *exchanger
 	refusedPeers   refusedPeers
+	limits         *limits
 	platform       *infra.Limited
 	started        time.Time            // by the local clock, for ages only
 	registered     time.Time            // used by the registration loop only
@@ -123,6 +124,7 @@
 	n.members.OnUrgentChange(n.triggerExchange)
 	n.owner = dispatch.NewOwner(n.pauseHolder)
 	n.owner.OnLimit(n.logLimit)
+	n.limits = newLimits(o.Settings.ID)
 	n.claims = ledger.NewClaims(ledger.ClaimsOptions{
 		Table: o.Platform, Objects: o.Platform, Node: o.Settings.ID, Incarnation: n.members.Incarnation(),
 		NewToken: dispatch.NewID, AskSender: n.askSender,
@@ -176,6 +178,8 @@
 		{loopTick, n.followConfig},
 		{loopTick, n.followVMs},
 		{probeInterval, n.probeReplicas},
+		{rosterInterval, n.updateRoster},
+		{presenceInterval, n.exchangePresence},
 		{loopTick, n.register},
 		{reclaimInterval, n.reclaimLostReleases},
 		{dispatch.HandoverInterval, n.handover},
--- a/internal/permit/roster.go
+++ b/internal/permit/roster.go
@@ -240,6 +240,22 @@
 	case now.Before(r.activeFrom):
 		return 0, r.activeFrom.Sub(now)
 	}
+	return r.partShare(now)
+}
+
+// PartShare returns the part of each limit that all nodes which this node sees live may
+// grant together. If they may grant none, the second result is when to ask again.
+func (r *Roster) PartShare(now time.Time) (float64, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.updatedAt) > maxStall {
+		return 0, retryInterval
+	}
+	return r.partShare(now)
+}
+
+// partShare is PartShare for callers that hold mu.
+func (r *Roster) partShare(now time.Time) (float64, time.Duration) {
 	share, isMajority := r.shareLocked()
 	if share == 1 {
 		return 1, 0
--- a/test/fleet/limits_test.go
+++ b/test/fleet/limits_test.go
@@ -91,3 +91,58 @@
 		}
 	})
 }
+
+// Parts of a fleet that lost each other must together keep to a server's limit, however
+// long the cut lasts, and use it again afterwards. Guards against an owner of the replica
+// in each part that grants the whole limit.
+func TestLimitHoldsInDividedFleet(t *testing.T) {
+	for _, isStoreAway := range []bool{false, true} {
+		t.Run(fmt.Sprint("store away ", isStoreAway), func(t *testing.T) {
+			withVirtualClock(t, func(f *failures) { divideLimitedFleet(t, f, isStoreAway) })
+		})
+	}
+}
+
+func divideLimitedFleet(t *testing.T, f *failures, isStoreAway bool) {
+	const limit = 12.0
+	sim := newSimulation(f, simulationOptions{nodes: 6, services: 1})
+	defer sim.close()
+	var service *standin.Service
+	for _, s := range sim.dialer.services {
+		service = s
+	}
+	service.Limit.Set(limit)
+	named := time.Now()
+	var callers sync.WaitGroup
+	sent := 0
+	load := func(duration time.Duration) int {
+		before := len(service.Calls())
+		for end := time.Now().Add(duration); time.Now().Before(end); sim.sleep(15 * time.Millisecond) {
+			sent++
+			id, key := fmt.Sprint("entry-", 1+sent%6), fmt.Sprint("call-", sent)
+			callers.Go(func() { sim.post(id, org, confirmPath, "{}", map[string]string{"Idempotency-Key": key}) })
+		}
+		callers.Wait()
+		return len(service.Calls()) - before
+	}
+	load(10 * time.Second)
+	cut := func(isCut bool) {
+		for _, a := range []string{"entry-1", "entry-4"} {
+			for _, b := range []string{"entry-2", "entry-3", "entry-5", "entry-6"} {
+				sim.net.setCut(a, b, isCut)
+			}
+		}
+		for _, id := range sim.nodeIDs() {
+			sim.nodes[id].platform.setUnreachable(isCut && isStoreAway)
+		}
+	}
+	cut(true)
+	load(70 * time.Second)
+	cut(false)
+	sim.sleep(20 * time.Second)
+	served := load(20 * time.Second)
+	most := mostInWindow(&service.Limit, named.Add(limitGrace))
+	t.Logf("at most %d in %v; %d in 20 s after the cut", most, limitWindow, served)
+	f.check(float64(most) <= limitFactor*limit*limitWindow.Seconds()+limitSlack, "%d requests in %v", most, limitWindow)
+	f.check(float64(served) >= 0.8*limit*20, "only %d calls in 20 s after the cut", served)
+}
