--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -87,7 +87,7 @@
 		err = errors.New("permit arrived late")
 	}
 	if err != nil {
-		p.drop(address, err, ctx)
+		p.drop(ctx, address, err)
 		return refused
 	}
 	return reply
@@ -155,7 +155,7 @@
 
 // drop ends the link to a coordinator that did not answer. A caller that left says
 // nothing about the coordinator.
-func (p *permits) drop(address string, err error, ctx context.Context) {
+func (p *permits) drop(ctx context.Context, address string, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
--- a/internal/permit/contention.go
+++ b/internal/permit/contention.go
@@ -113,9 +113,8 @@
 	c.demand++
 	k.plan(supply, now)
 	isContested := now.Before(k.contestedUntil) && (k.wanted > supply || len(k.bookings) > 0)
-	b, isBooked := k.bookings[q.Fingerprint]
 	switch {
-	case !isContested, isBooked && !now.Before(b.due):
+	case !isContested, k.isDue(q.Fingerprint, now):
 		return claimFirst
 	case c.tokens < float64(1+k.due(classKey{q.Rank, q.Organisation}, now)):
 		return claimNone
@@ -156,28 +155,37 @@
 	c.at = now
 }
 
-// due returns how many bookings of a class wait for their callers, and drops those
-// whose callers did not return.
+// isDue reports whether a request returns for its booking.
+func (k *contention) isDue(fingerprint uint64, now time.Time) bool {
+	b, ok := k.bookings[fingerprint]
+	return ok && b.isDue(now)
+}
+
+func (b booking) isDue(now time.Time) bool { return !now.Before(b.due) && !now.After(b.until) }
+
+// due returns how many bookings of a class wait for their callers.
 func (k *contention) due(key classKey, now time.Time) int {
 	n := 0
-	for fingerprint, b := range k.bookings {
-		switch {
-		case now.After(b.until):
-			delete(k.bookings, fingerprint)
-		case b.key == key && !now.Before(b.due):
+	for _, b := range k.bookings {
+		if b.key == key && b.isDue(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// plan computes the rate of each class: the most urgent rank first, but for a floor of
+// plan drops bookings whose callers did not return, and computes the rate of each class: the most urgent rank first, but for a floor of
 // the others, and within a rank alike for all organisations that want more.
 func (k *contention) plan(supply float64, now time.Time) {
 	if now.Sub(k.planned) < planInterval {
 		return
 	}
 	k.planned = now
+	for fingerprint, b := range k.bookings {
+		if now.After(b.until) {
+			delete(k.bookings, fingerprint)
+		}
+	}
 	k.wanted = 0
 	ranks := map[int][]*class{}
 	for key, c := range k.classes {
@@ -219,7 +227,7 @@
 	if !q.IsLast {
 		return
 	}
-	if b, ok := k.bookings[q.Fingerprint]; ok && !now.Before(b.due) {
+	if k.isDue(q.Fingerprint, now) {
 		delete(k.bookings, q.Fingerprint)
 	}
 	c := k.class(q)
--- a/internal/permit/parse.go
+++ b/internal/permit/parse.go
@@ -30,7 +30,7 @@
 	for _, value := range values {
 		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
 		isTooLarge := errors.Is(err, strconv.ErrRange) && v > 0
-		if err != nil && !isTooLarge || math.IsNaN(v) || math.Signbit(v) || math.IsInf(v, 0) && !isTooLarge {
+		if err != nil && !isTooLarge || math.IsNaN(v) || math.Signbit(v) || math.IsInf(v, 0) && !isTooLarge || strings.ContainsAny(value, "xX") {
 			invalid = errors.Errorf("limit %.40q is not a number of requests per second", value)
 			continue
 		}
--- a/internal/permit/parse_test.go
+++ b/internal/permit/parse_test.go
@@ -22,6 +22,7 @@
 		{[]string{"NaN"}, NoLimit, false},
 		{[]string{"Inf"}, NoLimit, false},
 		{[]string{"soon"}, NoLimit, false},
+		{[]string{"0x1p4"}, NoLimit, false},
 		{[]string{"1e300"}, MaxLimit, false},
 		{[]string{"1e999"}, MaxLimit, false},
 		{[]string{"5", "2"}, 2, false},
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -160,3 +160,19 @@
 	share, _ = rosters[next].Share(now)
 	is.Equal(share, 1.0)
 }
+
+// A booking ends with its time: the same request that comes much later, as one that is
+// sent often does, has no better claim than others.
+func TestBookingEndsWithItsTime(t *testing.T) {
+	is := is.New(t)
+	k := newContention()
+	q := Request{IsLast: true, Fingerprint: 7, TimeLeft: 10 * time.Second}
+	k.claim(q, 1, epoch)
+	after := k.recordRefusal(q, time.Second, 1, epoch)
+	is.Equal(after, time.Second)
+	is.True(!k.isDue(7, epoch))
+	is.True(k.isDue(7, epoch.Add(after)))
+	is.True(!k.isDue(7, epoch.Add(after+time.Second)))
+	k.claim(q, 1, epoch.Add(time.Minute))
+	is.Equal(len(k.bookings), 0)
+}
--- a/internal/permit/roster.go
+++ b/internal/permit/roster.go
@@ -264,10 +264,11 @@
 	if isMajority {
 		limit = majoritySilenceLimit
 	}
-	if now.Sub(latest(r.firstMissing(), r.entries[r.self].namedAt)) > limit {
-		return 0, presenceRetryInterval
+	named := time.Time{}
+	if e := r.entries[r.self]; e != nil {
+		named = e.namedAt
 	}
-	if share == 0 {
+	if share == 0 || now.Sub(latest(r.firstMissing(), named)) > limit {
 		return 0, presenceRetryInterval
 	}
 	return share, 0
