--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -80,3 +81,34 @@
 	is.Equal(len(list), 1)
 	is.Equal(string(list[0].Data), `{"server":"x","started":0,"limit":2}`)
 }
+
+// Measures what an ask costs both ends together, with nine servers that all have limits.
+func BenchmarkPermitAsk(b *testing.B) {
+	is := is.New(b)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	address := l.Addr().String()
+	const age = 5 * time.Second
+	start := time.Now().Add(-age)
+	coordinator, asking := newPermits(address, start, zap.NewNop()), newPermits("127.0.0.1:1", start, zap.NewNop())
+	e := gossip.NewExchange(1, gossip.NewMap(nil), func() time.Duration { return 0 }, func(time.Duration) {})
+	is.NoErr(e.Register(permitService, PermitService{coordinator}))
+	go func() { _ = e.Serve(l) }()
+	for at := time.Duration(0); at <= age; at += heartbeatInterval {
+		for _, p := range []*permits{coordinator, asking} {
+			p.roster.Update([]permit.Node{{Address: address, IsEligible: true}}, true, start.Add(at))
+		}
+	}
+	share, _ := coordinator.roster.Share(time.Now())
+	is.Equal(share, 1.0)
+	q := permit.Request{Service: "s", IsLast: true, Organisation: "org", TimeLeft: time.Second}
+	for i := range 9 {
+		q.Servers = append(q.Servers, permit.Server{ID: fmt.Sprint("i-0123456789", i), Started: 1764864000000, Limit: 1.3})
+	}
+	b.ResetTimer()
+	for range b.N {
+		_ = asking.Acquire(context.Background(), q)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/ask")
+}
