Permits: no full share for nodes that join a part or turn it into the larger one

A node that joined a part of a divided fleet while the store was away knew nothing of the nodes lost before, became the coordinator and granted the whole limit. And a part that turned from the smaller into the larger one, as further nodes were cut off from the other, took over the share of nodes that had been silent for 10 s at once, before the other part had noticed that it was not the larger one any more.

Now each ask tells what its node leaves to lost ones, and the coordinator leaves as much; and 10 s of silence count only from when the part became the larger one.

The simulated nodes know seeds, as real ones do from their settings.

--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -72,6 +72,7 @@
 // Acquire implements forward.Permits.
 func (p *permits) Acquire(ctx context.Context, q permit.Request) permit.Reply {
 	address := p.roster.Coordinator()
+	q.Withheld = p.roster.Withheld(time.Now())
 	if address == p.self {
 		return p.coordinator.Acquire(q, time.Now())
 	}
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -15,6 +15,9 @@
 	firstSeed = flag.Uint64("first", 1, "first of these seeds")
 )
 
+// simSeeds is how many nodes the settings of each node name at most.
+const simSeeds = 3
+
 // simStep is the resolution of the simulation.
 const simStep = 20 * time.Millisecond
 
@@ -48,11 +51,12 @@
 	// reachesStore tells by part whether it reaches the store.
 	reachesStore map[int]bool
 	limit        float64
+	seeds        int // nodes that the settings of each node name
 	arrivals     []time.Time
 }
 
 func newSimFleet(seed uint64, size int, limit float64) *simFleet {
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), limit: limit, reachesStore: map[int]bool{0: true, 1: true}}
+	f := &simFleet{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), limit: limit, seeds: min(simSeeds, size), reachesStore: map[int]bool{0: true, 1: true}}
 	for i := range size {
 		f.start(fmt.Sprint("n", i))
 	}
@@ -65,6 +69,9 @@
 	n.lossTime = 2*time.Second + time.Duration(f.random.IntN(1500))*time.Millisecond
 	n.roster = NewRoster(address, f.now)
 	n.coordinator = NewCoordinator(n.roster.Share)
+	for i := range f.seeds {
+		n.roster.ObserveRegistered(fmt.Sprint("n", i), f.now)
+	}
 	for i, old := range f.nodes {
 		if old.address == address {
 			n.part = old.part
@@ -162,7 +169,7 @@
 	if target == nil || target != n && !n.reaches(target) {
 		return
 	}
-	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: f.limit}}, IsLast: true, TimeLeft: time.Second, Fingerprint: f.random.Uint64()}
+	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: f.limit}}, IsLast: true, TimeLeft: time.Second, Fingerprint: f.random.Uint64(), Withheld: n.roster.Withheld(f.now)}
 	if target.coordinator.Acquire(q, f.now).Granted == 0 {
 		f.arrivals = append(f.arrivals, f.now)
 	}
@@ -261,8 +268,8 @@
 func (f *simFleet) disturb() string {
 	i := f.random.IntN(len(f.nodes))
 	n := f.nodes[i]
-	if f.random.IntN(3) == 0 { // the node that matters most
-		n = f.node(n.roster.Coordinator())
+	if c := f.node(n.roster.Coordinator()); c != nil && f.random.IntN(3) == 0 {
+		n = c // the node that matters most
 	}
 	switch kind := f.random.IntN(9); kind {
 	case 0:
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -35,6 +35,9 @@
 	Fingerprint uint64
 	// TimeLeft is how long the caller still waits.
 	TimeLeft time.Duration
+	// Withheld is the part of the limits, 0 to 1, that the asking node leaves to nodes
+	// which may be cut off. A coordinator that has joined since does not know of them.
+	Withheld float64
 }
 
 // Reply answers a Request.
@@ -61,6 +64,9 @@
 	// spareBurst is saved up beyond that, so that no permit is lost until the request
 	// with the worst claim has come for it.
 	spareBurst = 0.5
+	// withheldTime is how long the part of the limits counts that an asking node left to
+	// others.
+	withheldTime = 5 * time.Second
 	// serverTTL is how long the state of a server without requests is kept.
 	serverTTL = time.Minute
 )
@@ -82,6 +88,10 @@
 	buckets    map[string]*bucket     // guarded by mu; by server ID
 	contention map[string]*contention // guarded by mu; by service
 	lastPrune  time.Time              // guarded by mu
+	// withheld is the largest part of the limits that asking nodes left to others,
+	// withheldAt when one of them last said so.
+	withheld   float64   // guarded by mu
+	withheldAt time.Time // guarded by mu
 }
 
 // NewCoordinator returns a coordinator that has granted nothing. share returns the part
@@ -99,6 +109,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.prune(now)
+	if share = min(share, 1-c.withhold(q.Withheld, now)); share <= 0 {
+		return Reply{Granted: -1, Next: retryInterval, RetryAfter: presenceRetryInterval}
+	}
 	k := c.contention[q.Service]
 	if k == nil {
 		k = newContention()
@@ -122,6 +135,15 @@
 	return Reply{Granted: -1, IsCoordinator: true, Next: next, RetryAfter: k.recordRefusal(q, next, supply, now)}
 }
 
+// withhold records what an asking node leaves to others, and returns the most that any
+// has left lately. The caller holds mu.
+func (c *Coordinator) withhold(part float64, now time.Time) float64 {
+	if part >= c.withheld || now.Sub(c.withheldAt) > withheldTime {
+		c.withheld, c.withheldAt = part, now
+	}
+	return c.withheld
+}
+
 // threshold returns how many permits a server must have saved up to grant one. Some are
 // kept back for requests with a better claim, which arrive at any time and do not wait.
 // The others may have one before the bucket is full, so that no permit is lost.
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -176,3 +176,23 @@
 	k.claim(q, 1, epoch.Add(time.Minute))
 	is.Equal(len(k.bookings), 0)
 }
+
+// Guards against a coordinator that joined a part of a divided fleet and does not know of
+// the nodes that were lost before: it must leave what those that ask it leave.
+func TestCoordinatorLeavesWhatAskingNodesLeave(t *testing.T) {
+	is := is.New(t)
+	c := NewCoordinator(fullShare)
+	granted := 0
+	for now := epoch; now.Before(epoch.Add(100 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: 10}}}
+		if now.UnixMilli()%100 == 0 {
+			q.Withheld = 0.75
+		}
+		if c.Acquire(q, now).Granted == 0 {
+			granted++
+		}
+	}
+	is.True(granted <= 250+5)
+	is.True(granted >= 200)
+	is.Equal(c.Acquire(Request{Service: "s", Servers: []Server{{ID: "x", Limit: 10}}, Withheld: 1}, epoch.Add(101*time.Second)).Granted, -1)
+}
--- a/internal/permit/roster.go
+++ b/internal/permit/roster.go
@@ -82,6 +82,9 @@
 	// currentSince is since when the store's state was current all the time; zero if it
 	// is not.
 	currentSince time.Time // guarded by mu
+	// majoritySince is since when this part of the fleet has had more than half of the
+	// nodes all the time; zero if it has not.
+	majoritySince time.Time // guarded by mu
 }
 
 // NewRoster returns a roster of a node that starts and knows no other.
@@ -159,21 +162,22 @@
 		}
 		hasMissing = hasMissing || !e.isForgotten
 	}
+	if _, isMajority := r.shareLocked(); !isMajority {
+		r.majoritySince = time.Time{}
+	} else if r.majoritySince.IsZero() {
+		r.majoritySince = now
+	}
 	if !hasMissing || r.currentSince.IsZero() {
 		return
 	}
-	_, isMajority := r.shareLocked()
-	forgetTime := minorityForgetTime
-	if isMajority {
-		forgetTime = majorityForgetTime
-	}
 	for _, e := range r.entries {
 		if e.missingSince.IsZero() || e.isForgotten {
 			continue
 		}
-		if now.Sub(latest(e.missingSince, e.namedAt, r.currentSince)) > forgetTime {
-			e.isForgotten = true
-		}
+		silentSince := latest(e.missingSince, e.namedAt, r.currentSince)
+		// The part that was larger before must have noticed that it is not any more.
+		isSilentForMajority := !r.majoritySince.IsZero() && now.Sub(latest(silentSince, r.majoritySince)) > majorityForgetTime
+		e.isForgotten = isSilentForMajority || now.Sub(silentSince) > minorityForgetTime
 	}
 }
 
@@ -254,6 +258,15 @@
 	return r.partShare(now)
 }
 
+// Withheld returns the part of the limits that this node leaves to nodes which may be cut
+// off.
+func (r *Roster) Withheld(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	share, _ := r.partShare(now)
+	return 1 - share
+}
+
 // partShare is PartShare for callers that hold mu.
 func (r *Roster) partShare(now time.Time) (float64, time.Duration) {
 	share, isMajority := r.shareLocked()
