Node: judge the age of presence by the monotonic clock

Found on reading the diff: a time of day that jumps back made the table's state count as current, so that a part of a divided fleet could have taken over the share of another. No run has shown it; TestLimitHoldsInDividedFleet holds before and after.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -27,8 +27,9 @@
 // limits holds what bounds this node's share of the limits of backend servers.
 type limits struct {
 	roster *permit.Roster
-	// currentAt is when this node last wrote and read presence, in Unix nanoseconds.
-	currentAt atomic.Int64
+	// currentAt is when this node last wrote and read presence, with a monotonic clock
+	// reading, as the time of day may jump.
+	currentAt atomic.Pointer[time.Time]
 	versions  map[string]uint64 // of the rows read; used by exchangePresence only
 }
 
@@ -46,7 +47,8 @@
 		}
 	}
 	now := time.Now()
-	isStoreCurrent := now.Sub(time.Unix(0, n.limits.currentAt.Load())) < 2*presenceInterval
+	currentAt := n.limits.currentAt.Load()
+	isStoreCurrent := currentAt != nil && now.Sub(*currentAt) < 2*presenceInterval
 	n.limits.roster.Update(live, isStoreCurrent, now)
 	share, _ := n.limits.roster.PartShare(now)
 	n.owner.SetLimitShare(share)
@@ -80,7 +82,7 @@
 		}
 		n.limits.roster.ObservePresence(nodes, now)
 	}
-	n.limits.currentAt.Store(now.UnixNano())
+	n.limits.currentAt.Store(&now)
 }
 
 // writePresence writes which nodes this one sees live.
