--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -37,7 +37,7 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderFencing        = "X-Fencing-Number"
 	HeaderErrorKind      = "X-Error-Kind"
-	HeaderLimit          = "Server-Limit"
+	HeaderLimit          = "X-Request-Limit"
 )
 
 const (
