--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -75,6 +75,19 @@
 	is.True(got["0a"] > 7)
 }
 
+// Guards against urgent work that finds no permit because many organisations' less urgent
+// work takes each one as it comes.
+func TestUrgentWorkFindsPermitsBesideManyOrganisations(t *testing.T) {
+	is := is.New(t)
+	demands := []demand{{0, "a", 5}}
+	for i := range 30 {
+		demands = append(demands, demand{1, fmt.Sprint("b", i), 1})
+	}
+	got := play(NewCoordinator(fullShare), []Server{{ID: "x", Limit: 6}, {ID: "y", Limit: 4}}, demands, 200*time.Second)
+	t.Logf("%.2f of 5 a second", got["0a"])
+	is.True(got["0a"] > 0.85*5)
+}
+
 // While another server can take a request, it leaves contested permits to those that have
 // no other.
 func TestContestedPermitsGoToRequestsWithoutAlternative(t *testing.T) {
