Permits: three claims in place of six, and a reply whose zero value grants nothing

Taking out the claims by rank and by size of a class made no test fail: the fair rates of classes alone give urgent work and small organisations their share. A reply counts servers from 1, so that an empty one is a refusal; none was seen.

--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -76,7 +76,7 @@
 	if address == p.self {
 		return p.coordinator.Acquire(q, time.Now())
 	}
-	refused := permit.Reply{Granted: -1, Next: permitBackoff, RetryAfter: permitBackoff}
+	refused := permit.Reply{Next: permitBackoff, RetryAfter: permitBackoff}
 	if address == "" || p.isBackingOff(time.Now()) {
 		return refused
 	}
--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -63,7 +63,7 @@
 	for range 3 {
 		began := time.Now()
 		reply := p.Acquire(context.Background(), permit.Request{Service: "s", Servers: []permit.Server{{ID: "x", Limit: 1}}})
-		is.Equal(reply.Granted, -1)
+		is.Equal(reply.Granted, 0)
 		is.True(reply.RetryAfter > 0)
 		is.True(time.Since(began) < 2*permitTimeout)
 	}
--- a/internal/forward/permit.go
+++ b/internal/forward/permit.go
@@ -32,9 +32,9 @@
 		q.Servers = append(q.Servers, permit.Server{ID: m.ID, Started: m.Started, Limit: max(m.Limit(), 0)})
 	}
 	reply := x.f.opts.Permits.Acquire(ctx, q)
-	if reply.Granted >= 0 && reply.Granted < len(servers) {
+	if reply.Granted > 0 && reply.Granted <= len(servers) {
 		x.f.opts.Metrics.Permits.WithLabelValues("granted").Inc()
-		return servers[reply.Granted], reply
+		return servers[reply.Granted-1], reply
 	}
 	result := "refused"
 	if !reply.IsCoordinator {
--- a/internal/forward/permit_test.go
+++ b/internal/forward/permit_test.go
@@ -229,9 +229,9 @@
 
 func (p *fixedPermits) Acquire(context.Context, permit.Request) permit.Reply {
 	if p.left.Add(-1) < 0 {
-		return permit.Reply{Granted: -1, IsCoordinator: true, Next: 500 * time.Millisecond, RetryAfter: 700 * time.Millisecond}
+		return permit.Reply{IsCoordinator: true, Next: 500 * time.Millisecond, RetryAfter: 700 * time.Millisecond}
 	}
-	return permit.Reply{IsCoordinator: true}
+	return permit.Reply{Granted: 1, IsCoordinator: true}
 }
 
 // An answer at hand is delivered if there is no permit for a better one, and a stream
--- a/internal/permit/contention.go
+++ b/internal/permit/contention.go
@@ -24,9 +24,6 @@
 	// the wait, by which the times of callers are spread.
 	bookingGrace  = 300 * time.Millisecond
 	bookingJitter = 0.3
-	// behindTokens is the unused part of its fair rate, in requests, from which a class
-	// has fallen behind.
-	behindTokens = 2
 	// minClassRate keeps the retry times of classes with few permits finite.
 	minClassRate = 0.02
 )
@@ -60,10 +57,7 @@
 	classes  map[classKey]*class
 	bookings map[uint64]booking // by fingerprint
 	planned  time.Time          // when the fair rates were computed
-	// mostUrgent is the most urgent rank with demand, and wanted the requests per second
-	// of all classes.
-	mostUrgent int
-	wanted     float64
+	wanted   float64            // requests per second of all classes
 	// contestedUntil is when the last refusal for want of permits counts no more.
 	contestedUntil time.Time
 	at             time.Time // time of the last request
@@ -77,26 +71,19 @@
 type claim int
 
 const (
-	// claimNone is that of requests whose class has had its part, and of those that
+	// claimNone is that of requests whose class has had its share, and of those that
 	// another server can take.
 	claimNone claim = iota
-	// claimLower and claimLowerSmall are those of requests within the part of their
-	// class while more urgent ones arrive as well; small classes want less than their
-	// part, or have had less of it.
-	claimLower
-	claimLowerSmall
-	// claimUrgent and claimUrgentSmall are those of the most urgent requests within the
-	// part of their class.
-	claimUrgent
-	claimUrgentSmall
+	// claimShare is that of requests within the share of their class.
+	claimShare
 	// claimFirst is that of returning callers, and of all requests while there are enough
 	// permits.
 	claimFirst
 )
 
-// keptBack holds the part of the saved-up permits that each claim must leave to better
+// reserved holds the part of the saved-up permits that each claim must leave to better
 // ones. One permit is always left to callers that return as they were told.
-var keptBack = [...]float64{claimNone: 1, claimLower: 0.8, claimLowerSmall: 0.65, claimUrgent: 0.45, claimUrgentSmall: 0.34, claimFirst: 0}
+var reserved = [...]float64{claimNone: 1, claimShare: 0.4, claimFirst: 0}
 
 // claim counts a request and returns its claim to a permit. supply is the number of
 // permits per second.
@@ -119,16 +106,7 @@
 	case c.tokens < float64(1+k.due(classKey{q.Rank, q.Organisation}, now)):
 		return claimNone
 	}
-	isSmall := c.demand/demandTime.Seconds() < c.fair || c.tokens >= behindTokens
-	switch {
-	case q.Rank > k.mostUrgent && isSmall:
-		return claimLowerSmall
-	case q.Rank > k.mostUrgent:
-		return claimLower
-	case isSmall:
-		return claimUrgentSmall
-	}
-	return claimUrgent
+	return claimShare
 }
 
 // class returns the class of a request, new if there was none.
@@ -199,7 +177,6 @@
 	}
 	remaining := supply
 	order := slices.Sorted(maps.Keys(ranks))
-	k.mostUrgent = order[0]
 	for i, rank := range order {
 		available := remaining
 		if i < len(order)-1 {
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -170,7 +170,7 @@
 		return
 	}
 	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: f.limit}}, IsLast: true, TimeLeft: time.Second, Fingerprint: f.random.Uint64(), Withheld: n.roster.Withheld(f.now)}
-	if target.coordinator.Acquire(q, f.now).Granted == 0 {
+	if target.coordinator.Acquire(q, f.now).Granted > 0 {
 		f.arrivals = append(f.arrivals, f.now)
 	}
 }
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -42,7 +42,8 @@
 
 // Reply answers a Request.
 type Reply struct {
-	// Granted is the number of the server that the permit is for, or -1.
+	// Granted is the position in Servers, counted from 1, of the server that the permit is
+	// for. The zero value grants nothing.
 	Granted int
 	// IsCoordinator is false if the node that was asked may not grant permits.
 	IsCoordinator bool
@@ -104,13 +105,13 @@
 func (c *Coordinator) Acquire(q Request, now time.Time) Reply {
 	share, wait := c.share(now)
 	if share <= 0 {
-		return Reply{Granted: -1, Next: min(wait, retryInterval), RetryAfter: wait}
+		return Reply{Next: min(wait, retryInterval), RetryAfter: wait}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.prune(now)
 	if share = min(share, 1-c.withhold(q.Withheld, now)); share <= 0 {
-		return Reply{Granted: -1, Next: retryInterval, RetryAfter: presenceRetryInterval}
+		return Reply{Next: retryInterval, RetryAfter: presenceRetryInterval}
 	}
 	k := c.contention[q.Service]
 	if k == nil {
@@ -122,17 +123,17 @@
 		c.refill(s, share, now)
 		supply += rate(s.Limit, share)
 	}
-	claim := k.claim(q, supply, now)
+	cl := k.claim(q, supply, now)
 	for i, s := range q.Servers {
 		b := c.buckets[s.ID]
-		if b.Tokens >= threshold(s, share, claim) {
+		if b.Tokens >= threshold(s, share, cl) {
 			b.Tokens--
 			k.recordGrant(q, now)
-			return Reply{Granted: i, IsCoordinator: true}
+			return Reply{Granted: i + 1, IsCoordinator: true}
 		}
 	}
-	next := c.next(q.Servers, share, claim)
-	return Reply{Granted: -1, IsCoordinator: true, Next: next, RetryAfter: k.recordRefusal(q, next, supply, now)}
+	next := c.next(q.Servers, share, cl)
+	return Reply{IsCoordinator: true, Next: next, RetryAfter: k.recordRefusal(q, next, supply, now)}
 }
 
 // withhold records what an asking node leaves to others, and returns the most that any
@@ -147,9 +148,9 @@
 // threshold returns how many permits a server must have saved up to grant one. Some are
 // kept back for requests with a better claim, which arrive at any time and do not wait.
 // The others may have one before the bucket is full, so that no permit is lost.
-func threshold(s Server, share float64, c claim) float64 {
+func threshold(s Server, share float64, cl claim) float64 {
 	saved := burst(rate(s.Limit, share)) - 1
-	return 1 + saved*keptBack[c]
+	return 1 + saved*reserved[cl]
 }
 
 // rate returns the rate at which a coordinator with a share of a limit grants permits.
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -32,7 +32,7 @@
 	for now := epoch; now.Before(epoch.Add(duration)); now = now.Add(step) {
 		send := func(q Request) Reply {
 			reply := c.Acquire(q, now)
-			if reply.Granted >= 0 {
+			if reply.Granted > 0 {
 				granted[fmt.Sprint(q.Rank, q.Organisation)] += 1 / duration.Seconds()
 			}
 			return reply
@@ -46,7 +46,7 @@
 				continue
 			}
 			q := Request{Service: "s", Servers: servers, IsLast: true, Rank: d.rank, Organisation: d.organisation, Fingerprint: random.Uint64(), TimeLeft: 3 * time.Second}
-			if reply := send(q); reply.Granted < 0 && reply.RetryAfter <= q.TimeLeft/3 {
+			if reply := send(q); reply.Granted == 0 && reply.RetryAfter <= q.TimeLeft/3 {
 				at := now.Add(max(reply.RetryAfter.Round(step), step))
 				q.TimeLeft -= reply.RetryAfter
 				returning[at] = append(returning[at], q)
@@ -99,7 +99,7 @@
 	for now := epoch; now.Before(epoch.Add(100 * time.Second)); now = now.Add(5 * time.Millisecond) {
 		if random.Float64() < 0.1 {
 			isLast := random.IntN(2) == 0
-			if c.Acquire(Request{Service: "s", Servers: servers, IsLast: isLast, Organisation: "a", Fingerprint: random.Uint64()}, now).Granted >= 0 {
+			if c.Acquire(Request{Service: "s", Servers: servers, IsLast: isLast, Organisation: "a", Fingerprint: random.Uint64()}, now).Granted > 0 {
 				granted[isLast]++
 			}
 		}
@@ -114,10 +114,10 @@
 	is := is.New(t)
 	c := NewCoordinator(fullShare)
 	q := Request{Service: "s", Servers: []Server{{ID: "x", Started: 1, Limit: 2}}, IsLast: true}
-	is.Equal(c.Acquire(q, epoch).Granted, -1)
-	is.Equal(c.Acquire(q, epoch.Add(600*time.Millisecond)).Granted, 0)
+	is.Equal(c.Acquire(q, epoch).Granted, 0)
+	is.Equal(c.Acquire(q, epoch.Add(600*time.Millisecond)).Granted, 1)
 	q.Servers[0].Started = 2
-	is.Equal(c.Acquire(q, epoch.Add(10*time.Second)).Granted, -1)
+	is.Equal(c.Acquire(q, epoch.Add(10*time.Second)).Granted, 0)
 }
 
 // A server that names a limit of 0 gets a request now and then, so that the end of its
@@ -136,13 +136,13 @@
 	r.Update([]Node{{Address: "a", IsEligible: true}}, true, epoch)
 	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: 2}}, IsLast: true}
 	reply := c.Acquire(q, epoch.Add(500*time.Millisecond))
-	is.Equal(reply.Granted, -1)
+	is.Equal(reply.Granted, 0)
 	is.Equal(reply.RetryAfter, takeoverDelay-500*time.Millisecond)
 	for at := epoch; at.Before(epoch.Add(10 * time.Second)); at = at.Add(200 * time.Millisecond) {
 		r.Update([]Node{{Address: "a", IsEligible: true}}, true, at)
 	}
 	c.Acquire(q, epoch.Add(9*time.Second))
-	is.Equal(c.Acquire(q, epoch.Add(10*time.Second)).Granted, 0)
+	is.Equal(c.Acquire(q, epoch.Add(10*time.Second)).Granted, 1)
 }
 
 // A coordinator that announces its stop is followed at once, as it grants no more.
@@ -201,11 +201,11 @@
 		if now.UnixMilli()%100 == 0 {
 			q.Withheld = 0.75
 		}
-		if c.Acquire(q, now).Granted == 0 {
+		if c.Acquire(q, now).Granted > 0 {
 			granted++
 		}
 	}
 	is.True(granted <= 250+5)
 	is.True(granted >= 200)
-	is.Equal(c.Acquire(Request{Service: "s", Servers: []Server{{ID: "x", Limit: 10}}, Withheld: 1}, epoch.Add(101*time.Second)).Granted, -1)
+	is.Equal(c.Acquire(Request{Service: "s", Servers: []Server{{ID: "x", Limit: 10}}, Withheld: 1}, epoch.Add(101*time.Second)).Granted, 0)
 }
