Permits: tell callers when another node grants while the coordinator is silent

Callers whose request needed a permit were told 0.5 s again and again for the 4 to 6 s after the loss of a coordinator, and refused each time. Cause: every ask that failed named the pause until the next ask. Once the coordinator has kept silent for half a second they are told when another one grants. Found on reading; TestSilentCoordinatorIsNotAskedAgain fails without it. Tests of what carries limits and presence between nodes come with it: each fails when its step is taken out.

--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -19,6 +19,7 @@
 	productconfig "github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/gossip"
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
@@ -146,9 +147,9 @@
 	return out, max(s.version, 1), nil
 }
 
-// startLimitFleet starts nodes in front of the given servers and returns their
+// startLimitFleet starts nodes in front of the given servers and returns them with their
 // addresses for callers.
-func startLimitFleet(t *testing.T, size int, servers []*limitingServer) []string {
+func startLimitFleet(t *testing.T, size int, servers []*limitingServer) (nodes []*Node, callers []string) {
 	t.Helper()
 	is, store := is.New(t), newMemStore()
 	_, err := store.Write(t.Context(), "o", "c", 0, []byte("1"))
@@ -166,7 +167,6 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	t.Cleanup(func() { stop(); running.Wait() })
-	var callers []string
 	for i := range size {
 		tracer, err := telemetry.NewTracer(t.Context(), productconfig.DefaultSettings())
 		is.NoErr(err)
@@ -185,9 +185,9 @@
 		for !n.isReady() {
 			time.Sleep(5 * time.Millisecond)
 		}
-		callers = append(callers, address)
+		nodes, callers = append(nodes, n), append(callers, address)
 	}
-	return callers
+	return nodes, callers
 }
 
 // sendSteadily sends requests to the addresses in turn for some time and returns the
@@ -224,7 +224,7 @@
 func TestServerLimitHoldsForAllNodesTogether(t *testing.T) {
 	is := is.New(t)
 	limited, other := startLimitingServer(t, "1.3"), startLimitingServer(t, "")
-	addresses := startLimitFleet(t, 6, []*limitingServer{limited, other})
+	_, addresses := startLimitFleet(t, 6, []*limitingServer{limited, other})
 	time.Sleep(3 * time.Second)
 	statuses := sendSteadily(t, addresses, 12*time.Second, 25*time.Millisecond)
 	arrivals := limited.arrivalsAfterGrace()
@@ -234,3 +234,46 @@
 	is.Equal(len(statuses), 1) // the other server takes what the limited one does not
 	is.True(statuses[http.StatusOK] > 0)
 }
+
+// A node must know a server's limit before it has an answer of that server itself, also a
+// change of it. A node that stops must cease to grant at once.
+func TestLimitIsSharedBetweenNodes(t *testing.T) {
+	is := is.New(t)
+	server := startLimitingServer(t, "4")
+	nodes, addresses := startLimitFleet(t, 4, []*limitingServer{server})
+	time.Sleep(3 * time.Second)
+	knows := func(limit float64) bool {
+		for _, n := range nodes {
+			if n.pool.Member("server-0").Limit() != limit {
+				return false
+			}
+		}
+		return true
+	}
+	for _, c := range []struct {
+		named string
+		want  float64
+	}{{"4", 4}, {"9", 9}, {"", permit.NoLimit}} {
+		server.mu.Lock()
+		server.limit = c.named
+		server.mu.Unlock()
+		sendSteadily(t, addresses[:1], 1500*time.Millisecond, 20*time.Millisecond)
+		for end := time.Now().Add(2 * time.Second); !knows(c.want) && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(knows(c.want))
+	}
+	for _, n := range nodes {
+		if share, _ := n.permits.roster.Share(time.Now()); share == 0 {
+			continue
+		}
+		n.stopping.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		n.stop(ctx)
+		share, _ := n.permits.roster.Share(time.Now())
+		is.Equal(share, 0.0)
+		return
+	}
+	t.Fatal("no node grants permits")
+}
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -24,13 +24,16 @@
 	permitTimeout = 250 * time.Millisecond
 	// permitBackoff is how long a coordinator that did not answer is not asked.
 	permitBackoff = 500 * time.Millisecond
-	// presenceInterval is how often a part of the fleet that misses nodes writes to the
+	// coordinatorLossTime is how long it takes until another node grants permits after a
+	// coordinator was lost: nodes notice within 3.5 s, and the next one then waits.
+	coordinatorLossTime = 5500 * time.Millisecond
+	// presenceInterval is how often a partition of the fleet that misses nodes writes to the
 	// store which nodes belong to it.
 	presenceInterval = 2 * time.Second
 	// maxStoreAge is the age of the store's state up to which it counts as current.
 	maxStoreAge = 2 * time.Second
 	// presenceKeyPrefix begins the keys of the rows that hold which nodes belong to a
-	// part of the fleet.
+	// partition.
 	presenceKeyPrefix = "presence/"
 )
 
@@ -44,6 +47,8 @@
 	mu          sync.Mutex
 	link        *permitLink // guarded by mu; to the coordinator, nil if there is none
 	failedAt    time.Time   // guarded by mu; when the coordinator last did not answer
+	// lostSince is when the coordinator first did not answer, zero if it has since.
+	lostSince time.Time // guarded by mu
 }
 
 // permitLink is a connection to the coordinator. The fields beside address are set once
@@ -76,9 +81,8 @@
 	if address == p.self {
 		return p.coordinator.Acquire(q, time.Now())
 	}
-	refused := permit.Reply{Next: permitBackoff, RetryAfter: permitBackoff}
 	if address == "" || p.isBackingOff(time.Now()) {
-		return refused
+		return p.refusal(time.Now())
 	}
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
@@ -89,11 +93,26 @@
 	}
 	if err != nil {
 		p.drop(ctx, address, err)
-		return refused
+		return p.refusal(time.Now())
 	}
+	p.mu.Lock()
+	p.lostSince = time.Time{}
+	p.mu.Unlock()
 	return reply
 }
 
+// refusal returns the reply if no coordinator answers. One that keeps silent is replaced
+// after coordinatorLossTime.
+func (p *permits) refusal(now time.Time) permit.Reply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	after := permitBackoff
+	if lost := now.Sub(p.lostSince); !p.lostSince.IsZero() && lost >= permitBackoff {
+		after = max(coordinatorLossTime-lost, permitBackoff)
+	}
+	return permit.Reply{Next: permitBackoff, RetryAfter: after}
+}
+
 func (p *permits) isBackingOff(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -165,6 +184,9 @@
 	if l != nil && l.address == address {
 		p.link = nil
 		p.failedAt = time.Now()
+		if p.lostSince.IsZero() {
+			p.lostSince = p.failedAt
+		}
 		go l.close()
 	}
 	p.mu.Unlock()
@@ -190,8 +212,8 @@
 // and those that lost contact and may only be cut off.
 func (n *Node) fleetSize() int { return n.permits.roster.Known() }
 
-// publishPresence writes to the store which nodes belong to this part of the fleet while
-// it misses others. One node of the part writes for all.
+// publishPresence writes to the store which nodes belong to this partition while
+// it misses others. One node of the partition writes for all.
 func (n *Node) publishPresence(ctx context.Context) {
 	if n.permits.roster.Missing() == 0 || n.readerTurn() != 0 || n.stopping.Load() {
 		return
--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -17,7 +18,15 @@
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
-// Guards against an allowance for retries that each part of a divided fleet takes whole:
+// newRosterNode returns a node with the parts that track the fleet, not running.
+func newRosterNode(s nodeState, store gossip.Store) *Node {
+	n := &Node{options: Options{Settings: Settings{Node: s.Node, DataCentre: s.DataCentre}, Store: store, Log: zap.NewNop()}, innerAddress: s.Inner, rows: gossip.NewMap(nil), members: newMembers(zap.NewNop()), permits: newPermits(s.Inner, time.Now(), zap.NewNop())}
+	n.reader = newReader(store, n.rows, telemetry.NewForwardMetrics(), n.readerTurn, zap.NewNop())
+	n.members.setSelf(s)
+	return n
+}
+
+// Guards against an allowance for retries that each partitionition of the fleet takes whole:
 // nodes that lost contact may be retrying as well, so they share it.
 func TestRetryAllowanceHoldsInDividedFleet(t *testing.T) {
 	is := is.New(t)
@@ -27,10 +36,8 @@
 	for i := range size {
 		inner := fmt.Sprint("n", i)
 		all = append(all, nodeState{Node: inner, Inner: inner, DataCentre: fmt.Sprint("dc", i/3), GrantsPermits: true})
-		n := &Node{options: Options{Log: zap.NewNop()}, innerAddress: inner, members: newMembers(zap.NewNop()), permits: newPermits(inner, time.Now(), zap.NewNop())}
+		n := newRosterNode(all[i], &fakeStore{})
 		n.settings.Store(&Settings{RetryAllowance: allowance, RetryWindow: 10 * time.Second})
-		n.reader = newReader(&fakeStore{}, gossip.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 1 }, zap.NewNop())
-		n.members.setSelf(all[i])
 		nodes = append(nodes, n)
 	}
 	retries := 0
@@ -54,19 +61,131 @@
 }
 
 // A coordinator that does not answer must not hold up requests: one waits for
-// permitTimeout, the next ones are refused at once for a while.
+// permitTimeout, the next ones are refused at once for a while. If it keeps silent, callers
+// are told when another node will grant.
 func TestSilentCoordinatorIsNotAskedAgain(t *testing.T) {
 	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts no connection, but the system does
+	is.NoErr(err)
+	defer l.Close()
 	p := newPermits("127.0.0.1:1", startTime, zap.NewNop())
-	// No node listens at this address.
-	p.roster.Update([]permit.Node{{Address: "127.0.0.1:2", IsEligible: true}}, true, startTime)
-	for range 3 {
+	p.roster.Update([]permit.Node{{Address: l.Addr().String(), IsEligible: true}}, true, startTime)
+	acquire := func() (permit.Reply, time.Duration) {
 		began := time.Now()
 		reply := p.Acquire(context.Background(), permit.Request{Service: "s", Servers: []permit.Server{{ID: "x", Limit: 1}}})
 		is.Equal(reply.Granted, 0)
-		is.True(reply.RetryAfter > 0)
-		is.True(time.Since(began) < 2*permitTimeout)
+		return reply, time.Since(began)
+	}
+	reply, took := acquire()
+	is.True(took >= permitTimeout-10*time.Millisecond)
+	is.Equal(reply.RetryAfter, permitBackoff)
+	for range 3 {
+		_, took = acquire()
+		is.True(took < permitTimeout/2)
+	}
+	time.Sleep(permitBackoff)
+	reply, _ = acquire()
+	is.True(reply.RetryAfter > coordinatorLossTime-2*time.Second)
+}
+
+// The limits in force must reach nodes that join long after they were named: their rows
+// are published again before they expire, and those of ended limits are not.
+func TestLimitsInForceAreRefreshed(t *testing.T) {
+	is := is.New(t)
+	rows, p, version := gossip.NewMap(nil), pool.New(), uint64(startTime.UnixMilli())
+	l := &serverLimits{pool: p, rows: rows, nextVersion: func() uint64 { return version }, log: zap.NewNop()}
+	list := []pool.Server{{ID: "x", Service: "s"}, {ID: "y", Service: "s"}}
+	p.Update(list, startTime)
+	p.SetLimit("x", 0, 3, startTime)
+	l.publish(list[0], 3)
+	l.publish(list[1], permit.NoLimit)
+	l.refresh(startTime.Add(time.Minute))
+	at := startTime.Add(softTableTTLs[tableLimits] - time.Minute)
+	version = uint64(at.UnixMilli())
+	for _, r := range rows.List(tableLimits) {
+		is.True(r.Version < version)
+	}
+	l.refresh(at)
+	refreshed := 0
+	for _, r := range rows.List(tableLimits) {
+		if r.Version >= version {
+			refreshed++
+			is.Equal(string(r.Data), `{"server":"x","started":0,"limit":3}`)
+		}
+	}
+	is.Equal(refreshed, 1)
+}
+
+// A node that misses others writes to the store which nodes it sees, and a node of another
+// partition learns from that row, and from registered nodes, that they may run.
+func TestPresenceIsWrittenAndRead(t *testing.T) {
+	is := is.New(t)
+	store := newMemStore()
+	n := newRosterNode(nodeState{Node: "n0", Inner: "n0", DataCentre: "a", GrantsPermits: true}, store)
+	n.updateRoster()
+	n.publishPresence(t.Context())
+	rows, _, err := store.Read(t.Context(), tableSystem)
+	is.NoErr(err)
+	is.Equal(len(rows), 0) // no node is missing
+	n.applyPresence([]gossip.Row{{Table: tableSystem, Key: memberKeyPrefix + "n1", Data: encode(t, memberRow{Inner: "n1"})}}, time.Now())
+	is.Equal(n.fleetSize(), 2)
+	n.publishPresence(t.Context())
+	rows, _, err = store.Read(t.Context(), tableSystem)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	other := newRosterNode(nodeState{Node: "n9", Inner: "n9", DataCentre: "b"}, store)
+	other.updateRoster()
+	other.applyPresence(rows, time.Now())
+	is.Equal(other.fleetSize(), 2) // itself and n0
+	other.applyPresence([]gossip.Row{{Table: tableSystem, Key: presenceKeyPrefix + "n5", Data: []byte("no list")}}, time.Now())
+	is.Equal(other.fleetSize(), 2)
+}
+
+// Nodes that the settings name may be running before they were met.
+func TestSeedsCountUntilTheyAreMet(t *testing.T) {
+	is := is.New(t)
+	_, port, err := net.SplitHostPort(freeAddress(t))
+	is.NoErr(err)
+	inner, err := strconv.Atoi(port)
+	is.NoErr(err)
+	n, err := New(Options{
+		Settings: Settings{Node: "n0", IP: "127.0.0.1", InnerPort: inner, Callers: freeAddress(t), Seeds: []string{"127.0.0.1", "127.0.2.1", "127.0.2.2"}},
+		Schema:   testSchema{}, Store: &fakeStore{}, Log: zap.NewNop(), Metrics: telemetry.NewForwardMetrics(), ReadyPath: "/ready", DirectoryPath: "/directory",
+	})
+	is.NoErr(err)
+	for _, l := range n.listeners {
+		defer l.Close()
 	}
+	is.Equal(n.fleetSize(), 3)
+}
+
+// recordingCoordinator records what it is asked.
+type recordingCoordinator struct{ asked chan permit.Request }
+
+// Acquire is the RPC method of a coordinator.
+func (c recordingCoordinator) Acquire(q permit.Request, reply *permit.Reply) error {
+	c.asked <- q
+	*reply = permit.Reply{Granted: 1, IsCoordinator: true}
+	return nil
+}
+
+// A node tells the coordinator which part of the limits it leaves to nodes that may be cut
+// off, as the coordinator may not know of them.
+func TestAskTellsWhatNodeLeavesToOthers(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	c := recordingCoordinator{make(chan permit.Request, 1)}
+	e := gossip.NewExchange(1, gossip.NewMap(nil), func() time.Duration { return 0 }, func(time.Duration) {})
+	is.NoErr(e.Register(permitService, c))
+	go func() { _ = e.Serve(l) }()
+	p := newPermits("127.0.0.1:1", time.Now(), zap.NewNop())
+	p.roster.ObserveRegistered("lost", time.Now())
+	p.roster.Update([]permit.Node{{Address: "127.0.0.1:1"}, {Address: l.Addr().String(), IsEligible: true}}, true, time.Now())
+	is.Equal(p.Acquire(t.Context(), permit.Request{Servers: []permit.Server{{ID: "x", Limit: 1}}}).Granted, 1)
+	q := <-c.asked
+	is.True(q.Withheld > 0.3 && q.Withheld < 0.4) // one of three
 }
 
 // All nodes publish a server's limit under one key although their clocks differ: the
