Count inspections of crashed replicas against their limit

On the product's own interface the owner's inspection of a replica after a crash was a request to the server that its limit did not count. Found on reading; TestInspectionCountsAgainstLimit fails without it. TestNewOwnerWaitsUnderLimit and TestQueuedWorkIsGrantedWhenLimitAllows guard steps that no test did.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -124,6 +124,9 @@
 	if r == nil {
 		return false, false
 	}
+	r.mu.Lock()
+	r.countProbe(time.Now())
+	r.mu.Unlock()
 	report, err := dialer.Engine(r.address).Load(ctx)
 	if ctx.Err() != nil {
 		return true, true
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -110,15 +110,24 @@
 // isProbeDue reports whether the replica may be probed now, and counts the probe. The
 // caller holds mu.
 func (r *replica) isProbeDue(now time.Time) bool {
-	limit := r.limit
-	if limit > 0 && now.Sub(r.probedAt).Seconds() < 1/(maxProbeShare*limit) {
+	if r.limit > 0 && now.Sub(r.probedAt) < probeInterval(r.limit) {
 		return false
 	}
 	r.probedAt = now
-	if limit > 0 {
+	r.countProbe(now)
+	return true
+}
+
+// probeInterval returns the least time between two probes of a replica with a limit.
+func probeInterval(limit float64) time.Duration {
+	return time.Duration(float64(time.Second) / (maxProbeShare * limit))
+}
+
+// countProbe counts a probe against the replica's limit. The caller holds mu.
+func (r *replica) countProbe(now time.Time) {
+	if r.limit > 0 {
 		r.gate.SpendRate(now)
 	}
-	return true
 }
 
 // scheduleGrant grants queued work once the rate limit allows it. The caller holds mu.
