Learn the end of a small limit on the product's own interface within 20 s

Probes, which tell when a limit ends, took a tenth of it at most: one in 100 s for a server that names 0.1 a second or less, which then stayed limited for as long. One in 20 s is sent at least. Found on reading; TestProbesAreSparseUnderLimit fails without it.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// maxProbeShare is the part of a replica's limit that its probes may take.
-	maxProbeShare = 0.1
+	// maxProbeShare is the part of a replica's limit that its probes may take. Below
+	// limits of 0.5 a second they take more, as they tell when the limit ends.
+	maxProbeShare    = 0.1
+	maxProbeInterval = 20 * time.Second
 	// minShareRate is granted, in requests per second, by an owner without a share: no
 	// bound at all is a rate of 0.
 	minShareRate = 0.001
@@ -120,7 +122,7 @@
 
 // probeInterval returns the least time between two probes of a replica with a limit.
 func probeInterval(limit float64) time.Duration {
-	return time.Duration(float64(time.Second) / (maxProbeShare * limit))
+	return min(time.Duration(float64(time.Second)/(maxProbeShare*limit)), maxProbeInterval)
 }
 
 // countProbe counts a probe against the replica's limit. The caller holds mu.
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -65,6 +65,9 @@
 		is.True(r.isProbeDue(now))
 	}
 	is.True(r.gate.PredictedWait(now, &admission.Work{}) > 0) // the probes took what was saved up
+	r.limit = permit.MinRate
+	r.applyRate(now)
+	is.True(probes(110*time.Second) >= 5) // the end of the smallest limit is learned as well
 }
 
 // A new owner grants nothing under a limit until the one before must have noticed.
