--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -37,7 +37,7 @@
 	return &limits{roster: permit.NewRoster(node, time.Now()), versions: map[string]uint64{}}
 }
 
-// updateRoster passes the live nodes to the roster, and this part's share of the limits
+// updateRoster passes the live nodes to the roster, and this partition's share of the limits
 // to the owner.
 func (n *Node) updateRoster(context.Context) {
 	var live []permit.Node
@@ -50,11 +50,11 @@
 	currentAt := n.limits.currentAt.Load()
 	isStoreCurrent := currentAt != nil && now.Sub(*currentAt) < 2*presenceInterval
 	n.limits.roster.Update(live, isStoreCurrent, now)
-	share, _ := n.limits.roster.PartShare(now)
+	share, _ := n.limits.roster.PartitionShare(now)
 	n.owner.SetLimitShare(share)
 }
 
-// exchangePresence tells, through the table, parts of the fleet that lost each other that
+// exchangePresence tells, through the table, partitions of the fleet that
 // the others still run.
 func (n *Node) exchangePresence(ctx context.Context) {
 	if n.limits.roster.Missing() == 0 || !n.owner.HasLimits() {
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -145,7 +145,7 @@
 	return f.nodes[start]
 }
 
-// writePresence lets the first node of each part that misses nodes write who belongs to
+// writePresence lets the first node of each partitionition that misses nodes write who belongs to
 // it, and all that reach the store read it.
 func (f *simFleet) writePresence() {
 	written := map[int]bool{}
@@ -323,7 +323,7 @@
 	}
 }
 
-// A part of the fleet that is cut off must not be taken for dead while it shows in the
+// A partition that is cut off must not be taken for dead while it shows in the
 // store that it runs, however long the cut lasts; a dead one must be.
 func TestCutOffNodesKeepTheirShareAndDeadOnesLoseIt(t *testing.T) {
 	for _, size := range []int{6, 24} {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -190,7 +190,7 @@
 	is.Equal(len(k.bookings), 0)
 }
 
-// Guards against a coordinator that joined a part of a divided fleet and does not know of
+// Guards against a coordinator that joined a partition of the fleet and does not know of
 // the nodes that were lost before: it must leave what those that ask it leave.
 func TestCoordinatorLeavesWhatAskingNodesLeave(t *testing.T) {
 	is := is.New(t)
--- a/internal/permit/roster.go
+++ b/internal/permit/roster.go
@@ -28,12 +28,12 @@
 
 // Times that apply to nodes that lost contact without an announced stop. Such nodes may
 // be dead, or cut off and still granting their part. The store tells the difference: as
-// long as a part of the fleet reaches it, it writes there who belongs to it.
+// long as a partition of the fleet reaches it, it writes there who belongs to it.
 //
-// silenceLimit is how long a part of the fleet that cannot write there still grants its
-// share. forgetTime is how long another part, with the store in reach, must have found
-// no sign of it before it takes over that share. A part with more than half of the
-// nodes may be silent for longer, since the smaller parts wait longer for it.
+// silenceLimit is how long a partition of the fleet that cannot write there still grants its
+// share. forgetTime is how long another partition, with the store in reach, must have found
+// no sign of it before it takes over that share. A partition with more than half of the
+// nodes may be silent for longer, since the smaller partitions wait longer for it.
 const (
 	majoritySilenceLimit = 30 * time.Second
 	majorityForgetTime   = 10 * time.Second
@@ -57,7 +57,7 @@
 	isStopping bool
 	// missingSince is when contact was lost; zero for live nodes.
 	missingSince time.Time
-	// namedAt is when a part of the fleet last wrote to the store that the node belongs
+	// namedAt is when a partition of the fleet last wrote to the store that the node belongs
 	// to it.
 	namedAt time.Time
 	// isForgotten marks a missing node that counts as dead.
@@ -82,7 +82,7 @@
 	// currentSince is since when the store's state was current all the time; zero if it
 	// is not.
 	currentSince time.Time // guarded by mu
-	// majoritySince is since when this part of the fleet has had more than half of the
+	// majoritySince is since when this partition has had more than half of the
 	// nodes all the time; zero if it has not.
 	majoritySince time.Time // guarded by mu
 }
@@ -94,7 +94,7 @@
 	return r
 }
 
-// Update sets the live nodes. isStoreCurrent tells whether this part of the fleet
+// Update sets the live nodes. isStoreCurrent tells whether this partition
 // follows the store without delay. Update is called several times within maxStall.
 func (r *Roster) Update(live []Node, isStoreCurrent bool, now time.Time) {
 	r.mu.Lock()
@@ -175,7 +175,7 @@
 			continue
 		}
 		silentSince := latest(e.missingSince, e.namedAt, r.currentSince)
-		// The part that was larger before must have noticed that it is not any more.
+		// The partition that was larger before must have noticed that it is not any more.
 		isSilentForMajority := !r.majoritySince.IsZero() && now.Sub(latest(silentSince, r.majoritySince)) > majorityForgetTime
 		e.isForgotten = isSilentForMajority || now.Sub(silentSince) > minorityForgetTime
 	}
@@ -191,7 +191,7 @@
 	return out
 }
 
-// ObservePresence records that a part of the fleet wrote to the store which nodes belong
+// ObservePresence records that a partition of the fleet wrote to the store which nodes belong
 // to it.
 func (r *Roster) ObservePresence(nodes []string, now time.Time) {
 	r.mu.Lock()
@@ -244,18 +244,18 @@
 	case now.Before(r.activeFrom):
 		return 0, r.activeFrom.Sub(now)
 	}
-	return r.partShare(now)
+	return r.partitionShare(now)
 }
 
-// PartShare returns the part of each limit that all nodes which this node sees live may
+// PartitionShare returns the part of each limit that all nodes which this node sees live may
 // grant together. If they may grant none, the second result is when to ask again.
-func (r *Roster) PartShare(now time.Time) (float64, time.Duration) {
+func (r *Roster) PartitionShare(now time.Time) (float64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now.Sub(r.updatedAt) > maxStall {
 		return 0, retryInterval
 	}
-	return r.partShare(now)
+	return r.partitionShare(now)
 }
 
 // Withheld returns the part of the limits that this node leaves to nodes which may be cut
@@ -263,12 +263,12 @@
 func (r *Roster) Withheld(now time.Time) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	share, _ := r.partShare(now)
+	share, _ := r.partitionShare(now)
 	return 1 - share
 }
 
-// partShare is PartShare for callers that hold mu.
-func (r *Roster) partShare(now time.Time) (float64, time.Duration) {
+// partitionShare is PartitionShare for callers that hold mu.
+func (r *Roster) partitionShare(now time.Time) (float64, time.Duration) {
 	share, isMajority := r.shareLocked()
 	if share == 1 {
 		return 1, 0
@@ -287,7 +287,7 @@
 	return share, 0
 }
 
-// shareLocked returns the share of this part of the fleet, by the number of nodes before
+// shareLocked returns the share of this partition, by the number of nodes before
 // contact was lost, and whether it has more than half of them. The caller holds mu.
 func (r *Roster) shareLocked() (share float64, isMajority bool) {
 	first, members, missing := r.firstMissing(), 0, 0
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -63,3 +63,24 @@
 		is.Equal(m.Version == "v2", i < 3)
 	}
 }
+
+// A limited server that refused a permit is passed over until the next one, but not any
+// more once its limit has ended.
+func TestServerWithoutPermitIsPassedOver(t *testing.T) {
+	is, p := is.New(t), New()
+	list := engines(2)
+	p.Update(list, start)
+	q := Query{Service: "s", Draw: drawHalf}
+	a, b := p.Member(list[0].ID), p.Member(list[1].ID)
+	for _, m := range []*Member{a, b} {
+		m.SetLimit(2, start)
+		m.HoldOff(time.Second, start)
+	}
+	is.True(choose(p, q, start) == nil)
+	is.Equal(p.CountSkipped(q, start).Limited, 2)
+	is.True(choose(p, q, start.Add(time.Second)) != nil)
+	b.SetLimit(permit.NoLimit, start)
+	is.Equal(choose(p, q, start), b)
+	q.ExcludeLimited = true
+	is.Equal(choose(p, q, start.Add(time.Second)), b)
+}
--- a/test/fleet/limits_test.go
+++ b/test/fleet/limits_test.go
@@ -92,9 +92,9 @@
 	})
 }
 
-// Parts of a fleet that lost each other must together keep to a server's limit, however
+// Partitions of a fleet must together keep to a server's limit, however
 // long the cut lasts, and use it again afterwards. Guards against an owner of the replica
-// in each part that grants the whole limit.
+// in each partitionition that grants the whole limit.
 func TestLimitHoldsInDividedFleet(t *testing.T) {
 	for _, isStoreAway := range []bool{false, true} {
 		t.Run(fmt.Sprint("store away ", isStoreAway), func(t *testing.T) {
