--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -32,18 +32,32 @@
 
 // harness is a forwarder with scripted servers.
 type harness struct {
-	t        *testing.T
-	net      *memNetwork
-	pool     *pool.Pool
-	servers  []pool.Server
-	table    *route.Table
-	versions *fixedVersions
-	suspects *fakeSuspects
-	budget   *Budget
-	f        *Forwarder
-	client   *http.Client
-	mu       sync.Mutex
-	received []*http.Request
+	t       *testing.T
+	net     *memNetwork
+	pool    *pool.Pool
+	servers []pool.Server
+	table   *route.Table
+	// emptyTable has no routes.
+	emptyTable *route.Table
+	versions   *fixedVersions
+	suspects   *fakeSuspects
+	budget     *Budget
+	f          *Forwarder
+	client     *http.Client
+	mu         sync.Mutex
+	received   []*http.Request
+	// hasNoRoutes puts a configuration without routes in force.
+	hasNoRoutes bool // guarded by mu
+}
+
+// tableInForce returns the table of the configuration in force.
+func (b *harness) tableInForce() *route.Table {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.hasNoRoutes {
+		return b.table
+	}
+	return b.emptyTable
 }
 
 type fixedVersions struct{ choice Choice }
@@ -78,11 +92,13 @@
 		Limits:        route.Limits{MaxBodyBytes: 1 << 20},
 	})
 	is.New(t).NoErr(err)
+	b.emptyTable, err = route.NewTable(route.Definition{Version: 4})
+	is.New(t).NoErr(err)
 	tracer, err := telemetry.NewTracer(t.Context(), config.DefaultSettings())
 	is.New(t).NoErr(err)
 	b.budget = fixedBudget(BudgetBounds{Ratio: 0.9, Allowance: 50, Window: 10 * time.Second}, 1)
 	b.f = New(Options{
-		Headers: testHeaders, DataCentre: "a", Table: func() *route.Table { return b.table }, Pool: b.pool, Prefixes: prefix.New(), Versions: b.versions,
+		Headers: testHeaders, DataCentre: "a", Table: b.tableInForce, Pool: b.pool, Prefixes: prefix.New(), Versions: b.versions,
 		Suspects: b.suspects, Budget: b.budget, Metrics: telemetry.NewForwardMetrics(), Tracer: tracer, Log: zap.NewNop(),
 		Dial: b.net.dial, ShuttingDown: func() bool { return false },
 	})
