--- a/internal/edge/idle_race_test.go
+++ b/internal/edge/idle_race_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,12 +92,13 @@
 func TestIdleConnectionOutlastsARaisedTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		timeout := 2 * time.Second
-		g := newIdleGuard(func() time.Duration { return timeout })
+		var timeout atomic.Int64
+		timeout.Store(int64(2 * time.Second))
+		g := newIdleGuard(func() time.Duration { return time.Duration(timeout.Load()) })
 		c := &deadlineConn{}
 		g.observe(c, http.StateIdle)
 		time.Sleep(time.Second)
-		timeout = 10 * time.Second
+		timeout.Store(int64(10 * time.Second))
 		time.Sleep(8 * time.Second)
 		is.Equal(c.deadlines.Load(), int32(0))
 		time.Sleep(2 * time.Second)
--- a/internal/edge/idle_test.go
+++ b/internal/edge/idle_test.go
@@ -27,8 +27,9 @@
 func TestIdleConnectionsCloseAtTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		limit := 10 * time.Second
-		g := newIdleGuard(func() time.Duration { return limit })
+		var limit atomic.Int64
+		limit.Store(int64(10 * time.Second))
+		g := newIdleGuard(func() time.Duration { return time.Duration(limit.Load()) })
 		silent, busy := &deadlineConn{}, &deadlineConn{}
 		g.observe(silent, http.StateNew)
 		g.observe(busy, http.StateNew)
@@ -40,12 +41,13 @@
 		}
 		is.Equal(silent.deadlines.Load(), int32(1))
 		is.Equal(busy.deadlines.Load(), int32(0))
-		limit = time.Second
+		limit.Store(int64(time.Second))
 		g.observe(busy, http.StateActive)
 		g.observe(busy, http.StateIdle)
 		time.Sleep(2 * time.Second)
 		is.Equal(busy.deadlines.Load(), int32(1))
 		g.observe(busy, http.StateClosed)
-		is.Equal(len(g.timers), 0)
+		g.observe(silent, http.StateClosed)
+		is.Equal(len(g.idle), 0)
 	})
 }
