Forward: one way out of an exchange, also after a panic

Callers saw: the connection closed without an answer when the handler panicked, and the log had no line of the request.

Cause: each path of the handler had to write its own answer; one that does not, or a panic, leaves the end to net/http, which closes the connection or writes an empty 200.

Why it works: run is the one place where an exchange ends. It answers a panic and an exchange that wrote nothing with 502 (it may have run), releases the attempt, and leaves a begun stream broken off; the line of the request is written in each case.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -162,6 +162,7 @@
 		x.f.opts.Metrics.LimitedAttempts.Inc()
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
+	x.current = a
 	req := x.f.opts.Headers.newRequest(x.req, a.member.Address, a.member.ID, time.Now()).WithContext(ctx)
 	if a.model != "" {
 		req.Header.Set(x.f.opts.Headers.Model, a.model)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -68,9 +68,11 @@
 	// tried lists the servers that the request was sent to. runs counts the
 	// attempts that may have run it.
 	tried []*pool.Member
-	runs  int
-	sends int
-	steps []step
+	// current is the attempt that was sent last. It may have ended.
+	current *attempt
+	runs    int
+	sends   int
+	steps   []step
 	// mayHaveRun is set once an attempt ended without a promise that the
 	// request did not run.
 	mayHaveRun bool
@@ -106,6 +108,36 @@
 	Result  string       `json:"result"`
 }
 
+// run accepts and serves a request. It returns once an answer has been written, or a
+// stream has begun and is marked as truncated; a panic on the way is answered too.
+func (x *exchange) run(ctx context.Context, r *http.Request) {
+	defer func() {
+		if p := recover(); p != nil {
+			x.f.opts.Log.Error("panic while serving a request", zap.String("request", x.req.ID), zap.Any("panic", p), zap.Stack("stack"))
+			// Where it stopped is unknown, so it may have run.
+			x.mayHaveRun = true
+			x.refuse(refusal{status: http.StatusBadGateway, reason: "internal error"})
+		}
+	}()
+	req, refused := x.f.accept(x.w, r, x.req.Arrived)
+	if refused != nil {
+		x.refuse(*refused)
+		return
+	}
+	x.req = req
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	defer func() {
+		if x.current != nil {
+			x.finish(x.current)
+		}
+	}()
+	x.serve(ctx)
+	if !x.started {
+		x.refuse(refusal{status: http.StatusBadGateway, reason: "internal error", detail: "the exchange ended without an answer"})
+	}
+}
+
 // serve serves the request according to the kind of its route.
 func (x *exchange) serve(ctx context.Context) {
 	if x.req.Route.Kind == route.Stream {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -166,16 +166,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	ctx, span := f.opts.Tracer.Start(telemetry.WithRemoteParent(r.Context(), r.Header.Get(telemetry.HeaderTraceParent)), "forward")
-	req, refused := f.accept(w, r, now)
-	x := &exchange{f: f, w: w, req: req}
-	if refused != nil {
-		x.req = &Request{ID: r.Header.Get(f.opts.Headers.RequestID), Arrived: now, Route: &route.Route{}}
-		x.refuse(*refused)
-	} else {
-		ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-		x.serve(ctx)
-		cancel()
-	}
+	x := &exchange{f: f, w: w, req: &Request{ID: r.Header.Get(f.opts.Headers.RequestID), Arrived: now, Route: &route.Route{}}}
+	x.run(ctx, r)
 	f.bufferedBytes.Add(-x.bufferedBytes)
 	span.SetString("request", x.req.ID)
 	span.SetString("outcome", x.outcome)
