Forward: go back to a silent server if no other takes its stream

Callers saw: a stream that had begun broke off after its server had been silent for two seconds, though the server then went on.

Cause: a server that sends nothing for the longest pause is given up before it is known that another one takes the stream. Where all others are full, or the retry budget was used up just then, the attempts end and the stream is broken off for no fault of its server.

Why it works: the retry is taken from the budget before a server is given up, and a stream that no other server takes is resumed at the server that was silent, which makes no further server work on it.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +77,9 @@
 	// mayHaveRun is set once an attempt ended without a promise that the
 	// request did not run.
 	mayHaveRun bool
+	// isMoveReserved is set if the retry of a stream that leaves a silent server was
+	// taken from the budget.
+	isMoveReserved atomic.Bool
 	// reserved is the next attempt, for which a permit was acquired.
 	reserved *attempt
 	// permitAfter is when the caller may return, if the last attempt was refused a
@@ -218,7 +222,7 @@
 	if ctx.Err() != nil || x.sends >= x.req.Route.MaxAttempts {
 		return false
 	}
-	if x.sends > 0 && !x.f.opts.Budget.TryReserve(x.req.Service, time.Now()) {
+	if x.sends > 0 && !x.isMoveReserved.Swap(false) && !x.f.opts.Budget.TryReserve(x.req.Service, time.Now()) {
 		x.addStep(nil, "retry budget is used up")
 		return false
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/permit"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
 
 const (
@@ -36,6 +39,10 @@
 	model     int    // index in the route's models
 	lastEvent string // ID of the newest event that the caller has received
 	watch     *stallWatch
+	// silent is the last server that was given up because it sent nothing. It may
+	// still work.
+	silent      *pool.Member
+	silentModel string
 }
 
 // serveStream serves a request whose answer is a series of events.
@@ -65,9 +72,34 @@
 			break
 		}
 	}
+	if done, err := x.returnToSilentServer(ctx, s); done {
+		return
+	} else if err != nil {
+		cause = err.Error()
+	}
 	x.refuseUnserved(ctx, cause, retryAfter)
 }
 
+// returnToSilentServer sends a stream once more to the server that was given up for its
+// silence, if no other server has taken it. It returns true if the request has its final
+// answer.
+func (x *exchange) returnToSilentServer(ctx context.Context, s *streamState) (bool, error) {
+	now := time.Now()
+	m := s.silent
+	if m == nil || ctx.Err() != nil || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
+		return false, nil
+	}
+	s.silent = nil
+	q := x.query(s.silentModel, now)
+	a := x.newAttempt(q, m, s.silentModel, q.ReadTime(m), now)
+	done, err := x.attemptStream(ctx, s, a)
+	x.finish(a)
+	if err != nil {
+		x.addStep(a, err.Error())
+	}
+	return done, err
+}
+
 // modelName returns the model to ask, or "" if the caller named one.
 func (x *exchange) modelName(s *streamState) string {
 	models := x.req.Route.Models
@@ -82,11 +114,11 @@
 func (x *exchange) attemptStream(ctx context.Context, s *streamState, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), x.canMove, func() { cancel(errStalled) })
+	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), x.reserveMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != resultAnswered {
-		return false, x.recordStreamFailure(ctx, a, err)
+		return false, x.recordStreamFailure(ctx, s, a, err)
 	}
 	if a.resp.StatusCode != http.StatusOK {
 		return x.handleNonStream(ctx, a)
@@ -105,11 +137,15 @@
 	return max(time.Duration(firstEventShare*float64(x.req.Route.Target)), minFirstEventWait) + expectedWaitFactor*expected
 }
 
-// canMove reports whether another server may still be tried for the stream.
-func (x *exchange) canMove() bool {
+// reserveMove reports whether another server may still be tried for the stream, and
+// takes the retry from the budget: a server that was given up cannot be taken back.
+func (x *exchange) reserveMove() bool {
 	now := time.Now()
-	return x.req.Route.IsRepeatable() && x.sends < x.req.Route.MaxAttempts && x.req.Deadline.Sub(now) > minTimeLeftToMove &&
-		x.f.opts.Budget.RemainingShare(x.req.Service, now) > 0
+	if !x.req.Route.IsRepeatable() || x.sends >= x.req.Route.MaxAttempts || x.req.Deadline.Sub(now) <= minTimeLeftToMove || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
+		return false
+	}
+	x.isMoveReserved.Store(true)
+	return true
 }
 
 // minTimeLeftToMove is the time left below which a stream is not moved any
@@ -123,8 +159,9 @@
 
 // recordStreamFailure returns the cause of a failed attempt. A stall is also
 // recorded as a failure of the server.
-func (x *exchange) recordStreamFailure(ctx context.Context, a *attempt, err error) error {
+func (x *exchange) recordStreamFailure(ctx context.Context, s *streamState, a *attempt, err error) error {
 	if errors.Is(context.Cause(ctx), errStalled) {
+		s.silent, s.silentModel = a.member, a.model
 		x.recordFailure(a)
 		x.observe(a, true)
 		return errStalled
@@ -290,6 +327,7 @@
 		}
 	}
 	if errors.Is(cause, errStalled) {
+		s.silent, s.silentModel = a.member, a.model
 		return false, errStalled
 	}
 	return false, errors.Wrap(err, "stream broke off after event "+strconv.Quote(s.lastEvent))
