Log why a caller's request was cancelled

The connection now remembers the error that ended reading, and the outcome has it: 'caller left: EOF', 'connection reset by peer', 'i/o timeout'.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -228,7 +228,7 @@
 	n.listeners = append(n.listeners, inner)
 	n.callers = &http.Server{
 		Handler: n.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: newDebugLogger(n.options.Log),
-		ConnState: newIdleGuard(n.callerIdleTimeout).observe,
+		ConnState: newIdleGuard(n.callerIdleTimeout).observe, ConnContext: forward.ConnContext,
 	}
 	ready := chi.NewRouter()
 	ready.Get(n.options.ReadyPath, n.readiness)
@@ -246,6 +246,9 @@
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
 		n.listeners = append(n.listeners, listener)
+		if l.server == n.callers {
+			listener = forward.CallerListener(listener)
+		}
 		n.loops.Go(func() { _ = l.server.Serve(listener) })
 	}
 	return nil
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -188,7 +188,7 @@
 func (x *exchange) refuseUnserved(ctx context.Context, detail string, retryAfter time.Duration) {
 	switch {
 	case isCancelled(ctx):
-		x.refuseCancelled(detail)
+		x.refuseCancelled(ctx)
 	case !x.mayHaveRun && x.runs == 0:
 		retryAfter = max(retryAfter, x.f.opts.Pool.ShortestBackoff(x.req.Service, time.Now()))
 		if x.permitAfter > 0 {
@@ -208,8 +208,8 @@
 
 // refuseCancelled refuses a request whose caller sends no more. The caller may have closed
 // only its sending side, so it is told whether the request may have run.
-func (x *exchange) refuseCancelled(detail string) {
-	r := refusal{status: http.StatusBadGateway, reason: "request was cancelled", detail: "caller left: " + detail}
+func (x *exchange) refuseCancelled(ctx context.Context) {
+	r := refusal{status: http.StatusBadGateway, reason: "request was cancelled", detail: "caller left: " + cancelCause(ctx).Error()}
 	if !x.mayHaveRun && x.runs == 0 {
 		r.status = http.StatusServiceUnavailable
 	}
