Register of prompt parts that crash backend servers

Callers saw one backend server after the other go down: a request that carries a certain prompt part crashes each server that begins to write an answer on it, and no two such requests are alike. The register of suspects knew only whole requests, so each was new to it.

Requests and parts now share one register. A crash implicates all parts that were starting on the server. A part is quarantined after crashes at three distinct moments since a request with it last ran well past its start, if no other part explains the same crashes, else after four. Crashes that a quarantined part explains no longer count against others. Crashes at one moment count once. Nodes exchange the records; more lifts by an operator win, then the higher generation, and clocks of other nodes decide nothing alone.

--- /dev/null
+++ b/internal/dispatch/suspect_parts_test.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cowslipfall/cowslipfall/internal/wire"
+)
+
+// partsOf returns the parts with the given IDs.
+func partsOf(ids ...string) []Part {
+	var list []Part
+	for _, id := range ids {
+		list = append(list, NewPart(id))
+	}
+	return list
+}
+
+// quarantinedIDs returns the IDs of the quarantined parts.
+func quarantinedIDs(s *Suspects, now time.Time) []string {
+	ids := []string{}
+	for _, e := range s.Quarantined(now) {
+		if e.Part != "" {
+			ids = append(ids, e.Part)
+		}
+	}
+	return ids
+}
+
+// Guards against a prompt part that crashes one replica after the other because
+// no two requests that carry it are alike.
+func TestCrashingPartIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range momentsToQuarantine {
+		_, found := s.QuarantinedPart(partsOf("deadly"), now)
+		is.True(!found)
+		s.RecordPartCrash(partsOf("shared", "deadly", fmt.Sprint("subject", i)), fmt.Sprint("r", i), now)
+		now = now.Add(time.Second)
+		s.RecordSurvival(partsOf("shared", "other"), now)
+	}
+	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+	e, found := s.QuarantinedPart(partsOf("shared", "deadly"), now)
+	is.True(found)
+	is.Equal(e.Part, "deadly")
+	_, found = s.QuarantinedPart(partsOf("shared", "subject0"), now)
+	is.True(!found)
+	is.Equal(len(s.RecordPartCrash(partsOf("deadly", "subject7"), "r9", now)), 0) // the quarantined part explains it
+	_, found = s.QuarantinedPart(partsOf("deadly"), now.Add(partQuarantineTTL))
+	is.True(!found)
+}
+
+// Guards against quarantining the sound parts of a request that crashed a
+// replica at each of its attempts.
+func TestOneRequestDoesNotImplicateAllItsParts(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range momentsToQuarantine {
+		s.RecordPartCrash(partsOf("deadly", "rare"), fmt.Sprint("r", i), now)
+		now = now.Add(time.Second)
+	}
+	is.Equal(quarantinedIDs(s, now), []string{})
+	s.RecordPartCrash(partsOf("deadly", "other"), "r9", now)
+	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+	now = now.Add(time.Second)
+	s.RecordPartCrash(partsOf("rare"), "r10", now) // its earlier crashes are explained
+	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+}
+
+// Guards against never quarantining any of two parts that always come together.
+func TestInseparablePartsAreQuarantined(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range momentsIfAmbiguous {
+		s.RecordPartCrash(partsOf("a", "b"), fmt.Sprint("r", i), now)
+		now = now.Add(time.Second)
+	}
+	is.Equal(quarantinedIDs(s, now), []string{"b"})
+}
+
+// Guards against quarantining parts when many replicas lose power at once, also
+// if the reports of it arrive one after the other.
+func TestSimultaneousCrashesQuarantineNothing(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range 50 {
+		s.RecordPartCrash(partsOf("a"), fmt.Sprint("r", i), now.Add(time.Duration(i)*4*time.Millisecond))
+	}
+	is.Equal(quarantinedIDs(s, now), []string{})
+	s = NewSuspects()
+	for i := range 10 {
+		other := NewSuspects()
+		s.Merge(now.Add(time.Duration(i)*time.Second), other.RecordPartCrash(partsOf("a"), fmt.Sprint("r", i), now))
+	}
+	is.Equal(quarantinedIDs(s, now), []string{})
+}
+
+// Guards against quarantining a sound part because replicas keep dying of other
+// causes while it is in use.
+func TestSurvivalClearsPart(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range 100 {
+		s.RecordPartCrash(partsOf("popular"), fmt.Sprint("r", i), now)
+		now = now.Add(time.Second)
+		if i%2 == 1 {
+			is.Equal(len(s.RecordSurvival(partsOf("popular"), now)), 1)
+			is.Equal(len(s.RecordSurvival(partsOf("popular"), now)), 0)
+		}
+	}
+	is.Equal(quarantinedIDs(s, now), []string{})
+	is.Equal(s.suspectedParts.Load(), int64(0))
+}
+
+// Guards against counting one crash several times when messages are repeated,
+// and against losing crashes that other nodes saw by clocks of their own.
+func TestPartCrashesOfOtherNodes(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	nodes := []*Suspects{NewSuspects(), NewSuspects(), NewSuspects(), NewSuspects()}
+	skew := []time.Duration{0, 7 * time.Second, -5 * time.Second, 0}
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * time.Second)
+		list := nodes[i].RecordPartCrash(partsOf("deadly", fmt.Sprint("s", i)), fmt.Sprint("r", i), at.Add(skew[i]))
+		for range 3 {
+			for j, n := range nodes[:3] {
+				n.Merge(at.Add(100*time.Millisecond+skew[j]), list)
+			}
+		}
+		is.Equal(len(quarantinedIDs(nodes[0], at)) == 1, i == 2)
+	}
+	for _, n := range nodes[:3] {
+		is.Equal(quarantinedIDs(n, now), []string{"deadly"})
+	}
+	// A node that starts late gets all records.
+	list, _ := nodes[1].SnapshotIfChanged(now)
+	nodes[3].Merge(now.Add(3*time.Second), list)
+	is.Equal(quarantinedIDs(nodes[3], now), []string{"deadly"})
+}
+
+// Guards against outdated records that restore a suspicion or a quarantine
+// after a proof of innocence.
+func TestPartGenerationsWin(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := NewSuspects(), NewSuspects()
+	for i := range momentsToQuarantine {
+		at := now.Add(time.Duration(i) * time.Second)
+		b.Merge(at, a.RecordPartCrash(partsOf("p"), fmt.Sprint("r", i), at))
+	}
+	outdated := b.Quarantined(now)
+	is.Equal(len(outdated), 1)
+	cleared := a.RecordSurvival(partsOf("p"), now)
+	b.Merge(now, cleared)
+	b.Merge(now, outdated)
+	is.Equal(quarantinedIDs(b, now), []string{})
+	is.Equal(b.quarantinedParts.Load(), int64(0))
+	again := b.RecordPartCrash(partsOf("p"), "r9", now)
+	a.Merge(now, again)
+	is.Equal(a.suspectedParts.Load(), int64(1))
+}
+
+// Guards against a quarantine that comes back from another node after an
+// operator lifted it.
+func TestLiftedQuarantineStaysLifted(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := NewSuspects(), NewSuspects()
+	a.RecordCrash(1, "x", now)
+	a.RecordCrash(1, "y", now)
+	for i := range momentsToQuarantine {
+		a.RecordPartCrash(partsOf("p"), fmt.Sprint("r", i), now.Add(time.Duration(i)*time.Second))
+	}
+	convictions := a.Quarantined(now)
+	is.Equal(len(convictions), 2)
+	for _, e := range convictions {
+		b.Quarantine(e, now)
+		lifted, found := b.Lift(e.Fingerprint, now)
+		is.True(found)
+		a.Merge(now, []wire.Suspect{lifted})
+		b.Merge(now, []wire.Suspect{e})
+	}
+	is.Equal(len(a.Quarantined(now)), 0)
+	is.Equal(len(b.Quarantined(now)), 0)
+	_, found := b.Lift(1, now)
+	is.True(!found)
+	b.RecordCrash(1, "x", now)
+	a.Merge(now, []wire.Suspect{b.RecordCrash(1, "y", now)})
+	is.True(a.IsQuarantined(1, now)) // it crashed two more replicas
+}
+
+// Guards against quarantining a part because nodes of a previous release, which
+// do not know of parts, count its crashes as those of a request.
+func TestPartRecordsFromPreviousRelease(t *testing.T) {
+	type oldSuspect struct {
+		Fingerprint, Generation uint64
+		Lost                    []wire.Crash
+		Convicted               bool
+		Until                   time.Time
+	}
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	list := s.RecordPartCrash(partsOf("p"), "r", now)
+	var buffer bytes.Buffer
+	is.NoErr(gob.NewEncoder(&buffer).Encode(list))
+	var old []oldSuspect
+	is.NoErr(gob.NewDecoder(&buffer).Decode(&old))
+	old[0].Convicted = true
+	is.NoErr(gob.NewEncoder(&buffer).Encode(old))
+	var echo []wire.Suspect
+	is.NoErr(gob.NewDecoder(&buffer).Decode(&echo))
+	s.Merge(now, echo)
+	is.Equal(len(s.Quarantined(now)), 0)
+	_, found := s.QuarantinedPart(partsOf("p"), now)
+	is.True(!found)
+}
+
+// Guards against unbounded memory, and against evicting a quarantine for it.
+func TestPartRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range momentsToQuarantine {
+		s.RecordPartCrash(partsOf("deadly"), fmt.Sprint("r", i), now.Add(time.Duration(i)*time.Second))
+	}
+	for i := range 3 * maxParts {
+		s.RecordPartCrash(partsOf(fmt.Sprint("p", i)), fmt.Sprint("r", i), now.Add(time.Duration(i)*time.Millisecond))
+	}
+	is.True(len(s.parts.byKey) <= maxParts)
+	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+	is.Equal(s.suspectedParts.Load(), int64(len(s.parts.byKey)))
+	_, _ = s.SnapshotIfChanged(now.Add(partQuarantineTTL + time.Hour))
+	is.Equal(len(s.parts.byKey), 0)
+	is.Equal(s.suspectedParts.Load(), int64(0))
+}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/wire"
@@ -26,7 +27,8 @@
 )
 
 // Suspects records the requests that were running on a replica when it crashed,
-// by fingerprint. Nodes merge their records. It is safe for concurrent use.
+// by fingerprint, and the prompt parts that were starting on it. Nodes merge
+// their records. It is safe for concurrent use.
 // Lock order: a replica's lock before that of Suspects.
 type Suspects struct {
 	quarantineAt int // crashes after which a request is quarantined
@@ -34,6 +36,10 @@
 	mu         sync.Mutex
 	entries    map[uint64]wire.Suspect // guarded by mu
 	hasChanged bool                    // guarded by mu
+	parts      partRecords             // guarded by mu
+	// suspectedParts and quarantinedParts are the numbers of suspected (or
+	// quarantined) and of quarantined prompt parts.
+	suspectedParts, quarantinedParts atomic.Int64
 }
 
 // NewSuspects returns an empty record that quarantines a request after
@@ -43,7 +49,7 @@
 // NewSuspectsWithLimit returns an empty record that quarantines a request after the
 // given number of crashes.
 func NewSuspectsWithLimit(crashes int) *Suspects {
-	return &Suspects{quarantineAt: crashes, entries: map[uint64]wire.Suspect{}}
+	return &Suspects{quarantineAt: crashes, entries: map[uint64]wire.Suspect{}, parts: newPartRecords()}
 }
 
 // RecordCrash records that a replica crashed while the request was running on it,
@@ -106,23 +112,33 @@
 	return true
 }
 
-// Merge merges the records of other nodes. The higher generation wins. At equal
-// generations their crashes are merged.
+// Merge merges the records of other nodes. More lifts of the quarantine win, then
+// the higher generation. At equal generations their crashes are merged.
 func (s *Suspects) Merge(now time.Time, list []wire.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	hasParts := false
 	for _, e := range list {
-		if e.Until.After(now) {
+		switch {
+		case !e.Until.After(now):
+		case e.Part != "":
+			s.mergePart(e, now)
+			hasParts = true
+		case s.parts.byKey[e.Fingerprint] == nil:
 			s.mergeRecord(e, now)
 		}
 	}
+	if hasParts {
+		s.convictMerged(now)
+	}
 }
 
 // mergeRecord merges one record. The caller holds mu.
 func (s *Suspects) mergeRecord(e wire.Suspect, now time.Time) {
 	old, exists := s.entries[e.Fingerprint]
 	switch {
-	case !exists || (e.Generation > old.Generation && !old.Convicted):
+	case e.Lifts < old.Lifts:
+	case !exists || e.Lifts > old.Lifts || (e.Generation > old.Generation && !old.Convicted):
 		s.entries[e.Fingerprint] = e
 		s.hasChanged = true
 		s.evictOldest()
@@ -176,11 +192,62 @@
 			s.hasChanged = true
 		}
 	}
+	s.removeExpiredParts(now)
 	if !s.hasChanged {
 		return nil, false
 	}
 	s.hasChanged = false
 	list := slices.Collect(maps.Values(s.entries))
+	for _, r := range s.parts.byKey {
+		list = append(list, r.toWire())
+	}
 	slices.SortFunc(list, func(a, b wire.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return list, true
 }
+
+// Quarantine restores a quarantine from the store.
+func (s *Suspects) Quarantine(r wire.Suspect, now time.Time) {
+	r.Convicted = true
+	s.Merge(now, []wire.Suspect{r})
+}
+
+// Quarantined returns the records of all quarantined requests and prompt parts.
+func (s *Suspects) Quarantined(now time.Time) []wire.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []wire.Suspect
+	for _, e := range s.entries {
+		if e.Convicted && e.Until.After(now) {
+			list = append(list, e)
+		}
+	}
+	for _, r := range s.parts.convicted {
+		if r.until.After(now) {
+			list = append(list, r.toWire())
+		}
+	}
+	slices.SortFunc(list, func(a, b wire.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
+
+// Lift ends the quarantine of a request or of a prompt part at an operator's
+// request. It returns the record to publish, and false if there is no such
+// quarantine.
+func (s *Suspects) Lift(key uint64, now time.Time) (wire.Suspect, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.parts.convicted[key]; r != nil {
+		r.lifts++
+		s.clearPart(r, now.Add(partQuarantineTTL))
+		return r.toWire(), true
+	}
+	e, exists := s.entries[key]
+	if !exists || !e.Convicted {
+		return wire.Suspect{}, false
+	}
+	// The record outlives copies of the quarantine at other nodes.
+	e = wire.Suspect{Fingerprint: key, Generation: e.Generation + 1, Lifts: e.Lifts + 1, Until: now.Add(quarantineTTL)}
+	s.entries[key] = e
+	s.hasChanged = true
+	return e, true
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -79,6 +79,12 @@
 	Lost []Crash
 	// Convicted means that the request is quarantined: all nodes refuse it.
 	Convicted bool
+	// Part is the ID of the prompt part that the record is about; empty if it is
+	// about a whole request.
+	Part string
+	// Lifts counts how often an operator lifted the quarantine. A record with
+	// more lifts replaces all others.
+	Lifts uint64
 	// Until is when the record expires.
 	Until time.Time
 }
