Quarantine prompt parts that crash backend servers, on all nodes

Callers saw: backend servers crashed one after the other, since requests that share a prompt part with a crashing one are all different, and each was new to the register of suspects.

Cause: a request was known by organisation and whole content only.

Why it works: a server that refuses connections after an answer broke off has crashed, and makes the shared parts of all requests that it had just begun suspects; streams that run well past their start, or end whole, clear their parts. Requests with a suspected part are sent one after the other by each node, never sooner than 300 ms after the last crash, so that crashes have distinct moments. A quarantined part is refused everywhere; requests that were sent and have no event yet are cancelled. Quarantines go to the store, for nodes that start after all others have ended; an operator lifts one by removing its row. A server that does not respond at all, or was draining, no longer counts as crashed; until now a server given up for its silence did.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -321,15 +321,15 @@
 	is := is.New(t)
 	var published []gossip.Row
 	rows := gossip.NewMap(func(r []gossip.Row) { published = append(published, r...) })
-	a := &suspects{Suspects: dispatch.NewSuspectsWithLimit(2), nodeKey: "a", rows: rows, log: zap.NewNop(), nextVersion: versionCounter()}
-	b := &suspects{Suspects: dispatch.NewSuspectsWithLimit(2), nodeKey: "b", rows: gossip.NewMap(nil), log: zap.NewNop(), nextVersion: versionCounter()}
-	a.Crashed(7, "s1", startTime)
-	a.Cleared(7, startTime)
-	a.Crashed(7, "s2", startTime)
+	a := &suspects{Suspects: dispatch.NewSuspectsWithLimit(2), nodeKey: "a", rows: rows, log: zap.NewNop(), nextVersion: versionCounter(), onQuarantine: func() {}}
+	b := &suspects{Suspects: dispatch.NewSuspectsWithLimit(2), nodeKey: "b", rows: gossip.NewMap(nil), log: zap.NewNop(), nextVersion: versionCounter(), isHub: func() bool { return false }, onQuarantine: func() {}}
+	a.Crashed(7, nil, false, "s1", startTime)
+	a.Cleared(7, nil, startTime)
+	a.Crashed(7, nil, false, "s2", startTime)
 	b.apply(published, startTime)
 	is.True(b.IsSuspect(7, startTime))
-	is.True(!b.IsQuarantined(7, startTime)) // one crash since a request with this fingerprint completed
-	a.Crashed(7, "s3", startTime)
+	is.True(!b.IsQuarantined(7, nil, startTime)) // one crash since a request with this fingerprint completed
+	a.Crashed(7, nil, false, "s3", startTime)
 	b.apply(published, startTime)
-	is.True(b.IsQuarantined(7, startTime))
+	is.True(b.IsQuarantined(7, nil, startTime))
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,7 +102,7 @@
 	n.sessions = newSessions(n.rows, n.nextVersion, o.Log)
 	n.rollouts = newRollouts(o.Schema, n.sessions, n.settings.Load, o.Log)
 	n.evidence = &evidence{nodeKey: n.rowKey, rows: n.rows, nextVersion: n.nextVersion, log: o.Log, countsByKey: map[string]rolloutCounts{}}
-	n.suspects = &suspects{Suspects: dispatch.NewSuspectsWithLimit(crashesToRefuse), nodeKey: n.rowKey, rows: n.rows, log: o.Log, nextVersion: n.nextVersion}
+	n.suspects = &suspects{Suspects: dispatch.NewSuspectsWithLimit(crashesToRefuse), nodeKey: n.rowKey, rows: n.rows, log: o.Log, nextVersion: n.nextVersion, isHub: n.isHub, onQuarantine: func() { n.forwarder.CancelQuarantined() }}
 	n.drainNotices = &drainNotices{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
 	n.serverLimits = &serverLimits{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
 	n.permits = newPermits(n.innerAddress, n.startedAt, o.Log)
@@ -143,7 +143,8 @@
 			share, _ := n.permits.roster.Share(time.Now())
 			return share
 		},
-		Running: func() float64 { return float64(n.forwarder.Running()) },
+		Running:     func() float64 { return float64(n.forwarder.Running()) },
+		Quarantined: func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
 	}
 }
 
@@ -201,6 +202,7 @@
 	n.sessions.apply(byTable[tableSessions], now)
 	n.evidence.apply(byTable[tableEvidence], n.rollouts, now)
 	n.suspects.apply(byTable[tableSuspects], now)
+	n.suspects.applyStored(byTable[tableSystem], now)
 	n.drainNotices.apply(byTable[tableDraining], now)
 	n.serverLimits.apply(byTable[tableLimits], now)
 	n.applyPresence(byTable[tableSystem], now)
@@ -296,7 +298,7 @@
 	for _, l := range []struct {
 		interval time.Duration
 		run      func(context.Context)
-	}{{heartbeatInterval, func(context.Context) { n.sendHeartbeat(); n.updateRoster() }}, {rolloutControlInterval, n.controlRollouts}, {presenceInterval, n.publishPresence}, {pruneInterval, func(context.Context) { n.prune() }}} {
+	}{{heartbeatInterval, func(context.Context) { n.sendHeartbeat(); n.updateRoster() }}, {rolloutControlInterval, n.controlRollouts}, {presenceInterval, n.publishPresence}, {quarantineStoreInterval, n.storeQuarantines}, {pruneInterval, func(context.Context) { n.prune() }}} {
 		n.loops.Go(func() { loop.Every(lifetime, l.interval, l.run) })
 	}
 	n.options.Log.Info("started", zap.String("inner", n.innerAddress), zap.String("callers", n.options.Settings.Callers), zap.String("data_centre", n.options.Settings.DataCentre))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -188,6 +188,11 @@
 
 func (n *Node) memberKey() string { return memberKeyPrefix + n.options.Settings.Node }
 
+// isHub reports whether this node is the hub of its data centre.
+func (n *Node) isHub() bool {
+	return n.members.hubs(time.Now())[n.options.Settings.DataCentre] == n.innerAddress
+}
+
 // register keeps a hub's address in the store, so that nodes which know no other find
 // it.
 func (n *Node) register(ctx context.Context) {
@@ -198,8 +203,7 @@
 	}
 	for ctx.Err() == nil {
 		row, known := n.rows.Get(tableSystem, n.memberKey())
-		isHub := n.members.hubs(time.Now())[n.options.Settings.DataCentre] == n.innerAddress
-		if isHub && !(known && string(row.Data) == string(raw)) && n.rows.Cursor(tableSystem) > 0 {
+		if n.isHub() && !(known && string(row.Data) == string(raw)) && n.rows.Cursor(tableSystem) > 0 {
 			_, err := n.options.Store.Write(ctx, tableSystem, n.memberKey(), row.Version, raw)
 			n.reader.countCall("register", outcomeOf(err))
 			if err != nil {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,23 +16,56 @@
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// suspects shares the requests that crashed backend servers with the other nodes.
+const (
+	// quarantineKeyPrefix begins the keys of the rows that keep quarantines in the store,
+	// for nodes that start after all others have ended. An operator lifts a quarantine by
+	// removing its row.
+	quarantineKeyPrefix = "quarantine/"
+	// quarantineStoreInterval is how often quarantines that are missing in the store are
+	// written.
+	quarantineStoreInterval = time.Second
+	// trialInterval is the least time between a crash and the next request with a part
+	// that is suspected for it. It exceeds the gap by which the register tells moments of
+	// crashes apart.
+	trialInterval = 300 * time.Millisecond
+	// trialPollInterval is how often a request asks whether the trial before it has ended.
+	trialPollInterval = 50 * time.Millisecond
+)
+
+// suspects shares the requests and prompt parts that crashed backend servers with the
+// other nodes. It implements forward.Suspects.
 type suspects struct {
 	*dispatch.Suspects
 	nodeKey     string
 	rows        *gossip.Map
 	log         *zap.Logger
 	nextVersion func() uint64
+	isHub       func() bool
+	trials      trials
+	// onQuarantine is called after a request or part was quarantined.
+	onQuarantine func()
 }
 
 // Crashed implements forward.Suspects.
-func (s *suspects) Crashed(fingerprint uint64, server string, now time.Time) {
-	s.publish(s.Suspects.RecordCrash(fingerprint, server, now))
+func (s *suspects) Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time) {
+	s.publish(s.RecordCrash(fingerprint, server, now))
+	if !isStarting {
+		return
+	}
+	changed := s.RecordPartCrash(dispatchParts(parts), server, now)
+	s.log.Info("backend server crashed", zap.String("server", server), zap.Strings("suspected_parts", parts))
+	s.publish(changed...)
+}
+
+// Survived implements forward.Suspects.
+func (s *suspects) Survived(parts []string, now time.Time) {
+	s.publish(s.RecordSurvival(dispatchParts(parts), now)...)
 }
 
 // Cleared implements forward.Suspects.
-func (s *suspects) Cleared(fingerprint uint64, now time.Time) {
-	if !s.Suspects.ClearCrashes(fingerprint, now) {
+func (s *suspects) Cleared(fingerprint uint64, parts []string, now time.Time) {
+	s.Survived(parts, now)
+	if !s.ClearCrashes(fingerprint, now) {
 		return
 	}
 	if e, ok := s.Get(fingerprint); ok {
@@ -37,28 +73,202 @@
 	}
 }
 
-// publish publishes a suspect under this node's key.
-func (s *suspects) publish(e wire.Suspect) {
-	if e.Convicted {
-		s.log.Warn("request quarantined after crashing backend servers", zap.Uint64("fingerprint", e.Fingerprint), zap.Any("servers", e.Lost))
+// trials holds the suspected parts of requests that this node has sent and that have
+// neither survived nor failed. It is safe for concurrent use.
+type trials struct {
+	mu    sync.Mutex
+	parts map[uint64]bool // guarded by mu
+}
+
+// BeginTrial implements forward.Suspects. After a crash the next request with the same
+// part waits, so that a second crash has another moment, and its cause is clearer.
+func (s *suspects) BeginTrial(ids []string, now time.Time) (end func(), wait time.Duration) {
+	suspected, lastCrash := s.SuspectedParts(dispatchParts(ids))
+	if len(suspected) == 0 {
+		return func() {}, 0
 	}
-	raw, err := json.Marshal(e)
-	if err != nil {
-		s.log.Error("cannot encode suspect, not published", telemetry.ErrorField(err))
+	if wait := lastCrash.Add(trialInterval).Sub(now); wait > 0 {
+		return nil, wait
+	}
+	s.trials.mu.Lock()
+	defer s.trials.mu.Unlock()
+	for _, p := range suspected {
+		if s.trials.parts[p.Key] {
+			return nil, trialPollInterval
+		}
+	}
+	if s.trials.parts == nil {
+		s.trials.parts = map[uint64]bool{}
+	}
+	for _, p := range suspected {
+		s.trials.parts[p.Key] = true
+	}
+	return func() {
+		s.trials.mu.Lock()
+		defer s.trials.mu.Unlock()
+		for _, p := range suspected {
+			delete(s.trials.parts, p.Key)
+		}
+	}, 0
+}
+
+// IsQuarantined implements forward.Suspects.
+func (s *suspects) IsQuarantined(fingerprint uint64, parts []string, now time.Time) bool {
+	if s.Suspects.IsQuarantined(fingerprint, now) {
+		return true
+	}
+	_, ok := s.QuarantinedPart(dispatchParts(parts), now)
+	return ok
+}
+
+func dispatchParts(ids []string) []dispatch.Part {
+	parts := make([]dispatch.Part, len(ids))
+	for i, id := range ids {
+		parts[i] = dispatch.NewPart(id)
+	}
+	return parts
+}
+
+// publish publishes records under this node's key.
+func (s *suspects) publish(records ...wire.Suspect) {
+	var rows []gossip.Row
+	isQuarantined := false
+	for _, e := range records {
+		raw, err := json.Marshal(e)
+		if err != nil {
+			s.log.Error("cannot encode suspect, not published", telemetry.ErrorField(err))
+			continue
+		}
+		if e.Convicted {
+			isQuarantined = true
+			s.logQuarantine(e)
+		}
+		rows = append(rows, gossip.Row{Table: tableSuspects, Key: strconv.FormatUint(e.Fingerprint, 16) + "/" + s.nodeKey, Version: s.nextVersion(), Data: raw})
+	}
+	if len(rows) > 0 {
+		s.rows.Apply(rows)
+	}
+	if isQuarantined {
+		s.onQuarantine()
+	}
+}
+
+func (s *suspects) logQuarantine(e wire.Suspect) {
+	if e.Part != "" {
+		s.log.Warn("prompt part quarantined after crashing backend servers", zap.String("part", e.Part), zap.Any("servers", e.Lost), zap.Time("until", e.Until))
 		return
 	}
-	key := strconv.FormatUint(e.Fingerprint, 16) + "/" + s.nodeKey
-	s.rows.Apply([]gossip.Row{{Table: tableSuspects, Key: key, Version: s.nextVersion(), Data: raw}})
+	s.log.Warn("request quarantined after crashing backend servers", zap.Uint64("fingerprint", e.Fingerprint), zap.Any("servers", e.Lost))
 }
 
 // apply merges the suspects that other nodes published.
 func (s *suspects) apply(rows []gossip.Row, now time.Time) {
+	var list []wire.Suspect
 	for _, r := range rows {
+		if strings.HasSuffix(r.Key, "/"+s.nodeKey) {
+			continue
+		}
 		var e wire.Suspect
 		if err := json.Unmarshal(r.Data, &e); err != nil {
 			s.log.Warn("cannot decode suspect", zap.String("key", r.Key), telemetry.ErrorField(err))
 			continue
 		}
-		s.Merge(now, []wire.Suspect{e})
+		list = append(list, e)
+	}
+	s.merge(list, now)
+}
+
+// merge merges records of other nodes. A quarantine that follows only from several of them
+// is published by the hubs: a node that starts later cannot tell moments of crashes apart.
+func (s *suspects) merge(list []wire.Suspect, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	known := map[uint64]bool{}
+	for _, e := range s.Quarantined(now) {
+		known[e.Fingerprint] = true
+	}
+	s.Merge(now, list)
+	received := map[uint64]bool{}
+	for _, e := range list {
+		received[e.Fingerprint] = received[e.Fingerprint] || e.Convicted
+	}
+	hasNew := false
+	for _, e := range s.Quarantined(now) {
+		switch {
+		case known[e.Fingerprint]:
+			continue
+		case !received[e.Fingerprint] && s.isHub():
+			s.publish(e)
+		default:
+			s.logQuarantine(e)
+		}
+		hasNew = true
+	}
+	if hasNew {
+		s.onQuarantine()
+	}
+}
+
+// applyStored restores quarantines from the store, and lifts those whose row was removed.
+func (s *suspects) applyStored(rows []gossip.Row, now time.Time) {
+	for _, r := range rows {
+		hex, ok := strings.CutPrefix(r.Key, quarantineKeyPrefix)
+		if !ok {
+			continue
+		}
+		key, err := strconv.ParseUint(hex, 16, 64)
+		if err != nil {
+			s.log.Warn("invalid quarantine in the store skipped", zap.String("key", r.Key), telemetry.ErrorField(err))
+			continue
+		}
+		if r.Deleted {
+			if e, ok := s.Lift(key, now); ok {
+				s.log.Warn("quarantine lifted by an operator", zap.String("part", e.Part), zap.Uint64("fingerprint", key))
+				s.publish(e)
+			}
+			continue
+		}
+		var e wire.Suspect
+		if err := json.Unmarshal(r.Data, &e); err != nil || e.Fingerprint != key {
+			s.log.Warn("invalid quarantine in the store skipped", zap.String("key", r.Key), telemetry.ErrorField(err))
+			continue
+		}
+		e.Convicted = true
+		s.merge([]wire.Suspect{e}, now)
+	}
+}
+
+// storeQuarantines writes quarantines that the store does not hold, and removes the rows
+// of those that have ended. Only the first reader of the store does so.
+func (n *Node) storeQuarantines(ctx context.Context) {
+	if n.readerTurn() != 0 || n.rows.Cursor(tableSystem) == 0 {
+		return
+	}
+	now := time.Now()
+	for _, e := range n.suspects.Quarantined(now) {
+		key := quarantineKeyPrefix + strconv.FormatUint(e.Fingerprint, 16)
+		if _, ok := n.rows.Get(tableSystem, key); ok {
+			continue
+		}
+		raw, err := json.Marshal(e)
+		if err == nil {
+			_, err = n.options.Store.Write(ctx, tableSystem, key, 0, raw)
+		}
+		n.countQuarantineCall(err)
+	}
+	for _, r := range n.rows.List(tableSystem) {
+		var e wire.Suspect
+		if !strings.HasPrefix(r.Key, quarantineKeyPrefix) || json.Unmarshal(r.Data, &e) != nil || e.Until.After(now) {
+			continue
+		}
+		n.countQuarantineCall(n.options.Store.Remove(ctx, tableSystem, r.Key))
+	}
+}
+
+func (n *Node) countQuarantineCall(err error) {
+	n.reader.countCall("quarantine", outcomeOf(err))
+	if err != nil {
+		n.options.Log.Info("quarantine not stored", telemetry.ErrorField(err))
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,6 +33,12 @@
 	loadAge time.Duration
 	skipped pool.Skipped
 	limit   float64 // of the server when it was chosen, or permit.NoLimit
+	// firstEvent is when the first event of a stream arrived, zero before it. events
+	// counts those with content.
+	firstEvent time.Time
+	events     int
+	// survivalRecorded is when the attempt was last recorded as a survival.
+	survivalRecorded time.Time
 }
 
 // result classifies the end of an attempt.
@@ -206,11 +212,12 @@
 	}
 	x.mayHaveRun = true
 	x.runs++
-	if !errors.Is(err, context.Canceled) {
-		x.recordFailure(a)
+	if errors.Is(err, context.Canceled) || errors.Is(err, errQuarantined) {
+		return resultUnknown, err
 	}
-	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
-		x.f.suspectCrash(x.req.Fingerprint, a.member)
+	x.recordFailure(a)
+	if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, errStalled) {
+		x.suspectCrash(a)
 	}
 	return resultUnknown, err
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,32 +2,180 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
 
-// crashProbeDelay is the delay between a broken answer and the probe of its
-// server. A crashed process has closed its listener by then and takes seconds
-// to restart.
-const crashProbeDelay = 50 * time.Millisecond
+const (
+	// crashProbeDelay is the delay between a broken answer and the probe of its
+	// server. A crashed process has closed its listener by then and takes seconds
+	// to restart.
+	crashProbeDelay = 50 * time.Millisecond
+	// minSurvivalTime and minSurvivalEvents are how long a stream runs after its first
+	// event, and how many events it has, before it counts as well past its start. A
+	// server that is crashed by a prompt sends at most a few events, which a node that
+	// was suspended may read late.
+	minSurvivalTime   = time.Second
+	minSurvivalEvents = 8
+	// maxTrialWait is how long a request with a suspected part waits to be sent, and
+	// trialRetryAfter when its caller may return after that.
+	maxTrialWait    = 2 * time.Second
+	trialRetryAfter = time.Second
+	// survivalInterval is how often a long stream is recorded as a survival.
+	survivalInterval = time.Second
+)
+
+// errTrialsBusy means that a request was not sent since others with the same suspected part
+// are tried first.
+var errTrialsBusy = errors.New("a part of the prompt is suspected of crashing backend servers, and other requests with it are tried first")
+
+// errQuarantined means that the request or a part of its prompt was quarantined while a
+// server had not yet begun to answer.
+var errQuarantined = errors.New("request was quarantined")
+
+// quarantineRefusal is the answer to requests that crash backend servers.
+var quarantineRefusal = refusal{status: http.StatusServiceUnavailable, reason: "request brings backend servers down", retryAfter: quarantineRetryAfter}
 
 // suspectCrash probes the server after its answer broke off. If the server
 // accepts no connection, the request is recorded as a suspect for the crash.
-// Servers that break off answers for other reasons still accept connections.
-func (f *Forwarder) suspectCrash(fingerprint uint64, m *pool.Member) {
+// Servers that break off answers for other reasons still accept connections. One that
+// drains is expected to end, and one that does not respond may only be cut off.
+func (x *exchange) suspectCrash(a *attempt) {
+	f, q, m, isStarting, brokeAt := x.f, x.req, a.member, !a.hasSurvived(time.Now()), time.Now()
+	if !m.IsPresent() {
+		return
+	}
+	probed := make(chan struct{})
+	x.crashProbe = probed
 	go func() {
+		defer close(probed)
 		time.Sleep(crashProbeDelay)
-		if m.RemainingBackoff(time.Now()) > 0 {
+		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m, f.opts.Dial) {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		conn, err := f.opts.Dial(ctx, "tcp", m.Address)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		f.opts.Suspects.Crashed(fingerprint, m.ID, time.Now())
+		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, brokeAt)
 	}()
 }
+
+// acceptsOrIsSilent reports whether a server accepts a connection, or does not refuse it
+// within the probe's timeout.
+func acceptsOrIsSilent(m *pool.Member, dial Dial) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", m.Address)
+	if err == nil {
+		_ = conn.Close()
+		return true
+	}
+	var netErr net.Error
+	return ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// hasSurvived reports whether the server runs the attempt well past its start.
+func (a *attempt) hasSurvived(now time.Time) bool {
+	return a.events >= minSurvivalEvents && now.Sub(a.firstEvent) >= minSurvivalTime
+}
+
+// recordSurvival counts an event of a stream. It records once per interval that the
+// server survives the request, and returns true then.
+func (x *exchange) recordSurvival(a *attempt) bool {
+	a.events++
+	now := time.Now()
+	if !a.hasSurvived(now) || now.Sub(a.survivalRecorded) < survivalInterval {
+		return false
+	}
+	a.survivalRecorded = now
+	x.f.opts.Suspects.Survived(x.req.sharedPartIDs, now)
+	return true
+}
+
+// awaitTrial waits until the request may be sent: at once if no part of its prompt is
+// suspected, else after the requests with the same part that are tried first.
+func (x *exchange) awaitTrial(ctx context.Context, s *streamState) error {
+	if x.crashProbe != nil {
+		select {
+		case <-x.crashProbe:
+		case <-ctx.Done():
+		}
+	}
+	for deadline := time.Now().Add(maxTrialWait); ; {
+		now := time.Now()
+		if x.f.isQuarantined(x.req) {
+			return errQuarantined
+		}
+		end, wait := x.f.opts.Suspects.BeginTrial(x.req.sharedPartIDs, now)
+		if wait == 0 {
+			s.endTrial = sync.OnceFunc(end)
+			return nil
+		}
+		if ctx.Err() != nil || now.Add(wait).After(deadline) {
+			return errTrialsBusy
+		}
+		loop.Sleep(ctx, wait)
+	}
+}
+
+// isQuarantined reports whether the request or one of its prompt's parts is quarantined.
+func (f *Forwarder) isQuarantined(q *Request) bool {
+	return f.opts.Suspects.IsQuarantined(q.Fingerprint, q.sharedPartIDs, time.Now())
+}
+
+// refuseQuarantined refuses a request that was quarantined while it was served. Only one
+// that no server may have run is told so.
+func (x *exchange) refuseQuarantined() {
+	r := quarantineRefusal
+	if x.mayHaveRun || x.runs > 0 {
+		r.status = http.StatusBadGateway
+	}
+	x.refuse(r)
+}
+
+// startingStreams is the set of streams that were sent to a server and have no event yet.
+// It is safe for concurrent use.
+type startingStreams struct {
+	mu      sync.Mutex
+	streams map[*attempt]startingStream // guarded by mu
+}
+
+type startingStream struct {
+	request *Request
+	cancel  func()
+}
+
+func (s *startingStreams) add(a *attempt, q *Request, cancel func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streams == nil {
+		s.streams = map[*attempt]startingStream{}
+	}
+	s.streams[a] = startingStream{q, cancel}
+}
+
+func (s *startingStreams) remove(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.streams, a)
+}
+
+// CancelQuarantined cancels the streams that are quarantined by now and have not begun, so
+// that their servers drop them.
+func (f *Forwarder) CancelQuarantined() {
+	f.starting.mu.Lock()
+	var cancels []func()
+	for _, s := range f.starting.streams {
+		if f.isQuarantined(s.request) {
+			cancels = append(cancels, s.cancel)
+		}
+	}
+	f.starting.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -77,6 +77,9 @@
 	// mayHaveRun is set once an attempt ended without a promise that the
 	// request did not run.
 	mayHaveRun bool
+	// crashProbe is closed when it is known whether the last server crashed. It is nil if
+	// no answer broke off.
+	crashProbe <-chan struct{}
 	// isMoveReserved is set if the retry of a stream that leaves a silent server was
 	// taken from the budget.
 	isMoveReserved atomic.Bool
@@ -189,6 +192,8 @@
 	switch {
 	case isCancelled(ctx):
 		x.refuseCancelled(ctx)
+	case x.f.isQuarantined(x.req):
+		x.refuseQuarantined()
 	case !x.mayHaveRun && x.runs == 0:
 		retryAfter = max(retryAfter, x.f.opts.Pool.ShortestBackoff(x.req.Service, time.Now()))
 		if x.permitAfter > 0 {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -44,14 +44,22 @@
 	Route string
 }
 
-// Suspects tracks requests that crash backend servers.
+// Suspects tracks requests and prompt parts that crash backend servers. Prompt parts are
+// named by their IDs; the last part of a prompt is never among them.
 type Suspects interface {
-	// Crashed records that a server crashed while it ran the request.
-	Crashed(fingerprint uint64, server string, now time.Time)
+	// Crashed records that a server crashed while it ran the request. isStarting is set
+	// if the server had hardly begun to answer, which makes the request's parts suspects.
+	Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time)
+	// Survived records that a server runs a request with these parts well past its start.
+	Survived(parts []string, now time.Time)
+	// BeginTrial asks to send a request with these parts. Requests with a suspected part
+	// are sent one after the other. The request may be sent if wait is 0; end is then
+	// called once its server has answered or failed. Otherwise it asks again after wait.
+	BeginTrial(parts []string, now time.Time) (end func(), wait time.Duration)
 	// Cleared records that the request ran to its end.
-	Cleared(fingerprint uint64, now time.Time)
-	// IsQuarantined reports whether the request is quarantined.
-	IsQuarantined(fingerprint uint64, now time.Time) bool
+	Cleared(fingerprint uint64, parts []string, now time.Time)
+	// IsQuarantined reports whether the request or one of its parts is quarantined.
+	IsQuarantined(fingerprint uint64, parts []string, now time.Time) bool
 }
 
 // Permits grants requests to servers that limit their rate.
@@ -120,6 +128,7 @@
 	started            time.Time
 	running            atomic.Int64
 	bufferedBytes      atomic.Int64 // bytes of buffered plain answers
+	starting           startingStreams
 }
 
 // New returns a forwarder.
@@ -209,8 +218,8 @@
 	req := f.opts.Headers.parse(r, rt, org, body, now)
 	req.Service, req.TableVersion = rt.ChooseService(rand.Float64()), table.Version
 	f.opts.Budget.CountRequest(req.Service, now)
-	if f.opts.Suspects.IsQuarantined(req.Fingerprint, now) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "request brings backend servers down", retryAfter: quarantineRetryAfter}
+	if f.isQuarantined(req) {
+		return nil, &quarantineRefusal
 	}
 	return req, nil
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -71,9 +71,13 @@
 	crashes     atomic.Int32
 }
 
-func (s *fakeSuspects) Crashed(uint64, string, time.Time)                  { s.crashes.Add(1) }
-func (s *fakeSuspects) Cleared(uint64, time.Time)                          {}
-func (s *fakeSuspects) IsQuarantined(fingerprint uint64, _ time.Time) bool { return s.quarantined != 0 }
+func (s *fakeSuspects) Crashed(uint64, []string, bool, string, time.Time) { s.crashes.Add(1) }
+func (s *fakeSuspects) BeginTrial([]string, time.Time) (func(), time.Duration) {
+	return func() {}, 0
+}
+func (s *fakeSuspects) Survived([]string, time.Time)                   {}
+func (s *fakeSuspects) Cleared(uint64, []string, time.Time)            {}
+func (s *fakeSuspects) IsQuarantined(uint64, []string, time.Time) bool { return s.quarantined != 0 }
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -32,7 +32,7 @@
 	cause, retryAfter := "no backend server", noServerRetryAfter
 	for x.sends == 0 || x.reserveRetry(ctx) {
 		a := x.choose(ctx, "")
-		if a == nil {
+		if a == nil || x.f.isQuarantined(x.req) {
 			break
 		}
 		res, body, err := x.fetch(ctx, a)
@@ -85,7 +85,7 @@
 		if a.resp.StatusCode < http.StatusInternalServerError {
 			a.member.RecordSuccess()
 			x.observe(a, false)
-			x.f.opts.Suspects.Cleared(x.req.Fingerprint, time.Now())
+			x.f.opts.Suspects.Cleared(x.req.Fingerprint, nil, time.Now())
 		}
 		return resultAnswered, body, nil
 	}
@@ -93,7 +93,7 @@
 	x.recordFailure(a)
 	x.observe(a, true)
 	if ctx.Err() == nil {
-		x.f.suspectCrash(x.req.Fingerprint, a.member)
+		x.suspectCrash(a)
 	}
 	return resultUnknown, nil, errors.Wrap(err, "answer broke off")
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -42,6 +42,8 @@
 	sharedTokens float64
 	// sharedParts lists the shared parts from the start of the prompt.
 	sharedParts []promptPart
+	// sharedPartIDs lists the IDs of sharedParts.
+	sharedPartIDs []string
 	// Session is empty for requests without a session.
 	Session string
 	// Rank orders requests by urgency; 0 is the most urgent.
@@ -85,6 +87,7 @@
 	q.Subject, q.sharedParts = promptParts(r.Header.Get(n.Prompt))
 	for _, part := range q.sharedParts {
 		q.sharedTokens += part.tokens
+		q.sharedPartIDs = append(q.sharedPartIDs, part.id)
 	}
 	q.Session = r.Header.Get(n.Session)
 	q.Fingerprint = fingerprint(q)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -39,6 +39,8 @@
 	model     int    // index in the route's models
 	lastEvent string // ID of the newest event that the caller has received
 	watch     *stallWatch
+	// endTrial ends the trial of a suspected prompt part; it may be called again.
+	endTrial func()
 	// silent is the last server that was given up because it sent nothing. It may
 	// still work.
 	silent      *pool.Member
@@ -55,12 +57,18 @@
 	}
 	cause, retryAfter := "no backend server", noServerRetryAfter
 	for x.sends == 0 || x.reserveRetry(ctx) {
+		if err := x.awaitTrial(ctx, s); err != nil {
+			cause, retryAfter = err.Error(), trialRetryAfter
+			break
+		}
 		a := x.choose(ctx, x.modelName(s))
 		if a == nil {
+			s.endTrial()
 			break
 		}
 		done, err := x.attemptStream(ctx, s, a)
 		x.finish(a)
+		s.endTrial()
 		if done {
 			return
 		}
@@ -86,7 +94,7 @@
 func (x *exchange) returnToSilentServer(ctx context.Context, s *streamState) (bool, error) {
 	now := time.Now()
 	m := s.silent
-	if m == nil || ctx.Err() != nil || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
+	if m == nil || ctx.Err() != nil || x.f.isQuarantined(x.req) || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
 		return false, nil
 	}
 	s.silent = nil
@@ -116,6 +124,8 @@
 	defer cancel(nil)
 	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), x.reserveMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
+	x.f.starting.add(a, x.req, func() { cancel(errQuarantined) })
+	defer x.f.starting.remove(a)
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != resultAnswered {
 		return false, x.recordStreamFailure(ctx, s, a, err)
@@ -252,6 +262,11 @@
 			x.f.readSpeeds.observe(a.model, a.uncachedTokens, time.Since(a.began))
 			x.observe(a, false)
 			x.startStream(a)
+			x.f.starting.remove(a)
+			a.firstEvent = time.Now()
+		}
+		if x.recordSurvival(a) {
+			s.endTrial()
 		}
 		s.watch.recordProgress(x.pauseWait())
 		now := time.Now()
@@ -311,7 +326,7 @@
 func (x *exchange) handleStreamEnd(ctx context.Context, s *streamState, a *attempt, err error) (bool, error) {
 	if isEOF(err) && (x.started || a.resp.ContentLength == 0) {
 		a.member.RecordSuccess()
-		x.f.opts.Suspects.Cleared(x.req.Fingerprint, time.Now())
+		x.f.opts.Suspects.Cleared(x.req.Fingerprint, x.req.sharedPartIDs, time.Now())
 		x.startStream(a)
 		x.addStep(a, "complete")
 		x.outcome = "answered"
@@ -323,7 +338,7 @@
 		x.recordFailure(a)
 		x.observe(a, true)
 		if cause == nil {
-			x.f.suspectCrash(x.req.Fingerprint, a.member)
+			x.suspectCrash(a)
 		}
 	}
 	if errors.Is(cause, errStalled) {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -51,6 +51,9 @@
 	PermitShare func() float64
 	// Running is the number of requests in progress.
 	Running func() float64
+	// Quarantined is the number of requests and prompt parts that are refused because
+	// they crashed backend servers.
+	Quarantined func() float64
 }
 
 // RegisterGauges registers gauges for the state of a process.
@@ -62,6 +65,7 @@
 	f.gaugeFunc("route_servers", "Backend servers in the list.", s.Servers)
 	f.gaugeFunc("route_servers_limited", "Backend servers that have named a limit of requests per second, as far as this node knows.", s.LimitedServers)
 	f.gaugeFunc("route_permit_share", "Part of the servers' limits that this node may grant, 0 if it is not the coordinator.", s.PermitShare)
+	f.gaugeFunc("route_quarantined", "Requests and prompt parts that are refused because they crashed backend servers.", s.Quarantined)
 	f.gaugeFunc("route_requests_running", "Requests under way.", s.Running)
 }
 
