Break off streams at text that is no event

Callers saw the text of an error, or its whole head, inside their stream. A stream had begun and broken off; the next server answered 200 with JSON, a page or plain text that holds a blank line, or the same server wrote an error's head after its last event, unframed or inside a chunk.

One without data was taken for a comment and forwarded once the stream had begun, and an end of file after it was taken for the end of the stream.

An event now consists of comments and fields; fields that the format does not name are accepted beside data only. Other text ends the attempt as broken, so the stream is resumed after the last event or visibly broken off. TestSoundStreamIsUnchanged holds that every legal form passes unchanged.

A head that begins inside a data line of an unframed stream cannot be told from content and still passes.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -23,6 +23,10 @@
 // errNoContent means that a stream sent too many bytes without content.
 var errNoContent = errors.Errorf("stream sent %d bytes without content", maxBytesWithoutContent)
 
+// errNotEvent means that a stream sent text that is no event, such as the text
+// or the head of an error.
+var errNotEvent = errors.New("stream sent text that is not an event")
+
 // event is one complete event of a stream in its original bytes.
 type event struct {
 	raw []byte
@@ -47,7 +51,7 @@
 	for {
 		if end := eventEnd(r.buf, searched); end > 0 {
 			r.consumed = end
-			return parseEvent(r.buf[:end]), nil
+			return parseEvent(r.buf[:end])
 		}
 		searched = max(len(r.buf)-3, 0)
 		if len(r.buf) > maxEventBytes {
@@ -92,15 +96,43 @@
 	return 0
 }
 
-// parseEvent extracts the ID of an event and whether it has content.
-func parseEvent(raw []byte) event {
+// parseEvent extracts the ID of an event and whether it has content. It returns
+// errNotEvent for text that is not in the format of events.
+func parseEvent(raw []byte) (event, error) {
 	e := event{raw: raw}
-	for line := range bytes.SplitSeq(raw, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.id = strings.TrimSpace(string(id))
-		} else if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-			e.hasContent = e.hasContent || len(bytes.TrimSpace(data)) > 0
+	hasData, hasExtension := false, false
+	for line := range bytes.SplitSeq(bytes.TrimPrefix(raw, byteOrderMark), []byte("\n")) {
+		name, value, hasValue := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		switch {
+		case len(name) == 0, string(name) == "event", string(name) == "retry": // a blank line, a comment, or no part of the content
+		case string(name) == "id":
+			e.id = strings.TrimSpace(string(value))
+		case string(name) == "data":
+			hasData = true
+			e.hasContent = e.hasContent || len(bytes.TrimSpace(value)) > 0
+		case hasValue && isFieldName(name):
+			hasExtension = true
+		default:
+			return event{}, errNotEvent
+		}
+	}
+	// Servers add fields of their own to events with data. Alone, such a field is
+	// a line of another format.
+	if hasExtension && !hasData {
+		return event{}, errNotEvent
+	}
+	return e, nil
+}
+
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// isFieldName reports whether name has the form of the name of a field.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
 		}
 	}
-	return e
+	return true
 }
--- a/internal/forward/memnet_test.go
+++ b/internal/forward/memnet_test.go
@@ -37,7 +37,7 @@
 	if l == nil {
 		return nil, errRefused
 	}
-	local, remote := net.Pipe()
+	local, remote := pipe()
 	select {
 	case l.conns <- remote:
 		return local, nil
