Take only event streams for the rest of a stream

Callers saw a stream that had broken off end as if it were complete, or go on with the text of another answer. The next server had answered 200 with an empty body (a head alone, Content-Length 0 without a type, blank lines), or with text of another type.

Cause: once a stream had begun, any 200 was read as its rest, and any end of file after whole events counted as its end, also without a single event.

The rest of a stream must now be an event stream, or of the type of the stream. If it brings no event, only its framing shows that nothing was left to send: the end of a connection does not. Comments before a server's first event are held back until it comes, so that an answer that fails leaves no trace.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -133,6 +134,11 @@
 	if a.resp.StatusCode != http.StatusOK {
 		return x.handleNonStream(ctx, a)
 	}
+	if x.started && !x.continues(a) {
+		x.recordFailure(a)
+		x.observe(a, true)
+		return false, errors.Errorf("server continued the stream as %q", a.resp.Header.Get("Content-Type"))
+	}
 	if x.escalate(ctx, s, a) {
 		return false, nil
 	}
@@ -232,11 +238,24 @@
 // that would fail without a retry.
 const escalationReserve = 0.15
 
+// continues reports whether an answer may continue the stream whose header was
+// sent: it is an event stream, or of the same type as the stream.
+func (x *exchange) continues(a *attempt) bool {
+	kind := mediaType(a.resp.Header)
+	return kind == "text/event-stream" || kind == mediaType(x.w.Header())
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // forwardEvents forwards complete events until the stream ends.
 func (x *exchange) forwardEvents(ctx context.Context, s *streamState, a *attempt) (bool, error) {
 	events := &eventReader{src: a.resp.Body}
 	isFirst, lastContent, bytesWithoutContent := true, time.Now(), 0
-	var preamble []byte // bytes received before the first content
+	var preamble []byte // bytes received before the first content of this server
 	for {
 		e, err := events.next()
 		if err == nil && !e.hasContent {
@@ -245,10 +264,10 @@
 			}
 		}
 		if err != nil {
-			return x.handleStreamEnd(ctx, s, a, err)
+			return x.handleStreamEnd(ctx, s, a, err, !isFirst)
 		}
 		if !e.hasContent {
-			if !x.started {
+			if isFirst {
 				preamble = append(preamble, e.raw...)
 			} else if !x.writeEvent(e.raw) {
 				return x.recordCallerLeft(a)
@@ -322,9 +341,18 @@
 	return http.NewResponseController(x.w).Flush() == nil
 }
 
-// handleStreamEnd handles the end of one server's stream.
-func (x *exchange) handleStreamEnd(ctx context.Context, s *streamState, a *attempt, err error) (bool, error) {
-	if isEOF(err) && (x.started || a.resp.ContentLength == 0) {
+// endsWhole reports whether a stream that ended after an event, or without one,
+// is whole. A resumed stream may have nothing left to send, but the end of a
+// connection alone does not show that.
+func (x *exchange) endsWhole(a *attempt, hasContent bool) bool {
+	isFramed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	return hasContent || a.resp.ContentLength == 0 || x.started && isFramed
+}
+
+// handleStreamEnd handles the end of one server's stream. hasContent tells
+// whether the server sent any.
+func (x *exchange) handleStreamEnd(ctx context.Context, s *streamState, a *attempt, err error, hasContent bool) (bool, error) {
+	if isEOF(err) && x.endsWhole(a, hasContent) {
 		a.member.RecordSuccess()
 		x.f.opts.Suspects.Cleared(x.req.Fingerprint, x.req.sharedPartIDs, time.Now())
 		x.startStream(a)
