Reset the connection of a truncated answer to HTTP/1.0

Callers on HTTP/1.0 saw a stream that had broken off end as if it were complete.

Cause: such an answer has neither length nor chunks and ends with its connection. A truncated answer was ended by closing the connection, which is how a complete one ends too.

The connection is now closed by a reset. Callers on HTTP/1.1 miss the last chunk, as before, also with Connection: close.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -183,10 +183,24 @@
 	span.End(nil)
 	x.recordOutcome(now)
 	if x.truncated {
-		// Closing the connection early shows the caller that the answer is
-		// truncated.
+		abort(w, r)
+	}
+}
+
+// abort ends the connection so that the caller sees that its answer is truncated.
+// An answer to HTTP/1.0 ends with its connection, so that only a reset shows it.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
 		panic(http.ErrAbortHandler)
 	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 // accept matches, authorises and reads a request. It returns a refusal if the
--- a/internal/forward/misbehaving_stream_test.go
+++ b/internal/forward/misbehaving_stream_test.go
@@ -1,13 +1,17 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -174,3 +178,23 @@
 		}
 	}
 }
+
+// Guards against a truncated answer to HTTP/1.0 whose end looks regular: over TCP
+// the caller reads a reset.
+func TestTruncatedAnswerIsResetOverTCP(t *testing.T) {
+	is, b := is.New(t), newHarness(t)
+	b.scriptedServers(raw(chunkedHead+chunk(eventText(1, 2)), false), raw("", false))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	front := &http.Server{Handler: b.f}
+	defer front.Close()
+	go func() { _ = front.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /chat/1 HTTP/1.0\r\nHost: h\r\nT-Id: r1\r\nT-Key: key\r\nT-Left: 15000\r\n"+chatLines+"\r\n")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	_, err = io.ReadAll(conn)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
--- a/internal/forward/misbehaving_test.go
+++ b/internal/forward/misbehaving_test.go
@@ -63,6 +63,7 @@
 var callers = []struct{ name, proto, header string }{
 	{"HTTP/1.1", "HTTP/1.1", ""},
 	{"HTTP/1.1 close", "HTTP/1.1", "Connection: close\r\n"},
+	{"HTTP/1.0", "HTTP/1.0", ""},
 }
 
 // sendRaw sends a request on a new connection and reads its bytes until the
