Do not continue a stream whose newest event has no ID

Callers received events twice: a stream without event IDs, or whose newest event had none, broke off and was sent to the next server from its beginning or from an earlier event.

Cause: a stream is continued after the last ID seen, whatever followed it.

Evidence: TestStreamWithoutEventIDsIsNotContinued failed before:

data: piece 2 id: 1 data: piece 1 id: 2 data: piece 2 ... != data: piece 2

Such a stream now stays at its server, also while that is silent, and is broken off visibly if the server breaks off.

--- a/internal/forward/misbehaving_stream_test.go
+++ b/internal/forward/misbehaving_stream_test.go
@@ -198,3 +198,37 @@
 	_, err = io.ReadAll(conn)
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// Guards against events that a caller receives twice: a stream whose newest event
+// has no ID cannot be continued, as no server knows where.
+func TestStreamWithoutEventIDsIsNotContinued(t *testing.T) {
+	const numbered, unnumbered = "id: 1\ndata: piece 1\n\n", "data: piece 2\n\n"
+	for _, c := range []struct{ name, sent string }{
+		{"no event has an ID", unnumbered},
+		{"the newest event has none", numbered + unnumbered},
+	} {
+		for _, isReset := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				is, b := is.New(t), newHarness(t)
+				b.scriptedServers(raw(chunkedHead+chunk(c.sent), isReset), resumeTo(4))
+				got := b.sendRaw(http.MethodPost, "/chat/1", "HTTP/1.1", chatLines)
+				is.Equal(got.body, c.sent) // no other text
+				is.True(!got.isWhole)
+				is.Equal(len(b.receivedRequests()), 1)
+			})
+		}
+		synctest.Test(t, func(t *testing.T) {
+			is, b := is.New(t), newHarness(t)
+			b.scriptedServers(func(conn net.Conn, r *http.Request) {
+				writeStreamHeader(conn, r, 90)
+				writeChunk(conn, c.sent)
+				time.Sleep(4 * time.Second) // longer than a server may be silent before a stream moves
+				writeChunk(conn, "data: piece 3\n\n")
+				writeLastChunk(conn)
+			}, resumeTo(4))
+			got := b.sendRaw(http.MethodPost, "/chat/1", "HTTP/1.1", chatLines)
+			is.Equal(got.body, c.sent+"data: piece 3\n\n") // a silent server is waited for
+			is.True(got.isWhole)
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,8 +39,11 @@
 // streamState is the state of a stream across its attempts.
 type streamState struct {
 	model     int    // index in the route's models
-	lastEvent string // ID of the newest event that the caller has received
-	watch     *stallWatch
+	lastEvent string // ID of the newest event with an ID that the caller has received
+	// isUnnumbered is set if the newest event that the caller has received has no
+	// ID, so that no server can continue after it.
+	isUnnumbered atomic.Bool
+	watch        *stallWatch
 	// endTrial ends the trial of a suspected prompt part; it may be called again.
 	endTrial func()
 	// silent is the last server that was given up because it sent nothing. It may
@@ -77,7 +81,7 @@
 			x.addStep(a, err.Error())
 			cause, retryAfter = err.Error(), fullServersRetryAfter
 		}
-		if ctx.Err() != nil || x.hasTooManyConnectFailures() || !x.req.Route.IsRepeatable() && x.mayHaveRun {
+		if ctx.Err() != nil || x.hasTooManyConnectFailures() || s.isUnnumbered.Load() || !x.req.Route.IsRepeatable() && x.mayHaveRun {
 			break
 		}
 	}
@@ -123,7 +127,7 @@
 func (x *exchange) attemptStream(ctx context.Context, s *streamState, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), x.reserveMove, func() { cancel(errStalled) })
+	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), func() bool { return !s.isUnnumbered.Load() && x.reserveMove() }, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	x.f.starting.add(a, x.req, func() { cancel(errQuarantined) })
 	defer x.f.starting.remove(a)
@@ -296,6 +300,7 @@
 		if e.id != "" {
 			s.lastEvent = e.id
 		}
+		s.isUnnumbered.Store(e.id == "")
 		raw := e.raw
 		if len(preamble) > 0 {
 			raw, preamble = append(preamble, raw...), nil
