Take no answer without the request's ID for its own

Callers were told 503, "not run", for requests that ran: a faulty server wrote an earlier refusal without a request ID once more, before the answer to the next request. Requests that must not run twice were sent to a second server, also after a refusal without an ID on a connection of their own.

Cause: an answer without an ID passed for the answer to the request; only one with another ID was dropped. Go's transport hands bytes that arrive as a request is sent to that request.

Servers echo the request's ID in every answer. An answer without it now leaves open whether the request ran: it is repeated where the route allows, and is answered 502 elsewhere. Copies with an earlier ID, and those that arrive while the connection is idle, were dropped before already.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -225,11 +225,13 @@
 // classifyAnswer classifies an attempt by the header of its answer.
 func (x *exchange) classifyAnswer(a *attempt) (result, error) {
 	h := a.resp.Header
-	if echo := h.Get(x.f.opts.Headers.RequestID); echo != "" && echo != x.req.ID {
+	// On a kept connection an answer without the request's ID may be a late copy of
+	// an earlier one.
+	if echo := h.Get(x.f.opts.Headers.RequestID); echo != x.req.ID {
 		x.mayHaveRun = true
 		x.runs++
 		x.recordFailure(a)
-		return resultUnknown, errors.Errorf("answer belongs to request %s", echo)
+		return resultUnknown, errors.Errorf("answer belongs to request %q", echo)
 	}
 	switch {
 	case a.resp.StatusCode == http.StatusMisdirectedRequest:
