Prompt parts: no verdict from one request, flapping servers or unrelated crashes

- Three moments suffice only if the part had different company at them: one request reaches three servers.
- A server that crashes again within 3 s implicates no part.
- Three moments of crashes without the part ask for one more with it.
- A part that may explain the same crashes stands in the way of a verdict while news of the last ones are under way, and gets the verdict if it explains more.
- Crashes after the verdict are published, so that other nodes do not charge them to the parts of their own requests that broke off.
- Nodes publish only the crashes that they saw, to keep records small.

Changes to tests: a quarantined part's crash is now news with exactly that part (before: no news).

--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -10,29 +10,19 @@
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
 
-// Limits on the record of prompt parts that were starting on a replica when it
-// crashed.
-const (
-	// momentsToQuarantine is the number of distinct moments of crashes after
-	// which a part is quarantined if no other part explains the same crashes.
-	momentsToQuarantine = 3
-	// momentsIfAmbiguous is the number if another part does. One request, tried
-	// at momentsToQuarantine replicas, must not implicate all of its parts.
-	momentsIfAmbiguous = 4
-	// momentGap is the least time between distinct moments: replicas that lose
-	// power together count once.
-	momentGap = 250 * time.Millisecond
-	// samePartCrashWindow is the time in which further reports of a replica's
-	// crash count as the same crash.
-	samePartCrashWindow = time.Second
-	// partSuspicionTTL and partQuarantineTTL are the lifetimes of the records.
-	partSuspicionTTL  = 10 * time.Minute
-	partQuarantineTTL = time.Hour
-	// maxParts bounds the number of records, maxPartCrashes that of a record's
-	// crashes.
-	maxParts       = 4096
-	maxPartCrashes = 16
-)
+// PartRule says when a prompt part is quarantined.
+type PartRule struct {
+	// Moments is the number of distinct moments of crashes if no other part
+	// explains the same crashes and they had different sets of parts, IfAmbiguous
+	// the number otherwise.
+	Moments, IfAmbiguous int
+	// PerOther is the number of moments of crashes without the part for which
+	// one more is required; 0 means that they do not count.
+	PerOther int
+}
+
+// DefaultPartRule is the rule in use.
+var DefaultPartRule = PartRule{Moments: momentsToQuarantine, IfAmbiguous: momentsIfAmbiguous, PerOther: momentsPerOther}
 
 // Part identifies a prompt part.
 type Part struct {
@@ -43,77 +33,9 @@
 // NewPart returns the part with the given ID.
 func NewPart(id string) Part { return Part{Key: xxhash.Sum64String("part\x00" + id), ID: id} }
 
-// partCrash is a crash with the time at which this node learned of it. Times of
-// other nodes' clocks are not comparable.
-type partCrash struct {
-	wire.Crash
-	seen time.Time
-	// isExplained means that a quarantined part accounts for the crash.
-	isExplained bool
-}
-
-// isSameAs reports whether both are reports of one crash.
-func (c partCrash) isSameAs(other partCrash) bool {
-	return c.Replica == other.Replica && (c.At.Sub(other.At).Abs() < samePartCrashWindow || c.seen.Sub(other.seen).Abs() < samePartCrashWindow)
-}
-
-// isSameMomentAs reports whether both crashes may have a common cause.
-func (c partCrash) isSameMomentAs(other partCrash) bool {
-	return c.seen.Sub(other.seen).Abs() < momentGap || c.At.Sub(other.At).Abs() < momentGap
-}
-
-// partRecord is the record of a prompt part.
-type partRecord struct {
-	Part
-	generation, lifts uint64
-	crashes           []partCrash
-	isConvicted       bool
-	isCounted         bool // in Suspects.suspectedParts
-	until             time.Time
-}
-
-func (r *partRecord) toWire() wire.Suspect {
-	e := wire.Suspect{Fingerprint: r.Key, Part: r.ID, Generation: r.generation, Lifts: r.lifts, Convicted: r.isConvicted, Until: r.until}
-	for _, c := range r.crashes {
-		e.Lost = append(e.Lost, c.Crash)
-	}
-	return e
-}
-
-// moments returns the number of distinct moments of unexplained crashes.
-func (r *partRecord) moments() int {
-	var counted []partCrash
-	for _, c := range r.crashes {
-		if !c.isExplained && !slices.ContainsFunc(counted, c.isSameMomentAs) {
-			counted = append(counted, c)
-		}
-	}
-	return len(counted)
-}
-
-// explains reports whether the part was starting at the crash, too.
-func (r *partRecord) explains(c partCrash) bool { return slices.ContainsFunc(r.crashes, c.isSameAs) }
-
-// explainsAllOf reports whether the part was starting at all unexplained crashes
-// of the other one.
-func (r *partRecord) explainsAllOf(other *partRecord) bool {
-	return !slices.ContainsFunc(other.crashes, func(c partCrash) bool { return !c.isExplained && !r.explains(c) })
-}
-
-// addCrash adds a crash and reports whether it was new.
-func (r *partRecord) addCrash(c partCrash) bool {
-	if r.explains(c) || len(r.crashes) >= maxPartCrashes {
-		return false
-	}
-	if len(r.crashes) >= maxPartCrashes/2 && slices.ContainsFunc(r.crashes, c.isSameMomentAs) {
-		return false
-	}
-	r.crashes = append(r.crashes, c)
-	return true
-}
-
 // partRecords holds the records of prompt parts.
 type partRecords struct {
+	log       crashLog
 	byKey     map[uint64]*partRecord
 	convicted map[uint64]*partRecord
 }
@@ -122,22 +44,36 @@
 	return partRecords{byKey: map[uint64]*partRecord{}, convicted: map[uint64]*partRecord{}}
 }
 
+// partSet returns the fingerprint of a set of parts.
+func partSet(parts []Part) (set uint64) {
+	for _, p := range parts {
+		set ^= p.Key
+	}
+	return set
+}
+
 // RecordPartCrash records that a replica crashed while a request with these
-// parts was starting on it. It returns the changed records.
+// parts was starting on it. It returns the changed records. A crash without
+// parts makes all parts less suspect.
 func (s *Suspects) RecordPartCrash(parts []Part, replica string, now time.Time) []wire.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	crash := partCrash{Crash: wire.Crash{Replica: replica, At: now}, seen: now}
+	crash := partCrash{Crash: wire.Crash{Replica: replica, At: now, Parts: partSet(parts)}, seen: now, isOwn: true}
+	crash.isRepeated = s.parts.log.add(crash)
 	for _, p := range parts {
 		if r := s.parts.convicted[p.Key]; r != nil && r.until.After(now) {
-			r.addCrash(crash)
-			return nil
+			if !r.addCrash(crash) {
+				return nil
+			}
+			s.explainAll(r)
+			return []wire.Suspect{r.toNews()}
 		}
 	}
 	var changed []*partRecord
 	for _, p := range parts {
 		r := s.partRecord(p, now)
-		if s.addPartCrash(r, crash) {
+		if r.addCrash(crash) {
+			s.count(r)
 			r.until = now.Add(partSuspicionTTL)
 			changed = append(changed, r)
 		}
@@ -147,7 +83,7 @@
 	slices.Reverse(changed)
 	s.convict(changed, now)
 	s.evictParts(now)
-	return toWire(changed)
+	return toNews(changed)
 }
 
 // RecordSurvival records that a request with these parts ran well past its
@@ -165,7 +101,7 @@
 			changed = append(changed, r)
 		}
 	}
-	return toWire(changed)
+	return toNews(changed)
 }
 
 // QuarantinedPart returns the record of the first quarantined part.
@@ -183,10 +119,10 @@
 	return wire.Suspect{}, false
 }
 
-func toWire(records []*partRecord) []wire.Suspect {
+func toNews(records []*partRecord) []wire.Suspect {
 	var list []wire.Suspect
 	for _, r := range records {
-		list = append(list, r.toWire())
+		list = append(list, r.toNews())
 	}
 	return list
 }
@@ -206,19 +142,6 @@
 	return r
 }
 
-// addPartCrash adds a crash to a record and reports whether it was new. The
-// caller holds mu.
-func (s *Suspects) addPartCrash(r *partRecord, c partCrash) bool {
-	for _, convicted := range s.parts.convicted {
-		c.isExplained = c.isExplained || (convicted != r && convicted.explains(c))
-	}
-	if !r.addCrash(c) {
-		return false
-	}
-	s.count(r)
-	return true
-}
-
 // clearPart removes crashes and quarantine from a record. The caller holds mu.
 func (s *Suspects) clearPart(r *partRecord, until time.Time) {
 	r.generation++
@@ -236,7 +159,7 @@
 		delete(s.parts.convicted, r.Key)
 	}
 	s.quarantinedParts.Store(int64(len(s.parts.convicted)))
-	isSuspected := r.isConvicted || slices.ContainsFunc(r.crashes, func(c partCrash) bool { return !c.isExplained })
+	isSuspected := r.isConvicted || slices.ContainsFunc(r.crashes, partCrash.implicates)
 	switch {
 	case isSuspected && !r.isCounted:
 		s.suspectedParts.Add(1)
@@ -249,40 +172,71 @@
 // convict quarantines those of the given parts that crashes single out, the
 // likeliest first. The caller holds mu.
 func (s *Suspects) convict(candidates []*partRecord, now time.Time) {
-	list := slices.DeleteFunc(slices.Clone(candidates), func(r *partRecord) bool { return r.isConvicted || r.moments() < momentsToQuarantine })
+	list := slices.DeleteFunc(slices.Clone(candidates), func(r *partRecord) bool { return r.isConvicted || r.moments() < s.partRule.Moments })
 	slices.SortStableFunc(list, func(a, b *partRecord) int {
 		return cmp.Or(cmp.Compare(b.moments(), a.moments()), cmp.Compare(a.generation, b.generation))
 	})
 	for _, r := range list {
-		// An earlier conviction may explain crashes of this part.
-		if n := r.moments(); n >= momentsIfAmbiguous || (n >= momentsToQuarantine && !s.hasRival(r)) {
-			s.setConvicted(r, now.Add(partQuarantineTTL))
+		if rival := s.strongestRival(r, now); rival != nil && rival.settledCrashes(now) > r.settledCrashes(now) {
+			s.convictIfCertain(rival, now)
 		}
+		s.convictIfCertain(r, now)
 	}
 }
 
-// convictMerged quarantines parts after a merge. The caller holds mu.
-func (s *Suspects) convictMerged(now time.Time) {
-	var list []*partRecord
-	for _, r := range s.parts.byKey {
-		if r.isCounted && len(r.crashes) >= momentsToQuarantine {
-			list = append(list, r)
+// convictIfCertain quarantines a part if crashes single it out. The caller holds
+// mu.
+func (s *Suspects) convictIfCertain(r *partRecord, now time.Time) {
+	n := r.moments()
+	if s.partRule.PerOther > 0 {
+		n -= s.parts.log.otherMoments(r) / s.partRule.PerOther
+	}
+	if n < s.partRule.Moments || r.isConvicted {
+		return
+	}
+	rival := s.strongestRival(r, now)
+	switch {
+	case rival == nil && r.hasVariedCompany(),
+		n >= s.partRule.IfAmbiguous && (rival == nil || rival.settledCrashes(now) <= r.settledCrashes(now)):
+		s.setConvicted(r, now.Add(partQuarantineTTL))
+	}
+}
+
+// explainMerged marks the crashes that quarantined parts explain, after a merge of
+// the given records. Their order does not matter. The caller holds mu.
+func (s *Suspects) explainMerged(list []*partRecord) {
+	for _, r := range list {
+		if r.isConvicted {
+			s.explainAll(r)
+		} else {
+			s.explainCrashes(r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *partRecord) int { return cmp.Compare(a.Key, b.Key) })
-	s.convict(list, now)
-	s.evictParts(now)
 }
 
-// hasRival reports whether another suspected part explains all crashes of r. The
+// explainAll marks the crashes of all parts that a quarantined part explains. The
 // caller holds mu.
-func (s *Suspects) hasRival(r *partRecord) bool {
+func (s *Suspects) explainAll(r *partRecord) {
+	s.parts.log.explain(r)
 	for _, other := range s.parts.byKey {
-		if other != r && other.isCounted && !other.isConvicted && other.explainsAllOf(r) {
-			return true
+		if !other.isConvicted && other.isCounted {
+			s.explainCrashes(other)
 		}
 	}
-	return false
+}
+
+// strongestRival returns the suspected part that explains most crashes of those that
+// explain all crashes of r, nil if there is none. The caller holds mu.
+func (s *Suspects) strongestRival(r *partRecord, now time.Time) (strongest *partRecord) {
+	for _, other := range s.parts.byKey {
+		if other == r || !other.isCounted || other.isConvicted || !other.isRivalOf(r, now) {
+			continue
+		}
+		if strongest == nil || cmp.Or(cmp.Compare(other.settledCrashes(now), strongest.settledCrashes(now)), cmp.Compare(other.Key, strongest.Key)) > 0 {
+			strongest = other
+		}
+	}
+	return strongest
 }
 
 // setConvicted quarantines a part, which explains its crashes: other parts are
@@ -293,23 +247,27 @@
 		r.crashes[i].isExplained = false
 	}
 	s.count(r)
-	for _, other := range s.parts.byKey {
-		if other.isConvicted || !other.isCounted {
-			continue
-		}
-		for i, c := range other.crashes {
-			other.crashes[i].isExplained = c.isExplained || r.explains(c)
+	s.explainAll(r)
+}
+
+// explainCrashes marks the crashes of a part that quarantined parts explain. The
+// caller holds mu.
+func (s *Suspects) explainCrashes(r *partRecord) {
+	for i, c := range r.crashes {
+		for _, convicted := range s.parts.convicted {
+			r.crashes[i].isExplained = r.crashes[i].isExplained || convicted.explains(c)
 		}
-		s.count(other)
 	}
+	s.count(r)
 }
 
-// mergePart merges one record of a part. The caller holds mu.
-func (s *Suspects) mergePart(e wire.Suspect, now time.Time) {
-	r := s.partRecord(Part{Key: e.Fingerprint, ID: e.Part}, now)
+// mergePart merges one record of a part, and reports whether it gained crashes.
+// The caller holds mu.
+func (s *Suspects) mergePart(e wire.Suspect, now time.Time) (r *partRecord, isChanged bool) {
+	r = s.partRecord(Part{Key: e.Fingerprint, ID: e.Part}, now)
 	order := cmp.Or(cmp.Compare(e.Lifts, r.lifts), cmp.Compare(e.Generation, r.generation))
 	if order < 0 {
-		return
+		return r, false
 	}
 	// The sender's clock may be ahead.
 	until := earliest(e.Until, now.Add(partQuarantineTTL))
@@ -319,14 +277,18 @@
 		s.count(r)
 	}
 	for _, c := range e.Lost {
-		s.addPartCrash(r, partCrash{Crash: c, seen: now})
+		crash := partCrash{Crash: c, seen: now}
+		crash.isRepeated = s.parts.log.add(crash)
+		isChanged = r.addCrash(crash) || isChanged
 	}
+	s.count(r)
 	switch {
 	case e.Convicted && !r.isConvicted:
 		s.setConvicted(r, until)
 	case e.Convicted == r.isConvicted && until.After(r.until):
 		r.until = until
 	}
+	return r, isChanged
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -32,6 +32,7 @@
 // Lock order: a replica's lock before that of Suspects.
 type Suspects struct {
 	quarantineAt int // crashes after which a request is quarantined
+	partRule     PartRule
 
 	mu         sync.Mutex
 	entries    map[uint64]wire.Suspect // guarded by mu
@@ -49,7 +50,13 @@
 // NewSuspectsWithLimit returns an empty record that quarantines a request after the
 // given number of crashes.
 func NewSuspectsWithLimit(crashes int) *Suspects {
-	return &Suspects{quarantineAt: crashes, entries: map[uint64]wire.Suspect{}, parts: newPartRecords()}
+	return NewSuspectsWithRule(crashes, DefaultPartRule)
+}
+
+// NewSuspectsWithRule returns an empty record with the given rules for requests and
+// for prompt parts.
+func NewSuspectsWithRule(crashes int, rule PartRule) *Suspects {
+	return &Suspects{quarantineAt: crashes, partRule: rule, entries: map[uint64]wire.Suspect{}, parts: newPartRecords()}
 }
 
 // RecordCrash records that a replica crashed while the request was running on it,
@@ -117,19 +124,22 @@
 func (s *Suspects) Merge(now time.Time, list []wire.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hasParts := false
+	var changedParts []*partRecord
 	for _, e := range list {
 		switch {
 		case !e.Until.After(now):
 		case e.Part != "":
-			s.mergePart(e, now)
-			hasParts = true
+			if r, isChanged := s.mergePart(e, now); isChanged {
+				changedParts = append(changedParts, r)
+			}
 		case s.parts.byKey[e.Fingerprint] == nil:
 			s.mergeRecord(e, now)
 		}
 	}
-	if hasParts {
-		s.convictMerged(now)
+	if len(changedParts) > 0 {
+		s.explainMerged(changedParts)
+		s.convict(changedParts, now)
+		s.evictParts(now)
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -110,6 +110,9 @@
 type Crash struct {
 	Replica string
 	At      time.Time
+	// Parts identifies the set of prompt parts that were starting together; 0 in
+	// records of whole requests.
+	Parts uint64
 }
 
 // AlarmArgs reports requests that ran on a replica when it crashed.
