Quarantine messages that crash engines on the product's own interface

Callers saw: requests that share a message with one that crashes its engine brought down one engine after the other; at most two for one request, but each was a new request.

Cause: the register knew whole requests only, here as on the users' platform.

Why it works: the gateway names each message before the last as a part; a crash after fewer than 32 tokens makes them suspects, an answer that ends or runs further clears them, on all nodes. Both paths use the one register. DELETE /quarantines/{fingerprint} on the operators' interface lifts a quarantine.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -58,6 +58,9 @@
 		d.release(sl, used)
 		return backend.Frame{}, false, &outcome.Refusal{Code: outcome.CodeDeadline, Ran: outcome.Worse(a.ran, backendError(err).Ran), RetryAfter: minRetryAfter, Message: "the deadline passed or the caller went away while the answer was made"}
 	}
+	if d.Suspects != nil && used.Tokens >= minSurvivalTokens {
+		d.clearParts(a)
+	}
 	return d.handleFailure(ctx, a, sl, used, backendError(err))
 }
 
@@ -81,7 +84,7 @@
 	a.excluded = append(a.excluded, sl.replica.ID)
 	a.retries++
 	d.Record.Add(a.req.ID, "replica %s failed: %s", sl.replica.ID, err)
-	if d.reportCrash(ctx, a, sl, err) {
+	if d.reportCrash(ctx, a, sl, used.Tokens, err) {
 		return backend.Frame{}, true, nil
 	}
 	if err.Retryable() && d.spendRetry(ctx, &a.req.Request, a.retries) {
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -94,6 +94,7 @@
 // possible.
 func (d *Dispatcher) serve(ctx context.Context, a *answer) (backend.Frame, error) {
 	for {
+		d.awaitTrial(ctx, a)
 		if err := d.refuseQuarantined(a); err != nil {
 			return backend.Frame{}, err
 		}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/backend"
+	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/wire"
 )
@@ -16,6 +17,9 @@
 	// suspectRetryDelay is the mean delay before a suspect asks again for a
 	// replica that runs no other suspect.
 	suspectRetryDelay = 200 * time.Millisecond
+	// minSurvivalTokens is the number of tokens after which a replica counts as well
+	// past the start of an answer. One that is crashed by its prompt sends fewer.
+	minSurvivalTokens = 32
 )
 
 // ReasonSuspect is the reason of the owner's refusal to run a second suspect on
@@ -34,16 +38,23 @@
 // refuseQuarantined returns a refusal if the request has crashed too many
 // replicas.
 func (d *Dispatcher) refuseQuarantined(a *answer) error {
-	if d.Suspects == nil || !d.Suspects.IsQuarantined(a.req.Fingerprint, time.Now()) {
+	if d.Suspects == nil {
+		return nil
+	}
+	now := time.Now()
+	if part, ok := d.Suspects.QuarantinedPart(a.req.Parts, now); ok {
+		return &outcome.Refusal{Code: outcome.CodeCrashSuspect, Ran: a.ran, Message: "a message of this request brought backend servers down and is refused everywhere: change it, or ask the operator about part " + part.Part}
+	}
+	if !d.Suspects.IsQuarantined(a.req.Fingerprint, now) {
 		return nil
 	}
 	return &outcome.Refusal{Code: outcome.CodeCrashSuspect, Ran: a.ran, Message: "this request brought two backend servers down and is refused everywhere: change it, or ask the operator"}
 }
 
 // reportCrash records that a replica crashed while it ran the request, and
-// publishes the record before the request is tried again. It returns false if
-// the replica is live.
-func (d *Dispatcher) reportCrash(ctx context.Context, a *answer, sl *slot, err *backend.Error) bool {
+// publishes the record before the request is tried again. tokens is how many tokens
+// the replica had sent. It returns false if the replica is live.
+func (d *Dispatcher) reportCrash(ctx context.Context, a *answer, sl *slot, tokens int, err *backend.Error) bool {
 	if d.Suspects == nil || err.Kind != backend.KindBroken || err.Ran == outcome.RanNo {
 		return false
 	}
@@ -52,9 +63,14 @@
 	if !d.CrashReporter.HasCrashed(ctx, d.countingOwner(sl), sl.replica.ID, sl.replica.Address) {
 		return false
 	}
-	suspect := d.Suspects.RecordCrash(a.req.Fingerprint, sl.replica.ID, time.Now())
+	now := time.Now()
+	suspect := d.Suspects.RecordCrash(a.req.Fingerprint, sl.replica.ID, now)
+	records := []wire.Suspect{suspect}
+	if tokens < minSurvivalTokens {
+		records = append(records, d.Suspects.RecordPartCrash(a.req.Parts, sl.replica.ID, now)...)
+	}
 	d.Record.Add(a.req.ID, "replica %s crashed while running the request, crash %d of %d", sl.replica.ID, len(suspect.Lost), crashesToQuarantine)
-	d.CrashReporter.Publish(ctx, []wire.Suspect{suspect})
+	d.CrashReporter.Publish(ctx, records)
 	return true
 }
 
@@ -83,10 +99,31 @@
 	}
 }
 
-// clear clears the crashes recorded for a request that was answered.
+// awaitTrial waits until the trial interval after the last crash for which a part of the
+// prompt is suspected has passed.
+func (d *Dispatcher) awaitTrial(ctx context.Context, a *answer) {
+	if d.Suspects == nil {
+		return
+	}
+	if suspected, lastCrash := d.Suspects.SuspectedParts(a.req.Parts); len(suspected) > 0 {
+		loop.Sleep(ctx, time.Until(lastCrash.Add(TrialInterval)))
+	}
+}
+
+// clear clears the crashes recorded for a request that was answered, and for the
+// parts of its prompt.
 func (d *Dispatcher) clear(a *answer) {
 	if d.Suspects != nil {
 		d.Suspects.ClearCrashes(a.req.Fingerprint, time.Now())
+		d.clearParts(a)
+	}
+}
+
+// clearParts clears the crashes recorded for the parts of a prompt that a replica
+// answers, and tells the other nodes.
+func (d *Dispatcher) clearParts(a *answer) {
+	if changed := d.Suspects.RecordSurvival(a.req.Parts, time.Now()); len(changed) > 0 {
+		go d.CrashReporter.Publish(context.Background(), changed)
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -115,6 +115,8 @@
 	Deadline time.Time
 	// Fingerprint identifies the organisation and the content of the request.
 	Fingerprint uint64
+	// Parts are the parts of the prompt that other requests may share: never its last.
+	Parts []Part
 }
 
 // NewID returns a random identifier of 32 hex digits.
--- a/internal/dispatch/suspected.go
+++ b/internal/dispatch/suspected.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// TrialInterval is the least time between a crash and the next request with a part that
+// is suspected for it, so that the next crash has a moment of its own.
+const TrialInterval = momentGap + 50*time.Millisecond
+
 // SuspectedParts returns those of the parts that are suspected and not quarantined, and
 // when this node learned of the last crash of one of them.
 func (s *Suspects) SuspectedParts(parts []Part) (suspected []Part, lastCrash time.Time) {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -24,10 +24,6 @@
 	// quarantineStoreInterval is how often quarantines that are missing in the store are
 	// written.
 	quarantineStoreInterval = time.Second
-	// trialInterval is the least time between a crash and the next request with a part
-	// that is suspected for it. It exceeds the gap by which the register tells moments of
-	// crashes apart.
-	trialInterval = 300 * time.Millisecond
 	// trialPollInterval is how often a request asks whether the trial before it has ended.
 	trialPollInterval = 50 * time.Millisecond
 )
@@ -87,7 +83,7 @@
 	if len(suspected) == 0 {
 		return func() {}, 0
 	}
-	if wait := lastCrash.Add(trialInterval).Sub(now); wait > 0 {
+	if wait := lastCrash.Add(dispatch.TrialInterval).Sub(now); wait > 0 {
 		return nil, wait
 	}
 	s.trials.mu.Lock()
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -95,6 +96,16 @@
 	return text.String()
 }
 
+// sharedParts returns the messages before the last one, which other requests may repeat.
+func (b *chatBody) sharedParts() []dispatch.Part {
+	var parts []dispatch.Part
+	for _, m := range b.Messages[:len(b.Messages)-1] {
+		id := strconv.FormatUint(Fingerprint(cmp.Or(m.Role, "user"), string(m.Content)), 16)
+		parts = append(parts, dispatch.NewPart(id))
+	}
+	return parts
+}
+
 func (g *Gateway) chat(w http.ResponseWriter, r *http.Request) {
 	req, rank, err := g.parseRequest(r)
 	if err != nil {
@@ -116,6 +127,7 @@
 	defer cancel()
 	prompt := parsed.prompt()
 	req.Fingerprint = Fingerprint(req.Organisation, prompt)
+	req.Parts = parsed.sharedParts()
 	sink := &chatSink{w: w, id: req.ID, model: parsed.Model, stream: parsed.Stream, control: http.NewResponseController(w), cancel: cancel, start: time.Now(),
 		observeFirstToken: func(d time.Duration) { g.Metrics.FirstToken.WithLabelValues(rank).Observe(d.Seconds()) }}
 	defer sink.close()
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/http/pprof"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/membership"
@@ -54,6 +56,7 @@
 	r.Get("/explain/{request}", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, n.explain(r, chi.URLParam(r, "request")))
 	})
+	r.Delete("/quarantines/{key}", n.liftQuarantine)
 	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
@@ -83,6 +86,24 @@
 	return Status{Node: n.options.Settings.ID, Revision: n.config.Current(), Nodes: view.Nodes, Replicas: view.Replicas, PendingBills: n.bills.Pending()}
 }
 
+// liftQuarantine ends the quarantine of a request or prompt part on all nodes. The key is
+// the fingerprint that the status reports.
+func (n *Node) liftQuarantine(w http.ResponseWriter, r *http.Request) {
+	key, err := strconv.ParseUint(chi.URLParam(r, "key"), 10, 64)
+	if err != nil {
+		http.Error(w, "the key is not a fingerprint as the status reports it", http.StatusBadRequest)
+		return
+	}
+	record, ok := n.suspects.Lift(key, time.Now())
+	if !ok {
+		http.Error(w, "nothing with this fingerprint is quarantined", http.StatusNotFound)
+		return
+	}
+	n.options.Log.Warn("quarantine lifted by an operator", zap.Uint64("fingerprint", key), zap.String("part", record.Part))
+	crashReporter{n}.Publish(r.Context(), []wire.Suspect{record})
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // explain collects a request's steps from all live nodes.
 func (n *Node) explain(r *http.Request, request string) Explanation {
 	ctx, cancel := context.WithTimeout(r.Context(), explainTimeout)
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -116,10 +116,12 @@
 // SuspectReport describes the fingerprint of a request that was running when
 // backend servers crashed.
 type SuspectReport struct {
-	Fingerprint uint64    `json:"fingerprint"`
-	Crashes     int       `json:"crashes"`
-	Refused     bool      `json:"refused"`
-	Until       time.Time `json:"until"`
+	Fingerprint uint64 `json:"fingerprint"`
+	// Part is the ID of a prompt part; empty for a whole request.
+	Part    string    `json:"part,omitempty"`
+	Crashes int       `json:"crashes"`
+	Refused bool      `json:"refused"`
+	Until   time.Time `json:"until"`
 }
 
 // Report returns a description of the fleet as seen by this node.
@@ -267,7 +269,7 @@
 	for _, n := range s.Nodes {
 		for _, v := range n.State.Suspects {
 			if old := found[v.Fingerprint]; len(v.Lost) >= old.Crashes {
-				found[v.Fingerprint] = SuspectReport{Fingerprint: v.Fingerprint, Crashes: len(v.Lost), Refused: v.Convicted || old.Refused, Until: v.Until}
+				found[v.Fingerprint] = SuspectReport{Fingerprint: v.Fingerprint, Part: v.Part, Crashes: len(v.Lost), Refused: v.Convicted || old.Refused, Until: v.Until}
 			}
 		}
 	}
