Commands that list and lift quarantines on the users' platform

A quarantine of a request or prompt part was seen only in the log of the node that made it, and held until it ended. 'cowslipfall quarantine list' and 'lift ID' read the rows of the store and remove one, on which all nodes lift it.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -37,7 +37,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newEdge(), newLogs(), newConfig(), newRollout(), newStatus(), newExplain(),
+		newServe(), newEdge(), newQuarantine(), newLogs(), newConfig(), newRollout(), newStatus(), newExplain(),
 		newDev(), newDemo(), newMeasure(), newCapacity(), newStandin(), newVersion(),
 	)
 	return root
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -243,7 +243,7 @@
 	}
 	now := time.Now()
 	for _, e := range n.suspects.Quarantined(now) {
-		key := quarantineKeyPrefix + strconv.FormatUint(e.Fingerprint, 16)
+		key := quarantineKey(e)
 		if _, ok := n.rows.Get(tableSystem, key); ok {
 			continue
 		}
