Forward: give up a silent server only for a retry that can be made

Cause: check then act. The server was given up because the retry budget was not empty, and only then a whole retry was taken from it. A node of the grown fleet has a small part of the allowance, so less than one retry is often left. Nobody asked for another server either.

Why it works: the one function that allows to give up a server asks for another server that takes requests and takes the retry from the budget first; plain requests use it in place of a fixed timeout. Otherwise the server that has the request is waited for.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -72,9 +72,15 @@
 // fetch sends the request and reads the complete answer.
 func (x *exchange) fetch(ctx context.Context, a *attempt) (result, []byte, error) {
 	if x.req.Route.IsRepeatable() && x.sends+1 < x.req.Route.MaxAttempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, max(time.Duration(attemptTimeoutFactor*float64(x.req.Route.Target)), minAttemptTimeout))
-		defer cancel()
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		timer := time.AfterFunc(max(time.Duration(attemptTimeoutFactor*float64(x.req.Route.Target)), minAttemptTimeout), func() {
+			if x.reserveMove(a.member) {
+				cancel(errStalled)
+			}
+		})
+		defer timer.Stop()
 	}
 	res, err := x.send(ctx, a, "")
 	if res != resultAnswered {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -127,7 +127,9 @@
 func (x *exchange) attemptStream(ctx context.Context, s *streamState, a *attempt) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), func() bool { return !s.isUnnumbered.Load() && x.reserveMove() }, func() { cancel(errStalled) })
+	isLast := x.sends+1 >= x.req.Route.MaxAttempts
+	canMove := func() bool { return !isLast && !s.isUnnumbered.Load() && x.reserveMove(a.member) }
+	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), canMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	x.f.starting.add(a, x.req, func() { cancel(errQuarantined) })
 	defer x.f.starting.remove(a)
@@ -157,18 +159,29 @@
 	return max(time.Duration(firstEventShare*float64(x.req.Route.Target)), minFirstEventWait) + expectedWaitFactor*expected
 }
 
-// reserveMove reports whether another server may still be tried for the stream, and
-// takes the retry from the budget: a server that was given up cannot be taken back.
-func (x *exchange) reserveMove() bool {
+// reserveMove reports whether another server may be tried in place of m, which is still
+// silent, and takes the retry from the budget: a server that was given up cannot be taken
+// back.
+func (x *exchange) reserveMove(m *pool.Member) bool {
 	now := time.Now()
-	if !x.req.Route.IsRepeatable() || x.sends >= x.req.Route.MaxAttempts || x.req.Deadline.Sub(now) <= minTimeLeftToMove || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
+	if !x.req.Route.IsRepeatable() || x.req.Deadline.Sub(now) <= minTimeLeftToMove || !x.f.hasOtherServer(m, now) || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
 		return false
 	}
 	x.isMoveReserved.Store(true)
 	return true
 }
 
-// minTimeLeftToMove is the time left below which a stream is not moved any
+// hasOtherServer reports whether another server of the same service takes requests.
+func (f *Forwarder) hasOtherServer(m *pool.Member, now time.Time) bool {
+	for _, other := range f.opts.Pool.Members(m.Service) {
+		if other != m && other.IsUsable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// minTimeLeftToMove is the time left below which a request is not moved any
 // more.
 const minTimeLeftToMove = 200 * time.Millisecond
 
