Prompt parts: a part that was cleared before needs more crashes

Each earlier clearing asks for one more moment of crashes, up to 20.

TestClearedPartNeedsMoreCrashes fails without it: [shared] != []

--- a/internal/dispatch/part_record.go
+++ b/internal/dispatch/part_record.go
@@ -42,6 +42,9 @@
 	// which one more is required.
 	momentsPerOther  = 3
 	maxLoggedCrashes = 256
+	// maxSurvivalCredit bounds the additional moments required of a part that was
+	// cleared before. A fleet-wide outage must not implicate popular parts.
+	maxSurvivalCredit = 20
 )
 
 // partCrash is a crash with the time at which this node learned of it. Times of
@@ -131,6 +134,10 @@
 	return false
 }
 
+// survivalCredit returns the number of additional moments required because the part
+// was cleared before.
+func (r *partRecord) survivalCredit() int { return int(min(r.generation-r.lifts, maxSurvivalCredit)) }
+
 // explains reports whether the part was starting at the crash, too.
 func (r *partRecord) explains(c partCrash) bool { return slices.ContainsFunc(r.crashes, c.isSameAs) }
 
--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -187,7 +187,7 @@
 // convictIfCertain quarantines a part if crashes single it out. The caller holds
 // mu.
 func (s *Suspects) convictIfCertain(r *partRecord, now time.Time) {
-	n := r.moments()
+	n := r.moments() - r.survivalCredit()
 	if s.partRule.PerOther > 0 {
 		n -= s.parts.log.otherMoments(r) / s.partRule.PerOther
 	}
@@ -226,10 +226,11 @@
 }
 
 // strongestRival returns the suspected part that explains most crashes of those that
-// explain all crashes of r, nil if there is none. The caller holds mu.
+// explain all crashes of r, nil if there is none. A part that was cleared more often
+// is no rival. The caller holds mu.
 func (s *Suspects) strongestRival(r *partRecord, now time.Time) (strongest *partRecord) {
 	for _, other := range s.parts.byKey {
-		if other == r || !other.isCounted || other.isConvicted || !other.isRivalOf(r, now) {
+		if other == r || !other.isCounted || other.isConvicted || other.survivalCredit() > r.survivalCredit() || !other.isRivalOf(r, now) {
 			continue
 		}
 		if strongest == nil || cmp.Or(cmp.Compare(other.settledCrashes(now), strongest.settledCrashes(now)), cmp.Compare(other.Key, strongest.Key)) > 0 {
--- a/internal/dispatch/suspect_parts_test.go
+++ b/internal/dispatch/suspect_parts_test.go
@@ -102,6 +102,30 @@
 	is.Equal(quarantinedIDs(s, now), []string{})
 }
 
+// Guards against quarantining a part that all requests share when no replica
+// runs for long enough to clear it.
+func TestClearedPartNeedsMoreCrashes(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	crash := func(i int) {
+		s.RecordPartCrash(partsOf("shared", fmt.Sprint("subject", i)), fmt.Sprint("r", i), now)
+		now = now.Add(time.Second)
+	}
+	for i := range maxSurvivalCredit {
+		crash(i)
+		s.RecordSurvival(partsOf("shared"), now)
+	}
+	now = now.Add(backgroundWindow)
+	for i := range maxSurvivalCredit {
+		crash(i)
+	}
+	is.Equal(quarantinedIDs(s, now), []string{})
+	for i := range momentsToQuarantine {
+		crash(maxSurvivalCredit + i)
+	}
+	is.Equal(quarantinedIDs(s, now), []string{"shared"})
+}
+
 // Guards against quarantining the parts in use on a replica that crashes again
 // and again, shortly after each start.
 func TestFlappingReplicaImplicatesNothing(t *testing.T) {
