Prompt parts: a verdict on the true cause acquits parts caught by chance

A sound part that came with the crashing part at the first crashes could stay quarantined for an hour. When a part is quarantined that explains all crashes of another one and more, the other's quarantine ends.

TestVerdictOnAnotherPartAcquits fails without it: [deadly chance] != [deadly]

--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -198,16 +198,17 @@
 	switch {
 	case rival == nil && r.hasVariedCompany(),
 		n >= s.partRule.IfAmbiguous && (rival == nil || rival.settledCrashes(now) <= r.settledCrashes(now)):
-		s.setConvicted(r, now.Add(partQuarantineTTL))
+		s.setConvicted(r, now, now.Add(partQuarantineTTL))
 	}
 }
 
 // explainMerged marks the crashes that quarantined parts explain, after a merge of
 // the given records. Their order does not matter. The caller holds mu.
-func (s *Suspects) explainMerged(list []*partRecord) {
+func (s *Suspects) explainMerged(list []*partRecord, now time.Time) {
 	for _, r := range list {
 		if r.isConvicted {
 			s.explainAll(r)
+			s.acquitExplained(r, now)
 		} else {
 			s.explainCrashes(r)
 		}
@@ -242,13 +243,28 @@
 
 // setConvicted quarantines a part, which explains its crashes: other parts are
 // no longer suspected for them. The caller holds mu.
-func (s *Suspects) setConvicted(r *partRecord, until time.Time) {
+func (s *Suspects) setConvicted(r *partRecord, now, until time.Time) {
 	r.isConvicted, r.until = true, until
 	for i := range r.crashes {
 		r.crashes[i].isExplained = false
 	}
 	s.count(r)
 	s.explainAll(r)
+	s.acquitExplained(r, now)
+}
+
+// acquitExplained ends the quarantines that the one of r makes needless: of parts
+// that were only starting at crashes at which r was starting, too. The caller holds
+// mu.
+func (s *Suspects) acquitExplained(r *partRecord, now time.Time) {
+	for _, other := range s.parts.convicted {
+		if other == r || other.moments() == 0 || len(other.crashes) >= len(r.crashes) {
+			continue
+		}
+		if !slices.ContainsFunc(other.crashes, func(c partCrash) bool { return !r.explains(c) }) {
+			s.clearPart(other, now.Add(partQuarantineTTL))
+		}
+	}
 }
 
 // explainCrashes marks the crashes of a part that quarantined parts explain. The
@@ -285,7 +301,7 @@
 	s.count(r)
 	switch {
 	case e.Convicted && !r.isConvicted:
-		s.setConvicted(r, until)
+		s.setConvicted(r, now, until)
 	case e.Convicted == r.isConvicted && until.After(r.until):
 		r.until = until
 	}
--- a/internal/dispatch/suspect_parts_test.go
+++ b/internal/dispatch/suspect_parts_test.go
@@ -102,6 +102,27 @@
 	is.Equal(quarantinedIDs(s, now), []string{})
 }
 
+// Guards against a lasting quarantine of a part that was in use at the first
+// crashes only by chance.
+func TestVerdictOnAnotherPartAcquits(t *testing.T) {
+	is := is.New(t)
+	a, b, now := NewSuspects(), NewSuspects(), time.Now()
+	for i := range 2 * momentsIfAmbiguous {
+		parts := partsOf("deadly", fmt.Sprint("subject", i))
+		if i < momentsIfAmbiguous {
+			parts = partsOf("deadly", "chance")
+		}
+		b.Merge(now, a.RecordPartCrash(parts, fmt.Sprint("r", i), now))
+		if i == momentsIfAmbiguous-1 {
+			is.Equal(quarantinedIDs(a, now), []string{"chance"})
+			is.Equal(quarantinedIDs(b, now), []string{"chance"})
+		}
+		now = now.Add(time.Second)
+	}
+	is.Equal(quarantinedIDs(a, now), []string{"deadly"})
+	is.Equal(quarantinedIDs(b, now), []string{"deadly"})
+}
+
 // Guards against quarantining a part that all requests share when no replica
 // runs for long enough to clear it.
 func TestClearedPartNeedsMoreCrashes(t *testing.T) {
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -137,7 +137,7 @@
 		}
 	}
 	if len(changedParts) > 0 {
-		s.explainMerged(changedParts)
+		s.explainMerged(changedParts, now)
 		s.convict(changedParts, now)
 		s.evictParts(now)
 	}
