--- a/internal/dispatch/part_record.go
+++ b/internal/dispatch/part_record.go
@@ -11,12 +11,12 @@
 // crashed.
 const (
 	// momentsToQuarantine is the number of distinct moments of crashes after
-	// which a part is quarantined if no other part explains the same crashes and
-	// they had different sets of parts.
+	// which a part is quarantined if they had different sets of parts and no other
+	// part explains them all; one more if another does.
 	momentsToQuarantine = 3
-	// momentsIfAmbiguous is the number otherwise. One request, tried at
+	// momentsIfAmbiguous is the number if the sets are the same. One request, tried at
 	// momentsToQuarantine replicas, must not implicate all of its parts.
-	momentsIfAmbiguous = 4
+	momentsIfAmbiguous = 5
 	// momentGap is the least time between distinct moments: replicas that lose
 	// power together count once.
 	momentGap = 250 * time.Millisecond
--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -12,9 +12,9 @@
 
 // PartRule says when a prompt part is quarantined.
 type PartRule struct {
-	// Moments is the number of distinct moments of crashes if no other part
-	// explains the same crashes and they had different sets of parts, IfAmbiguous
-	// the number otherwise.
+	// Moments is the number of distinct moments of crashes if they had different
+	// sets of parts and no other part explains them all, one more if another does.
+	// IfAmbiguous is the number if the sets are the same.
 	Moments, IfAmbiguous int
 	// PerOther is the number of moments of crashes without the part for which
 	// one more is required; 0 means that they do not count.
@@ -194,10 +194,10 @@
 	if n < s.partRule.Moments || r.isConvicted {
 		return
 	}
-	rival := s.strongestRival(r, now)
+	rival, isVaried := s.strongestRival(r, now), r.hasVariedCompany()
 	switch {
-	case rival == nil && r.hasVariedCompany(),
-		n >= s.partRule.IfAmbiguous && (rival == nil || rival.settledCrashes(now) <= r.settledCrashes(now)):
+	case rival != nil && rival.settledCrashes(now) > r.settledCrashes(now):
+	case isVaried && rival == nil, isVaried && n > s.partRule.Moments, n >= s.partRule.IfAmbiguous:
 		s.setConvicted(r, now, now.Add(partQuarantineTTL))
 	}
 }
--- a/internal/measure/parts_scenarios.go
+++ b/internal/measure/parts_scenarios.go
@@ -19,7 +19,7 @@
 }
 
 // partsRouter is the way of the router.
-var partsRouter = partsWay{name: "3 moments, 4 if ambiguous (router)", rule: dispatch.DefaultPartRule, cancels: true}
+var partsRouter = partsWay{name: "3 moments, 5 if ambiguous (router)", rule: dispatch.DefaultPartRule, cancels: true}
 
 // partsWays are the ways compared.
 var partsWays = []partsWay{
