--- a/internal/dispatch/suspect_parts_test.go
+++ b/internal/dispatch/suspect_parts_test.go
@@ -38,23 +38,23 @@
 	is := is.New(t)
 	s, now := NewSuspects(), time.Now()
 	for i := range momentsToQuarantine {
-		_, found := s.QuarantinedPart(partsOf("deadly"), now)
+		_, found := s.QuarantinedPart(partsOf("crashing"), now)
 		is.True(!found)
-		s.RecordPartCrash(partsOf("shared", "deadly", fmt.Sprint("subject", i)), fmt.Sprint("r", i), now)
+		s.RecordPartCrash(partsOf("shared", "crashing", fmt.Sprint("subject", i)), fmt.Sprint("r", i), now)
 		now = now.Add(time.Second)
 		s.RecordSurvival(partsOf("shared", "other"), now)
 	}
-	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
-	e, found := s.QuarantinedPart(partsOf("shared", "deadly"), now)
+	is.Equal(quarantinedIDs(s, now), []string{"crashing"})
+	e, found := s.QuarantinedPart(partsOf("shared", "crashing"), now)
 	is.True(found)
-	is.Equal(e.Part, "deadly")
+	is.Equal(e.Part, "crashing")
 	_, found = s.QuarantinedPart(partsOf("shared", "subject0"), now)
 	is.True(!found)
-	news := s.RecordPartCrash(partsOf("deadly", "subject7"), "r9", now)
+	news := s.RecordPartCrash(partsOf("crashing", "subject7"), "r9", now)
 	is.Equal(len(news), 1)
-	is.Equal(news[0].Part, "deadly") // the quarantined part explains the crash
+	is.Equal(news[0].Part, "crashing") // the quarantined part explains the crash
 	is.Equal(s.suspectedParts.Load(), int64(1))
-	_, found = s.QuarantinedPart(partsOf("deadly"), now.Add(partQuarantineTTL))
+	_, found = s.QuarantinedPart(partsOf("crashing"), now.Add(partQuarantineTTL))
 	is.True(!found)
 }
 
@@ -64,15 +64,15 @@
 	is := is.New(t)
 	s, now := NewSuspects(), time.Now()
 	for i := range momentsToQuarantine {
-		s.RecordPartCrash(partsOf("deadly", "rare"), fmt.Sprint("r", i), now)
+		s.RecordPartCrash(partsOf("crashing", "rare"), fmt.Sprint("r", i), now)
 		now = now.Add(time.Second)
 	}
 	is.Equal(quarantinedIDs(s, now), []string{})
-	s.RecordPartCrash(partsOf("deadly", "other"), "r9", now)
-	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+	s.RecordPartCrash(partsOf("crashing", "other"), "r9", now)
+	is.Equal(quarantinedIDs(s, now), []string{"crashing"})
 	now = now.Add(time.Second)
 	s.RecordPartCrash(partsOf("rare"), "r10", now) // its earlier crashes are explained
-	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+	is.Equal(quarantinedIDs(s, now), []string{"crashing"})
 }
 
 // Guards against quarantining the only part of a request that crashed a replica
@@ -108,9 +108,9 @@
 	is := is.New(t)
 	a, b, now := NewSuspects(), NewSuspects(), time.Now()
 	for i := range 2 * momentsIfAmbiguous {
-		parts := partsOf("deadly", fmt.Sprint("subject", i))
+		parts := partsOf("crashing", fmt.Sprint("subject", i))
 		if i < momentsIfAmbiguous {
-			parts = partsOf("deadly", "chance")
+			parts = partsOf("crashing", "chance")
 		}
 		b.Merge(now, a.RecordPartCrash(parts, fmt.Sprint("r", i), now))
 		if i == momentsIfAmbiguous-1 {
@@ -119,8 +119,8 @@
 		}
 		now = now.Add(time.Second)
 	}
-	is.Equal(quarantinedIDs(a, now), []string{"deadly"})
-	is.Equal(quarantinedIDs(b, now), []string{"deadly"})
+	is.Equal(quarantinedIDs(a, now), []string{"crashing"})
+	is.Equal(quarantinedIDs(b, now), []string{"crashing"})
 }
 
 // Guards against quarantining a part that all requests share when no replica
@@ -165,16 +165,16 @@
 	is := is.New(t)
 	a, b, now := NewSuspects(), NewSuspects(), time.Now()
 	for i := range momentsIfAmbiguous {
-		a.RecordPartCrash(partsOf("deadly"), fmt.Sprint("r", i), now)
+		a.RecordPartCrash(partsOf("crashing"), fmt.Sprint("r", i), now)
 		now = now.Add(time.Second)
 	}
 	b.Merge(now, a.Quarantined(now))
 	for i := range 2 * momentsIfAmbiguous {
 		b.RecordPartCrash(partsOf("sound", fmt.Sprint("s", i)), fmt.Sprint("x", i), now)
-		b.Merge(now.Add(100*time.Millisecond), a.RecordPartCrash(partsOf("deadly"), fmt.Sprint("x", i), now))
+		b.Merge(now.Add(100*time.Millisecond), a.RecordPartCrash(partsOf("crashing"), fmt.Sprint("x", i), now))
 		now = now.Add(time.Second)
 	}
-	is.Equal(quarantinedIDs(b, now), []string{"deadly"})
+	is.Equal(quarantinedIDs(b, now), []string{"crashing"})
 	is.Equal(b.suspectedParts.Load(), int64(1))
 }
 
@@ -232,7 +232,7 @@
 	skew := []time.Duration{0, 7 * time.Second, -5 * time.Second, 0}
 	for i := range 3 {
 		at := now.Add(time.Duration(i) * time.Second)
-		list := nodes[i].RecordPartCrash(partsOf("deadly", fmt.Sprint("s", i)), fmt.Sprint("r", i), at.Add(skew[i]))
+		list := nodes[i].RecordPartCrash(partsOf("crashing", fmt.Sprint("s", i)), fmt.Sprint("r", i), at.Add(skew[i]))
 		for range 3 {
 			for j, n := range nodes[:3] {
 				n.Merge(at.Add(100*time.Millisecond+skew[j]), list)
@@ -241,12 +241,12 @@
 		is.Equal(len(quarantinedIDs(nodes[0], at)) == 1, i == 2)
 	}
 	for _, n := range nodes[:3] {
-		is.Equal(quarantinedIDs(n, now), []string{"deadly"})
+		is.Equal(quarantinedIDs(n, now), []string{"crashing"})
 	}
 	// A node that starts late gets all records.
 	list, _ := nodes[1].SnapshotIfChanged(now)
 	nodes[3].Merge(now.Add(3*time.Second), list)
-	is.Equal(quarantinedIDs(nodes[3], now), []string{"deadly"})
+	is.Equal(quarantinedIDs(nodes[3], now), []string{"crashing"})
 }
 
 // Guards against outdated records that restore a suspicion or a quarantine
@@ -331,13 +331,13 @@
 	is := is.New(t)
 	s, now := NewSuspects(), time.Now()
 	for i := range momentsIfAmbiguous {
-		s.RecordPartCrash(partsOf("deadly"), fmt.Sprint("r", i), now.Add(time.Duration(i)*time.Second))
+		s.RecordPartCrash(partsOf("crashing"), fmt.Sprint("r", i), now.Add(time.Duration(i)*time.Second))
 	}
 	for i := range 3 * maxParts {
 		s.RecordPartCrash(partsOf(fmt.Sprint("p", i)), fmt.Sprint("r", i), now.Add(time.Duration(i)*time.Millisecond))
 	}
 	is.True(len(s.parts.byKey) <= maxParts)
-	is.Equal(quarantinedIDs(s, now), []string{"deadly"})
+	is.Equal(quarantinedIDs(s, now), []string{"crashing"})
 	is.Equal(s.suspectedParts.Load(), int64(len(s.parts.byKey)))
 	_, _ = s.SnapshotIfChanged(now.Add(partQuarantineTTL + time.Hour))
 	is.Equal(len(s.parts.byKey), 0)
--- a/internal/measure/parts_scenarios.go
+++ b/internal/measure/parts_scenarios.go
@@ -48,7 +48,7 @@
 	runConcurrently(len(results), func(i int) {
 		way, share := at(i)
 		t := newPartsTrial(s, way, seed)
-		t.share, t.deadly = share, 1
+		t.share, t.crashing = share, 1
 		results[i] = t.run(partsDuration)
 	})
 	for i, r := range results {
@@ -58,18 +58,18 @@
 	return table
 }
 
-// partsFaults are the disturbances beside deadly parts.
+// partsFaults are the disturbances beside crashing parts.
 var partsFaults = []struct {
-	name   string
-	deadly int
-	start  func(*partsTrial)
+	name     string
+	crashing int
+	start    func(*partsTrial)
 }{
-	{"2 deadly parts", 2, func(*partsTrial) {}},
-	{"3 deadly parts", 3, func(*partsTrial) {}},
+	{"2 crashing parts", 2, func(*partsTrial) {}},
+	{"3 crashing parts", 3, func(*partsTrial) {}},
 	{"nodes replaced each 2 s", 1, (*partsTrial).replaceNodes},
 	{"a sixth of the nodes cut off for 4 s", 1, (*partsTrial).cutNodes},
 	{"other servers die each second", 1, func(t *partsTrial) { t.crashRepeatedly(time.Second, time.Second, 1) }},
-	{"3 deadly parts, all of the above", 3, func(t *partsTrial) {
+	{"3 crashing parts, all of the above", 3, func(t *partsTrial) {
 		t.replaceNodes()
 		t.cutNodes()
 		t.crashRepeatedly(time.Second, time.Second, 1)
@@ -81,7 +81,7 @@
 	results := make([]*partsStats, len(partsFaults))
 	runConcurrently(len(results), func(i int) {
 		t := newPartsTrial(s, partsRouter, seed)
-		t.share, t.deadly = 0.05, partsFaults[i].deadly
+		t.share, t.crashing = 0.05, partsFaults[i].crashing
 		partsFaults[i].start(t)
 		results[i] = t.run(partsDuration)
 	})
--- a/internal/measure/parts_test.go
+++ b/internal/measure/parts_test.go
@@ -16,7 +16,7 @@
 func TestCrashingPartIsStopped(t *testing.T) {
 	for seed := range uint64(testSeeds) {
 		trial := newPartsTrial(partsSizes[0], partsRouter, seed+testSeed)
-		trial.share, trial.deadly = 0.05, 1
+		trial.share, trial.crashing = 0.05, 1
 		s := trial.run(partsDuration)
 		p := s.parts[0]
 		if p.crashes > maxPartCrashes || p.arrivalsLate > maxLateArrivals || p.convicted.IsZero() {
@@ -32,7 +32,7 @@
 // parts crash servers.
 func TestCrashingPartsAreStoppedAtHighRates(t *testing.T) {
 	trial := newPartsTrial(partsSizes[1], partsRouter, testSeed)
-	trial.share, trial.deadly = 0.3, 3
+	trial.share, trial.crashing = 0.3, 3
 	s := trial.run(partsDuration / 3)
 	for i, p := range s.parts {
 		if p.arrivalsLate > maxLateArrivals {
--- a/internal/measure/sim_parts.go
+++ b/internal/measure/sim_parts.go
@@ -26,7 +26,7 @@
 	partsSubjects     = 1000
 	partsSubjectSkew  = 1.1
 	partsLostMessages = 0.02
-	deadlyPrefix      = "deadly"
+	crashingPrefix    = "crashing"
 )
 
 // partsSize is the size of a fleet in the trial.
@@ -51,7 +51,7 @@
 
 type partsRequest struct {
 	parts    []dispatch.Part
-	deadly   int // index of the deadly part, -1 if there is none
+	crashing int // index of the crashing part, -1 if there is none
 	attempts int
 	arrived  time.Time
 	tried    []*partsServer
@@ -83,16 +83,16 @@
 // partsTrial is one run of the trial.
 type partsTrial struct {
 	partsSize
-	way     partsWay
-	share   float64
-	deadly  int
-	ev      *events
-	rng     *rand.Rand
-	zipf    *rand.Zipf
-	nodes   []*partsNode
-	pool    []*partsServer
-	stats   partsStats
-	endTime time.Time
+	way      partsWay
+	share    float64
+	crashing int
+	ev       *events
+	rng      *rand.Rand
+	zipf     *rand.Zipf
+	nodes    []*partsNode
+	pool     []*partsServer
+	stats    partsStats
+	endTime  time.Time
 }
 
 func newPartsTrial(s partsSize, way partsWay, seed uint64) *partsTrial {
@@ -124,7 +124,7 @@
 // run sends requests for the given time.
 func (t *partsTrial) run(duration time.Duration) *partsStats {
 	t.endTime = epoch.Add(duration)
-	t.stats.parts = make([]deadlyPartStats, t.deadly)
+	t.stats.parts = make([]crashingPartStats, t.crashing)
 	t.scheduleArrival()
 	t.ev.run(t.endTime)
 	for _, n := range t.nodes {
@@ -136,10 +136,10 @@
 
 func (t *partsTrial) scheduleArrival() {
 	t.ev.after(time.Duration(t.rng.ExpFloat64()/t.rate*float64(time.Second)), func() {
-		r := &partsRequest{parts: []dispatch.Part{dispatch.NewPart("shared")}, deadly: -1, arrived: t.ev.now}
-		if t.deadly > 0 && t.ev.now.Sub(epoch) > partsWarmUp && t.rng.Float64() < t.share {
-			r.deadly = t.rng.IntN(t.deadly)
-			r.parts = append(r.parts, dispatch.NewPart(fmt.Sprint(deadlyPrefix, r.deadly)))
+		r := &partsRequest{parts: []dispatch.Part{dispatch.NewPart("shared")}, crashing: -1, arrived: t.ev.now}
+		if t.crashing > 0 && t.ev.now.Sub(epoch) > partsWarmUp && t.rng.Float64() < t.share {
+			r.crashing = t.rng.IntN(t.crashing)
+			r.parts = append(r.parts, dispatch.NewPart(fmt.Sprint(crashingPrefix, r.crashing)))
 		}
 		r.parts = append(r.parts, dispatch.NewPart(fmt.Sprint("subject", t.zipf.Uint64())))
 		t.try(t.anyNode(), r)
@@ -204,10 +204,10 @@
 		return
 	}
 	a.hasBegun = true
-	if a.request.deadly >= 0 {
+	if a.request.crashing >= 0 {
 		t.ev.after(t.between(50*time.Millisecond, 100*time.Millisecond), func() {
 			if !a.isEnd {
-				t.crash(a.server, a.request.deadly, t.between(3*time.Second, 6*time.Second))
+				t.crash(a.server, a.request.crashing, t.between(3*time.Second, 6*time.Second))
 			}
 		})
 		return
@@ -233,14 +233,14 @@
 	a.node.active = slices.DeleteFunc(a.node.active, isThis)
 }
 
-// crash takes a server down because of a deadly part, or of another cause if
-// deadly is negative.
-func (t *partsTrial) crash(s *partsServer, deadly int, downTime time.Duration) {
+// crash takes a server down because of a crashing part, or of another cause if
+// crashing is negative.
+func (t *partsTrial) crash(s *partsServer, crashing int, downTime time.Duration) {
 	if s.isDown {
 		return
 	}
 	s.isDown = true
-	t.stats.recordCrash(deadly, t.ev.now)
+	t.stats.recordCrash(crashing, t.ev.now)
 	for _, a := range slices.Clone(s.running) {
 		t.end(a)
 		t.ev.after(partsCrashSeen, func() { t.reportCrash(a) })
@@ -307,7 +307,7 @@
 // learn records what a node quarantines, and cancels its requests for it.
 func (t *partsTrial) learn(n *partsNode) {
 	for _, e := range n.suspects.Quarantined(t.clock(n)) {
-		if !strings.HasPrefix(e.Part, deadlyPrefix) {
+		if !strings.HasPrefix(e.Part, crashingPrefix) {
 			t.stats.soundConvicted[e.Part] = true
 		}
 		t.stats.recordConviction(e.Part, t.ev.now)
--- a/internal/measure/sim_parts_stats.go
+++ b/internal/measure/sim_parts_stats.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-// crashesInBudget is the number of crashes after which a deadly part should no
+// crashesInBudget is the number of crashes after which a crashing part should no
 // longer reach servers.
 const crashesInBudget = 5
 
-// deadlyPartStats counts the effects of one deadly part.
-type deadlyPartStats struct {
+// crashingPartStats counts the effects of one crashing part.
+type crashingPartStats struct {
 	crashes, arrivalsAfter, arrivalsLate int
 	firstCrash, lastInBudget, convicted  time.Time
 }
 
-// partsStats counts the effects of deadly parts, and of servers that crash of
+// partsStats counts the effects of crashing parts, and of servers that crash of
 // other causes.
 type partsStats struct {
-	parts          []deadlyPartStats
+	parts          []crashingPartStats
 	otherCrashes   int
 	soundRefused   int
 	soundConvicted map[string]bool
@@ -28,7 +28,7 @@
 }
 
 func (s *partsStats) recordRefusal(r *partsRequest) {
-	if r.deadly < 0 {
+	if r.crashing < 0 {
 		s.soundRefused++
 	}
 }
@@ -36,10 +36,10 @@
 // recordArrival counts a request that reached a server. isInTouch means that its
 // node was not cut off lately.
 func (s *partsStats) recordArrival(r *partsRequest, now time.Time, isInTouch bool) {
-	if r.deadly < 0 {
+	if r.crashing < 0 {
 		return
 	}
-	p := &s.parts[r.deadly]
+	p := &s.parts[r.crashing]
 	if p.crashes < crashesInBudget {
 		return
 	}
@@ -49,12 +49,12 @@
 	}
 }
 
-func (s *partsStats) recordCrash(deadly int, now time.Time) {
-	if deadly < 0 {
+func (s *partsStats) recordCrash(crashing int, now time.Time) {
+	if crashing < 0 {
 		s.otherCrashes++
 		return
 	}
-	p := &s.parts[deadly]
+	p := &s.parts[crashing]
 	p.crashes++
 	switch p.crashes {
 	case 1:
@@ -64,10 +64,10 @@
 	}
 }
 
-// recordConviction records the first quarantine of a deadly part at any node.
+// recordConviction records the first quarantine of a crashing part at any node.
 func (s *partsStats) recordConviction(part string, now time.Time) {
 	for i := range s.parts {
-		if p := &s.parts[i]; part == fmt.Sprint(deadlyPrefix, i) && p.convicted.IsZero() {
+		if p := &s.parts[i]; part == fmt.Sprint(crashingPrefix, i) && p.convicted.IsZero() {
 			p.convicted = now
 		}
 	}
@@ -76,9 +76,9 @@
 // partsColumns names the values of addPartsRow.
 var partsColumns = []string{"most crashes per part", "arrivals after 5th crash", "of these late", "others refused", "sound parts convicted", "convicted after s", "records", "news KB per node"}
 
-// addPartsRow adds the worst of the deadly parts.
+// addPartsRow adds the worst of the crashing parts.
 func addPartsRow(table *Table, name string, s *partsStats, nodes int) {
-	var worst deadlyPartStats
+	var worst crashingPartStats
 	convictedAfter := "never"
 	for _, p := range s.parts {
 		worst.crashes = max(worst.crashes, p.crashes)
