Send a request to the same server again on a new connection

Callers of routes that may be repeated were told 503, "not run", for a request that ran: the only server refused it, received it again on the kept connection, and wrote a copy of its refusal before the answer.

Cause: the copy carries the ID of the request, so that the check of the ID does not tell it from an answer. Requests that may run only once were not concerned.

Evidence: before,

--- FAIL: TestRefusalIsNotRepeatedForTheSameRequest//read/1/503_empty/with_the_next_request

with four kinds of refusal on each of two kinds of route, those whose body left the connection open. An attempt at a server that had the request before now has a connection of its own, on which a copy precedes nothing.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -179,11 +180,14 @@
 	if lastEvent != "" {
 		req.Header.Set(x.f.opts.Headers.LastEventID, lastEvent)
 	}
+	// On a kept connection a late copy of a refusal would pass for the answer to the
+	// same request.
+	needsOwnConnection := !x.req.Route.IsRepeatable() || slices.Contains(x.tried, a.member)
 	x.tried = append(x.tried, a.member)
 	x.sends++
 	a.newParts = x.f.opts.Prefixes.RecordUse(a.member.Key(), x.req.sharedPartHashes(a.model), a.began)
 	transport := x.f.reusingTransport
-	if !x.req.Route.IsRepeatable() {
+	if needsOwnConnection {
 		transport = x.f.singleUseTransport
 	}
 	resp, err := transport.RoundTrip(req)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -118,8 +118,8 @@
 type Forwarder struct {
 	opts Options
 	// reusingTransport carries requests that may be repeated,
-	// singleUseTransport the others. A server may close a reused connection
-	// while a request is being sent.
+	// singleUseTransport the others, and those that are sent to a server again.
+	// A server may close a reused connection while a request is being sent.
 	reusingTransport   *http.Transport
 	singleUseTransport *http.Transport
 	cascade            *Cascade
--- a/internal/forward/misbehaving_refusal_test.go
+++ b/internal/forward/misbehaving_refusal_test.go
@@ -60,7 +60,7 @@
 		}
 	default:
 		s.ran[id]++
-		if s.when == "with the next request" {
+		if s.when == "with the next request" && (number > 1 || s.repeatedID != id) {
 			write(repeated)
 		}
 		writeKeepAliveAnswer(c, r)
@@ -127,3 +127,26 @@
 		})
 	}
 }
+
+// Guards against the copy of a request's own refusal: sent once more to the server
+// that refused it, the request runs and must not be answered as not run.
+func TestRefusalIsNotRepeatedForTheSameRequest(t *testing.T) {
+	for _, path := range []string{"/once/1", "/read/1", "/chat/1"} {
+		for _, refusal := range refusals {
+			for _, when := range repeats {
+				t.Run(path+"/"+refusal.name+"/"+when, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is, b := is.New(t), newHarness(t)
+						server := &repeatRefusal{refusal: refusal.raw, when: when, repeatedID: "r1", ran: map[string]int{}}
+						b.keepAliveServer("x", server.serve)
+						resp, body, err := b.send(t.Context(), http.MethodPost, path, map[string]string{"T-Model": "named"})
+						is.NoErr(err)
+						is.Equal(resp.StatusCode, http.StatusOK)
+						is.True(strings.Contains(body, "answer to r1"))
+						is.Equal(server.ran["r1"], 1)
+					})
+				})
+			}
+		}
+	}
+}
