Prompt parts: publish verdicts that a merge reached

If crashes at several nodes made up a verdict only when they were merged, no node published the verdict, and nodes that started later counted all crashes as one moment. TakeVerdicts returns such records; RecordPartCrash returns those of a rival part that its crash decided, too.

TestVerdictsOfMergesArePublished needs the new function.

--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -36,6 +36,7 @@
 // partRecords holds the records of prompt parts.
 type partRecords struct {
 	log       crashLog
+	verdicts  []*partRecord // reached or ended by this node, to publish
 	byKey     map[uint64]*partRecord
 	convicted map[uint64]*partRecord
 }
@@ -82,10 +83,27 @@
 	// by fewer requests.
 	slices.Reverse(changed)
 	s.convict(changed, now)
+	for _, r := range s.parts.verdicts {
+		if !slices.Contains(changed, r) {
+			changed = append(changed, r)
+		}
+	}
+	s.parts.verdicts = nil
 	s.evictParts(now)
 	return toNews(changed)
 }
 
+// TakeVerdicts returns the records of parts whose quarantine Merge began or ended
+// since the last call. They are to be published, as nodes that start later cannot
+// tell from the crashes alone.
+func (s *Suspects) TakeVerdicts() []wire.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := toNews(s.parts.verdicts)
+	s.parts.verdicts = nil
+	return list
+}
+
 // RecordSurvival records that a request with these parts ran well past its
 // start, which clears them. It returns the changed records.
 func (s *Suspects) RecordSurvival(parts []Part, now time.Time) []wire.Suspect {
@@ -200,6 +218,7 @@
 	switch {
 	case rival != nil && rival.settledCrashes(now) > r.settledCrashes(now):
 	case hasVariedParts && rival == nil, hasVariedRequests && n > s.partRule.Moments, n >= s.partRule.IfAmbiguous:
+		s.parts.verdicts = append(s.parts.verdicts, r)
 		s.setConvicted(r, now, now.Add(partQuarantineTTL))
 	}
 }
@@ -265,6 +284,7 @@
 		}
 		if !slices.ContainsFunc(other.crashes, func(c partCrash) bool { return !r.explains(c) }) {
 			s.clearPart(other, now.Add(partQuarantineTTL))
+			s.parts.verdicts = append(s.parts.verdicts, other)
 		}
 	}
 }
--- a/internal/dispatch/suspect_parts_test.go
+++ b/internal/dispatch/suspect_parts_test.go
@@ -254,6 +254,23 @@
 	is.Equal(quarantinedIDs(nodes[3], now), []string{"crashing"})
 }
 
+// Guards against a quarantine that nodes which start later never learn of, because
+// it was reached while merging crashes of several nodes.
+func TestVerdictsOfMergesArePublished(t *testing.T) {
+	is := is.New(t)
+	s, now := NewSuspects(), time.Now()
+	for i := range momentsToQuarantine {
+		now = now.Add(time.Second)
+		other := NewSuspects()
+		s.Merge(now, recordPartCrash(other, partsOf("crashing", fmt.Sprint("s", i)), fmt.Sprint("r", i), now))
+	}
+	late, news := NewSuspects(), s.TakeVerdicts()
+	is.Equal(len(news), 1)
+	late.Merge(now, news)
+	is.Equal(quarantinedIDs(late, now), []string{"crashing"})
+	is.Equal(len(s.TakeVerdicts()), 0)
+}
+
 // Guards against outdated records that restore a suspicion or a quarantine
 // after a proof of innocence.
 func TestPartGenerationsWin(t *testing.T) {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -38,6 +38,8 @@
 	nextVersion func() uint64
 	isHub       func() bool
 	trials      trials
+	announcedMu sync.Mutex
+	announced   map[uint64]bool // guarded by announcedMu; quarantines that were logged
 	// onQuarantine is called after a request or part was quarantined.
 	onQuarantine func()
 }
@@ -45,12 +47,16 @@
 // Crashed implements forward.Suspects.
 func (s *suspects) Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time) {
 	s.publish(s.RecordCrash(fingerprint, server, now))
-	if !isStarting {
-		return
+	if len(parts) > 0 {
+		var starting []dispatch.Part
+		if isStarting {
+			starting = dispatchParts(parts)
+			s.log.Info("backend server crashed", zap.String("server", server), zap.Strings("suspected_parts", parts))
+		}
+		// A crash while no part was starting makes suspected parts less likely to blame.
+		s.publish(s.RecordPartCrash(fingerprint, starting, server, now)...)
 	}
-	changed := s.RecordPartCrash(fingerprint, dispatchParts(parts), server, now)
-	s.log.Info("backend server crashed", zap.String("server", server), zap.Strings("suspected_parts", parts))
-	s.publish(changed...)
+	s.announce(now)
 }
 
 // Survived implements forward.Suspects.
@@ -128,33 +134,42 @@
 // publish publishes records under this node's key.
 func (s *suspects) publish(records ...wire.Suspect) {
 	var rows []gossip.Row
-	isQuarantined := false
 	for _, e := range records {
 		raw, err := json.Marshal(e)
 		if err != nil {
 			s.log.Error("cannot encode suspect, not published", telemetry.ErrorField(err))
 			continue
 		}
-		if e.Convicted {
-			isQuarantined = true
-			s.logQuarantine(e)
-		}
 		rows = append(rows, gossip.Row{Table: tableSuspects, Key: strconv.FormatUint(e.Fingerprint, 16) + "/" + s.nodeKey, Version: s.nextVersion(), Data: raw})
 	}
 	if len(rows) > 0 {
 		s.rows.Apply(rows)
 	}
-	if isQuarantined {
-		s.onQuarantine()
-	}
 }
 
-func (s *suspects) logQuarantine(e wire.Suspect) {
-	if e.Part != "" {
-		s.log.Warn("prompt part quarantined after crashing backend servers", zap.String("part", e.Part), zap.Any("servers", e.Lost), zap.Time("until", e.Until))
-		return
+// announce logs quarantines that are new to this node, and calls onQuarantine if there are
+// any.
+func (s *suspects) announce(now time.Time) {
+	quarantined := s.Quarantined(now)
+	current, isNew := map[uint64]bool{}, false
+	s.announcedMu.Lock()
+	for _, e := range quarantined {
+		current[e.Fingerprint] = true
+		if s.announced[e.Fingerprint] {
+			continue
+		}
+		isNew = true
+		if e.Part != "" {
+			s.log.Warn("prompt part quarantined after crashing backend servers", zap.String("part", e.Part), zap.Any("servers", e.Lost), zap.Time("until", e.Until))
+		} else {
+			s.log.Warn("request quarantined after crashing backend servers", zap.Uint64("fingerprint", e.Fingerprint), zap.Any("servers", e.Lost))
+		}
+	}
+	s.announced = current
+	s.announcedMu.Unlock()
+	if isNew {
+		s.onQuarantine()
 	}
-	s.log.Warn("request quarantined after crashing backend servers", zap.Uint64("fingerprint", e.Fingerprint), zap.Any("servers", e.Lost))
 }
 
 // apply merges the suspects that other nodes published.
@@ -174,36 +189,17 @@
 	s.merge(list, now)
 }
 
-// merge merges records of other nodes. A quarantine that follows only from several of them
-// is published by the hubs: a node that starts later cannot tell moments of crashes apart.
+// merge merges records of other nodes. A verdict that follows only from several of them is
+// published by the hubs: a node that starts later cannot tell moments of crashes apart.
 func (s *suspects) merge(list []wire.Suspect, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
-	known := map[uint64]bool{}
-	for _, e := range s.Quarantined(now) {
-		known[e.Fingerprint] = true
-	}
 	s.Merge(now, list)
-	received := map[uint64]bool{}
-	for _, e := range list {
-		received[e.Fingerprint] = received[e.Fingerprint] || e.Convicted
-	}
-	hasNew := false
-	for _, e := range s.Quarantined(now) {
-		switch {
-		case known[e.Fingerprint]:
-			continue
-		case !received[e.Fingerprint] && s.isHub():
-			s.publish(e)
-		default:
-			s.logQuarantine(e)
-		}
-		hasNew = true
-	}
-	if hasNew {
-		s.onQuarantine()
+	if verdicts := s.TakeVerdicts(); s.isHub() {
+		s.publish(verdicts...)
 	}
+	s.announce(now)
 }
 
 // applyStored restores quarantines from the store, and lifts those whose row was removed.
--- a/internal/measure/sim_parts.go
+++ b/internal/measure/sim_parts.go
@@ -303,6 +303,7 @@
 		if !n.isDead {
 			n.suspects.Merge(t.clock(n), list)
 			t.learn(n)
+			t.publish(n, n.suspects.TakeVerdicts())
 		}
 	})
 }
--- a/internal/node/alarms.go
+++ b/internal/node/alarms.go
@@ -74,6 +74,8 @@
 	for _, m := range n.members.Snapshot().Nodes {
 		n.suspects.Merge(now, m.State.Suspects)
 	}
+	// The state of this node has all records, verdicts among them.
+	n.suspects.TakeVerdicts()
 	if list, changed := n.suspects.SnapshotIfChanged(now); changed {
 		n.members.Update(now, func(s *wire.NodeState) { s.Suspects = list })
 	}
