--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -61,7 +61,10 @@
 
 // Survived implements forward.Suspects.
 func (s *suspects) Survived(parts []string, now time.Time) {
-	s.publish(s.RecordSurvival(dispatchParts(parts), now)...)
+	if changed := s.RecordSurvival(dispatchParts(parts), now); len(changed) > 0 {
+		s.publish(changed...)
+		s.announce(now)
+	}
 }
 
 // Cleared implements forward.Suspects.
@@ -147,8 +150,8 @@
 	}
 }
 
-// announce logs quarantines that are new to this node, and calls onQuarantine if there are
-// any.
+// announce logs quarantines that are new to this node or have ended, and calls
+// onQuarantine if there are new ones.
 func (s *suspects) announce(now time.Time) {
 	quarantined := s.Quarantined(now)
 	current, isNew := map[uint64]bool{}, false
@@ -160,11 +163,16 @@
 		}
 		isNew = true
 		if e.Part != "" {
-			s.log.Warn("prompt part quarantined after crashing backend servers", zap.String("part", e.Part), zap.Any("servers", e.Lost), zap.Time("until", e.Until))
+			s.log.Warn("prompt part quarantined after crashing backend servers", zap.String("part", e.Part), zap.Uint64("fingerprint", e.Fingerprint), zap.Any("servers", e.Lost), zap.Time("until", e.Until))
 		} else {
 			s.log.Warn("request quarantined after crashing backend servers", zap.Uint64("fingerprint", e.Fingerprint), zap.Any("servers", e.Lost))
 		}
 	}
+	for key := range s.announced {
+		if !current[key] {
+			s.log.Info("quarantine ended", zap.Uint64("fingerprint", key))
+		}
+	}
 	s.announced = current
 	s.announcedMu.Unlock()
 	if isNew {
