Forward only final answers of HTTP/1

Callers got no answer at all, or a switch of protocols that they had not asked for, from a server that answered with status 000 to 099 or 101.

Cause: Go's client passes such a head on as the answer, with what follows as its body. Its server panics when that status is written, and the connection is closed.

Evidence: TestFaultyAnswerIsNotForwarded, which plays 38 answers that break off or are none in the protocol on each kind of route and caller. Before, the four with these statuses, and one of another major version of HTTP, failed:

http: panic serving pipe: invalid WriteHeader code 99 --- FAIL: TestFaultyAnswerIsNotForwarded/HTTP/1.1//once/1/status_099

Such a head now ends the attempt as broken: it is repeated where the route allows, and is answered 502 elsewhere. The other 33, such as a head cut at any point or a body shorter than its length, were handled rightly before, apart from a head without the request's ID. TestSoundAnswerIsUnchanged holds that legal answers pass unchanged, also those that end with their connection.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -237,6 +237,12 @@
 		x.recordFailure(a)
 		return resultUnknown, errors.Errorf("answer belongs to request %q", echo)
 	}
+	if a.resp.StatusCode < http.StatusOK || a.resp.ProtoMajor != 1 {
+		x.mayHaveRun = true
+		x.runs++
+		x.recordFailure(a)
+		return resultUnknown, errors.Errorf("server sent %s %d in place of a final answer", a.resp.Proto, a.resp.StatusCode)
+	}
 	switch {
 	case a.resp.StatusCode == http.StatusMisdirectedRequest:
 		x.recordFailure(a)
