Keep connections only to servers that identify their answers

Callers of a plain service, on the product's own interface, received the answer to another call, also another organisation's, or were told that a call which ran had not: a faulty server wrote an earlier answer or refusal once more on a kept connection. An attempt at a model engine that ran was taken for refused in the same way.

Cause: nothing in an answer was compared with its call. Calls that run at most once were safe on connections of their own, frames of models by their attempt.

Each call now carries an ID in X-Attempt-ID. A connection is kept for calls only while the server's answers echo it; an answer on a kept connection without it, or with another anywhere, leaves open whether the call ran. Calls to servers that do not echo it use a new connection each. The stand-ins echo it.

Load reports, cache events, orders and transfers of KV caches do not yet carry an ID.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net"
@@ -38,6 +39,9 @@
 	HeaderFencing        = "X-Fencing-Number"
 	HeaderErrorKind      = "X-Error-Kind"
 	HeaderLimit          = "X-Request-Limit"
+	// HeaderAttempt identifies a call. Servers that echo it are called on kept
+	// connections.
+	HeaderAttempt = "X-Attempt-ID"
 )
 
 const (
@@ -52,8 +56,8 @@
 )
 
 // HTTPDialer implements Dialer with HTTP clients that share one connection pool.
-// Calls that must not be repeated each use a new connection instead. It is safe
-// for concurrent use.
+// Calls that must not be repeated, and calls to servers that do not identify their
+// answers, each use a new connection instead. It is safe for concurrent use.
 type HTTPDialer struct {
 	http    *http.Client
 	oneShot *http.Client
@@ -111,6 +115,29 @@
 	base    string
 	http    *http.Client
 	oneShot *http.Client
+	// identifies is set while the server's answers echo the ID of their call.
+	identifies atomic.Bool
+}
+
+// call sends one request and checks that the answer belongs to it. On a kept
+// connection an answer without the ID may be a late copy of an earlier one.
+func (c *httpClient) call(ctx context.Context, id, method, path string, body []byte, header http.Header, isOnceCall bool) (*http.Response, error) {
+	header.Set(HeaderAttempt, id)
+	client := c.oneShot
+	if c.identifies.Load() && !isOnceCall {
+		client = c.http
+	}
+	resp, err := send(ctx, client, method, c.base+path, body, header)
+	if err != nil {
+		return nil, err
+	}
+	echo := resp.Header.Get(HeaderAttempt)
+	c.identifies.Store(echo == id)
+	if echo == id || echo == "" && client == c.oneShot {
+		return resp, nil
+	}
+	_ = resp.Body.Close()
+	return nil, &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: "the answer belongs to call " + strconv.Quote(echo)}
 }
 
 // send sends one request. The transport never sends it a second time, because a
@@ -184,7 +211,7 @@
 		return nil, &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: err.Error()}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := send(ctx, c.http, http.MethodPost, c.base+PathGenerate, body, http.Header{"Content-Type": {"application/json"}})
+	resp, err := c.call(ctx, req.Attempt, http.MethodPost, PathGenerate, body, http.Header{"Content-Type": {"application/json"}}, false)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -316,11 +343,7 @@
 	if call.Query != "" {
 		path += "?" + call.Query
 	}
-	client := c.http
-	if call.IsOnceCall {
-		client = c.oneShot
-	}
-	resp, err := send(ctx, client, call.Method, c.base+path, call.Body, header)
+	resp, err := c.call(ctx, rand.Text(), call.Method, path, call.Body, header, call.IsOnceCall)
 	if err != nil {
 		return Reply{}, err
 	}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -102,7 +102,17 @@
 	})
 	r.Post(PathFaults, faultsHandler(e.Faults))
 	r.Get(PathRuns, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
-	return e.Limit.handler(r)
+	return echoAttempt(e.Limit.handler(r))
+}
+
+// echoAttempt makes each answer identify its call.
+func echoAttempt(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(backend.HeaderAttempt); id != "" {
+			w.Header().Set(backend.HeaderAttempt, id)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // writeResult writes v as JSON, or err if it is not nil.
@@ -172,7 +182,7 @@
 		w.WriteHeader(reply.Status)
 		_, _ = w.Write(reply.Body)
 	})
-	return s.Limit.handler(r)
+	return echoAttempt(s.Limit.handler(r))
 }
 
 // PlatformHandler returns the HTTP interface of a platform.
