Take only a final status for the reply of a service

Callers of a plain service, on the product's own interface, got no answer from a server that answered with status 000 to 099, and a switch of protocols from one that answered 101. For a call that runs at most once that reply was stored, so that each repetition would have closed the connection again. A model engine's 101 was said not to have run.

Cause: Go's client passes such a head on as the answer; Go's server panics when the gateway writes its status.

Evidence: before,

misbehaving_test.go:163: not true: err != nil --- FAIL: TestOnlyFinalStatusIsAReply

Such a head is now a broken answer of a call that may have run. TestAnswerCutAnywhereIsAnError cuts answers after every byte of their heads and bodies; it passed before already.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -131,6 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if resp.StatusCode < http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: "the server sent " + resp.Status + " in place of a final answer"}
+	}
 	echo := resp.Header.Get(HeaderAttempt)
 	c.identifies.Store(echo == id)
 	if echo == id || echo == "" && client == c.oneShot {
--- a/internal/backend/misbehaving_test.go
+++ b/internal/backend/misbehaving_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -148,3 +149,54 @@
 		is.Equal(failure.Ran, c.ran)
 	}
 }
+
+// Guards against a status that is no final answer: the reply could not be written
+// to the caller, whose connection would close without an answer.
+func TestOnlyFinalStatusIsAReply(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		is := is.New(t)
+		address := serveKept(t, func(c net.Conn, _ *http.Request, _, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\noops")
+			return false
+		})
+		_, err := NewHTTPDialer().Service(address).Do(t.Context(), onceCall(http.MethodPost))
+		is.True(err != nil)
+		is.Equal(asError(err).Ran, outcome.RanMaybe)
+		_, err = NewHTTPDialer().Engine(address).Generate(t.Context(), GenerateRequest{Attempt: "a"})
+		is.Equal(asError(err).Ran, outcome.RanMaybe)
+	}
+}
+
+// Guards against an answer cut short that counts as a whole one, at any place of
+// its head or body.
+func TestAnswerCutAnywhereIsAnError(t *testing.T) {
+	const frame = "data: {\"attempt\":\"a\",\"offset\":0,\"final\":true}"
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n" + frame + "\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2e\r\n" + frame + "\n\r\n0\r\n\r\n",
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n" + frame + "\n",
+	} {
+		for end := 0; end <= len(whole); end++ {
+			is := is.New(t)
+			address := serveKept(t, func(c net.Conn, _ *http.Request, _, _ string) bool {
+				_, _ = io.WriteString(c, whole[:end])
+				return false
+			})
+			reply, err := NewHTTPDialer().Service(address).Do(t.Context(), onceCall(http.MethodPost))
+			is.Equal(err == nil, end == len(whole))
+			if err == nil {
+				is.Equal(string(reply.Body), frame+"\n")
+			} else {
+				is.True(asError(err).Ran != outcome.RanNo)
+			}
+			stream, err := NewHTTPDialer().Engine(address).Generate(t.Context(), GenerateRequest{Attempt: "a"})
+			if err == nil {
+				var f Frame
+				f, err = stream.Next()
+				is.Equal(f.Final, strings.Contains(whole[:end], frame)) // a whole frame, or none
+				is.NoErr(stream.Close())
+			}
+			is.True(err == nil || asError(err).Ran != outcome.RanNo)
+		}
+	}
+}
