Do not blame a prompt part that servers have survived for a rarer one

Cause: survivals were forgotten unless the part was already suspected.

The register now remembers up to three survivals of each part for ten minutes, and such a part needs as many more moments of crashes. TestPartThatServersHaveSurvivedIsNotBlamedForAnother fails without the memory (with the parts in the other order, as here).

--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -39,6 +39,7 @@
 	verdicts  []*partRecord // reached or ended by this node, to publish
 	byKey     map[uint64]*partRecord
 	convicted map[uint64]*partRecord
+	survivals survivals
 }
 
 func newPartRecords() partRecords {
@@ -107,11 +108,12 @@
 // RecordSurvival records that a request with these parts ran well past its
 // start, which clears them. It returns the changed records.
 func (s *Suspects) RecordSurvival(parts []Part, now time.Time) []wire.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts.survivals.add(parts, now)
 	if s.suspectedParts.Load() == 0 {
 		return nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var changed []*partRecord
 	for _, p := range parts {
 		if r := s.parts.byKey[p.Key]; r != nil && r.isCounted {
@@ -150,7 +152,7 @@
 func (s *Suspects) partRecord(p Part, now time.Time) *partRecord {
 	r := s.parts.byKey[p.Key]
 	if r == nil {
-		r = &partRecord{Part: p, until: now.Add(partSuspicionTTL)}
+		r = &partRecord{Part: p, generation: s.parts.survivals.count(p, now), until: now.Add(partSuspicionTTL)}
 		s.parts.byKey[p.Key] = r
 	}
 	if !r.until.After(now) {
