See crashes by answers that were dropped for a larger model's

Cause: the cascade drops an answer by its head; its server crashes when it goes on, and no answer of that request breaks.

If a part of the prompt is suspected, the server is now probed after such an answer, as after one that broke off.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/config"
 	"github.com/cowslipfall/cowslipfall/internal/edge"
+	"github.com/cowslipfall/cowslipfall/internal/gossip"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 	"github.com/cowslipfall/cowslipfall/platform"
 )
@@ -64,6 +65,9 @@
 	return nil
 }
 
+// newPlatformStore returns a client of the platform's store.
+func newPlatformStore(address string) gossip.Store { return platform.NewStore(address) }
+
 // reloadSettings reloads the settings at each SIGHUP and each reload interval.
 func reloadSettings(ctx context.Context, n *edge.Node) {
 	hangups := make(chan os.Signal, 1)
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -8,7 +8,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cowslipfall/cowslipfall/internal/edge"
-	"github.com/cowslipfall/cowslipfall/platform"
 )
 
 // newQuarantine returns the commands by which operators see and lift the quarantines of
@@ -27,7 +26,7 @@
 		Short: "List the quarantines that the store holds",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			list, err := edge.ListQuarantines(cmd.Context(), platform.NewStore(store))
+			list, err := edge.ListQuarantines(cmd.Context(), newPlatformStore(store))
 			if err != nil {
 				return err
 			}
@@ -47,7 +46,7 @@
 		Short: "Lift a quarantine on all nodes",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return edge.LiftQuarantine(cmd.Context(), platform.NewStore(store), args[0])
+			return edge.LiftQuarantine(cmd.Context(), newPlatformStore(store), args[0])
 		},
 	})
 	return cmd
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -85,6 +85,12 @@
 	parts map[uint64]bool // guarded by mu
 }
 
+// IsSuspected implements forward.Suspects.
+func (s *suspects) IsSuspected(parts []string) bool {
+	suspected, _ := s.SuspectedParts(dispatchParts(parts))
+	return len(suspected) > 0
+}
+
 // BeginTrial implements forward.Suspects. After a crash the next request with the same
 // part waits, so that a second crash has another moment, and its cause is clearer.
 func (s *suspects) BeginTrial(ids []string, now time.Time) (end func(), wait time.Duration) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -221,7 +221,7 @@
 	}
 	x.recordFailure(a)
 	if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, errStalled) {
-		x.suspectCrash(a)
+		x.suspectCrash(a, crashProbeDelay)
 	}
 	return resultUnknown, err
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -18,6 +18,9 @@
 	// server. A crashed process has closed its listener by then and takes seconds
 	// to restart.
 	crashProbeDelay = 50 * time.Millisecond
+	// droppedProbeDelay is the delay after an answer was dropped for that of a larger
+	// model. Its server may crash when it goes on, and nobody would see the answer break.
+	droppedProbeDelay = 250 * time.Millisecond
 	// minSurvivalTime and minSurvivalEvents are how long a stream runs after its first
 	// event, and how many events it has, before it counts as well past its start. A
 	// server that is crashed by a prompt sends at most a few events, which a node that
@@ -43,11 +46,11 @@
 // quarantineRefusal is the answer to requests that crash backend servers.
 var quarantineRefusal = refusal{status: http.StatusServiceUnavailable, reason: "request brings backend servers down", retryAfter: quarantineRetryAfter}
 
-// suspectCrash probes the server after its answer broke off. If the server
+// suspectCrash probes the server some time after its answer broke off. If the server
 // accepts no connection, the request is recorded as a suspect for the crash.
 // Servers that break off answers for other reasons still accept connections. One that
 // drains is expected to end, and one that does not respond may only be cut off.
-func (x *exchange) suspectCrash(a *attempt) {
+func (x *exchange) suspectCrash(a *attempt, delay time.Duration) {
 	f, q, m, isStarting, brokeAt := x.f, x.req, a.member, !a.hasSurvived(time.Now()), time.Now()
 	if !m.IsPresent() {
 		return
@@ -56,7 +59,7 @@
 	x.crashProbe = probed
 	go func() {
 		defer close(probed)
-		time.Sleep(crashProbeDelay)
+		time.Sleep(delay)
 		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m, f.opts.Dial) {
 			return
 		}
--- a/internal/forward/exits_test.go
+++ b/internal/forward/exits_test.go
@@ -78,7 +78,7 @@
 // panickingVersions fails on each request.
 type panickingVersions struct{ fixedVersions }
 
-func (panickingVersions) Pick(string, string, time.Time) Choice { panic("bug") }
+func (*panickingVersions) Pick(string, string, time.Time) Choice { panic("bug") }
 
 // Guards against a request whose connection closes without an answer because its
 // handler panicked.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,8 @@
 	Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time)
 	// Survived records that a server runs a request with these parts well past its start.
 	Survived(parts []string, now time.Time)
+	// IsSuspected reports whether one of the parts is suspected.
+	IsSuspected(parts []string) bool
 	// BeginTrial asks to send a request with these parts. Requests with a suspected part
 	// are sent one after the other. The request may be sent if wait is 0; end is then
 	// called once its server has answered or failed. Otherwise it asks again after wait.
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -67,6 +67,7 @@
 func (*fixedVersions) Observe(string, string, Observation, time.Time) {}
 
 type fakeSuspects struct {
+	suspected   bool
 	quarantined int
 	crashes     atomic.Int32
 }
@@ -75,6 +76,7 @@
 func (s *fakeSuspects) BeginTrial([]string, time.Time) (func(), time.Duration) {
 	return func() {}, 0
 }
+func (s *fakeSuspects) IsSuspected([]string) bool                      { return s.suspected }
 func (s *fakeSuspects) Survived([]string, time.Time)                   {}
 func (s *fakeSuspects) Cleared(uint64, []string, time.Time)            {}
 func (s *fakeSuspects) IsQuarantined(uint64, []string, time.Time) bool { return s.quarantined != 0 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -245,6 +245,9 @@
 		return false
 	}
 	s.model = largest
+	if x.f.opts.Suspects.IsSuspected(x.req.sharedPartIDs) {
+		x.suspectCrash(a, droppedProbeDelay)
+	}
 	// The same server may be asked for the other model.
 	x.tried = x.tried[:len(x.tried)-1]
 	x.addStep(a, "dropped at confidence "+strconv.FormatFloat(confidence, 'f', 0, 64))
@@ -384,7 +387,7 @@
 		x.recordFailure(a)
 		x.observe(a, true)
 		if cause == nil {
-			x.suspectCrash(a)
+			x.suspectCrash(a, crashProbeDelay)
 		}
 	}
 	if errors.Is(cause, errStalled) {
