Two parts that always come together do not acquit each other

Both parts of the crashing requests had been quarantined; nodes that had heard of one crash more of one of them acquitted the other, which was to blame.

An acquittal now takes two crashes more. TestInseparablePartsDoNotAcquitEachOther fails with one.

--- a/internal/dispatch/part_record.go
+++ b/internal/dispatch/part_record.go
@@ -40,7 +40,11 @@
 	backgroundWindow = 10 * time.Second
 	// momentsPerOther is the number of moments of crashes without the part for
 	// which one more is required.
-	momentsPerOther  = 3
+	momentsPerOther = 3
+	// acquittalMargin is how many more crashes a part must explain than another one
+	// to acquit it. Nodes hear of crashes one by one, and of two parts that always come
+	// together neither must acquit the other.
+	acquittalMargin  = 2
 	maxLoggedCrashes = 256
 	// maxSurvivalCredit bounds the additional moments required of a part that was
 	// cleared before. A fleet-wide outage must not implicate popular parts.
--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -277,11 +277,11 @@
 }
 
 // acquitExplained ends the quarantines that the one of r makes needless: of parts
-// that were only starting at crashes at which r was starting, too. The caller holds
-// mu.
+// that were only starting at crashes at which r was starting, too, and at clearly
+// fewer. The caller holds mu.
 func (s *Suspects) acquitExplained(r *partRecord, now time.Time) {
 	for _, other := range s.parts.convicted {
-		if other == r || other.moments() == 0 || len(other.crashes) >= len(r.crashes) {
+		if other == r || other.moments() == 0 || len(other.crashes)+acquittalMargin > len(r.crashes) {
 			continue
 		}
 		if !slices.ContainsFunc(other.crashes, func(c partCrash) bool { return !r.explains(c) }) {
