Forward: secure the return to a silent server, and faults found in review

Found by a reviewer who had not seen the work, each with a test that failed before: - A begun stream was cut if the budget had one retry: it was spent at a full server, and none was left to go back.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -66,6 +66,31 @@
 	return true
 }
 
+// TryReserveMove takes two retries: one at another server, and one to come back from it.
+// It returns false, and takes none, if the budget has less.
+func (b *Budget) TryReserveMove(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	if sum(w.retries)+2 > b.limit(w) {
+		return false
+	}
+	w.retries[w.newest%budgetBuckets] += 2
+	return true
+}
+
+// Release gives back retries that were reserved and not made.
+func (b *Budget) Release(service string, retries int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	for i := range w.retries {
+		given := min(w.retries[i], float64(retries))
+		w.retries[i] -= given
+		retries -= int(given)
+	}
+}
+
 // RemainingShare returns the remaining share of the budget, from 0 to 1.
 func (b *Budget) RemainingShare(service string, now time.Time) float64 {
 	b.mu.Lock()
--- a/internal/forward/caller_conn.go
+++ b/internal/forward/caller_conn.go
@@ -42,6 +42,22 @@
 	return n, err
 }
 
+// SetLinger makes the server able to reset the connection; see net.TCPConn.
+func (c *callerConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.New("connection has no linger time")
+}
+
+// CloseWrite makes the server able to close its sending side only; see net.TCPConn.
+func (c *callerConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return errors.New("connection cannot be closed for writing only")
+}
+
 type callerConnKey struct{}
 
 // ConnContext is the ConnContext hook of a server with a CallerListener.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
 const (
@@ -51,7 +52,7 @@
 // Servers that break off answers for other reasons still accept connections. One that
 // drains is expected to end, and one that does not respond may only be cut off.
 func (x *exchange) suspectCrash(a *attempt, delay time.Duration) {
-	f, q, m, isStarting, brokeAt := x.f, x.req, a.member, !a.hasSurvived(time.Now()), time.Now()
+	f, q, m, isStarting, brokeAt := x.f, x.req, a.member, x.req.Route.Kind == route.Stream && !a.hasSurvived(time.Now()), time.Now()
 	if !m.IsPresent() {
 		return
 	}
@@ -116,6 +117,7 @@
 		end, wait := x.f.opts.Suspects.BeginTrial(x.req.sharedPartIDs, now)
 		if wait == 0 {
 			s.endTrial = sync.OnceFunc(end)
+			x.stopTrial = s.endTrial
 			return nil
 		}
 		if ctx.Err() != nil || now.Add(wait).After(deadline) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -80,9 +80,11 @@
 	// crashProbe is closed when it is known whether the last server crashed. It is nil if
 	// no answer broke off.
 	crashProbe <-chan struct{}
-	// isMoveReserved is set if the retry of a stream that leaves a silent server was
-	// taken from the budget.
-	isMoveReserved atomic.Bool
+	// reservedRetries is the number of retries that were taken from the budget when a
+	// silent server was given up, and not made yet.
+	reservedRetries atomic.Int32
+	// stopTrial ends the trial of the last attempt.
+	stopTrial func()
 	// reserved is the next attempt, for which a permit was acquired.
 	reserved *attempt
 	// permitAfter is when the caller may return, if the last attempt was refused a
@@ -123,6 +125,9 @@
 			x.f.opts.Log.Error("panic while serving a request", zap.String("request", x.req.ID), zap.Any("panic", p), zap.Stack("stack"))
 			// Where it stopped is unknown, so it may have run.
 			x.mayHaveRun = true
+			if x.stopTrial != nil {
+				x.stopTrial()
+			}
 			x.refuse(refusal{status: http.StatusBadGateway, reason: "internal error"})
 		}
 	}()
@@ -140,6 +145,9 @@
 		}
 	}()
 	x.serve(ctx)
+	if n := x.reservedRetries.Swap(0); n > 0 {
+		x.f.opts.Budget.Release(req.Service, int(n), time.Now())
+	}
 	if !x.started {
 		x.refuse(refusal{status: http.StatusBadGateway, reason: "internal error", detail: "the exchange ended without an answer"})
 	}
@@ -227,13 +235,27 @@
 	if ctx.Err() != nil || x.sends >= x.req.Route.MaxAttempts {
 		return false
 	}
-	if x.sends > 0 && !x.isMoveReserved.Swap(false) && !x.f.opts.Budget.TryReserve(x.req.Service, time.Now()) {
+	keep := int32(0)
+	if x.req.Route.Kind == route.Stream {
+		keep = 1 // for the return to a silent server
+	}
+	if x.sends > 0 && !x.takeReserved(keep) && !x.f.opts.Budget.TryReserve(x.req.Service, time.Now()) {
 		x.addStep(nil, "retry budget is used up")
 		return false
 	}
 	return true
 }
 
+// takeReserved takes one of the retries that were reserved. It returns false if that would
+// leave fewer than keep.
+func (x *exchange) takeReserved(keep int32) bool {
+	if x.reservedRetries.Add(-1) >= keep {
+		return true
+	}
+	x.reservedRetries.Add(1)
+	return false
+}
+
 // recordOutcome logs and counts the exchange.
 func (x *exchange) recordOutcome(began time.Time) {
 	kind := x.req.Route.Kind.String()
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -90,3 +93,63 @@
 		is.Equal(body, "ok")
 	})
 }
+
+// Guards against a caller that reads slowly and uses up the retry budget, because its server
+// is given up again and again.
+func TestSlowCallerTakesOneMoveFromTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newHarness(t)
+		for _, id := range []string{"x", "y"} {
+			b.server(id, func(c net.Conn, r *http.Request) {
+				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				writeStreamHeader(c, r, 90)
+				writeEvents(c, last+1, 400, 10*time.Millisecond)
+				writeLastChunk(c)
+			})
+		}
+		c, err := b.net.dial(t.Context(), "tcp", "front")
+		is.NoErr(err)
+		fmt.Fprintf(c, "POST /chat/1 HTTP/1.1\r\nHost: h\r\nT-Id: r1\r\nT-Key: key\r\nT-Left: 15000\r\nT-Model: *\r\nT-Tokens: 700,400\r\nT-Prompt: a:100,b:500\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody")
+		buf := make([]byte, 100)
+		_, _ = io.ReadFull(c, buf)
+		before := b.budget.RemainingShare("s", time.Now())
+		time.Sleep(8 * time.Second) // the caller reads nothing
+		after := b.budget.RemainingShare("s", time.Now())
+		_, err = io.ReadAll(c)
+		is.NoErr(err)
+		_ = c.Close()
+		is.True(before-after < 0.05)
+	})
+}
+
+// Guards against a cut stream if the budget has one retry: at another server, which is full,
+// and none to come back.
+func TestSilentServerIsKeptIfTheReturnIsNotInTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newHarness(t)
+		defer time.Sleep(time.Minute)
+		b.budget.bounds = func() BudgetBounds { return BudgetBounds{Ratio: 0.9, Allowance: 1, Window: 10 * time.Second} }
+		first := ""
+		for _, id := range []string{"x", "y", "z"} {
+			b.server(id, func(c net.Conn, r *http.Request) {
+				if first == "" {
+					first = id
+				}
+				if first != id {
+					writeAnswer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "full")
+					return
+				}
+				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				writeStreamHeader(c, r, 90)
+				if last == 0 {
+					writeEvents(c, 1, 1, 2*time.Second)
+				}
+				writeEvents(c, max(last+1, 2), 4, 10*time.Millisecond)
+				writeLastChunk(c)
+			})
+		}
+		_, body, err := b.send(t.Context(), http.MethodPost, "/chat/1", chatHeaders)
+		is.NoErr(err)
+		is.Equal(eventIDs(body), "1 2 3 4")
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
 
@@ -50,6 +49,8 @@
 	// still work.
 	silent      *pool.Member
 	silentModel string
+	// isReturn is set for the last attempt, at a server that was given up before.
+	isReturn bool
 }
 
 // serveStream serves a request whose answer is a series of events.
@@ -93,26 +94,6 @@
 	x.refuseUnserved(ctx, cause, retryAfter)
 }
 
-// returnToSilentServer sends a stream once more to the server that was given up for its
-// silence, if no other server has taken it. It returns true if the request has its final
-// answer.
-func (x *exchange) returnToSilentServer(ctx context.Context, s *streamState) (bool, error) {
-	now := time.Now()
-	m := s.silent
-	if m == nil || ctx.Err() != nil || x.f.isQuarantined(x.req) || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
-		return false, nil
-	}
-	s.silent = nil
-	q := x.query(s.silentModel, now)
-	a := x.newAttempt(q, m, s.silentModel, q.ReadTime(m), now)
-	done, err := x.attemptStream(ctx, s, a)
-	x.finish(a)
-	if err != nil {
-		x.addStep(a, err.Error())
-	}
-	return done, err
-}
-
 // modelName returns the model to ask, or "" if the caller named one.
 func (x *exchange) modelName(s *streamState) string {
 	models := x.req.Route.Models
@@ -128,11 +109,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	isLast := x.sends+1 >= x.req.Route.MaxAttempts
-	canMove := func() bool { return !isLast && !s.isUnnumbered.Load() && x.reserveMove(a.member) }
+	canMove := func() bool { return !isLast && !s.isReturn && !s.isUnnumbered.Load() && x.reserveMove(a.member) }
 	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), canMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	x.f.starting.add(a, x.req, func() { cancel(errQuarantined) })
 	defer x.f.starting.remove(a)
+	if x.f.isQuarantined(x.req) {
+		return false, errQuarantined
+	}
 	res, err := x.send(ctx, a, s.lastEvent)
 	if res != resultAnswered {
 		return false, x.recordStreamFailure(ctx, s, a, err)
@@ -159,32 +143,6 @@
 	return max(time.Duration(firstEventShare*float64(x.req.Route.Target)), minFirstEventWait) + expectedWaitFactor*expected
 }
 
-// reserveMove reports whether another server may be tried in place of m, which is still
-// silent, and takes the retry from the budget: a server that was given up cannot be taken
-// back.
-func (x *exchange) reserveMove(m *pool.Member) bool {
-	now := time.Now()
-	if !x.req.Route.IsRepeatable() || x.req.Deadline.Sub(now) <= minTimeLeftToMove || !x.f.hasOtherServer(m, now) || !x.f.opts.Budget.TryReserve(x.req.Service, now) {
-		return false
-	}
-	x.isMoveReserved.Store(true)
-	return true
-}
-
-// hasOtherServer reports whether another server of the same service takes requests.
-func (f *Forwarder) hasOtherServer(m *pool.Member, now time.Time) bool {
-	for _, other := range f.opts.Pool.Members(m.Service) {
-		if other != m && other.IsUsable(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// minTimeLeftToMove is the time left below which a request is not moved any
-// more.
-const minTimeLeftToMove = 200 * time.Millisecond
-
 // pauseWait returns how long a server may take between two events.
 func (x *exchange) pauseWait() time.Duration {
 	return max(time.Duration(pauseShare*float64(x.req.Route.MaxPause)), minPauseWait)
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -60,6 +60,7 @@
 	}
 	w.mu.Unlock()
 	if !stopped && w.hasStalled(silence, wait, now) && w.canMove() {
+		w.stop()
 		w.onStall()
 	}
 }
