--- a/internal/dispatch/part_record.go
+++ b/internal/dispatch/part_record.go
@@ -11,7 +11,7 @@
 // crashed.
 const (
 	// momentsToQuarantine is the number of distinct moments of crashes after
-	// which a part is quarantined if they had different requests and no other
+	// which a part is quarantined if it came with different parts and no other
 	// part explains them all; one more if another does.
 	momentsToQuarantine = 3
 	// momentsIfAmbiguous is the number if the request is the same. One request, tried at
--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -12,9 +12,9 @@
 
 // PartRule says when a prompt part is quarantined.
 type PartRule struct {
-	// Moments is the number of distinct moments of crashes if they had different
-	// requests and no other part explains them all, one more if another does.
-	// IfAmbiguous is the number if the sets are the same.
+	// Moments is the number of distinct moments of crashes if the part was starting
+	// with different other parts and no other part explains all of them. One more is
+	// required of different requests with the same parts, IfAmbiguous of one request.
 	Moments, IfAmbiguous int
 	// PerOther is the number of moments of crashes without the part for which
 	// one more is required; 0 means that they do not count.
--- a/internal/edge/crashing_part_test.go
+++ b/internal/edge/crashing_part_test.go
@@ -66,8 +66,8 @@
 	life, crash := context.WithCancel(ctx)
 	defer crash()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		isDeadly := strings.Contains(r.Header.Get("T-Prompt"), crashingPart)
-		if isDeadly {
+		hasPart := strings.Contains(r.Header.Get("T-Prompt"), crashingPart)
+		if hasPart {
 			s.mu.Lock()
 			*s.arrivals = append(*s.arrivals, time.Now())
 			s.mu.Unlock()
@@ -79,7 +79,7 @@
 		for i := last + 1; i <= 6 && life.Err() == nil; i++ {
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
 			_ = http.NewResponseController(w).Flush()
-			if isDeadly {
+			if hasPart {
 				s.mu.Lock()
 				if life.Err() == nil {
 					*s.crashes = append(*s.crashes, time.Now())
@@ -139,16 +139,16 @@
 	var sound, soundServed int
 	var requests sync.WaitGroup
 	for i := range 120 {
-		isDeadly := i%4 == 3
+		hasPart := i%4 == 3
 		parts := fmt.Sprintf("first:2000,subject%d:900,own%d:300", i%20, i)
-		if isDeadly {
+		if hasPart {
 			parts = fmt.Sprintf("first:2000,%s:900,own%d:300", crashingPart, i)
 		}
 		requests.Go(func() {
 			served := sendStream(callers, i, parts)
 			mu.Lock()
 			defer mu.Unlock()
-			if !isDeadly && i >= 60 {
+			if !hasPart && i >= 60 {
 				sound++
 				if served {
 					soundServed++
