--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -68,7 +68,7 @@
 
 type fakeSuspects struct {
 	suspected   bool
-	quarantined int
+	quarantined atomic.Int32
 	crashes     atomic.Int32
 }
 
@@ -76,10 +76,12 @@
 func (s *fakeSuspects) BeginTrial([]string, time.Time) (func(), time.Duration) {
 	return func() {}, 0
 }
-func (s *fakeSuspects) IsSuspected([]string) bool                      { return s.suspected }
-func (s *fakeSuspects) Survived([]string, time.Time)                   {}
-func (s *fakeSuspects) Cleared(uint64, []string, time.Time)            {}
-func (s *fakeSuspects) IsQuarantined(uint64, []string, time.Time) bool { return s.quarantined != 0 }
+func (s *fakeSuspects) IsSuspected([]string) bool           { return s.suspected }
+func (s *fakeSuspects) Survived([]string, time.Time)        {}
+func (s *fakeSuspects) Cleared(uint64, []string, time.Time) {}
+func (s *fakeSuspects) IsQuarantined(uint64, []string, time.Time) bool {
+	return s.quarantined.Load() != 0
+}
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
--- a/internal/forward/plain_test.go
+++ b/internal/forward/plain_test.go
@@ -165,7 +165,7 @@
 			is.NoErr(err)
 			is.Equal(resp.StatusCode, c.status)
 		}
-		b.suspects.quarantined = 1
+		b.suspects.quarantined.Store(1)
 		resp, _, err := b.send(t.Context(), http.MethodPost, "/once/1", nil)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
--- a/internal/forward/trial_test.go
+++ b/internal/forward/trial_test.go
@@ -17,7 +17,7 @@
 }
 
 func (s *gapSuspects) BeginTrial([]string, time.Time) (func(), time.Duration) {
-	s.quarantined = 1
+	s.quarantined.Store(1)
 	return func() { s.trialEnded = true }, 0
 }
 
