Gossip: a row that was removed twice is not revived

A process that read a whole table knows that a row is gone, and turns older copies that others send into a tombstone, but only if it never had the row. With a tombstone of an earlier removal it accepted the copy: a server that left, came back and left again was ready again on that node and on all that it told.

Found by a property test of exchanges between nodes that read at different times. TestRowRemovedTwiceIsNotRevived failed before.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -174,3 +174,16 @@
 	_, ok = m.Get(SoftPrefix+"x", "a")
 	is.True(ok) // tables that are never read whole have no such bound
 }
+
+// A row that was removed, created again and removed again must not be revived by a process
+// that missed the last removal.
+func TestRowRemovedTwiceIsNotRevived(t *testing.T) {
+	is := is.New(t)
+	m := NewMap(nil)
+	m.Replace("t", []Row{row("a", 3)}, 5)
+	m.Replace("t", nil, 10)
+	m.Replace("t", nil, 20) // created at 12 and removed at 15
+	m.mergeFrom(7, []Row{row("a", 12)}, nil)
+	_, ok := m.Get("t", "a")
+	is.True(!ok)
+}
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -112,7 +112,7 @@
 		if ok && old.Version >= r.Version {
 			continue
 		}
-		if cursor := m.cursors[r.Table]; !ok && origin != 0 && !r.Deleted && r.Version <= cursor {
+		if cursor := m.cursors[r.Table]; (!ok || old.Deleted) && origin != 0 && !r.Deleted && r.Version <= cursor {
 			// The table was complete up to the cursor without the row, so the row was deleted and
 			// its sender does not know yet.
 			r, rowOrigin = Row{Table: r.Table, Key: r.Key, Version: cursor, Deleted: true}, 0
