Gossip: pass new rows on in the order in which they were stored

Rows were passed to their users after the lock was released, by whichever goroutine had stored them. Two goroutines could pass on two copies of one row in the wrong order, and users that keep the last one that they saw, as the list of servers does, went back to the older copy. Now one goroutine at a time passes rows on.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -187,3 +189,30 @@
 	_, ok := m.Get("t", "a")
 	is.True(!ok)
 }
+
+// New rows reach their user one after the other and in the order in which they were stored,
+// also if it stores rows itself.
+func TestRowsAreDeliveredInOrder(t *testing.T) {
+	is := is.New(t)
+	var m *Map
+	var seen []uint64
+	m = NewMap(func(rows []Row) {
+		for _, r := range rows {
+			seen = append(seen, r.Version)
+			if r.Version < 5 {
+				m.Apply([]Row{row("a", r.Version+1)})
+			}
+		}
+	})
+	m.Apply([]Row{row("a", 1)})
+	is.Equal(seen, []uint64{1, 2, 3, 4, 5})
+	var senders sync.WaitGroup
+	seen = nil
+	for i := range 50 {
+		senders.Go(func() { m.Apply([]Row{row("a", uint64(10+i))}) })
+	}
+	senders.Wait()
+	m.Apply([]Row{row("a", 100)})
+	is.True(slices.IsSorted(seen))
+	is.Equal(seen[len(seen)-1], uint64(100))
+}
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -80,10 +80,14 @@
 	cursors  map[string]uint64 // guarded by mu; version up to which a table is complete
 	changed  chan struct{}     // guarded by mu; closed at a change
 	onRows   func([]Row)
+	// undelivered holds the new rows that were not passed to onRows yet, in order.
+	undelivered  []Row // guarded by mu
+	isDelivering bool  // guarded by mu; a goroutine passes rows to onRows
 }
 
-// NewMap returns an empty map. onRows is called with each batch of new rows, without
-// locks held.
+// NewMap returns an empty map. onRows is called with the new rows in the order in which
+// they were stored, by one goroutine at a time and without locks held. A call that stores
+// rows returns once they were passed on, unless another goroutine is about to do so.
 func NewMap(onRows func([]Row)) *Map {
 	return &Map{rows: map[rowID]entry{}, cursors: map[string]uint64{}, changed: make(chan struct{}), onRows: onRows}
 }
@@ -95,16 +99,16 @@
 // cursors of a process that has whole tables.
 func (m *Map) mergeFrom(origin uint64, rows []Row, cursors map[string]uint64) {
 	m.mu.Lock()
-	newer := m.apply(origin, rows)
+	m.apply(origin, rows)
 	for table, version := range cursors {
 		m.cursors[table] = max(m.cursors[table], version)
 	}
 	m.mu.Unlock()
-	m.notify(newer)
+	m.notify()
 }
 
-// apply stores newer rows and returns them. The caller holds mu.
-func (m *Map) apply(origin uint64, rows []Row) []Row {
+// apply stores the rows that are newer than the present ones. The caller holds mu.
+func (m *Map) apply(origin uint64, rows []Row) {
 	var newer []Row
 	for _, r := range rows {
 		id, rowOrigin := rowID{r.Table, r.Key}, origin
@@ -122,16 +126,35 @@
 		newer = append(newer, r)
 	}
 	if len(newer) > 0 {
+		m.undelivered = append(m.undelivered, newer...)
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
-	return newer
 }
 
 // notify passes new rows to onRows. The caller does not hold mu.
-func (m *Map) notify(newer []Row) {
-	if len(newer) > 0 && m.onRows != nil {
-		m.onRows(newer)
+func (m *Map) notify() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isDelivering {
+		return
+	}
+	m.isDelivering = true
+	defer func() { m.isDelivering = false }()
+	for len(m.undelivered) > 0 {
+		m.deliver()
+	}
+}
+
+// deliver passes the undelivered rows to onRows. The caller holds mu, which is released
+// meanwhile.
+func (m *Map) deliver() {
+	rows := m.undelivered
+	m.undelivered = nil
+	m.mu.Unlock()
+	defer m.mu.Lock()
+	if m.onRows != nil {
+		m.onRows(rows)
 	}
 }
 
@@ -148,19 +171,19 @@
 			rows = append(rows, Row{Table: table, Key: id.key, Version: version, Deleted: true})
 		}
 	}
-	newer := m.apply(0, rows)
+	m.apply(0, rows)
 	m.cursors[table] = max(m.cursors[table], version)
 	m.mu.Unlock()
-	m.notify(newer)
+	m.notify()
 }
 
 // Advance merges the rows of a watch that reached version.
 func (m *Map) Advance(table string, rows []Row, version uint64) {
 	m.mu.Lock()
-	newer := m.apply(0, rows)
+	m.apply(0, rows)
 	m.cursors[table] = max(m.cursors[table], version)
 	m.mu.Unlock()
-	m.notify(newer)
+	m.notify()
 }
 
 // Cursor returns the version up to which a table is complete; 0 if it was never read.
