--- a/internal/edge/analyzer_test.go
+++ b/internal/edge/analyzer_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/gossip"
 )
 
 // simulation generates a roll-out's answers as all nodes together count them.
@@ -63,7 +65,7 @@
 				seen[name] = c
 			}
 		}
-		result.reverted = r.evaluate("x", 0, seen, startTime.Add(at)) || result.reverted
+		result.reverted = r.evaluate("x", gossip.Revision{}, seen, startTime.Add(at)) || result.reverted
 	}
 	return result
 }
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -16,6 +16,8 @@
 	schema Schema
 	log    *zap.Logger
 	table  atomic.Pointer[route.Table]
+	// revision is that of the row in force. Rows are applied one after the other.
+	revision gossip.Revision
 }
 
 func (c *config) apply(r gossip.Row) {
@@ -28,10 +30,13 @@
 		return
 	}
 	old := c.table.Load()
-	if old != nil && old.Version >= t.Version {
+	// The operator may give a number again that the store has lost.
+	isRestated := old != nil && old.Version == t.Version && c.revision.Era < r.Era
+	if old != nil && old.Version >= t.Version && !isRestated {
 		return
 	}
 	c.table.Store(t)
+	c.revision = r.Revision()
 	fields := []zap.Field{zap.Int64("version", t.Version), zap.Uint64("row", r.Version), zap.Int("routes", t.Len())}
 	if old != nil {
 		fields = append(fields, zap.Int64("before", old.Version))
--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -18,6 +18,8 @@
 	// statusWriters is how many nodes in line have a turn to write a status before the
 	// roll-out's time is over.
 	statusWriters = 8
+	// startStoreInterval is the least time between two writes of when a roll-out began.
+	startStoreInterval = 2 * time.Second
 )
 
 // standbyDelay returns the delay between the turns of two nodes in line. remaining is
@@ -35,8 +37,15 @@
 		n.rollouts.applyStoredStarts(clock, now)
 	}
 	n.evidence.publish(n.rollouts, n.members.count(), now)
-	for service, orderVersion := range n.rollouts.running() {
-		n.rollouts.evaluate(service, orderVersion, n.evidence.totals(service, orderVersion), now)
+	for service, order := range n.rollouts.running() {
+		n.rollouts.evaluate(service, order, n.evidence.totals(service, order), now)
+	}
+	n.rollouts.applyHeldOrders(now)
+	for _, service := range n.rollouts.unstoredStarts() {
+		if n.controllerTurn(service) == 0 && now.Sub(n.startStoredAt) > startStoreInterval {
+			n.startStoredAt = now
+			n.storeRolloutStart(ctx, service)
+		}
 	}
 	for _, d := range n.rollouts.pendingStatuses(now) {
 		if d.overdue >= time.Duration(n.controllerTurn(d.service))*standbyDelay(d.remaining) {
@@ -70,10 +79,13 @@
 		return
 	}
 	t := n.options.Schema.Tables()
-	ok, err := n.options.Store.Write(ctx, t.Status, t.RolloutPrefix+d.service, d.expectedVersion, raw)
+	if d.expected.Version == 0 {
+		d.expected.Era = n.rows.Cursor(t.Status).Era
+	}
+	ok, err := n.options.Store.Write(ctx, t.Status, t.RolloutPrefix+d.service, d.expected, raw)
 	n.reader.countCall("status", outcomeOf(err))
 	n.options.Log.Info("roll-out status written", zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
-		zap.Uint64("expected", d.expectedVersion), zap.Bool("stored", ok), telemetry.ErrorField(err), zap.Int64("late_ms", d.overdue.Milliseconds()))
+		zap.Uint64("expected", d.expected.Version), zap.Bool("stored", ok), telemetry.ErrorField(err), zap.Int64("late_ms", d.overdue.Milliseconds()))
 	// The row's version is read back from the store: an answer may be lost after the write
 	// was done.
 	n.reloadStatuses(ctx, t.Status)
@@ -94,8 +106,8 @@
 		n.options.Log.Error("start of the roll-out is not stored", telemetry.ErrorField(err))
 		return
 	}
-	row, _ := n.rows.Get(tableSystem, startKeyPrefix+service)
-	stored, err := n.options.Store.Write(ctx, tableSystem, startKeyPrefix+service, row.Version, raw)
+	key := startKeyPrefix + service
+	stored, err := n.options.Store.Write(ctx, tableSystem, key, n.rows.Expected(tableSystem, key), raw)
 	n.reader.countCall("status", outcomeOf(err))
 	if err != nil || !stored {
 		n.options.Log.Warn("start of the roll-out is not stored", zap.String("service", service), zap.Bool("stored", stored), telemetry.ErrorField(err))
@@ -104,11 +116,7 @@
 
 // reloadStatuses reads the table of statuses again.
 func (n *Node) reloadStatuses(ctx context.Context, table string) {
-	rows, version, err := n.options.Store.Read(ctx, table)
-	n.reader.countCall("read", outcomeOf(err))
-	if err != nil {
+	if err := n.reader.readTable(ctx, table); err != nil {
 		n.options.Log.Warn("cannot read back roll-out statuses", telemetry.ErrorField(err))
-		return
 	}
-	n.rows.Replace(table, rows, version)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -198,24 +198,24 @@
 	down  bool
 }
 
-func (f *fakeStore) Read(context.Context, string) ([]gossip.Row, uint64, error) {
+func (f *fakeStore) Read(context.Context, string) ([]gossip.Row, gossip.Revision, error) {
 	f.calls.Add(1)
 	if f.down {
-		return nil, 0, errors.New("down")
+		return nil, gossip.Revision{}, errors.New("down")
 	}
-	return nil, 1, nil
+	return nil, gossip.Revision{Version: 1}, nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]gossip.Row, uint64, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, _ gossip.Revision, wait time.Duration) ([]gossip.Row, gossip.Revision, error) {
 	f.calls.Add(1)
 	if f.down {
-		return nil, 0, errors.New("down")
+		return nil, gossip.Revision{}, errors.New("down")
 	}
 	loop.Sleep(ctx, wait)
-	return nil, 1, nil
+	return nil, gossip.Revision{Version: 1}, nil
 }
 
-func (*fakeStore) Write(context.Context, string, string, uint64, []byte) (bool, error) {
+func (*fakeStore) Write(context.Context, string, string, gossip.Revision, []byte) (bool, error) {
 	return true, nil
 }
 
@@ -223,13 +223,15 @@
 
 func (*fakeStore) Clock() (time.Duration, bool) { return 0, false }
 
+func unranked(gossip.Row) uint64 { return 0 }
+
 // One node reads the store for all. A standby must read only once it receives no
 // updates of the store any more.
 func TestStandbyReadsStoreWhenStateIsStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := &fakeStore{}
-		r := newReader(store, gossip.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 1 }, zap.NewNop())
+		r := newReader(store, gossip.NewMap(nil), telemetry.NewForwardMetrics(), unranked, func() int { return 1 }, zap.NewNop())
 		r.observeAge(0)
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.follow(ctx, "o", operatorWait, 0, true)
@@ -259,7 +261,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				store := &fakeStore{down: true}
-				r := newReader(store, gossip.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return c.turn }, zap.NewNop())
+				r := newReader(store, gossip.NewMap(nil), telemetry.NewForwardMetrics(), unranked, func() int { return c.turn }, zap.NewNop())
 				r.observeAge(0)
 				ctx, cancel := context.WithCancel(t.Context())
 				go r.follow(ctx, "o", operatorWait, 0, c.tracksAge)
@@ -299,7 +301,7 @@
 func TestLocalStoreFailureIsNoOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r := newReader(&fakeStore{down: true}, gossip.NewMap(nil), telemetry.NewForwardMetrics(), func() int { return 0 }, zap.NewNop())
+		r := newReader(&fakeStore{down: true}, gossip.NewMap(nil), telemetry.NewForwardMetrics(), unranked, func() int { return 0 }, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.follow(ctx, "o", operatorWait, 0, true)
 		for range 20 {
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -32,9 +32,10 @@
 
 // rolloutCounts holds what one node counted of one roll-out.
 type rolloutCounts struct {
-	// OrderVersion is the version of the order's row: the same version of a service may be
-	// ordered again.
+	// OrderVersion and OrderEra are the revision of the order's row: the same version of a
+	// service may be ordered again.
 	OrderVersion uint64 `json:"order"`
+	OrderEra     uint64 `json:"era,omitempty"`
 	// ElapsedMS is how long the roll-out has been in progress, as far as this node knows.
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// HasFailedAnalysis is set once the new version failed the node's analysis.
@@ -43,6 +44,10 @@
 	Routes map[string]comparison `json:"routes"`
 }
 
+func (c rolloutCounts) orderRevision() gossip.Revision {
+	return gossip.Revision{Era: c.OrderEra, Version: c.OrderVersion}
+}
+
 // tally counts the answers that a node saw, by service. Its caller holds the lock.
 type tally struct {
 	services     map[string]*rolloutCounts
@@ -125,7 +130,7 @@
 	unpublished := map[string]rolloutCounts{}
 	for service, ro := range r.byService {
 		if c := r.localTally.services[service]; c != nil && !ro.isDecided() {
-			unpublished[service] = rolloutCounts{OrderVersion: ro.orderVersion, ElapsedMS: now.Sub(ro.startedAt).Milliseconds(), HasFailedAnalysis: ro.hasFailedAnalysis, Routes: maps.Clone(c.Routes)}
+			unpublished[service] = rolloutCounts{OrderVersion: ro.orderRevision.Version, OrderEra: ro.orderRevision.Era, ElapsedMS: now.Sub(ro.startedAt).Milliseconds(), HasFailedAnalysis: ro.hasFailedAnalysis, Routes: maps.Clone(c.Routes)}
 		}
 	}
 	r.mu.Unlock()
@@ -157,12 +162,12 @@
 }
 
 // totals sums the counts of all nodes for an order's roll-out, by route.
-func (e *evidence) totals(service string, orderVersion uint64) map[string]comparison {
+func (e *evidence) totals(service string, order gossip.Revision) map[string]comparison {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := map[string]comparison{}
 	for key, c := range e.countsByKey {
-		if !strings.HasPrefix(key, service+"/") || c.OrderVersion != orderVersion {
+		if !strings.HasPrefix(key, service+"/") || c.orderRevision() != order {
 			continue
 		}
 		for name, x := range c.Routes {
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -107,26 +107,26 @@
 func newMemStore() *memStore { return &memStore{rows: map[string]gossip.Row{}} }
 
 // Read implements gossip.Store.
-func (s *memStore) Read(_ context.Context, table string) ([]gossip.Row, uint64, error) {
+func (s *memStore) Read(_ context.Context, table string) ([]gossip.Row, gossip.Revision, error) {
 	return s.changes(table, 0)
 }
 
 // Watch implements gossip.Store.
-func (s *memStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]gossip.Row, uint64, error) {
+func (s *memStore) Watch(ctx context.Context, table string, after gossip.Revision, wait time.Duration) ([]gossip.Row, gossip.Revision, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-		if rows, version, err := s.changes(table, after); len(rows) > 0 || err != nil {
+		if rows, version, err := s.changes(table, after.Version); len(rows) > 0 || err != nil {
 			return rows, version, err
 		}
 	}
-	return s.changes(table, after)
+	return s.changes(table, after.Version)
 }
 
 // Write implements gossip.Store.
-func (s *memStore) Write(_ context.Context, table, key string, expected uint64, data []byte) (bool, error) {
+func (s *memStore) Write(_ context.Context, table, key string, expected gossip.Revision, data []byte) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := table + "/" + key
-	if s.rows[id].Version != expected {
+	if s.rows[id].Version != expected.Version {
 		return false, nil
 	}
 	s.version++
@@ -134,7 +134,7 @@
 	return true, nil
 }
 
-func (s *memStore) changes(table string, after uint64) ([]gossip.Row, uint64, error) {
+func (s *memStore) changes(table string, after uint64) ([]gossip.Row, gossip.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []gossip.Row
@@ -144,7 +144,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b gossip.Row) int { return cmp.Compare(a.Version, b.Version) })
-	return out, max(s.version, 1), nil
+	return out, gossip.Revision{Version: max(s.version, 1)}, nil
 }
 
 // startLimitFleet starts nodes in front of the given servers and returns them with their
@@ -152,10 +152,10 @@
 func startLimitFleet(t *testing.T, size int, servers []*limitingServer) (nodes []*Node, callers []string) {
 	t.Helper()
 	is, store := is.New(t), newMemStore()
-	_, err := store.Write(t.Context(), "o", "c", 0, []byte("1"))
+	_, err := store.Write(t.Context(), "o", "c", gossip.Revision{}, []byte("1"))
 	is.NoErr(err)
 	for i, s := range servers {
-		_, err := store.Write(t.Context(), "s", fmt.Sprint("server-", i), 0, encode(t, pool.Server{Address: s.address, Service: "s", DataCentre: "a", Slots: 100}))
+		_, err := store.Write(t.Context(), "s", fmt.Sprint("server-", i), gossip.Revision{}, encode(t, pool.Server{Address: s.address, Service: "s", DataCentre: "a", Slots: 100}))
 		is.NoErr(err)
 	}
 	_, port, err := net.SplitHostPort(freeAddress(t))
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -76,6 +76,7 @@
 	mu            sync.Mutex
 	peers         map[string]*gossip.Peer // guarded by mu; by address
 	lastDiscovery time.Time               // guarded by mu
+	startStoredAt time.Time               // used by controlRollouts only
 	startedAt     time.Time
 	listeners     []net.Listener
 	loops         sync.WaitGroup
@@ -93,7 +94,7 @@
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
 	n.rows = gossip.NewMap(n.apply)
 	n.members = newMembers(o.Log)
-	n.reader = newReader(o.Store, n.rows, o.Metrics, n.readerTurn, o.Log)
+	n.reader = newReader(o.Store, n.rows, o.Metrics, n.rank, n.readerTurn, o.Log)
 	n.exchange = gossip.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
 	n.config = &config{schema: o.Schema, log: o.Log}
 	n.pool = pool.New()
@@ -130,6 +131,7 @@
 func (n *Node) metricsState() telemetry.ForwardState {
 	return telemetry.ForwardState{
 		StoreAge: func() float64 { return n.reader.age().Seconds() },
+		StoreEra: func() float64 { return float64(n.rows.Era()) },
 		ConfigVersion: func() float64 {
 			if t := n.table(); t != nil {
 				return float64(t.Version)
@@ -172,6 +174,20 @@
 // isReady reports whether the node accepts callers.
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 }
 
+// rank returns the number that the operator gave to a configuration, if it is valid. The
+// operator's numbers rise, also where the store's versions go back.
+func (n *Node) rank(r gossip.Row) uint64 {
+	t := n.options.Schema.Tables()
+	if r.Deleted || r.Table != t.Operator || r.Key != t.Config {
+		return 0
+	}
+	routes, err := n.options.Schema.Routes(r.Data)
+	if err != nil {
+		return 0
+	}
+	return uint64(max(routes.Version, 0))
+}
+
 // apply dispatches new rows to the components that use their tables.
 func (n *Node) apply(rows []gossip.Row) {
 	now := time.Now()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -177,10 +177,12 @@
 )
 
 // listenDuration returns how long this node waits for updates before it reads the
-// store; 0 for a seed, which other nodes look for.
+// store, which may have been restored to a configuration that the other nodes have left
+// behind. It is 0 for a seed in a fleet that starts for the first time: other nodes look
+// for it.
 func (n *Node) listenDuration() time.Duration {
 	s := n.options.Settings
-	if len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.IP) {
+	if len(s.Seeds) == 0 || (s.FirstStart && slices.Contains(s.Seeds, s.IP)) {
 		return 0
 	}
 	return bootstrapListenTime
@@ -203,8 +205,8 @@
 	}
 	for ctx.Err() == nil {
 		row, known := n.rows.Get(tableSystem, n.memberKey())
-		if n.isHub() && !(known && string(row.Data) == string(raw)) && n.rows.Cursor(tableSystem) > 0 {
-			_, err := n.options.Store.Write(ctx, tableSystem, n.memberKey(), row.Version, raw)
+		if n.isHub() && !(known && string(row.Data) == string(raw)) && !n.rows.Cursor(tableSystem).IsZero() {
+			_, err := n.options.Store.Write(ctx, tableSystem, n.memberKey(), n.rows.Expected(tableSystem, n.memberKey()), raw)
 			n.reader.countCall("register", outcomeOf(err))
 			if err != nil {
 				n.options.Log.Warn("node is not registered", telemetry.ErrorField(err))
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -224,8 +224,7 @@
 		return
 	}
 	key := presenceKeyPrefix + n.options.Settings.Node
-	row, _ := n.rows.Get(tableSystem, key)
-	_, err = n.options.Store.Write(ctx, tableSystem, key, row.Version, raw)
+	_, err = n.options.Store.Write(ctx, tableSystem, key, n.rows.Expected(tableSystem, key), raw)
 	n.reader.countCall("presence", outcomeOf(err))
 	if err != nil {
 		n.options.Log.Info("presence not written", telemetry.ErrorField(err))
--- a/internal/edge/permits_test.go
+++ b/internal/edge/permits_test.go
@@ -21,7 +21,7 @@
 // newRosterNode returns a node with the parts that track the fleet, not running.
 func newRosterNode(s nodeState, store gossip.Store) *Node {
 	n := &Node{options: Options{Settings: Settings{Node: s.Node, DataCentre: s.DataCentre}, Store: store, Log: zap.NewNop()}, innerAddress: s.Inner, rows: gossip.NewMap(nil), members: newMembers(zap.NewNop()), permits: newPermits(s.Inner, time.Now(), zap.NewNop())}
-	n.reader = newReader(store, n.rows, telemetry.NewForwardMetrics(), n.readerTurn, zap.NewNop())
+	n.reader = newReader(store, n.rows, telemetry.NewForwardMetrics(), unranked, n.readerTurn, zap.NewNop())
 	n.members.setSelf(s)
 	return n
 }
--- a/internal/edge/quarantine_store_test.go
+++ b/internal/edge/quarantine_store_test.go
@@ -26,7 +26,7 @@
 	kept map[string][]byte // guarded by mu
 }
 
-func (s *quarantineStore) Write(_ context.Context, _, key string, _ uint64, data []byte) (bool, error) {
+func (s *quarantineStore) Write(_ context.Context, _, key string, _ gossip.Revision, data []byte) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if strings.HasPrefix(key, quarantineKeyPrefix) {
--- a/internal/edge/quarantines_test.go
+++ b/internal/edge/quarantines_test.go
@@ -38,8 +38,8 @@
 	rows []gossip.Row
 }
 
-func (s *tableStore) Read(context.Context, string) ([]gossip.Row, uint64, error) {
-	return s.rows, 9, nil
+func (s *tableStore) Read(context.Context, string) ([]gossip.Row, gossip.Revision, error) {
+	return s.rows, gossip.Revision{Version: 9}, nil
 }
 
 func (s *tableStore) Remove(_ context.Context, _, key string) error {
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,8 @@
 	rows      *gossip.Map
 	log       *zap.Logger
 	countCall func(use, result string)
+	// rank returns the number that a row's writer gave to its content.
+	rank func(gossip.Row) uint64
 	// turn returns this node's turn among the readers; 0 reads.
 	turn      func() int
 	startedAt time.Time
@@ -63,8 +66,8 @@
 	hasFailed  bool      // guarded by mu; the last call of this node failed
 }
 
-func newReader(store gossip.Store, rows *gossip.Map, m *telemetry.ForwardMetrics, turn func() int, log *zap.Logger) *reader {
-	return &reader{store: store, rows: rows, log: log, turn: turn, startedAt: time.Now(), countCall: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
+func newReader(store gossip.Store, rows *gossip.Map, m *telemetry.ForwardMetrics, rank func(gossip.Row) uint64, turn func() int, log *zap.Logger) *reader {
+	return &reader{store: store, rows: rows, log: log, rank: rank, turn: turn, startedAt: time.Now(), countCall: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
 }
 
 // age returns how long ago the cached store state was last known to be current.
@@ -190,32 +193,76 @@
 	return r.hasFailed
 }
 
+// errNoProgress is returned for a full read that is no newer than the state whose history
+// is gone. The next watch would be refused again, so calls back off.
+var errNoProgress = errors.New("the whole table is no newer than the cached one: read again later")
+
 // syncTable reads a table as a whole if it is not cached, else its changes.
 func (r *reader) syncTable(ctx context.Context, table string, wait time.Duration) error {
 	cursor := r.rows.Cursor(table)
-	if cursor == 0 {
-		rows, version, err := r.store.Read(ctx, table)
-		r.countCall("read", outcomeOf(err))
-		if err == nil {
-			r.rows.Replace(table, rows, version)
-		}
-		return err
+	if cursor.IsZero() {
+		return r.readTable(ctx, table)
 	}
-	rows, version, err := r.store.Watch(ctx, table, cursor, wait)
+	rows, at, err := r.store.Watch(ctx, table, cursor, wait)
 	r.countCall("watch", outcomeOf(err))
-	if errors.Is(err, gossip.ErrHistoryGone) {
-		r.log.Info("store no longer has the history, reading the whole table", zap.String("table", table), zap.Uint64("version", cursor))
-		rows, version, err = r.store.Read(ctx, table)
-		r.countCall("read", outcomeOf(err))
-		if err == nil {
-			r.rows.Replace(table, rows, version)
+	switch {
+	case errors.Is(err, gossip.ErrHistoryGone), errors.Is(err, gossip.ErrRestored):
+		r.log.Info("reading the whole table", zap.String("table", table), zap.Uint64("era", cursor.Era), zap.Uint64("version", cursor.Version), telemetry.ErrorField(err))
+		if err := r.readTable(ctx, table); err != nil {
+			return err
 		}
+		if !cursor.Before(r.rows.Cursor(table)) {
+			return errNoProgress
+		}
+		return nil
+	case err != nil:
+		return err
+	}
+	r.rows.Advance(table, r.ranked(rows), at)
+	return nil
+}
+
+// readTable reads a table as a whole.
+func (r *reader) readTable(ctx context.Context, table string) error {
+	rows, at, err := r.store.Read(ctx, table)
+	r.countCall("read", outcomeOf(err))
+	if err != nil {
 		return err
 	}
-	if err == nil {
-		r.rows.Advance(table, rows, version)
+	before := r.rows.Cursor(table)
+	if !before.IsZero() && before.Era < at.Era {
+		r.logRestore(table, rows, before, at)
+	}
+	r.rows.Replace(table, r.ranked(rows), at)
+	return nil
+}
+
+// maxLoggedKeys bounds the keys in one log line.
+const maxLoggedKeys = 20
+
+// logRestore logs which rows of a table the store lost when it was restored from a copy.
+func (r *reader) logRestore(table string, rows []gossip.Row, before, at gossip.Revision) {
+	restored := map[string]bool{}
+	for _, row := range rows {
+		restored[row.Key] = true
+	}
+	var lost []string
+	for _, row := range r.rows.List(table) {
+		if !restored[row.Key] {
+			lost = append(lost, row.Key)
+		}
+	}
+	slices.Sort(lost)
+	r.log.Warn("store was restored from a copy", zap.String("table", table), zap.Uint64("era", at.Era), zap.Uint64("version", at.Version), zap.Uint64("era_before", before.Era),
+		zap.Uint64("version_before", before.Version), zap.Int("rows", len(rows)), zap.Int("lost", len(lost)), zap.Strings("lost_keys", lost[:min(len(lost), maxLoggedKeys)]))
+}
+
+// ranked sets the ranks of rows that were read.
+func (r *reader) ranked(rows []gossip.Row) []gossip.Row {
+	for i := range rows {
+		rows[i].Rank = r.rank(rows[i])
 	}
-	return err
+	return rows
 }
 
 // outcomeOf returns the metric label for the result of a call.
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -17,11 +16,20 @@
 // rollouts.mu.
 type serviceRollout struct {
 	order         RolloutOrder
-	orderVersion  uint64 // version of the order's row
+	orderRevision gossip.Revision // of the order's row
 	status        RolloutStatus
-	statusVersion uint64 // version of the status row; 0 if there is none
-	startedAt     time.Time
-	analyzer      *analyzer
+	// statusRevision is that of the status row, with version 0 if there is none.
+	statusRevision gossip.Revision
+	// isCarried is set if the status was reached in an earlier era of the store, and
+	// lostAt when the restored store lacks it: the zero time if it has it.
+	isCarried bool
+	lostAt    time.Time
+	// isContinued is set once the store was restored during the roll-out.
+	isContinued bool
+	// held is an order of the restored store that may be older than order.
+	held      heldOrder
+	startedAt time.Time
+	analyzer  *analyzer
 	// hasFailedAnalysis is set once the new version failed the analysis, failedAt is when.
 	hasFailedAnalysis bool
 	failedAt          time.Time
@@ -29,9 +37,21 @@
 	loggedShare float64
 }
 
+// heldOrder is an order that is applied if the store still has it some time after a
+// restore. There is none if its time is zero.
+type heldOrder struct {
+	order    RolloutOrder
+	revision gossip.Revision
+	until    time.Time
+}
+
+// orderSettleTime is how long after a restore the store may hold an older order than it had
+// acknowledged: what it lost is written again.
+const orderSettleTime = 3 * time.Second
+
 // hasCurrentStatus reports whether the status belongs to the order.
 func (r *serviceRollout) hasCurrentStatus() bool {
-	return r.statusVersion > r.orderVersion && r.status.To == r.order.To
+	return r.status.To == r.order.To && (r.isCarried || r.orderRevision.Before(r.statusRevision))
 }
 
 // isDecided reports whether the status says how the roll-out ended.
@@ -80,46 +100,87 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
-		if !strings.HasPrefix(row.Key, t.RolloutPrefix) || row.Deleted {
-			continue
-		}
-		if row.Table == t.Operator {
+		switch service, ok := strings.CutPrefix(row.Key, t.RolloutPrefix); {
+		case !ok:
+		case row.Table != t.Operator:
+			r.applyStatus(service, row, now)
+		case !row.Deleted:
 			r.applyOrder(row, now)
-		} else {
-			r.applyStatus(strings.TrimPrefix(row.Key, t.RolloutPrefix), row)
 		}
 	}
 }
 
-// applyOrder starts the roll-out of a newer order. The caller holds mu.
+// applyOrder applies the row of an order. The caller holds mu.
 func (r *rollouts) applyOrder(row gossip.Row, now time.Time) {
 	o, err := r.schema.Rollout(row.Data)
 	if err != nil {
 		r.log.Error("invalid roll-out order skipped", zap.String("key", row.Key), telemetry.ErrorField(err))
 		return
 	}
-	old := r.ensureRollout(o.Service)
-	if old.orderVersion >= row.Version {
+	old, revision := r.ensureRollout(o.Service), row.Revision()
+	if !old.orderRevision.Before(revision) {
 		return
 	}
-	r.byService[o.Service] = &serviceRollout{order: o, orderVersion: row.Version, status: old.status, statusVersion: old.statusVersion, startedAt: now, analyzer: newAnalyzer()}
+	isRestored := old.order.To != "" && old.orderRevision.Era < revision.Era
+	switch {
+	case isRestored && o == old.order:
+		// The store has the order again, from the copy or from the operator.
+		old.isCarried, old.isContinued = old.hasCurrentStatus(), true
+		old.orderRevision, old.held = revision, heldOrder{}
+		r.log.Info("roll-out goes on in the restored store", zap.String("service", o.Service), zap.String("to", o.To), zap.Uint64("era", row.Era), zap.Uint64("row", row.Version))
+	case isRestored && old.held.until.IsZero() && row.Version < old.orderRevision.Version:
+		old.held = heldOrder{o, revision, now.Add(orderSettleTime)}
+		r.log.Info("restored store has another order, which may be older and is not followed yet", zap.String("service", o.Service), zap.String("to", o.To), zap.Uint64("era", row.Era), zap.Uint64("row", row.Version))
+	default:
+		r.begin(o, revision, now)
+	}
+}
+
+// begin starts the roll-out of an order. The caller holds mu.
+func (r *rollouts) begin(o RolloutOrder, revision gossip.Revision, now time.Time) {
+	old := r.ensureRollout(o.Service)
+	r.byService[o.Service] = &serviceRollout{order: o, orderRevision: revision, status: old.status, statusRevision: old.statusRevision, startedAt: now, analyzer: newAnalyzer()}
 	r.localTally.reset(o.Service)
-	r.log.Info("roll-out ordered", zap.String("service", o.Service), zap.String("to", o.To), zap.Duration("duration", o.Duration), zap.Uint64("row", row.Version))
+	r.log.Info("roll-out ordered", zap.String("service", o.Service), zap.String("to", o.To), zap.Duration("duration", o.Duration), zap.Uint64("row", revision.Version))
+}
+
+// applyHeldOrders starts the roll-outs of held orders that the store still has.
+func (r *rollouts) applyHeldOrders(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, ro := range r.byService {
+		if h := ro.held; !h.until.IsZero() && now.After(h.until) {
+			r.begin(h.order, h.revision, now)
+		}
+	}
 }
 
-// applyStatus records a newer status. The caller holds mu.
-func (r *rollouts) applyStatus(service string, row gossip.Row) {
+// applyStatus records a newer status. A decision is not taken back because the store was
+// restored from a copy that lacks it. The caller holds mu.
+func (r *rollouts) applyStatus(service string, row gossip.Row, now time.Time) {
+	ro := r.ensureRollout(service)
+	if !ro.statusRevision.Before(row.Revision()) {
+		return
+	}
+	if row.Deleted {
+		ro.isCarried = ro.hasCurrentStatus()
+		ro.statusRevision, ro.lostAt = gossip.Revision{Era: row.Era}, now
+		return
+	}
 	s, err := r.schema.RolloutStatus(row.Data)
 	if err != nil {
 		r.log.Error("invalid roll-out status skipped", zap.String("service", service), telemetry.ErrorField(err))
 		return
 	}
-	ro := r.ensureRollout(service)
-	if ro.statusVersion >= row.Version {
-		return
+	isRestored := ro.statusRevision.Era < row.Era
+	if isRestored && ro.isDecided() && s != ro.status {
+		ro.isCarried, ro.lostAt = true, now
+	} else {
+		ro.isCarried, ro.lostAt = isRestored && ro.hasCurrentStatus() && s == ro.status, time.Time{}
+		ro.status = s
 	}
-	ro.status, ro.statusVersion = s, row.Version
-	r.log.Info("roll-out status", zap.String("service", service), zap.String("to", s.To), zap.Int("state", int(s.State)), zap.Uint64("row", row.Version))
+	ro.statusRevision = row.Revision()
+	r.log.Info("roll-out status", zap.String("service", service), zap.String("to", s.To), zap.Int("state", int(s.State)), zap.Uint64("row", row.Version), zap.Bool("lost", !ro.lostAt.IsZero()))
 }
 
 // ensureRollout returns the roll-out of a service, adding an empty one if there is
@@ -177,63 +238,6 @@
 	r.localTally.add(service, version == ro.order.To, o)
 }
 
-// rolloutStart is the stored row that holds when a roll-out began. Nodes read it when
-// they start while no other node is running.
-type rolloutStart struct {
-	To string `json:"to"`
-	// OrderVersion is the version of the order's row, StartedMS the time by the store's
-	// clock.
-	OrderVersion uint64 `json:"order"`
-	StartedMS    int64  `json:"started_ms"`
-}
-
-// applyStarts records when roll-outs began.
-func (r *rollouts) applyStarts(rows []gossip.Row) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, row := range rows {
-		service, ok := strings.CutPrefix(row.Key, startKeyPrefix)
-		if !ok || row.Deleted {
-			continue
-		}
-		var s rolloutStart
-		if err := json.Unmarshal(row.Data, &s); err != nil {
-			r.log.Warn("cannot decode start of roll-out", zap.String("service", service), telemetry.ErrorField(err))
-			continue
-		}
-		r.starts[service] = s
-	}
-}
-
-// startRow returns the row that holds when a roll-out began, by the store's clock.
-func (r *rollouts) startRow(service string, clock time.Duration, now time.Time) rolloutStart {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	ro := r.ensureRollout(service)
-	return rolloutStart{To: ro.order.To, OrderVersion: ro.orderVersion, StartedMS: (clock - now.Sub(ro.startedAt)).Milliseconds()}
-}
-
-// applyStoredStarts moves the start of roll-outs back to the stored one, so that they
-// resume where they were.
-func (r *rollouts) applyStoredStarts(clock time.Duration, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for service, s := range r.starts {
-		ro := r.byService[service]
-		if ro == nil || ro.orderVersion != s.OrderVersion {
-			continue
-		}
-		elapsed := clock - time.Duration(s.StartedMS)*time.Millisecond
-		if began := now.Add(-elapsed); began.Before(ro.startedAt.Add(-resumeTolerance)) {
-			r.log.Info("roll-out resumed", zap.String("service", service), zap.String("to", s.To), zap.Duration("elapsed", elapsed))
-			ro.startedAt = began
-		}
-	}
-}
-
-// resumeTolerance is the difference between clocks that is ignored.
-const resumeTolerance = 500 * time.Millisecond
-
 // mergeRemote applies what another node published of a roll-out: how long it has been
 // in progress, so that a node that started meanwhile is in the same stage, and a
 // failed analysis, since a node that did not see enough answers must not complete a
@@ -242,7 +246,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.byService[service]
-	if ro == nil || ro.orderVersion != c.OrderVersion {
+	if ro == nil || ro.orderRevision != c.orderRevision() {
 		return
 	}
 	if elapsed := time.Duration(c.ElapsedMS) * time.Millisecond; now.Sub(ro.startedAt) < elapsed {
@@ -256,11 +260,11 @@
 
 // evaluate analyzes the totals of all nodes for a service, by route. It records and
 // reports whether the service's new version has just failed the analysis.
-func (r *rollouts) evaluate(service string, orderVersion uint64, totals map[string]comparison, now time.Time) bool {
+func (r *rollouts) evaluate(service string, order gossip.Revision, totals map[string]comparison, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.byService[service]
-	if ro == nil || ro.orderVersion != orderVersion || ro.hasFailedAnalysis || ro.state() != RolloutRunning {
+	if ro == nil || ro.orderRevision != order || ro.hasFailedAnalysis || ro.state() != RolloutRunning {
 		return false
 	}
 	evidence := ro.analyzer.evaluate(totals)
@@ -290,9 +294,9 @@
 // pendingStatus is a status that is to be written if its row still has the expected
 // version.
 type pendingStatus struct {
-	service         string
-	status          RolloutStatus
-	expectedVersion uint64
+	service  string
+	status   RolloutStatus
+	expected gossip.Revision
 	// overdue is how long the status has been due; a standby waits before it writes.
 	// remaining is the time from when it was due to the end of the roll-out's time.
 	overdue   time.Duration
@@ -305,32 +309,46 @@
 	defer r.mu.Unlock()
 	var out []pendingStatus
 	for service, ro := range r.byService {
-		if ro.order.To == "" || ro.isDecided() {
-			continue
-		}
-		dueState, dueSince, completeFrom := RolloutRunning, ro.startedAt, r.schedule(ro).completeFrom
-		switch {
-		case ro.hasFailedAnalysis:
-			dueState, dueSince = RolloutReverted, ro.failedAt
-		case ro.progress(now) >= completeFrom:
-			dueState, dueSince = RolloutCompleted, ro.startedAt.Add(time.Duration(completeFrom*float64(ro.order.Duration)))
-		}
-		if ro.hasCurrentStatus() && ro.status.State == dueState {
-			continue
+		if d, ok := r.pendingStatus(service, ro, now); ok {
+			out = append(out, d)
 		}
-		out = append(out, pendingStatus{service: service, status: RolloutStatus{State: dueState, To: ro.order.To}, expectedVersion: ro.statusVersion, overdue: now.Sub(dueSince), remaining: ro.startedAt.Add(ro.order.Duration).Sub(dueSince)})
 	}
 	return out
 }
 
-// running returns the versions of the orders in progress, by service.
-func (r *rollouts) running() map[string]uint64 {
+// pendingStatus returns the status of a roll-out that is to be written, and false if there
+// is none. The caller holds mu.
+func (r *rollouts) pendingStatus(service string, ro *serviceRollout, now time.Time) (pendingStatus, bool) {
+	d := pendingStatus{service: service, status: RolloutStatus{State: RolloutRunning, To: ro.order.To}, expected: ro.statusRevision}
+	if ro.order.To == "" || ro.orderRevision.Era < ro.statusRevision.Era {
+		// The status follows once the restored store has the order.
+		return d, false
+	}
+	if ro.hasCurrentStatus() && !ro.lostAt.IsZero() {
+		d.status, d.overdue, d.remaining = ro.status, now.Sub(ro.lostAt), statusWriters*maxStandbyDelay
+		return d, true
+	}
+	dueSince, completeFrom := ro.startedAt, r.schedule(ro).completeFrom
+	switch {
+	case ro.isDecided():
+		return d, false
+	case ro.hasFailedAnalysis:
+		d.status.State, dueSince = RolloutReverted, ro.failedAt
+	case ro.progress(now) >= completeFrom:
+		d.status.State, dueSince = RolloutCompleted, ro.startedAt.Add(time.Duration(completeFrom*float64(ro.order.Duration)))
+	}
+	d.overdue, d.remaining = now.Sub(dueSince), ro.startedAt.Add(ro.order.Duration).Sub(dueSince)
+	return d, !ro.hasCurrentStatus() || ro.status.State != d.status.State
+}
+
+// running returns the revisions of the orders in progress, by service.
+func (r *rollouts) running() map[string]gossip.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[string]uint64{}
+	out := map[string]gossip.Revision{}
 	for service, ro := range r.byService {
 		if ro.order.To != "" && ro.state() == RolloutRunning {
-			out[service] = ro.orderVersion
+			out[service] = ro.orderRevision
 		}
 	}
 	return out
--- a/internal/edge/rollouts_test.go
+++ b/internal/edge/rollouts_test.go
@@ -92,7 +92,7 @@
 			failedAfter := 0
 			for range 30 {
 				seen = seen.plus(comparison{outcomes{Good: 19, Failed: 1}, outcomes{Good: c.newGood, Failed: c.newFailed}})
-				if r.evaluate("x", 1, map[string]comparison{"route": seen}, startTime) {
+				if r.evaluate("x", gossip.Revision{Version: 1}, map[string]comparison{"route": seen}, startTime) {
 					failedAfter = seen.New.Good + seen.New.Failed
 				}
 			}
@@ -132,7 +132,7 @@
 	is.Equal(len(r.pendingStatuses(startTime.Add(time.Second))), 0)
 	d := r.pendingStatuses(startTime.Add(19 * time.Second))
 	is.Equal(d[0].status.State, RolloutCompleted)
-	is.Equal(d[0].expectedVersion, uint64(2))
+	is.Equal(d[0].expected, gossip.Revision{Version: 2})
 	// Other nodes have their turn before the time is over: the store may refuse the first.
 	is.True(startTime.Add(19*time.Second - d[0].overdue).Add((statusWriters - 1) * standbyDelay(d[0].remaining)).Before(startTime.Add(20 * time.Second)))
 	r.apply([]gossip.Row{statusRow(t, 3, RolloutCompleted)}, startTime)
@@ -149,7 +149,7 @@
 	e := &evidence{rows: gossip.NewMap(nil), nextVersion: versionCounter(), log: zap.NewNop(), countsByKey: map[string]rolloutCounts{}}
 	e.apply([]gossip.Row{{Key: "x/other", Data: encode(t, rolloutCounts{OrderVersion: 1, ElapsedMS: 18500, Routes: map[string]comparison{"r": {New: outcomes{Good: 3}}}})}}, r, startTime)
 	is.Equal(r.Pick("x", sessionBelow(0.9), startTime).Prefer, "v2")
-	is.Equal(e.totals("x", 1)["r"].New.Good, 3)
+	is.Equal(e.totals("x", gossip.Revision{Version: 1})["r"].New.Good, 3)
 }
 
 // A node that did not see enough answers must take a failed analysis from another
--- a/internal/edge/stop_load_test.go
+++ b/internal/edge/stop_load_test.go
@@ -41,8 +41,8 @@
 	rows map[string][]gossip.Row
 }
 
-func (s *listStore) Read(_ context.Context, table string) ([]gossip.Row, uint64, error) {
-	return s.rows[table], 5, nil
+func (s *listStore) Read(_ context.Context, table string) ([]gossip.Row, gossip.Revision, error) {
+	return s.rows[table], gossip.Revision{Version: 5}, nil
 }
 
 // freeAddress returns a currently free address of this machine.
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -216,7 +216,8 @@
 	s.announce(now)
 }
 
-// applyStored restores quarantines from the store, and lifts those whose row was removed.
+// applyStored restores quarantines from the store, and lifts those whose row was removed. A
+// quarantine that the store lost is kept, and stored again.
 func (s *suspects) applyStored(rows []gossip.Row, now time.Time) {
 	for _, r := range rows {
 		hex, ok := strings.CutPrefix(r.Key, quarantineKeyPrefix)
@@ -228,6 +229,9 @@
 			s.log.Warn("invalid quarantine in the store skipped", zap.String("key", r.Key), telemetry.ErrorField(err))
 			continue
 		}
+		if r.Lost {
+			continue
+		}
 		if r.Deleted {
 			if e, ok := s.Lift(key, now); ok {
 				s.log.Warn("quarantine lifted by an operator", zap.String("part", e.Part), zap.Uint64("fingerprint", key))
@@ -248,7 +252,7 @@
 // storeQuarantines writes quarantines that the store does not hold, and removes the rows
 // of those that have ended. Only the first reader of the store does so.
 func (n *Node) storeQuarantines(ctx context.Context) {
-	if n.readerTurn() != 0 || n.rows.Cursor(tableSystem) == 0 {
+	if n.readerTurn() != 0 || n.rows.Cursor(tableSystem).IsZero() {
 		return
 	}
 	now := time.Now()
@@ -259,7 +263,7 @@
 		}
 		raw, err := json.Marshal(e)
 		if err == nil {
-			_, err = n.options.Store.Write(ctx, tableSystem, key, 0, raw)
+			_, err = n.options.Store.Write(ctx, tableSystem, key, n.rows.Expected(tableSystem, key), raw)
 		}
 		n.countQuarantineCall(err)
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -36,15 +36,19 @@
 	Epoch uint64
 	Place uint64
 	// Digest holds the versions of the requester's rows by their hash. It is set in the
-	// first question on a connection, in place of Epoch and Place.
-	Digest map[uint64]uint64
+	// first question on a connection, in place of Epoch and Place. DigestEras and
+	// DigestRanks are the rest of the digest.
+	Digest      map[uint64]uint64
+	DigestEras  map[uint64]uint64
+	DigestRanks map[uint64]uint64
 	// Rows changed on the requester since its last question.
 	Rows []Row
-	// Cursors are the versions up to which the requester has the store's tables, and Age
-	// is how long ago that state was current, whether read by itself or received from
-	// others.
-	Cursors map[string]uint64
-	Age     time.Duration
+	// Cursors are the versions up to which the requester has the store's tables, CursorEras
+	// the eras of these versions. Age is how long ago that state was current, whether read
+	// by itself or received from others.
+	Cursors    map[string]uint64
+	CursorEras map[string]uint64
+	Age        time.Duration
 }
 
 // Answer carries the responder's changes that the requester lacks.
@@ -59,9 +63,10 @@
 	// Want are the hashes of rows of which the digest has a newer version.
 	Want []uint64
 	// Anew requests a digest in the next question.
-	Anew    bool
-	Cursors map[string]uint64
-	Age     time.Duration
+	Anew       bool
+	Cursors    map[string]uint64
+	CursorEras map[string]uint64
+	Age        time.Duration
 }
 
 // Exchange synchronises a map with other nodes. It answers their questions and asks
@@ -93,11 +98,10 @@
 	if err != nil {
 		return err
 	}
-	e.rows.mergeFrom(q.Self, rows, q.Cursors)
-	e.observeAge(q.Age)
+	e.merge(q.Self, rows, decodeCursors(q.Cursors, q.CursorEras), q.Age)
 	e.contacts.record(q.Self, !q.Up, time.Now())
 	if q.Digest != nil || q.Epoch != e.epoch {
-		c, wanted := e.rows.compare(q.Digest)
+		c, wanted := e.rows.compare(Digest{q.Digest, q.DigestEras, q.DigestRanks})
 		*a = e.newAnswer(c)
 		a.Want = wanted
 		e.contacts.recordDigest(q.Self)
@@ -129,7 +133,9 @@
 }
 
 func (e *Exchange) newAnswer(c change) Answer {
-	return Answer{Epoch: e.epoch, Place: c.position, Rows: pack(c.rows), Cursors: c.cursors, Age: e.age(), Hears: e.contacts.expireAndList(time.Now())}
+	a := Answer{Epoch: e.epoch, Place: c.position, Rows: pack(c.rows), Age: e.age(), Hears: e.contacts.expireAndList(time.Now())}
+	a.Cursors, a.CursorEras = encodeCursors(c.cursors)
+	return a
 }
 
 // Register adds a service that Serve offers beside the exchange.
@@ -192,22 +198,50 @@
 	if err != nil {
 		return err
 	}
-	e.rows.mergeFrom(a.Epoch, rows, a.Cursors)
-	e.observeAge(a.Age)
+	e.merge(a.Epoch, rows, decodeCursors(a.Cursors, a.CursorEras), a.Age)
 	return nil
 }
 
+// merge merges what a process sent. A process that does not know yet that the store was
+// restored, or whose release knows no eras, does not show that this node's state is current.
+func (e *Exchange) merge(origin uint64, rows []Row, cursors map[string]Revision, age time.Duration) {
+	e.rows.mergeFrom(origin, rows, cursors)
+	if e.rows.isCurrent(cursors) {
+		e.observeAge(age)
+	}
+}
+
+// encodeCursors returns the versions and the eras of cursors. They travel apart, as
+// earlier releases know versions only.
+func encodeCursors(cursors map[string]Revision) (versions, eras map[string]uint64) {
+	versions, eras = make(map[string]uint64, len(cursors)), make(map[string]uint64, len(cursors))
+	for table, cursor := range cursors {
+		versions[table], eras[table] = cursor.Version, cursor.Era
+	}
+	return versions, eras
+}
+
+// decodeCursors reverses encodeCursors.
+func decodeCursors(versions, eras map[string]uint64) map[string]Revision {
+	cursors := make(map[string]Revision, len(versions))
+	for table, version := range versions {
+		cursors[table] = Revision{eras[table], version}
+	}
+	return cursors
+}
+
 // newQuestion returns the next question for a peer, and the position of the local log
 // up to which it carries rows.
 func (e *Exchange) newQuestion(p *Peer) (Question, uint64) {
 	q := Question{Self: e.epoch, Up: p.IsHub, Hears: e.contacts.expireAndList(time.Now()), Age: e.age()}
 	if p.needsDigest {
-		var position uint64
-		q.Digest, position = e.rows.digest()
+		d, position := e.rows.digest()
+		q.Digest, q.DigestEras, q.DigestRanks = d.Versions, d.Eras, d.Ranks
 		return q, position
 	}
 	c := e.rows.since(p.sentPosition, p.epoch, p.receivesFrom, p.IsHub)
-	q.Epoch, q.Place, q.Cursors = p.epoch, p.position, c.cursors
+	q.Epoch, q.Place = p.epoch, p.position
+	q.Cursors, q.CursorEras = encodeCursors(c.cursors)
 	q.Rows = pack(append(e.rows.pick(p.wantedHashes), c.rows...))
 	return q, c.position
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -15,6 +15,9 @@
 	return Row{Table: "t", Key: key, Version: version, Data: []byte{byte(version)}}
 }
 
+// at returns a revision of a store that was never restored.
+func at(version uint64) Revision { return Revision{Version: version} }
+
 // Rows may arrive in any order and any number of times. The newest of each key must
 // win, tombstones included.
 func TestNewestRowWins(t *testing.T) {
@@ -44,12 +47,12 @@
 	is := is.New(t)
 	m := NewMap(nil)
 	m.Apply([]Row{row("old", 3), row("newer", 12)})
-	m.Replace("t", []Row{row("there", 9)}, 10)
+	m.Replace("t", []Row{row("there", 9)}, at(10))
 	_, ok := m.Get("t", "old")
 	is.True(!ok)
 	_, ok = m.Get("t", "newer")
 	is.True(ok)
-	is.Equal(m.Cursor("t"), uint64(10))
+	is.Equal(m.Cursor("t"), at(10))
 	m.Apply([]Row{row("old", 3)})
 	_, ok = m.Get("t", "old")
 	is.True(!ok) // a late copy does not revive it
@@ -134,8 +137,8 @@
 		t.Run(asks+" asks", func(t *testing.T) {
 			is := is.New(t)
 			stale, restarted := newNode(t, 1), newNode(t, 2)
-			stale.rows.Replace("t", []Row{row("gone", 3), row("kept", 4), row("changed", 5)}, 6)
-			restarted.rows.Replace("t", []Row{row("kept", 4), row("changed", 9)}, 10)
+			stale.rows.Replace("t", []Row{row("gone", 3), row("kept", 4), row("changed", 5)}, at(6))
+			restarted.rows.Replace("t", []Row{row("kept", 4), row("changed", 9)}, at(10))
 			from, to := stale, restarted
 			if asks == "restarted" {
 				from, to = restarted, stale
@@ -154,7 +157,7 @@
 				is.True(ok)
 				r, _ := n.rows.Get("t", "changed")
 				is.Equal(r.Version, uint64(9))
-				is.Equal(n.rows.Cursor("t"), uint64(10))
+				is.Equal(n.rows.Cursor("t"), at(10))
 			}
 		})
 	}
@@ -165,7 +168,7 @@
 func TestRecreatedRowIsAccepted(t *testing.T) {
 	is := is.New(t)
 	m := NewMap(nil)
-	m.Replace("t", nil, 10)
+	m.Replace("t", nil, at(10))
 	m.mergeFrom(7, []Row{row("a", 3)}, nil)
 	_, ok := m.Get("t", "a")
 	is.True(!ok)
@@ -182,9 +185,9 @@
 func TestRowRemovedTwiceIsNotRevived(t *testing.T) {
 	is := is.New(t)
 	m := NewMap(nil)
-	m.Replace("t", []Row{row("a", 3)}, 5)
-	m.Replace("t", nil, 10)
-	m.Replace("t", nil, 20) // created at 12 and removed at 15
+	m.Replace("t", []Row{row("a", 3)}, at(5))
+	m.Replace("t", nil, at(10))
+	m.Replace("t", nil, at(20)) // created at 12 and removed at 15
 	m.mergeFrom(7, []Row{row("a", 12)}, nil)
 	_, ok := m.Get("t", "a")
 	is.True(!ok)
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -1,10 +1,11 @@
 // Package gossip replicates rows of the platform's store, and soft state of the nodes,
-// from node to node. Each row has a version and the newest wins, so rows may arrive in
+// from node to node. Each row has a revision and the newest wins, so rows may arrive in
 // any order, from any node, any number of times.
 package gossip
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -16,31 +17,50 @@
 
 // Row is one value under a table and key.
 type Row struct {
-	Table   string
-	Key     string
+	Table string
+	Key   string
+	// Era and Version are the revision of the row in the store. Rows that are not stored
+	// have no era.
+	Era     uint64
 	Version uint64
+	// Rank is the number that the writer gave to the row's content, 0 if there is none. A
+	// row of a higher rank wins whatever its revision: the copy from which a store was
+	// restored may hold content that was replaced long ago.
+	Rank uint64
 	// Deleted rows are kept as tombstones for a while, so that an older copy cannot revive
-	// them.
+	// them. They are Lost if nobody deleted them, but the store was restored from a copy
+	// that lacks them.
 	Deleted bool
+	Lost    bool
 	Data    []byte
 	// Packed data is compressed. Only rows in transit are packed.
 	Packed bool
 }
 
+// Revision returns the row's revision.
+func (r Row) Revision() Revision { return Revision{r.Era, r.Version} }
+
+func (r Row) precedence() precedence { return precedence{r.Rank, r.Revision()} }
+
 // ErrHistoryGone is returned by a Store whose history no longer reaches back to the
 // requested version. Read the whole table instead.
 var ErrHistoryGone = errors.New("history is gone: read the whole table")
 
+// ErrRestored is returned by a Store that was restored from a copy since the revision of
+// the call. Read the whole table, and decide again.
+var ErrRestored = errors.New("the store was restored from a copy: read the whole table")
+
 // Store is a reader's view of the platform's store.
 type Store interface {
-	// Read returns all rows of a table, and the version they are as of.
-	Read(ctx context.Context, table string) ([]Row, uint64, error)
-	// Watch returns the rows changed after a version as soon as there is one, or none
-	// after wait.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
-	// Write stores a row if its version is still the expected one; 0 expects no row. It
-	// returns false if the condition did not hold.
-	Write(ctx context.Context, table, key string, expected uint64, data []byte) (bool, error)
+	// Read returns all rows of a table, and the revision they are as of.
+	Read(ctx context.Context, table string) ([]Row, Revision, error)
+	// Watch returns the rows changed after a revision as soon as there is one, or none
+	// after wait, and the revision reached.
+	Watch(ctx context.Context, table string, after Revision, wait time.Duration) ([]Row, Revision, error)
+	// Write stores a row if its revision is still the expected one; version 0 expects no
+	// row. It returns false if the condition did not hold, and ErrRestored if the store is
+	// not, or no longer, in the expected era.
+	Write(ctx context.Context, table, key string, expected Revision, data []byte) (bool, error)
 	// Remove deletes a row whatever its version.
 	Remove(ctx context.Context, table, key string) error
 	// Clock returns the store's steady clock as of its last answer, and whether there was
@@ -75,10 +95,10 @@
 // Map is a node's copy of all rows. It is safe for concurrent use.
 type Map struct {
 	mu       sync.Mutex
-	rows     map[rowID]entry   // guarded by mu
-	position uint64            // guarded by mu; of the newest change
-	cursors  map[string]uint64 // guarded by mu; version up to which a table is complete
-	changed  chan struct{}     // guarded by mu; closed at a change
+	rows     map[rowID]entry     // guarded by mu
+	position uint64              // guarded by mu; of the newest change
+	cursors  map[string]Revision // guarded by mu; up to which a table is complete
+	changed  chan struct{}       // guarded by mu; closed at a change
 	onRows   func([]Row)
 	// undelivered holds the new rows that were not passed to onRows yet, in order.
 	undelivered  []Row // guarded by mu
@@ -89,7 +109,7 @@
 // they were stored, by one goroutine at a time and without locks held. A call that stores
 // rows returns once they were passed on, unless another goroutine is about to do so.
 func NewMap(onRows func([]Row)) *Map {
-	return &Map{rows: map[rowID]entry{}, cursors: map[string]uint64{}, changed: make(chan struct{}), onRows: onRows}
+	return &Map{rows: map[rowID]entry{}, cursors: map[string]Revision{}, changed: make(chan struct{}), onRows: onRows}
 }
 
 // Apply merges rows and keeps those that are newer than the present ones.
@@ -97,29 +117,36 @@
 
 // mergeFrom merges rows that a process sent, with its epoch as their origin, and the
 // cursors of a process that has whole tables.
-func (m *Map) mergeFrom(origin uint64, rows []Row, cursors map[string]uint64) {
+func (m *Map) mergeFrom(origin uint64, rows []Row, cursors map[string]Revision) {
 	m.mu.Lock()
 	m.apply(origin, rows)
-	for table, version := range cursors {
-		m.cursors[table] = max(m.cursors[table], version)
+	for table, cursor := range cursors {
+		m.advance(table, cursor)
 	}
 	m.mu.Unlock()
 	m.notify()
 }
 
+// advance moves a table's cursor forward. The caller holds mu.
+func (m *Map) advance(table string, cursor Revision) {
+	if m.cursors[table].Before(cursor) {
+		m.cursors[table] = cursor
+	}
+}
+
 // apply stores the rows that are newer than the present ones. The caller holds mu.
 func (m *Map) apply(origin uint64, rows []Row) {
 	var newer []Row
 	for _, r := range rows {
 		id, rowOrigin := rowID{r.Table, r.Key}, origin
 		old, ok := m.rows[id]
-		if ok && old.Version >= r.Version {
+		if ok && old.precedence().compare(r.precedence()) >= 0 {
 			continue
 		}
-		if cursor := m.cursors[r.Table]; (!ok || old.Deleted) && origin != 0 && !r.Deleted && r.Version <= cursor {
-			// The table was complete up to the cursor without the row, so the row was deleted and
-			// its sender does not know yet.
-			r, rowOrigin = Row{Table: r.Table, Key: r.Key, Version: cursor, Deleted: true}, 0
+		if cursor := m.cursors[r.Table]; (!ok || old.Deleted) && origin != 0 && !r.Deleted && r.Rank == 0 && !cursor.Before(r.Revision()) {
+			// The table was complete up to the cursor without the row, so the row is gone and its
+			// sender does not know yet.
+			r, rowOrigin = tombstone(id, r.Revision(), cursor), 0
 		}
 		m.position++
 		m.rows[id] = entry{r, m.position, rowOrigin}
@@ -132,6 +159,11 @@
 	}
 }
 
+// tombstone returns the row that replaces one of an older revision in a table that lacks it.
+func tombstone(id rowID, old, cursor Revision) Row {
+	return Row{Table: id.table, Key: id.key, Era: cursor.Era, Version: cursor.Version, Deleted: true, Lost: old.Era < cursor.Era}
+}
+
 // notify passes new rows to onRows. The caller does not hold mu.
 func (m *Map) notify() {
 	m.mu.Lock()
@@ -158,41 +190,61 @@
 	}
 }
 
-// Replace merges a whole table as of a version, and marks the rows that the table lacks
-// as deleted.
-func (m *Map) Replace(table string, rows []Row, version uint64) {
+// Replace merges a whole table as of a revision, and marks the rows that the table lacks
+// as deleted. A table as of an era that is over is ignored.
+func (m *Map) Replace(table string, rows []Row, at Revision) {
 	m.mu.Lock()
+	if at.Era < m.cursors[table].Era {
+		m.mu.Unlock()
+		return
+	}
 	listed := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		listed[r.Key] = true
 	}
 	for id, e := range m.rows {
-		if id.table == table && !listed[id.key] && !e.Deleted && e.Version < version {
-			rows = append(rows, Row{Table: table, Key: id.key, Version: version, Deleted: true})
+		if id.table == table && !listed[id.key] && !e.Deleted && e.Revision().Before(at) {
+			rows = append(rows, tombstone(id, e.Revision(), at))
 		}
 	}
 	m.apply(0, rows)
-	m.cursors[table] = max(m.cursors[table], version)
+	m.advance(table, at)
 	m.mu.Unlock()
 	m.notify()
 }
 
-// Advance merges the rows of a watch that reached version.
-func (m *Map) Advance(table string, rows []Row, version uint64) {
+// Advance merges the rows of a watch that reached a revision. They are ignored if the
+// table is of another era: changes say nothing of the rows that were lost.
+func (m *Map) Advance(table string, rows []Row, at Revision) {
 	m.mu.Lock()
+	if at.Era != m.cursors[table].Era {
+		m.mu.Unlock()
+		return
+	}
 	m.apply(0, rows)
-	m.cursors[table] = max(m.cursors[table], version)
+	m.advance(table, at)
 	m.mu.Unlock()
 	m.notify()
 }
 
-// Cursor returns the version up to which a table is complete; 0 if it was never read.
-func (m *Map) Cursor(table string) uint64 {
+// Cursor returns the revision up to which a table is complete; zero if it was never read.
+func (m *Map) Cursor(table string) Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.cursors[table]
 }
 
+// Era returns the newest era of the store that is known.
+func (m *Map) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := uint64(0)
+	for _, cursor := range m.cursors {
+		era = max(era, cursor.Era)
+	}
+	return era
+}
+
 // Get returns a row that is not deleted.
 func (m *Map) Get(table, key string) (Row, bool) {
 	m.mu.Lock()
@@ -201,6 +253,17 @@
 	return e.Row, ok && !e.Deleted
 }
 
+// Expected returns the revision that a conditional write of a row has to expect.
+func (m *Map) Expected(table, key string) Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.rows[rowID{table, key}]
+	if !ok || e.Deleted {
+		return Revision{Era: m.cursors[table].Era}
+	}
+	return e.Revision()
+}
+
 // List returns the rows of a table that are not deleted, unordered.
 func (m *Map) List(table string) []Row {
 	m.mu.Lock()
@@ -218,7 +281,7 @@
 type change struct {
 	rows     []Row
 	position uint64 // position reached in the log
-	cursors  map[string]uint64
+	cursors  map[string]Revision
 	changed  <-chan struct{} // closed at the next change
 }
 
@@ -241,79 +304,21 @@
 	return c
 }
 
-// copyCursors copies the cursors. The caller holds mu.
-func (m *Map) copyCursors() map[string]uint64 {
-	out := make(map[string]uint64, len(m.cursors))
-	for table, version := range m.cursors {
-		out[table] = version
-	}
-	return out
-}
-
-// digest returns the versions of all rows by their hash, and the log position that
-// they are as of.
-func (m *Map) digest() (map[uint64]uint64, uint64) {
+// isCurrent reports whether none of a process's cursors is of an earlier era than this
+// map's cursor of the table.
+func (m *Map) isCurrent(cursors map[string]Revision) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[uint64]uint64, len(m.rows))
-	for id, e := range m.rows {
-		if !id.isUpward() {
-			out[id.hash()] = e.Version
+	for table, cursor := range cursors {
+		if cursor.Era < m.cursors[table].Era {
+			return false
 		}
 	}
-	return out, m.position
+	return true
 }
 
-// compare returns the rows that this map has beyond a digest, and the hashes of the
-// rows of which the digest has a newer version.
-func (m *Map) compare(digest map[uint64]uint64) (change, []uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	c := change{position: m.position, cursors: m.copyCursors(), changed: m.changed}
-	missing := make(map[uint64]bool, len(digest))
-	for hash := range digest {
-		missing[hash] = true
-	}
-	var wanted []uint64
-	for id, e := range m.rows {
-		if id.isUpward() {
-			continue
-		}
-		hash := id.hash()
-		theirs, isListed := digest[hash]
-		delete(missing, hash)
-		switch {
-		case !isListed || e.Version > theirs:
-			c.rows = append(c.rows, e.Row)
-		case e.Version < theirs:
-			wanted = append(wanted, hash)
-		}
-	}
-	for hash := range missing {
-		wanted = append(wanted, hash)
-	}
-	return c, wanted
-}
-
-// pick returns the rows with the given hashes.
-func (m *Map) pick(hashes []uint64) []Row {
-	if len(hashes) == 0 {
-		return nil
-	}
-	wanted := make(map[uint64]bool, len(hashes))
-	for _, h := range hashes {
-		wanted[h] = true
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []Row
-	for id, e := range m.rows {
-		if wanted[id.hash()] {
-			out = append(out, e.Row)
-		}
-	}
-	return out
-}
+// copyCursors copies the cursors. The caller holds mu.
+func (m *Map) copyCursors() map[string]Revision { return maps.Clone(m.cursors) }
 
 // Forget drops the rows of a soft table for which keep returns false, without a
 // tombstone for other nodes.
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -39,6 +39,8 @@
 	// StoreAge is the age of the last data received from the platform's store,
 	// in seconds.
 	StoreAge func() float64
+	// StoreEra counts how often the store was restored from a copy, as far as it says so.
+	StoreEra func() float64
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion func() float64
 	// Members is the number of live nodes, Servers the number of backend
@@ -60,6 +62,7 @@
 func (m *ForwardMetrics) RegisterGauges(s ForwardState) {
 	f := factory{promauto.With(m.Registry)}
 	f.gaugeFunc("route_store_age_seconds", "Age of the news of the platform's store.", s.StoreAge)
+	f.gaugeFunc("route_store_era", "Era of the platform's store, which rises when it was restored from a copy.", s.StoreEra)
 	f.gaugeFunc("route_config_version", "Version of the configuration in force, 0 if there is none.", s.ConfigVersion)
 	f.gaugeFunc("route_members", "Living nodes that this one knows, itself included.", s.Members)
 	f.gaugeFunc("route_servers", "Backend servers in the list.", s.Servers)
