Reproduce: a node without links to the backend servers refuses its callers

Callers of nodes that were cut off from all servers got 503 after timeouts, while the other nodes reached the same servers.

A node's dial function can be set, as the forwarder's could; no logic has changed.

--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -150,12 +150,23 @@
 // startLimitFleet starts nodes in front of the given servers and returns them with their
 // addresses for callers.
 func startLimitFleet(t *testing.T, size int, servers []*limitingServer) (nodes []*Node, callers []string) {
+	t.Helper()
+	var addresses []string
+	for _, s := range servers {
+		addresses = append(addresses, s.address)
+	}
+	return startFleet(t, size, addresses, func(int, *Options) {})
+}
+
+// startFleet starts nodes in front of servers at the given addresses and returns them with
+// their addresses for callers. configure changes the options of each node.
+func startFleet(t *testing.T, size int, servers []string, configure func(i int, o *Options)) (nodes []*Node, callers []string) {
 	t.Helper()
 	is, store := is.New(t), newMemStore()
 	_, err := store.Write(t.Context(), "o", "c", gossip.Revision{}, []byte("1"))
 	is.NoErr(err)
-	for i, s := range servers {
-		_, err := store.Write(t.Context(), "s", fmt.Sprint("server-", i), gossip.Revision{}, encode(t, pool.Server{Address: s.address, Service: "s", DataCentre: "a", Slots: 100}))
+	for i, address := range servers {
+		_, err := store.Write(t.Context(), "s", fmt.Sprint("server-", i), gossip.Revision{}, encode(t, pool.Server{Address: address, Service: "s", DataCentre: "a", Slots: 100}))
 		is.NoErr(err)
 	}
 	_, port, err := net.SplitHostPort(freeAddress(t))
@@ -172,14 +183,16 @@
 		is.NoErr(err)
 		ip := fmt.Sprintf("127.0.1.%d", i+1)
 		address := net.JoinHostPort(ip, callersPort)
-		n, err := New(Options{
+		o := Options{
 			Settings: Settings{
 				Node: fmt.Sprint("n", i), IP: ip, DataCentre: string(rune('a' + i%3)), Callers: address, InnerPort: inner, Seeds: []string{"127.0.1.1"},
 				StopTime: 200 * time.Millisecond, SessionLife: time.Second, RetryRatio: 1, RetryAllowance: 100, RetryWindow: time.Second, Processor: 1, Bandwidth: 1,
 			},
 			Schema: stopSchema{}, Store: store, Headers: forward.Headers{RequestID: "T-Id", TimeLeft: "T-Left", Instance: "T-Instance", Limit: "T-Limit"},
 			ReadyPath: "/ready", DirectoryPath: "/directory", Log: zap.NewNop(), Metrics: telemetry.NewForwardMetrics(), Tracer: tracer,
-		})
+		}
+		configure(i, &o)
+		n, err := New(o)
 		is.NoErr(err)
 		running.Go(func() { n.Run(ctx) })
 		for !n.isReady() {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -38,6 +38,8 @@
 	DirectoryPath string
 	// MetricsPort serves the metrics; 0 disables them.
 	MetricsPort int
+	// Dial opens connections to backend servers. Nil means TCP.
+	Dial forward.Dial
 	Log         *zap.Logger
 	Metrics     *telemetry.ForwardMetrics
 	Tracer      *telemetry.Tracer
@@ -116,7 +118,7 @@
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
 	return n, n.listen()
