Reach backend servers through another node where the own link is cut

Cause: the node that takes a request was the only one that could send it, and what it found out about its links was of use to no one. The log shows timeouts at every server for the whole of the cut, and connections of the other nodes to the same servers, so neither limits of the servers nor late detection explain it.

A connection that does not stand after 150 ms, or fails, is also opened through another node, which connects to the server and passes bytes on. If that one stands, the link is cut: later requests go there at once, kept connections are left alone, and the direct way is tried once a second. If no other node reaches the server either, it is down, and none is asked for a second. Where two links are lost and nothing was reached directly since, both ways are tried at once. What is sent, repeated, granted, quarantined or resumed is decided by the node that took the request, as before. A node carries connections only for members of the fleet, only to listed servers, and never through a third node. A reset stays a reset.

--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -31,6 +31,7 @@
 	s := n.settings.Load()
 	state := nodeState{
 		Node: s.Node, Inner: n.innerAddress, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.isReady(), Stopping: n.stopping.Load(), GrantsPermits: true,
+		Relays: true, CutOff: n.isCutOff(),
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
@@ -42,6 +43,12 @@
 	}
 }
 
+// isCutOff reports whether this node has lost its links to most of the backend servers,
+// which other nodes reach.
+func (n *Node) isCutOff() bool {
+	return n.forwarder != nil && 2*n.forwarder.CutLinks() > n.pool.Len()
+}
+
 // prefixSlots is how many rows a hub uses in turn for prompt prefixes, so that a node
 // that syncs late misses none.
 const prefixSlots = 8
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -66,6 +66,10 @@
 	Stopping bool `json:"stopping,omitempty"`
 	// GrantsPermits is set by nodes that can grant requests to limited servers.
 	GrantsPermits bool `json:"permits,omitempty"`
+	// Relays is set by nodes that connect to backend servers for others, CutOff by those
+	// that have lost their links to most of the servers themselves.
+	Relays bool `json:"relays,omitempty"`
+	CutOff bool `json:"cut_off,omitempty"`
 	// Weight is the share of callers that the node can carry.
 	Weight float64 `json:"weight"`
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -39,10 +39,10 @@
 	// MetricsPort serves the metrics; 0 disables them.
 	MetricsPort int
 	// Dial opens connections to backend servers. Nil means TCP.
-	Dial forward.Dial
-	Log         *zap.Logger
-	Metrics     *telemetry.ForwardMetrics
-	Tracer      *telemetry.Tracer
+	Dial    forward.Dial
+	Log     *zap.Logger
+	Metrics *telemetry.ForwardMetrics
+	Tracer  *telemetry.Tracer
 }
 
 // Node is one entry VM's process. Lock order: no part of a node calls another part
@@ -73,6 +73,7 @@
 	pool          *pool.Pool
 	prefixes      *prefix.Index
 	forwarder     *forward.Forwarder
+	relay         *relay
 	callers       *http.Server
 	stopping      atomic.Bool
 	mu            sync.Mutex
@@ -115,10 +116,12 @@
 	if err := n.exchange.Register(permitService, PermitService{n.permits}); err != nil {
 		return nil, err
 	}
+	n.relay = newRelay(n, o.Dial)
+	n.exchange.HandleRaw(relayPreface, n.relay.serve)
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
 	return n, n.listen()
@@ -147,6 +150,8 @@
 			share, _ := n.permits.roster.Share(time.Now())
 			return share
 		},
+		CutLinks:    func() float64 { return float64(n.forwarder.CutLinks()) },
+		Relayed:     func() float64 { return float64(n.relay.carried.Load()) },
 		Running:     func() float64 { return float64(n.forwarder.Running()) },
 		Quarantined: func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
 	}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -40,6 +40,7 @@
 		n.options.Log.Warn("requests in progress cut off at shutdown", zap.Int("running", n.forwarder.Running()), telemetry.ErrorField(err))
 	}
 	_ = n.callers.Close()
+	n.relay.drain(ctx)
 	n.unregister(lifetime)
 	n.options.Log.Info("stopped", zap.Int("unfinished", n.forwarder.Running()), zap.Int64("ms", time.Since(began).Milliseconds()))
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,8 @@
 	// counts those with content.
 	firstEvent time.Time
 	events     int
+	// isRelayed is set once the request has a connection that leads through another node.
+	isRelayed atomic.Bool
 	// survivalRecorded is when the attempt was last recorded as a survival.
 	survivalRecorded time.Time
 }
@@ -170,7 +173,7 @@
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	x.current = a
-	req := x.f.opts.Headers.newRequest(x.req, a.member.Address, a.member.ID, time.Now()).WithContext(ctx)
+	req := x.f.opts.Headers.newRequest(x.req, a.member.Address, a.member.ID, time.Now()).WithContext(a.traceRelay(ctx))
 	if a.model != "" {
 		req.Header.Set(x.f.opts.Headers.Model, a.model)
 	}
@@ -187,7 +190,10 @@
 	x.sends++
 	a.newParts = x.f.opts.Prefixes.RecordUse(a.member.Key(), x.req.sharedPartHashes(a.model), a.began)
 	transport := x.f.reusingTransport
-	if needsOwnConnection {
+	switch {
+	case x.f.links.isCut(a.member.Address):
+		transport = x.f.relayTransport
+	case needsOwnConnection || x.f.links.isSuspicious():
 		transport = x.f.singleUseTransport
 	}
 	resp, err := transport.RoundTrip(req)
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -61,7 +61,7 @@
 	go func() {
 		defer close(probed)
 		time.Sleep(delay)
-		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m, f.opts.Dial) {
+		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m, f.links.dial) {
 			return
 		}
 		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, brokeAt)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -96,6 +96,9 @@
 	Log     *zap.Logger
 	// Dial opens connections to backend servers. Nil means TCP.
 	Dial Dial
+	// Relay opens connections to backend servers through another node, for servers that
+	// this node does not reach. Nil if there is none.
+	Relay Dial
 	// OnDraining is called once for each incarnation of a server that announces
 	// in an answer that it is draining. It may be nil.
 	OnDraining func(pool.Server)
@@ -124,13 +127,16 @@
 	// A server may close a reused connection while a request is being sent.
 	reusingTransport   *http.Transport
 	singleUseTransport *http.Transport
-	cascade            *Cascade
-	readSpeeds         *readSpeeds
-	sampler            telemetry.RequestSampler
-	started            time.Time
-	running            atomic.Int64
-	bufferedBytes      atomic.Int64 // bytes of buffered plain answers
-	starting           startingStreams
+	// relayTransport carries requests to servers whose link is cut.
+	relayTransport *http.Transport
+	links          *links
+	cascade        *Cascade
+	readSpeeds     *readSpeeds
+	sampler        telemetry.RequestSampler
+	started        time.Time
+	running        atomic.Int64
+	bufferedBytes  atomic.Int64 // bytes of buffered plain answers
+	starting       startingStreams
 }
 
 // New returns a forwarder.
@@ -147,9 +153,13 @@
 	if o.Permits == nil {
 		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, time.Duration) { return 1, 0 })}
 	}
+	l := newLinks(o.Dial, o.Relay, func(address string, isCut bool) {
+		o.Log.Info("link to backend server", zap.String("address", address), zap.Bool("cut", isCut))
+	})
 	return &Forwarder{
-		opts: o, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: o.Dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: o.Dial}),
-		readSpeeds: newReadSpeeds(), cascade: NewCascade(), started: time.Now(),
+		opts: o, links: l, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: l.dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dial}),
+		relayTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dialCut}),
+		readSpeeds:     newReadSpeeds(), cascade: NewCascade(), started: time.Now(),
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -110,7 +110,7 @@
 	defer cancel(nil)
 	isLast := x.sends+1 >= x.req.Route.MaxAttempts
 	canMove := func() bool { return !isLast && !s.isReturn && !s.isUnnumbered.Load() && x.reserveMove(a.member) }
-	s.watch = newStallWatch(a.member, x.f.opts.Dial, x.firstEventWait(a), canMove, func() { cancel(errStalled) })
+	s.watch = newStallWatch(a.member, x.probeDial(a), x.firstEventWait(a), canMove, func() { cancel(errStalled) })
 	defer s.watch.stop()
 	x.f.starting.add(a, x.req, func() { cancel(errQuarantined) })
 	defer x.f.starting.remove(a)
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -56,9 +56,19 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// TCPFrom is TCP with a local address.
+func TCPFrom(ctx context.Context, source net.Addr, address string) (net.Conn, error) {
+	d := *dialer
+	d.LocalAddr = source
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// KeepAlive configures the probes that detect an unresponsive peer.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
+
 var dialer = &net.Dialer{
 	Timeout:         connectTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
+	KeepAliveConfig: KeepAlive,
 	Control: func(_, _ string, c syscall.RawConn) error {
 		var optErr error
 		err := c.Control(func(fd uintptr) {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -76,6 +77,9 @@
 	rows     *Map
 	contacts *contacts
 	server   *rpc.Server
+	// raw takes connections that begin with rawPreface. Nil if there are none.
+	raw        func(net.Conn)
+	rawPreface byte
 	// age returns how long ago the cached store state was current, observeAge receives
 	// such an age from another node.
 	age        func() time.Duration
@@ -143,6 +147,42 @@
 	return errors.Wrapf(e.server.RegisterName(name, service), "register %s", name)
 }
 
+// HandleRaw sets the handler of connections whose first byte is preface, which no message of
+// net/rpc begins with. It is called before Serve. The handler closes the connection.
+func (e *Exchange) HandleRaw(preface byte, handle func(net.Conn)) {
+	e.raw, e.rawPreface = handle, preface
+}
+
+// prefacedConn is a connection whose first byte was read already.
+type prefacedConn struct {
+	net.Conn
+	first []byte
+}
+
+// Read implements net.Conn.
+func (c *prefacedConn) Read(p []byte) (int, error) {
+	if len(c.first) > 0 && len(p) > 0 {
+		n := copy(p, c.first)
+		c.first = c.first[n:]
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// serveConn answers one peer, or hands its connection to the handler of raw ones.
+func (e *Exchange) serveConn(conn net.Conn) {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(conn, first); err != nil {
+		_ = conn.Close()
+		return
+	}
+	if e.raw != nil && first[0] == e.rawPreface {
+		e.raw(conn)
+		return
+	}
+	e.server.ServeConn(&prefacedConn{conn, first})
+}
+
 // Serve answers peers on a listener until it is closed.
 func (e *Exchange) Serve(l net.Listener) error {
 	if err := e.Register(serviceName, Service{e}); err != nil {
@@ -153,7 +193,7 @@
 		if err != nil {
 			return err
 		}
-		go e.server.ServeConn(conn)
+		go e.serveConn(conn)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -74,6 +74,29 @@
 	}
 }
 
+// Addresses returns the addresses of the listed servers.
+func (p *Pool) Addresses() map[string]bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make(map[string]bool, len(p.members))
+	for _, m := range p.members {
+		out[m.Address] = true
+	}
+	return out
+}
+
+// HasAddress reports whether a listed server has an address.
+func (p *Pool) HasAddress(address string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, m := range p.members {
+		if m.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns the servers of a service, sorted by ID. The caller must not
 // modify the slice.
 func (p *Pool) Members(service string) []*Member {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -24,6 +24,9 @@
 	LimitedAttempts prometheus.Counter
 	// Permits counts asks for permits to send to limited servers by result.
 	Permits *prometheus.CounterVec
+	// Relays counts connections to backend servers through other nodes, and those carried
+	// for other nodes, by result.
+	Relays *prometheus.CounterVec
 	// Refusals counts answers that the router generated itself by status and
 	// reason.
 	Refusals *prometheus.CounterVec
@@ -51,6 +54,10 @@
 	LimitedServers func() float64
 	// PermitShare is the part of the servers' limits that the process may grant.
 	PermitShare func() float64
+	// CutLinks is the number of servers that the process reaches only through other
+	// nodes, Relayed the number of connections that it carries for others.
+	CutLinks func() float64
+	Relayed  func() float64
 	// Running is the number of requests in progress.
 	Running func() float64
 	// Quarantined is the number of requests and prompt parts that are refused because
@@ -69,6 +76,8 @@
 	f.gaugeFunc("route_servers_limited", "Backend servers that have named a limit of requests per second, as far as this node knows.", s.LimitedServers)
 	f.gaugeFunc("route_permit_share", "Part of the servers' limits that this node may grant, 0 if it is not the coordinator.", s.PermitShare)
 	f.gaugeFunc("route_quarantined", "Requests and prompt parts that are refused because they crashed backend servers.", s.Quarantined)
+	f.gaugeFunc("route_servers_cut", "Backend servers that this node reaches only through other nodes.", s.CutLinks)
+	f.gaugeFunc("route_relayed_connections", "Connections to backend servers that this node carries for other nodes.", s.Relayed)
 	f.gaugeFunc("route_requests_running", "Requests under way.", s.Running)
 }
 
@@ -84,6 +93,7 @@
 		AttemptTime:     f.histograms("route_attempt_seconds", "Time from a send to a backend server to its header or failure by kind of route and result.", requestBuckets, "kind", "result"),
 		LimitedAttempts: f.counter("route_limited_attempts_total", "Requests sent to backend servers that had named a limit."),
 		Permits:         f.counters("route_permits_total", "Asks for permits to send to backend servers that limit their requests, by result.", "result"),
+		Relays:          f.counters("route_relays_total", "Connections to backend servers through another node, asked for (opened, refused) and served (carried, denied).", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
 		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
 		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
