--- a/internal/edge/rollout_start.go
+++ b/internal/edge/rollout_start.go
@@ -26,6 +26,9 @@
 	return gossip.Revision{Era: s.OrderEra, Version: s.OrderVersion}
 }
 
+// maxClockMS bounds times by the store's clock in milliseconds: a hundred years.
+const maxClockMS = 100 * 365 * 24 * 3600 * 1000
+
 // applyStarts records when roll-outs began.
 func (r *rollouts) applyStarts(rows []gossip.Row) {
 	r.mu.Lock()
@@ -40,6 +43,10 @@
 			r.log.Warn("cannot decode start of roll-out", zap.String("service", service), telemetry.ErrorField(err))
 			continue
 		}
+		if s.StartedMS < 0 || s.StartedMS > maxClockMS {
+			r.log.Warn("start of roll-out is out of range", zap.String("service", service), zap.Int64("started_ms", s.StartedMS))
+			continue
+		}
 		r.starts[service] = s
 	}
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -59,6 +59,22 @@
 // any route's timeout.
 const defaultTimeLeft = time.Minute
 
+// maxTimeLeftMS bounds the time in milliseconds that a caller may name, and maxTokens the
+// number of tokens: what is worked out from them stays within range.
+const (
+	maxTimeLeftMS = 24 * 3600 * 1000
+	maxTokens     = 1e9
+)
+
+// parseTokens returns a number of tokens, 0 if the text is none.
+func parseTokens(text string) float64 {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(n > 0) {
+		return 0
+	}
+	return min(n, maxTokens)
+}
+
 // parse reads a request and its headers.
 func (n *Headers) parse(r *http.Request, rt *route.Route, org *route.Organisation, body []byte, now time.Time) *Request {
 	q := &Request{
@@ -70,7 +86,7 @@
 	}
 	timeLeft := defaultTimeLeft
 	if ms, err := strconv.ParseFloat(r.Header.Get(n.TimeLeft), 64); err == nil && ms > 0 {
-		timeLeft = time.Duration(ms * float64(time.Millisecond))
+		timeLeft = time.Duration(min(ms, maxTimeLeftMS) * float64(time.Millisecond))
 	}
 	q.CallerDeadline = now.Add(timeLeft)
 	q.Deadline = q.CallerDeadline
@@ -78,10 +94,9 @@
 		q.Deadline = now.Add(rt.Timeout)
 	}
 	promptTokens, outputTokens, _ := strings.Cut(r.Header.Get(n.Tokens), ",")
-	q.PromptTokens, _ = strconv.ParseFloat(strings.TrimSpace(promptTokens), 64)
-	q.OutputTokens, _ = strconv.ParseFloat(strings.TrimSpace(outputTokens), 64)
+	q.PromptTokens, q.OutputTokens = parseTokens(promptTokens), parseTokens(outputTokens)
 	q.ExpectedTokens = q.OutputTokens
-	if hint, err := strconv.ParseFloat(r.Header.Get(n.LengthHint), 64); err == nil && hint > 0 {
+	if hint := parseTokens(r.Header.Get(n.LengthHint)); hint > 0 {
 		q.ExpectedTokens = min(hint, q.OutputTokens)
 	}
 	q.Subject, q.sharedParts = promptParts(r.Header.Get(n.Prompt))
@@ -112,11 +127,7 @@
 		if i == len(parts)-1 {
 			break
 		}
-		tokens, err := strconv.ParseFloat(count, 64)
-		if err != nil || tokens < 0 {
-			tokens = 0
-		}
-		shared = append(shared, promptPart{id, tokens})
+		shared = append(shared, promptPart{id, parseTokens(count)})
 		subject = id
 	}
 	return subject, shared
