Planned stop: refuse what cannot end in time, and answer what is cut

Operators of similar systems saw requests that came late in the grace of a planned stop passed on and cut without an answer at its end, among them some that may not be repeated. It happens here: with a stop time of 2 s, requests of 1.5 s that came 0.6 and 0.7 s after SIGTERM, on new and on kept connections, reached a server and ended with a closed connection.

Cause: the stop bounds how long connections are accepted, not which requests can still end; and what runs at its end is cut by closing connections.

A stopping node refuses a request, as not run and with when to come back, if its deadline and the time that requests of its route take both lie beyond the end of the stop. What is still running then is interrupted and answered: 503 if no server may have run it, 502 else; streams that have begun are broken off.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -76,6 +76,7 @@
 	relay         *relay
 	callers       *http.Server
 	stopping      atomic.Bool
+	stopsAt       atomic.Pointer[time.Time] // when requests must have ended; nil before a stop
 	mu            sync.Mutex
 	peers         map[string]*gossip.Peer // guarded by mu; by address
 	lastDiscovery time.Time               // guarded by mu
@@ -121,7 +122,7 @@
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open, StopsAt: n.requestsEndAt,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
 	return n, n.listen()
@@ -176,6 +177,15 @@
 	return forward.BudgetBounds{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow}
 }
 
+// requestsEndAt returns when the requests in progress must have ended, the zero time if the
+// node is not stopping.
+func (n *Node) requestsEndAt() time.Time {
+	if at := n.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (n *Node) table() *route.Table { return n.config.table.Load() }
 
 // isReady reports whether the node accepts callers.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -139,6 +139,7 @@
 	x.req = req
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(x.f.lifetime, cancel)()
 	defer func() {
 		if x.current != nil {
 			x.finish(x.current)
@@ -198,6 +199,8 @@
 // the caller may retry, unless all servers back off for longer.
 func (x *exchange) refuseUnserved(ctx context.Context, detail string, retryAfter time.Duration) {
 	switch {
+	case x.f.lifetime.Err() != nil:
+		x.refuseStopping(detail)
 	case isCancelled(ctx):
 		x.refuseCancelled(ctx)
 	case x.f.isQuarantined(x.req):
@@ -229,6 +232,17 @@
 	x.refuse(r)
 }
 
+// refuseStopping refuses a request that was interrupted. Only one that no server may have run
+// is told to return.
+func (x *exchange) refuseStopping(detail string) {
+	r := stoppingRefusal
+	r.detail = r.reason + ": " + detail
+	if x.mayHaveRun || x.runs > 0 {
+		r.status, r.retryAfter = http.StatusBadGateway, 0
+	}
+	x.refuse(r)
+}
+
 // reserveRetry reports whether another server may be tried, and takes the retry
 // from the budget.
 func (x *exchange) reserveRetry(ctx context.Context) bool {
@@ -264,6 +278,9 @@
 	if !x.firstByte.IsZero() {
 		x.f.opts.Metrics.FirstByteTime.WithLabelValues(kind).Observe(x.firstByte.Sub(began).Seconds())
 	}
+	if x.outcome == "answered" {
+		x.f.durations.observe(x.req.Route.Name, time.Since(began))
+	}
 	isFailure := x.truncated || x.status >= http.StatusInternalServerError
 	if !isFailure && !x.f.sampler.Sample(x.req.ID, time.Now()) {
 		return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -108,6 +108,9 @@
 	// ShuttingDown reports whether the process is shutting down. Answers then close
 	// their connections.
 	ShuttingDown func() bool
+	// StopsAt returns when the requests in progress must have ended because the process
+	// is shutting down, the zero time if it is not. Nil if that is not known.
+	StopsAt func() time.Time
 }
 
 // idleTimeout is how long an idle connection to a server is kept. The shortest
@@ -137,6 +140,10 @@
 	running        atomic.Int64
 	bufferedBytes  atomic.Int64 // bytes of buffered plain answers
 	starting       startingStreams
+	durations      durations
+	// lifetime ends when the requests in progress are interrupted.
+	lifetime  context.Context
+	interrupt context.CancelFunc
 }
 
 // New returns a forwarder.
@@ -153,11 +160,15 @@
 	if o.Permits == nil {
 		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, time.Duration) { return 1, 0 })}
 	}
+	if o.StopsAt == nil {
+		o.StopsAt = func() time.Time { return time.Time{} }
+	}
+	lifetime, interrupt := context.WithCancel(context.Background())
 	l := newLinks(o.Dial, o.Relay, func(address string, isCut bool) {
 		o.Log.Info("link to backend server", zap.String("address", address), zap.Bool("cut", isCut))
 	})
 	return &Forwarder{
-		opts: o, links: l, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: l.dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dial}),
+		opts: o, links: l, lifetime: lifetime, interrupt: interrupt, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: l.dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dial}),
 		relayTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dialCut}),
 		readSpeeds:     newReadSpeeds(), cascade: NewCascade(), started: time.Now(),
 	}
@@ -247,5 +258,8 @@
 	if f.isQuarantined(req) {
 		return nil, &quarantineRefusal
 	}
+	if end := f.opts.StopsAt(); !end.IsZero() && !f.canEnd(req, end, time.Now()) {
+		return nil, &stoppingRefusal
+	}
 	return req, nil
 }
