Remove the row of a quarantine that was withdrawn or lifted

A sound part whose quarantine was withdrawn was refused again after a restart of all nodes: its row stayed in the store until its time was over. A quarantine that an operator lifted, and that the store got back from a copy, stayed in the same way.

The first reader removes each stored quarantine that is not in force, once it has found so twice.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -81,9 +81,12 @@
 	peers         map[string]*gossip.Peer // guarded by mu; by address
 	lastDiscovery time.Time               // guarded by mu
 	startStoredAt time.Time               // used by controlRollouts only
-	startedAt     time.Time
-	listeners     []net.Listener
-	loops         sync.WaitGroup
+	// quarantineRows counts for each stored quarantine how often it was found not in force.
+	// It is used by storeQuarantines only.
+	quarantineRows map[string]int
+	startedAt      time.Time
+	listeners      []net.Listener
+	loops          sync.WaitGroup
 }
 
 // crashesToRefuse is how many backend servers a request may crash before it is
@@ -92,7 +95,7 @@
 
 // New creates a node and opens its listeners.
 func New(o Options) (*Node, error) {
-	n := &Node{options: o, peers: map[string]*gossip.Peer{}, startedAt: time.Now(), epoch: rand.Uint64()}
+	n := &Node{options: o, peers: map[string]*gossip.Peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
 	n.settings.Store(&o.Settings)
 	n.innerAddress = n.innerAddressOf(o.Settings.IP)
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -249,15 +249,20 @@
 	}
 }
 
+// roundsToWithdraw is how many times in a row a stored quarantine is found not in force
+// before its row is removed: rows reach the map before the suspects.
+const roundsToWithdraw = 2
+
 // storeQuarantines writes quarantines that the store does not hold, and removes the rows
-// of those that have ended. Only the first reader of the store does so.
+// of those that have ended or were withdrawn. Only the first reader of the store does so.
 func (n *Node) storeQuarantines(ctx context.Context) {
 	if n.readerTurn() != 0 || n.rows.Cursor(tableSystem).IsZero() {
 		return
 	}
-	now := time.Now()
-	for _, e := range n.suspects.Quarantined(now) {
+	inForce := map[string]bool{}
+	for _, e := range n.suspects.Quarantined(time.Now()) {
 		key := quarantineKey(e)
+		inForce[key] = true
 		if _, ok := n.rows.Get(tableSystem, key); ok {
 			continue
 		}
@@ -266,13 +271,26 @@
 			_, err = n.options.Store.Write(ctx, tableSystem, key, n.rows.Expected(tableSystem, key), raw)
 		}
 		n.countQuarantineCall(err)
+		n.quarantineRows[key] = 0
 	}
 	for _, r := range n.rows.List(tableSystem) {
-		var e wire.Suspect
-		if !strings.HasPrefix(r.Key, quarantineKeyPrefix) || json.Unmarshal(r.Data, &e) != nil || e.Until.After(now) {
+		if _, isKnown := n.quarantineRows[r.Key]; !isKnown && strings.HasPrefix(r.Key, quarantineKeyPrefix) {
+			n.quarantineRows[r.Key] = 0
+		}
+	}
+	for key := range n.quarantineRows {
+		if inForce[key] {
+			n.quarantineRows[key] = 0
 			continue
 		}
-		n.countQuarantineCall(n.options.Store.Remove(ctx, tableSystem, r.Key))
+		if n.quarantineRows[key]++; n.quarantineRows[key] < roundsToWithdraw {
+			continue
+		}
+		err := n.options.Store.Remove(ctx, tableSystem, key)
+		n.countQuarantineCall(err)
+		if err == nil {
+			delete(n.quarantineRows, key)
+		}
 	}
 }
 
