--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -57,7 +57,7 @@
 
 func (testSchema) EncodeRolloutStatus(s RolloutStatus) ([]byte, error) { return json.Marshal(s) }
 
-func encode(t *testing.T, v any) []byte {
+func encode(t testing.TB, v any) []byte {
 	t.Helper()
 	raw, err := json.Marshal(v)
 	is.New(t).NoErr(err)
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -160,7 +160,7 @@
 
 // startFleet starts nodes in front of servers at the given addresses and returns them with
 // their addresses for callers. configure changes the options of each node.
-func startFleet(t *testing.T, size int, servers []string, configure func(i int, o *Options)) (nodes []*Node, callers []string) {
+func startFleet(t testing.TB, size int, servers []string, configure func(i int, o *Options)) (nodes []*Node, callers []string) {
 	t.Helper()
 	is, store := is.New(t), newMemStore()
 	_, err := store.Write(t.Context(), "o", "c", gossip.Revision{}, []byte("1"))
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -207,7 +207,11 @@
 	r.countCall("watch", outcomeOf(err))
 	switch {
 	case errors.Is(err, gossip.ErrHistoryGone), errors.Is(err, gossip.ErrRestored):
-		r.log.Info("reading the whole table", zap.String("table", table), zap.Uint64("era", cursor.Era), zap.Uint64("version", cursor.Version), telemetry.ErrorField(err))
+		cause := "store no longer has the history, reading the whole table"
+		if errors.Is(err, gossip.ErrRestored) {
+			cause = "store was restored, reading the whole table"
+		}
+		r.log.Info(cause, zap.String("table", table), zap.Uint64("era", cursor.Era), zap.Uint64("version", cursor.Version))
 		if err := r.readTable(ctx, table); err != nil {
 			return err
 		}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -137,7 +137,7 @@
 }
 
 // startRanServers starts servers that share their counts.
-func startRanServers(t *testing.T, count int) (*ranServer, []string) {
+func startRanServers(t testing.TB, count int) (*ranServer, []string) {
 	t.Helper()
 	s := &ranServer{ran: map[string]int{}}
 	var addresses []string
--- a/internal/edge/stop_load_test.go
+++ b/internal/edge/stop_load_test.go
@@ -46,7 +46,7 @@
 }
 
 // freeAddress returns a currently free address of this machine.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
