Keep to each node's part of the refusals of brittle servers

Nothing read that; six nodes before six such servers, 800 requests a second where 600 fit: 18 falls in 8 s, 1,641 and 1,749 requests served.

A node now sends to a brittle server only as many requests at once as it took before (one more for each five that fit, half as many after a refusal) and only while its reports show room. After a refusal it leaves the server alone for as long as keeps the refusals of all nodes together within half of the bound.

--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -80,7 +80,7 @@
 // more often than they can refuse.
 func TestBrittleServersAreNotOverrun(t *testing.T) {
 	is := is.New(t)
-	const servers, allowedFalls = 6, 2 + 6/10
+	const servers, allowedFalls = 6, 2 + 0.1*6
 	var list []*brittleServer
 	var addresses []string
 	for range servers {
@@ -90,7 +90,7 @@
 		list, addresses = append(list, s), append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
 	_, callers := startFleet(t, 6, addresses, func(_ int, o *Options) {
-		o.Headers.Load, o.Headers.NotRun = "T-Load", "T-Not-Run"
+		o.Headers.Load, o.Headers.NotRun, o.Headers.Brittle = "T-Load", "T-Not-Run", "T-Brittle"
 	})
 	for _, s := range list {
 		s.mu.Lock()
@@ -106,5 +106,5 @@
 		s.mu.Unlock()
 	}
 	t.Logf("%d falls, answers by status: %v", falls, statuses)
-	is.True(falls <= allowedFalls)
+	is.True(float64(falls) <= allowedFalls)
 }
--- a/internal/edge/relay_entrance_test.go
+++ b/internal/edge/relay_entrance_test.go
@@ -166,8 +166,8 @@
 		l.set("refuse")
 	}
 	time.Sleep(2500 * time.Millisecond) // kept connections have ended
-	sent, served := sendAll(callers[0], "none", time.Second)
-	is.Equal(served, 0)
+	_, servedNone := sendAll(callers[0], "none", time.Second)
+	is.Equal(servedNone, 0)
 	for _, n := range nodes {
 		is.Equal(n.relay.carried.Load(), int32(0))
 		is.True(n.isReady()) // none leaves the directory
@@ -176,7 +176,7 @@
 	links[1].set("")
 	links[2].set("")
 	time.Sleep(4 * time.Second)
-	sent, served = sendAll(callers[0], "all", time.Second)
+	sent, served := sendAll(callers[0], "all", time.Second)
 	is.Equal(served, sent)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,9 +91,11 @@
 	// Permits grants requests to limited servers. Nil grants the whole limit to this
 	// node.
 	Permits Permits
-	Metrics *telemetry.ForwardMetrics
-	Tracer  *telemetry.Tracer
-	Log     *zap.Logger
+	// FleetSize returns the number of nodes that send to the servers. Nil means one.
+	FleetSize func() int
+	Metrics   *telemetry.ForwardMetrics
+	Tracer    *telemetry.Tracer
+	Log       *zap.Logger
 	// Dial opens connections to backend servers. Nil means TCP.
 	Dial Dial
 	// Relay opens connections to backend servers through another node, for servers that
@@ -160,6 +162,9 @@
 	if o.Permits == nil {
 		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, time.Duration) { return 1, 0 })}
 	}
+	if o.FleetSize == nil {
+		o.FleetSize = func() int { return 1 }
+	}
 	if o.StopsAt == nil {
 		o.StopsAt = func() time.Time { return time.Time{} }
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -34,6 +34,9 @@
 	// Limit is the number of requests per second that a server takes from all
 	// nodes together, for as long as its answers name it.
 	Limit string
+	// Brittle is the number of requests that a server may refuse in a second before it falls
+	// over, for as long as its answers name it.
+	Brittle string
 	// Model is the requested model. AnyModel leaves the choice to the router.
 	Model string
 	// Tokens is "prompt tokens,maximum output tokens".
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,12 +32,24 @@
 		x.f.opts.Log.Info("backend server announced draining", serverFields(a.member)...)
 		x.f.opts.OnDraining(a.member.Server)
 	}
+	x.applyBrittleness(a)
 	x.applyLimit(a, h.Values(x.f.opts.Headers.Limit))
 	if a.resp.StatusCode == http.StatusServiceUnavailable {
 		x.applyBackoff(a, h.Get(headerRetryAfter))
 	}
 }
 
+// applyBrittleness records whether the server is brittle, and whether it had room.
+func (x *exchange) applyBrittleness(a *attempt) {
+	refusals, err := strconv.ParseFloat(strings.TrimSpace(a.resp.Header.Get(x.f.opts.Headers.Brittle)), 64)
+	if err != nil || !(refusals > 0) {
+		refusals = 0
+	}
+	now := time.Now()
+	a.member.RecordBrittle(refusals, now)
+	a.member.RecordRoom(a.resp.Header.Get(x.f.opts.Headers.NotRun) == "", x.f.opts.FleetSize(), now, rand.Float64())
+}
+
 // applyBackoff keeps requests from a server for the time given in its refusal.
 func (x *exchange) applyBackoff(a *attempt, value string) {
 	if value == "" {
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -49,6 +49,7 @@
 	probeFailed     bool            // guarded by mu; whether the last probe failed
 	remote          remoteWork      // guarded by mu
 	limit           limit           // guarded by mu
+	brittle         brittleness     // guarded by mu
 }
 
 // remoteWork is the work that all other nodes have at a server.
@@ -232,6 +233,11 @@
 func (m *Member) Occupancy(now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return float64(m.busy(now)) / float64(max(m.Slots, 1))
+}
+
+// busy estimates the number of requests that the server has. The caller holds mu.
+func (m *Member) busy(now time.Time) int {
 	busy := m.running
 	if now.Sub(m.remote.at) < remoteWorkTTL {
 		busy += m.remote.running
@@ -239,7 +245,7 @@
 	if now.Sub(m.load.At) < loadTTL {
 		busy = max(busy, m.load.Running+m.load.Waiting+m.sentSinceReport)
 	}
-	return float64(busy) / float64(max(m.Slots, 1))
+	return busy
 }
 
 // Wait estimates how long a new prompt waits until the server begins to read
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -64,7 +64,7 @@
 
 // available is IsAvailable for callers that hold mu.
 func (m *Member) available(now time.Time) bool {
-	return m.present() && !now.Before(m.backoffUntil)
+	return m.present() && !now.Before(m.backoffUntil) && m.hasRoom(now)
 }
 
 // present is IsPresent for callers that hold mu.
