Roll-outs: two restores in a row do not bring an earlier order back

Found in review of the diff: an older order that the restored store holds is held off for 3 s, but a second restore within that time started its roll-out at once. A status that was removed by another writer, not lost, was stored again, and a lost status of a roll-out in progress was stored again after its analysis had failed.

The hold starts again with each era, only lost statuses are stored again, and what is stored is what is due. TestRolloutGoesOnInRestoredStore failed before.

--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -148,6 +148,15 @@
 	r.apply([]gossip.Row{inEra(orderRow(t, 9), 2)}, startTime.Add(30*time.Second))
 	is.Equal(r.ensureRollout("x").progress(startTime.Add(30*time.Second)), 0.0) // a new order
 
+	// A second restore before that time is over holds the earlier order off again.
+	r, _ = newTestRollouts(t)
+	r.apply([]gossip.Row{inEra(orderRow(t, 10), 1)}, startTime)
+	r.apply([]gossip.Row{earlier}, restored)
+	r.apply([]gossip.Row{inEra(earlier, 3)}, restored.Add(2*time.Second))
+	is.Equal(r.ensureRollout("x").order.To, "v2")
+	r.applyHeldOrders(restored.Add(2*time.Second + orderSettleTime - time.Millisecond))
+	is.Equal(r.ensureRollout("x").order.To, "v2")
+
 	// An order that the store still has some time later is the operator's.
 	r, _ = newTestRollouts(t)
 	r.apply([]gossip.Row{inEra(orderRow(t, 10), 1)}, startTime)
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -128,7 +128,7 @@
 		old.isCarried, old.isContinued = old.hasCurrentStatus(), true
 		old.orderRevision, old.held = revision, heldOrder{}
 		r.log.Info("roll-out goes on in the restored store", zap.String("service", o.Service), zap.String("to", o.To), zap.Uint64("era", row.Era), zap.Uint64("row", row.Version))
-	case isRestored && old.held.until.IsZero() && row.Version < old.orderRevision.Version:
+	case isRestored && row.Version < old.orderRevision.Version && (old.held.until.IsZero() || old.held.revision.Era < row.Era):
 		old.held = heldOrder{o, revision, now.Add(orderSettleTime)}
 		r.log.Info("restored store has another order, which may be older and is not followed yet", zap.String("service", o.Service), zap.String("to", o.To), zap.Uint64("era", row.Era), zap.Uint64("row", row.Version))
 	default:
@@ -163,8 +163,10 @@
 		return
 	}
 	if row.Deleted {
-		ro.isCarried = ro.hasCurrentStatus()
-		ro.statusRevision, ro.lostAt = gossip.Revision{Era: row.Era}, now
+		if row.Lost {
+			ro.isCarried = ro.hasCurrentStatus()
+			ro.statusRevision, ro.lostAt = gossip.Revision{Era: row.Era}, now
+		}
 		return
 	}
 	s, err := r.schema.RolloutStatus(row.Data)
@@ -324,7 +326,8 @@
 		// The status follows once the restored store has the order.
 		return d, false
 	}
-	if ro.hasCurrentStatus() && !ro.lostAt.IsZero() {
+	isLost := !ro.lostAt.IsZero()
+	if ro.isDecided() && isLost {
 		d.status, d.overdue, d.remaining = ro.status, now.Sub(ro.lostAt), statusWriters*maxStandbyDelay
 		return d, true
 	}
@@ -338,7 +341,7 @@
 		d.status.State, dueSince = RolloutCompleted, ro.startedAt.Add(time.Duration(completeFrom*float64(ro.order.Duration)))
 	}
 	d.overdue, d.remaining = now.Sub(dueSince), ro.startedAt.Add(ro.order.Duration).Sub(dueSince)
-	return d, !ro.hasCurrentStatus() || ro.status.State != d.status.State
+	return d, isLost || !ro.hasCurrentStatus() || ro.status.State != d.status.State
 }
 
 // running returns the revisions of the orders in progress, by service.
