Brittle servers: a hold that lasts, in range, and a window that does not grow

A node's hold on a brittle server ended with the server's last word 5 s before, so that 24 nodes, which have to wait 9.6 s, did not; a bound of 0 refusals counted as none; a tiny one converted a duration out of range, to values that differ between processors; and the window that was said to grow by one request for five that fit stopped after the first.

The hold lasts by itself, 15 s at most, and each number is in range.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -39,15 +39,18 @@
 	}
 }
 
-// applyBrittleness records whether the server is brittle, and whether it had room.
+// applyBrittleness records whether the server is brittle, and that it had no room.
 func (x *exchange) applyBrittleness(a *attempt) {
 	refusals, err := strconv.ParseFloat(strings.TrimSpace(a.resp.Header.Get(x.f.opts.Headers.Brittle)), 64)
-	if err != nil || !(refusals > 0) {
-		refusals = 0
+	if err != nil || math.IsNaN(refusals) || math.IsInf(refusals, 0) || refusals < 0 {
+		a.member.RecordSound()
+		return
 	}
 	now := time.Now()
 	a.member.RecordBrittle(refusals, now)
-	a.member.RecordRoom(a.resp.Header.Get(x.f.opts.Headers.NotRun) == "", x.f.opts.FleetSize(), now, rand.Float64())
+	if a.resp.Header.Get(x.f.opts.Headers.NotRun) != "" {
+		a.member.RecordRefusal(x.f.opts.FleetSize(), now, rand.Float64())
+	}
 }
 
 // applyBackoff keeps requests from a server for the time given in its refusal.
--- a/internal/measure/sim_brittle.go
+++ b/internal/measure/sim_brittle.go
@@ -116,7 +116,9 @@
 				}
 				if t.HeedsBrittleness {
 					m.RecordBrittle(t.Refusals, now)
-					m.RecordRoom(isTaken, t.Nodes, now, random.Float64())
+					if !isTaken {
+						m.RecordRefusal(t.Nodes, now, random.Float64())
+					}
 				}
 				m.RecordLoad(pool.Load{Running: running, Slots: t.Slots, At: now})
 				m.EndRequest()
--- a/internal/pool/brittle.go
+++ b/internal/pool/brittle.go
@@ -8,9 +8,9 @@
 	// refusalSafety is how many times rarer than it may be a node is refused by a brittle
 	// server: requests that are under way when it becomes full are refused together.
 	refusalSafety = 2
-	// windowStep is the part of a request by which a brittle server's window grows with each
-	// request that it took, once as many were under way as the window allows.
-	windowStep = 0.2
+	// maxBrittleHold bounds the time for which a node leaves a server alone. Only a request
+	// shows that the server is no longer brittle.
+	maxBrittleHold = 15 * time.Second
 )
 
 // brittleness is what is known of a server that falls over if it has to refuse too many
@@ -19,44 +19,49 @@
 	// refusals is how many requests the server may refuse in a second, all nodes together.
 	refusals float64
 	until    time.Time
-	// window is how many requests of this node may be under way.
-	window    float64
+	// window is how many requests of this node may be under way. It does not grow while the
+	// server is brittle: only refusals would show how far.
+	window    int
 	heldUntil time.Time
 }
 
-func (b *brittleness) isInForce(now time.Time) bool { return now.Before(b.until) }
+func (b *brittleness) isInForce(now time.Time) bool {
+	return now.Before(b.until) || now.Before(b.heldUntil)
+}
+
+// RecordSound records that an answer of the server does not say that it is brittle.
+func (m *Member) RecordSound() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.brittle = brittleness{}
+}
 
-// RecordBrittle records that the server says how many requests it may refuse in a second, or
-// that it is not brittle if refusals is 0.
+// RecordBrittle records how many requests the server says that it may refuse in a second.
 func (m *Member) RecordBrittle(refusals float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if refusals <= 0 {
-		m.brittle = brittleness{}
-		return
-	}
 	if !m.brittle.isInForce(now) {
-		m.brittle = brittleness{window: float64(max(m.running, 1))}
+		m.brittle = brittleness{window: max(m.running, 1)}
 	}
 	m.brittle.refusals, m.brittle.until = refusals, now.Add(brittleTTL)
 }
 
-// RecordRoom records whether a server took or refused a request for want of room. A brittle
-// one that refused is left alone for a time that keeps the refusals of all nodes together
-// within its bound; draw is a random number from 0 to 1.
-func (m *Member) RecordRoom(hasRoom bool, nodes int, now time.Time, draw float64) {
+// RecordRefusal records that a server refused a request for want of room. A brittle one is
+// left alone for a time that keeps the refusals of all nodes together within its bound; draw is
+// a random number from 0 to 1.
+func (m *Member) RecordRefusal(nodes int, now time.Time, draw float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := &m.brittle
-	switch {
-	case !b.isInForce(now):
-	case !hasRoom:
-		b.window = max(b.window/2, 1)
-		pause := refusalSafety * float64(max(nodes, 1)) / b.refusals
-		b.heldUntil = now.Add(time.Duration(pause * (0.5 + draw) * float64(time.Second)))
-	case float64(m.running) >= b.window:
-		b.window = min(b.window+windowStep, float64(max(m.Slots, 1)))
+	if !b.isInForce(now) {
+		return
+	}
+	b.window = max(b.window/2, 1)
+	seconds := maxBrittleHold.Seconds()
+	if b.refusals > 0 {
+		seconds = min(refusalSafety*float64(max(nodes, 1))/b.refusals*(0.5+draw), seconds)
 	}
+	b.heldUntil = now.Add(time.Duration(seconds * float64(time.Second)))
 }
 
 // hasRoom reports whether a brittle server is expected to take another request; other servers
@@ -66,5 +71,5 @@
 	if !b.isInForce(now) {
 		return true
 	}
-	return !now.Before(b.heldUntil) && float64(m.running)+1 <= max(b.window, 1) && m.busy(now) < m.Slots
+	return !now.Before(b.heldUntil) && m.running < b.window && m.busy(now) < m.Slots
 }
