Gossip: a question without cursors does not show that state is current

After a restore, what a node says of the age of its state counts only if it knows of the restore. The first question on a connection carries a digest and no cursors, and was believed. Found in review; TestStateOfAnEarlierEraIsNotCurrent, extended, failed before. TestLostRowsAreToldFromRemovedOnes now also shows that a whole table read before the restore brings no row back, which no test did.

--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -304,13 +304,13 @@
 	return c
 }
 
-// isCurrent reports whether none of a process's cursors is of an earlier era than this
-// map's cursor of the table.
+// isCurrent reports whether a process's cursors show that it knows of the last restore, as
+// far as this map does: it has a table, and none of an earlier era than this map's.
 func (m *Map) isCurrent(cursors map[string]Revision) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for table, cursor := range cursors {
-		if cursor.Era < m.cursors[table].Era {
+	for table, cursor := range m.cursors {
+		if theirs, ok := cursors[table]; cursor.Era > 0 && len(cursors) == 0 || ok && theirs.Era < cursor.Era {
 			return false
 		}
 	}
--- a/internal/gossip/restore_test.go
+++ b/internal/gossip/restore_test.go
@@ -153,6 +153,9 @@
 	m.Advance("t", []Row{{Table: "t", Key: "c", Era: 1, Version: 9}}, Revision{1, 9})
 	_, ok := m.Get("t", "c")
 	is.True(!ok) // the watch began before the restore
+	m.Replace("t", []Row{{Table: "t", Key: "d", Era: 1, Version: 9}}, Revision{1, 9})
+	_, ok = m.Get("t", "d")
+	is.True(!ok) // so did the read
 }
 
 // A node whose state is from before the restore, or whose release knows no eras, must not
@@ -165,6 +168,8 @@
 	m.Replace("t", nil, Revision{2, 4})
 	e.merge(7, nil, decodeCursors(map[string]uint64{"t": 9}, nil), 0)
 	is.Equal(observed, 0)
+	e.merge(7, nil, nil, 0) // a question with a digest has no cursors
+	is.Equal(observed, 0)
 	e.merge(7, nil, decodeCursors(map[string]uint64{"t": 4}, map[string]uint64{"t": 2}), 0)
 	is.Equal(observed, 1)
 }
