Relays: notice that the node that asked has lost power

A node that loses power closes nothing. The connection that another node carried for it stayed for as long as the kernel's defaults let it, its server worked on, and a planned stop waited for it.

Accepted connections now detect an unresponsive peer as those to servers do. TestLossOfARelayedNodeIsNoticed failed before. A connection whose deadline cannot be cleared is closed.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -56,7 +56,7 @@
 	source  net.Addr     // the local address that other nodes know
 	carried atomic.Int32 // connections relayed for other nodes
 	mu      sync.Mutex
-	failed  map[string]time.Time // guarded by mu; by inner address, when a node reached no server
+	failed  map[string]time.Time // guarded by mu; by inner address, when a node last did not connect
 }
 
 func newRelay(n *Node, dial forward.Dial) *relay {
@@ -155,7 +155,11 @@
 		_ = conn.Close()
 		return nil, errors.Wrapf(cmp.Or(err, ctx.Err()), "relay %s", inner)
 	}
-	return conn, conn.SetDeadline(time.Time{})
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "relayed connection")
+	}
+	return conn, nil
 }
 
 // readRelayAnswer reads the line that answers a request to relay, and nothing after it.
@@ -186,6 +190,12 @@
 // was read.
 func (r *relay) serve(conn net.Conn) {
 	defer conn.Close()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// A node that loses power closes nothing, and its server would go on working.
+		if err := forward.DetectUnresponsivePeer(tcp); err != nil {
+			r.node.options.Log.Warn("loss of a relayed node is noticed late", telemetry.ErrorField(err))
+		}
+	}
 	_ = conn.SetDeadline(time.Now().Add(relayTimeout))
 	address, err := readLine(conn)
 	if err != nil {
--- a/internal/edge/relay_entrance_test.go
+++ b/internal/edge/relay_entrance_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -204,3 +205,36 @@
 		is.True(r.candidates(time.Now())[0] != "10.0.0.3:1")
 	}
 }
+
+// Guards against connections that are carried on for a node that has lost power: it closes
+// nothing, and its server would go on working.
+func TestLossOfARelayedNodeIsNoticed(t *testing.T) {
+	is := is.New(t)
+	_, addresses := startRanServers(t, 1)
+	nodes, _ := startFleet(t, 2, addresses, func(_ int, o *Options) { o.Schema = relaySchema{} })
+	awaitMembers(t, nodes)
+	l, err := net.Listen("tcp", "127.0.1.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	asking, err := forward.TCPFrom(t.Context(), &net.TCPAddr{IP: net.ParseIP("127.0.1.2")}, l.Addr().String())
+	is.NoErr(err)
+	defer asking.Close()
+	carried, err := l.Accept()
+	is.NoErr(err)
+	go nodes[0].relay.serve(carried)
+	_, err = io.WriteString(asking, addresses[0]+"\n")
+	is.NoErr(err)
+	line, err := readLine(asking)
+	is.NoErr(err)
+	is.Equal(line, relayAccepted)
+	raw, err := carried.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	const tcpUserTimeout = 0x12
+	var idle, timeout int
+	is.NoErr(raw.Control(func(fd uintptr) {
+		idle, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+		timeout, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+	}))
+	is.Equal(idle, 1)       // seconds
+	is.Equal(timeout, 5000) // milliseconds
+}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -63,19 +63,30 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// KeepAlive configures the probes that detect an unresponsive peer.
-var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 
 var dialer = &net.Dialer{
 	Timeout:         connectTimeout,
-	KeepAliveConfig: KeepAlive,
-	Control: func(_, _ string, c syscall.RawConn) error {
-		var optErr error
-		err := c.Control(func(fd uintptr) {
-			optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedTimeout.Milliseconds()))
-		})
-		return errors.Wrap(firstError(err, optErr), "set user timeout")
-	},
+	KeepAliveConfig: keepAlive,
+	Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
+}
+
+func setUserTimeout(c syscall.RawConn) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	return errors.Wrap(firstError(err, optErr), "set user timeout")
+}
+
+// DetectUnresponsivePeer makes an accepted connection end as those that TCP opens do when its
+// peer no longer responds.
+func DetectUnresponsivePeer(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "socket of the connection")
+	}
+	return firstError(c.SetKeepAliveConfig(keepAlive), setUserTimeout(raw))
 }
 
 // NewTransport returns a transport. Its default TCP connections detect an
