Restored store: tell starting nodes which servers drain

A server that drains and is ready in the copy stays draining on nodes that saw it drain, but a node that started since knew only the copy. Nodes that hold such an entry back now announce it to the others. An invalid entry no longer leaves a lapse behind. Found in review; TestServersThatLeftDoNotReturnWithTheCopy, extended, failed before.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -112,6 +112,7 @@
 	n.evidence = &evidence{nodeKey: n.rowKey, rows: n.rows, nextVersion: n.nextVersion, log: o.Log, countsByKey: map[string]rolloutCounts{}}
 	n.suspects = &suspects{Suspects: dispatch.NewSuspectsWithLimit(crashesToRefuse), nodeKey: n.rowKey, rows: n.rows, log: o.Log, nextVersion: n.nextVersion, isHub: n.isHub, onQuarantine: func() { n.forwarder.CancelQuarantined() }}
 	n.drainNotices = &drainNotices{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
+	n.servers.onStale = n.drainNotices.publish
 	n.serverLimits = &serverLimits{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
 	n.permits = newPermits(n.innerAddress, n.startedAt, o.Log)
 	for _, ip := range o.Settings.Seeds {
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -55,6 +55,8 @@
 	is := is.New(t)
 	p := pool.New()
 	s := newServers(testSchema{}, p, gossip.NewMap(nil), func() time.Duration { return time.Hour }, zap.NewNop())
+	var announced []string
+	s.onStale = func(x pool.Server) { announced = append(announced, x.ID) }
 	entry := func(id string, era, version uint64, draining bool, started int64) gossip.Row {
 		return gossip.Row{Table: "s", Key: id, Era: era, Version: version, Data: encode(t, pool.Server{Service: "x", Slots: 1, Draining: draining, Started: started})}
 	}
@@ -63,6 +65,7 @@
 	restored := startTime.Add(5 * time.Second)
 	s.apply([]gossip.Row{entry("drains", 2, 1, false, 7), entry("left", 2, 2, false, 7), entry("back", 2, 3, false, 7), entry("anew", 2, 8, false, 9), entry("stays", 2, 5, false, 7)}, restored)
 	is.True(s.entries["drains"].Draining)
+	is.Equal(announced, []string{"drains"}) // for nodes that know only the copy
 	is.True(p.Member("left") == nil)
 	is.True(p.Member("back") == nil)
 	is.True(p.Member("anew") != nil) // another start
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -54,26 +54,35 @@
 	log    *zap.Logger
 	// sinceOutage returns how long ago the last outage of the store ended.
 	sinceOutage func() time.Duration
-	mu          sync.Mutex
-	entries     map[string]pool.Server // guarded by mu
-	eras        map[string]uint64      // guarded by mu; era of the store in which an entry was read
-	lapsed      map[string]lapse       // guarded by mu
-	departures  map[string]departure   // guarded by mu
-	held        map[string]heldEntry   // guarded by mu
+	// onStale is called, without the lock, with a server that drains and is ready again in a
+	// restored store: nodes that start now know only the copy.
+	onStale    func(pool.Server)
+	mu         sync.Mutex
+	entries    map[string]pool.Server // guarded by mu
+	eras       map[string]uint64      // guarded by mu; era of the store in which an entry was read
+	lapsed     map[string]lapse       // guarded by mu
+	departures map[string]departure   // guarded by mu
+	held       map[string]heldEntry   // guarded by mu
+	stale      []pool.Server          // guarded by mu; to be passed to onStale
 }
 
 func newServers(schema Schema, p *pool.Pool, rows *gossip.Map, sinceOutage func() time.Duration, log *zap.Logger) *servers {
-	return &servers{schema: schema, pool: p, rows: rows, log: log, sinceOutage: sinceOutage, entries: map[string]pool.Server{}, eras: map[string]uint64{}, lapsed: map[string]lapse{}, departures: map[string]departure{}, held: map[string]heldEntry{}}
+	return &servers{schema: schema, pool: p, rows: rows, log: log, sinceOutage: sinceOutage, onStale: func(pool.Server) {}, entries: map[string]pool.Server{}, eras: map[string]uint64{}, lapsed: map[string]lapse{}, departures: map[string]departure{}, held: map[string]heldEntry{}}
 }
 
 // apply applies changed entries.
 func (s *servers) apply(rows []gossip.Row, now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, r := range rows {
 		s.applyRow(r, now)
 	}
 	s.updatePool(now)
+	stale := s.stale
+	s.stale = nil
+	s.mu.Unlock()
+	for _, x := range stale {
+		s.onStale(x)
+	}
 }
 
 // dropExpired drops servers whose grace period is over, and applies the held entries that
@@ -115,6 +124,8 @@
 	if err != nil {
 		s.log.Warn("invalid server entry skipped", zap.String("server", r.Key), telemetry.ErrorField(err))
 		delete(s.entries, r.Key)
+		delete(s.eras, r.Key)
+		delete(s.lapsed, r.Key)
 		return
 	}
 	switch d, hasLeft := s.departures[r.Key]; {
@@ -126,6 +137,7 @@
 		// A server that drains does not become ready again before its next start.
 		s.log.Info("backend server drains, its entry in the restored store is older", zap.String("server", r.Key), zap.Uint64("era", r.Era))
 		next.Draining = true
+		s.stale = append(s.stale, next)
 	}
 	delete(s.lapsed, r.Key)
 	delete(s.departures, r.Key)
