Tests for what mutations of relays and restores showed to have none

Without a test were: the rank of a configuration in the rows that starting nodes are told (the extended TestOlderConfigurationOfRestoredStoreIsNotTaken fails without it), the probe that takes the way of its stream (TestSilentServerBehindARelayIsNotGivenUp), and a cut link that is not taken for a crash (TestCutLinkIsNotTakenForACrash). The code was right in all three.

Fleets of tests take ports below those of outgoing connections: TestCutLinkIsNotTakenForACrash failed once, as a relayed connection had taken the port from its node's own address.

--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -147,6 +148,31 @@
 	return out, gossip.Revision{Version: max(s.version, 1)}, nil
 }
 
+// fleetIP returns the address of a node of a fleet.
+func fleetIP(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
+
+// freeFleetPort returns a port that is free on all nodes of a fleet. It lies below the range
+// from which outgoing connections take theirs: nodes connect from their own addresses.
+func freeFleetPort(t testing.TB, size int) int {
+	t.Helper()
+	for range 100 {
+		port, isFree := 10_000+rand.IntN(20_000), true
+		for i := range size {
+			l, err := net.Listen("tcp", net.JoinHostPort(fleetIP(i), strconv.Itoa(port)))
+			if err != nil {
+				isFree = false
+				break
+			}
+			_ = l.Close()
+		}
+		if isFree {
+			return port
+		}
+	}
+	t.Fatal("no port is free on all nodes")
+	return 0
+}
+
 // startLimitFleet starts nodes in front of the given servers and returns them with their
 // addresses for callers.
 func startLimitFleet(t *testing.T, size int, servers []*limitingServer) (nodes []*Node, callers []string) {
@@ -169,19 +195,14 @@
 		_, err := store.Write(t.Context(), "s", fmt.Sprint("server-", i), gossip.Revision{}, encode(t, pool.Server{Address: address, Service: "s", DataCentre: "a", Slots: 100}))
 		is.NoErr(err)
 	}
-	_, port, err := net.SplitHostPort(freeAddress(t))
-	is.NoErr(err)
-	inner, err := strconv.Atoi(port)
-	is.NoErr(err)
-	_, callersPort, err := net.SplitHostPort(freeAddress(t))
-	is.NoErr(err)
+	inner, callersPort := freeFleetPort(t, size), strconv.Itoa(freeFleetPort(t, size))
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	t.Cleanup(func() { stop(); running.Wait() })
 	for i := range size {
 		tracer, err := telemetry.NewTracer(t.Context(), productconfig.DefaultSettings())
 		is.NoErr(err)
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
+		ip := fleetIP(i)
 		address := net.JoinHostPort(ip, callersPort)
 		o := Options{
 			Settings: Settings{
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -54,7 +54,7 @@
 		defer cancel()
 		<-ctx.Done()
 		return nil, errors.New("timeout")
-	case "refuse":
+	case "refuse", "reset and refuse":
 		return nil, errors.New("refused")
 	}
 	c, err := forward.TCP(ctx, network, address)
@@ -73,7 +73,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = mode
-	if mode == "reset" {
+	if strings.HasPrefix(mode, "reset") {
 		for c := range l.conns {
 			_ = c.Close()
 		}
@@ -111,8 +111,10 @@
 
 // ranServer counts how often each request ran at all servers together.
 type ranServer struct {
-	mu  sync.Mutex
-	ran map[string]int // guarded by mu; by request
+	pause     time.Duration // between the events of a stream
+	longPause time.Duration // after the third event in addition
+	mu        sync.Mutex
+	ran       map[string]int // guarded by mu; by request
 }
 
 // ServeHTTP implements http.Handler.
@@ -132,7 +134,10 @@
 	for i := last + 1; i <= 8; i++ {
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, body)
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(max(s.pause, 15*time.Millisecond))
+		if i == 3 {
+			time.Sleep(s.longPause)
+		}
 	}
 }
 
@@ -157,7 +162,7 @@
 	}
 	r.Host, r.GetBody = "h", nil
 	r.Header.Set("T-Id", id)
-	r.Header.Set("T-Left", "2000")
+	r.Header.Set("T-Left", strconv.FormatInt((client.Timeout/2).Milliseconds(), 10))
 	resp, err := client.Do(r)
 	if err != nil {
 		return false
@@ -210,7 +215,9 @@
 			is := is.New(t)
 			server, addresses := startRanServers(t, 6)
 			links := []*cutLink{newCutLink(), newCutLink(), newCutLink(), newCutLink()}
-			_, callers := startFleet(t, len(links), addresses, func(i int, o *Options) { o.Schema, o.Dial = relaySchema{}, links[i].dial })
+			_, callers := startFleet(t, len(links), addresses, func(i int, o *Options) {
+				o.Schema, o.Dial, o.Headers.LastEventID = relaySchema{}, links[i].dial, "Last-Event-Id"
+			})
 			time.Sleep(time.Second)
 			sent, served := sendAll(callers[1], "before", time.Second)
 			is.Equal(served, sent)
@@ -238,3 +245,67 @@
 		})
 	}
 }
+
+// countRuns returns how often a request ran.
+func (s *ranServer) countRuns(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[id]
+}
+
+// A silent server is probed by the way that its stream takes: a node that reaches it through
+// another must not give it up because the direct way is cut.
+func TestSilentServerBehindARelayIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	server, addresses := startRanServers(t, 2)
+	server.longPause = 1500 * time.Millisecond
+	link := newCutLink()
+	_, callers := startFleet(t, 2, addresses, func(i int, o *Options) {
+		o.Schema, o.Headers.LastEventID = pausingSchema{}, "Last-Event-Id"
+		if i == 1 {
+			o.Dial = link.dial
+		}
+	})
+	time.Sleep(2500 * time.Millisecond)
+	link.set("refuse")
+	client := &http.Client{Timeout: 20 * time.Second}
+	is.True(isServed(client, callers[1], "chat", "silent"))
+	is.Equal(server.countRuns("silent"), 1)
+}
+
+// pausingSchema has a route whose streams may pause for three seconds.
+type pausingSchema struct{ testSchema }
+
+func (pausingSchema) Routes([]byte) (*route.Table, error) {
+	return route.NewTable(route.Definition{Version: 1, Routes: []route.Route{{
+		Name: "chat", Host: "h", Prefix: "/chat/", Kind: route.Stream, Resumable: true, MaxAttempts: 3, Timeout: 10 * time.Second, Target: 5 * time.Second,
+		MaxPause: 3 * time.Second, Anonymous: true, Backends: []route.Backend{{Service: "s", Weight: 1}},
+	}}})
+}
+
+// A stream that breaks off because the node's links are reset, and whose server then refuses
+// this node, has not crashed its server: other nodes reach it.
+func TestCutLinkIsNotTakenForACrash(t *testing.T) {
+	is := is.New(t)
+	server, addresses := startRanServers(t, 3)
+	server.pause = 150 * time.Millisecond
+	link := newCutLink()
+	nodes, callers := startFleet(t, 2, addresses, func(i int, o *Options) {
+		o.Schema, o.Headers.LastEventID = pausingSchema{}, "Last-Event-Id"
+		if i == 1 {
+			o.Dial = link.dial
+		}
+	})
+	awaitMembers(t, nodes)
+	served := make(chan bool)
+	go func() { served <- isServed(&http.Client{Timeout: 20 * time.Second}, callers[1], "chat", "broken") }()
+	for server.countRuns("broken") == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	link.set("reset and refuse")
+	is.True(<-served) // resumed through the other node
+	time.Sleep(600 * time.Millisecond)
+	suspects, _ := nodes[1].suspects.SnapshotIfChanged(time.Now())
+	is.Equal(len(suspects), 0)
+}
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,8 @@
 	}{{"11", 1, 27, 11}, {"8", 2, 26, 11}, {"nonsense", 2, 27, 11}, {"11", 2, 28, 11}, {"14", 2, 29, 14}, {"8", 3, 20, 14}, {"15", 3, 21, 15}} {
 		replace(step.data, gossip.Revision{Era: step.era, Version: step.version})
 		is.Equal(c.table.Load().Version, step.want)
+		r, _ := rows.Get("o", "c")
+		is.Equal(string(r.Data), strconv.FormatInt(step.want, 10)) // what nodes that start are told
 		is.Equal(rows.Cursor("o"), gossip.Revision{Era: step.era, Version: step.version})
 	}
 	r, _ := rows.Get("o", "c")
