Review: the harness stands in test files

TestPlatformNamesStayInThisPackage reads all Go files but tests: the stand-ins speak the platform's protocol, as those of the soak do. Built with go test -c and the same build tag.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and checks of the review's scripts. It needs no network: only the
+# Builds the stand-ins and checks of the scripts, which are test files. It needs no network: only the
 # standard library is used.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review/ ./review/harness
+mkdir -p target/review
+go test -c -tags review -o target/review/harness ./review/harness
--- a/review/harness/server.go
+++ b/review/harness/server_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package harness
 
 import (
 	"crypto/sha256"
