Forward: a reset that a write has met stays one for the reader

Cause: Linux reports a reset once per socket. Where one goroutine writes the rest of a request while another reads the answer, the write takes the error, and the next read reports a regular end. An answer without a length is then taken for whole.

Change: connections to backend servers remember the loss that a write has met; a read that reports the end waits for a write under way and returns that loss. A broken pipe only says that the peer had ended before, and stays a regular end.

--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -53,7 +53,11 @@
 
 // TCP opens TCP connections that detect an unresponsive peer.
 func TCP(ctx context.Context, network, address string) (net.Conn, error) {
-	return dialer.DialContext(ctx, network, address)
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &tcpConn{Conn: conn}, nil
 }
 
 // TCPFrom is TCP with a local address.
