Relays: tell the node that asked how the server's connection ended

Cause: a relay passed bytes on unchanged, and the kernel closes the sockets of a process that ends as regularly as a server that is done. The node that asked took the relay's end for the answer's. A reset at a planned stop would mend half: a killed process resets nothing.

Change: a relay sends frames, and after them a mark that says whether the server ended its connection or it broke off. An end without the mark is ErrRelayLost: broken off, resumed where the route allows it, and not held against the server. Nodes say in their heartbeats that they relay in frames; nodes of the release before are asked last, in their way, and the end of such a connection never counts as the answer's. For nodes of the release before that ask, the kernel resets the connection if the relay's process ends.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -70,6 +70,8 @@
 	// that have lost their links to most of the servers themselves.
 	Relays bool `json:"relays,omitempty"`
 	CutOff bool `json:"cut_off,omitempty"`
+	// RelaysInFrames is set by nodes that also say how a relayed connection ended.
+	RelaysInFrames bool `json:"relay_frames,omitempty"`
 	// Weight is the share of callers that the node can carry.
 	Weight float64 `json:"weight"`
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -123,6 +123,7 @@
 	}
 	n.relay = newRelay(n, o.Dial)
 	n.exchange.HandleRaw(relayPreface, n.relay.serve)
+	n.exchange.HandleRaw(framedRelayPreface, n.relay.serveFramed)
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -22,9 +22,11 @@
 )
 
 const (
-	// relayPreface is the first byte on a connection that is to be relayed. No message of
-	// net/rpc begins with it.
-	relayPreface = 0x9d
+	// relayPreface and framedRelayPreface are the first byte on a connection that is to be
+	// relayed, unchanged or in frames. No message of net/rpc begins with either. Nodes of
+	// earlier releases know only the first.
+	relayPreface       = 0x9d
+	framedRelayPreface = 0x9e
 	// relayTimeout bounds the time until a node has connected to a server for another one:
 	// two round trips of up to 40 ms each and the time that a busy node takes.
 	relayTimeout = 250 * time.Millisecond
@@ -48,7 +50,7 @@
 var ErrNotRelayed = errors.New("no other node reaches the backend server")
 
 // relay carries connections to backend servers for nodes that do not reach them, and opens
-// such connections at other nodes. Bytes pass through unchanged: what is sent, repeated and
+// such connections at other nodes. It changes none of the bytes: what is sent, repeated and
 // granted is decided by the node that took the request.
 type relay struct {
 	node    *Node
@@ -72,8 +74,8 @@
 
 // open connects to a backend server through another node. It implements forward.Dial.
 func (r *relay) open(ctx context.Context, _, address string) (net.Conn, error) {
-	for _, inner := range r.candidates(time.Now()) {
-		conn, err := r.ask(ctx, inner, address)
+	for _, c := range r.candidates(time.Now()) {
+		conn, err := r.ask(ctx, c, address)
 		if err == nil {
 			r.count("opened")
 			return conn, nil
@@ -83,7 +85,7 @@
 		}
 		r.count("refused")
 		r.mu.Lock()
-		r.failed[inner] = time.Now()
+		r.failed[c.Inner] = time.Now()
 		r.mu.Unlock()
 	}
 	return nil, ErrNotRelayed
@@ -94,9 +96,10 @@
 }
 
 // candidates returns the nodes to ask, maxRelayAsks at most: those that reach the servers
-// before others, then those of the local data centre, in random order. The second is of
-// another data centre than the first if there is one, as a whole one may be cut off.
-func (r *relay) candidates(now time.Time) []string {
+// before others, then those that relay in frames, then those of the local data centre, in
+// random order. The second is of another data centre than the first if there is one, as a
+// whole one may be cut off.
+func (r *relay) candidates(now time.Time) []nodeState {
 	type candidate struct {
 		nodeState
 		draw float64
@@ -106,6 +109,9 @@
 	rank := func(s nodeState) int {
 		n := 0
 		if s.CutOff || now.Sub(r.failed[s.Inner]) < relayBackoff {
+			n += 4
+		}
+		if !s.RelaysInFrames {
 			n += 2
 		}
 		if s.DataCentre != r.node.options.Settings.DataCentre {
@@ -126,40 +132,47 @@
 	if len(list) == 0 {
 		return nil
 	}
-	out := []string{list[0].Inner}
+	out := []nodeState{list[0].nodeState}
 	rest := list[1:]
 	if i := slices.IndexFunc(rest, func(c candidate) bool { return c.DataCentre != list[0].DataCentre && !c.CutOff }); i > 0 {
 		rest = rest[i:]
 	}
 	for _, c := range rest[:min(len(rest), maxRelayAsks-1)] {
-		out = append(out, c.Inner)
+		out = append(out, c.nodeState)
 	}
 	return out
 }
 
 // ask asks a node to connect to a backend server.
-func (r *relay) ask(ctx context.Context, inner, address string) (net.Conn, error) {
+func (r *relay) ask(ctx context.Context, node nodeState, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	conn, err := forward.TCPFrom(ctx, r.source, inner)
+	preface := byte(relayPreface)
+	if node.RelaysInFrames {
+		preface = framedRelayPreface
+	}
+	conn, err := forward.TCPFrom(ctx, r.source, node.Inner)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial relay")
 	}
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	if _, err = conn.Write(append([]byte{relayPreface}, address+"\n"...)); err == nil {
+	if _, err = conn.Write(append([]byte{preface}, address+"\n"...)); err == nil {
 		err = readRelayAnswer(conn)
 	}
 	if !stop() || err != nil {
 		_ = conn.Close()
-		return nil, errors.Wrapf(cmp.Or(err, ctx.Err()), "relay %s", inner)
+		return nil, errors.Wrapf(cmp.Or(err, ctx.Err()), "relay %s", node.Inner)
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "relayed connection")
 	}
-	return conn, nil
+	if node.RelaysInFrames {
+		return &framedConn{Conn: conn}, nil
+	}
+	return unframedConn{conn}, nil
 }
 
 // readRelayAnswer reads the line that answers a request to relay, and nothing after it.
@@ -186,9 +199,17 @@
 	return "", errors.New("line is too long")
 }
 
-// serve answers a request to relay and carries the connection until it ends. The preface
-// was read.
-func (r *relay) serve(conn net.Conn) {
+// serve answers a request of a node of an earlier release and carries the connection until it
+// ends. The preface was read.
+func (r *relay) serve(conn net.Conn) { r.carry(conn, splice) }
+
+// serveFramed answers a request to relay in frames and carries the connection until it ends.
+// The preface was read.
+func (r *relay) serveFramed(conn net.Conn) { r.carry(conn, spliceFramed) }
+
+// carry answers a request to relay, and lets splice pass bytes on between the peer and the
+// backend server until their connections have ended.
+func (r *relay) carry(conn net.Conn, splice func(peer, server net.Conn)) {
 	defer conn.Close()
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// A node that loses power closes nothing, and its server would go on working.
@@ -261,28 +282,67 @@
 }
 
 // splice copies in both directions until both have ended. A connection that is reset resets
-// the other: a reset tells the reader of an answer without a length that it is not whole.
-func splice(a, b net.Conn) {
+// the other: a reset tells the reader of an answer without a length that it is not whole. The
+// peer's is also reset by the kernel if this process ends meanwhile.
+func splice(peer, server net.Conn) {
+	resetOnClose(peer)
+	isReset := false
 	var copies sync.WaitGroup
-	for _, c := range [][2]net.Conn{{a, b}, {b, a}} {
+	var mu sync.Mutex
+	for _, c := range [][2]net.Conn{{peer, server}, {server, peer}} {
 		copies.Go(func() {
 			if _, err := io.Copy(c[0], c[1]); err != nil {
-				reset(a)
-				reset(b)
+				mu.Lock()
+				defer mu.Unlock()
+				isReset = true
+				reset(peer)
+				reset(server)
 				return
 			}
-			if half, ok := c[0].(interface{ CloseWrite() error }); ok {
-				_ = half.CloseWrite()
-			}
+			closeWrite(c[0])
 		})
 	}
 	copies.Wait()
+	if !isReset {
+		setLinger(peer, -1)
+	}
+}
+
+// spliceFramed copies in both directions until the server's has ended, and tells the peer how.
+func spliceFramed(peer, server net.Conn) {
+	go func() {
+		if _, err := io.Copy(server, peer); err != nil {
+			// The peer has left. A server that cannot be written to ends the other direction.
+			reset(server)
+			return
+		}
+		closeWrite(server)
+	}()
+	if err := sendFrames(peer, server); err != nil {
+		reset(server)
+	}
 }
 
 // reset closes a connection without a regular end.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	resetOnClose(c)
 	_ = c.Close()
 }
+
+// resetOnClose makes the close of a connection a reset, also if the process ends before it.
+func resetOnClose(c net.Conn) { setLinger(c, 0) }
+
+// setLinger sets how long a close waits for data that was not acknowledged, in seconds: 0 drops
+// it and resets the connection, a negative number returns to the kernel's default.
+func setLinger(c net.Conn, seconds int) {
+	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
+// closeWrite ends the sending half of a connection regularly.
+func closeWrite(c net.Conn) {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
--- a/internal/edge/relay_entrance_test.go
+++ b/internal/edge/relay_entrance_test.go
@@ -197,12 +197,12 @@
 	for range 50 {
 		got := r.candidates(time.Now())
 		is.Equal(len(got), 2)
-		is.Equal(got[0], "10.0.0.3:1") // the sound one of the own data centre
-		is.True(got[1] != "10.0.0.2:1" && got[1] != "10.0.0.99:1")
+		is.Equal(got[0].Inner, "10.0.0.3:1") // the sound one of the own data centre
+		is.True(got[1].Inner != "10.0.0.2:1" && got[1].Inner != "10.0.0.99:1")
 	}
 	r.failed["10.0.0.3:1"] = time.Now()
 	for range 50 {
-		is.True(r.candidates(time.Now())[0] != "10.0.0.3:1")
+		is.True(r.candidates(time.Now())[0].Inner != "10.0.0.3:1")
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -222,7 +222,7 @@
 	}
 	x.mayHaveRun = true
 	x.runs++
-	if errors.Is(err, context.Canceled) || errors.Is(err, errQuarantined) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, errQuarantined) || errors.Is(err, ErrRelayLost) {
 		return resultUnknown, err
 	}
 	x.recordFailure(a)
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -45,6 +47,15 @@
 	return &links{direct: direct, relay: relay, onChange: onChange, cut: map[string]time.Time{}, unrelayed: map[string]time.Time{}}
 }
 
+// Ends of a connection that leads through another node, other than its server's regular end.
+var (
+	// ErrRelayLost is returned if the other node has ended or cannot tell how the server's
+	// connection did. The server is not to blame: send the request again if it may be.
+	ErrRelayLost = errors.New("the node that relays the connection has ended, or does not tell how the server's connection ended")
+	// ErrServerBrokeOff is returned if the server's connection was reset or timed out.
+	ErrServerBrokeOff = errors.New("server's connection broke off at the node that relays it")
+)
+
 // relayedConn is a connection that leads through another node.
 type relayedConn struct{ net.Conn }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -96,10 +96,12 @@
 		return resultAnswered, body, nil
 	}
 	x.mayHaveRun = true
-	x.recordFailure(a)
-	x.observe(a, true)
-	if ctx.Err() == nil {
-		x.suspectCrash(a, crashProbeDelay)
+	if !errors.Is(err, ErrRelayLost) {
+		x.recordFailure(a)
+		x.observe(a, true)
+		if ctx.Err() == nil {
+			x.suspectCrash(a, crashProbeDelay)
+		}
 	}
 	return resultUnknown, nil, errors.Wrap(err, "answer broke off")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -341,10 +341,11 @@
 	}
 	x.mayHaveRun = true
 	cause := context.Cause(ctx)
-	if cause == nil || errors.Is(cause, errStalled) {
+	isServersFault := cause == nil && !errors.Is(err, ErrRelayLost)
+	if isServersFault || errors.Is(cause, errStalled) {
 		x.recordFailure(a)
 		x.observe(a, true)
-		if cause == nil {
+		if isServersFault {
 			x.suspectCrash(a, crashProbeDelay)
 		}
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -77,9 +77,8 @@
 	rows     *Map
 	contacts *contacts
 	server   *rpc.Server
-	// raw takes connections that begin with rawPreface. Nil if there are none.
-	raw        func(net.Conn)
-	rawPreface byte
+	// raw are the handlers of connections that are no RPC, by their first byte.
+	raw map[byte]func(net.Conn)
 	// age returns how long ago the cached store state was current, observeAge receives
 	// such an age from another node.
 	age        func() time.Duration
@@ -89,7 +88,7 @@
 // NewExchange returns an exchange. epoch distinguishes this process from its
 // predecessors.
 func NewExchange(epoch uint64, rows *Map, age func() time.Duration, observeAge func(time.Duration)) *Exchange {
-	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), age: age, observeAge: observeAge}
+	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge}
 }
 
 // Service is the RPC interface of an exchange.
@@ -150,7 +149,7 @@
 // HandleRaw sets the handler of connections whose first byte is preface, which no message of
 // net/rpc begins with. It is called before Serve. The handler closes the connection.
 func (e *Exchange) HandleRaw(preface byte, handle func(net.Conn)) {
-	e.raw, e.rawPreface = handle, preface
+	e.raw[preface] = handle
 }
 
 // prefacedConn is a connection whose first byte was read already.
@@ -176,8 +175,8 @@
 		_ = conn.Close()
 		return
 	}
-	if e.raw != nil && first[0] == e.rawPreface {
-		e.raw(conn)
+	if handle := e.raw[first[0]]; handle != nil {
+		handle(conn)
 		return
 	}
 	e.server.ServeConn(&prefacedConn{conn, first})
