Forward: an answer is not whole because its server's process ended

That it was this cause is suspected; the symptom is reproduced.

Cause: the kernel closes the connections of a process that ends regularly if it has read all it was sent. For an answer without a length or chunks that end was taken for the answer's.

Change: 20 ms after such an end the server is probed, unless it has sent this node something else since. One that refuses has ended: a resumable stream goes on after its last event, a repeatable request is repeated, any other is broken off. Relays confirm the end of a server before they tell of it.

TestEndOfAServerIsNotTakenForTheEndOfItsAnswer fails in its three cases without the check, TestRelayTellsThatTheServerHasEnded without the relay's. Cost in calm: 20 ms, a round trip and a connection for each such answer, none for others.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -209,7 +209,7 @@
 
 // carry answers a request to relay, and lets splice pass bytes on between the peer and the
 // backend server until their connections have ended.
-func (r *relay) carry(conn net.Conn, splice func(peer, server net.Conn)) {
+func (r *relay) carry(conn net.Conn, splice func(peer, server net.Conn, stillServes func() bool)) {
 	defer conn.Close()
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// A node that loses power closes nothing, and its server would go on working.
@@ -242,7 +242,7 @@
 	r.count("carried")
 	_, _ = answer.WriteString(relayAccepted + "\n")
 	if answer.Flush() == nil && conn.SetDeadline(time.Time{}) == nil {
-		splice(conn, server)
+		splice(conn, server, func() bool { return forward.StillServes(context.Background(), address, r.dial) })
 	}
 }
 
@@ -282,16 +282,21 @@
 }
 
 // splice copies in both directions until both have ended. A connection that is reset resets
-// the other: a reset tells the reader of an answer without a length that it is not whole. The
-// peer's is also reset by the kernel if this process ends meanwhile.
-func splice(peer, server net.Conn) {
+// the other: a reset tells the reader of an answer without a length that it is not whole. So
+// does that of a server that ended with its connection. The peer's is also reset by the kernel
+// if this process ends meanwhile.
+func splice(peer, server net.Conn, stillServes func() bool) {
 	resetOnClose(peer)
 	isReset := false
 	var copies sync.WaitGroup
 	var mu sync.Mutex
 	for _, c := range [][2]net.Conn{{peer, server}, {server, peer}} {
 		copies.Go(func() {
-			if _, err := io.Copy(c[0], c[1]); err != nil {
+			_, err := io.Copy(c[0], c[1])
+			if err == nil && c[1] == server && !stillServes() {
+				err = forward.ErrServerBrokeOff
+			}
+			if err != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				isReset = true
@@ -309,7 +314,7 @@
 }
 
 // spliceFramed copies in both directions until the server's has ended, and tells the peer how.
-func spliceFramed(peer, server net.Conn) {
+func spliceFramed(peer, server net.Conn, stillServes func() bool) {
 	go func() {
 		if _, err := io.Copy(server, peer); err != nil {
 			// The peer has left. A server that cannot be written to ends the other direction.
@@ -318,7 +323,7 @@
 		}
 		closeWrite(server)
 	}()
-	if err := sendFrames(peer, server); err != nil {
+	if err := sendFrames(peer, server, stillServes); err != nil {
 		reset(server)
 	}
 }
--- a/internal/edge/relay_frames.go
+++ b/internal/edge/relay_frames.go
@@ -18,13 +18,14 @@
 	maxFrameBytes = 16 << 10
 	// endMark means that the server ended its connection regularly.
 	endMark = 0
-	// brokenMark means that the server's connection was reset or timed out.
+	// brokenMark means that the server's connection was reset or timed out, or that the
+	// server has ended with it.
 	brokenMark = 0xffff
 )
 
 // sendFrames passes on what a server sends, and then how its connection ended. It returns an
 // error if the peer cannot be reached.
-func sendFrames(peer io.Writer, server io.Reader) error {
+func sendFrames(peer io.Writer, server io.Reader, stillServes func() bool) error {
 	frame := make([]byte, frameHeaderBytes+maxFrameBytes)
 	for {
 		n, err := server.Read(frame[frameHeaderBytes:])
@@ -36,7 +37,7 @@
 		}
 		if err != nil {
 			mark := uint16(brokenMark)
-			if err == io.EOF {
+			if err == io.EOF && stillServes() {
 				mark = endMark
 			}
 			_, err = peer.Write(binary.BigEndian.AppendUint16(nil, mark))
--- a/internal/edge/relay_loss_test.go
+++ b/internal/edge/relay_loss_test.go
@@ -106,7 +106,7 @@
 		source = &readerUntil{src: server, text: []byte(r.endAfter)}
 	}
 	if preface == framedRelayPreface {
-		_ = sendFrames(&withoutEndMark{Writer: conn, isActive: isFirst}, source)
+		_ = sendFrames(&withoutEndMark{Writer: conn, isActive: isFirst}, source, func() bool { return true })
 	} else {
 		_, _ = io.Copy(conn, source)
 	}
@@ -276,3 +276,31 @@
 	is.NoErr(err)
 	is.True(strings.HasSuffix(string(raw), "answer to q"))
 }
+
+// Guards against a relay that passes the end of a server's process off as the end of its answer.
+func TestRelayTellsThatTheServerHasEnded(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	nodes, _ := startFleet(t, 2, []string{l.Addr().String()}, func(_ int, o *Options) { o.Schema = relaySchema{} })
+	awaitMembers(t, nodes)
+	for _, preface := range []byte{framedRelayPreface, relayPreface} {
+		node := nodeState{Inner: nodes[0].innerAddress, RelaysInFrames: preface == framedRelayPreface}
+		conn, err := nodes[1].relay.ask(t.Context(), node, l.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		server, err := l.Accept()
+		is.NoErr(err)
+		_, err = server.Write([]byte("part"))
+		is.NoErr(err)
+		is.NoErr(server.Close())
+		is.NoErr(l.Close())
+		raw, err := io.ReadAll(conn)
+		is.Equal(string(raw), "part")
+		is.True(err != nil)
+		is.Equal(errors.Is(err, forward.ErrServerBrokeOff), node.RelaysInFrames)
+		l, err = net.Listen("tcp", l.Addr().String())
+		is.NoErr(err)
+	}
+	_ = l.Close()
+}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/loop"
-	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
@@ -61,7 +60,7 @@
 	go func() {
 		defer close(probed)
 		time.Sleep(delay)
-		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m, f.links.dial) {
+		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m.Address, f.links.dial) {
 			return
 		}
 		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, brokeAt)
@@ -70,10 +69,10 @@
 
 // acceptsOrIsSilent reports whether a server accepts a connection, or does not refuse it
 // within the probe's timeout.
-func acceptsOrIsSilent(m *pool.Member, dial Dial) bool {
+func acceptsOrIsSilent(address string, dial Dial) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	conn, err := dial(ctx, "tcp", m.Address)
+	conn, err := dial(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 		return true
--- /dev/null
+++ b/internal/forward/end_of_answer_test.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+const unframedEvents = 8
+
+// writeUnframed answers with a head that tells no length, and the given events after the last
+// one that the request names, or a plain body.
+func writeUnframed(c net.Conn, r *http.Request, lastEvent int, plain string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: seal\r\nT-Confidence: 99\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", r.Header.Get("T-Id"))
+	if !strings.HasPrefix(r.URL.Path, "/chat/") {
+		_, _ = c.Write([]byte(plain))
+		return
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := first + 1; i <= lastEvent; i++ {
+		fmt.Fprintf(c, "id: %d\ndata: x\n\n", i)
+	}
+}
+
+// Guards against an answer without a length that looks whole because the process of its
+// server has ended, whose connections the kernel closes regularly.
+func TestEndOfAServerIsNotTakenForTheEndOfItsAnswer(t *testing.T) {
+	for _, c := range []struct {
+		path       string
+		wantStatus int
+	}{{"/chat/1", http.StatusOK}, {"/read/1", http.StatusOK}, {"/once/1", http.StatusBadGateway}} {
+		t.Run(c.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, b := is.New(t), newHarness(t)
+				isFirst := true
+				for _, id := range []string{"x", "y"} {
+					b.server(id, func(conn net.Conn, r *http.Request) {
+						if !isFirst {
+							writeUnframed(conn, r, unframedEvents, "whole")
+							return
+						}
+						isFirst = false
+						writeUnframed(conn, r, 3, "who")
+						_ = conn.Close()
+						b.net.mu.Lock()
+						defer b.net.mu.Unlock()
+						_ = b.net.listeners[id].Close()
+					})
+				}
+				resp, body, err := b.send(t.Context(), http.MethodPost, c.path, chatHeaders)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, c.wantStatus)
+				switch c.path {
+				case "/chat/1":
+					is.Equal(strings.Count(body, "id: "), unframedEvents)
+				case "/read/1":
+					is.Equal(body, "whole")
+				}
+			})
+		})
+	}
+}
+
+// Guards against answers without a length that are repeated or broken off though their server
+// goes on serving, or only accepts no connection at the moment.
+func TestAnswerThatEndsWithItsConnectionIsWholeWhileItsServerServes(t *testing.T) {
+	for _, isQueueFull := range []bool{false, true} {
+		for _, path := range []string{"/chat/1", "/read/1", "/once/1"} {
+			synctest.Test(t, func(t *testing.T) {
+				is, b := is.New(t), newHarness(t)
+				b.server("x", func(conn net.Conn, r *http.Request) {
+					writeUnframed(conn, r, unframedEvents, "whole")
+					b.net.setUnresponsive("x", isQueueFull)
+				})
+				resp, body, err := b.send(t.Context(), http.MethodPost, path, chatHeaders)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.True(body == "whole" || strings.Count(body, "id: ") == unframedEvents)
+				is.Equal(len(b.receivedRequests()), 1)
+			})
+		}
+	}
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -86,7 +86,7 @@
 	if res != resultAnswered {
 		return res, nil, err
 	}
-	body, err := x.readBody(a.resp)
+	body, err := x.readBody(ctx, a)
 	if err == nil {
 		if a.resp.StatusCode < http.StatusInternalServerError {
 			a.member.RecordSuccess()
@@ -138,11 +138,14 @@
 
 // readBody reads a complete answer. Its bytes count as buffered until the
 // exchange ends.
-func (x *exchange) readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(countingReader{resp.Body, x}, maxPlainBody+1))
+func (x *exchange) readBody(ctx context.Context, a *attempt) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(countingReader{a.resp.Body, x}, maxPlainBody+1))
 	if err == nil && len(body) > maxPlainBody {
 		err = errors.Errorf("answer is longer than %d bytes", maxPlainBody)
 	}
+	if err == nil {
+		err = x.confirmEnd(ctx, a)
+	}
 	return body, err
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -173,7 +173,7 @@
 	if x.started {
 		return false, errors.Errorf("server answered %d", status)
 	}
-	body, err := x.readBody(a.resp)
+	body, err := x.readBody(ctx, a)
 	if err != nil {
 		return false, errors.Wrap(err, "answer broke off")
 	}
@@ -324,14 +324,19 @@
 // is whole. A resumed stream may have nothing left to send, but the end of a
 // connection alone does not show that.
 func (x *exchange) endsWhole(a *attempt, hasContent bool) bool {
-	isFramed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	return hasContent || a.resp.ContentLength == 0 || x.started && isFramed
+	return hasContent || a.resp.ContentLength == 0 || x.started && isFramed(a.resp)
 }
 
 // handleStreamEnd handles the end of one server's stream. hasContent tells
 // whether the server sent any.
 func (x *exchange) handleStreamEnd(ctx context.Context, s *streamState, a *attempt, err error, hasContent bool) (bool, error) {
-	if isEOF(err) && x.endsWhole(a, hasContent) {
+	isWhole := isEOF(err) && x.endsWhole(a, hasContent)
+	if isWhole {
+		if endErr := x.confirmEnd(ctx, a); endErr != nil {
+			err, isWhole = endErr, false
+		}
+	}
+	if isWhole {
 		a.member.RecordSuccess()
 		x.f.opts.Suspects.Cleared(x.req.Fingerprint, x.req.sharedPartIDs, time.Now())
 		x.startStream(a)
