Suspects: what other starts do tells a part that crashes quick servers

Cause: a crash within 3 s of the server's last one implicated nothing. And requests with suspected parts were tried as soon as a server was back, so no sound request survived that could have shown a difference.

Change: repeated crashes of a server count beside starts without the part that survived in the same time, in a likelihood ratio against servers that crash by themselves; where most other starts crash no part is blamed. A combination of parts that has crashed servers again waits four times longer after each, so that requests that only share a part with it are tried first and clear it.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -99,14 +99,13 @@
 	}
 }
 
-// awaitTrial waits until the trial interval after the last crash for which a part of the
-// prompt is suspected has passed.
+// awaitTrial waits until a request with the suspected parts of this prompt may be tried.
 func (d *Dispatcher) awaitTrial(ctx context.Context, a *answer) {
 	if d.Suspects == nil {
 		return
 	}
-	if suspected, lastCrash := d.Suspects.SuspectedParts(a.req.Parts); len(suspected) > 0 {
-		loop.Sleep(ctx, time.Until(lastCrash.Add(TrialInterval)))
+	if suspected, next := d.Suspects.SuspectedParts(a.req.Parts); len(suspected) > 0 {
+		loop.Sleep(ctx, time.Until(next))
 	}
 }
 
@@ -122,6 +121,7 @@
 // clearParts clears the crashes recorded for the parts of a prompt that a replica
 // answers, and tells the other nodes.
 func (d *Dispatcher) clearParts(a *answer) {
+	d.Suspects.RecordStart(a.req.Fingerprint, a.req.Parts, time.Now())
 	if changed := d.Suspects.RecordSurvival(a.req.Parts, time.Now()); len(changed) > 0 {
 		go d.CrashReporter.Publish(context.Background(), changed)
 	}
--- a/internal/dispatch/part_record.go
+++ b/internal/dispatch/part_record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -30,9 +31,13 @@
 	// crashes.
 	maxParts       = 4096
 	maxPartCrashes = 64
-	// flappingWindow is the time after a crash in which another crash of the
-	// replica implicates no part: it fails on its own.
-	flappingWindow = 3 * time.Second
+	// flappingWindow is the time after a crash in which another crash of the replica
+	// implicates a part only if requests without it survive their starts: hardly any
+	// request, sound or not, has had the time to survive there.
+	flappingWindow = 2 * time.Second
+	// repeatWindow is the time after a crash in which another one may be the replica's own
+	// fault, so that it takes more to blame a part.
+	repeatWindow = 30 * time.Second
 	// settleTime is the time in which news of a crash reach all nodes in touch.
 	settleTime = 250 * time.Millisecond
 	// backgroundWindow is the time before a part's first crash in which crashes
@@ -58,13 +63,15 @@
 	seen time.Time
 	// isExplained means that a quarantined part accounts for the crash.
 	isExplained bool
-	// isOwn means that this node recorded the crash, isRepeated that the replica
-	// had crashed shortly before.
-	isOwn, isRepeated bool
+	// isOwn means that this node recorded the crash.
+	isOwn bool
+	// sinceLast is how long before the replica had crashed last, maxTime if that is not
+	// known.
+	sinceLast time.Duration
 }
 
-// implicates reports whether the crash makes a part suspect.
-func (c partCrash) implicates() bool { return !c.isExplained && !c.isRepeated }
+// isRepeated reports whether the replica may have crashed by itself, as it had shortly before.
+func (c partCrash) isRepeated() bool { return c.sinceLast < repeatWindow }
 
 // isSameAs reports whether both are reports of one crash.
 func (c partCrash) isSameAs(other partCrash) bool {
@@ -83,7 +90,15 @@
 	crashes           []partCrash
 	isConvicted       bool
 	isCounted         bool // in Suspects.suspectedParts
-	until             time.Time
+	// hasContrast means that replicas survive the starts of requests without the part, so
+	// that crashes of replicas that had crashed shortly before implicate it, too.
+	hasContrast bool
+	until       time.Time
+}
+
+// isImplicatedBy reports whether one of its crashes makes the part suspect.
+func (r *partRecord) isImplicatedBy(c partCrash) bool {
+	return !c.isExplained && (r.hasContrast || c.sinceLast >= flappingWindow)
 }
 
 func (r *partRecord) toWire() wire.Suspect {
@@ -108,14 +123,19 @@
 }
 
 // moments returns the number of distinct moments of crashes that implicate the part.
-func (r *partRecord) moments() int { return countMoments(r.crashes) }
+func (r *partRecord) moments() int { return countMoments(r.crashes, r.isImplicatedBy) }
+
+// firstMoments returns the number of those at which a replica crashed that had not shortly
+// before.
+func (r *partRecord) firstMoments() int {
+	return countMoments(r.crashes, func(c partCrash) bool { return r.isImplicatedBy(c) && !c.isRepeated() })
+}
 
-// countMoments returns the number of distinct moments of crashes that implicate
-// parts.
-func countMoments(crashes []partCrash) int {
+// countMoments returns the number of distinct moments of the crashes that count.
+func countMoments(crashes []partCrash, counts func(partCrash) bool) int {
 	var counted []partCrash
 	for _, c := range crashes {
-		if c.implicates() && !slices.ContainsFunc(counted, c.isSameMomentAs) {
+		if counts(c) && !slices.ContainsFunc(counted, c.isSameMomentAs) {
 			counted = append(counted, c)
 		}
 	}
@@ -127,7 +147,7 @@
 	var first *partCrash
 	for i, c := range r.crashes {
 		switch {
-		case !c.implicates():
+		case !r.isImplicatedBy(c):
 		case first == nil:
 			first = &r.crashes[i]
 		case property(c) != property(*first):
@@ -148,7 +168,7 @@
 // now.
 func (r *partRecord) settledCrashes(now time.Time) (n int) {
 	for _, c := range r.crashes {
-		if c.implicates() && now.Sub(c.seen) >= settleTime {
+		if r.isImplicatedBy(c) && now.Sub(c.seen) >= settleTime {
 			n++
 		}
 	}
@@ -159,7 +179,7 @@
 // the other one, apart from those of which news may still be under way.
 func (r *partRecord) isRivalOf(other *partRecord, now time.Time) bool {
 	return !slices.ContainsFunc(other.crashes, func(c partCrash) bool {
-		return c.implicates() && now.Sub(c.seen) >= settleTime && !r.explains(c)
+		return other.isImplicatedBy(c) && now.Sub(c.seen) >= settleTime && !r.explains(c)
 	})
 }
 
@@ -181,23 +201,29 @@
 // crashLog holds the latest crashes of replicas, whatever ran on them.
 type crashLog []partCrash
 
-// add adds a crash unless it is in the log. It reports whether the replica had
-// crashed shortly before.
-func (l *crashLog) add(c partCrash) (isRepeated bool) {
+// add adds a crash unless it is in the log. It returns how long before the replica had
+// crashed last.
+func (l *crashLog) add(c partCrash) (sinceLast time.Duration) {
+	sinceLast = maxTime
 	for _, logged := range *l {
 		if logged.isSameAs(c) {
-			return logged.isRepeated
+			return logged.sinceLast
+		}
+		if logged.Replica == c.Replica {
+			sinceLast = min(sinceLast, c.seen.Sub(logged.seen))
 		}
-		isRepeated = isRepeated || (logged.Replica == c.Replica && c.seen.Sub(logged.seen) < flappingWindow)
 	}
 	if len(*l) >= maxLoggedCrashes {
 		*l = slices.Delete(*l, 0, 1)
 	}
-	c.isRepeated = isRepeated
+	c.sinceLast = sinceLast
 	*l = append(*l, c)
-	return isRepeated
+	return sinceLast
 }
 
+// maxTime stands for a time that is not known to have been shorter.
+const maxTime = time.Duration(math.MaxInt64)
+
 // explain marks the crashes that a quarantined part explains.
 func (l crashLog) explain(r *partRecord) {
 	for i, c := range l {
@@ -215,9 +241,8 @@
 	var others []partCrash
 	for _, c := range l {
 		if !c.seen.Before(since) && !r.explains(c) {
-			c.isRepeated = false
 			others = append(others, c)
 		}
 	}
-	return countMoments(others)
+	return countMoments(others, func(c partCrash) bool { return !c.isExplained })
 }
--- /dev/null
+++ b/internal/dispatch/part_trials.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// TrialInterval is the least time between a crash and the next request with a part that
+	// is suspected for it, so that the next crash has a moment of its own.
+	TrialInterval = momentGap + 50*time.Millisecond
+	// maxTrialInterval bounds the time by which it grows while replicas crash again.
+	maxTrialInterval = 5 * time.Second
+	// repetitionFactor is by how much it grows with each of their crashes.
+	repetitionFactor = 4
+	// trialPollInterval is how often a request asks whether the trial before it has ended.
+	trialPollInterval = 50 * time.Millisecond
+)
+
+// SuspectedParts returns those of the parts that are suspected and not quarantined, and
+// when a request with the parts may be tried.
+func (s *Suspects) SuspectedParts(parts []Part) (suspected []Part, next time.Time) {
+	if s.suspectedParts.Load() == 0 {
+		return nil, time.Time{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []*partRecord
+	for _, p := range parts {
+		r := s.parts.byKey[p.Key]
+		if r == nil {
+			continue
+		}
+		records = append(records, r)
+		if !r.isCounted || r.isConvicted {
+			continue
+		}
+		suspected = append(suspected, p)
+		for _, c := range r.crashes {
+			if at := c.seen.Add(TrialInterval); at.After(next) {
+				next = at
+			}
+		}
+	}
+	if len(records) == len(parts) {
+		if at := nextRepetition(records); at.After(next) {
+			next = at
+		}
+	}
+	return suspected, next
+}
+
+// nextRepetition returns when a request may be tried whose parts were all starting at a crash
+// of a replica that had crashed shortly before. The time grows with each such crash, so that requests
+// that share a part with it, and have not crashed replicas, are tried before and clear it.
+func nextRepetition(records []*partRecord) (next time.Time) {
+	interval := TrialInterval
+	for _, c := range records[0].crashes {
+		if !c.isRepeated() || c.isExplained || slices.ContainsFunc(records, func(r *partRecord) bool { return !r.explains(c) }) {
+			continue
+		}
+		interval = min(repetitionFactor*interval, maxTrialInterval)
+		next = c.seen.Add(interval)
+		if !c.isOwn {
+			next = next.Add(interval / 2)
+		}
+	}
+	return next
+}
+
+// Trials holds the suspected parts of requests that a node has sent and that have neither
+// survived nor failed. It is safe for concurrent use. The zero value is empty.
+type Trials struct {
+	mu    sync.Mutex
+	parts map[uint64]bool // guarded by mu
+}
+
+// Begin begins the trial of a request if one of its parts is suspected, and no other request
+// with a suspected part of it is tried. The request may be sent if wait is 0; end is then
+// called once the replica has answered or failed. Otherwise it asks again after wait.
+func (t *Trials) Begin(s *Suspects, parts []Part, now time.Time) (end func(), wait time.Duration) {
+	suspected, next := s.SuspectedParts(parts)
+	if len(suspected) == 0 {
+		return func() {}, 0
+	}
+	if wait := next.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range suspected {
+		if t.parts[p.Key] {
+			return nil, trialPollInterval
+		}
+	}
+	if t.parts == nil {
+		t.parts = map[uint64]bool{}
+	}
+	for _, p := range suspected {
+		t.parts[p.Key] = true
+	}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for _, p := range suspected {
+			delete(t.parts, p.Key)
+		}
+	}, 0
+}
--- a/internal/dispatch/suspect_parts.go
+++ b/internal/dispatch/suspect_parts.go
@@ -40,6 +40,7 @@
 	byKey     map[uint64]*partRecord
 	convicted map[uint64]*partRecord
 	survivals survivals
+	starts    startLog
 }
 
 func newPartRecords() partRecords {
@@ -61,7 +62,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	crash := partCrash{Crash: wire.Crash{Replica: replica, At: now, Request: fingerprint, Parts: partSet(parts)}, seen: now, isOwn: true}
-	crash.isRepeated = s.parts.log.add(crash)
+	crash.sinceLast = s.parts.log.add(crash)
+	s.parts.starts.add(startOutcome{request: fingerprint, parts: partKeys(parts), at: now, crash: &crash})
 	for _, p := range parts {
 		if r := s.parts.convicted[p.Key]; r != nil && r.until.After(now) {
 			if !r.addCrash(crash) {
@@ -75,6 +77,7 @@
 	for _, p := range parts {
 		r := s.partRecord(p, now)
 		if r.addCrash(crash) {
+			r.hasContrast = s.parts.contrast(r).isSound()
 			s.count(r)
 			r.until = now.Add(partSuspicionTTL)
 			changed = append(changed, r)
@@ -179,7 +182,7 @@
 		delete(s.parts.convicted, r.Key)
 	}
 	s.quarantinedParts.Store(int64(len(s.parts.convicted)))
-	isSuspected := r.isConvicted || slices.ContainsFunc(r.crashes, partCrash.implicates)
+	isSuspected := r.isConvicted || slices.ContainsFunc(r.crashes, r.isImplicatedBy)
 	switch {
 	case isSuspected && !r.isCounted:
 		s.suspectedParts.Add(1)
@@ -207,10 +210,17 @@
 // convictIfCertain quarantines a part if crashes single it out. The caller holds
 // mu.
 func (s *Suspects) convictIfCertain(r *partRecord, now time.Time) {
-	n := r.moments() - r.survivalCredit()
-	if s.partRule.PerOther > 0 {
+	n, contrast := r.firstMoments(), s.parts.contrast(r)
+	all := r.moments()
+	switch {
+	case contrast.singlesOut(all):
+		n = all
+	case contrast.isFlapping():
+		return
+	case s.partRule.PerOther > 0:
 		n -= s.parts.log.otherMoments(r) / s.partRule.PerOther
 	}
+	n -= r.survivalCredit()
 	if n < s.partRule.Moments || r.isConvicted {
 		return
 	}
@@ -319,9 +329,10 @@
 	}
 	for _, c := range e.Lost {
 		crash := partCrash{Crash: c, seen: now}
-		crash.isRepeated = s.parts.log.add(crash)
+		crash.sinceLast = s.parts.log.add(crash)
 		isChanged = r.addCrash(crash) || isChanged
 	}
+	r.hasContrast = s.parts.contrast(r).isSound()
 	s.count(r)
 	switch {
 	case e.Convicted && !r.isConvicted:
--- a/internal/edge/quarantine_store_test.go
+++ b/internal/edge/quarantine_store_test.go
@@ -82,7 +82,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	stored := store.count()
-	n.suspects.Survived([]string{"p"}, time.Now())
+	n.suspects.Survived(1, []string{"p"}, time.Now())
 	time.Sleep(2 * time.Second)
 	stop()
 	<-done
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -24,8 +24,6 @@
 	// quarantineStoreInterval is how often quarantines that are missing in the store are
 	// written.
 	quarantineStoreInterval = time.Second
-	// trialPollInterval is how often a request asks whether the trial before it has ended.
-	trialPollInterval = 50 * time.Millisecond
 )
 
 // suspects shares the requests and prompt parts that crashed backend servers with the
@@ -37,7 +35,7 @@
 	log         *zap.Logger
 	nextVersion func() uint64
 	isHub       func() bool
-	trials      trials
+	trials      dispatch.Trials
 	announcedMu sync.Mutex
 	announced   map[uint64]bool // guarded by announcedMu; quarantines that were logged
 	// onQuarantine is called after a request or part was quarantined.
@@ -60,7 +58,8 @@
 }
 
 // Survived implements forward.Suspects.
-func (s *suspects) Survived(parts []string, now time.Time) {
+func (s *suspects) Survived(fingerprint uint64, parts []string, now time.Time) {
+	s.RecordStart(fingerprint, dispatchParts(parts), now)
 	if changed := s.RecordSurvival(dispatchParts(parts), now); len(changed) > 0 {
 		s.publish(changed...)
 		s.announce(now)
@@ -69,7 +68,7 @@
 
 // Cleared implements forward.Suspects.
 func (s *suspects) Cleared(fingerprint uint64, parts []string, now time.Time) {
-	s.Survived(parts, now)
+	s.Survived(fingerprint, parts, now)
 	if !s.ClearCrashes(fingerprint, now) {
 		return
 	}
@@ -78,49 +77,15 @@
 	}
 }
 
-// trials holds the suspected parts of requests that this node has sent and that have
-// neither survived nor failed. It is safe for concurrent use.
-type trials struct {
-	mu    sync.Mutex
-	parts map[uint64]bool // guarded by mu
-}
-
 // IsSuspected implements forward.Suspects.
 func (s *suspects) IsSuspected(parts []string) bool {
 	suspected, _ := s.SuspectedParts(dispatchParts(parts))
 	return len(suspected) > 0
 }
 
-// BeginTrial implements forward.Suspects. After a crash the next request with the same
-// part waits, so that a second crash has another moment, and its cause is clearer.
+// BeginTrial implements forward.Suspects.
 func (s *suspects) BeginTrial(ids []string, now time.Time) (end func(), wait time.Duration) {
-	suspected, lastCrash := s.SuspectedParts(dispatchParts(ids))
-	if len(suspected) == 0 {
-		return func() {}, 0
-	}
-	if wait := lastCrash.Add(dispatch.TrialInterval).Sub(now); wait > 0 {
-		return nil, wait
-	}
-	s.trials.mu.Lock()
-	defer s.trials.mu.Unlock()
-	for _, p := range suspected {
-		if s.trials.parts[p.Key] {
-			return nil, trialPollInterval
-		}
-	}
-	if s.trials.parts == nil {
-		s.trials.parts = map[uint64]bool{}
-	}
-	for _, p := range suspected {
-		s.trials.parts[p.Key] = true
-	}
-	return func() {
-		s.trials.mu.Lock()
-		defer s.trials.mu.Unlock()
-		for _, p := range suspected {
-			delete(s.trials.parts, p.Key)
-		}
-	}, 0
+	return s.trials.Begin(s.Suspects, dispatchParts(ids), now)
 }
 
 // IsQuarantined implements forward.Suspects.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -28,7 +28,7 @@
 	minSurvivalTime   = time.Second
 	minSurvivalEvents = 8
 	// maxTrialWait is how long a request with a suspected part waits to be sent, and
-	// trialRetryAfter when its caller may return after that.
+	// trialRetryAfter is the least time after which its caller may return.
 	maxTrialWait    = 2 * time.Second
 	trialRetryAfter = time.Second
 	// survivalInterval is how often a long stream is recorded as a survival.
@@ -95,13 +95,14 @@
 		return false
 	}
 	a.survivalRecorded = now
-	x.f.opts.Suspects.Survived(x.req.sharedPartIDs, now)
+	x.f.opts.Suspects.Survived(x.req.Fingerprint, x.req.sharedPartIDs, now)
 	return true
 }
 
 // awaitTrial waits until the request may be sent: at once if no part of its prompt is
-// suspected, else after the requests with the same part that are tried first.
-func (x *exchange) awaitTrial(ctx context.Context, s *streamState) error {
+// suspected, else after the requests with the same part that are tried first. With
+// errTrialsBusy it returns when the caller may retry.
+func (x *exchange) awaitTrial(ctx context.Context, s *streamState) (time.Duration, error) {
 	if x.crashProbe != nil {
 		select {
 		case <-x.crashProbe:
@@ -111,16 +112,16 @@
 	for deadline := time.Now().Add(maxTrialWait); ; {
 		now := time.Now()
 		if x.f.isQuarantined(x.req) {
-			return errQuarantined
+			return trialRetryAfter, errQuarantined
 		}
 		end, wait := x.f.opts.Suspects.BeginTrial(x.req.sharedPartIDs, now)
 		if wait == 0 {
 			s.endTrial = sync.OnceFunc(end)
 			x.stopTrial = s.endTrial
-			return nil
+			return 0, nil
 		}
 		if ctx.Err() != nil || now.Add(wait).After(deadline) {
-			return errTrialsBusy
+			return max(wait, trialRetryAfter), errTrialsBusy
 		}
 		loop.Sleep(ctx, wait)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -51,7 +51,8 @@
 	// if the server had hardly begun to answer, which makes the request's parts suspects.
 	Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time)
 	// Survived records that a server runs a request with these parts well past its start.
-	Survived(parts []string, now time.Time)
+	// It may be called again for the same request.
+	Survived(fingerprint uint64, parts []string, now time.Time)
 	// IsSuspected reports whether one of the parts is suspected.
 	IsSuspected(parts []string) bool
 	// BeginTrial asks to send a request with these parts. Requests with a suspected part
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -76,9 +76,9 @@
 func (s *fakeSuspects) BeginTrial([]string, time.Time) (func(), time.Duration) {
 	return func() {}, 0
 }
-func (s *fakeSuspects) IsSuspected([]string) bool           { return s.suspected }
-func (s *fakeSuspects) Survived([]string, time.Time)        {}
-func (s *fakeSuspects) Cleared(uint64, []string, time.Time) {}
+func (s *fakeSuspects) IsSuspected([]string) bool            { return s.suspected }
+func (s *fakeSuspects) Survived(uint64, []string, time.Time) {}
+func (s *fakeSuspects) Cleared(uint64, []string, time.Time)  {}
 func (s *fakeSuspects) IsQuarantined(uint64, []string, time.Time) bool {
 	return s.quarantined.Load() != 0
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -63,8 +63,8 @@
 	}
 	cause, retryAfter := "no backend server", noServerRetryAfter
 	for x.sends == 0 || x.reserveRetry(ctx) {
-		if err := x.awaitTrial(ctx, s); err != nil {
-			cause, retryAfter = err.Error(), trialRetryAfter
+		if after, err := x.awaitTrial(ctx, s); err != nil {
+			cause, retryAfter = err.Error(), after
 			break
 		}
 		a := x.choose(ctx, x.modelName(s))
--- a/internal/measure/sim_parts.go
+++ b/internal/measure/sim_parts.go
@@ -22,6 +22,7 @@
 	partsMaxSkew      = 3 * time.Second
 	partsRetryDelay   = 500 * time.Millisecond
 	partsMaxWait      = 10 * time.Second
+	partsMaxTrialWait = 2 * time.Second
 	partsMaxAttempts  = 3
 	partsSubjects     = 1000
 	partsSubjectSkew  = 1.1
@@ -47,6 +48,8 @@
 	// cancels means that requests that have not begun are cancelled when one of
 	// their parts is quarantined.
 	cancels bool
+	// tries means that a node sends requests with a suspected part one after the other.
+	tries bool
 }
 
 type partsRequest struct {
@@ -56,6 +59,8 @@
 	attempts int
 	arrived  time.Time
 	tried    []*partsServer
+	// trialSince is when the request began to wait for its trial, zero if it does not.
+	trialSince time.Time
 }
 
 type partsAttempt struct {
@@ -63,6 +68,7 @@
 	node                         *partsNode
 	server                       *partsServer
 	hasBegun, hasSurvived, isEnd bool
+	endTrial                     func()
 }
 
 type partsServer struct {
@@ -73,6 +79,7 @@
 
 type partsNode struct {
 	suspects *dispatch.Suspects
+	trials   *dispatch.Trials
 	skew     time.Duration
 	isDead   bool
 	cutUntil time.Time
@@ -87,18 +94,24 @@
 	way      partsWay
 	share    float64
 	crashing int
-	requests uint64 // arrived so far
-	ev       *events
-	rng      *rand.Rand
-	zipf     *rand.Zipf
-	nodes    []*partsNode
-	pool     []*partsServer
-	stats    partsStats
-	endTime  time.Time
+	// backAfter is how long a server is down that a part has crashed. 0 means 3 to 6 s.
+	backAfter time.Duration
+	// firstToken is the least time to the first token. It may be 100 ms longer.
+	firstToken time.Duration
+	// hasOneSubject means that all sound requests have the same parts.
+	hasOneSubject bool
+	requests      uint64 // arrived so far
+	ev            *events
+	rng           *rand.Rand
+	zipf          *rand.Zipf
+	nodes         []*partsNode
+	pool          []*partsServer
+	stats         partsStats
+	endTime       time.Time
 }
 
 func newPartsTrial(s partsSize, way partsWay, seed uint64) *partsTrial {
-	t := &partsTrial{partsSize: s, way: way, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 7))}
+	t := &partsTrial{partsSize: s, way: way, firstToken: 250 * time.Millisecond, ev: newEvents(), rng: rand.New(rand.NewPCG(seed, 7))}
 	t.zipf = rand.NewZipf(t.rng, partsSubjectSkew, 1, partsSubjects-1)
 	t.stats.soundConvicted = map[string]bool{}
 	for range s.nodes {
@@ -111,7 +124,7 @@
 }
 
 func (t *partsTrial) addNode() *partsNode {
-	n := &partsNode{suspects: dispatch.NewSuspectsWithRule(partsMaxAttempts, t.way.rule), skew: t.between(-partsMaxSkew, partsMaxSkew)}
+	n := &partsNode{trials: &dispatch.Trials{}, suspects: dispatch.NewSuspectsWithRule(partsMaxAttempts, t.way.rule), skew: t.between(-partsMaxSkew, partsMaxSkew)}
 	t.nodes = append(t.nodes, n)
 	return n
 }
@@ -144,7 +157,14 @@
 			r.crashing = t.rng.IntN(t.crashing)
 			r.parts = append(r.parts, dispatch.NewPart(fmt.Sprint(crashingPrefix, r.crashing)))
 		}
-		r.parts = append(r.parts, dispatch.NewPart(fmt.Sprint("subject", t.zipf.Uint64())))
+		if !t.hasOneSubject {
+			r.parts = append(r.parts, dispatch.NewPart(fmt.Sprint("subject", t.zipf.Uint64())))
+		} else if r.crashing < 0 {
+			r.parts = append(r.parts, dispatch.NewPart("subject"))
+		}
+		if r.crashing < 0 {
+			t.stats.soundSent++
+		}
 		t.try(t.anyNode(), r)
 		t.scheduleArrival()
 	})
@@ -168,8 +188,13 @@
 		t.stats.recordRefusal(r)
 		return
 	}
+	endTrial, mayTry := t.beginTrial(n, r)
+	if !mayTry {
+		return
+	}
 	s := t.choose(r)
 	if s == nil {
+		endTrial()
 		if t.ev.now.Sub(r.arrived) < partsMaxWait {
 			t.ev.after(partsRetryDelay, func() { t.try(n, r) })
 		}
@@ -177,11 +202,30 @@
 	}
 	r.attempts++
 	r.tried = append(r.tried, s)
-	a := &partsAttempt{request: r, node: n, server: s}
+	a := &partsAttempt{request: r, node: n, server: s, endTrial: endTrial}
 	s.running = append(s.running, a)
 	n.active = append(n.active, a)
 	t.stats.recordArrival(r, t.ev.now, n.cutUntil.Add(partsLateAfter).Before(t.ev.now))
-	t.ev.after(t.between(250*time.Millisecond, 350*time.Millisecond), func() { t.begin(a) })
+	t.ev.after(t.between(t.firstToken, t.firstToken+100*time.Millisecond), func() { t.begin(a) })
+}
+
+// beginTrial begins the trial of a request, or lets it try again later or refuses it.
+func (t *partsTrial) beginTrial(n *partsNode, r *partsRequest) (end func(), mayTry bool) {
+	if !t.way.tries {
+		return func() {}, true
+	}
+	end, wait := n.trials.Begin(n.suspects, r.parts, t.clock(n))
+	if wait == 0 {
+		r.trialSince = time.Time{}
+		return end, true
+	}
+	if r.trialSince.IsZero() {
+		r.trialSince = t.ev.now
+	}
+	if t.ev.now.Add(wait).Sub(r.trialSince) <= partsMaxTrialWait {
+		t.ev.after(wait, func() { t.try(n, r) })
+	}
+	return nil, false
 }
 
 func (t *partsTrial) choose(r *partsRequest) *partsServer {
@@ -210,7 +254,7 @@
 	if a.request.crashing >= 0 {
 		t.ev.after(t.between(50*time.Millisecond, 100*time.Millisecond), func() {
 			if !a.isEnd {
-				t.crash(a.server, a.request.crashing, t.between(3*time.Second, 6*time.Second))
+				t.crash(a.server, a.request.crashing, t.downTime())
 			}
 		})
 		return
@@ -219,10 +263,25 @@
 	t.ev.after(min(answer, partsSurvivalAge), func() {
 		if !a.isEnd && !a.node.isDead {
 			a.hasSurvived = true
+			a.endTrial()
+			a.node.suspects.RecordStart(a.request.id, a.request.parts, t.clock(a.node))
 			t.publish(a.node, a.node.suspects.RecordSurvival(a.request.parts, t.clock(a.node)))
 		}
 	})
-	t.ev.after(answer, func() { t.end(a) })
+	t.ev.after(answer, func() {
+		if !a.isEnd {
+			t.stats.soundServed++
+		}
+		t.end(a)
+	})
+}
+
+// downTime returns how long a server is down that a part has crashed.
+func (t *partsTrial) downTime() time.Duration {
+	if t.backAfter > 0 {
+		return t.backAfter
+	}
+	return t.between(3*time.Second, 6*time.Second)
 }
 
 // end removes an attempt from its node and its server.
@@ -272,6 +331,7 @@
 		}
 		t.publish(n, list)
 	}
+	a.endTrial()
 	if a.request.attempts < partsMaxAttempts {
 		t.try(n, a.request)
 	}
@@ -321,6 +381,7 @@
 	}
 	for _, a := range slices.Clone(n.active) {
 		if _, refused := n.suspects.QuarantinedPart(a.request.parts, t.clock(n)); refused && !a.hasBegun {
+			a.endTrial()
 			t.end(a)
 			t.stats.recordRefusal(a.request)
 		}
--- a/internal/measure/sim_parts_stats.go
+++ b/internal/measure/sim_parts_stats.go
@@ -18,13 +18,15 @@
 // partsStats counts the effects of crashing parts, and of servers that crash of
 // other causes.
 type partsStats struct {
-	parts          []crashingPartStats
-	otherCrashes   int
-	soundRefused   int
-	soundConvicted map[string]bool
-	records        int
-	messages       int
-	newsBytes      int
+	parts        []crashingPartStats
+	otherCrashes int
+	soundRefused int
+	// soundSent and soundServed are the requests without a crashing part.
+	soundSent, soundServed int
+	soundConvicted         map[string]bool
+	records                int
+	messages               int
+	newsBytes              int
 }
 
 func (s *partsStats) recordRefusal(r *partsRequest) {
