Retry budget: count requests that arrived before its first bucket

Cause: a request counts at its arrival, after its body was read. One whose body took half a second longer than that of the process's first request had a negative bucket, and the index into the ring panicked; so did each later request of the service.

Change: such a time counts in the first bucket.

Evidence: TestBudgetCountsRequestsThatArrivedBeforeItsEpoch panics without the change (index out of range), also after a change of the window's length, and passes with it.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -113,7 +113,8 @@
 		b.epoch, b.windowLength = now, length
 		clear(b.services)
 	}
-	at := int64(now.Sub(b.epoch) / max(b.windowLength/budgetBuckets, 1))
+	// A request whose body took long is counted at its arrival, which may be before the epoch.
+	at := max(int64(now.Sub(b.epoch)/max(b.windowLength/budgetBuckets, 1)), 0)
 	w := b.services[service]
 	if w == nil {
 		w = &budgetWindow{newest: at}
