Forward: one bound over all memory that requests hold

Cause: bodies and events were not counted, answers by their contents and not their buffers, against a bound that did not follow from the VM's memory and that one faulty server could use up. memoryMb was not read, and the runtime let garbage grow to as much as is in use.

Change: one bound of half of memoryMb over the buffers of bodies, answers and events, shared between services and their sources by what is free; a body waits a second for room and is then refused as not run. The runtime's limit is 0.75 of memoryMb.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -40,8 +41,16 @@
 	return cmd
 }
 
+// memoryLimitShare is the share of a VM's memory from which on the runtime collects garbage
+// more often. The rest is for what the runtime does not count, such as received bytes that
+// were not read yet.
+const memoryLimitShare = 0.75
+
 // runEdge runs the node until ctx ends.
 func runEdge(ctx context.Context, settings edge.Settings, metricsPort int) error {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory)))
+	}
 	metrics := telemetry.NewForwardMetrics()
 	lines := telemetry.NewLineWriter(os.Stdout, metrics.DroppedLines.Inc)
 	log := telemetry.NewLineLogger(lines, settings.Node)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -127,7 +127,7 @@
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open, FleetSize: n.fleetSize, StopsAt: n.requestsEndAt,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open, FleetSize: n.fleetSize, StopsAt: n.requestsEndAt, Memory: o.Settings.Memory,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
 	return n, n.listen()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -27,6 +27,8 @@
 	// Bandwidth (Mbit/s) and Processor (cores) are the VM's limits.
 	Bandwidth float64
 	Processor float64
+	// Memory is that of the process in bytes, 0 if it is not known.
+	Memory int64
 	// Seeds are IP addresses of nodes that may be running.
 	Seeds []string
 	// FirstStart is set when the whole fleet starts for the first time.
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -138,12 +138,12 @@
 			}()
 		}
 		time.Sleep(500 * time.Millisecond)
-		is.True(b.f.bufferedBytes.Load() < 40<<20) // of 140 MB that the server sends
+		is.True(b.f.memory.bytesHeld() < 40<<20) // of 140 MB that the server sends
 		for range 20 {
 			is.True(<-done >= http.StatusInternalServerError)
 		}
 		synctest.Wait()
-		is.Equal(b.f.bufferedBytes.Load(), int64(0))
+		is.Equal(b.f.memory.bytesHeld(), int64(0))
 		resp, _, err := b.send(t.Context(), http.MethodPost, "/once/short", nil)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusOK)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -37,7 +37,9 @@
 
 // eventReader splits a stream into complete events.
 type eventReader struct {
-	src      io.Reader
+	src io.Reader
+	// hold counts n more bytes of the buffer, or fails if there is no room.
+	hold     func(n int64) error
 	buf      []byte
 	consumed int // bytes at the start of buf that were returned
 }
@@ -67,7 +69,14 @@
 func (r *eventReader) fill() error {
 	const chunk = 4 << 10
 	length := len(r.buf)
-	r.buf = append(r.buf, make([]byte, chunk)...)
+	if need := length + chunk; need > cap(r.buf) {
+		size := max(2*cap(r.buf), need)
+		if err := r.hold(int64(size - cap(r.buf))); err != nil {
+			return err
+		}
+		r.buf = append(make([]byte, 0, size), r.buf...)
+	}
+	r.buf = r.buf[:length+chunk]
 	n, err := r.src.Read(r.buf[length:])
 	r.buf = r.buf[:length+n]
 	if n > 0 {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -89,13 +89,13 @@
 	reserved *attempt
 	// permitAfter is when the caller may return, if the last attempt was refused a
 	// permit and no server without a limit was left.
-	permitAfter   time.Duration
-	bufferedBytes int64 // bytes of plain answers that were read
-	started       bool  // the header of the answer was sent
-	truncated     bool  // the answer ended early
-	status        int
-	outcome       string
-	firstByte     time.Time
+	permitAfter  time.Duration
+	body, answer hold // the memory of the request's body and of the present answer
+	started      bool // the header of the answer was sent
+	truncated    bool // the answer ended early
+	status       int
+	outcome      string
+	firstByte    time.Time
 	// longestPause is the longest time between two forwarded events.
 	longestPause time.Duration
 }
@@ -131,7 +131,7 @@
 			x.refuse(refusal{status: http.StatusBadGateway, reason: "internal error"})
 		}
 	}()
-	req, refused := x.f.accept(x.w, r, x.req.Arrived)
+	req, refused := x.f.accept(x.w, r, x.req.Arrived, &x.body)
 	if refused != nil {
 		x.refuse(*refused)
 		return
@@ -163,6 +163,25 @@
 	x.servePlain(ctx)
 }
 
+// holdAnswer returns the count of what is held of an attempt's answer. What was held of the
+// answer before is dropped.
+func (x *exchange) holdAnswer(a *attempt) *hold {
+	if x.answer.memory != nil {
+		x.answer.release()
+	}
+	x.answer = hold{memory: x.f.memory, source: heldSource{x.req.Service, a.member.ID}}
+	return &x.answer
+}
+
+// releaseMemory gives back all that the exchange holds.
+func (x *exchange) releaseMemory() {
+	for _, h := range []*hold{&x.body, &x.answer} {
+		if h.memory != nil {
+			h.release()
+		}
+	}
+}
+
 // addStep adds a step to the log line. a is nil if no attempt is concerned.
 func (x *exchange) addStep(a *attempt, result string) {
 	s := step{AtMS: time.Since(x.req.Arrived).Milliseconds(), Result: result}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -97,6 +96,8 @@
 	Metrics   *telemetry.ForwardMetrics
 	Tracer    *telemetry.Tracer
 	Log       *zap.Logger
+	// Memory is that of the VM in bytes, 0 if it is not known.
+	Memory int64
 	// Dial opens connections to backend servers. Nil means TCP.
 	Dial Dial
 	// Relay opens connections to backend servers through another node, for servers that
@@ -141,7 +142,7 @@
 	sampler        telemetry.RequestSampler
 	started        time.Time
 	running        atomic.Int64
-	bufferedBytes  atomic.Int64 // bytes of buffered plain answers
+	memory         *heldMemory
 	starting       startingStreams
 	durations      durations
 	// lifetime ends when the requests in progress are interrupted.
@@ -176,6 +177,7 @@
 	return &Forwarder{
 		opts: o, links: l, lifetime: lifetime, interrupt: interrupt, reusingTransport: NewTransport(TransportOptions{IdleTimeout: idleTimeout, Dial: l.dial}), singleUseTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dial}),
 		relayTransport: NewTransport(TransportOptions{SingleUse: true, Dial: l.dialCut}),
+		memory:         newHeldMemory(o.Memory),
 		readSpeeds:     newReadSpeeds(), cascade: NewCascade(), started: time.Now(),
 	}
 }
@@ -206,7 +208,7 @@
 	ctx, span := f.opts.Tracer.Start(telemetry.WithRemoteParent(r.Context(), r.Header.Get(telemetry.HeaderTraceParent)), "forward")
 	x := &exchange{f: f, w: w, req: &Request{ID: r.Header.Get(f.opts.Headers.RequestID), Arrived: now, Route: &route.Route{}}}
 	x.run(ctx, r)
-	f.bufferedBytes.Add(-x.bufferedBytes)
+	x.releaseMemory()
 	span.SetString("request", x.req.ID)
 	span.SetString("outcome", x.outcome)
 	span.End(nil)
@@ -232,9 +234,9 @@
 	_ = conn.Close()
 }
 
-// accept matches, authorises and reads a request. It returns a refusal if the
-// request is not to be forwarded.
-func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*Request, *refusal) {
+// accept matches, authorises and reads a request, whose body held counts. It returns a refusal
+// if the request is not to be forwarded.
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, now time.Time, held *hold) (*Request, *refusal) {
 	table := f.opts.Table()
 	if table == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryAfterWhileStarting(now.Sub(f.started))}
@@ -250,16 +252,21 @@
 	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header is too large"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cmp.Or(table.Limits.MaxBodyBytes, defaultMaxBody)))
+	service := rt.ChooseService(rand.Float64())
+	held.memory, held.source, held.waits = f.memory, heldSource{service, organisationName(org)}, true
+	body, err := held.readAll(r.Context(), http.MaxBytesReader(w, r.Body, cmp.Or(table.Limits.MaxBodyBytes, defaultMaxBody)), r.ContentLength)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		switch {
+		case errors.As(err, &tooLarge):
 			return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		case errors.Is(err, errNoRoom):
+			return nil, &refusal{status: http.StatusServiceUnavailable, reason: "too many long bodies", retryAfter: maxRoomWait}
 		}
 		return nil, &refusal{status: http.StatusBadRequest, reason: "body was not received whole"}
 	}
 	req := f.opts.Headers.parse(r, rt, org, body, now)
-	req.Service, req.TableVersion = rt.ChooseService(rand.Float64()), table.Version
+	req.Service, req.TableVersion = service, table.Version
 	f.opts.Budget.CountRequest(req.Service, now)
 	if f.isQuarantined(req) {
 		return nil, &quarantineRefusal
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -16,9 +16,6 @@
 	// maxPlainBody bounds a plain answer in bytes. Plain answers are buffered
 	// completely before the first byte is forwarded.
 	maxPlainBody = 8 << 20
-	// maxBufferedBytes bounds all plain answers that a node buffers at once.
-	// The smallest nodes have 184 MB of memory in total.
-	maxBufferedBytes = 32 << 20
 	// attemptTimeoutFactor is how many times its target a repeatable request
 	// waits for one server before it is sent to another.
 	attemptTimeoutFactor = 1.5
@@ -132,14 +129,10 @@
 	}
 }
 
-// errBufferFull means that the node buffers too many bytes of unfinished
-// answers.
-var errBufferFull = errors.Errorf("buffered answers exceed %d bytes", maxBufferedBytes)
-
-// readBody reads a complete answer. Its bytes count as buffered until the
-// exchange ends.
+// readBody reads a complete answer. Its bytes count as held until the exchange ends or another
+// answer is read.
 func (x *exchange) readBody(ctx context.Context, a *attempt) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(countingReader{a.resp.Body, x}, maxPlainBody+1))
+	body, err := x.holdAnswer(a).readAll(ctx, io.LimitReader(a.resp.Body, maxPlainBody+1), a.resp.ContentLength)
 	if err == nil && len(body) > maxPlainBody {
 		err = errors.Errorf("answer is longer than %d bytes", maxPlainBody)
 	}
@@ -149,20 +142,4 @@
 	return body, err
 }
 
-// countingReader counts the bytes read towards the node's bound.
-type countingReader struct {
-	src io.Reader
-	x   *exchange
-}
-
-// Read implements io.Reader.
-func (r countingReader) Read(p []byte) (int, error) {
-	n, err := r.src.Read(p)
-	r.x.bufferedBytes += int64(n)
-	if r.x.f.bufferedBytes.Add(int64(n)) > maxBufferedBytes {
-		return n, errBufferFull
-	}
-	return n, err
-}
-
 func isEOF(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -231,7 +231,8 @@
 
 // forwardEvents forwards complete events until the stream ends.
 func (x *exchange) forwardEvents(ctx context.Context, s *streamState, a *attempt) (bool, error) {
-	events := &eventReader{src: a.resp.Body}
+	held := x.holdAnswer(a)
+	events := &eventReader{src: a.resp.Body, hold: func(n int64) error { return held.grow(ctx, n) }}
 	isFirst, lastContent, bytesWithoutContent := true, time.Now(), 0
 	var preamble []byte // bytes received before the first content of this server
 	for {
@@ -246,6 +247,9 @@
 		}
 		if !e.hasContent {
 			if isFirst {
+				if err := held.grow(ctx, int64(len(e.raw))); err != nil {
+					return x.handleStreamEnd(ctx, s, a, err, false)
+				}
 				preamble = append(preamble, e.raw...)
 			} else if !x.writeEvent(e.raw) {
 				return x.recordCallerLeft(a)
