Suspects: a combination's wait outlasts the clearing of a part it shares

Cause: the wait of requests whose parts crash replicas again and again counted crashes at which all their parts are suspected. A survival that cleared the shared part set it back to 1.2 s, so that nodes tried the deadly part each time a server was back.

Change: crashes with the same set of parts count, also if one of them was cleared since.

Evidence: the new lines of TestRequestsThatHaveNotCrashedReplicasAreTriedFirst fail before.

--- a/internal/dispatch/part_trials.go
+++ b/internal/dispatch/part_trials.go
@@ -43,27 +43,36 @@
 			}
 		}
 	}
-	if len(records) == len(parts) {
-		if at := nextRepetition(records); at.After(next) {
-			next = at
-		}
+	if at := nextRepetition(parts, records); at.After(next) {
+		next = at
 	}
 	return suspected, next
 }
 
-// nextRepetition returns when a request may be tried whose parts were all starting at a crash
-// of a replica that had crashed shortly before. The time grows with each such crash, so that requests
-// that share a part with it, and have not crashed replicas, are tried before and clear it.
-func nextRepetition(records []*partRecord) (next time.Time) {
-	interval := TrialInterval
-	for _, c := range records[0].crashes {
-		if !c.isRepeated() || c.isExplained || slices.ContainsFunc(records, func(r *partRecord) bool { return !r.explains(c) }) {
-			continue
-		}
-		interval = min(repetitionFactor*interval, maxTrialInterval)
-		next = c.seen.Add(interval)
-		if !c.isOwn {
-			next = next.Add(interval / 2)
+// nextRepetition returns when a request may be tried whose parts, with these records, were all
+// starting at crashes of replicas that had crashed shortly before. The time grows with each
+// such crash, so that requests that share a part with it, and have not crashed replicas, are
+// tried before and clear it. Nodes that have not seen the last crash themselves wait longer, so
+// that not all try at once.
+func nextRepetition(parts []Part, records []*partRecord) (next time.Time) {
+	set := partSet(parts)
+	wereAllStarting := func(c partCrash) bool {
+		return c.Parts == set || len(records) == len(parts) && !slices.ContainsFunc(records, func(r *partRecord) bool { return !r.explains(c) })
+	}
+	for _, r := range records {
+		interval := TrialInterval
+		for _, c := range r.crashes {
+			if !c.isRepeated() || c.isExplained || !wereAllStarting(c) {
+				continue
+			}
+			interval = min(repetitionFactor*interval, maxTrialInterval)
+			at := c.seen.Add(interval)
+			if !c.isOwn {
+				at = at.Add(interval / 2)
+			}
+			if at.After(next) {
+				next = at
+			}
 		}
 	}
 	return next
--- a/internal/dispatch/part_trials_test.go
+++ b/internal/dispatch/part_trials_test.go
@@ -21,6 +21,13 @@
 	_, next = s.SuspectedParts(partsOf("shared", "crashing"))
 	is.Equal(next, last.Add(maxTrialInterval))
 
+	// The shared part is cleared, and the combination still waits as long.
+	s.RecordSurvival(partsOf("shared", "sound"), last)
+	s.RecordPartCrash(9, partsOf("shared", "crashing"), "r", last.Add(3*time.Second))
+	last = last.Add(3 * time.Second)
+	_, next = s.SuspectedParts(partsOf("shared", "crashing"))
+	is.Equal(next, last.Add(maxTrialInterval))
+
 	var trials Trials
 	end, wait := trials.Begin(s, partsOf("shared", "sound"), last.Add(TrialInterval))
 	is.Equal(wait, time.Duration(0))
