Backend: a service's answer is not whole because its process ended

Cause: plain answers of services without a length were taken for whole at the end of the connection. Streams there end with a last frame.

Change: the probe stands in a package of its own, which both interfaces and the relays use.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/permit"
+	"github.com/cowslipfall/cowslipfall/internal/probe"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -171,15 +172,19 @@
 }
 
 // readBody reads a complete reply body. It returns an error for a body above
-// maxReplyBytes instead of truncating it.
-func readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxReplyBytes+1))
+// maxReplyBytes instead of truncating it, and for one without a length whose server has ended
+// with its connection.
+func (c *httpClient) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "the answer broke off")
 	}
 	if len(body) > maxReplyBytes {
 		return nil, errors.Errorf("the answer is larger than %d bytes", maxReplyBytes)
 	}
+	if !probe.IsFramed(resp) && !probe.StillServes(ctx, strings.TrimPrefix(c.base, "http://"), new(net.Dialer).DialContext, nil) {
+		return nil, errors.New("the server ended with its connection, so that its answer may be cut")
+	}
 	return body, nil
 }
 
@@ -279,7 +284,7 @@
 		return nil, nil, readRefusal(resp)
 	}
 	defer resp.Body.Close()
-	raw, err := readBody(resp.Body)
+	raw, err := c.readBody(ctx, resp)
 	if err != nil {
 		return nil, nil, asError(err)
 	}
@@ -355,7 +360,7 @@
 		return Reply{}, readRefusal(resp)
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp.Body)
+	body, err := c.readBody(ctx, resp)
 	if err != nil {
 		return Reply{}, &Error{Kind: KindBroken, Ran: outcome.RanYes, Message: err.Error()}
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/loop"
+	"github.com/cowslipfall/cowslipfall/internal/probe"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -242,7 +243,7 @@
 	r.count("carried")
 	_, _ = answer.WriteString(relayAccepted + "\n")
 	if answer.Flush() == nil && conn.SetDeadline(time.Time{}) == nil {
-		splice(conn, server, func() bool { return forward.StillServes(context.Background(), address, r.dial) })
+		splice(conn, server, func() bool { return probe.StillServes(context.Background(), address, probe.Dial(r.dial), nil) })
 	}
 }
 
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/loop"
+	"github.com/cowslipfall/cowslipfall/internal/probe"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
@@ -60,27 +60,13 @@
 	go func() {
 		defer close(probed)
 		time.Sleep(delay)
-		if m.RemainingBackoff(time.Now()) > 0 || acceptsOrIsSilent(m.Address, f.links.dial) {
+		if m.RemainingBackoff(time.Now()) > 0 || probe.AcceptsOrIsSilent(m.Address, f.links.dial) {
 			return
 		}
 		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, brokeAt)
 	}()
 }
 
-// acceptsOrIsSilent reports whether a server accepts a connection, or does not refuse it
-// within the probe's timeout.
-func acceptsOrIsSilent(address string, dial Dial) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	conn, err := dial(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return true
-	}
-	var netErr net.Error
-	return ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
-}
-
 // hasSurvived reports whether the server runs the attempt well past its start.
 func (a *attempt) hasSurvived(now time.Time) bool {
 	return a.events >= minSurvivalEvents && now.Sub(a.firstEvent) >= minSurvivalTime
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/probe"
 )
 
 const (
@@ -328,7 +329,7 @@
 // is whole. A resumed stream may have nothing left to send, but the end of a
 // connection alone does not show that.
 func (x *exchange) endsWhole(a *attempt, hasContent bool) bool {
-	return hasContent || a.resp.ContentLength == 0 || x.started && isFramed(a.resp)
+	return hasContent || a.resp.ContentLength == 0 || x.started && probe.IsFramed(a.resp)
 }
 
 // handleStreamEnd handles the end of one server's stream. hasContent tells
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/pool"
+	"github.com/cowslipfall/cowslipfall/internal/probe"
 )
 
 const (
@@ -15,9 +16,6 @@
 	// streams of this node is probed with a connection. A server that lost
 	// power sends no reset.
 	probeAfterSilence = 600 * time.Millisecond
-	// probeTimeout bounds the probe. A busy server accepts within a few
-	// milliseconds plus two link delays.
-	probeTimeout = 350 * time.Millisecond
 	// probeResultTTL is how long the result of a probe is valid.
 	probeResultTTL = 700 * time.Millisecond
 	// busyWaitFactor is how many times longer a server is waited for while it
@@ -70,9 +68,9 @@
 func (w *stallWatch) hasStalled(silence, wait time.Duration, now time.Time) bool {
 	serverSilence := now.Sub(w.member.LastProgress())
 	if silence >= probeAfterSilence && serverSilence >= probeAfterSilence && w.member.RemainingBackoff(now) == 0 && w.member.BeginProbeIfDue(now, probeResultTTL) {
-		go probe(w.member, w.dial)
+		go probeMember(w.member, w.dial)
 	}
-	if w.member.IsUnreachable(now, probeResultTTL+probeTimeout) {
+	if w.member.IsUnreachable(now, probeResultTTL+probe.Timeout) {
 		return true
 	}
 	if serverSilence < probeAfterSilence {
@@ -81,9 +79,9 @@
 	return silence >= wait
 }
 
-// probe tries to connect to a server and records the result.
-func probe(m *pool.Member, dial Dial) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+// probeMember tries to connect to a server and records the result.
+func probeMember(m *pool.Member, dial Dial) {
+	ctx, cancel := context.WithTimeout(context.Background(), probe.Timeout)
 	defer cancel()
 	conn, err := dial(ctx, "tcp", m.Address)
 	if err == nil {
