Suspects: combinations of the same crashes are tried at different moments

Cause: sound parts that were starting at the same crashes as the deadly one waited exactly as long. Both were tried at the same moment at the one server that was up, each 5 s, so that the sound ones never survived.

Change: each set of parts waits up to as long again, by a hash of it and the crash.

--- a/internal/dispatch/part_trials.go
+++ b/internal/dispatch/part_trials.go
@@ -1,9 +1,13 @@
 package dispatch
 
 import (
+	"encoding/binary"
+	"math"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -53,7 +57,9 @@
 // starting at crashes of replicas that had crashed shortly before. The time grows with each
 // such crash, so that requests that share a part with it, and have not crashed replicas, are
 // tried before and clear it. Nodes that have not seen the last crash themselves wait longer, so
-// that not all try at once.
+// that not all try at once. Each set of parts has its own part of the time in addition: sound
+// parts that happened to be starting at the same crashes are else tried at the same moments
+// again, and never survive.
 func nextRepetition(parts []Part, records []*partRecord) (next time.Time) {
 	set := partSet(parts)
 	wereAllStarting := func(c partCrash) bool {
@@ -66,7 +72,7 @@
 				continue
 			}
 			interval = min(repetitionFactor*interval, maxTrialInterval)
-			at := c.seen.Add(interval)
+			at := c.seen.Add(interval + time.Duration(spread(set, c.At)*float64(interval)))
 			if !c.isOwn {
 				at = at.Add(interval / 2)
 			}
@@ -78,6 +84,14 @@
 	return next
 }
 
+// spread returns a number from 0 to 1, evenly spread over sets of parts and crashes.
+func spread(set uint64, at time.Time) float64 {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], set)
+	binary.LittleEndian.PutUint64(key[8:], uint64(at.UnixNano()))
+	return float64(xxhash.Sum64(key[:])) / math.MaxUint64
+}
+
 // Trials holds the suspected parts of requests that a node has sent and that have neither
 // survived nor failed. It is safe for concurrent use. The zero value is empty.
 type Trials struct {
