Suspects: replicas that end together are one crash of requests that are alike

Cause: crashes of a whole request were told apart by the replica alone. Lookups of one path by one organisation have one fingerprint, so one event that ends three replicas, each with such a lookup in progress, gave three crashes.

Change: a crash that comes within the time for which its replica had already run the request belongs to the crash before. A request that is sent again after a crash runs for less time than has passed since. Nodes of the release before leave the new field out, and their crashes count as before.

Ruled out: distinct moments 250 ms apart, as for parts, with which TestCrashingRequestIsRefused and three more tests fail, since a request may crash two replicas within that time.

--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -62,11 +62,16 @@
 // RecordCrash records that a replica crashed while the request was running on it,
 // and returns the updated record.
 func (s *Suspects) RecordCrash(fingerprint uint64, replica string, now time.Time) wire.Suspect {
+	return s.RecordCrashWhile(fingerprint, replica, 0, now)
+}
+
+// RecordCrashWhile is RecordCrash for a replica that had run the request for some time.
+func (s *Suspects) RecordCrashWhile(fingerprint uint64, replica string, running time.Duration, now time.Time) wire.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[fingerprint]
 	e.Fingerprint = fingerprint
-	e.Lost = addCrash(slices.Clone(e.Lost), wire.Crash{Replica: replica, At: now})
+	e.Lost = addCrash(slices.Clone(e.Lost), wire.Crash{Replica: replica, At: now, Running: running})
 	return s.store(e, now)
 }
 
@@ -94,10 +99,13 @@
 	delete(s.entries, oldest.Fingerprint)
 }
 
-// addCrash appends a crash unless the list already contains it.
+// addCrash appends a crash unless the list already contains it, or one that came while the
+// replica already ran the request: requests that are alike may be in progress on replicas that
+// end together, which is one event.
 func addCrash(list []wire.Crash, c wire.Crash) []wire.Crash {
 	for _, listed := range list {
-		if listed.Replica == c.Replica && c.At.Sub(listed.At).Abs() < sameCrashWindow {
+		between := c.At.Sub(listed.At).Abs()
+		if listed.Replica == c.Replica && between < sameCrashWindow || between < c.Running {
 			return list
 		}
 	}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -43,8 +43,8 @@
 }
 
 // Crashed implements forward.Suspects.
-func (s *suspects) Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time) {
-	s.publish(s.RecordCrash(fingerprint, server, now))
+func (s *suspects) Crashed(fingerprint uint64, parts []string, isStarting bool, server string, running time.Duration, now time.Time) {
+	s.publish(s.RecordCrashWhile(fingerprint, server, running, now))
 	if len(parts) > 0 {
 		var starting []dispatch.Part
 		if isStarting {
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -55,6 +55,7 @@
 	if !m.IsPresent() {
 		return
 	}
+	running := brokeAt.Sub(a.began)
 	probed := make(chan struct{})
 	x.crashProbe = probed
 	go func() {
@@ -63,7 +64,7 @@
 		if m.RemainingBackoff(time.Now()) > 0 || probe.AcceptsOrIsSilent(m.Address, f.links.dial) {
 			return
 		}
-		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, brokeAt)
+		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, running, brokeAt)
 	}()
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -46,9 +46,9 @@
 // Suspects tracks requests and prompt parts that crash backend servers. Prompt parts are
 // named by their IDs; the last part of a prompt is never among them.
 type Suspects interface {
-	// Crashed records that a server crashed while it ran the request. isStarting is set
-	// if the server had hardly begun to answer, which makes the request's parts suspects.
-	Crashed(fingerprint uint64, parts []string, isStarting bool, server string, now time.Time)
+	// Crashed records that a server crashed that had run the request for some time. isStarting
+	// is set if it had hardly begun to answer, which makes the request's parts suspects.
+	Crashed(fingerprint uint64, parts []string, isStarting bool, server string, running time.Duration, now time.Time)
 	// Survived records that a server runs a request with these parts well past its start.
 	// It may be called again for the same request.
 	Survived(fingerprint uint64, parts []string, now time.Time)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -114,6 +114,8 @@
 	// Parts identifies the set of its parts. Both are 0 in records of whole requests.
 	Request uint64
 	Parts   uint64
+	// Running is how long the replica had run the request, 0 if that is not known.
+	Running time.Duration
 }
 
 // AlarmArgs reports requests that ran on a replica when it crashed.
