--- a/internal/forward/tcp_conn_test.go
+++ b/internal/forward/tcp_conn_test.go
@@ -9,22 +9,31 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a reset that a write has met first, and that the next read then reports as a
-// regular end: an answer without a length would look whole.
-func TestResetThatAWriteMetIsNoRegularEnd(t *testing.T) {
+// connect returns both ends of a connection that TCP has opened.
+func connect(t *testing.T) (conn, server net.Conn) {
+	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
-	conn, err := TCP(t.Context(), "tcp", l.Addr().String())
+	conn, err = TCP(t.Context(), "tcp", l.Addr().String())
 	is.NoErr(err)
-	defer conn.Close()
-	server, err := l.Accept()
+	t.Cleanup(func() { _ = conn.Close() })
+	server, err = l.Accept()
 	is.NoErr(err)
+	t.Cleanup(func() { _ = server.Close() })
+	return conn, server
+}
+
+// Guards against a reset that a write has met first, and that the next read then reports as a
+// regular end: an answer without a length would look whole.
+func TestResetThatAWriteMetIsNoRegularEnd(t *testing.T) {
+	is := is.New(t)
+	conn, server := connect(t)
 	is.NoErr(server.(*net.TCPConn).SetLinger(0))
 	is.NoErr(server.Close())
 	time.Sleep(20 * time.Millisecond) // the reset has arrived
-	_, err = conn.Write([]byte("rest of the request"))
+	_, err := conn.Write([]byte("rest of the request"))
 	is.True(err != nil)
 	_, err = conn.Read(make([]byte, 1))
 	is.True(err != nil && err != io.EOF)
@@ -34,15 +43,8 @@
 // server no longer reads the rest of the request.
 func TestRegularEndBeforeTheRestOfTheRequestStaysOne(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	conn, err := TCP(t.Context(), "tcp", l.Addr().String())
-	is.NoErr(err)
-	defer conn.Close()
-	server, err := l.Accept()
-	is.NoErr(err)
-	_, err = server.Write([]byte("answer"))
+	conn, server := connect(t)
+	_, err := server.Write([]byte("answer"))
 	is.NoErr(err)
 	is.NoErr(server.Close())
 	time.Sleep(20 * time.Millisecond)
