--- a/internal/dispatch/lookalikes_test.go
+++ b/internal/dispatch/lookalikes_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -31,3 +32,29 @@
 	}
 	is.True(nodes[0].IsQuarantined(1, now))
 }
+
+// Guards against crash records that nodes of the release before do not understand, or whose own
+// ones no longer count, while a fleet is upgraded.
+func TestCrashRecordsOfTheReleaseBeforeAreUnderstood(t *testing.T) {
+	type crashBefore struct {
+		Replica        string
+		At             time.Time
+		Request, Parts uint64
+	}
+	is, s, now := is.New(t), NewSuspects(), time.Now()
+	raw, err := json.Marshal(s.RecordCrashWhile(1, "r0", time.Second, now))
+	is.NoErr(err)
+	var before struct {
+		Fingerprint uint64
+		Lost        []crashBefore
+	}
+	is.NoErr(json.Unmarshal(raw, &before))
+	is.Equal(before.Lost[0].Replica, "r0")
+
+	raw, err = json.Marshal([]crashBefore{{Replica: "r1", At: now.Add(500 * time.Millisecond)}})
+	is.NoErr(err)
+	e := wire.Suspect{Fingerprint: 1, Until: now.Add(time.Minute)}
+	is.NoErr(json.Unmarshal(raw, &e.Lost))
+	s.Merge(now.Add(time.Second), []wire.Suspect{e})
+	is.True(s.IsQuarantined(1, now.Add(time.Second))) // two crashes
+}
