Cascade: value of an answer from prices, ranks and load of the deployment

The value of a usual answer was a constant taken from the first deployments, while the price of the largest model grows with the prompt. The longest and most urgent prompts therefore kept the small model's answer most often, and the middle model was never asked.

The lowest chance from which a larger model is asked follows the rank of the request among those in use. Load counts by the wait at the engine, the mean wait and the share of engines with a backlog, and more for less urgent ranks. The middle model is asked where the largest would be late or costs others too much; how often it corrects an answer is learned from its confidences.

Other services decide by the constants as before (table of cases). The tests of that rule call it under its new name; what they check is unchanged.

Measured: go test of forward, route, pool, telemetry and platform passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,6 +43,10 @@
 	isRelayed atomic.Bool
 	// survivalRecorded is when the attempt was last recorded as a survival.
 	survivalRecorded time.Time
+	// decision is logged: whether the answer was accepted, nil if that was not
+	// decided. nextModel is the larger model for which it was dropped.
+	decision  *escalation
+	nextModel string
 }
 
 // result classifies the end of an attempt.
--- a/internal/forward/cascade_test.go
+++ b/internal/forward/cascade_test.go
@@ -15,6 +15,11 @@
 	return &Request{Route: &route.Route{Name: name}, PromptTokens: tokens, OutputTokens: 100, ExpectedTokens: 50}
 }
 
+// acceptsByConstants reports whether an answer is accepted in an earlier deployment.
+func acceptsByConstants(c *Cascade, confidence float64, q *Request, step escalationCost) bool {
+	return c.decideByConstants(confidence, q, step).model == noModel
+}
+
 // With a load of long prompts, asking the large model again costs more. Answers
 // to long prompts must be accepted at a lower confidence than answers to short
 // ones.
@@ -23,10 +28,10 @@
 	c := NewCascade()
 	step := escalationCost{model: largeModel, read: 300 * time.Millisecond, timeLeft: 5 * time.Second}
 	long, short := newPromptRequest("long", 9000), newPromptRequest("short", 700)
-	is.True(c.Accept(52, long, step))
-	is.True(!c.Accept(52, short, step))
-	is.True(!c.Accept(20, long, step))
-	is.True(c.Accept(90, short, step))
+	is.True(acceptsByConstants(c, 52, long, step))
+	is.True(!acceptsByConstants(c, 52, short, step))
+	is.True(!acceptsByConstants(c, 20, long, step))
+	is.True(acceptsByConstants(c, 90, short, step))
 }
 
 // A flood makes prompts wait for engines and raises the price of engine time.
@@ -38,7 +43,7 @@
 	for _, wait := range []time.Duration{0, 500 * time.Millisecond, time.Second, 3 * time.Second} {
 		now := 0
 		for confidence := 0.0; confidence <= 100; confidence += 5 {
-			if c.Accept(confidence, newPromptRequest("r", 2000), escalationCost{model: largeModel, read: 400 * time.Millisecond, wait: wait, timeLeft: 10 * time.Second}) {
+			if acceptsByConstants(c, confidence, newPromptRequest("r", 2000), escalationCost{model: largeModel, read: 400 * time.Millisecond, wait: wait, timeLeft: 10 * time.Second}) {
 				now++
 			}
 		}
@@ -52,7 +57,7 @@
 func TestNoEscalationWithoutTimeLeft(t *testing.T) {
 	is := is.New(t)
 	c := NewCascade()
-	is.True(c.Accept(0, newPromptRequest("r", 2000), escalationCost{model: largeModel, read: 400 * time.Millisecond, wait: 200 * time.Millisecond, timeLeft: 500 * time.Millisecond}))
+	is.True(acceptsByConstants(c, 0, newPromptRequest("r", 2000), escalationCost{model: largeModel, read: 400 * time.Millisecond, wait: 200 * time.Millisecond, timeLeft: 500 * time.Millisecond}))
 }
 
 // Larger requests of a route must be valued higher in proportion to their cost.
@@ -61,9 +66,9 @@
 	c := NewCascade()
 	step := escalationCost{model: largeModel, read: 300 * time.Millisecond, timeLeft: 5 * time.Second}
 	for range 100 {
-		c.Accept(90, newPromptRequest("r", 9000), step)
+		acceptsByConstants(c, 90, newPromptRequest("r", 9000), step)
 	}
-	is.True(!c.Accept(30, newPromptRequest("r", 30000), step))
+	is.True(!acceptsByConstants(c, 30, newPromptRequest("r", 30000), step))
 }
 
 // The read speed of a model is learned from the first events of its answers.
--- /dev/null
+++ b/internal/forward/escalate.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"time"
+)
+
+// escalationReserve is the share of the retry budget that is kept for requests
+// that would fail without a retry. An answer of a middle model is dropped only
+// while twice that is left.
+const escalationReserve = 0.15
+
+// escalate reports whether the answer is dropped for one of a larger model, and
+// selects that model.
+func (x *exchange) escalate(ctx context.Context, s *streamState, a *attempt) bool {
+	models := x.req.Route.Models
+	if a.model == "" || x.started || s.model >= len(models)-1 {
+		return false
+	}
+	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.opts.Headers.Confidence), 64)
+	if err != nil {
+		return false
+	}
+	if s.model > 0 {
+		x.f.cascade.observeGain(a.model, confidence)
+	}
+	now := time.Now()
+	d := x.decide(confidence, s, now)
+	a.decision = &d
+	if d.model == noModel || !x.canEscalate(ctx, s, models[d.model], now) {
+		x.countAnswer(a, "accepted")
+		return false
+	}
+	s.model, a.nextModel = d.model, models[d.model]
+	if x.f.opts.Suspects.IsSuspected(x.req.sharedPartIDs) {
+		x.suspectCrash(a, droppedProbeDelay)
+	}
+	// The same server may be asked for the other model.
+	x.tried = x.tried[:len(x.tried)-1]
+	x.addStep(a, "dropped at confidence "+strconv.FormatFloat(confidence, 'f', 0, 64))
+	x.countAnswer(a, "dropped")
+	return true
+}
+
+// decide decides on the answer of the stream's current model.
+func (x *exchange) decide(confidence float64, s *streamState, now time.Time) escalation {
+	last := len(x.req.Route.Models) - 1
+	table, largest := x.f.opts.Table(), x.escalationCost(last, now)
+	if !table.HasShortPauses(x.req.Service) || largest.model.Cost <= 0 {
+		return x.f.cascade.decideByConstants(confidence, x.req, largest)
+	}
+	var steps []escalationCost
+	for i := s.model + 1; i < last; i++ {
+		steps = append(steps, x.escalationCost(i, now))
+	}
+	steps = append(steps, largest)
+	if s.value == nil {
+		s.value = x.f.cascade.value(x.req, table.Urgency(x.req.Rank), largest.price(x.req))
+	}
+	load := poolLoad{x.f.opts.Pool.MeanWait(x.req.Service, now), x.f.opts.Pool.BackloggedShare(x.req.Service, now)}
+	return s.value.choose(inadequacyProbability(confidence), x.req, steps, load)
+}
+
+// escalationCost returns the cost of asking a larger model of the route.
+func (x *exchange) escalationCost(index int, now time.Time) escalationCost {
+	name := x.req.Route.Models[index]
+	cost := escalationCost{index: index, model: x.f.model(x.req.Service, name), timeLeft: x.req.Route.Target - now.Sub(x.req.Arrived), gain: 1}
+	if index < len(x.req.Route.Models)-1 {
+		cost.gain = x.f.cascade.gain(name)
+	}
+	if m, read := x.f.opts.Pool.Choose(x.query(name, now), now); m != nil {
+		cost.read, cost.wait = read, m.Wait(now)
+	}
+	return cost
+}
+
+// canEscalate reports whether attempts, the retry budget and the servers allow to
+// ask a larger model. After a middle model one attempt is kept for a failure.
+func (x *exchange) canEscalate(ctx context.Context, s *streamState, model string, now time.Time) bool {
+	sends, reserve := x.sends, escalationReserve
+	if s.model > 0 {
+		sends, reserve = sends+1, 2*reserve
+	}
+	return sends < x.req.Route.MaxAttempts && x.f.opts.Budget.RemainingShare(x.req.Service, now) >= reserve && x.reserveNext(ctx, model)
+}
+
+// maxRankLabel bounds the ranks that are told apart in metrics.
+const maxRankLabel = 9
+
+// countAnswer counts an answer that was decided on.
+func (x *exchange) countAnswer(a *attempt, result string) {
+	rank := min(max(x.req.Route.Rank, 0), maxRankLabel)
+	x.f.opts.Metrics.Answers.WithLabelValues(strconv.Itoa(rank), a.model, result).Inc()
+}
+
+// roundChance returns a probability for the log, with three digits.
+func roundChance(p float64) *float64 {
+	p = math.Round(p*1000) / 1000
+	return &p
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -113,8 +113,13 @@
 	// requests per second.
 	Limit   *float64     `json:"limit,omitempty"`
 	Skipped pool.Skipped `json:"passed_over,omitzero"`
-	AtMS    int64        `json:"at_ms"`
-	Result  string       `json:"result"`
+	// Chance is the probability that the answer is inadequate, Bar that from which
+	// a larger model is asked, Next the model that was asked instead.
+	Chance *float64 `json:"chance,omitempty"`
+	Bar    *float64 `json:"bar,omitempty"`
+	Next   string   `json:"next_model,omitempty"`
+	AtMS   int64    `json:"at_ms"`
+	Result string   `json:"result"`
 }
 
 // run accepts and serves a request. It returns once an answer has been written, or a
@@ -191,6 +196,9 @@
 		if a.limit != permit.NoLimit {
 			s.Limit = &a.limit
 		}
+		if d := a.decision; d != nil {
+			s.Chance, s.Bar, s.Next = roundChance(d.chance), roundChance(d.bar), a.nextModel
+		}
 	}
 	x.steps = append(x.steps, s)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,7 +38,9 @@
 
 // streamState is the state of a stream across its attempts.
 type streamState struct {
-	model     int    // index in the route's models
+	model int // index in the route's models
+	// value is what the answer is worth, nil until an answer was weighed by it.
+	value     *answerValue
 	lastEvent string // ID of the newest event with an ID that the caller has received
 	// isUnnumbered is set if the newest event that the caller has received has no
 	// ID, so that no server can continue after it.
@@ -183,40 +185,6 @@
 	return true, nil
 }
 
-// escalate reports whether the answer is dropped for one of a larger model, and
-// selects that model.
-func (x *exchange) escalate(ctx context.Context, s *streamState, a *attempt) bool {
-	models := x.req.Route.Models
-	largest := len(models) - 1
-	if a.model == "" || x.started || s.model >= largest {
-		return false
-	}
-	confidence, err := strconv.ParseFloat(a.resp.Header.Get(x.f.opts.Headers.Confidence), 64)
-	now := time.Now()
-	larger := escalationCost{model: x.f.model(x.req.Service, models[largest]), timeLeft: x.req.Route.Target - now.Sub(x.req.Arrived)}
-	if m, read := x.f.opts.Pool.Choose(x.query(models[largest], now), now); m != nil {
-		larger.read, larger.wait = read, m.Wait(now)
-	}
-	if err != nil || x.f.cascade.Accept(confidence, x.req, larger) {
-		return false
-	}
-	if x.sends >= x.req.Route.MaxAttempts || x.f.opts.Budget.RemainingShare(x.req.Service, now) < escalationReserve || !x.reserveNext(ctx, models[largest]) {
-		return false
-	}
-	s.model = largest
-	if x.f.opts.Suspects.IsSuspected(x.req.sharedPartIDs) {
-		x.suspectCrash(a, droppedProbeDelay)
-	}
-	// The same server may be asked for the other model.
-	x.tried = x.tried[:len(x.tried)-1]
-	x.addStep(a, "dropped at confidence "+strconv.FormatFloat(confidence, 'f', 0, 64))
-	return true
-}
-
-// escalationReserve is the share of the retry budget that is kept for requests
-// that would fail without a retry.
-const escalationReserve = 0.15
-
 // continues reports whether an answer may continue the stream whose header was
 // sent: it is an event stream, or of the same type as the stream.
 func (x *exchange) continues(a *attempt) bool {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -138,6 +138,10 @@
 	services map[string]*Service
 	keys     map[string]*Organisation
 	routes   int
+	// shortPauses lists the services with a route of short pauses, modelRanks the
+	// ranks of requests for routes with a choice of models.
+	shortPauses map[string]bool
+	modelRanks  []int
 }
 
 // Definition is the input of NewTable.
@@ -151,7 +155,7 @@
 
 // NewTable validates a definition and returns its table.
 func NewTable(d Definition) (*Table, error) {
-	t := &Table{Version: d.Version, Limits: d.Limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, routes: len(d.Routes)}
+	t := &Table{Version: d.Version, Limits: d.Limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, routes: len(d.Routes), shortPauses: shortPauses(d.Routes), modelRanks: modelRanks(d)}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -30,6 +30,9 @@
 	// Refusals counts answers that the router generated itself by status and
 	// reason.
 	Refusals *prometheus.CounterVec
+	// Answers counts answers of models with a larger one by the rank of the route,
+	// model and result.
+	Answers *prometheus.CounterVec
 	// StoreCalls counts calls to the platform's store by use and result.
 	StoreCalls *prometheus.CounterVec
 	// DroppedLines counts log lines that were dropped.
@@ -95,6 +98,7 @@
 		Permits:         f.counters("route_permits_total", "Asks for permits to send to backend servers that limit their requests, by result.", "result"),
 		Relays:          f.counters("route_relays_total", "Connections to backend servers through another node, asked for (opened, refused) and served (carried, denied).", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
+		Answers:         f.counters("route_answers_total", "Answers of models with a larger one that were accepted, or dropped for it, by rank of the route and model.", "rank", "model", "result"),
 		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
 		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
 	}
