--- a/internal/forward/answer_value.go
+++ b/internal/forward/answer_value.go
@@ -74,11 +74,11 @@
 }
 
 // bar returns the probability of an inadequate answer from which a model is
-// asked. The lowest chance stands for the load of the largest model, so that a
-// cheaper model has a part of it.
+// asked, at least the lowest chance. That stands for the load of the largest
+// model; of what a cheaper model must gain, it has a part.
 func (v answerValue) bar(q *Request, step, largest escalationCost, load poolLoad) float64 {
 	lowest := v.lowestChance() * step.model.Cost / largest.model.Cost
-	return max(lowest, (step.price(q)+v.loadCost(step, load))/v.value) / step.gain
+	return max(max(lowest, (step.price(q)+v.loadCost(step, load))/v.value)/step.gain, v.lowestChance())
 }
 
 // choose decides on an answer that is inadequate with the given probability.
--- a/internal/forward/cascade.go
+++ b/internal/forward/cascade.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
@@ -135,6 +136,8 @@
 	// index is that of the model in the route's models.
 	index int
 	model route.Model
+	// member is the server that would be asked, nil if there is none.
+	member *pool.Member
 	// read is the engine time to read the prompt, wait the time until the
 	// engine begins.
 	read time.Duration
--- a/internal/forward/escalate.go
+++ b/internal/forward/escalate.go
@@ -5,6 +5,8 @@
 	"math"
 	"strconv"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
 // escalationReserve is the share of the retry budget that is kept for requests
@@ -27,7 +29,7 @@
 		x.f.cascade.observeGain(a.model, confidence)
 	}
 	now := time.Now()
-	d := x.decide(confidence, s, now)
+	d := x.decide(confidence, s, a, now)
 	a.decision = &d
 	if d.model == noModel || !x.canEscalate(ctx, s, models[d.model], now) {
 		x.countAnswer(a, "accepted")
@@ -44,34 +46,70 @@
 	return true
 }
 
-// decide decides on the answer of the stream's current model.
-func (x *exchange) decide(confidence float64, s *streamState, now time.Time) escalation {
+// decide decides on the answer of an attempt at the stream's current model.
+func (x *exchange) decide(confidence float64, s *streamState, a *attempt, now time.Time) escalation {
 	last := len(x.req.Route.Models) - 1
-	table, largest := x.f.opts.Table(), x.escalationCost(last, now)
-	if !table.HasShortPauses(x.req.Service) || largest.model.Cost <= 0 {
-		return x.f.cascade.decideByConstants(confidence, x.req, largest)
-	}
-	var steps []escalationCost
-	for i := s.model + 1; i < last; i++ {
-		steps = append(steps, x.escalationCost(i, now))
+	table, largest := x.f.opts.Table(), x.f.model(x.req.Service, x.req.Route.Models[last])
+	if !table.HasShortPauses(x.req.Service) || largest.Cost <= 0 {
+		return x.f.cascade.decideByConstants(confidence, x.req, x.escalationCost(last, now))
 	}
-	steps = append(steps, largest)
 	if s.value == nil {
-		s.value = x.f.cascade.value(x.req, table.Urgency(x.req.Rank), largest.price(x.req))
+		s.value = x.f.cascade.value(x.req, table.Urgency(x.req.Rank), escalationCost{model: largest}.price(x.req))
+	}
+	chance := inadequacyProbability(confidence)
+	if lowest := s.value.lowestChance(); chance < lowest {
+		return escalation{chance: chance, bar: lowest, model: noModel}
 	}
 	load := poolLoad{x.f.opts.Pool.MeanWait(x.req.Service, now), x.f.opts.Pool.BackloggedShare(x.req.Service, now)}
-	return s.value.choose(inadequacyProbability(confidence), x.req, steps, load)
+	return s.value.choose(chance, x.req, x.largerModels(s.model, largest, a, now), load)
+}
+
+// largerModels returns the costs of asking the models that are larger than the
+// present one, which the attempt has asked.
+func (x *exchange) largerModels(model int, largest route.Model, a *attempt, now time.Time) []escalationCost {
+	last := len(x.req.Route.Models) - 1
+	var steps []escalationCost
+	for i := model + 1; i < last; i++ {
+		// A model without a price cannot be weighed.
+		if step := x.middleCost(i, largest, now); step.model.Cost > 0 {
+			steps = append(steps, step)
+		}
+	}
+	steps = append(steps, x.escalationCost(last, now))
+	for i := range steps {
+		steps[i].excludeOwnWait(a)
+	}
+	return steps
 }
 
 // escalationCost returns the cost of asking a larger model of the route.
 func (x *exchange) escalationCost(index int, now time.Time) escalationCost {
 	name := x.req.Route.Models[index]
 	cost := escalationCost{index: index, model: x.f.model(x.req.Service, name), timeLeft: x.req.Route.Target - now.Sub(x.req.Arrived), gain: 1}
-	if index < len(x.req.Route.Models)-1 {
-		cost.gain = x.f.cascade.gain(name)
-	}
 	if m, read := x.f.opts.Pool.Choose(x.query(name, now), now); m != nil {
-		cost.read, cost.wait = read, m.Wait(now)
+		cost.member, cost.read, cost.wait = m, read, m.Wait(now)
+	}
+	return cost
+}
+
+// excludeOwnWait subtracts the attempt's own prompt from the wait at its server:
+// a dropped answer ends it.
+func (e *escalationCost) excludeOwnWait(a *attempt) {
+	if e.member == a.member {
+		e.wait = max(e.wait-a.pendingPrefill, 0)
+	}
+}
+
+// middleCost returns the cost of asking a model between the present one and the
+// largest.
+func (x *exchange) middleCost(index int, largest route.Model, now time.Time) escalationCost {
+	cost := x.escalationCost(index, now)
+	cost.gain = x.f.cascade.gain(cost.model.Name)
+	if cost.read > 0 {
+		// The read time for comparisons of engines is too long for a fast model.
+		cold := x.f.readSpeeds.comparisonCost(cost.model.Name, x.req.PromptTokens)
+		tokens := uncachedTokens(x.req.PromptTokens, cost.read, cold)
+		cost.read = x.f.readSpeeds.readTimeOf(cost.model, largest, tokens)
 	}
 	return cost
 }
--- a/internal/forward/read_speed.go
+++ b/internal/forward/read_speed.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/route"
 )
 
 const (
@@ -56,6 +58,18 @@
 	return time.Duration(tokens * float64(m.perToken))
 }
 
+// readTimeOf returns the expected time to read some tokens. For a model without
+// samples it is that of the largest model, reduced in proportion to the price.
+func (s *readSpeeds) readTimeOf(m, largest route.Model, tokens float64) time.Duration {
+	s.mu.Lock()
+	hasSamples := s.models[m.Name].samples > 0
+	s.mu.Unlock()
+	if hasSamples {
+		return s.readTime(m.Name, tokens)
+	}
+	return time.Duration(float64(s.readTime(largest.Name, tokens)) * min(m.Cost/largest.Cost, 1))
+}
+
 // comparisonCost returns the cost of reading some tokens when engines are
 // compared.
 func (s *readSpeeds) comparisonCost(model string, tokens float64) time.Duration {
