--- a/internal/forward/cascade.go
+++ b/internal/forward/cascade.go
@@ -172,8 +172,7 @@
 // value returns what the answer to a request is worth, and adds the request to
 // the averages of its route and its service. It is called once for a request.
 func (c *Cascade) value(q *Request, urgency route.Urgency, largestPrice float64) *answerValue {
-	usual := c.usualValue(q, largestPrice)
-	return &answerValue{usual: usual, value: max(usual*c.sizeFactor(q), largestPriceMultiple*largestPrice), urgency: urgency}
+	return &answerValue{value: max(c.usualValue(q, largestPrice)*c.sizeFactor(q), largestPriceMultiple*largestPrice), urgency: urgency}
 }
 
 // decideByConstants decides on an answer by the constant value of a usual one.
--- a/internal/forward/escalate.go
+++ b/internal/forward/escalate.go
@@ -60,8 +60,7 @@
 	if lowest := s.value.lowestChance(); chance < lowest {
 		return escalation{chance: chance, bar: lowest, model: noModel}
 	}
-	load := poolLoad{x.f.opts.Pool.MeanWait(x.req.Service, now), x.f.opts.Pool.BackloggedShare(x.req.Service, now)}
-	return s.value.choose(chance, x.req, x.largerModels(s.model, largest, a, now), load)
+	return s.value.choose(chance, x.req, x.largerModels(s.model, largest, a, now))
 }
 
 // largerModels returns the costs of asking the models that are larger than the
