Evacuated data centres and cold servers

Cause: nothing read the operator's evacuations or the warm-up of servers.

Change: pool holds the evacuated data centres and until when a server is cold, by cause; both are checked when a server is chosen and when the request is sent. Cold servers enter the permits with the rate of their service. Nodes tell each other what they found by soft rows.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -27,7 +27,7 @@
 type testSchema struct{}
 
 func (testSchema) Tables() Tables {
-	return Tables{Operator: "o", Servers: "s", Status: "st", Config: "c", RolloutPrefix: "r/"}
+	return Tables{Operator: "o", Servers: "s", Status: "st", Config: "c", RolloutPrefix: "r/", EvacuationPrefix: "e/"}
 }
 
 func (testSchema) Routes(data []byte) (*route.Table, error) {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -27,6 +27,7 @@
 	tableSuspects      = gossip.SoftPrefix + "suspects"
 	tableDraining      = gossip.SoftPrefix + "leaving" // servers that announced in an answer that they drain
 	tableLimits        = gossip.SoftPrefix + "limits"  // limits that servers named in an answer
+	tableWarmups       = gossip.SoftPrefix + "warmups" // servers that a node found cold or gone
 )
 
 const (
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -69,6 +69,8 @@
 	suspects      *suspects
 	drainNotices  *drainNotices
 	serverLimits  *serverLimits
+	warmups       *warmups
+	evacuations   *evacuations
 	permits       *permits
 	pool          *pool.Pool
 	prefixes      *prefix.Index
@@ -114,6 +116,8 @@
 	n.drainNotices = &drainNotices{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
 	n.servers.onStale = n.drainNotices.publish
 	n.serverLimits = &serverLimits{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
+	n.warmups = &warmups{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
+	n.evacuations = newEvacuations(o.Schema.Tables().EvacuationPrefix, n.pool, n.settings.Load, o.Log)
 	n.permits = newPermits(n.innerAddress, n.startedAt, o.Log)
 	for _, ip := range o.Settings.Seeds {
 		n.permits.roster.ObserveRegistered(n.innerAddressOf(ip), n.startedAt)
@@ -127,7 +131,7 @@
 	n.forwarder = forward.New(forward.Options{
 		Headers: o.Headers, DataCentre: o.Settings.DataCentre, Table: n.table, Pool: n.pool, Prefixes: n.prefixes, Versions: n.rollouts, Suspects: n.suspects,
 		Budget:  forward.NewBudget(n.retryBounds, n.fleetSize),
-		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open, FleetSize: n.fleetSize, StopsAt: n.requestsEndAt, Memory: o.Settings.Memory,
+		Metrics: o.Metrics, Tracer: o.Tracer, Log: o.Log, OnDraining: n.drainNotices.publish, OnLimit: n.serverLimits.publish, OnCold: n.warmups.publish, Permits: n.permits, ShuttingDown: n.stopping.Load, Dial: o.Dial, Relay: n.relay.open, FleetSize: n.fleetSize, StopsAt: n.requestsEndAt, Memory: o.Settings.Memory,
 	})
 	o.Metrics.RegisterGauges(n.metricsState())
 	return n, n.listen()
@@ -149,9 +153,11 @@
 			}
 			return 0
 		},
-		Members:        func() float64 { return float64(n.members.count()) },
-		Servers:        func() float64 { return float64(n.pool.Len()) },
-		LimitedServers: func() float64 { return float64(n.pool.CountLimited()) },
+		Members:              func() float64 { return float64(n.members.count()) },
+		Servers:              func() float64 { return float64(n.pool.Len()) },
+		LimitedServers:       func() float64 { return float64(n.pool.CountLimited()) },
+		EvacuatedDataCentres: func() float64 { return float64(n.pool.CountEvacuated()) },
+		ColdServers:          func() float64 { return float64(n.pool.CountCold(time.Now())) },
 		PermitShare: func() float64 {
 			share, _ := n.permits.roster.Share(time.Now())
 			return share
@@ -218,9 +224,11 @@
 		byTable[r.Table] = append(byTable[r.Table], r)
 	}
 	t := n.options.Schema.Tables()
+	n.evacuations.apply(byTable[t.Operator], now)
 	for _, r := range byTable[t.Operator] {
 		if r.Key == t.Config {
 			n.config.apply(r)
+			n.updateWarmups()
 		}
 	}
 	n.rollouts.apply(byTable[t.Operator], now)
@@ -243,6 +251,7 @@
 	n.suspects.applyStored(byTable[tableSystem], now)
 	n.drainNotices.apply(byTable[tableDraining], now)
 	n.serverLimits.apply(byTable[tableLimits], now)
+	n.warmups.apply(byTable[tableWarmups], now)
 	n.applyPresence(byTable[tableSystem], now)
 }
 
@@ -359,6 +368,8 @@
 	n.reader.recordOutage()
 	n.members.prune(now)
 	n.servers.dropExpired(now)
+	n.evacuations.dropLost(now)
+	n.warmups.logChanges(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.applyRemoteLoad(now)
 	n.prefixes.Prune(now)
@@ -376,8 +387,8 @@
 
 // softTableTTLs is how long rows of soft tables are kept: suspicions as long as they
 // hold, draining servers until their entries are gone, limits until they are published
-// again, evidence longer than any roll-out.
+// again, warm-ups until nodes have the server's entry, evidence longer than any roll-out.
 var softTableTTLs = map[string]time.Duration{
 	tableHeartbeats: softRowTTL, tableMemberLists: softRowTTL, tableHubHeartbeats: softRowTTL, tableLoads: softRowTTL, tablePrefixes: softRowTTL, tableSessions: softRowTTL,
-	tableSuspects: 10 * time.Minute, tableDraining: 10 * time.Minute, tableLimits: 10 * time.Minute, tableEvidence: 24 * time.Hour,
+	tableSuspects: 10 * time.Minute, tableDraining: 10 * time.Minute, tableLimits: 10 * time.Minute, tableWarmups: 2 * time.Minute, tableEvidence: 24 * time.Hour,
 }
--- a/internal/edge/odd_row_test.go
+++ b/internal/edge/odd_row_test.go
@@ -26,13 +26,11 @@
 	return out
 }
 
-// Guards against an odd row of another writer that ends the process, or keeps the other rows of
-// its table from being followed.
-func TestOddRowsLeaveTheOthersInForce(t *testing.T) {
-	is := is.New(t)
+// newRowNode returns a node that applies rows, without its loops.
+func newRowNode(t *testing.T, log *zap.Logger) *Node {
+	t.Helper()
 	n := newRosterNode(nodeState{Node: "n", Inner: "10.0.0.1:1", DataCentre: "a"}, newMemStore())
-	core, logs := observer.New(zap.WarnLevel)
-	n.options.Schema, n.options.Log = testSchema{}, zap.New(core)
+	n.options.Schema, n.options.Log = testSchema{}, log
 	n.pool, n.prefixes = pool.New(), prefix.New()
 	n.config = &config{schema: testSchema{}, log: n.options.Log}
 	n.servers = newServers(testSchema{}, n.pool, n.rows, func() time.Duration { return time.Hour }, n.options.Log)
@@ -42,12 +40,24 @@
 	n.suspects, _ = newTestSuspects("n")
 	n.drainNotices = &drainNotices{pool: n.pool, rows: n.rows, nextVersion: versionCounter(), log: n.options.Log}
 	n.serverLimits = &serverLimits{pool: n.pool, rows: n.rows, nextVersion: versionCounter(), log: n.options.Log}
+	n.warmups = &warmups{pool: n.pool, rows: n.rows, nextVersion: versionCounter(), log: n.options.Log}
+	n.settings.Store(&Settings{})
+	n.evacuations = newEvacuations("e/", n.pool, n.settings.Load, n.options.Log)
 	n.rows = gossip.NewMap(n.apply)
+	return n
+}
+
+// Guards against an odd row of another writer that ends the process, or keeps the other rows of
+// its table from being followed.
+func TestOddRowsLeaveTheOthersInForce(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.WarnLevel)
+	n := newRowNode(t, zap.New(core))
 	version := uint64(0)
-	tables := []string{"o", "s", "st", tableSystem, tableHeartbeats, tableMemberLists, tableHubHeartbeats, tableLoads, tablePrefixes, tableSessions, tableEvidence, tableSuspects, tableDraining, tableLimits}
+	tables := []string{"o", "s", "st", tableSystem, tableHeartbeats, tableMemberLists, tableHubHeartbeats, tableLoads, tablePrefixes, tableSessions, tableEvidence, tableSuspects, tableDraining, tableLimits, tableWarmups}
 	for _, table := range tables {
 		for i, data := range oddData() {
-			for _, key := range []string{"", "c", "r/x", startKeyPrefix + "x", memberKeyPrefix, presenceKeyPrefix, quarantineKeyPrefix + "zz", quarantineKeyPrefix + "7", strings.Repeat("k", 200), "\xff"} {
+			for _, key := range []string{"", "c", "r/x", "e/", "e/x", startKeyPrefix + "x", memberKeyPrefix, presenceKeyPrefix, quarantineKeyPrefix + "zz", quarantineKeyPrefix + "7", strings.Repeat("k", 200), "\xff"} {
 				version++
 				n.rows.Apply([]gossip.Row{{Table: table, Key: key + string(rune('a'+i)), Version: version, Data: data}, {Table: table, Key: key, Version: version, Data: data}})
 			}
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -29,6 +29,7 @@
 		return
 	}
 	n.settings.Store(&next)
+	n.updateWarmups()
 	n.options.Log.Info("settings changed", zap.Any("before", old), zap.Any("after", next))
 }
 
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -128,6 +128,8 @@
 		delete(s.lapsed, r.Key)
 		return
 	}
+	left := next.WarmupLeft
+	next.WarmupLeft = 0 // it differs from row to row
 	switch d, hasLeft := s.departures[r.Key]; {
 	case hasLeft && d.started == next.Started && d.era < r.Era:
 		s.held[r.Key] = heldEntry{r, now.Add(restoreSettleTime)}
@@ -146,6 +148,9 @@
 			zap.String("version", next.Version), zap.Bool("draining", next.Draining), zap.Uint64("row", r.Version))
 	}
 	s.entries[r.Key], s.eras[r.Key] = next, r.Era
+	if left >= 0 {
+		s.pool.SetEntryWarmup(r.Key, next.Started, left, now)
+	}
 }
 
 // remove removes a server whose entry is gone, after a grace period if the entry may only
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -43,6 +43,14 @@
 	// ExposureRatio bounds the share of a service's requests that an unproven version may
 	// get.
 	ExposureRatio float64
+	// WarmupOverrun and WarmupAllowance bound what a cold server gets in any second: the
+	// rate that its service names times WarmupOverrun, plus WarmupAllowance requests. Cold
+	// servers have no limit if WarmupOverrun is 0.
+	WarmupOverrun   float64
+	WarmupAllowance float64
+	// EvacuationTime is how long after an evacuation was ordered requests may still reach
+	// the data centre's servers.
+	EvacuationTime time.Duration
 	// SessionLife is how long a session lasts after its last request.
 	SessionLife time.Duration
 	// DirectoryTTL is the longest time that a directory answer is valid.
@@ -61,6 +69,10 @@
 	// in Operator and Status.
 	Config        string
 	RolloutPrefix string
+	// EvacuationPrefix begins the keys of rows in Operator by which the operator orders that
+	// nothing more is sent to the servers of a data centre, whose name follows. Empty means
+	// that there are none.
+	EvacuationPrefix string
 }
 
 // Schema decodes and encodes the platform's rows.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,9 @@
 	// chosen.
 	loadAge time.Duration
 	skipped pool.Skipped
-	limit   float64 // of the server when it was chosen, or permit.NoLimit
+	// limit is the rate for which the attempt has a permit, in requests per second, or
+	// permit.NoLimit if it needed none.
+	limit float64
 	// firstEvent is when the first event of a stream arrived, zero before it. events
 	// counts those with content.
 	firstEvent time.Time
@@ -105,23 +108,28 @@
 		if m == nil {
 			return nil
 		}
-		if m.Limit() != permit.NoLimit {
-			if granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false); granted == nil {
+		limit := m.PermitRate(now)
+		if limit != permit.NoLimit {
+			granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false, now)
+			if granted == nil && m.IsCold(now) {
+				asked = maxPermitAsks - 1
+			}
+			if granted == nil {
 				continue
 			}
 		}
-		return x.newAttempt(q, m, model, read, now)
+		return x.newAttempt(q, m, model, read, limit, now)
 	}
 }
 
 // newAttempt returns an attempt at the chosen server. read is the expected time to read
-// the prompt there.
-func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, now time.Time) *attempt {
+// the prompt there, limit the rate for which there is a permit.
+func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, limit float64, now time.Time) *attempt {
 	tokens := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime)
 	return &attempt{
 		member: m, model: model, load: m.Occupancy(now), expectedWait: m.Wait(now), began: now,
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
-		limit: m.Limit(),
+		limit: limit,
 	}
 }
 
@@ -164,13 +172,16 @@
 
 // roundTrip sends the request and classifies the result.
 func (x *exchange) roundTrip(ctx context.Context, a *attempt, lastEvent string) (result, error) {
-	if !a.member.BeginRequest(a.began, a.pendingPrefill) {
+	if !a.member.BeginPermitted(a.began, a.pendingPrefill, a.limit) {
 		x.tried = append(x.tried, a.member)
 		return resultNotRun, errors.New("server stopped taking requests")
 	}
 	if a.limit != permit.NoLimit {
 		x.f.opts.Metrics.LimitedAttempts.Inc()
 	}
+	if a.member.IsCold(a.began) {
+		x.f.opts.Metrics.ColdAttempts.Inc()
+	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	x.current = a
 	req := x.f.opts.Headers.newRequest(x.req, a.member.Address, a.member.ID, time.Now()).WithContext(a.traceRelay(ctx))
@@ -217,6 +228,9 @@
 	if errors.As(err, &connectErr) {
 		x.sends--
 		a.member.RecordProbe(false, time.Now())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.f.opts.OnCold(a.member.Server, 0, true)
+		}
 		x.recordFailure(a)
 		return resultNotRun, err
 	}
@@ -227,7 +241,7 @@
 	}
 	x.recordFailure(a)
 	if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, errStalled) {
-		x.suspectCrash(a, crashProbeDelay)
+		x.recordBreak(a)
 	}
 	return resultUnknown, err
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -46,6 +47,13 @@
 // quarantineRefusal is the answer to requests that crash backend servers.
 var quarantineRefusal = refusal{status: http.StatusServiceUnavailable, reason: "request brings backend servers down", retryAfter: quarantineRetryAfter}
 
+// recordBreak records that the server broke off a connection. It counts as cold until the
+// probe has shown that it did not end.
+func (x *exchange) recordBreak(a *attempt) {
+	a.member.RecordLostContact(time.Now())
+	x.suspectCrash(a, crashProbeDelay)
+}
+
 // suspectCrash probes the server some time after its answer broke off. If the server
 // accepts no connection, the request is recorded as a suspect for the crash.
 // Servers that break off answers for other reasons still accept connections. One that
@@ -61,9 +69,16 @@
 	go func() {
 		defer close(probed)
 		time.Sleep(delay)
-		if m.RemainingBackoff(time.Now()) > 0 || probe.AcceptsOrIsSilent(m.Address, f.links.dial) {
+		if m.RemainingBackoff(time.Now()) > 0 || probe.AcceptsOrIsSilent(m.Address, func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := f.links.dial(ctx, network, address)
+			if err == nil {
+				m.RecordStillServes(brokeAt)
+			}
+			return conn, err
+		}) {
 			return
 		}
+		f.opts.OnCold(m.Server, 0, true)
 		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, running, brokeAt)
 	}()
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -109,6 +109,10 @@
 	// OnLimit is called when a server's answer changes its limit, in requests per
 	// second or permit.NoLimit. It may be nil.
 	OnLimit func(s pool.Server, limit float64)
+	// OnCold is called when a server's answer says that it is cold for another time left than
+	// was known, or when there is no process at a server's address, with isLost set. It may
+	// be nil.
+	OnCold func(s pool.Server, left time.Duration, isLost bool)
 	// ShuttingDown reports whether the process is shutting down. Answers then close
 	// their connections.
 	ShuttingDown func() bool
@@ -161,6 +165,9 @@
 	if o.OnLimit == nil {
 		o.OnLimit = func(pool.Server, float64) {}
 	}
+	if o.OnCold == nil {
+		o.OnCold = func(pool.Server, time.Duration, bool) {}
+	}
 	if o.Permits == nil {
 		o.Permits = localPermits{permit.NewCoordinator(func(time.Time) (float64, time.Duration) { return 1, 0 })}
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -37,6 +37,8 @@
 	// Brittle is the number of requests that a server may refuse in a second before it falls
 	// over, for as long as its answers name it.
 	Brittle string
+	// Warmup is how many milliseconds a server is still cold.
+	Warmup string
 	// Model is the requested model. AnyModel leaves the choice to the router.
 	Model string
 	// Tokens is "prompt tokens,maximum output tokens".
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -24,14 +24,15 @@
 const drainingValue = "1"
 
 // handleServerNotices handles the announcements of a server in the header of
-// its answer: that it is draining, that it limits its requests, or that it
-// backs off for some time.
+// its answer: that it is draining or cold, that it limits its requests, or that it backs
+// off for some time.
 func (x *exchange) handleServerNotices(a *attempt) {
 	h := a.resp.Header
 	if strings.TrimSpace(h.Get(x.f.opts.Headers.Draining)) == drainingValue && a.member.MarkDraining() {
 		x.f.opts.Log.Info("backend server announced draining", serverFields(a.member)...)
 		x.f.opts.OnDraining(a.member.Server)
 	}
+	x.applyWarmup(a, h.Get(x.f.opts.Headers.Warmup))
 	x.applyBrittleness(a)
 	x.applyLimit(a, h.Values(x.f.opts.Headers.Limit))
 	if a.resp.StatusCode == http.StatusServiceUnavailable {
@@ -39,6 +40,24 @@
 	}
 }
 
+// applyWarmup records how many milliseconds the server says that it is still cold, if it
+// does. A value that makes no sense is not used.
+func (x *exchange) applyWarmup(a *attempt, value string) {
+	now := time.Now()
+	a.member.RecordContact(a.began, now)
+	ms, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(ms >= 0) || ms > maxWarmupMS {
+		return
+	}
+	left := time.Duration(ms * float64(time.Millisecond))
+	if a.member.RecordWarmup(left, a.began, now) {
+		x.f.opts.OnCold(a.member.Server, left, false)
+	}
+}
+
+// maxWarmupMS bounds the warm-up in milliseconds that a server may name.
+const maxWarmupMS = 24 * 3600 * 1000
+
 // applyBrittleness records whether the server is brittle, and that it had no room.
 func (x *exchange) applyBrittleness(a *attempt) {
 	refusals, err := strconv.ParseFloat(strings.TrimSpace(a.resp.Header.Get(x.f.opts.Headers.Brittle)), 64)
--- a/internal/forward/permit.go
+++ b/internal/forward/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/loop"
@@ -19,17 +20,21 @@
 	// maxPermitWait is how long a request that has run waits for a permit to go on
 	// elsewhere.
 	maxPermitWait = 2 * time.Second
+	// maxColdHoldOff bounds the time for which a cold server is passed over after it refused
+	// a permit. It may be the only one that is free.
+	maxColdHoldOff = 3 * time.Second
 )
 
 // acquirePermit asks for a permit to send to one of the servers, and returns that server,
-// or nil and the refusal. isLast is set if no other server can take the request.
-func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool) (*pool.Member, permit.Reply) {
+// or nil and the refusal. isLast is set if no other server can take the request. now is
+// when the servers were chosen.
+func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool, now time.Time) (*pool.Member, permit.Reply) {
 	q := permit.Request{
 		Service: x.req.Service, IsLast: isLast, Rank: x.req.Rank, Organisation: organisationName(x.req.Organisation),
 		Fingerprint: x.req.Fingerprint, TimeLeft: time.Until(x.req.CallerDeadline),
 	}
 	for _, m := range servers {
-		q.Servers = append(q.Servers, permit.Server{ID: m.ID, Started: m.Started, Limit: max(m.Limit(), 0)})
+		q.Servers = append(q.Servers, permit.Server{ID: m.ID, Started: m.Started, Limit: max(m.PermitRate(now), 0), IsCold: m.IsCold(now)})
 	}
 	reply := x.f.opts.Permits.Acquire(ctx, q)
 	if reply.Granted > 0 && reply.Granted <= len(servers) {
@@ -42,11 +47,24 @@
 	}
 	x.f.opts.Metrics.Permits.WithLabelValues(result).Inc()
 	if !isLast {
-		servers[0].HoldOff(max(reply.Next, minHoldOff), time.Now())
+		servers[0].HoldOff(x.holdOffTime(servers[0], reply, now), time.Now())
 	}
 	return nil, reply
 }
 
+// holdOffTime returns for how long a server is passed over that refused a permit. An idle
+// cold server attracts the requests of all nodes, so each node leaves it alone for about
+// the time in which it may have a permit.
+func (x *exchange) holdOffTime(m *pool.Member, reply permit.Reply, now time.Time) time.Duration {
+	d := max(reply.Next, minHoldOff)
+	rate := m.PermitRate(now)
+	if !m.IsCold(now) || rate <= 0 {
+		return d
+	}
+	spread := rand.Float64() * float64(x.f.opts.FleetSize()) / rate * float64(time.Second)
+	return max(d, time.Duration(min(spread, float64(maxColdHoldOff))))
+}
+
 // chooseLimited selects among the servers of a query that all have a limit. It returns
 // false if there are none.
 func (x *exchange) chooseLimited(ctx context.Context, q pool.Query, model string) (*attempt, bool) {
@@ -61,9 +79,9 @@
 		if len(servers) == 0 {
 			return nil, false
 		}
-		m, reply := x.acquirePermit(ctx, servers, true)
+		m, reply := x.acquirePermit(ctx, servers, true, now)
 		if m != nil {
-			return x.newAttempt(q, m, model, q.ReadTime(m), now), true
+			return x.newAttempt(q, m, model, q.ReadTime(m), m.PermitRate(now), now), true
 		}
 		x.permitAfter = reply.RetryAfter
 		next := max(reply.Next, minHoldOff)
@@ -85,10 +103,10 @@
 	}
 	servers := x.f.opts.Pool.Limited(q, now)
 	if len(servers) == 0 {
-		return true
+		return !x.f.opts.Pool.IsEvacuated(q.Service)
 	}
-	if m, _ := x.acquirePermit(ctx, servers, true); m != nil {
-		x.reserved = x.newAttempt(q, m, model, q.ReadTime(m), now)
+	if m, _ := x.acquirePermit(ctx, servers, true, now); m != nil {
+		x.reserved = x.newAttempt(q, m, model, q.ReadTime(m), m.PermitRate(now), now)
 	}
 	return x.reserved != nil
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -97,7 +97,7 @@
 		x.recordFailure(a)
 		x.observe(a, true)
 		if ctx.Err() == nil {
-			x.suspectCrash(a, crashProbeDelay)
+			x.recordBreak(a)
 		}
 	}
 	return resultUnknown, nil, errors.Wrap(err, "answer broke off")
--- a/internal/forward/silent.go
+++ b/internal/forward/silent.go
@@ -18,9 +18,16 @@
 	if m == nil || ctx.Err() != nil || x.f.isQuarantined(x.req) || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.takeReserved(0) {
 		return false, nil
 	}
+	limit := m.PermitRate(now)
+	if limit != permit.NoLimit {
+		if granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false, now); granted == nil {
+			x.reservedRetries.Add(1)
+			return false, nil
+		}
+	}
 	s.silent, s.isReturn = nil, true
 	q := x.query(s.silentModel, now)
-	a := x.newAttempt(q, m, s.silentModel, q.ReadTime(m), now)
+	a := x.newAttempt(q, m, s.silentModel, q.ReadTime(m), limit, now)
 	done, err := x.attemptStream(ctx, s, a)
 	x.finish(a)
 	if err != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -356,7 +356,7 @@
 		x.recordFailure(a)
 		x.observe(a, true)
 		if isServersFault {
-			x.suspectCrash(a, crashProbeDelay)
+			x.recordBreak(a)
 		}
 	}
 	if errors.Is(cause, errStalled) {
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -51,7 +51,8 @@
 	// reachesStore tells by part whether it reaches the store.
 	reachesStore map[int]bool
 	limit        float64
-	seeds        int // nodes that the settings of each node name
+	isCold       bool // the limit is that of a cold server
+	seeds        int  // nodes that the settings of each node name
 	arrivals     []time.Time
 }
 
@@ -169,7 +170,7 @@
 	if target == nil || target != n && !n.reaches(target) {
 		return
 	}
-	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: f.limit}}, IsLast: true, TimeLeft: time.Second, Fingerprint: f.random.Uint64(), Withheld: n.roster.Withheld(f.now)}
+	q := Request{Service: "s", Servers: []Server{{ID: "x", Limit: f.limit, IsCold: f.isCold}}, IsLast: true, TimeLeft: time.Second, Fingerprint: f.random.Uint64(), Withheld: n.roster.Withheld(f.now)}
 	if target.coordinator.Acquire(q, f.now).Granted > 0 {
 		f.arrivals = append(f.arrivals, f.now)
 	}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -19,6 +19,17 @@
 	// Limit is the number of requests per second that the server takes from all nodes
 	// together.
 	Limit float64
+	// IsCold is set if the limit is that of a cold server, which holds in each second.
+	IsCold bool
+}
+
+// burst returns how many permits of the server a coordinator with a share of the limit saves
+// up. For a cold server the parts of a divided fleet together save up no more than one.
+func (s Server) burst(share float64) float64 {
+	if s.IsCold {
+		return max(1, burst(s.Limit)*share)
+	}
+	return burst(rate(s.Limit, share))
 }
 
 // Request asks for a permit to send one request to one of several servers.
@@ -149,7 +160,7 @@
 // kept back for requests with a better claim, which arrive at any time and do not wait.
 // The others may have one before the bucket is full, so that no permit is lost.
 func threshold(s Server, share float64, cl claim) float64 {
-	saved := burst(rate(s.Limit, share)) - 1
+	saved := s.burst(share) - 1
 	return 1 + saved*reserved[cl]
 }
 
@@ -165,7 +176,7 @@
 		c.buckets[s.ID] = b
 	}
 	r := rate(s.Limit, share)
-	b.Refill(r, burst(r)+spareBurst, now)
+	b.Refill(r, s.burst(share)+spareBurst, now)
 }
 
 // next returns the time until the first of the servers has a permit. The caller holds
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -32,7 +32,7 @@
 	Versions Versions
 	// Exclude lists servers that were already tried.
 	Exclude []*Member
-	// ExcludeLimited excludes the servers that have a limit.
+	// ExcludeLimited excludes the servers for which requests need a permit.
 	ExcludeLimited bool
 	// Draw returns random numbers from 0 to 1.
 	Draw func() float64
@@ -84,9 +84,9 @@
 		q.Versions = Versions{}
 	}
 	members := p.Members(q.Service)
-	usable := filter(members, q, func(m *Member) bool { return m.IsUsable(now) && !m.isHeldOff(now) })
+	usable := filter(members, q, now, func(m *Member) bool { return m.IsUsable(now) && !m.isHeldOff(now) })
 	if len(usable) == 0 {
-		usable = filter(members, q, func(m *Member) bool { return m.IsAvailable(now) && !m.isHeldOff(now) })
+		usable = filter(members, q, now, func(m *Member) bool { return m.IsAvailable(now) && !m.isHeldOff(now) })
 	}
 	if len(usable) == 0 {
 		return nil, 0
@@ -113,10 +113,10 @@
 	return members[:n]
 }
 
-func filter(members []*Member, q Query, accept func(*Member) bool) []*Member {
+func filter(members []*Member, q Query, now time.Time, accept func(*Member) bool) []*Member {
 	var accepted []*Member
 	for _, m := range members {
-		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.Limit() != permit.NoLimit) && accept(m) {
+		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.PermitRate(now) != permit.NoLimit) && accept(m) {
 			accepted = append(accepted, m)
 		}
 	}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -28,7 +28,7 @@
 	at      time.Time
 }
 
-// Limit returns the number of requests per second that the server takes from
+// Limit returns the number of requests per second that the server says that it takes from
 // all nodes together, or permit.NoLimit.
 func (m *Member) Limit() float64 {
 	m.mu.Lock()
@@ -114,24 +114,24 @@
 func (m *Member) isHeldOff(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.limit.rate != permit.NoLimit && now.Before(m.limit.heldUntil)
+	return now.Before(m.limit.heldUntil) && m.permitRate(now) != permit.NoLimit
 }
 
-// HasUnlimited reports whether a usable server of a query has no limit. Servers that were
-// tried count as well.
+// HasUnlimited reports whether requests to a usable server of a query need no permit.
+// Servers that were tried count as well.
 func (p *Pool) HasUnlimited(q Query, now time.Time) bool {
 	q.allowFallbackVersions()
 	return slices.ContainsFunc(p.Members(q.Service), func(m *Member) bool {
-		return q.Versions.allows(m.Version) && m.Limit() == permit.NoLimit && m.IsUsable(now)
+		return q.Versions.allows(m.Version) && m.PermitRate(now) == permit.NoLimit && m.IsUsable(now)
 	})
 }
 
-// Limited returns the usable servers of a query that have a limit, those of the preferred
+// Limited returns the usable servers of a query that need permits, those of the preferred
 // version and the best ones first.
 func (p *Pool) Limited(q Query, now time.Time) []*Member {
 	preferred := q.Versions.Prefer
 	q.allowFallbackVersions()
-	members := filter(p.Members(q.Service), q, func(m *Member) bool { return m.IsUsable(now) && m.Limit() != permit.NoLimit })
+	members := filter(p.Members(q.Service), q, now, func(m *Member) bool { return m.IsUsable(now) && m.PermitRate(now) != permit.NoLimit })
 	slices.SortStableFunc(members, func(a, b *Member) int {
 		if isPreferred := a.Version == preferred; isPreferred != (b.Version == preferred) {
 			if isPreferred {
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/permit"
@@ -50,6 +51,9 @@
 	remote          remoteWork      // guarded by mu
 	limit           limit           // guarded by mu
 	brittle         brittleness     // guarded by mu
+	cold            coldness        // guarded by mu
+	// rules are those of the pool, nil for a member without one.
+	rules *atomic.Pointer[rules]
 }
 
 // remoteWork is the work that all other nodes have at a server.
@@ -110,11 +114,21 @@
 // prefill. It returns false if the server has stopped taking requests since it
 // was chosen.
 func (m *Member) BeginRequest(now time.Time, pendingPrefill time.Duration) bool {
+	return m.BeginPermitted(now, pendingPrefill, permit.NoLimit)
+}
+
+// BeginPermitted is BeginRequest for a request with a permit. permitRate is the rate for
+// which the permit was granted, or permit.NoLimit if there is none. It also returns false
+// if the server has turned cold since and that permit is not enough.
+func (m *Member) BeginPermitted(now time.Time, pendingPrefill time.Duration, permitRate float64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.available(now) {
 		return false
 	}
+	if rate := m.warmupRate(now); rate != permit.NoLimit && (permitRate == permit.NoLimit || permitRate > rate) {
+		return false
+	}
 	m.running++
 	m.sentSinceReport++
 	m.pendingPrefill += pendingPrefill
@@ -217,6 +231,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastProbe, m.probeFailed = now, !reached
+	if !reached {
+		m.cold.lostAt = now
+	}
 }
 
 // IsUnreachable reports whether a probe within ttl failed and the server has sent
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -64,7 +64,7 @@
 
 // available is IsAvailable for callers that hold mu.
 func (m *Member) available(now time.Time) bool {
-	return m.present() && !now.Before(m.backoffUntil) && m.hasRoom(now)
+	return m.present() && !m.isEvacuated() && !now.Before(m.backoffUntil) && m.hasRoom(now)
 }
 
 // present is IsPresent for callers that hold mu.
@@ -97,9 +97,12 @@
 	delete(p.delisted, s.ID)
 	if ok && !d.restarted(s) && now.Sub(d.at) <= memoryTTL {
 		d.markListed()
+		p.applyKeptColdNotice(d.Member, now)
 		return d.Member
 	}
 	m := newMember(s, now)
+	m.rules = &p.rules
+	p.applyListed(m, now)
 	if n, ok := p.drainNotices[s.ID]; ok && n.started == s.Started {
 		m.announcedDraining = true
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,10 +23,13 @@
 	Draining bool
 	// Started distinguishes the incarnations of a server under one ID.
 	Started int64
+	// WarmupLeft is how long the server is still cold by its entry, negative if the entry
+	// does not tell. It is no part of the list, see Pool.SetEntryWarmup.
+	WarmupLeft time.Duration
 }
 
 // Pool holds the backend servers of all services. It is safe for concurrent
-// use. Lock order: Pool.mu before Member.mu.
+// use. Lock order: Pool.rulesMu before Pool.mu before Member.mu.
 type Pool struct {
 	mu           sync.RWMutex
 	members      map[string]*Member        // guarded by mu; by server ID
@@ -33,13 +37,20 @@
 	delisted     map[string]delistedMember // guarded by mu; by server ID
 	drainNotices map[string]drainNotice    // guarded by mu; by server ID
 	limits       map[string]limitNotice    // guarded by mu; by server ID
+	coldNotices  map[string]coldNotice     // guarded by mu; by server ID
+	// listedSince is when a server was first listed.
+	listedSince time.Time  // guarded by mu
+	rulesMu     sync.Mutex // held while rules are replaced
+	rules       atomic.Pointer[rules]
 }
 
 // New returns an empty pool.
 func New() *Pool {
-	return &Pool{
-		members: map[string]*Member{}, services: map[string][]*Member{}, delisted: map[string]delistedMember{}, drainNotices: map[string]drainNotice{}, limits: map[string]limitNotice{},
+	p := &Pool{
+		members: map[string]*Member{}, services: map[string][]*Member{}, delisted: map[string]delistedMember{}, drainNotices: map[string]drainNotice{}, limits: map[string]limitNotice{}, coldNotices: map[string]coldNotice{},
 	}
+	p.rules.Store(&rules{})
+	return p
 }
 
 // Update replaces the whole list of servers. Members that stay, or are listed
@@ -67,6 +78,9 @@
 	for _, list := range services {
 		slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	if p.listedSince.IsZero() && len(next) > 0 {
+		p.listedSince = now
+	}
 	p.members, p.services = next, services
 	p.mu.Unlock()
 	for _, m := range delisted {
--- a/internal/pool/skipped.go
+++ b/internal/pool/skipped.go
@@ -6,10 +6,12 @@
 // first reason that applied.
 type Skipped struct {
 	Draining  int `json:"draining,omitempty"`
+	Evacuated int `json:"evacuated,omitempty"`
 	Version   int `json:"version,omitempty"`
 	Tried     int `json:"tried,omitempty"`
 	BackedOff int `json:"held,omitempty"`
 	Limited   int `json:"limited,omitempty"`
+	Cold      int `json:"cold,omitempty"`
 	Ejected   int `json:"ejected,omitempty"`
 }
 
@@ -21,6 +23,8 @@
 		switch {
 		case !m.IsPresent():
 			counts.Draining++
+		case m.isEvacuated():
+			counts.Evacuated++
 		case !q.Versions.allows(m.Version):
 			counts.Version++
 		case contains(q.Exclude, m):
@@ -29,6 +33,8 @@
 			counts.BackedOff++
 		case !m.IsUsable(now):
 			counts.Ejected++
+		case m.isHeldOff(now) && m.IsCold(now):
+			counts.Cold++
 		case m.isHeldOff(now):
 			counts.Limited++
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -112,6 +113,11 @@
 	// Models lists the models of a pool of engines. It is empty for a plain
 	// service.
 	Models []Model
+	// WarmupTime is how long a server is cold after a start. WarmupRate is the number of
+	// requests per second that a cold server tolerates from all nodes together; 0 names no
+	// limit.
+	WarmupTime time.Duration
+	WarmupRate float64
 }
 
 // Organisation is the holder of a set of keys.
@@ -226,5 +232,13 @@
 	return t.services[name]
 }
 
+// Services returns all services, unordered.
+func (t *Table) Services() []*Service {
+	if t == nil {
+		return nil
+	}
+	return slices.Collect(maps.Values(t.services))
+}
+
 // Len returns the number of routes.
 func (t *Table) Len() int { return t.routes }
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -22,6 +22,8 @@
 	// LimitedAttempts counts requests sent to servers whose limit the process
 	// knew.
 	LimitedAttempts prometheus.Counter
+	// ColdAttempts counts requests sent to servers that were cold as far as the process knew.
+	ColdAttempts prometheus.Counter
 	// Permits counts asks for permits to send to limited servers by result.
 	Permits *prometheus.CounterVec
 	// Relays counts connections to backend servers through other nodes, and those carried
@@ -52,6 +54,10 @@
 	Servers func() float64
 	// LimitedServers is the number of servers whose limit is in force.
 	LimitedServers func() float64
+	// EvacuatedDataCentres is the number of data centres under evacuation, ColdServers that of
+	// servers that are cold and limited for it.
+	EvacuatedDataCentres func() float64
+	ColdServers          func() float64
 	// PermitShare is the part of the servers' limits that the process may grant.
 	PermitShare func() float64
 	// CutLinks is the number of servers that the process reaches only through other
@@ -74,6 +80,8 @@
 	f.gaugeFunc("route_members", "Living nodes that this one knows, itself included.", s.Members)
 	f.gaugeFunc("route_servers", "Backend servers in the list.", s.Servers)
 	f.gaugeFunc("route_servers_limited", "Backend servers that have named a limit of requests per second, as far as this node knows.", s.LimitedServers)
+	f.gaugeFunc("route_data_centres_evacuated", "Data centres to whose backend servers nothing is sent, by order of the operator.", s.EvacuatedDataCentres)
+	f.gaugeFunc("route_servers_cold", "Backend servers that are cold and get few requests, as far as this node knows.", s.ColdServers)
 	f.gaugeFunc("route_permit_share", "Part of the servers' limits that this node may grant, 0 if it is not the coordinator.", s.PermitShare)
 	f.gaugeFunc("route_quarantined", "Requests and prompt parts that are refused because they crashed backend servers.", s.Quarantined)
 	f.gaugeFunc("route_servers_cut", "Backend servers that this node reaches only through other nodes.", s.CutLinks)
@@ -92,6 +100,7 @@
 		FirstByteTime:   f.histograms("route_first_byte_seconds", "Time from arrival to the first byte of the answer by kind of route.", requestBuckets, "kind"),
 		AttemptTime:     f.histograms("route_attempt_seconds", "Time from a send to a backend server to its header or failure by kind of route and result.", requestBuckets, "kind", "result"),
 		LimitedAttempts: f.counter("route_limited_attempts_total", "Requests sent to backend servers that had named a limit."),
+		ColdAttempts:    f.counter("route_cold_attempts_total", "Requests sent to backend servers that were cold, as far as this node knew."),
 		Permits:         f.counters("route_permits_total", "Asks for permits to send to backend servers that limit their requests, by result.", "result"),
 		Relays:          f.counters("route_relays_total", "Connections to backend servers through another node, asked for (opened, refused) and served (carried, denied).", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
