Warm-up: one row for each finding, tests share their scripts

Each refused connection published the same row; rows of equal content are now a second apart. Tests of ways to servers and of silent servers share their scripts with those of limits, unchanged in what they check.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -148,7 +148,8 @@
 			zap.String("version", next.Version), zap.Bool("draining", next.Draining), zap.Uint64("row", r.Version))
 	}
 	s.entries[r.Key], s.eras[r.Key] = next, r.Era
-	if left >= 0 {
+	// After an outage an entry may be old, so that it does not show that a server is warm.
+	if left > 0 || left == 0 && s.sinceOutage() >= outageRecoveryTime {
 		s.pool.SetEntryWarmup(r.Key, next.Started, left, now)
 	}
 }
--- a/internal/edge/warmups.go
+++ b/internal/edge/warmups.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -20,6 +21,8 @@
 	// rates a quarter of the rate.
 	savedPermits = 5
 	savedShare   = 0.25
+	// republishMS is the least time between two rows of the same content, in milliseconds.
+	republishMS = 1000
 )
 
 // warmups shares which backend servers this node has found cold, or found no process of.
@@ -51,6 +54,9 @@
 	key := s.ID + "/" + strconv.FormatInt(s.Started, 10)
 	version := w.nextVersion()
 	if row, ok := w.rows.Get(tableWarmups, key); ok {
+		if bytes.Equal(row.Data, raw) && version < row.Version+republishMS {
+			return // each refused connection tells the same
+		}
 		// All nodes share the key, and their clocks differ.
 		version = max(version, row.Version+1)
 	}
--- a/internal/forward/exits_test.go
+++ b/internal/forward/exits_test.go
@@ -45,30 +45,37 @@
 	}
 }
 
+// addSilentAndFull adds three servers. The first that is asked falls silent for two seconds
+// after one event, with onFirst called as it begins; the others are full.
+func (b *harness) addSilentAndFull(onFirst func(id string)) {
+	first := ""
+	for _, id := range []string{"x", "y", "z"} {
+		b.server(id, func(c net.Conn, r *http.Request) {
+			if first == "" {
+				first = id
+				onFirst(id)
+			}
+			if first != id {
+				writeAnswer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "full")
+				return
+			}
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			writeStreamHeader(c, r, 90)
+			if last == 0 {
+				writeEvents(c, 1, 1, 2*time.Second)
+			}
+			writeEvents(c, max(last+1, 2), 4, 10*time.Millisecond)
+			writeLastChunk(c)
+		})
+	}
+}
+
 // Guards against a stream that breaks off because its server was silent for two seconds
 // and all other servers are full.
 func TestStreamReturnsToItsSilentServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, b := is.New(t), newHarness(t)
-		first := ""
-		for _, id := range []string{"x", "y", "z"} {
-			b.server(id, func(c net.Conn, r *http.Request) {
-				if first == "" {
-					first = id
-				}
-				if first != id {
-					writeAnswer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "full")
-					return
-				}
-				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-				writeStreamHeader(c, r, 90)
-				if last == 0 {
-					writeEvents(c, 1, 1, 2*time.Second)
-				}
-				writeEvents(c, max(last+1, 2), 4, 10*time.Millisecond)
-				writeLastChunk(c)
-			})
-		}
+		b.addSilentAndFull(func(string) {})
 		_, body, err := b.send(t.Context(), http.MethodPost, "/chat/1", chatHeaders)
 		is.NoErr(err)
 		is.Equal(eventIDs(body), "1 2 3 4")
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -129,25 +129,7 @@
 		is, b := is.New(t), newHarness(t)
 		defer time.Sleep(time.Minute)
 		b.budget.bounds = func() BudgetBounds { return BudgetBounds{Ratio: 0.9, Allowance: 1, Window: 10 * time.Second} }
-		first := ""
-		for _, id := range []string{"x", "y", "z"} {
-			b.server(id, func(c net.Conn, r *http.Request) {
-				if first == "" {
-					first = id
-				}
-				if first != id {
-					writeAnswer(c, r, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "full")
-					return
-				}
-				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-				writeStreamHeader(c, r, 90)
-				if last == 0 {
-					writeEvents(c, 1, 1, 2*time.Second)
-				}
-				writeEvents(c, max(last+1, 2), 4, 10*time.Millisecond)
-				writeLastChunk(c)
-			})
-		}
+		b.addSilentAndFull(func(string) {})
 		_, body, err := b.send(t.Context(), http.MethodPost, "/chat/1", chatHeaders)
 		is.NoErr(err)
 		is.Equal(eventIDs(body), "1 2 3 4")
