--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -229,7 +229,7 @@
 		x.sends--
 		a.member.RecordProbe(false, time.Now())
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.f.opts.OnCold(a.member.Server, 0, true)
+			x.f.publishCold(a.member, 0, true)
 		}
 		x.recordFailure(a)
 		return resultNotRun, err
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipfall/cowslipfall/internal/loop"
+	"github.com/cowslipfall/cowslipfall/internal/pool"
 	"github.com/cowslipfall/cowslipfall/internal/probe"
 	"github.com/cowslipfall/cowslipfall/internal/route"
 )
@@ -54,6 +55,14 @@
 	x.suspectCrash(a, crashProbeDelay)
 }
 
+// publishCold tells the other nodes how long a server is still cold, or that it is gone, if
+// its service limits cold servers.
+func (f *Forwarder) publishCold(m *pool.Member, left time.Duration, isLost bool) {
+	if m.IsCold(time.Now()) {
+		f.opts.OnCold(m.Server, left, isLost)
+	}
+}
+
 // suspectCrash probes the server some time after its answer broke off. If the server
 // accepts no connection, the request is recorded as a suspect for the crash.
 // Servers that break off answers for other reasons still accept connections. One that
@@ -78,7 +87,8 @@
 		}) {
 			return
 		}
-		f.opts.OnCold(m.Server, 0, true)
+		m.RecordLostContact(time.Now())
+		f.publishCold(m, 0, true)
 		f.opts.Suspects.Crashed(q.Fingerprint, q.sharedPartIDs, isStarting, m.ID, running, brokeAt)
 	}()
 }
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -51,7 +51,7 @@
 	}
 	left := time.Duration(ms * float64(time.Millisecond))
 	if a.member.RecordWarmup(left, a.began, now) {
-		x.f.opts.OnCold(a.member.Server, left, false)
+		x.f.publishCold(a.member, left, false)
 	}
 }
 
