--- a/internal/forward/warmup_test.go
+++ b/internal/forward/warmup_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// Guards against a crowd at a server that crashed and is back before its entry says so:
-// it refuses connections, or breaks off streams, and then takes requests again.
+// Guards against a crowd at a server that refused connections and is back before its entry
+// says so.
 func TestServerThatWasGoneIsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, b := is.New(t), newWarmupHarness(t)
@@ -91,6 +91,24 @@
 	})
 }
 
+// A server that breaks off an answer may have crashed. Guards against requests to one that
+// comes back at once, and against a sound one that is held to few requests for it.
+func TestServerThatBreaksOffIsColdUntilProbed(t *testing.T) {
+	for name, answer := range map[string]string{"head": "", "body": "HTTP/1.1 200 OK\r\nT-Id: r1\r\nContent-Length: 9\r\n\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, b := is.New(t), newWarmupHarness(t)
+				b.server("x", func(c net.Conn, _ *http.Request) { _, _ = c.Write([]byte(answer)) })
+				_, _, err := b.send(t.Context(), http.MethodPost, "/once/1", nil)
+				is.NoErr(err)
+				is.True(b.pool.Member("x").IsCold(time.Now()))
+				time.Sleep(2 * crashProbeDelay)
+				is.True(!b.pool.Member("x").IsCold(time.Now())) // it accepts connections
+			})
+		})
+	}
+}
+
 // A server tells in any answer how long it is cold. Other nodes are told once, and values
 // that make no sense are not used.
 func TestAnswerTellsWarmup(t *testing.T) {
--- a/internal/permit/cold_test.go
+++ b/internal/permit/cold_test.go
@@ -18,7 +18,7 @@
 			f.nodes[i].isRunning = i%2 == 0 && f.nodes[i].roster.Coordinator() != f.nodes[i].address
 		},
 		"half cut off":       func(f *simFleet, i int) { f.nodes[i].part = i % 2 },
-		"divided into three": func(f *simFleet, i int) { f.nodes[i].part = i % 3 },
+		"divided into three": func(f *simFleet, i int) { f.nodes[i].part, f.reachesStore[2] = i%3, true },
 	} {
 		for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
@@ -33,7 +33,7 @@
 					disturb(f, i)
 				}
 				f.run(15*time.Second, 300)
-				f.run(2*time.Second, 0) // what is saved up meanwhile is used at once
+				f.run(4*time.Second, 0) // what is saved up meanwhile is used at once
 				f.run(3*time.Second, 300)
 				for i, at := range f.arrivals {
 					for at.Sub(f.arrivals[first]) >= time.Second {
