Breaks noticed late are no proof against a restart

Cause: a break on a connection that was kept idle may be noticed after the server has restarted, and the probe 50 ms later finds it accepting. It also ended earlier losses of contact. Change: the probe counts only if the server accepted a connection, answered or made progress within 200 ms before the break, and only for that break. Result: TestBreakThatIsNoticedLateIsNoProofAgainstRestart fails before and passes now, as do the tests of internal/pool and internal/forward.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -72,7 +72,7 @@
 	if !m.IsPresent() {
 		return
 	}
-	running := brokeAt.Sub(a.began)
+	running, wasRunning := brokeAt.Sub(a.began), m.WasSeenRunning(brokeAt)
 	probed := make(chan struct{})
 	x.crashProbe = probed
 	go func() {
@@ -80,7 +80,7 @@
 		time.Sleep(delay)
 		if m.RemainingBackoff(time.Now()) > 0 || probe.AcceptsOrIsSilent(m.Address, func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := f.links.dial(ctx, network, address)
-			if err == nil {
+			if err == nil && wasRunning {
 				m.RecordStillServes(brokeAt)
 			}
 			return conn, err
--- a/internal/forward/links.go
+++ b/internal/forward/links.go
@@ -246,11 +246,14 @@
 }
 
 // traceRelay returns a context in which the attempt records whether its connection leads
-// through another node.
+// through another node, and that its server has just accepted it.
 func (a *attempt) traceRelay(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		_, isRelayed := info.Conn.(relayedConn)
 		a.isRelayed.Store(isRelayed)
+		if !info.Reused && !info.WasIdle {
+			a.member.RecordAccepted(time.Now())
+		}
 	}})
 }
 
--- a/internal/forward/warmup_test.go
+++ b/internal/forward/warmup_test.go
@@ -109,6 +109,28 @@
 	}
 }
 
+// Guards against a restart that is not noticed, because only the next request on a connection
+// that was kept idle finds it broken, when the server has long been back.
+func TestBreakThatIsNoticedLateIsNoProofAgainstRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newWarmupHarness(t)
+		b.keepAliveServer("x", func(c net.Conn, r, _ *http.Request, number int) {
+			if number == 2 {
+				_ = c.Close()
+				return
+			}
+			writeKeepAliveAnswer(c, r)
+		})
+		_, _, err := b.send(t.Context(), http.MethodGet, "/read/1", nil)
+		is.NoErr(err)
+		is.True(!b.pool.Member("x").IsCold(time.Now()))
+		time.Sleep(2 * time.Second)
+		_, _, _ = b.send(t.Context(), http.MethodPost, "/chat/1", nil)
+		time.Sleep(2 * crashProbeDelay)
+		is.True(b.pool.Member("x").IsCold(time.Now()))
+	})
+}
+
 // A server tells in any answer how long it is cold. Other nodes are told once, and values
 // that make no sense are not used.
 func TestAnswerTellsWarmup(t *testing.T) {
--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -13,6 +13,9 @@
 	// entryDelay is how old an entry may be when it arrives. An entry that arrives sooner
 	// after contact was lost may have been written before.
 	entryDelay = 2 * time.Second
+	// breakWindow is how long before a broken connection the server must have been seen
+	// running, so that it cannot have restarted when it is probed: a restart takes longer.
+	breakWindow = 200 * time.Millisecond
 	// maxWarmup bounds the remaining warm-up that servers and other nodes may name.
 	maxWarmup = time.Hour
 )
@@ -63,8 +66,12 @@
 type coldness struct {
 	periods [coldCauses]coldPeriod
 	until   time.Time // the latest of the periods
-	// lostAt is when contact was lost, zero if it was not or there was contact since.
-	lostAt time.Time
+	// lostAt is when contact was last lost, zero if it was not or there was contact since,
+	// and lostSince the first of the losses without contact since.
+	lostAt    time.Time
+	lostSince time.Time
+	// seenAt is when the server last accepted a connection or answered.
+	seenAt time.Time
 	// wasCold is whether WarmupChanges last found the server cold.
 	wasCold bool
 }
@@ -171,15 +178,46 @@
 func (m *Member) RecordLostContact(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.cold.lostAt = now
+	m.cold.lose(now)
 }
 
-// RecordStillServes records that the server accepts connections after it broke one off at
-// the given time, too soon for a restart. What was learned later stays.
+// lose records a loss of contact.
+func (c *coldness) lose(now time.Time) {
+	if c.lostAt.IsZero() {
+		c.lostSince = now
+	}
+	c.lostAt = now
+}
+
+// RecordAccepted records that the server accepted a connection.
+func (m *Member) RecordAccepted(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cold.seenAt = now
+}
+
+// WasSeenRunning reports whether the server accepted a connection, answered or made progress
+// shortly before the given time, at which it broke off a connection. Otherwise it may have
+// restarted between the break and the time at which this node noticed it.
+func (m *Member) WasSeenRunning(brokeAt time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return brokeAt.Sub(m.cold.seenAt) <= breakWindow || brokeAt.Sub(m.lastProgress) <= breakWindow
+}
+
+// RecordStillServes records that the server, which was seen running shortly before it broke
+// off a connection at the given time, accepts connections too soon after it for a restart.
+// What was learned later stays, and so do earlier losses of contact.
 func (m *Member) RecordStillServes(brokeAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.forgetLoss(brokeAt)
+	from := brokeAt.Add(-breakWindow)
+	if !m.cold.lostAt.After(brokeAt) && m.cold.lostSince.After(from) {
+		m.cold.lostAt = time.Time{}
+	}
+	if since := m.cold.periods[ColdByLostContact].since; since.After(from) && !since.After(brokeAt) {
+		m.cold.set(ColdByLostContact, time.Time{}, time.Time{})
+	}
 }
 
 // forgetLoss records that the server did not restart when contact was lost up to the given
@@ -197,6 +235,7 @@
 func (m *Member) RecordContact(began, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.cold.seenAt = now
 	if lostAt := m.cold.lostAt; !lostAt.IsZero() && lostAt.Before(began) {
 		m.cold.lostAt = time.Time{}
 		m.cold.set(ColdByLostContact, lostAt, now.Add(m.warmup().Time))
@@ -264,7 +303,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if n.isLost {
-		m.cold.lostAt = now
+		m.cold.lose(now)
 		return
 	}
 	m.cold.set(n.cause, now, n.until)
--- a/internal/pool/warmup_test.go
+++ b/internal/pool/warmup_test.go
@@ -58,14 +58,25 @@
 		"other node lost contact":        {func(c coldTrial) { c.otherNode(5, 0, true) }, unlimited},
 		"probe failed":                   {func(c coldTrial) { c.a.RecordProbe(false, c.now) }, unlimited},
 		"broke off but still serves":     {func(c coldTrial) { c.a.RecordLostContact(c.now); c.a.RecordStillServes(c.now) }, 0},
-		"contact after a loss":           {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s)); c.a.RecordContact(c.now.Add(-1), c.now) }, 30 * s},
-		"earlier request is no contact":  {func(c coldTrial) { c.a.RecordLostContact(c.now); c.a.RecordContact(c.now.Add(-s), c.now) }, unlimited},
-		"entry written before the loss":  {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s)); c.entry(5, 0) }, unlimited},
-		"entry written after the loss":   {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s - entryDelay)); c.entry(5, 0) }, 0},
-		"new start":                      {func(c coldTrial) { c.restart() }, 30 * s},
-		"notice before the entry":        {func(c coldTrial) { c.entry(6, 50*s); c.restart() }, 50 * s},
-		"listed again":                   {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
-		"end of evacuation":              {func(c coldTrial) { c.p.SetEvacuated(map[string]bool{"x": true}, c.now); c.p.SetEvacuated(nil, c.now) }, 30 * s},
+		"earlier loss, still serves": {func(c coldTrial) {
+			c.a.RecordLostContact(c.now.Add(-s))
+			c.a.RecordLostContact(c.now)
+			c.a.RecordStillServes(c.now)
+		}, unlimited},
+		"back, broke off, still serves": {func(c coldTrial) {
+			c.a.RecordLostContact(c.now.Add(-s))
+			c.a.RecordContact(c.now, c.now)
+			c.a.RecordLostContact(c.now)
+			c.a.RecordStillServes(c.now)
+		}, 30 * s},
+		"contact after a loss":          {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s)); c.a.RecordContact(c.now.Add(-1), c.now) }, 30 * s},
+		"earlier request is no contact": {func(c coldTrial) { c.a.RecordLostContact(c.now); c.a.RecordContact(c.now.Add(-s), c.now) }, unlimited},
+		"entry written before the loss": {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s)); c.entry(5, 0) }, unlimited},
+		"entry written after the loss":  {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s - entryDelay)); c.entry(5, 0) }, 0},
+		"new start":                     {func(c coldTrial) { c.restart() }, 30 * s},
+		"notice before the entry":       {func(c coldTrial) { c.entry(6, 50*s); c.restart() }, 50 * s},
+		"listed again":                  {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
+		"end of evacuation":             {func(c coldTrial) { c.p.SetEvacuated(map[string]bool{"x": true}, c.now); c.p.SetEvacuated(nil, c.now) }, 30 * s},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
