Servers that are delisted at the end of an evacuation count as cold

Cause: only listed servers were marked, so one whose entry had lapsed came back as warm. Change: SetEvacuated marks delisted servers too, and no server is listed meanwhile. Result: the new case of TestServerIsColdByEachCause fails before and passes now.

--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -339,14 +339,22 @@
 func (p *Pool) SetEvacuated(dataCentres map[string]bool, now time.Time) {
 	p.rulesMu.Lock()
 	defer p.rulesMu.Unlock()
+	p.mu.RLock() // no server is listed meanwhile
+	defer p.mu.RUnlock()
 	old := p.rules.Load()
-	p.Each(func(m *Member) {
+	endEvacuation := func(m *Member) {
 		if old.evacuated[m.DataCentre] && !dataCentres[m.DataCentre] {
 			m.mu.Lock()
 			m.cold.set(ColdByEvacuation, now, now.Add(m.warmup().Time))
 			m.mu.Unlock()
 		}
-	})
+	}
+	for _, m := range p.members {
+		endEvacuation(m)
+	}
+	for _, d := range p.delisted {
+		endEvacuation(d.Member) // it may be listed again
+	}
 	p.rules.Store(&rules{dataCentres, old.warmups})
 }
 
--- a/internal/pool/warmup_test.go
+++ b/internal/pool/warmup_test.go
@@ -76,7 +76,13 @@
 		"new start":                     {func(c coldTrial) { c.restart() }, 30 * s},
 		"notice before the entry":       {func(c coldTrial) { c.entry(6, 50*s); c.restart() }, 50 * s},
 		"listed again":                  {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
-		"end of evacuation":             {func(c coldTrial) { c.p.SetEvacuated(map[string]bool{"x": true}, c.now); c.p.SetEvacuated(nil, c.now) }, 30 * s},
+		"end of evacuation, listed later": {func(c coldTrial) {
+			c.p.SetEvacuated(map[string]bool{"x": true}, c.now)
+			c.p.Update(c.list[1:], c.now)
+			c.p.SetEvacuated(nil, c.now)
+			c.p.Update(c.list, c.now)
+		}, 30 * s},
+		"end of evacuation": {func(c coldTrial) { c.p.SetEvacuated(map[string]bool{"x": true}, c.now); c.p.SetEvacuated(nil, c.now) }, 30 * s},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
