--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +25,8 @@
 	began          time.Time
 	resp           *http.Response
 	cancel         context.CancelFunc
-	pendingPrefill time.Duration // time to read the part of the prompt that the server has not yet read
+	speed          float64       // of the server when it was chosen: how long work takes, relative to the usual time
+	pendingPrefill time.Duration // usual time to read the part of the prompt that the server has not yet read
 	uncachedTokens float64       // prompt tokens that the server is expected to read
 	newParts       []prefix.Part // prompt parts that the server reads for the first time
 	// loadAge and skipped are logged: the age of the load information by which
@@ -117,9 +117,9 @@
 // newAttempt returns an attempt at the chosen server. read is the expected time to read
 // the prompt there.
 func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, now time.Time) *attempt {
-	tokens := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime)
+	tokens, picture := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime), m.Picture(now)
 	return &attempt{
-		member: m, model: model, load: m.Occupancy(now), expectedWait: m.Wait(now), began: now,
+		member: m, model: model, load: picture.Occupancy(), expectedWait: picture.Wait(), speed: picture.Speed, began: now,
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
 		limit: m.Limit(),
 	}
@@ -298,24 +298,6 @@
 	a.pendingPrefill = 0
 }
 
-// recordLoad records the load that the server reports in the header of its
-// answer.
-func (x *exchange) recordLoad(a *attempt) {
-	parts := strings.Split(a.resp.Header.Get(x.f.opts.Headers.Load), ",")
-	if len(parts) != 3 {
-		return
-	}
-	var values [3]int
-	for i, p := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || n < 0 {
-			return
-		}
-		values[i] = n
-	}
-	a.member.RecordLoad(pool.Load{Running: values[0], Waiting: values[1], Slots: values[2], At: time.Now()})
-}
-
 // enginePriority maps a rank to the priority of the engines, which ranges from
 // 0 (first) to 9. Engines assume 5 for requests without a priority.
 func enginePriority(rank int) int { return min(max(rank, 0), 4) }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -107,6 +107,8 @@
 	Model   string  `json:"model,omitempty"`
 	Load    float64 `json:"load,omitempty"`
 	WaitMS  int64   `json:"wait_ms,omitempty"`
+	// Speed is how long work takes at the server relative to the usual time, if that differs.
+	Speed float64 `json:"speed,omitempty"`
 	// LoadAgeMS is the age of the load information.
 	LoadAgeMS int64 `json:"load_age_ms,omitempty"`
 	// Limit is the limit of the server that was known when it was chosen, in
@@ -188,6 +190,9 @@
 	if a != nil {
 		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
 		s.WaitMS, s.LoadAgeMS, s.Skipped = a.expectedWait.Milliseconds(), a.loadAge.Milliseconds(), a.skipped
+		if a.speed != 1 {
+			s.Speed = a.speed
+		}
 		if a.limit != permit.NoLimit {
 			s.Limit = &a.limit
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -140,7 +140,7 @@
 // prompts wait at all servers, another server would not answer sooner, and it
 // would have to read a partly read prompt again.
 func (x *exchange) firstEventWait(a *attempt) time.Duration {
-	expected := a.expectedWait + a.pendingPrefill + x.f.opts.Pool.MeanWait(x.req.Service, a.began)
+	expected := a.expectedWait + time.Duration(a.speed*float64(a.pendingPrefill)) + x.f.opts.Pool.MeanWait(x.req.Service, a.began)
 	return max(time.Duration(firstEventShare*float64(x.req.Route.Target)), minFirstEventWait) + expectedWaitFactor*expected
 }
 
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -34,6 +34,9 @@
 	Exclude []*Member
 	// ExcludeLimited excludes the servers that have a limit.
 	ExcludeLimited bool
+	// ignoreSpeed is set if most servers are slow: the speed then says nothing about a
+	// single one, and all nodes would turn to the few others.
+	ignoreSpeed bool
 	// Draw returns random numbers from 0 to 1.
 	Draw func() float64
 }
@@ -92,6 +95,7 @@
 		return nil, 0
 	}
 	usable = limitToShare(usable, q.Versions)
+	q.ignoreSpeed = 2*countSlow(usable, now) > len(usable)
 	if q.Affinity != "" {
 		return chooseForPrompt(usable, q, now)
 	}
@@ -208,16 +212,37 @@
 // estimatedCost returns the time until an engine has read the prompt, plus the
 // penalties for a remote and for a full engine.
 func (q *Query) estimatedCost(m *Member, read time.Duration, now time.Time) time.Duration {
-	cost := m.Wait(now) + read
+	p := m.Picture(now)
+	cost := scale(p.UsualWait()+read, q.comparedSpeed(p))
 	if m.DataCentre != q.DataCentre {
 		cost += q.RemotePenalty
 	}
-	if m.Occupancy(now) >= fullOccupancy {
+	if p.Occupancy() >= fullOccupancy {
 		cost += fullWaitPenalty
 	}
 	return cost
 }
 
+// comparedSpeed returns the factor for the time that work takes at a server when servers
+// are compared. It differs from 1 for slow servers only.
+func (q *Query) comparedSpeed(p Picture) float64 {
+	if q.ignoreSpeed || !p.IsSlow() {
+		return 1
+	}
+	return p.Speed
+}
+
+// countSlow returns the number of slow servers.
+func countSlow(members []*Member, now time.Time) int {
+	n := 0
+	for _, m := range members {
+		if m.isSlow(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // topTwoByScore returns the two servers with the highest rendezvous scores.
 func topTwoByScore(members []*Member, key string) (first, second *Member) {
 	var firstScore, secondScore uint64
@@ -242,7 +267,8 @@
 	lowest := 0.0
 	for i := range members {
 		m := members[(start+i)%len(members)]
-		load := m.Occupancy(now)
+		p := m.Picture(now)
+		load := p.Occupancy() * q.comparedSpeed(p)
 		if m.DataCentre != q.DataCentre {
 			load += remoteOccupancyPenalty
 		}
--- /dev/null
+++ b/internal/pool/load.go
@@ -0,0 +1,142 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// Load is the load that a server last reported.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Speed is how long work currently takes at the server, in percent of the usual
+	// time. It is 0 if the server does not report it.
+	Speed float64
+	At    time.Time
+}
+
+const (
+	// loadTTL is how long a reported load is used: two of the slowest report
+	// intervals that were seen in a quiet pool.
+	loadTTL = 2 * time.Second
+	// remoteWorkTTL is how long the work of other nodes is used. It is sent
+	// every 500 ms and passes through two hubs.
+	remoteWorkTTL = 3 * time.Second
+	// queuedRequestWait is the expected wait for each request in a server's
+	// queue.
+	queuedRequestWait = 30 * time.Millisecond
+	// speedHalfLife is how fast a reported speed replaces the ones before, and how
+	// fast it loses its meaning: servers stay slow for about twice that time.
+	speedHalfLife = 300 * time.Millisecond
+	// slowFactor is the time that work takes, relative to the usual time, from which a
+	// server counts as slow. Smaller differences do not change the choice: all nodes
+	// would turn to the few fastest servers.
+	slowFactor = 1.25
+)
+
+// Picture is what a node knows of the load of one server at one moment. The methods
+// are pure functions.
+type Picture struct {
+	Slots int
+	// Running is the number of requests of all nodes, as far as this one knows.
+	Running int
+	// Reported and Queued are the requests that the server last reported, with those
+	// that this node has sent since, and those of them that wait. They are 0 if the
+	// report is too old.
+	Reported int
+	Queued   int
+	// Backlog is the usual time to read the prompts that wait to be read.
+	Backlog time.Duration
+	// Speed is how long work takes at present, relative to the usual time.
+	Speed float64
+	// ReportAge is the age of the server's report, RemoteAge that of the work of the
+	// other nodes.
+	ReportAge time.Duration
+	RemoteAge time.Duration
+}
+
+// Picture returns the load of the server.
+func (m *Member) Picture(now time.Time) Picture {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.picture(now)
+}
+
+// picture is Picture for callers that hold mu.
+func (m *Member) picture(now time.Time) Picture {
+	p := Picture{
+		Slots: m.Slots, Running: m.running, Backlog: m.pendingPrefill, Speed: m.speed.factor(now),
+		ReportAge: now.Sub(m.load.At), RemoteAge: now.Sub(m.remote.at),
+	}
+	if p.RemoteAge < remoteWorkTTL {
+		p.Running += m.remote.running
+		p.Backlog += m.remote.pendingPrefill
+	}
+	if p.ReportAge < loadTTL {
+		p.Reported, p.Queued = m.load.Running+m.load.Waiting+m.sentSinceReport, m.load.Waiting
+	}
+	return p
+}
+
+// Busy estimates the number of requests that the server has. It is the larger of two
+// figures: the server's report plus the requests that this node has sent since, and the
+// requests that all nodes have there.
+func (p Picture) Busy() int { return max(p.Running, p.Reported) }
+
+// Occupancy estimates the share of slots in use; it is above 1 if requests wait.
+func (p Picture) Occupancy() float64 { return float64(p.Busy()) / float64(max(p.Slots, 1)) }
+
+// UsualWait estimates how long a new prompt waits at the usual speed until the server
+// begins to read it.
+func (p Picture) UsualWait() time.Duration {
+	return p.Backlog + time.Duration(p.Queued)*queuedRequestWait
+}
+
+// Wait is UsualWait at the present speed.
+func (p Picture) Wait() time.Duration { return scale(p.UsualWait(), p.Speed) }
+
+// IsSlow reports whether work takes much longer than usual.
+func (p Picture) IsSlow() bool { return p.Speed >= slowFactor }
+
+// isSlow reports whether work takes much longer than usual at the server.
+func (m *Member) isSlow(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.speed.factor(now) >= slowFactor
+}
+
+// scale multiplies a duration.
+func scale(d time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+// speed estimates how long work takes at a server relative to the usual time. The zero
+// value is the usual speed.
+type speed struct {
+	excess float64 // share of the usual time by which work takes longer
+	at     time.Time
+}
+
+// factor returns the present estimate. It approaches 1 without reports, and is 1 after
+// loadTTL.
+func (s speed) factor(now time.Time) float64 {
+	age := now.Sub(s.at)
+	if s.excess == 0 || age >= loadTTL {
+		return 1
+	}
+	return 1 + s.excess*math.Exp2(-max(age, 0).Seconds()/speedHalfLife.Seconds())
+}
+
+// record adds a report in percent. The older the last report is, the more the new one counts.
+func (s *speed) record(percent float64, now time.Time) {
+	old := s.factor(now) - 1
+	weight := 1.0
+	if age := now.Sub(s.at); age < loadTTL {
+		weight = 1 - math.Exp2(-max(age, 0).Seconds()/speedHalfLife.Seconds())
+	}
+	s.excess, s.at = old+weight*(percent/100-1-old), now
+}
--- /dev/null
+++ b/internal/pool/load_test.go
@@ -0,0 +1,75 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fleetServers returns the entries of n servers in three data centres.
+func fleetServers(n int) []Server {
+	var out []Server
+	for i := range n {
+		id := "server-" + strconv.Itoa(i)
+		out = append(out, Server{ID: id, Address: id, Service: "s", DataCentre: "dc" + strconv.Itoa(i%3), Version: "v1", Slots: 64})
+	}
+	return out
+}
+
+// A slow period of a server ends unseen if no request goes there: the speed approaches the
+// usual one by itself, and one report among many does not turn it over.
+func TestSpeedIsSmoothedAndForgotten(t *testing.T) {
+	is := is.New(t)
+	m := newMember(fleetServers(1)[0], start)
+	m.SetRemoteWork(1, 100*time.Millisecond, start)
+	is.Equal(m.Wait(start), 100*time.Millisecond)
+	m.RecordLoad(Load{Running: 1, Slots: 64, Speed: 250, At: start})
+	is.Equal(m.Wait(start), 250*time.Millisecond)
+	m.RecordLoad(Load{Running: 1, Slots: 64, Speed: 100, At: start.Add(10 * time.Millisecond)})
+	is.True(m.Picture(start.Add(10*time.Millisecond)).Speed > 2.3)
+	is.True(m.Picture(start.Add(610*time.Millisecond)).Speed < 1.4)
+	is.Equal(m.Picture(start.Add(loadTTL+10*time.Millisecond)).Speed, 1.0)
+	m.RecordLoad(Load{Running: 1, Slots: 64, At: start.Add(3 * time.Second)}) // three figures
+	is.Equal(m.Picture(start.Add(3*time.Second)).Speed, 1.0)
+}
+
+// Slow engines get fewer prompts, and 84 nodes that read the same figures do not turn to the
+// same engine: none gets more than twice its share, whether few engines are slow, one is
+// fast, or all but one are slow.
+func TestNodesDoNotTurnToTheSameFastServer(t *testing.T) {
+	for name, speeds := range map[string]struct{ first, others float64 }{
+		"few slow": {250, 100}, "one fast": {40, 100}, "one usual": {100, 250},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, rng := is.New(t), rand.New(rand.NewPCG(1, 2))
+			const requests = 84 * 250
+			chosen, slow := map[string]int{}, 0
+			p := New()
+			p.Update(fleetServers(60), start)
+			for i, m := range p.Members("s") {
+				speed := speeds.others
+				if i == 0 || name == "few slow" && i < 9 {
+					speed = speeds.first
+				}
+				m.RecordLoad(Load{Slots: 64, Speed: speed, At: start})
+			}
+			for i := range requests {
+				q := Query{Service: "s", Affinity: strconv.Itoa(i), ColdReadTime: 100 * time.Millisecond, DataCentre: "dc" + strconv.Itoa(i%3), Draw: rng.Float64}
+				m := choose(p, q, start)
+				chosen[m.ID]++
+				if m.isSlow(start) {
+					slow++
+				}
+			}
+			for _, n := range chosen {
+				is.True(n <= 2*requests/60)
+			}
+			if name == "few slow" {
+				is.True(slow < requests*9/60/10)
+			}
+		})
+	}
+}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -9,26 +9,6 @@
 	"github.com/cowslipfall/cowslipfall/internal/routing"
 )
 
-// Load is the load that a server last reported.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-	At      time.Time
-}
-
-const (
-	// loadTTL is how long a reported load is used: two of the slowest report
-	// intervals that were seen in a quiet pool.
-	loadTTL = 2 * time.Second
-	// remoteWorkTTL is how long the work of other nodes is used. It is sent
-	// every 500 ms and passes through two hubs.
-	remoteWorkTTL = 3 * time.Second
-	// queuedRequestWait is the expected wait for each request in a server's
-	// queue.
-	queuedRequestWait = 30 * time.Millisecond
-)
-
 // Member is one backend server with the state that this node has learned of it.
 type Member struct {
 	Server
@@ -42,6 +22,7 @@
 	running         int             // guarded by mu; requests of this node in progress
 	pendingPrefill  time.Duration   // guarded by mu; time to read the unread prompts of this node
 	load            Load            // guarded by mu
+	speed           speed           // guarded by mu; as last reported
 	sentSinceReport int             // guarded by mu; requests sent since the last load report
 	health          routing.Outlier // guarded by mu
 	lastProgress    time.Time       // guarded by mu; time of the last event or answer
@@ -183,6 +164,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.load, m.sentSinceReport = l, 0
+	if l.Speed > 0 {
+		m.speed.record(l.Speed, l.At)
+	}
 }
 
 // RecordProgress records that the server sent an event or an answer.
@@ -228,37 +212,9 @@
 }
 
 // Occupancy estimates the share of slots in use; it is above 1 if requests
-// wait. It is the larger of two figures: the server's report plus the requests
-// that this node has sent since, and the requests that all nodes have there.
-func (m *Member) Occupancy(now time.Time) float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return float64(m.busy(now)) / float64(max(m.Slots, 1))
-}
-
-// busy estimates the number of requests that the server has. The caller holds mu.
-func (m *Member) busy(now time.Time) int {
-	busy := m.running
-	if now.Sub(m.remote.at) < remoteWorkTTL {
-		busy += m.remote.running
-	}
-	if now.Sub(m.load.At) < loadTTL {
-		busy = max(busy, m.load.Running+m.load.Waiting+m.sentSinceReport)
-	}
-	return busy
-}
+// wait.
+func (m *Member) Occupancy(now time.Time) float64 { return m.Picture(now).Occupancy() }
 
 // Wait estimates how long a new prompt waits until the server begins to read
 // it.
-func (m *Member) Wait(now time.Time) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	wait := m.pendingPrefill
-	if now.Sub(m.remote.at) < remoteWorkTTL {
-		wait += m.remote.pendingPrefill
-	}
-	if now.Sub(m.load.At) < loadTTL {
-		wait += time.Duration(m.load.Waiting) * queuedRequestWait
-	}
-	return wait
-}
+func (m *Member) Wait(now time.Time) time.Duration { return m.Picture(now).Wait() }
