Long prompts: all nodes prefer the same engines for them, short ones the others

While an engine reads a long prompt, short prompts wait behind it and the streams beside it pause. Other nodes' figures are older than most such reads take, so no node can avoid them one by one. For services with a stream whose MaxPause is at most a second, all nodes prefer the same engines of each data centre for long prompts, as many as the backlog of long prompts needs, and the others for short ones. The preference is a cost in time, so both go elsewhere when their engines have long waits.

Other services are served as before.

--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -15,8 +15,8 @@
 
 // hubState holds what this node last published as a hub.
 type hubState struct {
-	memberList, loads string
-	publishedAt       time.Time // when both were last published, changed or not
+	memberList, loads, details string
+	publishedAt                time.Time // when they were last published, changed or not
 }
 
 // republishInterval is how often an unchanged member list is published again. Rows of
@@ -35,7 +35,7 @@
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
-	n.publish(tableHeartbeats, heartbeat{state, n.localWorkload().encode(), prefix.Encode(n.prefixes.ConsumePending())}, "")
+	n.publish(tableHeartbeats, heartbeat{state, n.localWorkload().encode(), n.localLoadDetails().encode(), prefix.Encode(n.prefixes.ConsumePending())}, "")
 	prefixes := n.members.drainPrefixes()
 	if n.members.hubs(time.Now())[s.DataCentre] == n.innerAddress {
 		n.publishMemberList()
@@ -80,6 +80,7 @@
 	nodes, total := n.members.localMemberList()
 	n.published.memberList = n.publish(tableMemberLists, nodes, n.published.memberList)
 	n.published.loads = n.publishRaw(tableLoads, total.encode(), n.published.loads)
+	n.publishLoadDetails()
 	n.publish(tableHubHeartbeats, struct{}{}, "")
 }
 
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -17,11 +17,12 @@
 
 // Soft tables are passed between nodes only, never stored.
 const (
-	tableHeartbeats    = gossip.UpwardPrefix + "beats" // each node's state, sent to its hub
-	tableMemberLists   = gossip.SoftPrefix + "rosters" // each hub's member list of its data centre
-	tableHubHeartbeats = gossip.SoftPrefix + "pulses"  // heartbeats of the hubs
-	tableLoads         = gossip.SoftPrefix + "loads"   // load of a data centre's nodes on each server
-	tablePrefixes      = gossip.SoftPrefix + "reads"   // prompt prefixes that were sent to servers
+	tableHeartbeats    = gossip.UpwardPrefix + "beats"      // each node's state, sent to its hub
+	tableMemberLists   = gossip.SoftPrefix + "rosters"      // each hub's member list of its data centre
+	tableHubHeartbeats = gossip.SoftPrefix + "pulses"       // heartbeats of the hubs
+	tableLoads         = gossip.SoftPrefix + "loads"        // load of a data centre's nodes on each server
+	tableLoadDetails   = gossip.SoftPrefix + "load-details" // details of that load
+	tablePrefixes      = gossip.SoftPrefix + "reads"        // prompt prefixes that were sent to servers
 	tableSessions      = gossip.SoftPrefix + "sessions"
 	tableEvidence      = gossip.SoftPrefix + "evidence"
 	tableSuspects      = gossip.SoftPrefix + "suspects"
@@ -81,6 +82,8 @@
 	nodeState
 	// Workload is the node's load on each server, encoded.
 	Workload []byte `json:"work,omitempty"`
+	// Details are the details of that load, encoded.
+	Details []byte `json:"work_details,omitempty"`
 	// Prefixes are the prompt prefixes that the node sent to servers since its last
 	// heartbeat, encoded.
 	Prefixes []byte `json:"reads,omitempty"`
@@ -96,6 +99,7 @@
 type receivedHeartbeat struct {
 	nodeState
 	workload   workload
+	details    loadDetails
 	receivedAt time.Time
 }
 
@@ -108,6 +112,7 @@
 	memberLists map[string]*memberList       // guarded by mu; by hub key
 	unreachable map[string]time.Time         // guarded by mu; by inner address
 	loads       map[string]workload          // guarded by mu; by hub key
+	details     map[string]loadDetails       // guarded by mu; by hub key
 	loggedNames map[string]bool              // guarded by mu; names that were logged as joined
 	prefixes    []prefix.Entry               // guarded by mu; received in heartbeats, not yet drained
 	cachedLive  []nodeState                  // guarded by mu; result of liveLocked, nil after a change
@@ -116,7 +121,7 @@
 func newMembers(log *zap.Logger) *members {
 	return &members{
 		log: log, heartbeats: map[string]receivedHeartbeat{}, memberLists: map[string]*memberList{}, unreachable: map[string]time.Time{},
-		loads: map[string]workload{}, loggedNames: map[string]bool{},
+		loads: map[string]workload{}, details: map[string]loadDetails{}, loggedNames: map[string]bool{},
 	}
 }
 
@@ -142,7 +147,7 @@
 			continue
 		}
 		m.prefixes = append(m.prefixes, prefix.Decode(b.Prefixes)...)
-		m.heartbeats[r.Key] = receivedHeartbeat{b.nodeState, decodeWorkload(b.Workload), now}
+		m.heartbeats[r.Key] = receivedHeartbeat{b.nodeState, decodeWorkload(b.Workload), decodeLoadDetails(b.Details), now}
 		delete(m.unreachable, b.Inner)
 	}
 }
@@ -201,6 +206,7 @@
 			delete(m.memberLists, key)
 			m.cachedLive = nil
 			delete(m.loads, key)
+			delete(m.details, key)
 		}
 	}
 	m.logChanges()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -232,7 +232,8 @@
 	n.members.applyHeartbeats(byTable[tableHeartbeats], now)
 	n.members.applyMemberLists(byTable[tableMemberLists], now)
 	n.members.applyHubHeartbeats(byTable[tableHubHeartbeats], now)
-	if loads := byTable[tableLoads]; len(loads) > 0 {
+	n.members.applyLoadDetails(byTable[tableLoadDetails])
+	if loads := byTable[tableLoads]; len(loads)+len(byTable[tableLoadDetails]) > 0 {
 		n.members.applyLoads(loads)
 		n.applyRemoteLoad(now)
 	}
@@ -378,6 +379,6 @@
 // hold, draining servers until their entries are gone, limits until they are published
 // again, evidence longer than any roll-out.
 var softTableTTLs = map[string]time.Duration{
-	tableHeartbeats: softRowTTL, tableMemberLists: softRowTTL, tableHubHeartbeats: softRowTTL, tableLoads: softRowTTL, tablePrefixes: softRowTTL, tableSessions: softRowTTL,
+	tableHeartbeats: softRowTTL, tableMemberLists: softRowTTL, tableHubHeartbeats: softRowTTL, tableLoads: softRowTTL, tableLoadDetails: softRowTTL, tablePrefixes: softRowTTL, tableSessions: softRowTTL,
 	tableSuspects: 10 * time.Minute, tableDraining: 10 * time.Minute, tableLimits: 10 * time.Minute, tableEvidence: 24 * time.Hour,
 }
--- a/internal/edge/workload.go
+++ b/internal/edge/workload.go
@@ -76,4 +76,5 @@
 		t, o := total[m.Key()], local[m.Key()]
 		m.SetRemoteWork(max(t.running-o.running, 0), max(t.pendingPrefill-o.pendingPrefill, 0), now)
 	})
+	n.applyRemoteDetails(now)
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,6 +27,7 @@
 	cancel         context.CancelFunc
 	speed          float64       // of the server when it was chosen: how long work takes, relative to the usual time
 	pendingPrefill time.Duration // usual time to read the part of the prompt that the server has not yet read
+	longPrefill    time.Duration // pendingPrefill if the prompt is long, otherwise 0
 	uncachedTokens float64       // prompt tokens that the server is expected to read
 	newParts       []prefix.Part // prompt parts that the server reads for the first time
 	// loadAge and skipped are logged: the age of the load information by which
@@ -118,11 +119,15 @@
 // the prompt there.
 func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, now time.Time) *attempt {
 	tokens, picture := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime), m.Picture(now)
-	return &attempt{
+	a := &attempt{
 		member: m, model: model, load: picture.Occupancy(), expectedWait: picture.Wait(), speed: picture.Speed, began: now,
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
 		limit: m.Limit(),
 	}
+	if pool.IsLongRead(a.pendingPrefill, q.ShortestTarget) {
+		a.longPrefill = a.pendingPrefill
+	}
+	return a
 }
 
 // query returns the pool query for the request.
@@ -136,6 +141,8 @@
 	}
 	q.Affinity = model + "/" + x.req.Subject
 	q.RemotePenalty = x.f.readSpeeds.comparisonCost(model, x.req.transferKB()*tokensPerKB)
+	q.ShortestTarget = x.f.opts.Table().ShortestTarget(x.req.Service)
+	q.EngineShare = x.f.readSpeeds.engineShare(model)
 	q.ColdReadTime = x.f.readSpeeds.comparisonCost(model, x.req.PromptTokens)
 	q.CachedReadTimes = map[prefix.Server]time.Duration{}
 	for server, cached := range x.f.opts.Prefixes.Cached(x.req.sharedPartHashes(model), now) {
@@ -168,6 +175,7 @@
 		x.tried = append(x.tried, a.member)
 		return resultNotRun, errors.New("server stopped taking requests")
 	}
+	a.member.BeginLongPrefill(a.longPrefill)
 	if a.limit != permit.NoLimit {
 		x.f.opts.Metrics.LimitedAttempts.Inc()
 	}
@@ -295,7 +303,8 @@
 // finishPrefill records that the server has read the prompt.
 func (a *attempt) finishPrefill() {
 	a.member.FinishPrefill(a.pendingPrefill)
-	a.pendingPrefill = 0
+	a.member.FinishLongPrefill(a.longPrefill)
+	a.pendingPrefill, a.longPrefill = 0, 0
 }
 
 // enginePriority maps a rank to the priority of the engines, which ranges from
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -22,6 +22,12 @@
 	// cached.
 	ColdReadTime    time.Duration
 	CachedReadTimes map[prefix.Server]time.Duration
+	// ShortestTarget is the shortest target for pauses and first events of the routes of
+	// a service where long prompts are told from short ones, 0 of other services.
+	ShortestTarget time.Duration
+	// EngineShare is the time that an engine needs to read a prompt as a share of the
+	// read times above, which are for comparisons. 0 counts as 1.
+	EngineShare float64
 	// DataCentre is the local data centre, preferred between otherwise equal
 	// servers.
 	DataCentre string
@@ -37,6 +43,8 @@
 	// ignoreSpeed is set if most servers are slow: the speed then says nothing about a
 	// single one, and all nodes would turn to the few others.
 	ignoreSpeed bool
+	// mix is how engines are divided between long and short prompts.
+	mix mix
 	// Draw returns random numbers from 0 to 1.
 	Draw func() float64
 }
@@ -95,6 +103,7 @@
 		return nil, 0
 	}
 	usable = limitToShare(usable, q.Versions)
+	q.mix = p.mix(&q, now)
 	q.ignoreSpeed = 2*countSlow(usable, now) > len(usable)
 	if q.Affinity != "" {
 		return chooseForPrompt(usable, q, now)
@@ -154,16 +163,20 @@
 			best, bestRead, lowest = m, read, cost
 		}
 	}
+	preferred := q.mix.preferred(members, q.engineTime(q.ColdReadTime))
 	first, second := topTwoByScore(q.bestCached(members), q.Affinity)
 	if first == nil {
-		first, _ = topTwoByScore(members, q.Affinity)
+		first, _ = topTwoByScore(preferred, q.Affinity)
 	}
 	consider(first)
 	consider(second)
 	for range randomCandidates {
-		consider(q.randomMember(members))
+		consider(q.randomMember(preferred))
+	}
+	consider(q.randomMember(q.localMembers(preferred)))
+	if q.mix.isActive() {
+		consider(q.randomMember(q.localMembers(members)))
 	}
-	consider(q.randomMember(q.localMembers(members)))
 	return best, bestRead
 }
 
@@ -194,6 +207,14 @@
 	return q.ColdReadTime
 }
 
+// engineTime returns the time that an engine needs for a read time.
+func (q *Query) engineTime(read time.Duration) time.Duration {
+	if q.EngineShare == 0 {
+		return read
+	}
+	return scale(read, q.EngineShare)
+}
+
 // bestCached returns the engines that have most of the prompt cached.
 func (q *Query) bestCached(members []*Member) []*Member {
 	shortest := q.ColdReadTime
@@ -213,7 +234,7 @@
 // penalties for a remote and for a full engine.
 func (q *Query) estimatedCost(m *Member, read time.Duration, now time.Time) time.Duration {
 	p := m.Picture(now)
-	cost := scale(p.UsualWait()+read, q.comparedSpeed(p))
+	cost := scale(p.UsualWait()+read, q.comparedSpeed(p)) + q.mix.cost(m, p, q.engineTime(read))
 	if m.DataCentre != q.DataCentre {
 		cost += q.RemotePenalty
 	}
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -35,6 +35,41 @@
 	slowFactor = 1.25
 )
 
+// Details are the figures of some nodes' work at a server that are known only where long
+// prompts are told from short ones.
+type Details struct {
+	// LongPrefill is the usual time to read the long prompts that were not read yet.
+	LongPrefill time.Duration
+	// Tokens is the memory that the requests in progress take: their prompts and the
+	// output that is expected.
+	Tokens float64
+}
+
+// Add returns the sum of two nodes' details.
+func (d Details) Add(x Details) Details {
+	return Details{d.LongPrefill + x.LongPrefill, d.Tokens + x.Tokens}
+}
+
+// Without returns the part of a sum that is not of x. x may be newer than the sum.
+func (d Details) Without(x Details) Details {
+	return Details{max(d.LongPrefill-x.LongPrefill, 0), max(d.Tokens-x.Tokens, 0)}
+}
+
+// LocalDetails returns the details of this node's own work.
+func (m *Member) LocalDetails() Details {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Details{LongPrefill: m.pendingLong, Tokens: m.tokens}
+}
+
+// SetRemoteDetails sets the figures that LocalDetails returns for this node, summed over all
+// other nodes.
+func (m *Member) SetRemoteDetails(d Details, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remote.details, m.remote.detailsAt = d, now
+}
+
 // Picture is what a node knows of the load of one server at one moment. The methods
 // are pure functions.
 type Picture struct {
@@ -48,6 +83,12 @@
 	Queued   int
 	// Backlog is the usual time to read the prompts that wait to be read.
 	Backlog time.Duration
+	// LongBacklog is the part of Backlog that is for long prompts.
+	LongBacklog time.Duration
+	// Tokens is the memory that the requests of all nodes take, in tokens.
+	Tokens float64
+	// LongRank is the place of the server in the order for long prompts, from 0 to 1.
+	LongRank float64
 	// Speed is how long work takes at present, relative to the usual time.
 	Speed float64
 	// ReportAge is the age of the server's report, RemoteAge that of the work of the
@@ -67,12 +108,16 @@
 func (m *Member) picture(now time.Time) Picture {
 	p := Picture{
 		Slots: m.Slots, Running: m.running, Backlog: m.pendingPrefill, Speed: m.speed.factor(now),
-		ReportAge: now.Sub(m.load.At), RemoteAge: now.Sub(m.remote.at),
+		LongBacklog: m.pendingLong, LongRank: m.longRank, Tokens: m.tokens, ReportAge: now.Sub(m.load.At), RemoteAge: now.Sub(m.remote.at),
 	}
 	if p.RemoteAge < remoteWorkTTL {
 		p.Running += m.remote.running
 		p.Backlog += m.remote.pendingPrefill
 	}
+	if now.Sub(m.remote.detailsAt) < remoteWorkTTL {
+		p.LongBacklog += m.remote.details.LongPrefill
+		p.Tokens += m.remote.details.Tokens
+	}
 	if p.ReportAge < loadTTL {
 		p.Reported, p.Queued = m.load.Running+m.load.Waiting+m.sentSinceReport, m.load.Waiting
 	}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -21,6 +21,9 @@
 	backoffUntil    time.Time       // guarded by mu
 	running         int             // guarded by mu; requests of this node in progress
 	pendingPrefill  time.Duration   // guarded by mu; time to read the unread prompts of this node
+	pendingLong     time.Duration   // guarded by mu; part of pendingPrefill that is for long prompts
+	tokens          float64         // guarded by mu; memory that this node's requests take
+	longRank        float64         // guarded by mu; place in the order for long prompts, from 0 to 1
 	load            Load            // guarded by mu
 	speed           speed           // guarded by mu; as last reported
 	sentSinceReport int             // guarded by mu; requests sent since the last load report
@@ -38,6 +41,8 @@
 	running        int
 	pendingPrefill time.Duration
 	at             time.Time
+	details        Details
+	detailsAt      time.Time
 }
 
 func newMember(s Server, now time.Time) *Member {
@@ -131,7 +136,7 @@
 func (m *Member) SetRemoteWork(running int, pendingPrefill time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.remote = remoteWork{running, pendingPrefill, now}
+	m.remote.running, m.remote.pendingPrefill, m.remote.at = running, pendingPrefill, now
 }
 
 // IsHealthy reports whether no failure is counted against the server.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,6 +33,7 @@
 	delisted     map[string]delistedMember // guarded by mu; by server ID
 	drainNotices map[string]drainNotice    // guarded by mu; by server ID
 	limits       map[string]limitNotice    // guarded by mu; by server ID
+	longShares   longShares
 }
 
 // New returns an empty pool.
@@ -66,6 +67,7 @@
 	}
 	for _, list := range services {
 		slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+		rankForLongPrompts(list)
 	}
 	p.members, p.services = next, services
 	p.mu.Unlock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -112,6 +112,9 @@
 	// Models lists the models of a pool of engines. It is empty for a plain
 	// service.
 	Models []Model
+	// MemoryTokens is the number of tokens that the memory of one engine holds, 0 if it
+	// is not known.
+	MemoryTokens float64
 }
 
 // Organisation is the holder of a set of keys.
@@ -138,6 +141,8 @@
 	services map[string]*Service
 	keys     map[string]*Organisation
 	routes   int
+	// shortestTargets is the result of ShortestTarget by service.
+	shortestTargets map[string]time.Duration
 }
 
 // Definition is the input of NewTable.
@@ -151,7 +156,7 @@
 
 // NewTable validates a definition and returns its table.
 func NewTable(d Definition) (*Table, error) {
-	t := &Table{Version: d.Version, Limits: d.Limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, routes: len(d.Routes)}
+	t := &Table{Version: d.Version, Limits: d.Limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, routes: len(d.Routes), shortestTargets: shortestTargets(d.Routes)}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
