Load picture: memory in tokens, totals as metrics, cheaper choice

A request is not sent to an engine whose memory it would not fit in beside what runs there, if another has room; one that fits in no empty engine is sent as before. Known only for services where long prompts are told from short ones and whose configuration says kvCapacity. Servers are looked at once under one lock, names are hashed once, and no lists of local servers are built.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -362,6 +362,7 @@
 	n.servers.dropExpired(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.applyRemoteLoad(now)
+	n.exportLoad(now)
 	n.prefixes.Prune(now)
 	if n.permits.roster.Coordinator() == n.innerAddress {
 		n.serverLimits.refresh(now)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,7 +27,7 @@
 	cancel         context.CancelFunc
 	speed          float64       // of the server when it was chosen: how long work takes, relative to the usual time
 	pendingPrefill time.Duration // usual time to read the part of the prompt that the server has not yet read
-	longPrefill    time.Duration // pendingPrefill if the prompt is long, otherwise 0
+	work           pool.Details  // what the attempt adds to the load where long prompts are told from short ones
 	uncachedTokens float64       // prompt tokens that the server is expected to read
 	newParts       []prefix.Part // prompt parts that the server reads for the first time
 	// loadAge and skipped are logged: the age of the load information by which
@@ -124,8 +124,11 @@
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
 		limit: m.Limit(),
 	}
+	if q.ShortestTarget > 0 {
+		a.work.Tokens = q.Tokens
+	}
 	if pool.IsLongRead(a.pendingPrefill, q.ShortestTarget) {
-		a.longPrefill = a.pendingPrefill
+		a.work.LongPrefill = a.pendingPrefill
 	}
 	return a
 }
@@ -141,7 +144,12 @@
 	}
 	q.Affinity = model + "/" + x.req.Subject
 	q.RemotePenalty = x.f.readSpeeds.comparisonCost(model, x.req.transferKB()*tokensPerKB)
-	q.ShortestTarget = x.f.opts.Table().ShortestTarget(x.req.Service)
+	if table := x.f.opts.Table(); table.ShortestTarget(x.req.Service) > 0 {
+		q.ShortestTarget, q.Tokens = table.ShortestTarget(x.req.Service), x.req.PromptTokens+x.req.ExpectedTokens
+		if s := table.Service(x.req.Service); s != nil {
+			q.MemoryTokens = s.MemoryTokens
+		}
+	}
 	q.EngineShare = x.f.readSpeeds.engineShare(model)
 	q.ColdReadTime = x.f.readSpeeds.comparisonCost(model, x.req.PromptTokens)
 	q.CachedReadTimes = map[prefix.Server]time.Duration{}
@@ -175,7 +183,7 @@
 		x.tried = append(x.tried, a.member)
 		return resultNotRun, errors.New("server stopped taking requests")
 	}
-	a.member.BeginLongPrefill(a.longPrefill)
+	a.member.BeginWork(a.work)
 	if a.limit != permit.NoLimit {
 		x.f.opts.Metrics.LimitedAttempts.Inc()
 	}
@@ -296,6 +304,7 @@
 		_ = a.resp.Body.Close()
 	}
 	a.finishPrefill()
+	a.member.EndWork(a.work)
 	a.member.EndRequest()
 	a.cancel = nil
 }
@@ -303,8 +312,8 @@
 // finishPrefill records that the server has read the prompt.
 func (a *attempt) finishPrefill() {
 	a.member.FinishPrefill(a.pendingPrefill)
-	a.member.FinishLongPrefill(a.longPrefill)
-	a.pendingPrefill, a.longPrefill = 0, 0
+	a.member.EndWork(pool.Details{LongPrefill: a.work.LongPrefill})
+	a.pendingPrefill, a.work.LongPrefill = 0, 0
 }
 
 // enginePriority maps a rank to the priority of the engines, which ranges from
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -45,6 +45,10 @@
 	ignoreSpeed bool
 	// mix is how engines are divided between long and short prompts.
 	mix mix
+	// Tokens is the memory that the request takes at a server, MemoryTokens what a server
+	// has, in tokens. A MemoryTokens of 0 means that it is not known.
+	Tokens       float64
+	MemoryTokens float64
 	// Draw returns random numbers from 0 to 1.
 	Draw func() float64
 }
@@ -95,16 +99,20 @@
 		q.Versions = Versions{}
 	}
 	members := p.Members(q.Service)
-	usable := filter(members, q, func(m *Member) bool { return m.IsUsable(now) && !m.isHeldOff(now) })
+	look := survey{limit: q.memoryLimit()}
+	usable := filter(members, q, func(m *Member) bool { return look.accept(m, now, false) })
 	if len(usable) == 0 {
-		usable = filter(members, q, func(m *Member) bool { return m.IsAvailable(now) && !m.isHeldOff(now) })
+		usable = filter(members, q, func(m *Member) bool { return look.accept(m, now, true) })
 	}
 	if len(usable) == 0 {
 		return nil, 0
 	}
 	usable = limitToShare(usable, q.Versions)
 	q.mix = p.mix(&q, now)
-	q.ignoreSpeed = 2*countSlow(usable, now) > len(usable)
+	q.ignoreSpeed = 2*look.slow > len(usable)
+	if look.full > 0 {
+		usable = withRoom(usable, look.limit, now)
+	}
 	if q.Affinity != "" {
 		return chooseForPrompt(usable, q, now)
 	}
@@ -127,7 +135,7 @@
 }
 
 func filter(members []*Member, q Query, accept func(*Member) bool) []*Member {
-	var accepted []*Member
+	accepted := make([]*Member, 0, len(members))
 	for _, m := range members {
 		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.Limit() != permit.NoLimit) && accept(m) {
 			accepted = append(accepted, m)
@@ -173,9 +181,9 @@
 	for range randomCandidates {
 		consider(q.randomMember(preferred))
 	}
-	consider(q.randomMember(q.localMembers(preferred)))
+	consider(q.randomLocalMember(preferred))
 	if q.mix.isActive() {
-		consider(q.randomMember(q.localMembers(members)))
+		consider(q.randomLocalMember(members))
 	}
 	return best, bestRead
 }
@@ -188,15 +196,28 @@
 	return members[int(q.Draw()*float64(len(members)))]
 }
 
-// localMembers returns the engines in the local data centre.
-func (q *Query) localMembers(members []*Member) []*Member {
-	var local []*Member
+// randomLocalMember returns a random engine of members in the local data centre, or nil if
+// there is none.
+func (q *Query) randomLocalMember(members []*Member) *Member {
+	local := 0
+	for _, m := range members {
+		if m.DataCentre == q.DataCentre {
+			local++
+		}
+	}
+	if local == 0 {
+		return nil
+	}
+	skip := int(q.Draw() * float64(local))
 	for _, m := range members {
 		if m.DataCentre == q.DataCentre {
-			local = append(local, m)
+			if skip == 0 {
+				return m
+			}
+			skip--
 		}
 	}
-	return local
+	return nil
 }
 
 // ReadTime returns the time to read the prompt at an engine.
@@ -217,6 +238,9 @@
 
 // bestCached returns the engines that have most of the prompt cached.
 func (q *Query) bestCached(members []*Member) []*Member {
+	if len(q.CachedReadTimes) == 0 {
+		return nil
+	}
 	shortest := q.ColdReadTime
 	var best []*Member
 	for _, m := range members {
@@ -253,22 +277,11 @@
 	return p.Speed
 }
 
-// countSlow returns the number of slow servers.
-func countSlow(members []*Member, now time.Time) int {
-	n := 0
-	for _, m := range members {
-		if m.isSlow(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // topTwoByScore returns the two servers with the highest rendezvous scores.
 func topTwoByScore(members []*Member, key string) (first, second *Member) {
 	var firstScore, secondScore uint64
 	for _, m := range members {
-		score := routing.Score(m.ID, key)
+		score := m.affinity.Score(key)
 		switch {
 		case first == nil || score > firstScore:
 			first, second, firstScore, secondScore = m, first, score, firstScore
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 )
 
 // Load is the load that a server last reported.
@@ -59,7 +61,7 @@
 func (m *Member) LocalDetails() Details {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Details{LongPrefill: m.pendingLong, Tokens: m.tokens}
+	return m.details
 }
 
 // SetRemoteDetails sets the figures that LocalDetails returns for this node, summed over all
@@ -87,8 +89,6 @@
 	LongBacklog time.Duration
 	// Tokens is the memory that the requests of all nodes take, in tokens.
 	Tokens float64
-	// LongRank is the place of the server in the order for long prompts, from 0 to 1.
-	LongRank float64
 	// Speed is how long work takes at present, relative to the usual time.
 	Speed float64
 	// ReportAge is the age of the server's report, RemoteAge that of the work of the
@@ -108,7 +108,7 @@
 func (m *Member) picture(now time.Time) Picture {
 	p := Picture{
 		Slots: m.Slots, Running: m.running, Backlog: m.pendingPrefill, Speed: m.speed.factor(now),
-		LongBacklog: m.pendingLong, LongRank: m.longRank, Tokens: m.tokens, ReportAge: now.Sub(m.load.At), RemoteAge: now.Sub(m.remote.at),
+		LongBacklog: m.details.LongPrefill, Tokens: m.usedTokens(now), ReportAge: now.Sub(m.load.At), RemoteAge: now.Sub(m.remote.at),
 	}
 	if p.RemoteAge < remoteWorkTTL {
 		p.Running += m.remote.running
@@ -116,7 +116,6 @@
 	}
 	if now.Sub(m.remote.detailsAt) < remoteWorkTTL {
 		p.LongBacklog += m.remote.details.LongPrefill
-		p.Tokens += m.remote.details.Tokens
 	}
 	if p.ReportAge < loadTTL {
 		p.Reported, p.Queued = m.load.Running+m.load.Waiting+m.sentSinceReport, m.load.Waiting
@@ -144,11 +143,89 @@
 // IsSlow reports whether work takes much longer than usual.
 func (p Picture) IsSlow() bool { return p.Speed >= slowFactor }
 
-// isSlow reports whether work takes much longer than usual at the server.
-func (m *Member) isSlow(now time.Time) bool {
+// survey counts servers while the eligible ones are selected.
+type survey struct {
+	limit float64 // tokens in a server's memory up to which the request fits
+	slow  int
+	full  int // eligible servers above limit
+}
+
+// memoryLimit returns the tokens in a server's memory up to which the request fits. It is
+// infinite if the memory is not known, or if the request would not fit in an empty server either.
+func (q *Query) memoryLimit() float64 {
+	if limit := q.MemoryTokens - q.Tokens; q.MemoryTokens > 0 && limit >= 0 {
+		return limit
+	}
+	return math.Inf(1)
+}
+
+// accept reports whether the server may be chosen, and counts it if so: it takes requests, is
+// not held off for its limit, and is not ejected unless that is allowed.
+func (s *survey) accept(m *Member, now time.Time, allowEjected bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.speed.factor(now) >= slowFactor
+	if !m.available(now) || m.limit.rate != permit.NoLimit && now.Before(m.limit.heldUntil) || !allowEjected && m.health.IsEjected(now) {
+		return false
+	}
+	if m.speed.factor(now) >= slowFactor {
+		s.slow++
+	}
+	if m.usedTokens(now) > s.limit {
+		s.full++
+	}
+	return true
+}
+
+// usedTokens returns the memory that the requests of all nodes take. The caller holds mu.
+func (m *Member) usedTokens(now time.Time) float64 {
+	if m.remote.details.Tokens == 0 || now.Sub(m.remote.detailsAt) >= remoteWorkTTL {
+		return m.details.Tokens
+	}
+	return m.details.Tokens + m.remote.details.Tokens
+}
+
+// withRoom returns the servers whose memory has at most limit tokens in use, or all if there
+// is none.
+func withRoom(members []*Member, limit float64, now time.Time) []*Member {
+	roomy := make([]*Member, 0, len(members))
+	for _, m := range members {
+		if m.Picture(now).Tokens <= limit {
+			roomy = append(roomy, m)
+		}
+	}
+	if len(roomy) == 0 {
+		return members
+	}
+	return roomy
+}
+
+// Totals is the sum of the pictures of a service's servers.
+type Totals struct {
+	// LongBacklog and ShortBacklog are the usual times to read the prompts that wait.
+	LongBacklog, ShortBacklog time.Duration
+	Tokens                    float64
+	SlowServers               int
+	// LongServers is the number of servers that long prompts prefer.
+	LongServers int
+}
+
+// Totals returns the sums of the servers' pictures by service.
+func (p *Pool) Totals(now time.Time) map[string]Totals {
+	out := map[string]Totals{}
+	p.Each(func(m *Member) {
+		x, t := m.Picture(now), out[m.Service]
+		t.LongBacklog += x.LongBacklog
+		t.ShortBacklog += max(x.Backlog-x.LongBacklog, 0)
+		t.Tokens += x.Tokens
+		if x.IsSlow() {
+			t.SlowServers++
+		}
+		if m.prefersLong.Load() {
+			t.LongServers++
+		}
+		out[m.Service] = t
+	})
+	return out
 }
 
 // scale multiplies a duration.
@@ -169,8 +246,11 @@
 // factor returns the present estimate. It approaches 1 without reports, and is 1 after
 // loadTTL.
 func (s speed) factor(now time.Time) float64 {
+	if s.excess == 0 {
+		return 1
+	}
 	age := now.Sub(s.at)
-	if s.excess == 0 || age >= loadTTL {
+	if age >= loadTTL {
 		return 1
 	}
 	return 1 + s.excess*math.Exp2(-max(age, 0).Seconds()/speedHalfLife.Seconds())
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -60,7 +60,7 @@
 				q := Query{Service: "s", Affinity: strconv.Itoa(i), ColdReadTime: 100 * time.Millisecond, DataCentre: "dc" + strconv.Itoa(i%3), Draw: rng.Float64}
 				m := choose(p, q, start)
 				chosen[m.ID]++
-				if m.isSlow(start) {
+				if m.Picture(start).IsSlow() {
 					slow++
 				}
 			}
@@ -73,3 +73,62 @@
 		})
 	}
 }
+
+// Long prompts with long outputs fill an engine's memory before its slots: a request must go to
+// an engine with room, whoever's requests fill the others, and must be sent all the same if it
+// fits nowhere.
+func TestRequestsGoWhereTheirMemoryFits(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	p.Update(fleetServers(12), start)
+	q := Query{Service: "s", Affinity: "subject", ColdReadTime: 500 * time.Millisecond, DataCentre: "dc1", Draw: drawHalf, Tokens: 20000, MemoryTokens: 100000}
+	for i, m := range p.Members("s") {
+		switch {
+		case i == 7:
+			m.RecordLoad(Load{Running: 50, Slots: 64, At: start})
+		case i%2 == 0:
+			m.BeginWork(Details{Tokens: 85000})
+		default:
+			m.SetRemoteDetails(Details{Tokens: 85000}, start)
+		}
+	}
+	roomy := p.Members("s")[7]
+	is.Equal(choose(p, q, start).ID, roomy.ID)
+	q.Tokens = 100001 // fits in no engine
+	is.True(choose(p, q, start) != nil)
+	q.Tokens = 20000
+	roomy.BeginWork(Details{Tokens: 90000}) // no engine has room
+	is.True(choose(p, q, start) != nil)
+	q.MemoryTokens = 0
+	is.True(choose(p, q, start).ID != roomy.ID) // as before where the memory is not known
+}
+
+// Details of other nodes that are too old, as after the loss of the hubs, are not used.
+func TestOldDetailsAreDropped(t *testing.T) {
+	is := is.New(t)
+	m := newMember(fleetServers(1)[0], start)
+	m.BeginWork(Details{LongPrefill: time.Second, Tokens: 100})
+	m.SetRemoteDetails(Details{LongPrefill: time.Second, Tokens: 100}, start)
+	is.Equal(m.Picture(start).LongBacklog, 2*time.Second)
+	is.Equal(m.Picture(start).Tokens, 200.0)
+	is.Equal(m.Picture(start.Add(remoteWorkTTL)).LongBacklog, time.Second)
+	is.Equal(m.Picture(start.Add(remoteWorkTTL)).Tokens, 100.0)
+}
+
+// BenchmarkChoose chooses among 600 servers, as before and with the engines divided between long
+// and short prompts.
+func BenchmarkChoose(b *testing.B) {
+	for name, target := range map[string]time.Duration{"mixed": 0, "divided": 500 * time.Millisecond} {
+		b.Run(name, func(b *testing.B) {
+			p := New()
+			p.Update(fleetServers(600), start)
+			q := Query{Service: "s", Affinity: "m/subject", ColdReadTime: 60 * time.Millisecond, DataCentre: "dc1", Draw: rand.Float64, ShortestTarget: target, Tokens: 800, MemoryTokens: 500000}
+			b.ReportAllocs()
+			now := start
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				p.Choose(q, now)
+			}
+		})
+	}
+}
--- a/internal/pool/long_prompts.go
+++ b/internal/pool/long_prompts.go
@@ -57,45 +57,41 @@
 			return cmp.Compare(routing.Score(b.ID, "long prompts"), routing.Score(a.ID, "long prompts"))
 		})
 		for i, m := range list {
-			m.setLongRank((float64(i) + 0.5) / float64(len(list)))
+			m.longRank.Store(uint32((float64(i) + 0.5) / float64(len(list)) * math.MaxUint32))
 		}
 	}
 }
 
-func (m *Member) setLongRank(rank float64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.longRank = rank
-}
-
 // longShares holds the share of each data centre's engines that long prompts prefer, by
-// service. Lock order: mu before Member.mu.
+// service. Lock order: mu before Pool.mu and Member.mu.
 type longShares struct {
 	mu       sync.Mutex
 	services map[string]longShare // guarded by mu
 }
 
-// longShare holds the shares of one service. byDataCentre is replaced, never modified.
+// longShare holds the shares of one service.
 type longShare struct {
 	at           time.Time
 	byDataCentre map[string]float64
 }
 
-// longShare returns the share of the engines that long prompts prefer by data centre.
-func (p *Pool) longShare(service string, target time.Duration, now time.Time) map[string]float64 {
+// divide works out which engines of a service long prompts prefer, unless that was done a
+// moment ago.
+func (p *Pool) divide(service string, target time.Duration, now time.Time) {
 	s := &p.longShares
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.services[service]
 	if age := now.Sub(old.at); old.byDataCentre != nil && age >= 0 && age < longShareInterval {
-		return old.byDataCentre
+		return
 	}
 	type sum struct {
 		engines int
 		backlog time.Duration
 	}
 	sums := map[string]sum{}
-	for _, m := range p.Members(service) {
+	members := p.Members(service)
+	for _, m := range members {
 		t := sums[m.DataCentre]
 		sums[m.DataCentre] = sum{t.engines + 1, t.backlog + m.Picture(now).LongBacklog}
 	}
@@ -107,7 +103,9 @@
 		s.services = map[string]longShare{}
 	}
 	s.services[service] = longShare{now, shares}
-	return shares
+	for _, m := range members {
+		m.prefersLong.Store(float64(m.longRank.Load()) < shares[m.DataCentre]*math.MaxUint32)
+	}
 }
 
 // nextLongShare returns the share of a data centre's engines that long prompts prefer. It
@@ -123,7 +121,6 @@
 // server is chosen. The zero value does not divide them.
 type mix struct {
 	target time.Duration
-	shares map[string]float64
 }
 
 // mix returns the division for a query.
@@ -131,15 +128,13 @@
 	if q.ShortestTarget <= 0 || q.Affinity == "" {
 		return mix{}
 	}
-	return mix{q.ShortestTarget, p.longShare(q.Service, q.ShortestTarget, now)}
+	p.divide(q.Service, q.ShortestTarget, now)
+	return mix{q.ShortestTarget}
 }
 
 // isActive reports whether engines are divided.
 func (x mix) isActive() bool { return x.target > 0 }
 
-// isForLong reports whether long prompts prefer an engine.
-func (x mix) isForLong(dataCentre string, rank float64) bool { return rank < x.shares[dataCentre] }
-
 // isLong reports whether a read takes so long that others notice it.
 func (x mix) isLong(read time.Duration) bool { return float64(read) >= longReadShare*float64(x.target) }
 
@@ -148,7 +143,7 @@
 	if !x.isActive() {
 		return 0
 	}
-	isForLong := x.isForLong(m.DataCentre, p.LongRank)
+	isForLong := m.prefersLong.Load()
 	switch {
 	case x.isLong(read) && !isForLong:
 		return scale(read, min(pauseCost*float64(p.Busy()), maxPauseCost))
@@ -167,7 +162,7 @@
 	isLong := x.isLong(read)
 	out := make([]*Member, 0, len(members))
 	for _, m := range members {
-		if x.isForLong(m.DataCentre, m.LongRank()) == isLong {
+		if m.prefersLong.Load() == isLong {
 			out = append(out, m)
 		}
 	}
@@ -177,13 +172,6 @@
 	return out
 }
 
-// LongRank returns the place of the engine in the order for long prompts, from 0 to 1.
-func (m *Member) LongRank() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.longRank
-}
-
 // IsLongRead reports whether the time that an engine needs to read a prompt is long for
 // routes whose shortest target for pauses and first events is given.
 func IsLongRead(read, shortestTarget time.Duration) bool {
@@ -191,17 +179,16 @@
 	return x.isActive() && x.isLong(read)
 }
 
-// BeginLongPrefill adds the time to read a long prompt to the pending prefill of long
-// prompts. The prompt is also part of the pending prefill of all.
-func (m *Member) BeginLongPrefill(read time.Duration) {
+// BeginWork adds the details of a request of this node.
+func (m *Member) BeginWork(d Details) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pendingLong += read
+	m.details = m.details.Add(d)
 }
 
-// FinishLongPrefill reverses BeginLongPrefill.
-func (m *Member) FinishLongPrefill(read time.Duration) {
+// EndWork reverses BeginWork.
+func (m *Member) EndWork(d Details) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pendingLong = max(m.pendingLong-read, 0)
+	m.details = m.details.Without(d)
 }
--- a/internal/pool/long_prompts_test.go
+++ b/internal/pool/long_prompts_test.go
@@ -135,7 +135,7 @@
 	m.BeginRequest(now, expected)
 	isLong := IsLongRead(expected, modelPause)
 	if isLong {
-		m.BeginLongPrefill(expected)
+		m.BeginWork(Details{LongPrefill: expected})
 	}
 	r.indexes[node].RecordUse(m.Key(), []prefix.Part{part}, now)
 	s := &modelStream{prompt: tokens, output: [3]int{63, 5, 11 * max(r.longOutput, 1)}[kind] * eventTokens, perToken: perToken, isLong: kind == 2, began: now}
@@ -151,7 +151,7 @@
 	s.firstRead = func(at time.Time) {
 		m.FinishPrefill(expected)
 		if isLong {
-			m.FinishLongPrefill(expected)
+			m.EndWork(Details{LongPrefill: expected})
 		}
 		switch {
 		case !isFinal:
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipfall/cowslipfall/internal/permit"
@@ -13,6 +14,7 @@
 type Member struct {
 	Server
 	key               prefix.Server
+	affinity          routing.Scorer
 	mu                sync.Mutex
 	listedDraining    bool // guarded by mu
 	delisted          bool // guarded by mu
@@ -21,9 +23,9 @@
 	backoffUntil    time.Time       // guarded by mu
 	running         int             // guarded by mu; requests of this node in progress
 	pendingPrefill  time.Duration   // guarded by mu; time to read the unread prompts of this node
-	pendingLong     time.Duration   // guarded by mu; part of pendingPrefill that is for long prompts
-	tokens          float64         // guarded by mu; memory that this node's requests take
-	longRank        float64         // guarded by mu; place in the order for long prompts, from 0 to 1
+	details         Details         // guarded by mu; of this node's requests
+	longRank        atomic.Uint32   // place in the order for long prompts, as a share of the largest number
+	prefersLong     atomic.Bool     // whether long prompts prefer the server
 	load            Load            // guarded by mu
 	speed           speed           // guarded by mu; as last reported
 	sentSinceReport int             // guarded by mu; requests sent since the last load report
@@ -46,7 +48,7 @@
 }
 
 func newMember(s Server, now time.Time) *Member {
-	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: permit.NoLimit}}
+	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), affinity: routing.NewScorer(s.ID), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: permit.NoLimit}}
 }
 
 // restarted reports whether s is another incarnation of the member's server.
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -30,6 +30,8 @@
 	// Refusals counts answers that the router generated itself by status and
 	// reason.
 	Refusals *prometheus.CounterVec
+	// Load is the load of the backend servers.
+	Load LoadMetrics
 	// StoreCalls counts calls to the platform's store by use and result.
 	StoreCalls *prometheus.CounterVec
 	// DroppedLines counts log lines that were dropped.
@@ -95,6 +97,7 @@
 		Permits:         f.counters("route_permits_total", "Asks for permits to send to backend servers that limit their requests, by result.", "result"),
 		Relays:          f.counters("route_relays_total", "Connections to backend servers through another node, asked for (opened, refused) and served (carried, denied).", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
+		Load:            newLoadMetrics(f),
 		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
 		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -81,6 +81,10 @@
 	return f.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func (f factory) gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return f.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 func (f factory) gaugeFunc(name, help string, value func() float64) {
 	f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
 }
