--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -28,6 +28,7 @@
 	speed          float64       // of the server when it was chosen: how long work takes, relative to the usual time
 	pendingPrefill time.Duration // usual time to read the part of the prompt that the server has not yet read
 	work           pool.Details  // what the attempt adds to the load where long prompts are told from short ones
+	isLong         bool          // whether the prompt counts as long at the server
 	uncachedTokens float64       // prompt tokens that the server is expected to read
 	newParts       []prefix.Part // prompt parts that the server reads for the first time
 	// loadAge and skipped are logged: the age of the load information by which
@@ -128,7 +129,7 @@
 		a.work.Tokens = q.Tokens
 	}
 	if pool.IsLongRead(a.pendingPrefill, q.ShortestTarget) {
-		a.work.LongPrefill = a.pendingPrefill
+		a.isLong, a.work.LongPrefill = true, a.pendingPrefill
 	}
 	return a
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -109,6 +109,8 @@
 	WaitMS  int64   `json:"wait_ms,omitempty"`
 	// Speed is how long work takes at the server relative to the usual time, if that differs.
 	Speed float64 `json:"speed,omitempty"`
+	// Long is set if the server had to read so much that requests beside it notice.
+	Long bool `json:"long,omitempty"`
 	// LoadAgeMS is the age of the load information.
 	LoadAgeMS int64 `json:"load_age_ms,omitempty"`
 	// Limit is the limit of the server that was known when it was chosen, in
@@ -190,6 +192,7 @@
 	if a != nil {
 		s.Server, s.Version, s.Model, s.Load = a.member.ID, a.member.Version, a.model, a.load
 		s.WaitMS, s.LoadAgeMS, s.Skipped = a.expectedWait.Milliseconds(), a.loadAge.Milliseconds(), a.skipped
+		s.Long = a.isLong
 		if a.speed != 1 {
 			s.Speed = a.speed
 		}
--- a/internal/pool/long_prompts.go
+++ b/internal/pool/long_prompts.go
@@ -63,7 +63,7 @@
 }
 
 // longShares holds the share of each data centre's engines that long prompts prefer, by
-// service. Lock order: mu before Pool.mu and Member.mu.
+// service. Its lock is taken before those of the pool and its members.
 type longShares struct {
 	mu       sync.Mutex
 	services map[string]longShare // guarded by mu
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -25,7 +25,7 @@
 }
 
 // Pool holds the backend servers of all services. It is safe for concurrent
-// use. Lock order: Pool.mu before Member.mu.
+// use. Lock order: longShares.mu, Pool.mu, Member.mu.
 type Pool struct {
 	mu           sync.RWMutex
 	members      map[string]*Member        // guarded by mu; by server ID
