--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -280,8 +280,9 @@
 // topTwoByScore returns the two servers with the highest rendezvous scores.
 func topTwoByScore(members []*Member, key string) (first, second *Member) {
 	var firstScore, secondScore uint64
+	scorer := routing.NewScorer(key)
 	for _, m := range members {
-		score := m.affinity.Score(key)
+		score := scorer.Score(m.ID)
 		switch {
 		case first == nil || score > firstScore:
 			first, second, firstScore, secondScore = m, first, score, firstScore
--- a/internal/pool/long_prompts_test.go
+++ b/internal/pool/long_prompts_test.go
@@ -30,7 +30,6 @@
 	isLong         bool
 	began, last    time.Time     // start, and the last event
 	longest        time.Duration // pause between events
-	sinceEvent     int
 	firstRead      func(now time.Time)
 	done           func()
 }
@@ -68,7 +67,6 @@
 	byID    map[string]*modelEngine
 	cached  map[prefix.Entry]bool
 	result  mixedResult
-	ticks   int
 }
 
 func (r *mixedRun) at(t time.Time, run func()) { heap.Push(&r.queue, event{t, run}) }
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -14,7 +14,6 @@
 type Member struct {
 	Server
 	key               prefix.Server
-	affinity          routing.Scorer
 	mu                sync.Mutex
 	listedDraining    bool // guarded by mu
 	delisted          bool // guarded by mu
@@ -48,7 +47,7 @@
 }
 
 func newMember(s Server, now time.Time) *Member {
-	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), affinity: routing.NewScorer(s.ID), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: permit.NoLimit}}
+	return &Member{Server: s, key: prefix.HashServer(s.ID, s.Started), load: Load{Slots: s.Slots, At: now}, limit: limit{rate: permit.NoLimit}}
 }
 
 // restarted reports whether s is another incarnation of the member's server.
--- a/internal/routing/scorer.go
+++ b/internal/routing/scorer.go
@@ -2,21 +2,17 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Scorer returns the scores of one node. It hashes the node's name once.
-type Scorer struct{ node xxhash.Digest }
-
-// NewScorer returns the scorer of a node.
-func NewScorer(node string) Scorer {
-	var s Scorer
-	s.node.Reset()
-	_, _ = s.node.WriteString(node)
-	_, _ = s.node.WriteString("\x00")
-	return s
+// Scorer returns scores of many nodes for one key. It is not safe for concurrent use.
+type Scorer struct {
+	key    string
+	buffer []byte
 }
 
+// NewScorer returns a scorer for a key.
+func NewScorer(key string) Scorer { return Scorer{key: key, buffer: make([]byte, 0, 128)} }
+
 // Score returns the same as the function Score.
-func (s *Scorer) Score(key string) uint64 {
-	d := s.node
-	_, _ = d.WriteString(key)
-	return d.Sum64()
+func (s *Scorer) Score(node string) uint64 {
+	s.buffer = append(append(append(s.buffer[:0], node...), 0), s.key...)
+	return xxhash.Sum64(s.buffer)
 }
