--- a/internal/edge/load_details_test.go
+++ b/internal/edge/load_details_test.go
@@ -75,3 +75,20 @@
 	m.prune(startTime.Add(hubHeartbeatTimeout + time.Millisecond))
 	is.Equal(len(m.totalLoadDetails()), 0)
 }
+
+// A node's own work comes back to it in the sum of its hub and must not count twice.
+func TestOwnDetailsCountOnce(t *testing.T) {
+	is := is.New(t)
+	n := &Node{pool: pool.New(), members: newMembers(nil)}
+	n.pool.Update([]pool.Server{{ID: "x", Service: "s", Slots: 4}}, startTime)
+	m := n.pool.Member("x")
+	m.BeginWork(pool.Details{LongPrefill: time.Second, Tokens: 16000})
+	n.members.applyLoadDetails([]gossip.Row{
+		{Key: "hub a", Data: loadDetails{m.Key(): {LongPrefill: time.Second, Tokens: 16000}}.encode()},
+		{Key: "hub b", Data: loadDetails{m.Key(): {LongPrefill: 500 * time.Millisecond, Tokens: 64000}}.encode()},
+	})
+	n.applyRemoteLoad(startTime)
+	p := m.Picture(startTime)
+	is.True(p.LongBacklog > 1400*time.Millisecond && p.LongBacklog < 1600*time.Millisecond)
+	is.True(p.Tokens > 76000 && p.Tokens < 84000)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -140,17 +140,17 @@
 		Service: x.req.Service, DataCentre: x.f.opts.DataCentre, Draw: rand.Float64,
 		Versions: x.f.opts.Versions.Pick(x.req.Service, x.req.sessionKey(), now),
 	}
-	if !x.req.Route.Sticky || x.req.Subject == "" {
-		return q
-	}
-	q.Affinity = model + "/" + x.req.Subject
-	q.RemotePenalty = x.f.readSpeeds.comparisonCost(model, x.req.transferKB()*tokensPerKB)
 	if table := x.f.opts.Table(); table.ShortestTarget(x.req.Service) > 0 {
 		q.ShortestTarget, q.Tokens = table.ShortestTarget(x.req.Service), x.req.PromptTokens+x.req.ExpectedTokens
 		if s := table.Service(x.req.Service); s != nil {
 			q.MemoryTokens = s.MemoryTokens
 		}
 	}
+	if !x.req.Route.Sticky || x.req.Subject == "" {
+		return q
+	}
+	q.Affinity = model + "/" + x.req.Subject
+	q.RemotePenalty = x.f.readSpeeds.comparisonCost(model, x.req.transferKB()*tokensPerKB)
 	q.EngineShare = x.f.readSpeeds.engineShare(model)
 	q.ColdReadTime = x.f.readSpeeds.comparisonCost(model, x.req.PromptTokens)
 	q.CachedReadTimes = map[prefix.Server]time.Duration{}
