--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -118,6 +118,9 @@
 	// limit.
 	WarmupTime time.Duration
 	WarmupRate float64
+	// MemoryTokens is the number of tokens that the memory of one engine holds, 0 if it
+	// is not known.
+	MemoryTokens float64
 }
 
 // Organisation is the holder of a set of keys.
@@ -144,10 +147,10 @@
 	services map[string]*Service
 	keys     map[string]*Organisation
 	routes   int
-	// shortPauses lists the services with a route of short pauses, modelRanks the
-	// ranks of requests for routes with a choice of models.
-	shortPauses map[string]bool
-	modelRanks  []int
+	// modelRanks are the ranks of requests for routes with a choice of models.
+	modelRanks []int
+	// shortestTargets is the result of ShortestTarget by service.
+	shortestTargets map[string]time.Duration
 }
 
 // Definition is the input of NewTable.
@@ -161,7 +164,7 @@
 
 // NewTable validates a definition and returns its table.
 func NewTable(d Definition) (*Table, error) {
-	t := &Table{Version: d.Version, Limits: d.Limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, routes: len(d.Routes), shortPauses: shortPauses(d.Routes), modelRanks: modelRanks(d)}
+	t := &Table{Version: d.Version, Limits: d.Limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, routes: len(d.Routes), shortestTargets: shortestTargets(d.Routes), modelRanks: modelRanks(d)}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
--- a/internal/route/urgency.go
+++ b/internal/route/urgency.go
@@ -1,13 +1,6 @@
 package route
 
-import (
-	"slices"
-	"time"
-)
-
-// maxShortPause is the longest MaxPause that makes a route's streams count as
-// sensitive to load: at most a second between two events.
-const maxShortPause = time.Second
+import "slices"
 
 // Urgency is the place of a rank among those that requests may have.
 type Urgency struct {
@@ -16,10 +9,6 @@
 	Position, Ranks int
 }
 
-// HasShortPauses reports whether a service serves a stream route whose MaxPause
-// is set and at most a second.
-func (t *Table) HasShortPauses(service string) bool { return t != nil && t.shortPauses[service] }
-
 // Urgency returns the place of a rank among those that requests for routes with
 // a choice of models may have. A rank that no request should have counts as the
 // next more urgent one.
@@ -34,19 +23,6 @@
 	return Urgency{Position: i, Ranks: len(t.modelRanks)}
 }
 
-// shortPauses returns the services with a stream route of short pauses.
-func shortPauses(routes []Route) map[string]bool {
-	services := map[string]bool{}
-	for _, r := range routes {
-		for _, b := range r.Backends {
-			if r.Kind == Stream && r.MaxPause > 0 && r.MaxPause <= maxShortPause {
-				services[b.Service] = true
-			}
-		}
-	}
-	return services
-}
-
 // modelRanks returns the ranks that requests for routes with a choice of models
 // may have, sorted. The rank of an organisation replaces that of the route.
 func modelRanks(d Definition) []int {
