--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,7 +26,10 @@
 	began          time.Time
 	resp           *http.Response
 	cancel         context.CancelFunc
-	pendingPrefill time.Duration // time to read the part of the prompt that the server has not yet read
+	speed          float64       // of the server when it was chosen: how long work takes, relative to the usual time
+	pendingPrefill time.Duration // usual time to read the part of the prompt that the server has not yet read
+	work           pool.Details  // what the attempt adds to the load where long prompts are told from short ones
+	isLong         bool          // whether the prompt counts as long at the server
 	uncachedTokens float64       // prompt tokens that the server is expected to read
 	newParts       []prefix.Part // prompt parts that the server reads for the first time
 	// loadAge and skipped are logged: the age of the load information by which
@@ -129,12 +131,19 @@
 // newAttempt returns an attempt at the chosen server. read is the expected time to read
 // the prompt there, limit the rate for which there is a permit.
 func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, limit float64, now time.Time) *attempt {
-	tokens := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime)
-	return &attempt{
-		member: m, model: model, load: m.Occupancy(now), expectedWait: m.Wait(now), began: now,
+	tokens, picture := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime), m.Picture(now)
+	a := &attempt{
+		member: m, model: model, load: picture.Occupancy(), expectedWait: picture.Wait(), speed: picture.Speed, began: now,
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
 		limit: limit,
 	}
+	if q.ShortestTarget > 0 {
+		a.work.Tokens = q.Tokens
+	}
+	if pool.IsLongRead(a.pendingPrefill, q.ShortestTarget) {
+		a.isLong, a.work.LongPrefill = true, a.pendingPrefill
+	}
+	return a
 }
 
 // query returns the pool query for the request.
@@ -143,11 +152,18 @@
 		Service: x.req.Service, DataCentre: x.f.opts.DataCentre, Draw: rand.Float64,
 		Versions: x.f.opts.Versions.Pick(x.req.Service, x.req.sessionKey(), now),
 	}
+	if table := x.f.opts.Table(); table.ShortestTarget(x.req.Service) > 0 {
+		q.ShortestTarget, q.Tokens = table.ShortestTarget(x.req.Service), x.req.PromptTokens+x.req.ExpectedTokens
+		if s := table.Service(x.req.Service); s != nil {
+			q.MemoryTokens = s.MemoryTokens
+		}
+	}
 	if !x.req.Route.Sticky || x.req.Subject == "" {
 		return q
 	}
 	q.Affinity = model + "/" + x.req.Subject
 	q.RemotePenalty = x.f.readSpeeds.comparisonCost(model, x.req.transferKB()*tokensPerKB)
+	q.EngineShare = x.f.readSpeeds.engineShare(model)
 	q.ColdReadTime = x.f.readSpeeds.comparisonCost(model, x.req.PromptTokens)
 	q.CachedReadTimes = map[prefix.Server]time.Duration{}
 	for server, cached := range x.f.opts.Prefixes.Cached(x.req.sharedPartHashes(model), now) {
@@ -180,6 +196,7 @@
 		x.tried = append(x.tried, a.member)
 		return resultNotRun, errors.New("server stopped taking requests")
 	}
+	a.member.BeginWork(a.work)
 	if a.limit != permit.NoLimit {
 		x.f.opts.Metrics.LimitedAttempts.Inc()
 	}
@@ -306,6 +323,7 @@
 		_ = a.resp.Body.Close()
 	}
 	a.finishPrefill()
+	a.member.EndWork(a.work)
 	a.member.EndRequest()
 	a.cancel = nil
 }
@@ -313,25 +331,8 @@
 // finishPrefill records that the server has read the prompt.
 func (a *attempt) finishPrefill() {
 	a.member.FinishPrefill(a.pendingPrefill)
-	a.pendingPrefill = 0
-}
-
-// recordLoad records the load that the server reports in the header of its
-// answer.
-func (x *exchange) recordLoad(a *attempt) {
-	parts := strings.Split(a.resp.Header.Get(x.f.opts.Headers.Load), ",")
-	if len(parts) != 3 {
-		return
-	}
-	var values [3]int
-	for i, p := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || n < 0 {
-			return
-		}
-		values[i] = n
-	}
-	a.member.RecordLoad(pool.Load{Running: values[0], Waiting: values[1], Slots: values[2], At: time.Now()})
+	a.member.EndWork(pool.Details{LongPrefill: a.work.LongPrefill})
+	a.pendingPrefill, a.work.LongPrefill = 0, 0
 }
 
 // enginePriority maps a rank to the priority of the engines, which ranges from
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -22,6 +22,12 @@
 	// cached.
 	ColdReadTime    time.Duration
 	CachedReadTimes map[prefix.Server]time.Duration
+	// ShortestTarget is the shortest target for pauses and first events of the routes of
+	// a service where long prompts are told from short ones, 0 of other services.
+	ShortestTarget time.Duration
+	// EngineShare is the time that an engine needs to read a prompt as a share of the
+	// read times above, which are for comparisons. 0 counts as 1.
+	EngineShare float64
 	// DataCentre is the local data centre, preferred between otherwise equal
 	// servers.
 	DataCentre string
@@ -34,6 +40,15 @@
 	Exclude []*Member
 	// ExcludeLimited excludes the servers for which requests need a permit.
 	ExcludeLimited bool
+	// ignoreSpeed is set if most servers are slow: the speed then says nothing about a
+	// single one, and all nodes would turn to the few others.
+	ignoreSpeed bool
+	// mix is how engines are divided between long and short prompts.
+	mix mix
+	// Tokens is the memory that the request takes at a server, MemoryTokens what a server
+	// has, in tokens. A MemoryTokens of 0 means that it is not known.
+	Tokens       float64
+	MemoryTokens float64
 	// Draw returns random numbers from 0 to 1.
 	Draw func() float64
 }
@@ -84,14 +99,20 @@
 		q.Versions = Versions{}
 	}
 	members := p.Members(q.Service)
-	usable := filter(members, q, now, func(m *Member) bool { return m.IsUsable(now) && !m.isHeldOff(now) })
+	look := survey{limit: q.memoryLimit()}
+	usable := filter(members, q, now, func(m *Member) bool { return look.accept(m, now, false) })
 	if len(usable) == 0 {
-		usable = filter(members, q, now, func(m *Member) bool { return m.IsAvailable(now) && !m.isHeldOff(now) })
+		usable = filter(members, q, now, func(m *Member) bool { return look.accept(m, now, true) })
 	}
 	if len(usable) == 0 {
 		return nil, 0
 	}
 	usable = limitToShare(usable, q.Versions)
+	q.mix = p.mix(&q, now)
+	q.ignoreSpeed = 2*look.slow > len(usable)
+	if look.full > 0 {
+		usable = withRoom(usable, look.limit, now)
+	}
 	if q.Affinity != "" {
 		return chooseForPrompt(usable, q, now)
 	}
@@ -114,7 +135,7 @@
 }
 
 func filter(members []*Member, q Query, now time.Time, accept func(*Member) bool) []*Member {
-	var accepted []*Member
+	accepted := make([]*Member, 0, len(members))
 	for _, m := range members {
 		if q.Versions.allows(m.Version) && !contains(q.Exclude, m) && !(q.ExcludeLimited && m.PermitRate(now) != permit.NoLimit) && accept(m) {
 			accepted = append(accepted, m)
@@ -150,16 +171,20 @@
 			best, bestRead, lowest = m, read, cost
 		}
 	}
+	preferred := q.mix.preferred(members, q.engineTime(q.ColdReadTime))
 	first, second := topTwoByScore(q.bestCached(members), q.Affinity)
 	if first == nil {
-		first, _ = topTwoByScore(members, q.Affinity)
+		first, _ = topTwoByScore(preferred, q.Affinity)
 	}
 	consider(first)
 	consider(second)
 	for range randomCandidates {
-		consider(q.randomMember(members))
+		consider(q.randomMember(preferred))
+	}
+	consider(q.randomLocalMember(preferred))
+	if q.mix.isActive() {
+		consider(q.randomLocalMember(members))
 	}
-	consider(q.randomMember(q.localMembers(members)))
 	return best, bestRead
 }
 
@@ -171,15 +196,28 @@
 	return members[int(q.Draw()*float64(len(members)))]
 }
 
-// localMembers returns the engines in the local data centre.
-func (q *Query) localMembers(members []*Member) []*Member {
-	var local []*Member
+// randomLocalMember returns a random engine of members in the local data centre, or nil if
+// there is none.
+func (q *Query) randomLocalMember(members []*Member) *Member {
+	local := 0
+	for _, m := range members {
+		if m.DataCentre == q.DataCentre {
+			local++
+		}
+	}
+	if local == 0 {
+		return nil
+	}
+	skip := int(q.Draw() * float64(local))
 	for _, m := range members {
 		if m.DataCentre == q.DataCentre {
-			local = append(local, m)
+			if skip == 0 {
+				return m
+			}
+			skip--
 		}
 	}
-	return local
+	return nil
 }
 
 // ReadTime returns the time to read the prompt at an engine.
@@ -190,8 +228,19 @@
 	return q.ColdReadTime
 }
 
+// engineTime returns the time that an engine needs for a read time.
+func (q *Query) engineTime(read time.Duration) time.Duration {
+	if q.EngineShare == 0 {
+		return read
+	}
+	return scale(read, q.EngineShare)
+}
+
 // bestCached returns the engines that have most of the prompt cached.
 func (q *Query) bestCached(members []*Member) []*Member {
+	if len(q.CachedReadTimes) == 0 {
+		return nil
+	}
 	shortest := q.ColdReadTime
 	var best []*Member
 	for _, m := range members {
@@ -208,21 +257,32 @@
 // estimatedCost returns the time until an engine has read the prompt, plus the
 // penalties for a remote and for a full engine.
 func (q *Query) estimatedCost(m *Member, read time.Duration, now time.Time) time.Duration {
-	cost := m.Wait(now) + read
+	p := m.Picture(now)
+	cost := scale(p.UsualWait()+read, q.comparedSpeed(p)) + q.mix.cost(m, p, q.engineTime(read))
 	if m.DataCentre != q.DataCentre {
 		cost += q.RemotePenalty
 	}
-	if m.Occupancy(now) >= fullOccupancy {
+	if p.Occupancy() >= fullOccupancy {
 		cost += fullWaitPenalty
 	}
 	return cost
 }
 
+// comparedSpeed returns the factor for the time that work takes at a server when servers
+// are compared. It differs from 1 for slow servers only.
+func (q *Query) comparedSpeed(p Picture) float64 {
+	if q.ignoreSpeed || !p.IsSlow() {
+		return 1
+	}
+	return p.Speed
+}
+
 // topTwoByScore returns the two servers with the highest rendezvous scores.
 func topTwoByScore(members []*Member, key string) (first, second *Member) {
 	var firstScore, secondScore uint64
+	scorer := routing.NewScorer(key)
 	for _, m := range members {
-		score := routing.Score(m.ID, key)
+		score := scorer.Score(m.ID)
 		switch {
 		case first == nil || score > firstScore:
 			first, second, firstScore, secondScore = m, first, score, firstScore
@@ -242,7 +302,8 @@
 	lowest := 0.0
 	for i := range members {
 		m := members[(start+i)%len(members)]
-		load := m.Occupancy(now)
+		p := m.Picture(now)
+		load := p.Occupancy() * q.comparedSpeed(p)
 		if m.DataCentre != q.DataCentre {
 			load += remoteOccupancyPenalty
 		}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -114,6 +114,11 @@
 func (m *Member) isHeldOff(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.heldOff(now)
+}
+
+// heldOff is isHeldOff for callers that hold mu.
+func (m *Member) heldOff(now time.Time) bool {
 	return now.Before(m.limit.heldUntil) && m.permitRate(now) != permit.NoLimit
 }
 
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -35,6 +35,8 @@
 	// Answers counts answers of models with a larger one by the rank of the route,
 	// model and result.
 	Answers *prometheus.CounterVec
+	// Load is the load of the backend servers.
+	Load LoadMetrics
 	// StoreCalls counts calls to the platform's store by use and result.
 	StoreCalls *prometheus.CounterVec
 	// DroppedLines counts log lines that were dropped.
@@ -108,6 +110,7 @@
 		Relays:          f.counters("route_relays_total", "Connections to backend servers through another node, asked for (opened, refused) and served (carried, denied).", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
 		Answers:         f.counters("route_answers_total", "Answers of models with a larger one that were accepted, or dropped for it, by rank of the route and model.", "rank", "model", "result"),
+		Load:            newLoadMetrics(f),
 		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
 		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
 	}
