Age of notices of cold servers counts; breaks kept apart from other losses

Cause: a node that starts took notices of up to two minutes ago as new, a loss that another node told held without end, and an entry never ended a notice. A second break shortly after one that was noticed late ended both. Change: the age by the row's version less 2 s is subtracted, notices older than a warm-up are dropped, told losses hold for a warm-up from receipt, an entry that says warm 2 s after a notice ends it. A break is proof only if no other loss is pending.

--- a/internal/edge/warmups.go
+++ b/internal/edge/warmups.go
@@ -23,6 +23,9 @@
 	savedShare   = 0.25
 	// republishMS is the least time between two rows of the same content, in milliseconds.
 	republishMS = 1000
+	// clockTolerance is by how much the clocks of two nodes may differ. A notice must not
+	// seem older than it is, since its server would count as warm too early.
+	clockTolerance = 2 * time.Second
 )
 
 // warmups shares which backend servers this node has found cold, or found no process of.
@@ -72,10 +75,17 @@
 			continue
 		}
 		left := time.Duration(min(max(s.LeftMS, 0), maxLeftMS)) * time.Millisecond
-		w.pool.SetWarmup(s.Server, s.Started, left, s.Lost, now)
+		w.pool.SetWarmup(s.Server, s.Started, left, s.Lost, noticeAge(r.Version, now), now)
 	}
 }
 
+// noticeAge returns how long ago a row was written at least. Its version is the time of its
+// writer's clock in Unix milliseconds.
+func noticeAge(version uint64, now time.Time) time.Duration {
+	written := int64(min(version, uint64(max(now.UnixMilli(), 0))))
+	return max(now.Sub(time.UnixMilli(written))-clockTolerance, 0)
+}
+
 // maxLeftMS bounds the remaining warm-up that other nodes name, in milliseconds.
 const maxLeftMS = 24 * 3600 * 1000
 
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -51,8 +51,13 @@
 // recordBreak records that the server broke off a connection. It counts as cold until the
 // probe has shown that it did not end.
 func (x *exchange) recordBreak(a *attempt) {
-	a.member.RecordLostContact(time.Now())
-	x.suspectCrash(a, crashProbeDelay)
+	now := time.Now()
+	isSudden := a.member.RecordBreak(now)
+	x.suspectCrash(a, crashProbeDelay, func() {
+		if isSudden {
+			a.member.RecordStillServes(now)
+		}
+	})
 }
 
 // publishCold tells the other nodes how long a server is still cold, or that it is gone, if
@@ -63,16 +68,17 @@
 	}
 }
 
-// suspectCrash probes the server some time after its answer broke off. If the server
-// accepts no connection, the request is recorded as a suspect for the crash.
+// suspectCrash probes the server some time after its answer broke off. If the
+// server accepts a connection, onAccepted is called, else the request is recorded as a
+// suspect for the crash.
 // Servers that break off answers for other reasons still accept connections. One that
 // drains is expected to end, and one that does not respond may only be cut off.
-func (x *exchange) suspectCrash(a *attempt, delay time.Duration) {
+func (x *exchange) suspectCrash(a *attempt, delay time.Duration, onAccepted func()) {
 	f, q, m, isStarting, brokeAt := x.f, x.req, a.member, x.req.Route.Kind == route.Stream && !a.hasSurvived(time.Now()), time.Now()
 	if !m.IsPresent() {
 		return
 	}
-	running, wasRunning := brokeAt.Sub(a.began), m.WasSeenRunning(brokeAt)
+	running := brokeAt.Sub(a.began)
 	probed := make(chan struct{})
 	x.crashProbe = probed
 	go func() {
@@ -80,8 +86,8 @@
 		time.Sleep(delay)
 		if m.RemainingBackoff(time.Now()) > 0 || probe.AcceptsOrIsSilent(m.Address, func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := f.links.dial(ctx, network, address)
-			if err == nil && wasRunning {
-				m.RecordStillServes(brokeAt)
+			if err == nil {
+				onAccepted()
 			}
 			return conn, err
 		}) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -205,7 +205,7 @@
 	}
 	s.model = largest
 	if x.f.opts.Suspects.IsSuspected(x.req.sharedPartIDs) {
-		x.suspectCrash(a, droppedProbeDelay)
+		x.suspectCrash(a, droppedProbeDelay, func() {})
 	}
 	// The same server may be asked for the other model.
 	x.tried = x.tried[:len(x.tried)-1]
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -232,7 +232,7 @@
 	defer m.mu.Unlock()
 	m.lastProbe, m.probeFailed = now, !reached
 	if !reached {
-		m.cold.lose(now)
+		m.recordLoss(now)
 	}
 }
 
--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -66,10 +66,14 @@
 type coldness struct {
 	periods [coldCauses]coldPeriod
 	until   time.Time // the latest of the periods
-	// lostAt is when contact was last lost, zero if it was not or there was contact since,
-	// and lostSince the first of the losses without contact since.
-	lostAt    time.Time
-	lostSince time.Time
+	// lostAt is when contact was last lost, zero if it was not or there was contact since.
+	lostAt time.Time
+	// breaksSince is when the first of the losses without contact since was, if all were
+	// breaks of a server that was seen running shortly before, else zero.
+	breaksSince time.Time
+	// toldAt is when another node last told the loss, zero if this node lost contact itself.
+	// What was only told holds for the time of a warm-up.
+	toldAt time.Time
 	// seenAt is when the server last accepted a connection or answered.
 	seenAt time.Time
 	// wasCold is whether WarmupChanges last found the server cold.
@@ -87,13 +91,16 @@
 	}
 }
 
-func (c *coldness) isInForce(now time.Time) bool { return !c.lostAt.IsZero() || now.Before(c.until) }
+// isLost reports whether contact was lost, in a service with the given time of a warm-up.
+func (c *coldness) isLost(now time.Time, warmup time.Duration) bool {
+	return !c.lostAt.IsZero() && (c.toldAt.IsZero() || now.Before(c.toldAt.Add(warmup)))
+}
 
 // cause returns the cause that holds longest.
-func (c *coldness) cause() ColdCause {
+func (c *coldness) cause(now time.Time, warmup time.Duration) ColdCause {
 	longest := ColdByLostContact
 	for cause, p := range c.periods {
-		if c.lostAt.IsZero() && p.until.Equal(c.until) {
+		if !c.isLost(now, warmup) && p.until.Equal(c.until) {
 			longest = ColdCause(cause)
 		}
 	}
@@ -116,7 +123,7 @@
 // warmupRate returns the rate of a cold server, and permit.NoLimit for others and for
 // services whose cold servers have no limit. The caller holds mu.
 func (m *Member) warmupRate(now time.Time) float64 {
-	if !m.cold.isInForce(now) {
+	if !m.cold.isLost(now, m.warmup().Time) && !now.Before(m.cold.until) {
 		return permit.NoLimit
 	}
 	if rate := m.warmup().Rate; rate > 0 {
@@ -178,15 +185,24 @@
 func (m *Member) RecordLostContact(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.cold.lose(now)
+	m.recordLoss(now)
+}
+
+// recordLoss records that this node lost contact. The caller holds mu.
+func (m *Member) recordLoss(now time.Time) {
+	m.cold.lostAt, m.cold.toldAt, m.cold.breaksSince = now, time.Time{}, time.Time{}
 }
 
-// lose records a loss of contact.
-func (c *coldness) lose(now time.Time) {
-	if c.lostAt.IsZero() {
-		c.lostSince = now
+// recordToldLoss records that another node told at the given time that it lost contact. The
+// caller holds mu.
+func (m *Member) recordToldLoss(at time.Time) {
+	m.cold.breaksSince = time.Time{}
+	if !m.cold.isLost(at, m.warmup().Time) || !m.cold.toldAt.IsZero() {
+		m.cold.toldAt = at
+	}
+	if at.After(m.cold.lostAt) {
+		m.cold.lostAt = at
 	}
-	c.lostAt = now
 }
 
 // RecordAccepted records that the server accepted a connection.
@@ -196,26 +212,40 @@
 	m.cold.seenAt = now
 }
 
-// WasSeenRunning reports whether the server accepted a connection, answered or made progress
-// shortly before the given time, at which it broke off a connection. Otherwise it may have
-// restarted between the break and the time at which this node noticed it.
-func (m *Member) WasSeenRunning(brokeAt time.Time) bool {
+// RecordBreak records that the server broke off a connection. It counts as lost contact, and
+// RecordBreak reports whether RecordStillServes may end that: the server accepted a
+// connection, answered or made progress shortly before. Otherwise it may have restarted
+// before this node noticed the break.
+func (m *Member) RecordBreak(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return brokeAt.Sub(m.cold.seenAt) <= breakWindow || brokeAt.Sub(m.lastProgress) <= breakWindow
+	if now.Sub(m.cold.seenAt) > breakWindow && now.Sub(m.lastProgress) > breakWindow {
+		m.recordLoss(now)
+		return false
+	}
+	since := m.cold.breaksSince
+	if !m.cold.isLost(now, m.warmup().Time) {
+		since = now
+	}
+	m.recordLoss(now)
+	m.cold.breaksSince = since
+	return true
 }
 
-// RecordStillServes records that the server, which was seen running shortly before it broke
-// off a connection at the given time, accepts connections too soon after it for a restart.
-// What was learned later stays, and so do earlier losses of contact.
+// RecordStillServes records that the server accepts connections after a break at the given
+// time for which RecordBreak returned true, too soon for a restart. Other losses of contact
+// stay, and so does what was learned later.
 func (m *Member) RecordStillServes(brokeAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	from := brokeAt.Add(-breakWindow)
-	if !m.cold.lostAt.After(brokeAt) && m.cold.lostSince.After(from) {
+	first := m.cold.breaksSince
+	if first.IsZero() {
+		return
+	}
+	if !m.cold.lostAt.After(brokeAt) {
 		m.cold.lostAt = time.Time{}
 	}
-	if since := m.cold.periods[ColdByLostContact].since; since.After(from) && !since.After(brokeAt) {
+	if since := m.cold.periods[ColdByLostContact].since; !since.Before(first) && !since.After(brokeAt) {
 		m.cold.set(ColdByLostContact, time.Time{}, time.Time{})
 	}
 }
@@ -236,19 +266,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cold.seenAt = now
-	if lostAt := m.cold.lostAt; !lostAt.IsZero() && lostAt.Before(began) {
+	if lostAt := m.cold.lostAt; m.cold.isLost(now, m.warmup().Time) && lostAt.Before(began) {
 		m.cold.lostAt = time.Time{}
 		m.cold.set(ColdByLostContact, lostAt, now.Add(m.warmup().Time))
 	}
 }
 
 // recordEntryWarmup records how long the server's entry says that it is still cold. Whether
-// it restarted since contact was lost is known from an entry that was written later.
+// it restarted since contact was lost is known from an entry that was written later, and so
+// is that what another node told of it is over.
 func (m *Member) recordEntryWarmup(left time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cold.set(ColdByEntry, now, now.Add(min(left, maxWarmup)))
 	m.forgetLoss(now.Add(-entryDelay))
+	if !m.cold.periods[ColdByNode].since.After(now.Add(-entryDelay)) && left == 0 {
+		m.cold.set(ColdByNode, time.Time{}, time.Time{})
+	}
 }
 
 // coldNotice is what is known of how long one incarnation of a server is cold.
@@ -258,23 +292,25 @@
 	until   time.Time
 	// isLost is set if another node lost contact.
 	isLost bool
-	at     time.Time
+	// at is when the notice was received, sent when it was sent as far as this node can tell.
+	at, sent time.Time
 }
 
 // SetEntryWarmup records how long a server's entry says that it is still cold. The pool's
 // list may not have the entry yet.
 func (p *Pool) SetEntryWarmup(id string, started int64, left time.Duration, now time.Time) {
-	m := p.keepColdNotice(id, coldNotice{started, ColdByEntry, now.Add(min(left, maxWarmup)), false, now})
+	m := p.keepColdNotice(id, coldNotice{started, ColdByEntry, now.Add(min(left, maxWarmup)), false, now, now})
 	if m != nil && m.Started == started {
 		m.recordEntryWarmup(left, now)
 	}
 }
 
 // SetWarmup records how long another node says that a server is still cold, or that the
-// node found no process at the server's address. The notice also holds for an earlier
-// start, whose entry is late.
-func (p *Pool) SetWarmup(id string, started int64, left time.Duration, isLost bool, now time.Time) {
-	n := coldNotice{started, ColdByNode, now.Add(min(left, maxWarmup)), isLost, now}
+// node found no process at the server's address. age is how long ago it said so. The notice
+// also holds for an earlier start, whose entry is late.
+func (p *Pool) SetWarmup(id string, started int64, left time.Duration, isLost bool, age time.Duration, now time.Time) {
+	sent := now.Add(-age)
+	n := coldNotice{started, ColdByNode, sent.Add(min(left, maxWarmup)), isLost, now, sent}
 	if m := p.keepColdNotice(id, n); m != nil && m.Started <= started {
 		m.applyColdNotice(n, now)
 	}
@@ -298,15 +334,19 @@
 	return m
 }
 
-// applyColdNotice records a notice of the server's present or next start.
+// applyColdNotice records a notice of the server's present or next start. One that is older
+// than a warm-up tells nothing any more.
 func (m *Member) applyColdNotice(n coldNotice, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if warmup := m.warmup().Time; warmup > 0 && now.Sub(n.sent) > warmup {
+		return
+	}
 	if n.isLost {
-		m.cold.lose(now)
+		m.recordToldLoss(n.at)
 		return
 	}
-	m.cold.set(n.cause, now, n.until)
+	m.cold.set(n.cause, n.sent, n.until)
 }
 
 // applyListed records what is known of the warm-up of a server that is listed with a new
@@ -402,7 +442,7 @@
 		defer m.mu.Unlock()
 		if isCold := m.warmupRate(now) != permit.NoLimit; isCold != m.cold.wasCold {
 			m.cold.wasCold = isCold
-			changes = append(changes, WarmupChange{m, isCold, m.cold.cause(), m.cold.until})
+			changes = append(changes, WarmupChange{m, isCold, m.cold.cause(now, m.warmup().Time), m.cold.until})
 		}
 	})
 	return changes
