A permit counts for the rate that was asked for

Cause: the rate stamped on an attempt was read again after the permit was granted, so a server that had turned cold meanwhile took requests whose permits were granted for its own, higher limit. Change: acquirePermit returns the rate it asked for; Member.PermitTerms reads rate and coldness at one moment. Result: TestPermitCountsForItsRateOnly fails before and passes now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -111,12 +111,13 @@
 		limit := m.PermitRate(now)
 		if limit != permit.NoLimit {
 			granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false, now)
-			if granted == nil && m.IsCold(now) {
+			if granted.Member == nil && m.IsCold(now) {
 				asked = maxPermitAsks - 1
 			}
-			if granted == nil {
+			if granted.Member == nil {
 				continue
 			}
+			limit = granted.rate
 		}
 		return x.newAttempt(q, m, model, read, limit, now)
 	}
--- a/internal/forward/permit.go
+++ b/internal/forward/permit.go
@@ -25,21 +25,30 @@
 	maxColdHoldOff = 3 * time.Second
 )
 
+// permitted is a server that a permit is for, and the rate for which it was asked.
+type permitted struct {
+	*pool.Member
+	rate float64
+}
+
 // acquirePermit asks for a permit to send to one of the servers, and returns that server,
-// or nil and the refusal. isLast is set if no other server can take the request. now is
+// or none and the refusal. isLast is set if no other server can take the request. now is
 // when the servers were chosen.
-func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool, now time.Time) (*pool.Member, permit.Reply) {
+func (x *exchange) acquirePermit(ctx context.Context, servers []*pool.Member, isLast bool, now time.Time) (permitted, permit.Reply) {
 	q := permit.Request{
 		Service: x.req.Service, IsLast: isLast, Rank: x.req.Rank, Organisation: organisationName(x.req.Organisation),
 		Fingerprint: x.req.Fingerprint, TimeLeft: time.Until(x.req.CallerDeadline),
 	}
-	for _, m := range servers {
-		q.Servers = append(q.Servers, permit.Server{ID: m.ID, Started: m.Started, Limit: max(m.PermitRate(now), 0), IsCold: m.IsCold(now)})
+	rates := make([]float64, len(servers))
+	for i, m := range servers {
+		rate, isCold := m.PermitTerms(now)
+		rates[i] = rate
+		q.Servers = append(q.Servers, permit.Server{ID: m.ID, Started: m.Started, Limit: max(rate, 0), IsCold: isCold})
 	}
 	reply := x.f.opts.Permits.Acquire(ctx, q)
 	if reply.Granted > 0 && reply.Granted <= len(servers) {
 		x.f.opts.Metrics.Permits.WithLabelValues("granted").Inc()
-		return servers[reply.Granted-1], reply
+		return permitted{servers[reply.Granted-1], rates[reply.Granted-1]}, reply
 	}
 	result := "refused"
 	if !reply.IsCoordinator {
@@ -49,7 +58,7 @@
 	if !isLast {
 		servers[0].HoldOff(x.holdOffTime(servers[0], reply, now), time.Now())
 	}
-	return nil, reply
+	return permitted{}, reply
 }
 
 // holdOffTime returns for how long a server is passed over that refused a permit. An idle
@@ -57,8 +66,8 @@
 // the time in which it may have a permit.
 func (x *exchange) holdOffTime(m *pool.Member, reply permit.Reply, now time.Time) time.Duration {
 	d := max(reply.Next, minHoldOff)
-	rate := m.PermitRate(now)
-	if !m.IsCold(now) || rate <= 0 {
+	rate, isCold := m.PermitTerms(now)
+	if !isCold || rate <= 0 {
 		return d
 	}
 	spread := rand.Float64() * float64(x.f.opts.FleetSize()) / rate * float64(time.Second)
@@ -79,9 +88,9 @@
 		if len(servers) == 0 {
 			return nil, false
 		}
-		m, reply := x.acquirePermit(ctx, servers, true, now)
-		if m != nil {
-			return x.newAttempt(q, m, model, q.ReadTime(m), m.PermitRate(now), now), true
+		granted, reply := x.acquirePermit(ctx, servers, true, now)
+		if m := granted.Member; m != nil {
+			return x.newAttempt(q, m, model, q.ReadTime(m), granted.rate, now), true
 		}
 		x.permitAfter = reply.RetryAfter
 		next := max(reply.Next, minHoldOff)
@@ -105,8 +114,8 @@
 	if len(servers) == 0 {
 		return !x.f.opts.Pool.IsEvacuated(q.Service)
 	}
-	if m, _ := x.acquirePermit(ctx, servers, true, now); m != nil {
-		x.reserved = x.newAttempt(q, m, model, q.ReadTime(m), m.PermitRate(now), now)
+	if granted, _ := x.acquirePermit(ctx, servers, true, now); granted.Member != nil {
+		x.reserved = x.newAttempt(q, granted.Member, model, q.ReadTime(granted.Member), granted.rate, now)
 	}
 	return x.reserved != nil
 }
--- a/internal/forward/silent.go
+++ b/internal/forward/silent.go
@@ -20,10 +20,12 @@
 	}
 	limit := m.PermitRate(now)
 	if limit != permit.NoLimit {
-		if granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false, now); granted == nil {
+		granted, _ := x.acquirePermit(ctx, []*pool.Member{m}, false, now)
+		if granted.Member == nil {
 			x.reservedRetries.Add(1)
 			return false, nil
 		}
+		limit = granted.rate
 	}
 	s.silent, s.isReturn = nil, true
 	q := x.query(s.silentModel, now)
--- a/internal/forward/warmup_test.go
+++ b/internal/forward/warmup_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
 
@@ -159,6 +160,33 @@
 	}
 }
 
+// coolingPermits grants each request, and makes the server cold while the first is granted.
+type coolingPermits struct {
+	cool   func()
+	limits []float64 // of the requests
+}
+
+func (p *coolingPermits) Acquire(_ context.Context, q permit.Request) permit.Reply {
+	p.limits = append(p.limits, q.Servers[0].Limit)
+	p.cool()
+	return permit.Reply{Granted: 1, IsCoordinator: true}
+}
+
+// Guards against a request to a server that turned cold while the permit for its own, higher
+// limit was granted.
+func TestPermitCountsForItsRateOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newWarmupHarness(t)
+		b.addServer("x", func(c net.Conn, r *http.Request, _ string) { writeAnswer(c, r, http.StatusOK, "", "ok") })
+		b.pool.Member("x").SetLimit(20, time.Now())
+		permits := &coolingPermits{cool: func() { b.pool.SetEntryWarmup("x", 0, time.Minute, time.Now()) }}
+		b.f.opts.Permits = permits
+		_, _, err := b.send(t.Context(), http.MethodGet, "/read/1", nil)
+		is.NoErr(err)
+		is.Equal(permits.limits, []float64{20, coldPerSecond})
+	})
+}
+
 // If all data centres are evacuated, requests in progress end and others are refused at
 // once with a time to come back. A small model's answer is not dropped for a larger one
 // that cannot be asked.
--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -136,9 +136,15 @@
 // lower of the limit that the server names and its rate while it is cold. It is
 // permit.NoLimit if requests need no permits.
 func (m *Member) PermitRate(now time.Time) float64 {
+	rate, _ := m.PermitTerms(now)
+	return rate
+}
+
+// PermitTerms returns what PermitRate and IsCold do, as of one moment.
+func (m *Member) PermitTerms(now time.Time) (rate float64, isCold bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.permitRate(now)
+	return m.permitRate(now), m.warmupRate(now) != permit.NoLimit
 }
 
 // permitRate is PermitRate for callers that hold mu.
