Entries after an outage do not end a loss of contact

Cause: an entry that names a remaining warm-up was taken as written just now, also after an outage of the store, and ended the record of a loss that it may precede. Change: such an entry sets the warm-up only. Result: TestEntryAfterOutageDoesNotEndLoss fails before and passes now.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -148,9 +148,13 @@
 			zap.String("version", next.Version), zap.Bool("draining", next.Draining), zap.Uint64("row", r.Version))
 	}
 	s.entries[r.Key], s.eras[r.Key] = next, r.Era
-	// After an outage an entry may be old, so that it does not show that a server is warm.
-	if left > 0 || left == 0 && s.sinceOutage() >= outageRecoveryTime {
+	// After an outage an entry may be old, so that it shows neither that a server is warm nor
+	// that it has not restarted.
+	switch isRecent := s.sinceOutage() >= outageRecoveryTime; {
+	case isRecent && left >= 0:
 		s.pool.SetEntryWarmup(r.Key, next.Started, left, now)
+	case left > 0:
+		s.pool.SetOldEntryWarmup(r.Key, next.Started, left, now)
 	}
 }
 
--- a/internal/edge/warmups_test.go
+++ b/internal/edge/warmups_test.go
@@ -103,6 +103,21 @@
 	is.Equal(logs.FilterMessage("backend server is warm").Len(), 1)
 }
 
+// After an outage of the store an entry may have been written before contact was lost. Guards
+// against a restart that such an entry hides.
+func TestEntryAfterOutageDoesNotEndLoss(t *testing.T) {
+	for sinceOutage, isCold := range map[time.Duration]bool{time.Second: true, time.Hour: false} {
+		is, p := is.New(t), pool.New()
+		p.SetWarmups(map[string]pool.Warmup{"s": {Time: time.Minute, Rate: 10}})
+		s := newServers(testSchema{}, p, gossip.NewMap(nil), func() time.Duration { return sinceOutage }, zap.NewNop())
+		row := gossip.Row{Table: "s", Key: "a", Version: 1, Data: encode(t, pool.Server{Service: "s", Slots: 1, WarmupLeft: time.Second})}
+		s.apply([]gossip.Row{row}, startTime)
+		p.Member("a").RecordLostContact(startTime)
+		s.apply([]gossip.Row{row}, startTime.Add(5*time.Second))
+		is.Equal(p.Member("a").IsCold(startTime.Add(7*time.Second)), isCold)
+	}
+}
+
 // Requests for permits are read by the release before, whose servers have no IsCold, and its
 // by this one.
 func TestPermitRequestsOfReleaseBefore(t *testing.T) {
--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -281,10 +281,13 @@
 // recordEntryWarmup records how long the server's entry says that it is still cold. Whether
 // it restarted since contact was lost is known from an entry that was written later, and so
 // is that what another node told of it is over.
-func (m *Member) recordEntryWarmup(left time.Duration, now time.Time) {
+func (m *Member) recordEntryWarmup(left time.Duration, isRecent bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cold.set(ColdByEntry, now, now.Add(min(left, maxWarmup)))
+	if !isRecent {
+		return
+	}
 	m.forgetLoss(now.Add(-entryDelay))
 	if !m.cold.periods[ColdByNode].since.After(now.Add(-entryDelay)) && left == 0 {
 		m.cold.set(ColdByNode, time.Time{}, time.Time{})
@@ -305,9 +308,19 @@
 // SetEntryWarmup records how long a server's entry says that it is still cold. The pool's
 // list may not have the entry yet.
 func (p *Pool) SetEntryWarmup(id string, started int64, left time.Duration, now time.Time) {
+	p.setEntryWarmup(id, started, left, true, now)
+}
+
+// SetOldEntryWarmup is SetEntryWarmup for an entry that may be older than entryDelay. It does
+// not show that the server is running.
+func (p *Pool) SetOldEntryWarmup(id string, started int64, left time.Duration, now time.Time) {
+	p.setEntryWarmup(id, started, left, false, now)
+}
+
+func (p *Pool) setEntryWarmup(id string, started int64, left time.Duration, isRecent bool, now time.Time) {
 	m := p.keepColdNotice(id, coldNotice{started, ColdByEntry, now.Add(min(left, maxWarmup)), false, now, now})
 	if m != nil && m.Started == started {
-		m.recordEntryWarmup(left, now)
+		m.recordEntryWarmup(left, isRecent, now)
 	}
 }
 
