--- a/internal/edge/warmups_test.go
+++ b/internal/edge/warmups_test.go
@@ -41,7 +41,8 @@
 	is := is.New(t)
 	var published []gossip.Row
 	rows := gossip.NewMap(func(r []gossip.Row) { published = append(published, r...) })
-	from := &warmups{pool: pool.New(), rows: rows, nextVersion: versionCounter(), log: zap.NewNop()}
+	version := uint64(startTime.UnixMilli())
+	from := &warmups{pool: pool.New(), rows: rows, nextVersion: func() uint64 { return version }, log: zap.NewNop()}
 	for _, isLost := range []bool{false, true} {
 		p := newWarmPool(5)
 		to := &warmups{pool: p, rows: gossip.NewMap(nil), log: zap.NewNop()}
@@ -53,12 +54,28 @@
 	p := newWarmPool(5)
 	to := &warmups{pool: p, rows: gossip.NewMap(nil), log: zap.NewNop()}
 	for data, isCold := range map[string]bool{`{"server":"a","started":5,"left_ms":9000,"new":[1]}`: true, `{`: false, `{"server":"a","left_ms":"x"}`: false, `{"server":"b","left_ms":-9223372036854775808}`: false} {
-		to.apply([]gossip.Row{{Table: tableWarmups, Data: []byte(data)}}, startTime)
+		to.apply([]gossip.Row{{Table: tableWarmups, Version: version, Data: []byte(data)}}, startTime)
 		is.Equal(p.Member("a").IsCold(startTime), isCold)
 		p.Member("a").RecordWarmup(0, startTime.Add(time.Second), startTime.Add(time.Second))
 	}
 }
 
+// Guards against a notice that a node which starts takes as new, and against clocks that
+// differ, which make a cold server warm too early or cold for longer.
+func TestAgeOfNoticeCounts(t *testing.T) {
+	is := is.New(t)
+	for age, coldFor := range map[time.Duration]time.Duration{
+		-time.Hour: 9 * time.Second, clockTolerance: 9 * time.Second, clockTolerance + 4*time.Second: 5 * time.Second, 20 * time.Second: 0,
+	} {
+		p := newWarmPool(5)
+		to := &warmups{pool: p, rows: gossip.NewMap(nil), log: zap.NewNop()}
+		to.apply([]gossip.Row{{Table: tableWarmups, Version: uint64(startTime.Add(-age).UnixMilli()), Data: []byte(`{"server":"a","started":5,"left_ms":9000}`)}}, startTime)
+		is.Equal(p.Member("a").IsCold(startTime.Add(coldFor-time.Millisecond)), coldFor > 0)
+		is.True(!p.Member("a").IsCold(startTime.Add(coldFor)))
+	}
+	is.Equal(noticeAge(1<<64-1, startTime), time.Duration(0))
+}
+
 // The remaining warm-up differs in each entry of a server. Guards against a log line for
 // each of them, and against a server that loses its learned state.
 func TestEntryTellsWarmupWithoutNoise(t *testing.T) {
@@ -86,6 +103,21 @@
 	is.Equal(logs.FilterMessage("backend server is warm").Len(), 1)
 }
 
+// After an outage of the store an entry may have been written before contact was lost. Guards
+// against a restart that such an entry hides.
+func TestEntryAfterOutageDoesNotEndLoss(t *testing.T) {
+	for sinceOutage, isCold := range map[time.Duration]bool{time.Second: true, time.Hour: false} {
+		is, p := is.New(t), pool.New()
+		p.SetWarmups(map[string]pool.Warmup{"s": {Time: time.Minute, Rate: 10}})
+		s := newServers(testSchema{}, p, gossip.NewMap(nil), func() time.Duration { return sinceOutage }, zap.NewNop())
+		row := gossip.Row{Table: "s", Key: "a", Version: 1, Data: encode(t, pool.Server{Service: "s", Slots: 1, WarmupLeft: time.Second})}
+		s.apply([]gossip.Row{row}, startTime)
+		p.Member("a").RecordLostContact(startTime)
+		s.apply([]gossip.Row{row}, startTime.Add(5*time.Second))
+		is.Equal(p.Member("a").IsCold(startTime.Add(7*time.Second)), isCold)
+	}
+}
+
 // Requests for permits are read by the release before, whose servers have no IsCold, and its
 // by this one.
 func TestPermitRequestsOfReleaseBefore(t *testing.T) {
--- a/internal/forward/escalate.go
+++ b/internal/forward/escalate.go
@@ -37,7 +37,7 @@
 	}
 	s.model, a.nextModel = d.model, models[d.model]
 	if x.f.opts.Suspects.IsSuspected(x.req.sharedPartIDs) {
-		x.suspectCrash(a, droppedProbeDelay)
+		x.suspectCrash(a, droppedProbeDelay, func() {})
 	}
 	// The same server may be asked for the other model.
 	x.tried = x.tried[:len(x.tried)-1]
