--- a/internal/edge/load_metrics.go
+++ b/internal/edge/load_metrics.go
@@ -11,6 +11,5 @@
 		m.Backlog.WithLabelValues(service, "short").Set(t.ShortBacklog.Seconds())
 		m.Tokens.WithLabelValues(service).Set(t.Tokens)
 		m.SlowServers.WithLabelValues(service).Set(float64(t.SlowServers))
-		m.LongServers.WithLabelValues(service).Set(float64(t.LongServers))
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -32,6 +32,8 @@
 	isLong         bool          // whether the prompt counts as long at the server
 	uncachedTokens float64       // prompt tokens that the server is expected to read
 	newParts       []prefix.Part // prompt parts that the server reads for the first time
+	// ordersByRead is set if the engine is to read short prompts before long ones.
+	ordersByRead bool
 	// loadAge and skipped are logged: the age of the load information by which
 	// the server was chosen, and the counts of the servers that could not be
 	// chosen.
@@ -138,11 +140,11 @@
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
 		limit: limit,
 	}
-	if q.ShortestTarget > 0 {
-		a.work.Tokens = q.Tokens
-	}
-	if pool.IsLongRead(a.pendingPrefill, q.ShortestTarget) {
-		a.isLong, a.work.LongPrefill = true, a.pendingPrefill
+	if target := x.f.opts.Table().ShortestTarget(x.req.Service); target > 0 {
+		a.ordersByRead, a.work.Tokens = true, q.Tokens
+		if pool.IsLongRead(a.pendingPrefill, target) {
+			a.isLong, a.work.LongPrefill = true, a.pendingPrefill
+		}
 	}
 	return a
 }
@@ -153,8 +155,8 @@
 		Service: x.req.Service, DataCentre: x.f.opts.DataCentre, Draw: rand.Float64,
 		Versions: x.f.opts.Versions.Pick(x.req.Service, x.req.sessionKey(), now),
 	}
-	if table := x.f.opts.Table(); table.ShortestTarget(x.req.Service) > 0 {
-		q.ShortestTarget, q.Tokens = table.ShortestTarget(x.req.Service), x.req.PromptTokens+x.req.ExpectedTokens
+	if table := x.f.opts.Table(); table.HasShortPauses(x.req.Service) {
+		q.Tokens = x.req.PromptTokens + x.req.ExpectedTokens
 		if s := table.Service(x.req.Service); s != nil {
 			q.MemoryTokens = s.MemoryTokens
 		}
@@ -164,7 +166,6 @@
 	}
 	q.Affinity = model + "/" + x.req.Subject
 	q.RemotePenalty = x.f.readSpeeds.comparisonCost(model, x.req.transferKB()*tokensPerKB)
-	q.EngineShare = x.f.readSpeeds.engineShare(model)
 	q.ColdReadTime = x.f.readSpeeds.comparisonCost(model, x.req.PromptTokens)
 	q.CachedReadTimes = map[prefix.Server]time.Duration{}
 	for server, cached := range x.f.opts.Prefixes.Cached(x.req.sharedPartHashes(model), now) {
@@ -211,7 +212,7 @@
 		req.Header.Set(x.f.opts.Headers.Model, a.model)
 	}
 	if x.req.PromptTokens > 0 {
-		req.Header.Set(x.f.opts.Headers.Priority, strconv.Itoa(enginePriority(x.req.Rank)))
+		req.Header.Set(x.f.opts.Headers.Priority, strconv.Itoa(enginePriority(a, x.req.Rank)))
 	}
 	if lastEvent != "" {
 		req.Header.Set(x.f.opts.Headers.LastEventID, lastEvent)
@@ -336,6 +337,12 @@
 	a.pendingPrefill, a.work.LongPrefill = 0, 0
 }
 
-// enginePriority maps a rank to the priority of the engines, which ranges from
-// 0 (first) to 9. Engines assume 5 for requests without a priority.
-func enginePriority(rank int) int { return min(max(rank, 0), 4) }
+// enginePriority returns the priority of an attempt at its engine, from 0 (first) to 9. It
+// follows from the time to read the prompt where short prompts must not wait behind long ones,
+// else from the rank. Engines assume 5 for requests without a priority.
+func enginePriority(a *attempt, rank int) int {
+	if a.ordersByRead {
+		return pool.ReadPriority(a.pendingPrefill)
+	}
+	return min(max(rank, 0), 4)
+}
--- a/internal/forward/read_speed.go
+++ b/internal/forward/read_speed.go
@@ -76,13 +76,6 @@
 	return max(s.readTime(model, tokens), time.Duration(tokens*float64(minRereadCost)))
 }
 
-// engineShare returns the time that an engine needs to read a prompt, as a share of its
-// comparison cost.
-func (s *readSpeeds) engineShare(model string) float64 {
-	const tokens = 1000
-	return float64(s.readTime(model, tokens)) / float64(s.comparisonCost(model, tokens))
-}
-
 // observe adds a sample from the time to the first event of an answer.
 func (s *readSpeeds) observe(model string, tokens float64, timeToFirst time.Duration) {
 	if tokens < minSampleTokens {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -22,12 +22,6 @@
 	// cached.
 	ColdReadTime    time.Duration
 	CachedReadTimes map[prefix.Server]time.Duration
-	// ShortestTarget is the shortest target for pauses and first events of the routes of
-	// a service where long prompts are told from short ones, 0 of other services.
-	ShortestTarget time.Duration
-	// EngineShare is the time that an engine needs to read a prompt as a share of the
-	// read times above, which are for comparisons. 0 counts as 1.
-	EngineShare float64
 	// DataCentre is the local data centre, preferred between otherwise equal
 	// servers.
 	DataCentre string
@@ -43,8 +37,6 @@
 	// ignoreSpeed is set if most servers are slow: the speed then says nothing about a
 	// single one, and all nodes would turn to the few others.
 	ignoreSpeed bool
-	// mix is how engines are divided between long and short prompts.
-	mix mix
 	// Tokens is the memory that the request takes at a server, MemoryTokens what a server
 	// has, in tokens. A MemoryTokens of 0 means that it is not known.
 	Tokens       float64
@@ -108,7 +100,6 @@
 		return nil, 0
 	}
 	usable = limitToShare(usable, q.Versions)
-	q.mix = p.mix(&q, now)
 	q.ignoreSpeed = 2*look.slow > len(usable)
 	if look.full > 0 {
 		usable = withRoom(usable, look.limit, now)
@@ -171,20 +162,16 @@
 			best, bestRead, lowest = m, read, cost
 		}
 	}
-	preferred := q.mix.preferred(members, q.engineTime(q.ColdReadTime))
 	first, second := topTwoByScore(q.bestCached(members), q.Affinity)
 	if first == nil {
-		first, _ = topTwoByScore(preferred, q.Affinity)
+		first, _ = topTwoByScore(members, q.Affinity)
 	}
 	consider(first)
 	consider(second)
 	for range randomCandidates {
-		consider(q.randomMember(preferred))
-	}
-	consider(q.randomLocalMember(preferred))
-	if q.mix.isActive() {
-		consider(q.randomLocalMember(members))
+		consider(q.randomMember(members))
 	}
+	consider(q.randomLocalMember(members))
 	return best, bestRead
 }
 
@@ -228,14 +215,6 @@
 	return q.ColdReadTime
 }
 
-// engineTime returns the time that an engine needs for a read time.
-func (q *Query) engineTime(read time.Duration) time.Duration {
-	if q.EngineShare == 0 {
-		return read
-	}
-	return scale(read, q.EngineShare)
-}
-
 // bestCached returns the engines that have most of the prompt cached.
 func (q *Query) bestCached(members []*Member) []*Member {
 	if len(q.CachedReadTimes) == 0 {
@@ -258,7 +237,7 @@
 // penalties for a remote and for a full engine.
 func (q *Query) estimatedCost(m *Member, read time.Duration, now time.Time) time.Duration {
 	p := m.Picture(now)
-	cost := scale(p.UsualWait()+read, q.comparedSpeed(p)) + q.mix.cost(m, p, q.engineTime(read))
+	cost := scale(p.UsualWait()+read, q.comparedSpeed(p))
 	if m.DataCentre != q.DataCentre {
 		cost += q.RemotePenalty
 	}
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -203,8 +203,6 @@
 	LongBacklog, ShortBacklog time.Duration
 	Tokens                    float64
 	SlowServers               int
-	// LongServers is the number of servers that long prompts prefer.
-	LongServers int
 }
 
 // Totals returns the sums of the servers' pictures by service.
@@ -218,9 +216,6 @@
 		if x.IsSlow() {
 			t.SlowServers++
 		}
-		if m.prefersLong.Load() {
-			t.LongServers++
-		}
 		out[m.Service] = t
 	})
 	return out
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -23,8 +23,6 @@
 	running         int             // guarded by mu; requests of this node in progress
 	pendingPrefill  time.Duration   // guarded by mu; time to read the unread prompts of this node
 	details         Details         // guarded by mu; of this node's requests
-	longRank        atomic.Uint32   // place in the order for long prompts, as a share of the largest number
-	prefersLong     atomic.Bool     // whether long prompts prefer the server
 	load            Load            // guarded by mu
 	speed           speed           // guarded by mu; as last reported
 	sentSinceReport int             // guarded by mu; requests sent since the last load report
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,7 +29,7 @@
 }
 
 // Pool holds the backend servers of all services. It is safe for concurrent
-// use. Lock order: Pool.rulesMu or longShares.mu, then Pool.mu, then Member.mu.
+// use. Lock order: Pool.rulesMu before Pool.mu before Member.mu.
 type Pool struct {
 	mu           sync.RWMutex
 	members      map[string]*Member        // guarded by mu; by server ID
@@ -42,7 +42,6 @@
 	listedSince time.Time  // guarded by mu
 	rulesMu     sync.Mutex // held while rules are replaced
 	rules       atomic.Pointer[rules]
-	longShares  longShares
 }
 
 // New returns an empty pool.
@@ -78,7 +77,6 @@
 	}
 	for _, list := range services {
 		slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
-		rankForLongPrompts(list)
 	}
 	if p.listedSince.IsZero() && len(next) > 0 {
 		p.listedSince = now
--- a/internal/telemetry/load.go
+++ b/internal/telemetry/load.go
@@ -9,10 +9,8 @@
 	Backlog *prometheus.GaugeVec
 	// Tokens is the memory that the requests in progress take, in tokens.
 	Tokens *prometheus.GaugeVec
-	// SlowServers is the number of servers whose work takes much longer than usual,
-	// LongServers the number of those that long prompts prefer.
+	// SlowServers is the number of servers whose work takes much longer than usual.
 	SlowServers *prometheus.GaugeVec
-	LongServers *prometheus.GaugeVec
 }
 
 func newLoadMetrics(f factory) LoadMetrics {
@@ -20,13 +18,12 @@
 		Backlog:     f.gauges("route_load_backlog_seconds", "Time to read the prompts that wait at backend servers by service and prompts (long, short).", "service", "prompts"),
 		Tokens:      f.gauges("route_load_tokens", "Memory that the requests under way take at backend servers by service, in tokens.", "service"),
 		SlowServers: f.gauges("route_servers_slow", "Backend servers whose work takes much longer than usual by service.", "service"),
-		LongServers: f.gauges("route_servers_for_long_prompts", "Backend servers that long prompts prefer by service.", "service"),
 	}
 }
 
 // Reset forgets all services.
 func (m LoadMetrics) Reset() {
-	for _, v := range []*prometheus.GaugeVec{m.Backlog, m.Tokens, m.SlowServers, m.LongServers} {
+	for _, v := range []*prometheus.GaugeVec{m.Backlog, m.Tokens, m.SlowServers} {
 		v.Reset()
 	}
 }
