Bound what a hub sends in a large data centre

Cause: the hub of a data centre sent the load and prompt prefix rows of all data centres to each of its nodes (6.3 MB a second at 301 nodes before 3,000 servers), and the first state of a node, about a megabyte, in one answer that had to arrive within 750 ms.

Change: above 40 nodes a data centre, nodes receive updates through relay nodes, about 1.2 times the square root of their number, and the hub's load and prefix rows keep to a budget. Answers are bounded and go on where the last one ended, large ones are compressed together, rows are compressed once for all receivers, and eight digests are compared at a time. Smaller data centres exchange as before.

Not yet measured at 301 nodes.

--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -17,6 +17,9 @@
 type hubState struct {
 	memberList, loads string
 	publishedAt       time.Time // when both were last published, changed or not
+	loadsAt           time.Time // when loads were last published
+	loadInterval      time.Duration
+	prefixesAt        time.Time // when prompt prefixes were last published
 }
 
 // republishInterval is how often an unchanged member list is published again. Rows of
@@ -39,7 +42,7 @@
 	prefixes := n.members.drainPrefixes()
 	if n.members.hubs(time.Now())[s.DataCentre] == n.innerAddress {
 		n.publishMemberList()
-		n.publishPrefixes(prefixes)
+		n.publishPrefixes(prefixes, time.Now())
 	}
 }
 
@@ -55,7 +58,9 @@
 
 // publishPrefixes publishes which prompt prefixes the nodes of this hub's data centre
 // sent to servers.
-func (n *Node) publishPrefixes(entries []prefix.Entry) {
+func (n *Node) publishPrefixes(entries []prefix.Entry, now time.Time) {
+	entries = n.softBudget(now).newest(entries, now.Sub(n.published.prefixesAt))
+	n.published.prefixesAt = now
 	if len(entries) == 0 {
 		return
 	}
@@ -74,12 +79,13 @@
 // publishMemberList publishes the members of this hub's data centre and their load on
 // the servers.
 func (n *Node) publishMemberList() {
-	if now := time.Now(); now.Sub(n.published.publishedAt) > republishInterval {
-		n.published = hubState{publishedAt: now}
+	now := time.Now()
+	if now.Sub(n.published.publishedAt) > republishInterval {
+		n.published.memberList, n.published.loads, n.published.publishedAt = "", "", now
 	}
 	nodes, total := n.members.localMemberList()
 	n.published.memberList = n.publish(tableMemberLists, nodes, n.published.memberList)
-	n.published.loads = n.publishRaw(tableLoads, total.encode(), n.published.loads)
+	n.publishLoads(total, now)
 	n.publish(tableHubHeartbeats, struct{}{}, "")
 }
 
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -111,6 +111,8 @@
 	loggedNames map[string]bool              // guarded by mu; names that were logged as joined
 	prefixes    []prefix.Entry               // guarded by mu; received in heartbeats, not yet drained
 	cachedLive  []nodeState                  // guarded by mu; result of liveLocked, nil after a change
+	// lastHubHeartbeat is when the last heartbeat of any hub was received.
+	lastHubHeartbeat time.Time // guarded by mu
 }
 
 func newMembers(log *zap.Logger) *members {
@@ -169,6 +171,9 @@
 func (m *members) applyHubHeartbeats(rows []gossip.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(rows) > 0 {
+		m.lastHubHeartbeat = now
+	}
 	for _, r := range rows {
 		if list := m.memberLists[r.Key]; list != nil {
 			list.lastHeartbeat = now
@@ -283,21 +288,33 @@
 func (m *members) hubs(now time.Time) map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	out := map[string]string{}
+	for dc, list := range m.reachableLocked(now) {
+		out[dc] = selectHub(list)
+	}
+	return out
+}
+
+// reachableLocked returns the live nodes of each data centre that are not stopping and
+// could be reached, sorted by address. The caller holds mu.
+func (m *members) reachableLocked(now time.Time) map[string][]nodeState {
 	nodes := map[string][]nodeState{}
 	for _, s := range m.liveLocked() {
 		if !s.Stopping && now.Sub(m.unreachable[s.Inner]) > unreachableBackoff {
 			nodes[s.DataCentre] = append(nodes[s.DataCentre], s)
 		}
 	}
-	out := map[string]string{}
-	for dc, list := range nodes {
-		out[dc] = selectHub(list)
-	}
-	return out
+	return nodes
 }
 
 // selectHub returns the address of the hub among the nodes of one data centre.
 func selectHub(list []nodeState) string {
+	return routing.HighestScoring(hubCandidates(list), "hub")
+}
+
+// hubCandidates returns the addresses of the nodes that may be the hub of their data
+// centre.
+func hubCandidates(list []nodeState) []string {
 	largest := 0.0
 	for _, s := range list {
 		largest = max(largest, s.Weight)
@@ -308,7 +325,7 @@
 			candidates = append(candidates, s.Inner)
 		}
 	}
-	return routing.HighestScoring(candidates, "hub")
+	return candidates
 }
 
 // localMemberList returns the nodes of this hub's data centre and their load on each
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -62,7 +62,7 @@
 // syncPeer runs one exchange with a node.
 func (n *Node) syncPeer(ctx context.Context, address string) {
 	p := n.peer(address)
-	p.IsHub = n.members.hubs(time.Now())[n.options.Settings.DataCentre] == address
+	p.IsHub = n.passesUp(address, time.Now())
 	if err := n.exchange.Ask(ctx, p); err != nil && ctx.Err() == nil {
 		n.members.markUnreachable(address, time.Now())
 		n.options.Log.Info("peer lost", zap.String("peer", address), telemetry.ErrorField(err))
@@ -81,13 +81,30 @@
 	return p
 }
 
+// passesUp reports whether an address is that of the hub of this node's data centre, or of
+// the relay node on the way to it.
+func (n *Node) passesUp(address string, now time.Time) bool {
+	t := n.members.tree(now)
+	return address == t.hub || address == t.upstream(n.innerAddress)
+}
+
+// localUpstream returns the address of the node of this data centre from which this node
+// receives updates.
+func (n *Node) localUpstream(now time.Time) string {
+	t := n.members.tree(now)
+	if n.members.isSilent(now) {
+		return t.hub
+	}
+	return t.upstream(n.innerAddress)
+}
+
 // upstreams returns the addresses that this node starts exchanges with: the hub of its
-// data centre, or, as a hub, the hubs of the data centres that sort after its own. The
+// data centre or a relay node on the way to it, or, as a hub, the hubs of the data centres that sort after its own. The
 // others start exchanges with it.
 func (n *Node) upstreams(now time.Time) []string {
 	localDC, hubs := n.settings.Load().DataCentre, n.members.hubs(now)
 	if hub := hubs[localDC]; hub != n.innerAddress && hub != "" {
-		return []string{hub}
+		return []string{n.localUpstream(now)}
 	}
 	var out []string
 	for dc, hub := range hubs {
--- /dev/null
+++ b/internal/edge/tree_test.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/cowslipfall/cowslipfall/internal/gossip"
+)
+
+// dataCentreOf returns the nodes of a data centre, two of which have large links.
+func dataCentreOf(count int) []nodeState {
+	var out []nodeState
+	for i := range count {
+		weight := 1.4
+		if i < 2 {
+			weight = 12.6
+		}
+		out = append(out, readyNode(fmt.Sprintf("10.0.0.%03d:1", i), "a", weight))
+	}
+	return out
+}
+
+// Guards against nodes that send to a number of nodes that grows with the data centre,
+// against circles, and against a change for data centres of up to 40 nodes.
+func TestNodesSendToFewOthers(t *testing.T) {
+	for _, count := range []int{2, 40, 41, 100, 400} {
+		is := is.New(t)
+		nodes := dataCentreOf(count)
+		tr := newTree(nodes, selectHub(nodes))
+		children := map[string]int{}
+		for _, s := range nodes {
+			if s.Inner == tr.hub {
+				continue
+			}
+			up := tr.upstream(s.Inner)
+			children[up]++
+			is.True(up == tr.hub || tr.upstream(up) == tr.hub) // two levels at most
+			is.True(s.Weight < 2 || up == tr.hub)              // the next hub notices the loss of this one
+		}
+		most := 0
+		for _, n := range children {
+			most = max(most, n)
+		}
+		t.Logf("%d nodes: the hub sends to %d, the busiest node to %d", count, children[tr.hub], most)
+		if count <= maxStarNodes {
+			is.Equal(children[tr.hub], count-1)
+			continue
+		}
+		is.Equal(children[tr.hub], tr.fanout)
+		is.True(float64(most) <= 2*math.Sqrt(float64(count)))
+	}
+}
+
+// Guards against nodes that lose all updates with a relay node: a node that could not
+// reach it asks another, and one that hears of no hub through it asks the hub.
+func TestLostRelayNodeIsReplaced(t *testing.T) {
+	is := is.New(t)
+	nodes := dataCentreOf(100)
+	now := startTime.Add(time.Hour)
+	n := &Node{members: newMembers(zap.NewNop())}
+	hub := selectHub(nodes)
+	for _, s := range nodes {
+		if up := newTree(nodes, hub).upstream(s.Inner); up != hub && s.Inner != hub {
+			n.innerAddress = s.Inner
+			n.members.setSelf(s)
+		}
+	}
+	n.members.applyMemberLists([]gossip.Row{{Key: "h", Data: encode(t, nodes)}}, now)
+	n.members.applyHubHeartbeats([]gossip.Row{{Key: "h"}}, now)
+	first := n.localUpstream(now)
+	is.True(first != hub && n.passesUp(first, now))
+	n.members.markUnreachable(first, now)
+	second := n.localUpstream(now)
+	is.True(second != first && n.passesUp(second, now))
+	is.Equal(n.localUpstream(now.Add(maxSilence+time.Millisecond)), hub)
+}
+
+// Guards against updates that are lost or late on their way through relay nodes, in a
+// whole data centre whose nodes start one after the other.
+func TestUpdatesReachAllNodesOfLargeDataCentre(t *testing.T) {
+	is := is.New(t)
+	_, addresses := startRanServers(t, 1)
+	nodes, _ := startFleet(t, 50, addresses, func(i int, o *Options) {
+		o.Settings.DataCentre, o.Settings.Processor, o.Settings.Bandwidth = "a", 0.2, 10
+		if i < 2 {
+			o.Settings.Processor, o.Settings.Bandwidth = 0.8, 200
+		}
+	})
+	awaitMembers(t, nodes)
+	time.Sleep(2 * hubHeartbeatTimeout)
+	now, throughRelays := time.Now(), 0
+	for _, n := range nodes {
+		is.Equal(n.members.count(), len(nodes)) // heartbeats reach the hub
+		if n.localUpstream(now) != n.members.tree(now).hub {
+			throughRelays++
+		}
+	}
+	is.True(throughRelays > len(nodes)/2)
+	began := time.Now()
+	nodes[len(nodes)-1].rows.Apply([]gossip.Row{{Table: tableDraining, Key: "x", Version: nodes[len(nodes)-1].nextVersion(), Data: []byte(`{}`)}})
+	for reached := 0; reached < len(nodes); time.Sleep(5 * time.Millisecond) {
+		is.True(time.Since(began) < time.Second)
+		reached = 0
+		for _, n := range nodes {
+			if _, ok := n.rows.Get(tableDraining, "x"); ok {
+				reached++
+			}
+		}
+	}
+	t.Logf("a notice reached all nodes after %v, %d through relay nodes", time.Since(began), throughRelays)
+}
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -45,6 +45,7 @@
 		missing[hash] = true
 	}
 	var wanted []uint64
+	var entries []entry
 	for id, e := range m.rows {
 		if id.isUpward() {
 			continue
@@ -55,7 +56,7 @@
 		order := e.precedence().compare(d.precedenceOf(hash))
 		switch {
 		case !isListed || order > 0:
-			c.rows = append(c.rows, e.Row)
+			entries = append(entries, e)
 		case order < 0:
 			wanted = append(wanted, hash)
 		}
@@ -63,6 +64,7 @@
 	for hash := range missing {
 		wanted = append(wanted, hash)
 	}
+	m.cut(&c, entries)
 	return c, wanted
 }
 
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -22,6 +22,12 @@
 	// takes.
 	callTimeout = maxHoldTime + 600*time.Millisecond
 	dialTimeout = 400 * time.Millisecond
+	// catchUpTimeout bounds a question whose answer may be a large part of the state: the
+	// wait for one of digestSlots and the transfer over a slow link.
+	catchUpTimeout = 3 * time.Second
+	// digestSlots is how many digests are compared at a time, so that the first answers
+	// are on their way while the others wait, and memory is bounded.
+	digestSlots = 8
 )
 
 // Question carries a node's changes to another node, and the position from which it
@@ -50,6 +56,8 @@
 	Cursors    map[string]uint64
 	CursorEras map[string]uint64
 	Age        time.Duration
+	// Bundles is set by requesters that read Answer.Bundle, and send rows with a digest.
+	Bundles bool
 }
 
 // Answer carries the responder's changes that the requester lacks.
@@ -68,6 +76,10 @@
 	Cursors    map[string]uint64
 	CursorEras map[string]uint64
 	Age        time.Duration
+	// Bundle holds the rows, compressed together, in place of Rows.
+	Bundle []byte
+	// Partial is set if the responder has further rows for the requester.
+	Partial bool
 }
 
 // Exchange synchronises a map with other nodes. It answers their questions and asks
@@ -83,12 +95,14 @@
 	// such an age from another node.
 	age        func() time.Duration
 	observeAge func(time.Duration)
+	// comparing holds an element for each digest that is being compared.
+	comparing chan struct{}
 }
 
 // NewExchange returns an exchange. epoch distinguishes this process from its
 // predecessors.
 func NewExchange(epoch uint64, rows *Map, age func() time.Duration, observeAge func(time.Duration)) *Exchange {
-	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge}
+	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge, comparing: make(chan struct{}, digestSlots)}
 }
 
 // Service is the RPC interface of an exchange.
@@ -104,17 +118,32 @@
 	e.merge(q.Self, rows, decodeCursors(q.Cursors, q.CursorEras), q.Age)
 	e.contacts.record(q.Self, !q.Up, time.Now())
 	if q.Digest != nil || q.Epoch != e.epoch {
-		c, wanted := e.rows.compare(Digest{q.Digest, q.DigestEras, q.DigestRanks})
-		*a = e.newAnswer(c)
-		a.Want = wanted
-		e.contacts.recordDigest(q.Self)
-		return nil
+		return e.answerDigest(q, a)
 	}
-	*a = e.newAnswer(e.awaitChange(q))
+	*a = e.newAnswer(e.awaitChange(q), q.Bundles)
 	a.Anew = e.contacts.isDigestDue(q.Self)
 	return nil
 }
 
+// answerDigest answers a question with a digest.
+func (e *Exchange) answerDigest(q Question, a *Answer) error {
+	asked := time.Now()
+	e.comparing <- struct{}{}
+	defer func() { <-e.comparing }()
+	if time.Since(asked) > catchUpTimeout {
+		return errors.New("too many nodes compare digests: ask again")
+	}
+	c, wanted := e.rows.compare(Digest{q.Digest, q.DigestEras, q.DigestRanks})
+	*a = e.newAnswer(c, q.Bundles)
+	a.Want = wanted
+	if q.Bundles && len(wanted) > maxWanted {
+		a.Want, a.Anew = wanted[:maxWanted], true
+		return nil
+	}
+	e.contacts.recordDigest(q.Self)
+	return nil
+}
+
 // awaitChange holds a question until there are rows for it, maxHoldTime at most.
 func (e *Exchange) awaitChange(q Question) change {
 	asked := time.Now()
@@ -122,6 +151,8 @@
 		c := e.rows.since(q.Place, q.Self, q.Hears, false)
 		waited := time.Since(asked)
 		switch {
+		case c.isPartial:
+			return c
 		case len(c.rows) > 0 && waited >= batchDelay, waited >= maxHoldTime:
 			return c
 		case len(c.rows) > 0:
@@ -135,8 +166,13 @@
 	}
 }
 
-func (e *Exchange) newAnswer(c change) Answer {
-	a := Answer{Epoch: e.epoch, Place: c.position, Rows: pack(c.rows), Age: e.age(), Hears: e.contacts.expireAndList(time.Now())}
+func (e *Exchange) newAnswer(c change, bundles bool) Answer {
+	a := Answer{Epoch: e.epoch, Place: c.position, Rows: pack(c.rows), Partial: c.isPartial, Age: e.age(), Hears: e.contacts.expireAndList(time.Now())}
+	if bundles {
+		if a.Bundle = bundle(a.Rows); a.Bundle != nil {
+			a.Rows = nil
+		}
+	}
 	a.Cursors, a.CursorEras = encodeCursors(c.cursors)
 	return a
 }
@@ -208,6 +244,7 @@
 	wantedHashes []uint64 // hashes of rows that the peer requested
 	receivesFrom []uint64 // epochs of the processes that the peer receives from directly
 	needsDigest  bool     // the next question carries a digest
+	isBehind     bool     // the last answer was partial
 	mu           sync.Mutex
 	client       *rpc.Client // guarded by mu
 }
@@ -222,8 +259,12 @@
 		return err
 	}
 	q, sentPosition := e.newQuestion(p)
+	timeout := callTimeout
+	if q.Digest != nil || p.isBehind {
+		timeout = catchUpTimeout
+	}
 	var a Answer
-	if err := call(ctx, client, q, &a); err != nil {
+	if err := call(ctx, client, q, &a, timeout); err != nil {
 		p.Close()
 		return errors.Wrapf(err, "sync with %s", p.Address)
 	}
@@ -232,8 +273,13 @@
 	}
 	e.contacts.record(a.Epoch, !p.IsHub, time.Now())
 	p.needsDigest = a.Anew || e.contacts.isDigestDue(a.Epoch)
+	p.isBehind = a.Partial
 	p.sentPosition, p.epoch, p.position, p.wantedHashes, p.receivesFrom = sentPosition, a.Epoch, a.Place, a.Want, a.Hears
-	rows, err := unpack(a.Rows)
+	bundled, err := unbundle(a.Bundle)
+	if err != nil {
+		return err
+	}
+	rows, err := unpack(append(a.Rows, bundled...))
 	if err != nil {
 		return err
 	}
@@ -272,8 +318,9 @@
 // newQuestion returns the next question for a peer, and the position of the local log
 // up to which it carries rows.
 func (e *Exchange) newQuestion(p *Peer) (Question, uint64) {
-	q := Question{Self: e.epoch, Up: p.IsHub, Hears: e.contacts.expireAndList(time.Now()), Age: e.age()}
+	q := Question{Self: e.epoch, Up: p.IsHub, Hears: e.contacts.expireAndList(time.Now()), Age: e.age(), Bundles: true}
 	if p.needsDigest {
+		q.Rows = pack(e.rows.pick(p.wantedHashes))
 		d, position := e.rows.digest()
 		q.Digest, q.DigestEras, q.DigestRanks = d.Versions, d.Eras, d.Ranks
 		return q, position
@@ -285,10 +332,10 @@
 	return q, c.position
 }
 
-// call sends a question and waits for its answer, callTimeout at most.
-func call(ctx context.Context, client *rpc.Client, q Question, a *Answer) error {
+// call sends a question and waits for its answer, timeout at most.
+func call(ctx context.Context, client *rpc.Client, q Question, a *Answer, timeout time.Duration) error {
 	pending := client.Go(serviceName+".Sync", q, a, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(callTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-pending.Done:
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -35,6 +35,7 @@
 	Data    []byte
 	// Packed data is compressed. Only rows in transit are packed.
 	Packed bool
+	packed *packedData // nil for small rows
 }
 
 // Revision returns the row's revision.
@@ -103,13 +104,14 @@
 	// undelivered holds the new rows that were not passed to onRows yet, in order.
 	undelivered  []Row // guarded by mu
 	isDelivering bool  // guarded by mu; a goroutine passes rows to onRows
+	firstTables  map[string]bool
 }
 
 // NewMap returns an empty map. onRows is called with the new rows in the order in which
 // they were stored, by one goroutine at a time and without locks held. A call that stores
 // rows returns once they were passed on, unless another goroutine is about to do so.
 func NewMap(onRows func([]Row)) *Map {
-	return &Map{rows: map[rowID]entry{}, cursors: map[string]Revision{}, changed: make(chan struct{}), onRows: onRows}
+	return &Map{rows: map[rowID]entry{}, cursors: map[string]Revision{}, changed: make(chan struct{}), onRows: onRows, firstTables: map[string]bool{}}
 }
 
 // Apply merges rows and keeps those that are newer than the present ones.
@@ -148,6 +150,9 @@
 			// sender does not know yet.
 			r, rowOrigin = tombstone(id, r.Revision(), cursor), 0
 		}
+		if len(r.Data) >= minPackSize && r.packed == nil {
+			r.packed = &packedData{}
+		}
 		m.position++
 		m.rows[id] = entry{r, m.position, rowOrigin}
 		newer = append(newer, r)
@@ -283,6 +288,8 @@
 	position uint64 // position reached in the log
 	cursors  map[string]Revision
 	changed  <-chan struct{} // closed at the next change
+	// isPartial is set if there are further rows beyond position.
+	isPartial bool
 }
 
 // since returns the rows that changed after a position of this map's log, except those
@@ -295,12 +302,14 @@
 	if position >= m.position {
 		return c
 	}
+	var entries []entry
 	for id, e := range m.rows {
 		hasRow := e.origin != 0 && (e.origin == receiver || (id.isSoft() && slices.Contains(receivesFrom, e.origin)))
 		if e.position > position && !hasRow && (includeUpward || !id.isUpward()) {
-			c.rows = append(c.rows, e.Row)
+			entries = append(entries, e)
 		}
 	}
+	m.cut(&c, entries)
 	return c
 }
 
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -20,8 +20,8 @@
 	// republishAge is the age from which a repeated use of a part is published
 	// again.
 	republishAge = entryTTL / 2
-	// entryBytes is the encoded size of an entry.
-	entryBytes = 8
+	// EntryBytes is the encoded size of an entry.
+	EntryBytes = 8
 )
 
 // Part is the hash of a part of a prompt for one model.
@@ -150,7 +150,7 @@
 
 // Encode returns the binary form of entries.
 func Encode(entries []Entry) []byte {
-	out := make([]byte, 0, len(entries)*entryBytes)
+	out := make([]byte, 0, len(entries)*EntryBytes)
 	for _, e := range entries {
 		out = binary.BigEndian.AppendUint32(out, uint32(e.Part))
 		out = binary.BigEndian.AppendUint32(out, uint32(e.Server))
@@ -160,8 +160,8 @@
 
 // Decode reverses Encode. Trailing bytes that form no whole entry are ignored.
 func Decode(raw []byte) []Entry {
-	out := make([]Entry, 0, len(raw)/entryBytes)
-	for ; len(raw) >= entryBytes; raw = raw[entryBytes:] {
+	out := make([]Entry, 0, len(raw)/EntryBytes)
+	for ; len(raw) >= EntryBytes; raw = raw[EntryBytes:] {
 		out = append(out, Entry{Part(binary.BigEndian.Uint32(raw)), Server(binary.BigEndian.Uint32(raw[4:]))})
 	}
 	return out
--- a/internal/prefix/index_test.go
+++ b/internal/prefix/index_test.go
@@ -68,7 +68,7 @@
 		for range rapid.IntRange(0, 20).Draw(t, "entries") {
 			list = append(list, Entry{Part(rapid.Uint32().Draw(t, "part")), Server(rapid.Uint32().Draw(t, "server"))})
 		}
-		rest := make([]byte, rapid.IntRange(0, entryBytes-1).Draw(t, "rest"))
+		rest := make([]byte, rapid.IntRange(0, EntryBytes-1).Draw(t, "rest"))
 		got := Decode(append(Encode(list), rest...))
 		if len(got) != len(list) {
 			t.Fatalf("%d entries of %d", len(got), len(list))
