--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -105,6 +105,7 @@
 	n.members = newMembers(o.Log)
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.rank, n.readerTurn, o.Log)
 	n.exchange = gossip.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
+	n.exchange.CountSent(func(table string, bytes int) { o.Metrics.InnerBytes.WithLabelValues(table).Add(float64(bytes)) })
 	n.config = &config{schema: o.Schema, log: o.Log}
 	n.pool = pool.New()
 	n.prefixes = prefix.New()
@@ -158,10 +159,11 @@
 			share, _ := n.permits.roster.Share(time.Now())
 			return share
 		},
-		CutLinks:    func() float64 { return float64(n.forwarder.CutLinks()) },
-		Relayed:     func() float64 { return float64(n.relay.carried.Load()) },
-		Running:     func() float64 { return float64(n.forwarder.Running()) },
-		Quarantined: func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
+		LoadInterval: n.loadInterval,
+		CutLinks:     func() float64 { return float64(n.forwarder.CutLinks()) },
+		Relayed:      func() float64 { return float64(n.relay.carried.Load()) },
+		Running:      func() float64 { return float64(n.forwarder.Running()) },
+		Quarantined:  func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
 	}
 }
 
--- a/internal/edge/soft_budget.go
+++ b/internal/edge/soft_budget.go
@@ -67,13 +67,22 @@
 	return out
 }
 
-// newest returns the newest prefix entries that fit the budget for a time.
+// newest returns the newest prefix entries that fit the budget for a time. The entries of
+// a request at a server follow each other and are of no use without the first, so those
+// of a request that fits in part are left out.
 func (b softBudget) newest(entries []prefix.Entry, elapsed time.Duration) []prefix.Entry {
 	if !b.isBounded {
 		return entries
 	}
 	limit := int(prefixBudget * min(elapsed, time.Second).Seconds() / b.copies / prefix.EntryBytes)
-	return entries[max(len(entries)-limit, 0):]
+	if len(entries) <= limit {
+		return entries
+	}
+	cut := len(entries) - limit
+	for cut > 0 && cut < len(entries) && entries[cut].Server == entries[cut-1].Server {
+		cut++
+	}
+	return entries[cut:]
 }
 
 // publishLoads publishes the load of this hub's data centre when it is due. The caller
@@ -81,7 +90,9 @@
 func (n *Node) publishLoads(total workload, now time.Time) {
 	b := n.softBudget(now)
 	raw := total.encode()
-	if b.isBounded {
+	if !b.isBounded {
+		n.published.loadInterval = heartbeatInterval
+	} else {
 		if now.Sub(n.published.loadsAt) < n.published.loadInterval-heartbeatInterval/2 {
 			return
 		}
@@ -97,3 +108,13 @@
 func (n *Node) softBudget(now time.Time) softBudget {
 	return newSoftBudget(n.members.tree(now), len(n.members.hubs(now)))
 }
+
+// loadInterval returns the seconds between two load rows of this node, 0 if it is no hub.
+func (n *Node) loadInterval() float64 {
+	n.heartbeatMu.Lock()
+	defer n.heartbeatMu.Unlock()
+	if !n.isHub() {
+		return 0
+	}
+	return max(n.published.loadInterval, heartbeatInterval).Seconds()
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -95,6 +95,8 @@
 	// such an age from another node.
 	age        func() time.Duration
 	observeAge func(time.Duration)
+	// countSent counts the bytes of rows that are sent, before they are compressed together.
+	countSent func(table string, bytes int)
 	// comparing holds an element for each digest that is being compared.
 	comparing chan struct{}
 }
@@ -102,7 +104,7 @@
 // NewExchange returns an exchange. epoch distinguishes this process from its
 // predecessors.
 func NewExchange(epoch uint64, rows *Map, age func() time.Duration, observeAge func(time.Duration)) *Exchange {
-	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge, comparing: make(chan struct{}, digestSlots)}
+	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge, countSent: func(string, int) {}, comparing: make(chan struct{}, digestSlots)}
 }
 
 // Service is the RPC interface of an exchange.
@@ -168,6 +170,7 @@
 
 func (e *Exchange) newAnswer(c change, bundles bool) Answer {
 	a := Answer{Epoch: e.epoch, Place: c.position, Rows: pack(c.rows), Partial: c.isPartial, Age: e.age(), Hears: e.contacts.expireAndList(time.Now())}
+	e.count(a.Rows)
 	if bundles {
 		if a.Bundle = bundle(a.Rows); a.Bundle != nil {
 			a.Rows = nil
@@ -177,6 +180,21 @@
 	return a
 }
 
+// CountSent sets the function that counts the bytes sent by table. It is called before
+// Serve and Ask.
+func (e *Exchange) CountSent(count func(table string, bytes int)) { e.countSent = count }
+
+// count counts rows that are sent.
+func (e *Exchange) count(rows []Row) {
+	byTable := map[string]int{}
+	for _, r := range rows {
+		byTable[r.Table] += r.size()
+	}
+	for table, bytes := range byTable {
+		e.countSent(table, bytes)
+	}
+}
+
 // Register adds a service that Serve offers beside the exchange.
 func (e *Exchange) Register(name string, service any) error {
 	return errors.Wrapf(e.server.RegisterName(name, service), "register %s", name)
@@ -321,6 +339,7 @@
 	q := Question{Self: e.epoch, Up: p.IsHub, Hears: e.contacts.expireAndList(time.Now()), Age: e.age(), Bundles: true}
 	if p.needsDigest {
 		q.Rows = pack(e.rows.pick(p.wantedHashes))
+		e.count(q.Rows)
 		d, position := e.rows.digest()
 		q.Digest, q.DigestEras, q.DigestRanks = d.Versions, d.Eras, d.Ranks
 		return q, position
@@ -329,6 +348,7 @@
 	q.Epoch, q.Place = p.epoch, p.position
 	q.Cursors, q.CursorEras = encodeCursors(c.cursors)
 	q.Rows = pack(append(e.rows.pick(p.wantedHashes), c.rows...))
+	e.count(q.Rows)
 	return q, c.position
 }
 
--- /dev/null
+++ b/internal/gossip/start_test.go
@@ -0,0 +1,106 @@
+package gossip
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// listOfServers returns a table of 3,000 rows, about a megabyte.
+func listOfServers() []Row {
+	var out []Row
+	for i := range 3000 {
+		data := fmt.Sprintf(`{"id":"server-%d","address":"10.1.%d.%d:8000","service":"chat","labels":"%s"}`, i, i/250, i%250, strings.Repeat("x", 200))
+		out = append(out, Row{Table: "servers", Key: fmt.Sprint(i), Version: uint64(i + 1), Data: []byte(data)})
+	}
+	return out
+}
+
+// newLargeNode returns a node with a list of servers and an operator's row that is newer.
+func newLargeNode(t *testing.T) *node {
+	n := newNode(t, 1)
+	n.rows.SetFirstTables("t")
+	n.rows.Replace("servers", listOfServers(), at(3000))
+	n.rows.Replace("t", []Row{row("evacuate", 9)}, at(9))
+	return n
+}
+
+// Guards against a first state that does not arrive in time in one message, against
+// rows that are taken for deleted since the cursor came before them, and against
+// operator's rows that wait for the list of servers.
+func TestFirstStateArrivesInParts(t *testing.T) {
+	is := is.New(t)
+	hub, n := newLargeNode(t), newNode(t, 2)
+	p := NewPeer(hub.address)
+	is.NoErr(n.exchange.Ask(t.Context(), p))
+	_, ok := n.rows.Get("t", "evacuate")
+	is.True(ok)
+	is.True(p.isBehind && n.rows.Cursor("servers").IsZero())
+	for range 9 {
+		if p.isBehind {
+			is.NoErr(n.exchange.Ask(t.Context(), p))
+		}
+	}
+	is.Equal(len(n.rows.List("servers")), 3000)
+	is.Equal(n.rows.Cursor("servers"), at(3000))
+}
+
+// Guards against nodes that time out and start over when all of them start at once.
+func TestManyNodesTakeFirstStateAtOnce(t *testing.T) {
+	hub := newLargeNode(t)
+	var running sync.WaitGroup
+	began := time.Now()
+	for i := range 100 {
+		n := newNode(t, uint64(i+2))
+		running.Go(func() {
+			p := NewPeer(hub.address)
+			defer p.Close()
+			for len(n.rows.List("servers")) < 3000 {
+				// Connecting may take long on a busy machine. It is no part of the state's transfer.
+				if err := n.exchange.Ask(t.Context(), p); err != nil && !strings.Contains(err.Error(), "dial peer") {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	running.Wait()
+	t.Logf("100 nodes have the first state after %v", time.Since(began))
+}
+
+// Guards against a process without rows that all others send the whole table to.
+func TestRowsAreRequestedInParts(t *testing.T) {
+	is := is.New(t)
+	hub, n := newNode(t, 2), newLargeNode(t)
+	p := NewPeer(hub.address)
+	for range 12 {
+		is.NoErr(n.exchange.Ask(t.Context(), p))
+		is.True(len(p.wantedHashes) <= maxWanted)
+	}
+	is.Equal(len(hub.rows.List("servers")), 3000)
+	is.Equal(hub.rows.Cursor("servers"), at(3000))
+}
+
+// A node of the release before reads no bundle, sends wanted rows only in a question without
+// a digest, and goes on from the position of an answer.
+func TestReleaseBeforeGetsFirstState(t *testing.T) {
+	is := is.New(t)
+	hub, n := newLargeNode(t), newNode(t, 2)
+	n.rows.Apply(listOfServers()[:1])
+	q := Question{Self: 2, Digest: map[uint64]uint64{7: 1}}
+	for range 9 {
+		var a Answer
+		is.NoErr(Service{hub.exchange}.Sync(q, &a))
+		is.Equal(a.Bundle, nil)
+		is.True(!a.Anew)
+		rows, err := unpack(a.Rows)
+		is.NoErr(err)
+		n.exchange.merge(a.Epoch, rows, decodeCursors(a.Cursors, a.CursorEras), a.Age)
+		q = Question{Self: 2, Epoch: a.Epoch, Place: a.Place}
+	}
+	is.Equal(len(n.rows.List("servers")), 3000)
+}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -32,6 +32,8 @@
 	Refusals *prometheus.CounterVec
 	// StoreCalls counts calls to the platform's store by use and result.
 	StoreCalls *prometheus.CounterVec
+	// InnerBytes counts the bytes of rows sent to other nodes by table.
+	InnerBytes *prometheus.CounterVec
 	// DroppedLines counts log lines that were dropped.
 	DroppedLines prometheus.Counter
 }
@@ -54,6 +56,8 @@
 	LimitedServers func() float64
 	// PermitShare is the part of the servers' limits that the process may grant.
 	PermitShare func() float64
+	// LoadInterval is the time in seconds between two load rows of a hub, 0 on other nodes.
+	LoadInterval func() float64
 	// CutLinks is the number of servers that the process reaches only through other
 	// nodes, Relayed the number of connections that it carries for others.
 	CutLinks func() float64
@@ -78,6 +82,7 @@
 	f.gaugeFunc("route_quarantined", "Requests and prompt parts that are refused because they crashed backend servers.", s.Quarantined)
 	f.gaugeFunc("route_servers_cut", "Backend servers that this node reaches only through other nodes.", s.CutLinks)
 	f.gaugeFunc("route_relayed_connections", "Connections to backend servers that this node carries for other nodes.", s.Relayed)
+	f.gaugeFunc("route_load_interval_seconds", "Time between two rows of the load of this hub's data centre, 0 on nodes that are no hub.", s.LoadInterval)
 	f.gaugeFunc("route_requests_running", "Requests under way.", s.Running)
 }
 
@@ -96,6 +101,7 @@
 		Relays:          f.counters("route_relays_total", "Connections to backend servers through another node, asked for (opened, refused) and served (carried, denied).", "result"),
 		Refusals:        f.counters("route_refusals_total", "Answers of the system's own by status and reason.", "status", "reason"),
 		StoreCalls:      f.counters("route_store_calls_total", "Calls of the platform's store by use and result.", "use", "result"),
+		InnerBytes:      f.counters("route_row_bytes_total", "Bytes of rows sent to other nodes by table, before rows are compressed together.", "table"),
 		DroppedLines:    f.counter("log_lines_dropped_total", "Log lines that were not written since the writer was behind."),
 	}
 }
