Exchanges look at the newest changes, not at all rows

Cause: each answer went through all rows under the lock, of which there are more than 3,000 before 3,000 servers, and hubs were derived from all members several dozen times a second. Change: the newest changes are kept in order; the topology is kept while the members stay the same, 50 ms at most; nodes that hear of no hub turn to it 1.2 to 1.7 s after.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -113,6 +113,7 @@
 	cachedLive  []nodeState                  // guarded by mu; result of liveLocked, nil after a change
 	// lastHubHeartbeat is when the last heartbeat of any hub was received.
 	lastHubHeartbeat time.Time // guarded by mu
+	topology         *topology // guarded by mu; result of topologyLocked, nil after a change
 }
 
 func newMembers(log *zap.Logger) *members {
@@ -232,7 +233,7 @@
 // address. The caller holds mu and does not change the list.
 func (m *members) liveLocked() []nodeState {
 	if m.cachedLive == nil {
-		m.cachedLive = m.merge()
+		m.cachedLive, m.topology = m.merge(), nil
 	}
 	return m.cachedLive
 }
@@ -280,31 +281,16 @@
 func (m *members) markUnreachable(inner string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unreachable[inner] = now
+	m.unreachable[inner], m.topology = now, nil
 }
 
 // hubs returns the inner address of each data centre's hub, the node that relays the
-// data centre's updates. All nodes that see the same members choose the same hubs.
+// data centre's updates. All nodes that see the same members choose the same hubs. The
+// caller does not change the map.
 func (m *members) hubs(now time.Time) map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string]string{}
-	for dc, list := range m.reachableLocked(now) {
-		out[dc] = selectHub(list)
-	}
-	return out
-}
-
-// reachableLocked returns the live nodes of each data centre that are not stopping and
-// could be reached, sorted by address. The caller holds mu.
-func (m *members) reachableLocked(now time.Time) map[string][]nodeState {
-	nodes := map[string][]nodeState{}
-	for _, s := range m.liveLocked() {
-		if !s.Stopping && now.Sub(m.unreachable[s.Inner]) > unreachableBackoff {
-			nodes[s.DataCentre] = append(nodes[s.DataCentre], s)
-		}
-	}
-	return nodes
+	return m.topologyLocked(now).hubs
 }
 
 // selectHub returns the address of the hub among the nodes of one data centre.
--- a/internal/edge/tree.go
+++ b/internal/edge/tree.go
@@ -22,6 +22,8 @@
 	// it asks the hub itself: the relay node may have lost its own connection, or receive
 	// from this node. Hubs send heartbeats every 200 ms.
 	maxSilence = 1200 * time.Millisecond
+	// silenceSpread is by how much longer some nodes wait.
+	silenceSpread = 500 * time.Millisecond
 )
 
 // tree is the way in which updates of a data centre are passed on.
@@ -72,20 +74,52 @@
 	return routing.HighestScoring(t.relays, inner)
 }
 
-// tree returns the tree of this node's data centre, and its hub or "" if there is none.
+// topologyTTL is how long a topology is used while the members stay the same: nodes that
+// were unreachable count again after a while.
+const topologyTTL = 50 * time.Millisecond
+
+// topology holds the hub of each data centre and the tree of this node's data centre.
+type topology struct {
+	madeAt time.Time
+	hubs   map[string]string
+	tree   tree
+}
+
+// topologyLocked returns the topology of the live nodes. The caller holds mu.
+func (m *members) topologyLocked(now time.Time) *topology {
+	live := m.liveLocked() // drops the topology if the members have changed
+	if t := m.topology; t != nil && now.Sub(t.madeAt).Abs() < topologyTTL {
+		return t
+	}
+	t := &topology{madeAt: now, hubs: map[string]string{}}
+	nodes := map[string][]nodeState{}
+	for _, s := range live {
+		if !s.Stopping && now.Sub(m.unreachable[s.Inner]) > unreachableBackoff {
+			nodes[s.DataCentre] = append(nodes[s.DataCentre], s)
+		}
+	}
+	for dc, list := range nodes {
+		t.hubs[dc] = selectHub(list)
+	}
+	if list := nodes[m.self.DataCentre]; len(list) > 0 {
+		t.tree = newTree(list, t.hubs[m.self.DataCentre])
+	}
+	m.topology = t
+	return t
+}
+
+// tree returns the tree of this node's data centre.
 func (m *members) tree(now time.Time) tree {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	nodes := m.reachableLocked(now)[m.self.DataCentre]
-	if len(nodes) == 0 {
-		return tree{}
-	}
-	return newTree(nodes, selectHub(nodes))
+	return m.topologyLocked(now).tree
 }
 
-// isSilent reports whether no heartbeat of a hub has arrived for a while.
+// isSilent reports whether no heartbeat of a hub has arrived for a while. Nodes differ in
+// it, so that not all of them turn to a hub at once that was slow.
 func (m *members) isSilent(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return now.Sub(m.lastHubHeartbeat) > maxSilence
+	spread := time.Duration(routing.Score(m.self.Inner, "silence") % uint64(silenceSpread))
+	return now.Sub(m.lastHubHeartbeat) > maxSilence+spread
 }
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -105,6 +105,9 @@
 	undelivered  []Row // guarded by mu
 	isDelivering bool  // guarded by mu; a goroutine passes rows to onRows
 	firstTables  map[string]bool
+	// recent holds the newest changes in the order of their positions, some of which
+	// were replaced by later ones.
+	recent []loggedChange // guarded by mu
 }
 
 // NewMap returns an empty map. onRows is called with the new rows in the order in which
@@ -155,6 +158,7 @@
 		}
 		m.position++
 		m.rows[id] = entry{r, m.position, rowOrigin}
+		m.logChange(id)
 		newer = append(newer, r)
 	}
 	if len(newer) > 0 {
@@ -303,12 +307,23 @@
 		return c
 	}
 	var entries []entry
-	for id, e := range m.rows {
+	consider := func(id rowID, e entry) {
 		hasRow := e.origin != 0 && (e.origin == receiver || (id.isSoft() && slices.Contains(receivesFrom, e.origin)))
 		if e.position > position && !hasRow && (includeUpward || !id.isUpward()) {
 			entries = append(entries, e)
 		}
 	}
+	if changes, ok := m.recentSince(position); ok {
+		for _, x := range changes {
+			if e, ok := m.rows[x.id]; ok && e.position == x.position {
+				consider(x.id, e)
+			}
+		}
+	} else {
+		for id, e := range m.rows {
+			consider(id, e)
+		}
+	}
 	m.cut(&c, entries)
 	return c
 }
