--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -24,7 +24,7 @@
 	dialTimeout = 400 * time.Millisecond
 	// catchUpTimeout bounds a question whose answer may be a large part of the state: the
 	// wait for one of digestSlots and the transfer over a slow link.
-	catchUpTimeout = 3 * time.Second
+	catchUpTimeout = 4 * time.Second
 	// digestSlots is how many digests are compared at a time, so that the first answers
 	// are on their way while the others wait, and memory is bounded.
 	digestSlots = 8
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -15,8 +15,8 @@
 	// minPackSize is the size in bytes from which a row is sent compressed; a
 	// configuration shrinks to a sixth.
 	minPackSize = 2 << 10
-	// minBundleSize is the size in bytes of the rows of an answer from which they are
-	// compressed together. A table of 3,000 servers shrinks to a sixth.
+	// minBundleSize is the size in bytes of the rows of an answer that are not compressed
+	// yet from which all are compressed together. A table of 3,000 servers shrinks to a sixth.
 	minBundleSize = 16 << 10
 	// maxUnpackedSize bounds the size of a decompressed row or bundle in bytes.
 	maxUnpackedSize = 16 << 20
@@ -120,7 +120,9 @@
 func bundle(rows []Row) []byte {
 	size := 0
 	for _, r := range rows {
-		size += r.size()
+		if !r.Packed {
+			size += r.size()
+		}
 	}
 	if size < minBundleSize {
 		return nil
