Connections to nodes that are no longer asked are closed

Cause: a node that turns from the hub to a relay node left its connection open, and both ends kept buffers of the size of the first state. Change: such connections are closed after 15 s.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -78,9 +78,9 @@
 	stopping      atomic.Bool
 	stopsAt       atomic.Pointer[time.Time] // when requests must have ended; nil before a stop
 	mu            sync.Mutex
-	peers         map[string]*gossip.Peer // guarded by mu; by address
-	lastDiscovery time.Time               // guarded by mu
-	startStoredAt time.Time               // used by controlRollouts only
+	peers         map[string]*peer // guarded by mu; by address
+	lastDiscovery time.Time        // guarded by mu
+	startStoredAt time.Time        // used by controlRollouts only
 	// quarantineRows counts for each stored quarantine how often it was found not in force.
 	// It is used by storeQuarantines only.
 	quarantineRows map[string]int
@@ -95,7 +95,7 @@
 
 // New creates a node and opens its listeners.
 func New(o Options) (*Node, error) {
-	n := &Node{options: o, peers: map[string]*gossip.Peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
+	n := &Node{options: o, peers: map[string]*peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
 	n.settings.Store(&o.Settings)
 	n.innerAddress = n.innerAddressOf(o.Settings.IP)
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
@@ -362,6 +362,7 @@
 	now := time.Now()
 	n.reader.recordOutage()
 	n.members.prune(now)
+	n.closeIdlePeers(now)
 	n.servers.dropExpired(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.applyRemoteLoad(now)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -25,8 +25,17 @@
 	discoveryInterval = 2 * time.Second
 	// bootstrapInterval is the same interval for a node that knows no other node.
 	bootstrapInterval = 200 * time.Millisecond
+	// peerIdleTime is how long a connection is kept after its last exchange began. It is
+	// longer than any exchange lasts.
+	peerIdleTime = 15 * time.Second
 )
 
+// peer is a connection to a node.
+type peer struct {
+	*gossip.Peer
+	usedAt time.Time // when the last exchange began
+}
+
 // memberRow is a node's row in the store.
 type memberRow struct {
 	Inner string `json:"inner"`
@@ -75,10 +84,24 @@
 	defer n.mu.Unlock()
 	p := n.peers[address]
 	if p == nil {
-		p = gossip.NewPeer(address)
+		p = &peer{Peer: gossip.NewPeer(address)}
 		n.peers[address] = p
 	}
-	return p
+	p.usedAt = time.Now()
+	return p.Peer
+}
+
+// closeIdlePeers closes connections to nodes that this one no longer asks. Both ends keep
+// buffers as large as the largest message.
+func (n *Node) closeIdlePeers(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, p := range n.peers {
+		if now.Sub(p.usedAt) > peerIdleTime {
+			p.Close()
+			delete(n.peers, address)
+		}
+	}
 }
 
 // passesUp reports whether an address is that of the hub of this node's data centre, or of
