--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -111,6 +111,9 @@
 	loggedNames map[string]bool              // guarded by mu; names that were logged as joined
 	prefixes    []prefix.Entry               // guarded by mu; received in heartbeats, not yet drained
 	cachedLive  []nodeState                  // guarded by mu; result of liveLocked, nil after a change
+	// lastHubHeartbeat is when the last heartbeat of any hub was received.
+	lastHubHeartbeat time.Time // guarded by mu
+	topology         *topology // guarded by mu; result of topologyLocked, nil after a change
 }
 
 func newMembers(log *zap.Logger) *members {
@@ -169,6 +172,9 @@
 func (m *members) applyHubHeartbeats(rows []gossip.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(rows) > 0 {
+		m.lastHubHeartbeat = now
+	}
 	for _, r := range rows {
 		if list := m.memberLists[r.Key]; list != nil {
 			list.lastHeartbeat = now
@@ -227,7 +233,7 @@
 // address. The caller holds mu and does not change the list.
 func (m *members) liveLocked() []nodeState {
 	if m.cachedLive == nil {
-		m.cachedLive = m.merge()
+		m.cachedLive, m.topology = m.merge(), nil
 	}
 	return m.cachedLive
 }
@@ -275,29 +281,26 @@
 func (m *members) markUnreachable(inner string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unreachable[inner] = now
+	m.unreachable[inner], m.topology = now, nil
 }
 
 // hubs returns the inner address of each data centre's hub, the node that relays the
-// data centre's updates. All nodes that see the same members choose the same hubs.
+// data centre's updates. All nodes that see the same members choose the same hubs. The
+// caller does not change the map.
 func (m *members) hubs(now time.Time) map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	nodes := map[string][]nodeState{}
-	for _, s := range m.liveLocked() {
-		if !s.Stopping && now.Sub(m.unreachable[s.Inner]) > unreachableBackoff {
-			nodes[s.DataCentre] = append(nodes[s.DataCentre], s)
-		}
-	}
-	out := map[string]string{}
-	for dc, list := range nodes {
-		out[dc] = selectHub(list)
-	}
-	return out
+	return m.topologyLocked(now).hubs
 }
 
 // selectHub returns the address of the hub among the nodes of one data centre.
 func selectHub(list []nodeState) string {
+	return routing.HighestScoring(hubCandidates(list), "hub")
+}
+
+// hubCandidates returns the addresses of the nodes that may be the hub of their data
+// centre.
+func hubCandidates(list []nodeState) []string {
 	largest := 0.0
 	for _, s := range list {
 		largest = max(largest, s.Weight)
@@ -308,7 +311,7 @@
 			candidates = append(candidates, s.Inner)
 		}
 	}
-	return routing.HighestScoring(candidates, "hub")
+	return candidates
 }
 
 // localMemberList returns the nodes of this hub's data centre and their load on each
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -78,9 +78,9 @@
 	stopping      atomic.Bool
 	stopsAt       atomic.Pointer[time.Time] // when requests must have ended; nil before a stop
 	mu            sync.Mutex
-	peers         map[string]*gossip.Peer // guarded by mu; by address
-	lastDiscovery time.Time               // guarded by mu
-	startStoredAt time.Time               // used by controlRollouts only
+	peers         map[string]*peer // guarded by mu; by address
+	lastDiscovery time.Time        // guarded by mu
+	startStoredAt time.Time        // used by controlRollouts only
 	// quarantineRows counts for each stored quarantine how often it was found not in force.
 	// It is used by storeQuarantines only.
 	quarantineRows map[string]int
@@ -95,14 +95,17 @@
 
 // New creates a node and opens its listeners.
 func New(o Options) (*Node, error) {
-	n := &Node{options: o, peers: map[string]*gossip.Peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
+	n := &Node{options: o, peers: map[string]*peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
 	n.settings.Store(&o.Settings)
 	n.innerAddress = n.innerAddressOf(o.Settings.IP)
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
 	n.rows = gossip.NewMap(n.apply)
+	t := o.Schema.Tables()
+	n.rows.SetFirstTables(t.Operator, t.Status, tableSystem, tableMemberLists, tableDraining)
 	n.members = newMembers(o.Log)
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.rank, n.readerTurn, o.Log)
 	n.exchange = gossip.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
+	n.exchange.CountSent(func(table string, bytes int) { o.Metrics.InnerBytes.WithLabelValues(table).Add(float64(bytes)) })
 	n.config = &config{schema: o.Schema, log: o.Log}
 	n.pool = pool.New()
 	n.prefixes = prefix.New()
@@ -156,10 +159,11 @@
 			share, _ := n.permits.roster.Share(time.Now())
 			return share
 		},
-		CutLinks:    func() float64 { return float64(n.forwarder.CutLinks()) },
-		Relayed:     func() float64 { return float64(n.relay.carried.Load()) },
-		Running:     func() float64 { return float64(n.forwarder.Running()) },
-		Quarantined: func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
+		LoadInterval: n.loadInterval,
+		CutLinks:     func() float64 { return float64(n.forwarder.CutLinks()) },
+		Relayed:      func() float64 { return float64(n.relay.carried.Load()) },
+		Running:      func() float64 { return float64(n.forwarder.Running()) },
+		Quarantined:  func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
 	}
 }
 
@@ -350,6 +354,7 @@
 	now := time.Now()
 	n.reader.recordOutage()
 	n.members.prune(now)
+	n.closeIdlePeers(now)
 	n.servers.dropExpired(now)
 	n.sessions.prune(n.settings.Load().SessionLife, now)
 	n.applyRemoteLoad(now)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -25,8 +25,17 @@
 	discoveryInterval = 2 * time.Second
 	// bootstrapInterval is the same interval for a node that knows no other node.
 	bootstrapInterval = 200 * time.Millisecond
+	// peerIdleTime is how long a connection is kept after its last exchange began. It is
+	// longer than any exchange lasts.
+	peerIdleTime = 15 * time.Second
 )
 
+// peer is a connection to a node.
+type peer struct {
+	*gossip.Peer
+	usedAt time.Time // when the last exchange began
+}
+
 // memberRow is a node's row in the store.
 type memberRow struct {
 	Inner string `json:"inner"`
@@ -62,7 +71,7 @@
 // syncPeer runs one exchange with a node.
 func (n *Node) syncPeer(ctx context.Context, address string) {
 	p := n.peer(address)
-	p.IsHub = n.members.hubs(time.Now())[n.options.Settings.DataCentre] == address
+	p.IsHub = n.passesUp(address, time.Now())
 	if err := n.exchange.Ask(ctx, p); err != nil && ctx.Err() == nil {
 		n.members.markUnreachable(address, time.Now())
 		n.options.Log.Info("peer lost", zap.String("peer", address), telemetry.ErrorField(err))
@@ -75,19 +84,50 @@
 	defer n.mu.Unlock()
 	p := n.peers[address]
 	if p == nil {
-		p = gossip.NewPeer(address)
+		p = &peer{Peer: gossip.NewPeer(address)}
 		n.peers[address] = p
 	}
-	return p
+	p.usedAt = time.Now()
+	return p.Peer
+}
+
+// closeIdlePeers closes connections to nodes that this one no longer asks. Both ends keep
+// buffers as large as the largest message.
+func (n *Node) closeIdlePeers(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, p := range n.peers {
+		if now.Sub(p.usedAt) > peerIdleTime {
+			p.Close()
+			delete(n.peers, address)
+		}
+	}
+}
+
+// passesUp reports whether an address is that of the hub of this node's data centre, or of
+// the relay node on the way to it.
+func (n *Node) passesUp(address string, now time.Time) bool {
+	t := n.members.tree(now)
+	return address == t.hub || address == t.upstream(n.innerAddress)
+}
+
+// localUpstream returns the address of the node of this data centre from which this node
+// receives updates.
+func (n *Node) localUpstream(now time.Time) string {
+	t := n.members.tree(now)
+	if n.members.isSilent(now) {
+		return t.hub
+	}
+	return t.upstream(n.innerAddress)
 }
 
 // upstreams returns the addresses that this node starts exchanges with: the hub of its
-// data centre, or, as a hub, the hubs of the data centres that sort after its own. The
+// data centre or a relay node on the way to it, or, as a hub, the hubs of the data centres that sort after its own. The
 // others start exchanges with it.
 func (n *Node) upstreams(now time.Time) []string {
 	localDC, hubs := n.settings.Load().DataCentre, n.members.hubs(now)
 	if hub := hubs[localDC]; hub != n.innerAddress && hub != "" {
-		return []string{hub}
+		return []string{n.localUpstream(now)}
 	}
 	var out []string
 	for dc, hub := range hubs {
