A node with a part of the servers is not ready

Cause: a node with the first part of the list of servers reported ready and sent all requests to that part, and took the age of a partial answer for the age of its state. Change: readiness requires complete tables of the operator and of the servers. Ages of messages without cursors (partial answers, digests) are not recorded.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -197,8 +197,12 @@
 
 func (n *Node) table() *route.Table { return n.config.table.Load() }
 
-// isReady reports whether the node accepts callers.
-func (n *Node) isReady() bool { return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 }
+// isReady reports whether the node accepts callers. With a part of the list of servers it
+// would send all requests to that part.
+func (n *Node) isReady() bool {
+	t := n.options.Schema.Tables()
+	return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 && !n.rows.Cursor(t.Operator).IsZero() && !n.rows.Cursor(t.Servers).IsZero()
+}
 
 // rank returns the number that the operator gave to a configuration, if it is valid. The
 // operator's numbers rise, also where the store's versions go back.
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -307,9 +307,10 @@
 
 // merge merges what a process sent. A process that does not know yet that the store was
 // restored, or whose release knows no eras, does not show that this node's state is current.
+// Nor does a message without cursors: it is partial, or a digest.
 func (e *Exchange) merge(origin uint64, rows []Row, cursors map[string]Revision, age time.Duration) {
 	e.rows.mergeFrom(origin, rows, cursors)
-	if e.rows.isCurrent(cursors) {
+	if len(cursors) > 0 && e.rows.isCurrent(cursors) {
 		e.observeAge(age)
 	}
 }
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -37,16 +37,20 @@
 func TestFirstStateArrivesInParts(t *testing.T) {
 	is := is.New(t)
 	hub, n := newLargeNode(t), newNode(t, 2)
+	ages := 0
+	n.exchange.observeAge = func(time.Duration) { ages++ }
 	p := NewPeer(hub.address)
 	is.NoErr(n.exchange.Ask(t.Context(), p))
 	_, ok := n.rows.Get("t", "evacuate")
 	is.True(ok)
+	is.Equal(ages, 0) // a part of the state is not current
 	is.True(p.isBehind && n.rows.Cursor("servers").IsZero())
 	for p.isBehind {
 		is.NoErr(n.exchange.Ask(t.Context(), p))
 	}
 	is.Equal(len(n.rows.List("servers")), 3000)
 	is.Equal(n.rows.Cursor("servers"), at(3000))
+	is.Equal(ages, 1)
 }
 
 // Guards against nodes that time out and start over when all of them start at once.
