A frozen hub is noticed within callTimeout on new connections too

Cause: each question with a digest waited 4 s, also in small data centres. Change: catchUpTimeout holds where no table is complete or the last answer was partial.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -22,8 +22,9 @@
 	// takes.
 	callTimeout = maxHoldTime + 600*time.Millisecond
 	dialTimeout = 400 * time.Millisecond
-	// catchUpTimeout bounds a question whose answer may be a large part of the state: the
-	// wait for one of digestSlots and the transfer over a slow link.
+	// catchUpTimeout bounds a question of a process without a complete state, whose answer may
+	// be a large part of it: the wait for one of digestSlots and the transfer over a slow link.
+	// Others notice within callTimeout that a hub is frozen.
 	catchUpTimeout = 4 * time.Second
 	// digestSlots is how many digests are compared at a time, so that the first answers
 	// are on their way while the others wait, and memory is bounded.
@@ -278,7 +279,7 @@
 	}
 	q, sentPosition := e.newQuestion(p)
 	timeout := callTimeout
-	if q.Digest != nil || p.isBehind {
+	if p.isBehind || !e.rows.hasTables() {
 		timeout = catchUpTimeout
 	}
 	var a Answer
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -243,6 +243,13 @@
 	return m.cursors[table]
 }
 
+// hasTables reports whether any table of the store is complete.
+func (m *Map) hasTables() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.cursors) > 0
+}
+
 // Era returns the newest era of the store that is known.
 func (m *Map) Era() uint64 {
 	m.mu.Lock()
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -76,6 +77,19 @@
 	t.Logf("50 nodes have the first state after %v", time.Since(began))
 }
 
+// Guards against a frozen hub that is noticed late: a new connection begins with a digest,
+// and a process that has the state must not wait for it as for a first state.
+func TestFrozenHubIsNoticedWithDigest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	n := newLargeNode(t)
+	began := time.Now()
+	is.True(n.exchange.Ask(t.Context(), NewPeer(l.Addr().String())) != nil)
+	is.True(time.Since(began) < 2*callTimeout)
+}
+
 // Guards against a process without rows that all others send the whole table to.
 func TestRowsAreRequestedInParts(t *testing.T) {
 	is := is.New(t)
