Digests carry recent upward rows

Cause: questions with a digest carried no heartbeats and moved the position past them, so that a node that compared digests for more than 2 s counted as lost, with all nodes behind a relay node. Change: they carry the upward rows of the last 2 s. Older ones are left out: a new hub would count nodes that are lost.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -1,5 +1,11 @@
 package gossip
 
+import "time"
+
+// maxUpwardAge is how old an upward row may be that is sent with a digest. It is the time
+// after which a node without heartbeats counts as lost: a new hub must not count it again.
+const maxUpwardAge = 2 * time.Second
+
 // Digest summarises the rows of a map by the hashes of their tables and keys.
 type Digest struct {
 	Versions map[uint64]uint64
@@ -68,6 +74,20 @@
 	return c, wanted
 }
 
+// recentUpward returns the rows of upward tables that are not older than maxUpwardAge, except
+// those that the receiver sent.
+func (m *Map) recentUpward(receiver uint64, now time.Time) []Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Row
+	for id, e := range m.rows {
+		if id.isUpward() && (e.origin == 0 || e.origin != receiver) && now.Sub(e.storedAt) <= maxUpwardAge {
+			out = append(out, e.Row)
+		}
+	}
+	return out
+}
+
 // pick returns the rows with the given hashes.
 func (m *Map) pick(hashes []uint64) []Row {
 	if len(hashes) == 0 {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -340,7 +340,12 @@
 func (e *Exchange) newQuestion(p *Peer) (Question, uint64) {
 	q := Question{Self: e.epoch, Up: p.IsHub, Hears: e.contacts.expireAndList(time.Now()), Age: e.age(), Bundles: true}
 	if p.needsDigest {
-		q.Rows = pack(e.rows.pick(p.wantedHashes))
+		rows := e.rows.pick(p.wantedHashes)
+		if p.IsHub {
+			// Digests may follow each other for longer than heartbeats are valid.
+			rows = append(rows, e.rows.recentUpward(p.epoch, time.Now())...)
+		}
+		q.Rows = pack(rows)
 		e.count(q.Rows)
 		d, position := e.rows.digest()
 		q.Digest, q.DigestEras, q.DigestRanks = d.Versions, d.Eras, d.Ranks
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -115,6 +115,29 @@
 	is.True(!ok)
 }
 
+// Guards against nodes that count as lost while they, or the relay node that passes on their
+// heartbeats, compare digests, and against nodes that were lost before a new hub began.
+func TestDigestsCarryRecentUpwardRows(t *testing.T) {
+	is := is.New(t)
+	member, hub := newNode(t, 1), newNode(t, 2)
+	member.rows.Apply([]Row{{Table: UpwardPrefix + "x", Key: "lost", Version: 1}})
+	id := rowID{UpwardPrefix + "x", "lost"}
+	lost := member.rows.rows[id]
+	lost.storedAt = time.Now().Add(-2 * maxUpwardAge)
+	member.rows.rows[id] = lost
+	up := NewPeer(hub.address)
+	up.IsHub = true
+	for version := range uint64(3) {
+		member.rows.Apply([]Row{{Table: UpwardPrefix + "x", Key: "k", Version: version + 1}})
+		up.needsDigest = true
+		is.NoErr(member.exchange.Ask(t.Context(), up))
+		got, _ := hub.rows.Get(UpwardPrefix+"x", "k")
+		is.Equal(got.Version, version+1)
+	}
+	_, ok := hub.rows.Get(UpwardPrefix+"x", "lost")
+	is.True(!ok)
+}
+
 // A large row must travel compressed and arrive unchanged.
 func TestLargeRowsArePacked(t *testing.T) {
 	is := is.New(t)
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -89,8 +89,9 @@
 
 type entry struct {
 	Row
-	position uint64 // position in this node's log
-	origin   uint64 // epoch of the process that sent it; 0 for the store or this node
+	position uint64    // position in this node's log
+	origin   uint64    // epoch of the process that sent it; 0 for the store or this node
+	storedAt time.Time // zero for rows of other than upward tables
 }
 
 // Map is a node's copy of all rows. It is safe for concurrent use.
@@ -157,7 +158,11 @@
 			r.packed = &packedData{}
 		}
 		m.position++
-		m.rows[id] = entry{r, m.position, rowOrigin}
+		e := entry{Row: r, position: m.position, origin: rowOrigin}
+		if id.isUpward() {
+			e.storedAt = time.Now()
+		}
+		m.rows[id] = e
 		m.logChange(id)
 		newer = append(newer, r)
 	}
