Contacts are kept while their question waits for a digest slot

Hubs of other data centres waited for the same slots. Change: contacts with open questions do not time out; questions of other hubs have 2 slots of their own.

--- a/internal/gossip/contacts.go
+++ b/internal/gossip/contacts.go
@@ -16,6 +16,9 @@
 	// listed contacts are reported to other processes, which then leave out the rows that
 	// came from them.
 	listed bool
+	// open is how many questions between the two are open. The contact does not time out
+	// meanwhile: a question may wait for one of digestSlots.
+	open int
 }
 
 // contacts tracks the processes that this one exchanges rows with. Others leave out
@@ -42,7 +45,27 @@
 	if isKnown && old.listed && !listed {
 		return
 	}
-	c.byEpoch[epoch] = contact{now, listed}
+	c.byEpoch[epoch] = contact{now, listed, old.open}
+}
+
+// begin keeps a contact, if there is one, until the function that it returns is called.
+func (c *contacts) begin(epoch uint64) (end func()) {
+	if !c.addOpen(epoch, 1) {
+		return func() {}
+	}
+	return func() { c.addOpen(epoch, -1) }
+}
+
+// addOpen adds to the open questions of a contact, and reports whether there is one.
+func (c *contacts) addOpen(epoch uint64, count int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x, ok := c.byEpoch[epoch]
+	if ok {
+		x.open += count
+		c.byEpoch[epoch] = x
+	}
+	return ok
 }
 
 // expireAndList drops contacts that timed out and returns the epochs of the listed
@@ -51,7 +74,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for epoch, x := range c.byEpoch {
-		if now.Sub(x.lastSeen) > contactTimeout {
+		if x.open == 0 && now.Sub(x.lastSeen) > contactTimeout {
 			c.expire(epoch, x)
 		}
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -29,6 +29,9 @@
 	// digestSlots is how many digests are compared at a time, so that the first answers
 	// are on their way while the others wait, and memory is bounded.
 	digestSlots = 8
+	// hubDigestSlots is the same number for questions of the hubs of other data centres, which
+	// do not wait for the nodes of this one.
+	hubDigestSlots = 2
 )
 
 // Question carries a node's changes to another node, and the position from which it
@@ -98,14 +101,15 @@
 	observeAge func(time.Duration)
 	// countSent counts the bytes of rows that are sent, before they are compressed together.
 	countSent func(table string, bytes int)
-	// comparing holds an element for each digest that is being compared.
-	comparing chan struct{}
+	// comparing holds an element for each digest that is being compared, comparingHubs for
+	// each of the hub of another data centre.
+	comparing, comparingHubs chan struct{}
 }
 
 // NewExchange returns an exchange. epoch distinguishes this process from its
 // predecessors.
 func NewExchange(epoch uint64, rows *Map, age func() time.Duration, observeAge func(time.Duration)) *Exchange {
-	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge, countSent: func(string, int) {}, comparing: make(chan struct{}, digestSlots)}
+	return &Exchange{epoch: epoch, rows: rows, contacts: newContacts(), server: rpc.NewServer(), raw: map[byte]func(net.Conn){}, age: age, observeAge: observeAge, countSent: func(string, int) {}, comparing: make(chan struct{}, digestSlots), comparingHubs: make(chan struct{}, hubDigestSlots)}
 }
 
 // Service is the RPC interface of an exchange.
@@ -120,6 +124,7 @@
 	}
 	e.merge(q.Self, rows, decodeCursors(q.Cursors, q.CursorEras), q.Age)
 	e.contacts.record(q.Self, !q.Up, time.Now())
+	defer e.contacts.begin(q.Self)()
 	if q.Digest != nil || q.Epoch != e.epoch {
 		return e.answerDigest(q, a)
 	}
@@ -131,8 +136,14 @@
 // answerDigest answers a question with a digest.
 func (e *Exchange) answerDigest(q Question, a *Answer) error {
 	asked := time.Now()
-	e.comparing <- struct{}{}
-	defer func() { <-e.comparing }()
+	slots := e.comparing
+	if !q.Up {
+		slots = e.comparingHubs
+	}
+	slots <- struct{}{}
+	defer func() { <-slots }()
+	// The contact was kept while it waited.
+	e.contacts.record(q.Self, !q.Up, time.Now())
 	if time.Since(asked) > catchUpTimeout {
 		return errors.New("too many nodes compare digests: ask again")
 	}
@@ -282,6 +293,7 @@
 	if p.isBehind || !e.rows.hasTables() {
 		timeout = catchUpTimeout
 	}
+	defer e.contacts.begin(p.epoch)()
 	var a Answer
 	if err := call(ctx, client, q, &a, timeout); err != nil {
 		p.Close()
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -90,6 +90,33 @@
 	is.True(time.Since(began) < 2*callTimeout)
 }
 
+// Guards against contacts that time out while their questions wait for a slot, which makes
+// further digests due, and against hubs of other data centres that wait for such a slot.
+func TestContactsAreKeptWhileDigestsWait(t *testing.T) {
+	is := is.New(t)
+	hub, n, otherHub := newNode(t, 1), newNode(t, 2), newNode(t, 3)
+	for range digestSlots {
+		hub.exchange.comparing <- struct{}{}
+	}
+	is.NoErr(otherHub.exchange.Ask(t.Context(), NewPeer(hub.address)))
+	hub.exchange.contacts.record(9, false, time.Now().Add(time.Hour))
+	up, done := NewPeer(hub.address), make(chan error)
+	up.IsHub = true
+	go func() { done <- n.exchange.Ask(t.Context(), up) }()
+	time.Sleep(contactTimeout / 4)
+	listed := contact{time.Now().Add(-2 * contactTimeout), true, 1}
+	hub.exchange.contacts.mu.Lock()
+	is.Equal(hub.exchange.contacts.byEpoch[2].open, 1)
+	hub.exchange.contacts.byEpoch[2] = listed
+	hub.exchange.contacts.mu.Unlock()
+	hub.exchange.contacts.expireAndList(time.Now())
+	is.True(!hub.exchange.contacts.isDigestDue(9))
+	<-hub.exchange.comparing
+	is.NoErr(<-done)
+	hub.exchange.contacts.expireAndList(time.Now().Add(2 * contactTimeout))
+	is.True(hub.exchange.contacts.isDigestDue(9)) // it times out once it asks no more
+}
+
 // Guards against a process without rows that all others send the whole table to.
 func TestRowsAreRequestedInParts(t *testing.T) {
 	is := is.New(t)
