Rows of first tables do not count towards the bound of a message

Cause: once they alone exceeded 256 KB, each part carried one other row. Change: the bound holds for the other rows. Draining notices are no longer a first table, as they can be many.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -101,7 +101,7 @@
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
 	n.rows = gossip.NewMap(n.apply)
 	t := o.Schema.Tables()
-	n.rows.SetFirstTables(t.Operator, t.Status, tableSystem, tableMemberLists, tableDraining)
+	n.rows.SetFirstTables(t.Operator, t.Status, tableSystem, tableMemberLists)
 	n.members = newMembers(o.Log)
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.rank, n.readerTurn, o.Log)
 	n.exchange = gossip.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
--- a/internal/gossip/cut.go
+++ b/internal/gossip/cut.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// maxAnswerSize bounds the rows in an answer or a question in bytes before compression.
+	// maxAnswerSize bounds the rows in an answer or a question in bytes before compression,
+	// without those of first tables.
 	// A link of 10 Mbit/s carries it well within catchUpTimeout, and connections keep
 	// buffers of the size of their largest message.
 	maxAnswerSize = 256 << 10
@@ -29,21 +30,23 @@
 }
 
 // SetFirstTables names the tables whose rows are sent before others where not all rows fit
-// into one message. It is called before the map is shared.
+// into one message. Their rows are not bounded, so they are few. It is called before the map is shared.
 func (m *Map) SetFirstTables(tables ...string) {
 	for _, t := range tables {
 		m.firstTables[t] = true
 	}
 }
 
-// cut sets the rows of a change to those entries that fit into one message, in the order
-// of the log. If they do not all fit, the change's position is that of the last one, from
-// which the next message goes on, and it has no cursors: without the remaining rows the
-// tables are not complete. The caller holds mu.
+// cut sets the rows of a change to those of first tables and those other entries that fit
+// into one message, in the order of the log. If they do not all fit, the change's position
+// is that of the last one, from which the next message goes on, and it has no cursors:
+// without the remaining rows the tables are not complete. The caller holds mu.
 func (m *Map) cut(c *change, entries []entry) {
 	total := 0
 	for _, e := range entries {
-		total += e.size()
+		if !m.firstTables[e.Table] {
+			total += e.size()
+		}
 	}
 	if total <= maxAnswerSize {
 		for _, e := range entries {
@@ -52,23 +55,20 @@
 		return
 	}
 	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.position, b.position) })
-	size := 0
-	for _, e := range entries {
-		if m.firstTables[e.Table] {
-			c.rows, size = append(c.rows, e.Row), size+e.size()
-		}
-	}
 	c.isPartial, c.cursors = true, nil
-	taken := 0
+	size, isFull := 0, false
 	for _, e := range entries {
-		if !m.firstTables[e.Table] {
-			if taken > 0 && size+e.size() > maxAnswerSize {
-				return
-			}
-			c.rows, size, taken = append(c.rows, e.Row), size+e.size(), taken+1
+		// Rows of first tables do not count: a part carries all of them.
+		isFirst := m.firstTables[e.Table]
+		if !isFirst && !isFull {
+			isFull = size > 0 && size+e.size() > maxAnswerSize
+			size += e.size()
+		}
+		if isFirst || !isFull {
+			c.rows = append(c.rows, e.Row)
+		}
+		if !isFull {
+			c.position = e.position
 		}
-		c.position = e.position
 	}
-	// Rows of first tables alone exceed the bound.
-	c.isPartial, c.cursors, c.position = false, m.copyCursors(), m.position
 }
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -54,6 +54,27 @@
 	is.Equal(ages, 1)
 }
 
+// Guards against parts of one other row each, where rows of first tables alone are larger
+// than a message.
+func TestFirstTablesLeaveRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	hub, n := newLargeNode(t), newNode(t, 2)
+	var first []Row
+	for i := range 160 {
+		first = append(first, Row{Table: "t", Key: fmt.Sprint("other", i), Version: uint64(i + 100), Data: bytes.Repeat([]byte{byte(i)}, 1900)})
+	}
+	hub.rows.Replace("t", first, at(300))
+	p, parts := NewPeer(hub.address), 0
+	for n.rows.Cursor("servers").IsZero() {
+		is.NoErr(n.exchange.Ask(t.Context(), p))
+		_, ok := n.rows.Get("t", "other159")
+		is.True(ok)
+		parts++
+		is.True(parts < 9)
+	}
+	is.Equal(len(n.rows.List("servers")), 3000)
+}
+
 // Guards against nodes that time out and start over when all of them start at once.
 func TestManyNodesTakeFirstStateAtOnce(t *testing.T) {
 	hub := newLargeNode(t)
