The next two hubs receive from the hub; silent relay nodes are excluded for 10 s

Cause: where all nodes have equal weights the next hub could be behind a relay node and not notice the loss. A node that had turned to the hub after up to 1.7 s of silence returned to the same relay node with the first heartbeat, and counted as lost in between.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -114,12 +114,16 @@
 	// lastHubHeartbeat is when the last heartbeat of any hub was received.
 	lastHubHeartbeat time.Time // guarded by mu
 	topology         *topology // guarded by mu; result of topologyLocked, nil after a change
+	// silentSince is when relay nodes were found silent, lastUpstream the last result of
+	// upstreamLocked.
+	silentSince  map[string]time.Time // guarded by mu; by inner address
+	lastUpstream string               // guarded by mu
 }
 
 func newMembers(log *zap.Logger) *members {
 	return &members{
 		log: log, heartbeats: map[string]receivedHeartbeat{}, memberLists: map[string]*memberList{}, unreachable: map[string]time.Time{},
-		loads: map[string]workload{}, loggedNames: map[string]bool{},
+		loads: map[string]workload{}, loggedNames: map[string]bool{}, silentSince: map[string]time.Time{},
 	}
 }
 
@@ -293,9 +297,12 @@
 	return m.topologyLocked(now).hubs
 }
 
+// hubKey is the key by which nodes are ordered as hubs.
+const hubKey = "hub"
+
 // selectHub returns the address of the hub among the nodes of one data centre.
 func selectHub(list []nodeState) string {
-	return routing.HighestScoring(hubCandidates(list), "hub")
+	return routing.HighestScoring(hubCandidates(list), hubKey)
 }
 
 // hubCandidates returns the addresses of the nodes that may be the hub of their data
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -46,13 +46,14 @@
 	finished := make(chan string, 64)
 	running := map[string]bool{}
 	for ctx.Err() == nil {
-		for _, address := range n.upstreams(time.Now()) {
+		addresses, passesUp := n.upstreams(time.Now())
+		for _, address := range addresses {
 			if running[address] || len(running) > cap(finished)/2 {
 				continue
 			}
 			running[address] = true
 			go func() {
-				n.syncPeer(ctx, address)
+				n.syncPeer(ctx, address, passesUp)
 				finished <- address
 			}()
 		}
@@ -68,10 +69,10 @@
 	}
 }
 
-// syncPeer runs one exchange with a node.
-func (n *Node) syncPeer(ctx context.Context, address string) {
+// syncPeer runs one exchange with a node. passesUp is as in upstreams.
+func (n *Node) syncPeer(ctx context.Context, address string, passesUp bool) {
 	p := n.peer(address)
-	p.IsHub = n.passesUp(address, time.Now())
+	p.IsHub = passesUp
 	if err := n.exchange.Ask(ctx, p); err != nil && ctx.Err() == nil {
 		n.members.markUnreachable(address, time.Now())
 		n.options.Log.Info("peer lost", zap.String("peer", address), telemetry.ErrorField(err))
@@ -104,30 +105,22 @@
 	}
 }
 
-// passesUp reports whether an address is that of the hub of this node's data centre, or of
-// the relay node on the way to it.
-func (n *Node) passesUp(address string, now time.Time) bool {
-	t := n.members.tree(now)
-	return address == t.hub || address == t.upstream(n.innerAddress)
-}
-
 // localUpstream returns the address of the node of this data centre from which this node
 // receives updates.
 func (n *Node) localUpstream(now time.Time) string {
-	t := n.members.tree(now)
-	if n.members.isSilent(now) {
-		return t.hub
-	}
-	return t.upstream(n.innerAddress)
+	_, up := n.members.snapshot(now)
+	return up
 }
 
 // upstreams returns the addresses that this node starts exchanges with: the hub of its
-// data centre or a relay node on the way to it, or, as a hub, the hubs of the data centres that sort after its own. The
-// others start exchanges with it.
-func (n *Node) upstreams(now time.Time) []string {
-	localDC, hubs := n.settings.Load().DataCentre, n.members.hubs(now)
+// data centre or a relay node on the way to it, or, as a hub, the hubs of the data centres
+// that sort after its own. The others start exchanges with it. passesUp is set if the address
+// is in this data centre and gets the rows of upward tables.
+func (n *Node) upstreams(now time.Time) (addresses []string, passesUp bool) {
+	t, up := n.members.snapshot(now)
+	localDC, hubs := n.settings.Load().DataCentre, t.hubs
 	if hub := hubs[localDC]; hub != n.innerAddress && hub != "" {
-		return []string{n.localUpstream(now)}
+		return []string{up}, true
 	}
 	var out []string
 	for dc, hub := range hubs {
@@ -140,7 +133,7 @@
 			out = append(out, s)
 		}
 	}
-	return out
+	return out, false
 }
 
 // startDiscoveryIfDue reports whether this hub should contact a node that it does not
--- a/internal/edge/tree.go
+++ b/internal/edge/tree.go
@@ -20,10 +20,15 @@
 	relaysPerRoot = 1.2
 	// maxSilence is how long a node asks a relay node without a heartbeat of any hub before
 	// it asks the hub itself: the relay node may have lost its own connection, or receive
-	// from this node. Hubs send heartbeats every 200 ms.
-	maxSilence = 1200 * time.Millisecond
+	// from this node. Hubs send heartbeats every 200 ms, and those of this node must arrive
+	// again before heartbeatTimeout.
+	maxSilence = 750 * time.Millisecond
 	// silenceSpread is by how much longer some nodes wait.
-	silenceSpread = 500 * time.Millisecond
+	silenceSpread = 150 * time.Millisecond
+	// silentBackoff is how long a node does not ask a relay node again that was silent.
+	silentBackoff = 10 * time.Second
+	// nextHubs is how many of the nodes that become the hub next receive from the hub itself.
+	nextHubs = 2
 )
 
 // tree is the way in which updates of a data centre are passed on.
@@ -41,26 +46,20 @@
 		return tree{hub: hub, fanout: max(len(nodes)-1, 0)}
 	}
 	candidates := hubCandidates(nodes)
+	candidates = slices.DeleteFunc(routing.Rendezvous(candidates, hubKey), func(a string) bool { return a == hub })
 	t := tree{hub: hub}
+	count := int(math.Ceil(relaysPerRoot * math.Sqrt(float64(len(nodes)))))
+	if len(candidates) >= count || len(nodes)-1-len(candidates) <= count {
+		// Any of the nodes can be the hub.
+		candidates = candidates[:min(nextHubs, len(candidates))]
+	}
 	var others []string
 	for _, s := range nodes {
 		if s.Inner != hub && !slices.Contains(candidates, s.Inner) {
 			others = append(others, s.Inner)
 		}
 	}
-	count := int(math.Ceil(relaysPerRoot * math.Sqrt(float64(len(nodes)))))
-	if len(candidates) > count || len(others) <= count {
-		// Any of the nodes can be the hub.
-		others = others[:0]
-		for _, s := range nodes {
-			if s.Inner != hub {
-				others = append(others, s.Inner)
-			}
-		}
-		candidates = nil
-	}
-	t.relays = routing.Rendezvous(others, "relay")[:min(count, len(others))]
-	t.relays = append(t.relays, slices.DeleteFunc(candidates, func(a string) bool { return a == hub })...)
+	t.relays = append(routing.Rendezvous(others, "relay")[:min(count, len(others))], candidates...)
 	t.fanout = len(t.relays)
 	return t
 }
@@ -115,11 +114,37 @@
 	return m.topologyLocked(now).tree
 }
 
-// isSilent reports whether no heartbeat of a hub has arrived for a while. Nodes differ in
-// it, so that not all of them turn to a hub at once that was slow.
-func (m *members) isSilent(now time.Time) bool {
+// snapshot returns the topology, and the address of the node of this data centre from which
+// this node receives updates.
+func (m *members) snapshot(now time.Time) (*topology, string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	t := m.topologyLocked(now)
+	return t, m.upstreamLocked(t.tree, now)
+}
+
+// upstreamLocked returns the address from which this node receives updates: that of the hub
+// while no relay node passes on heartbeats. A relay node that was silent is not asked again
+// for a while. The caller holds mu.
+func (m *members) upstreamLocked(t tree, now time.Time) string {
+	t.relays = slices.DeleteFunc(slices.Clone(t.relays), func(a string) bool {
+		return a != m.self.Inner && now.Sub(m.silentSince[a]) <= silentBackoff
+	})
+	up := t.upstream(m.self.Inner)
+	if up == t.hub || !m.isSilent(now) {
+		m.lastUpstream = up
+		return up
+	}
+	if up == m.lastUpstream {
+		m.silentSince[up] = now
+	}
+	m.lastUpstream = t.hub
+	return t.hub
+}
+
+// isSilent reports whether no heartbeat of a hub has arrived for a while. Nodes differ in
+// it, so that not all of them turn to a hub at once that was slow. The caller holds mu.
+func (m *members) isSilent(now time.Time) bool {
 	spread := time.Duration(routing.Score(m.self.Inner, "silence") % uint64(silenceSpread))
 	return now.Sub(m.lastHubHeartbeat) > maxSilence+spread
 }
--- a/internal/edge/tree_test.go
+++ b/internal/edge/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,11 +74,46 @@
 	n.members.applyMemberLists([]gossip.Row{{Key: "h", Data: encode(t, nodes)}}, now)
 	n.members.applyHubHeartbeats([]gossip.Row{{Key: "h"}}, now)
 	first := n.localUpstream(now)
-	is.True(first != hub && n.passesUp(first, now))
+	n.settings.Store(&Settings{DataCentre: "a"})
+	addresses, passesUp := n.upstreams(now)
+	is.True(first != hub && passesUp)
+	is.Equal(addresses, []string{first})
 	n.members.markUnreachable(first, now)
 	second := n.localUpstream(now)
-	is.True(second != first && n.passesUp(second, now))
-	is.Equal(n.localUpstream(now.Add(maxSilence+silenceSpread)), hub)
+	addresses, passesUp = n.upstreams(now)
+	is.True(second != first && second != hub && passesUp)
+	is.Equal(addresses, []string{second})
+	now = now.Add(maxSilence + silenceSpread)
+	is.Equal(n.localUpstream(now), hub)
+	is.True(maxSilence+silenceSpread <= heartbeatTimeout/2) // heartbeats arrive in time
+	// Guards against a node that returns to a relay node without a hub as soon as the hub
+	// has answered, and counts as lost in turn.
+	n.members.applyHubHeartbeats([]gossip.Row{{Key: "h"}}, now)
+	third := n.localUpstream(now)
+	is.True(third != second && third != hub)
+	later := now.Add(silentBackoff - time.Second)
+	n.members.applyHubHeartbeats([]gossip.Row{{Key: "h"}}, later)
+	is.True(n.localUpstream(later) != second)
+}
+
+// Guards against a hub whose loss the next hubs do not notice, since nodes of equal weight
+// receive through relay nodes.
+func TestNextHubsReceiveFromHub(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{41, 100, 400} {
+		var nodes []nodeState
+		for i := range count {
+			nodes = append(nodes, readyNode(fmt.Sprintf("10.0.0.%03d:1", i), "a", 1))
+		}
+		hub := selectHub(nodes)
+		tr, left := newTree(nodes, hub), nodes
+		for range nextHubs {
+			lost := selectHub(left)
+			left = slices.DeleteFunc(slices.Clone(left), func(s nodeState) bool { return s.Inner == lost })
+			is.Equal(tr.upstream(selectHub(left)), hub)
+		}
+		is.True(float64(tr.fanout) <= 2*math.Sqrt(float64(count)))
+	}
 }
 
 // Guards against updates that are lost or late on their way through relay nodes, in a
