--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -299,6 +299,12 @@
 		p.Close()
 		return errors.Wrapf(err, "sync with %s", p.Address)
 	}
+	// The position moves only past rows that can be read.
+	rows, err := a.readRows()
+	if err != nil {
+		p.Close()
+		return errors.Wrapf(err, "sync with %s", p.Address)
+	}
 	if q.Digest != nil {
 		e.contacts.recordDigest(a.Epoch)
 	}
@@ -306,16 +312,17 @@
 	p.needsDigest = a.Anew || e.contacts.isDigestDue(a.Epoch)
 	p.isBehind = a.Partial
 	p.sentPosition, p.epoch, p.position, p.wantedHashes, p.receivesFrom = sentPosition, a.Epoch, a.Place, a.Want, a.Hears
+	e.merge(a.Epoch, rows, decodeCursors(a.Cursors, a.CursorEras), a.Age)
+	return nil
+}
+
+// readRows returns the rows of an answer.
+func (a Answer) readRows() ([]Row, error) {
 	bundled, err := unbundle(a.Bundle)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	rows, err := unpack(append(a.Rows, bundled...))
-	if err != nil {
-		return err
-	}
-	e.merge(a.Epoch, rows, decodeCursors(a.Cursors, a.CursorEras), a.Age)
-	return nil
+	return unpack(append(a.Rows, bundled...))
 }
 
 // merge merges what a process sent. A process that does not know yet that the store was
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -150,6 +150,28 @@
 	is.Equal(rows[0].Data, data)
 	_, err = unpack([]Row{{Packed: true, Data: []byte("nonsense")}})
 	is.True(err != nil)
+	tooLong, err := deflate(make([]byte, maxUnpackedSize+1))
+	is.NoErr(err)
+	_, err = inflate(tooLong)
+	is.True(err != nil) // it is not cut off
+}
+
+// Guards against rows that are skipped for good since the position moved past an answer that
+// could not be read.
+func TestUnreadableAnswerIsRequestedAgain(t *testing.T) {
+	is := is.New(t)
+	hub, n := newNode(t, 1), newNode(t, 2)
+	p := NewPeer(hub.address)
+	is.NoErr(n.exchange.Ask(t.Context(), p))
+	hub.rows.Apply([]Row{{Table: "t", Key: "k", Version: 1, Data: []byte("nonsense"), Packed: true}})
+	position := p.position
+	is.True(n.exchange.Ask(t.Context(), p) != nil)
+	is.Equal(p.position, position)
+	is.Equal(p.client, nil)
+	hub.rows.Apply([]Row{row("k", 2)})
+	is.NoErr(n.exchange.Ask(t.Context(), p))
+	_, ok := n.rows.Get("t", "k")
+	is.True(ok)
 }
 
 // A process that has read a whole table knows which rows were deleted, though it never
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -43,9 +43,13 @@
 	return b.Bytes(), nil
 }
 
-// inflate reverses deflate.
+// inflate reverses deflate. Data of more than maxUnpackedSize is an error.
 func inflate(packed []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedSize))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedSize+1))
+	if err == nil && len(data) > maxUnpackedSize {
+		return nil, errors.Errorf("more than %d bytes: store smaller rows", maxUnpackedSize)
+	}
+	return data, err
 }
 
 // packedData is the compressed data of a row, made once for all nodes that it is sent to.
