Relay nodes stay in use while one node restarts

Cause: 40 and 41 nodes of a data centre had different trees, so that one restarting node changed all connections. Change: relay nodes are used from 41 nodes and given up below 36.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -118,6 +118,7 @@
 	// upstreamLocked.
 	silentSince  map[string]time.Time // guarded by mu; by inner address
 	lastUpstream string               // guarded by mu
+	usesRelays   bool                 // guarded by mu; the last tree had relay nodes
 }
 
 func newMembers(log *zap.Logger) *members {
--- a/internal/edge/tree.go
+++ b/internal/edge/tree.go
@@ -14,6 +14,9 @@
 const (
 	// maxStarNodes is how many nodes of a data centre its hub serves itself.
 	maxStarNodes = 40
+	// minTreeNodes is the number of nodes below which relay nodes in use are given up. It is
+	// less than maxStarNodes, so that one restarting node does not change all connections.
+	minTreeNodes = 36
 	// relaysPerRoot is the number of relay nodes over the square root of the number of
 	// nodes. The hub has a larger link than the relay nodes, so it serves more nodes than
 	// they do.
@@ -39,10 +42,11 @@
 	fanout int
 }
 
-// newTree returns the tree of a data centre with a hub. All nodes that see the same
-// members derive the same tree.
-func newTree(nodes []nodeState, hub string) tree {
-	if len(nodes) <= maxStarNodes {
+// newTree returns the tree of a data centre with a hub. usesRelays is set if the tree before
+// had relay nodes. All nodes that see the same members derive the same tree, except that of
+// minTreeNodes to maxStarNodes nodes some may use relay nodes and others the hub.
+func newTree(nodes []nodeState, hub string, usesRelays bool) tree {
+	if len(nodes) < minTreeNodes || len(nodes) <= maxStarNodes && !usesRelays {
 		return tree{hub: hub, fanout: max(len(nodes)-1, 0)}
 	}
 	candidates := hubCandidates(nodes)
@@ -101,8 +105,9 @@
 		t.hubs[dc] = selectHub(list)
 	}
 	if list := nodes[m.self.DataCentre]; len(list) > 0 {
-		t.tree = newTree(list, t.hubs[m.self.DataCentre])
+		t.tree = newTree(list, t.hubs[m.self.DataCentre], m.usesRelays)
 	}
+	m.usesRelays = len(t.tree.relays) > 0
 	m.topology = t
 	return t
 }
--- a/internal/edge/tree_test.go
+++ b/internal/edge/tree_test.go
@@ -32,7 +32,7 @@
 	for _, count := range []int{2, 40, 41, 100, 400} {
 		is := is.New(t)
 		nodes := dataCentreOf(count)
-		tr := newTree(nodes, selectHub(nodes))
+		tr := newTree(nodes, selectHub(nodes), false)
 		children := map[string]int{}
 		for _, s := range nodes {
 			if s.Inner == tr.hub {
@@ -66,7 +66,7 @@
 	n := &Node{members: newMembers(zap.NewNop())}
 	hub := selectHub(nodes)
 	for _, s := range nodes {
-		if up := newTree(nodes, hub).upstream(s.Inner); up != hub && s.Inner != hub {
+		if up := newTree(nodes, hub, false).upstream(s.Inner); up != hub && s.Inner != hub {
 			n.innerAddress = s.Inner
 			n.members.setSelf(s)
 		}
@@ -96,6 +96,22 @@
 	is.True(n.localUpstream(later) != second)
 }
 
+// Guards against one restarting node that makes all nodes change their connections.
+func TestRestartKeepsRelayNodes(t *testing.T) {
+	is := is.New(t)
+	m := newMembers(zap.NewNop())
+	now := startTime
+	m.setSelf(dataCentreOf(1)[0])
+	for _, c := range []struct {
+		nodes    int
+		isRelays bool
+	}{{40, false}, {41, true}, {40, true}, {36, true}, {35, false}, {40, false}} {
+		now = now.Add(time.Second)
+		m.applyMemberLists([]gossip.Row{{Key: "h", Data: encode(t, dataCentreOf(c.nodes))}}, now)
+		is.Equal(len(m.tree(now).relays) > 0, c.isRelays)
+	}
+}
+
 // Guards against a hub whose loss the next hubs do not notice, since nodes of equal weight
 // receive through relay nodes.
 func TestNextHubsReceiveFromHub(t *testing.T) {
@@ -106,7 +122,7 @@
 			nodes = append(nodes, readyNode(fmt.Sprintf("10.0.0.%03d:1", i), "a", 1))
 		}
 		hub := selectHub(nodes)
-		tr, left := newTree(nodes, hub), nodes
+		tr, left := newTree(nodes, hub, false), nodes
 		for range nextHubs {
 			lost := selectHub(left)
 			left = slices.DeleteFunc(slices.Clone(left), func(s nodeState) bool { return s.Inner == lost })
