--- a/internal/edge/load_details.go
+++ b/internal/edge/load_details.go
@@ -106,12 +106,11 @@
 	return out
 }
 
-// publishLoadDetails publishes the details of the work of this hub's data centre.
-func (n *Node) publishLoadDetails() {
+// loadDetails returns the details of the work of this hub's data centre that are published.
+func (n *Node) loadDetails() loadDetails {
 	capacities := map[prefix.Server]float64{}
 	n.pool.Each(func(m *pool.Member) { capacities[m.Key()] = n.memoryTokens(m.Service) })
-	details := n.members.localLoadDetails().withoutFewTokens(func(s prefix.Server) float64 { return capacities[s] })
-	n.published.details = n.publishRaw(tableLoadDetails, details.encode(), n.published.details)
+	return n.members.localLoadDetails().withoutFewTokens(func(s prefix.Server) float64 { return capacities[s] })
 }
 
 // memoryTokens returns the number of tokens that the memory of a service's servers holds, 0 if
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -80,9 +80,9 @@
 	stopping      atomic.Bool
 	stopsAt       atomic.Pointer[time.Time] // when requests must have ended; nil before a stop
 	mu            sync.Mutex
-	peers         map[string]*gossip.Peer // guarded by mu; by address
-	lastDiscovery time.Time               // guarded by mu
-	startStoredAt time.Time               // used by controlRollouts only
+	peers         map[string]*peer // guarded by mu; by address
+	lastDiscovery time.Time        // guarded by mu
+	startStoredAt time.Time        // used by controlRollouts only
 	// quarantineRows counts for each stored quarantine how often it was found not in force.
 	// It is used by storeQuarantines only.
 	quarantineRows map[string]int
@@ -97,14 +97,17 @@
 
 // New creates a node and opens its listeners.
 func New(o Options) (*Node, error) {
-	n := &Node{options: o, peers: map[string]*gossip.Peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
+	n := &Node{options: o, peers: map[string]*peer{}, quarantineRows: map[string]int{}, startedAt: time.Now(), epoch: rand.Uint64()}
 	n.settings.Store(&o.Settings)
 	n.innerAddress = n.innerAddressOf(o.Settings.IP)
 	n.rowKey = o.Settings.Node + "/" + strconv.FormatUint(n.epoch, 36)
 	n.rows = gossip.NewMap(n.apply)
+	t := o.Schema.Tables()
+	n.rows.SetFirstTables(t.Operator, t.Status, tableSystem, tableMemberLists)
 	n.members = newMembers(o.Log)
 	n.reader = newReader(o.Store, n.rows, o.Metrics, n.rank, n.readerTurn, o.Log)
 	n.exchange = gossip.NewExchange(n.epoch, n.rows, n.reader.age, n.reader.observeAge)
+	n.exchange.CountSent(func(table string, bytes int) { o.Metrics.InnerBytes.WithLabelValues(table).Add(float64(bytes)) })
 	n.config = &config{schema: o.Schema, log: o.Log}
 	n.pool = pool.New()
 	n.prefixes = prefix.New()
@@ -162,10 +165,11 @@
 			share, _ := n.permits.roster.Share(time.Now())
 			return share
 		},
-		CutLinks:    func() float64 { return float64(n.forwarder.CutLinks()) },
-		Relayed:     func() float64 { return float64(n.relay.carried.Load()) },
-		Running:     func() float64 { return float64(n.forwarder.Running()) },
-		Quarantined: func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
+		LoadInterval: n.loadInterval,
+		CutLinks:     func() float64 { return float64(n.forwarder.CutLinks()) },
+		Relayed:      func() float64 { return float64(n.relay.carried.Load()) },
+		Running:      func() float64 { return float64(n.forwarder.Running()) },
+		Quarantined:  func() float64 { return float64(len(n.suspects.Quarantined(time.Now()))) },
 	}
 }
 
@@ -199,8 +203,12 @@
 
 func (n *Node) table() *route.Table { return n.config.table.Load() }
 
-// isReady reports whether the node accepts callers.
-func (n *Node) isReady() bool { return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 }
+// isReady reports whether the node accepts callers. With a part of the list of servers it
+// would send all requests to that part.
+func (n *Node) isReady() bool {
+	t := n.options.Schema.Tables()
+	return !n.stopping.Load() && n.table() != nil && n.pool.Len() > 0 && !n.rows.Cursor(t.Operator).IsZero() && !n.rows.Cursor(t.Servers).IsZero()
+}
 
 // rank returns the number that the operator gave to a configuration, if it is valid. The
 // operator's numbers rise, also where the store's versions go back.
@@ -360,6 +368,7 @@
 	now := time.Now()
 	n.reader.recordOutage()
 	n.members.prune(now)
+	n.closeIdlePeers(now)
 	n.servers.dropExpired(now)
 	n.evacuations.dropLost(now)
 	n.warmups.logChanges(now)
--- a/internal/gossip/map.go
+++ b/internal/gossip/map.go
@@ -35,6 +35,7 @@
 	Data    []byte
 	// Packed data is compressed. Only rows in transit are packed.
 	Packed bool
+	packed *packedData // nil for small rows
 }
 
 // Revision returns the row's revision.
@@ -88,8 +89,9 @@
 
 type entry struct {
 	Row
-	position uint64 // position in this node's log
-	origin   uint64 // epoch of the process that sent it; 0 for the store or this node
+	position uint64    // position in this node's log
+	origin   uint64    // epoch of the process that sent it; 0 for the store or this node
+	storedAt time.Time // zero for rows of other than upward tables
 }
 
 // Map is a node's copy of all rows. It is safe for concurrent use.
@@ -103,13 +105,17 @@
 	// undelivered holds the new rows that were not passed to onRows yet, in order.
 	undelivered  []Row // guarded by mu
 	isDelivering bool  // guarded by mu; a goroutine passes rows to onRows
+	firstTables  map[string]bool
+	// recent holds the newest changes in the order of their positions, some of which
+	// were replaced by later ones.
+	recent []loggedChange // guarded by mu
 }
 
 // NewMap returns an empty map. onRows is called with the new rows in the order in which
 // they were stored, by one goroutine at a time and without locks held. A call that stores
 // rows returns once they were passed on, unless another goroutine is about to do so.
 func NewMap(onRows func([]Row)) *Map {
-	return &Map{rows: map[rowID]entry{}, cursors: map[string]Revision{}, changed: make(chan struct{}), onRows: onRows}
+	return &Map{rows: map[rowID]entry{}, cursors: map[string]Revision{}, changed: make(chan struct{}), onRows: onRows, firstTables: map[string]bool{}}
 }
 
 // Apply merges rows and keeps those that are newer than the present ones.
@@ -148,8 +154,16 @@
 			// sender does not know yet.
 			r, rowOrigin = tombstone(id, r.Revision(), cursor), 0
 		}
+		if len(r.Data) >= minPackSize && r.packed == nil {
+			r.packed = &packedData{}
+		}
 		m.position++
-		m.rows[id] = entry{r, m.position, rowOrigin}
+		e := entry{Row: r, position: m.position, origin: rowOrigin}
+		if id.isUpward() {
+			e.storedAt = time.Now()
+		}
+		m.rows[id] = e
+		m.logChange(id)
 		newer = append(newer, r)
 	}
 	if len(newer) > 0 {
@@ -234,6 +248,13 @@
 	return m.cursors[table]
 }
 
+// hasTables reports whether any table of the store is complete.
+func (m *Map) hasTables() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.cursors) > 0
+}
+
 // Era returns the newest era of the store that is known.
 func (m *Map) Era() uint64 {
 	m.mu.Lock()
@@ -283,6 +304,8 @@
 	position uint64 // position reached in the log
 	cursors  map[string]Revision
 	changed  <-chan struct{} // closed at the next change
+	// isPartial is set if there are further rows beyond position.
+	isPartial bool
 }
 
 // since returns the rows that changed after a position of this map's log, except those
@@ -295,12 +318,25 @@
 	if position >= m.position {
 		return c
 	}
-	for id, e := range m.rows {
+	var entries []entry
+	consider := func(id rowID, e entry) {
 		hasRow := e.origin != 0 && (e.origin == receiver || (id.isSoft() && slices.Contains(receivesFrom, e.origin)))
 		if e.position > position && !hasRow && (includeUpward || !id.isUpward()) {
-			c.rows = append(c.rows, e.Row)
+			entries = append(entries, e)
+		}
+	}
+	if changes, ok := m.recentSince(position); ok {
+		for _, x := range changes {
+			if e, ok := m.rows[x.id]; ok && e.position == x.position {
+				consider(x.id, e)
+			}
+		}
+	} else {
+		for id, e := range m.rows {
+			consider(id, e)
 		}
 	}
+	m.cut(&c, entries)
 	return c
 }
 
