A late notice of an earlier start does not replace that of a newer one

Cause: the last notice that arrived before an entry was kept, whatever its start. Change: the notice of the newer start is kept, as for limits; of two for the same start the stricter. Result: two new cases of TestServerIsColdByEachCause fail before and pass now.

--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -335,6 +335,22 @@
 	}
 }
 
+// combine returns the notice of the newer start, and for equal starts the stricter of the
+// loss and of the time that each of them tells.
+func (n coldNotice) combine(old coldNotice) coldNotice {
+	if n.started != old.started {
+		if n.started < old.started {
+			return old
+		}
+		return n
+	}
+	if old.until.After(n.until) {
+		n.cause, n.until = old.cause, old.until
+	}
+	n.isLost = n.isLost || old.isLost
+	return n
+}
+
 // keepColdNotice keeps a notice for an entry that is listed later, and returns the server
 // that is listed now, or nil.
 func (p *Pool) keepColdNotice(id string, n coldNotice) *Member {
@@ -349,6 +365,9 @@
 			delete(p.coldNotices, id)
 		}
 	}
+	if old, ok := p.coldNotices[id]; ok {
+		n = n.combine(old)
+	}
 	p.coldNotices[id] = n
 	return m
 }
@@ -363,9 +382,10 @@
 	}
 	if n.isLost {
 		m.recordToldLoss(n.at)
-		return
 	}
-	m.cold.set(n.cause, n.sent, n.until)
+	if !n.isLost || n.until.After(now) {
+		m.cold.set(n.cause, n.sent, n.until)
+	}
 }
 
 // applyListed records what is known of the warm-up of a server that is listed with a new
--- a/internal/pool/warmup_test.go
+++ b/internal/pool/warmup_test.go
@@ -91,7 +91,15 @@
 		"entry written after the loss":  {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s - entryDelay)); c.entry(5, 0) }, 0},
 		"new start":                     {func(c coldTrial) { c.restart() }, 30 * s},
 		"notice before the entry":       {func(c coldTrial) { c.entry(6, 50*s); c.restart() }, 50 * s},
-		"listed again":                  {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
+		"late notice of an earlier start": {func(c coldTrial) {
+			c.list[0].Started = 4
+			c.p.Update(c.list, c.now.Add(-time.Hour))
+			c.entry(6, 50*s)
+			c.entry(5, 0)
+			c.restart()
+		}, 50 * s},
+		"stricter of two notices": {func(c coldTrial) { c.otherNode(6, 50*s, true); c.entry(6, 0); c.restart() }, 50 * s},
+		"listed again":            {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
 		"end of evacuation, listed later": {func(c coldTrial) {
 			c.p.SetEvacuated(map[string]bool{"x": true}, c.now)
 			c.p.Update(c.list[1:], c.now)
