Backoffs of evacuated servers are not named to callers

Cause: ShortestBackoff counted servers of evacuated data centres, which take nothing when their backoff ends. Change: they are skipped. Result: the new check in TestShortestBackoff fails before and passes now.

--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -123,12 +123,12 @@
 }
 
 // ShortestBackoff returns the time until the first of a service's servers
-// accepts requests again. It is 0 if a server accepts them now or none is
-// present.
+// accepts requests again. It is 0 if a server accepts them now, or none is
+// present outside of evacuated data centres.
 func (p *Pool) ShortestBackoff(service string, now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, m := range p.Members(service) {
-		if !m.IsPresent() {
+		if !m.IsPresent() || m.isEvacuated() {
 			continue
 		}
 		backoff := m.RemainingBackoff(now)
--- a/internal/pool/notice_test.go
+++ b/internal/pool/notice_test.go
@@ -81,10 +81,13 @@
 	is.Equal(p.CountSkipped(Query{Service: "s"}, start), Skipped{Draining: 1})
 }
 
-// The shortest backoff counts only if every present server backs off.
+// The shortest backoff counts only if every present server backs off. Guards against callers
+// that return at a time at which only evacuated servers accept requests.
 func TestShortestBackoff(t *testing.T) {
 	is, p := is.New(t), New()
-	p.Update(engines(3), start)
+	list := engines(3)
+	list[1].DataCentre = "other"
+	p.Update(list, start)
 	p.Member("a").StartBackoff(5*time.Second, start)
 	p.Member("b").StartBackoff(2*time.Second, start)
 	is.Equal(p.ShortestBackoff("s", start), time.Duration(0))
@@ -92,4 +95,6 @@
 	is.Equal(p.ShortestBackoff("s", start), 2*time.Second)
 	is.Equal(p.ShortestBackoff("none", start), time.Duration(0))
 	is.Equal(p.CountSkipped(Query{Service: "s"}, start), Skipped{Draining: 1, BackedOff: 2})
+	p.SetEvacuated(map[string]bool{"other": true}, start)
+	is.Equal(p.ShortestBackoff("s", start), 5*time.Second)
 }
