The hold-off of a cold server ends when it is warm

Cause: a cold server is passed over for up to 3 s after a refused permit, also once it was warm, if it has a limit of its own. Change: the hold-off notes whether the server was cold, and ends with that. Result: TestHoldOffOfColdServerEndsWithWarmup fails before and passes now.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -19,6 +19,8 @@
 	invalid string
 	// heldUntil is when the server may have a permit for a request again.
 	heldUntil time.Time
+	// heldCold is set if the server was cold when it had no permit.
+	heldCold bool
 }
 
 // limitNotice is a limit that another node learned of one incarnation of a server.
@@ -106,14 +108,18 @@
 func (m *Member) HoldOff(d time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.limit.heldUntil = now.Add(d)
+	m.limit.heldUntil, m.limit.heldCold = now.Add(d), m.warmupRate(now) != permit.NoLimit
 }
 
 // isHeldOff reports whether the server has no permit for a request. It is false for
-// servers without a limit.
+// servers without a limit, and for those that were cold then and are no longer: a cold server
+// is passed over for longer than one with a limit of its own.
 func (m *Member) isHeldOff(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.limit.heldCold && m.warmupRate(now) == permit.NoLimit {
+		return false
+	}
 	return now.Before(m.limit.heldUntil) && m.permitRate(now) != permit.NoLimit
 }
 
--- a/internal/pool/warmup_test.go
+++ b/internal/pool/warmup_test.go
@@ -142,6 +142,21 @@
 	is.True(m.BeginRequest(now, 0)) // without a rate nothing changes
 }
 
+// Guards against a server with a limit of its own that is passed over for as long as a cold
+// one once it is warm.
+func TestHoldOffOfColdServerEndsWithWarmup(t *testing.T) {
+	is := is.New(t)
+	p, _, now := newWarmupPool()
+	m := p.Member("a")
+	m.SetLimit(50, now)
+	p.SetEntryWarmup("a", 5, time.Second, now)
+	m.HoldOff(3*time.Second, now)
+	is.True(m.isHeldOff(now))
+	is.True(!m.isHeldOff(now.Add(time.Second)))
+	m.HoldOff(time.Second, now.Add(time.Second))
+	is.True(m.isHeldOff(now.Add(time.Second))) // by its own limit
+}
+
 // Guards against requests to an evacuated data centre: when a server is chosen, when the
 // request is sent, and when no other server is left. Learned state is kept.
 func TestEvacuatedServersGetNothing(t *testing.T) {
