--- a/internal/edge/warmups.go
+++ b/internal/edge/warmups.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +35,9 @@
 	rows        *gossip.Map
 	nextVersion func() uint64
 	log         *zap.Logger
+	// rulesMu is held while the rules in force are read and passed to the pool. Lock order:
+	// before the pool's locks.
+	rulesMu sync.Mutex
 }
 
 // coldServer is what a node has found of one start of a server.
@@ -102,8 +106,11 @@
 }
 
 // updateWarmups passes to the pool how cold servers are treated by the configuration and the
-// settings in force.
+// settings in force. It is called with either by different goroutines, and must not pass on
+// older ones last.
 func (n *Node) updateWarmups() {
+	n.warmups.rulesMu.Lock()
+	defer n.warmups.rulesMu.Unlock()
 	s, byService := n.settings.Load(), map[string]pool.Warmup{}
 	for _, service := range n.table().Services() {
 		if rate := coldServerRate(service, s); rate > 0 {
--- a/internal/edge/warmups_test.go
+++ b/internal/edge/warmups_test.go
@@ -103,6 +103,30 @@
 	is.Equal(logs.FilterMessage("backend server is warm").Len(), 1)
 }
 
+// Guards against settings that are not used since an update of the configuration at the same
+// time has passed on older ones last.
+func TestWarmupRulesInForceAreNotOvertaken(t *testing.T) {
+	is, n := is.New(t), newRowNode(t, zap.NewNop())
+	table, err := route.NewTable(route.Definition{Version: 1, Services: []route.Service{{Name: "s", WarmupTime: time.Minute, WarmupRate: 10}}})
+	is.NoErr(err)
+	n.config.table.Store(table)
+	n.pool.Update([]pool.Server{{ID: "a", Service: "s", Slots: 1}}, startTime)
+	n.pool.SetEntryWarmup("a", 0, time.Minute, startTime)
+	n.settings.Store(&Settings{})
+	n.warmups.rulesMu.Lock() // an update is in progress
+	updated := make(chan struct{})
+	go func() { defer close(updated); n.updateWarmups() }()
+	select {
+	case <-updated:
+		t.Error("rules were updated by two goroutines at a time")
+	case <-time.After(20 * time.Millisecond):
+	}
+	n.settings.Store(&Settings{WarmupOverrun: 1.5, WarmupAllowance: 5})
+	n.warmups.rulesMu.Unlock()
+	<-updated
+	is.True(n.pool.Member("a").IsCold(startTime)) // by the settings that are in force now
+}
+
 // After an outage of the store an entry may have been written before contact was lost. Guards
 // against a restart that such an entry hides.
 func TestEntryAfterOutageDoesNotEndLoss(t *testing.T) {
