--- a/internal/pool/warmup_test.go
+++ b/internal/pool/warmup_test.go
@@ -91,7 +91,15 @@
 		"entry written after the loss":  {func(c coldTrial) { c.a.RecordLostContact(c.now.Add(-s - entryDelay)); c.entry(5, 0) }, 0},
 		"new start":                     {func(c coldTrial) { c.restart() }, 30 * s},
 		"notice before the entry":       {func(c coldTrial) { c.entry(6, 50*s); c.restart() }, 50 * s},
-		"listed again":                  {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
+		"late notice of an earlier start": {func(c coldTrial) {
+			c.list[0].Started = 4
+			c.p.Update(c.list, c.now.Add(-time.Hour))
+			c.entry(6, 50*s)
+			c.entry(5, 0)
+			c.restart()
+		}, 50 * s},
+		"stricter of two notices": {func(c coldTrial) { c.otherNode(6, 50*s, true); c.entry(6, 0); c.restart() }, 50 * s},
+		"listed again":            {func(c coldTrial) { c.entry(5, 9*s); c.p.Update(c.list[1:], c.now); c.p.Update(c.list, c.now) }, 9 * s},
 		"end of evacuation, listed later": {func(c coldTrial) {
 			c.p.SetEvacuated(map[string]bool{"x": true}, c.now)
 			c.p.Update(c.list[1:], c.now)
@@ -134,6 +142,21 @@
 	is.True(m.BeginRequest(now, 0)) // without a rate nothing changes
 }
 
+// Guards against a server with a limit of its own that is passed over for as long as a cold
+// one once it is warm.
+func TestHoldOffOfColdServerEndsWithWarmup(t *testing.T) {
+	is := is.New(t)
+	p, _, now := newWarmupPool()
+	m := p.Member("a")
+	m.SetLimit(50, now)
+	p.SetEntryWarmup("a", 5, time.Second, now)
+	m.HoldOff(3*time.Second, now)
+	is.True(m.isHeldOff(now))
+	is.True(!m.isHeldOff(now.Add(time.Second)))
+	m.HoldOff(time.Second, now.Add(time.Second))
+	is.True(m.isHeldOff(now.Add(time.Second))) // by its own limit
+}
+
 // Guards against requests to an evacuated data centre: when a server is chosen, when the
 // request is sent, and when no other server is left. Learned state is kept.
 func TestEvacuatedServersGetNothing(t *testing.T) {
