Plain names: threshold, LoadEstimate, reported losses; questions of the release before

The log field of a step is named threshold. A test reads questions between nodes in the form of the release before, both ways; only answers had one. No change of behaviour.

--- a/internal/edge/load_details_test.go
+++ b/internal/edge/load_details_test.go
@@ -88,7 +88,7 @@
 		{Key: "hub b", Data: loadDetails{m.Key(): {LongPrefill: 500 * time.Millisecond, Tokens: 64000}}.encode()},
 	})
 	n.applyRemoteLoad(startTime)
-	p := m.Picture(startTime)
+	p := m.LoadEstimate(startTime)
 	is.True(p.LongBacklog > 1400*time.Millisecond && p.LongBacklog < 1600*time.Millisecond)
 	is.True(p.Tokens > 76000 && p.Tokens < 84000)
 }
--- a/internal/forward/answer_value.go
+++ b/internal/forward/answer_value.go
@@ -20,8 +20,8 @@
 	maxRankChance = 0.45
 	// initialGain is the part of the dropped answers that a model between the
 	// smallest and the largest is assumed to correct until enough of its answers
-	// were seen. With the known shares of right answers it is 0.2 if the model is
-	// right wherever the smallest is, and 0.65 if the two are independent.
+	// were seen. A model that is right only where the smallest is corrects few, one
+	// that is independent of it most.
 	initialGain = 0.4
 	// minGain bounds the learned part.
 	minGain = 0.05
@@ -56,10 +56,10 @@
 	return engineTimePrice * step.wait.Seconds() * step.read.Seconds() * v.rankWeight()
 }
 
-// bar returns the probability of an inadequate answer from which a model is
+// threshold returns the probability of an inadequate answer from which a model is
 // asked, at least the lowest chance. That stands for the load of the largest
 // model; of what a cheaper model must gain, it has a part.
-func (v answerValue) bar(q *Request, step, largest escalationCost) float64 {
+func (v answerValue) threshold(q *Request, step, largest escalationCost) float64 {
 	lowest := v.lowestChance() * step.model.Cost / largest.model.Cost
 	return max(max(lowest, (step.price(q)+v.loadCost(step))/v.value)/step.gain, v.lowestChance())
 }
@@ -72,11 +72,11 @@
 		if steps[i].isLate() {
 			continue
 		}
-		decision := escalation{chance: chance, bar: v.bar(q, steps[i], steps[len(steps)-1]), model: noModel}
-		if chance >= decision.bar {
+		decision := escalation{chance: chance, threshold: v.threshold(q, steps[i], steps[len(steps)-1]), model: noModel}
+		if chance >= decision.threshold {
 			decision.model = steps[i].index
 		}
 		return decision
 	}
-	return escalation{chance: chance, bar: 1, model: noModel}
+	return escalation{chance: chance, threshold: 1, model: noModel}
 }
--- a/internal/forward/answer_value_test.go
+++ b/internal/forward/answer_value_test.go
@@ -33,8 +33,8 @@
 	long := weigh(50, 20000, 0, time.Second, 0, 5*time.Second)
 	short := weigh(50, 700, 2, 50*time.Millisecond, 0, 5*time.Second)
 	is.Equal(long.model, 2)
-	is.True(long.bar < short.bar)
-	is.True(math.Abs(short.bar-maxRankChance) < 1e-9)
+	is.True(long.threshold < short.threshold)
+	is.True(math.Abs(short.threshold-maxRankChance) < 1e-9)
 	is.True(acceptsByConstants(NewCascade(), 50, newPromptRequest("r", 20000), escalationCost{model: largeModel, read: time.Second, timeLeft: 5 * time.Second}))
 }
 
@@ -43,12 +43,12 @@
 func TestBurstRaisesTheBarForTheLeastUrgentFirst(t *testing.T) {
 	is := is.New(t)
 	const burst, read, timeLeft = 300 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second
-	bar := func(position int, wait time.Duration) float64 {
-		return weigh(0, 9000, position, read, wait, timeLeft).bar
+	threshold := func(position int, wait time.Duration) float64 {
+		return weigh(0, 9000, position, read, wait, timeLeft).threshold
 	}
-	is.True(bar(0, burst) > bar(0, 0))
-	is.True(bar(1, burst)-bar(0, burst) > bar(1, 0)-bar(0, 0))
-	is.True(bar(2, burst)-bar(1, burst) > bar(2, 0)-bar(1, 0))
+	is.True(threshold(0, burst) > threshold(0, 0))
+	is.True(threshold(1, burst)-threshold(0, burst) > threshold(1, 0)-threshold(0, 0))
+	is.True(threshold(2, burst)-threshold(1, burst) > threshold(2, 0)-threshold(1, 0))
 	is.Equal(weigh(44, 9000, 0, read, burst, timeLeft).model, 2)
 	is.Equal(weigh(44, 9000, 2, read, burst, timeLeft).model, noModel)
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -134,9 +134,9 @@
 // newAttempt returns an attempt at the chosen server. read is the expected time to read
 // the prompt there, limit the rate for which there is a permit.
 func (x *exchange) newAttempt(q pool.Query, m *pool.Member, model string, read time.Duration, limit float64, now time.Time) *attempt {
-	tokens, picture := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime), m.Picture(now)
+	tokens, estimate := uncachedTokens(x.req.PromptTokens, read, q.ColdReadTime), m.LoadEstimate(now)
 	a := &attempt{
-		member: m, model: model, load: picture.Occupancy(), expectedWait: picture.Wait(), speed: picture.Speed, began: now,
+		member: m, model: model, load: estimate.Occupancy(), expectedWait: estimate.Wait(), speed: estimate.Speed, began: now,
 		uncachedTokens: tokens, pendingPrefill: x.f.readSpeeds.readTime(model, tokens), loadAge: m.LoadAge(now), skipped: x.f.opts.Pool.CountSkipped(q, now),
 		limit: limit,
 	}
--- a/internal/forward/cascade.go
+++ b/internal/forward/cascade.go
@@ -162,9 +162,9 @@
 
 // escalation is the decision on an answer.
 type escalation struct {
-	// chance is the probability that the answer is inadequate, bar that from
+	// chance is the probability that the answer is inadequate, threshold that from
 	// which a larger model would be asked.
-	chance, bar float64
+	chance, threshold float64
 	// model is the index of the larger model in the route's models, or noModel.
 	model int
 }
@@ -180,8 +180,8 @@
 func (c *Cascade) decideByConstants(confidence float64, q *Request, largest escalationCost) escalation {
 	value := usualAnswerValue * c.sizeFactor(q)
 	cost := largest.price(q) + engineTimePrice*largest.wait.Seconds()*largest.read.Seconds()
-	d := escalation{chance: inadequacyProbability(confidence), bar: max(cost/value, minInadequacyProbability), model: noModel}
-	if !largest.isLate() && d.chance >= d.bar {
+	d := escalation{chance: inadequacyProbability(confidence), threshold: max(cost/value, minInadequacyProbability), model: noModel}
+	if !largest.isLate() && d.chance >= d.threshold {
 		d.model = largest.index
 	}
 	return d
--- a/internal/forward/escalate.go
+++ b/internal/forward/escalate.go
@@ -58,7 +58,7 @@
 	}
 	chance := inadequacyProbability(confidence)
 	if lowest := s.value.lowestChance(); chance < lowest {
-		return escalation{chance: chance, bar: lowest, model: noModel}
+		return escalation{chance: chance, threshold: lowest, model: noModel}
 	}
 	return s.value.choose(chance, x.req, x.largerModels(s.model, largest, a, now))
 }
--- a/internal/forward/escalate_test.go
+++ b/internal/forward/escalate_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Guards against decisions that an operator cannot see: the log names chance, bar
+// Guards against decisions that an operator cannot see: the log names chance, threshold
 // and model, the metric counts by rank, model and result.
 func TestEscalationIsLoggedAndCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -89,7 +89,7 @@
 		is.Equal(len(steps), 2)
 		is.Equal([]string{steps[0].Next, steps[1].Next}, []string{"middle", ""})
 		is.Equal(*steps[0].Chance, 0.995)
-		is.True(*steps[0].Bar > 0.3 && *steps[0].Bar < 0.5)
+		is.True(*steps[0].Threshold > 0.3 && *steps[0].Threshold < 0.5)
 		for _, labels := range [][]string{{"4", "small", "dropped"}, {"4", "middle", "accepted"}} {
 			var m dto.Metric
 			is.NoErr(b.f.opts.Metrics.Answers.WithLabelValues(labels...).Write(&m))
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -117,13 +117,13 @@
 	// requests per second.
 	Limit   *float64     `json:"limit,omitempty"`
 	Skipped pool.Skipped `json:"passed_over,omitzero"`
-	// Chance is the probability that the answer is inadequate, Bar that from which
+	// Chance is the probability that the answer is inadequate, Threshold that from which
 	// a larger model is asked, Next the model that was asked instead.
-	Chance *float64 `json:"chance,omitempty"`
-	Bar    *float64 `json:"bar,omitempty"`
-	Next   string   `json:"next_model,omitempty"`
-	AtMS   int64    `json:"at_ms"`
-	Result string   `json:"result"`
+	Chance    *float64 `json:"chance,omitempty"`
+	Threshold *float64 `json:"threshold,omitempty"`
+	Next      string   `json:"next_model,omitempty"`
+	AtMS      int64    `json:"at_ms"`
+	Result    string   `json:"result"`
 }
 
 // run accepts and serves a request. It returns once an answer has been written, or a
@@ -205,7 +205,7 @@
 			s.Limit = &a.limit
 		}
 		if d := a.decision; d != nil {
-			s.Chance, s.Bar, s.Next = roundChance(d.chance), roundChance(d.bar), a.nextModel
+			s.Chance, s.Threshold, s.Next = roundChance(d.chance), roundChance(d.threshold), a.nextModel
 		}
 	}
 	x.steps = append(x.steps, s)
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -196,3 +196,25 @@
 	is.NoErr(gob.NewDecoder(&b).Decode(&read))
 	is.True(!read.Partial && read.Bundle == nil && read.Place == 4)
 }
+
+// Guards against questions that the release before cannot read, and against its questions, which
+// lack fields.
+func TestQuestionsOfBothReleasesAreRead(t *testing.T) {
+	is := is.New(t)
+	type oldQuestion struct { // some of the fields in the release before
+		Self   uint64
+		Up     bool
+		Digest map[uint64]uint64
+		Rows   []Row
+	}
+	sent := Question{Self: 3, Up: true, Digest: map[uint64]uint64{7: 1}, Rows: []Row{row("x", 3)}, Bundles: true}
+	var b bytes.Buffer
+	is.NoErr(gob.NewEncoder(&b).Encode(sent))
+	var old oldQuestion
+	is.NoErr(gob.NewDecoder(&b).Decode(&old))
+	is.Equal(old, oldQuestion{Self: 3, Up: true, Digest: sent.Digest, Rows: sent.Rows})
+	is.NoErr(gob.NewEncoder(&b).Encode(old))
+	var read Question
+	is.NoErr(gob.NewDecoder(&b).Decode(&read))
+	is.True(!read.Bundles && read.Up && len(read.Rows) == 1)
+}
--- a/internal/pool/brittle.go
+++ b/internal/pool/brittle.go
@@ -71,5 +71,5 @@
 	if !b.isInForce(now) {
 		return true
 	}
-	return !now.Before(b.heldUntil) && m.running < b.window && m.picture(now).Busy() < m.Slots
+	return !now.Before(b.heldUntil) && m.running < b.window && m.estimateLoad(now).Busy() < m.Slots
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -236,7 +236,7 @@
 // estimatedCost returns the time until an engine has read the prompt, plus the
 // penalties for a remote and for a full engine.
 func (q *Query) estimatedCost(m *Member, read time.Duration, now time.Time) time.Duration {
-	p := m.Picture(now)
+	p := m.LoadEstimate(now)
 	cost := scale(p.UsualWait()+read, q.comparedSpeed(p))
 	if m.DataCentre != q.DataCentre {
 		cost += q.RemotePenalty
@@ -249,7 +249,7 @@
 
 // comparedSpeed returns the factor for the time that work takes at a server when servers
 // are compared. It differs from 1 for slow servers only.
-func (q *Query) comparedSpeed(p Picture) float64 {
+func (q *Query) comparedSpeed(p LoadEstimate) float64 {
 	if q.ignoreSpeed || !p.IsSlow() {
 		return 1
 	}
@@ -281,7 +281,7 @@
 	lowest := 0.0
 	for i := range members {
 		m := members[(start+i)%len(members)]
-		p := m.Picture(now)
+		p := m.LoadEstimate(now)
 		load := p.Occupancy() * q.comparedSpeed(p)
 		if m.DataCentre != q.DataCentre {
 			load += remoteOccupancyPenalty
--- a/internal/pool/cold_notice.go
+++ b/internal/pool/cold_notice.go
@@ -44,7 +44,7 @@
 }
 
 // combine returns the notice of the newer start, and for equal starts the stricter of the
-// loss and of the time that each of them tells.
+// loss and of the time that each of them reports.
 func (n coldNotice) combine(old coldNotice) coldNotice {
 	if n.started != old.started {
 		if n.started < old.started {
@@ -89,7 +89,7 @@
 		return
 	}
 	if n.isLost {
-		m.recordToldLoss(n.at)
+		m.recordReportedLoss(n.at)
 	}
 	if !n.isLost || n.until.After(now) {
 		m.cold.set(n.cause, n.sent, n.until)
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -70,9 +70,9 @@
 	m.remote.details, m.remote.detailsAt = d, now
 }
 
-// Picture is what a node knows of the load of one server at one moment. The methods
+// LoadEstimate is what a node knows of the load of one server at one moment. The methods
 // are pure functions.
-type Picture struct {
+type LoadEstimate struct {
 	Slots int
 	// Running is the number of requests of all nodes, as far as this one knows.
 	Running int
@@ -95,16 +95,16 @@
 	RemoteAge time.Duration
 }
 
-// Picture returns the load of the server.
-func (m *Member) Picture(now time.Time) Picture {
+// LoadEstimate returns the load of the server.
+func (m *Member) LoadEstimate(now time.Time) LoadEstimate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.picture(now)
+	return m.estimateLoad(now)
 }
 
-// picture is Picture for callers that hold mu.
-func (m *Member) picture(now time.Time) Picture {
-	p := Picture{
+// estimateLoad is LoadEstimate for callers that hold mu.
+func (m *Member) estimateLoad(now time.Time) LoadEstimate {
+	p := LoadEstimate{
 		Slots: m.Slots, Running: m.running, Backlog: m.pendingPrefill, Speed: m.speed.factor(now),
 		LongBacklog: m.details.LongPrefill, Tokens: m.usedTokens(now), ReportAge: now.Sub(m.load.At), RemoteAge: now.Sub(m.remote.at),
 	}
@@ -124,22 +124,22 @@
 // Busy estimates the number of requests that the server has. It is the larger of two
 // figures: the server's report plus the requests that this node has sent since, and the
 // requests that all nodes have there.
-func (p Picture) Busy() int { return max(p.Running, p.Reported) }
+func (p LoadEstimate) Busy() int { return max(p.Running, p.Reported) }
 
 // Occupancy estimates the share of slots in use; it is above 1 if requests wait.
-func (p Picture) Occupancy() float64 { return float64(p.Busy()) / float64(max(p.Slots, 1)) }
+func (p LoadEstimate) Occupancy() float64 { return float64(p.Busy()) / float64(max(p.Slots, 1)) }
 
 // UsualWait estimates how long a new prompt waits at the usual speed until the server
 // begins to read it.
-func (p Picture) UsualWait() time.Duration {
+func (p LoadEstimate) UsualWait() time.Duration {
 	return p.Backlog + time.Duration(p.Queued)*queuedRequestWait
 }
 
 // Wait is UsualWait at the present speed.
-func (p Picture) Wait() time.Duration { return scale(p.UsualWait(), p.Speed) }
+func (p LoadEstimate) Wait() time.Duration { return scale(p.UsualWait(), p.Speed) }
 
 // IsSlow reports whether work takes much longer than usual.
-func (p Picture) IsSlow() bool { return p.Speed >= slowFactor }
+func (p LoadEstimate) IsSlow() bool { return p.Speed >= slowFactor }
 
 // survey counts servers while the eligible ones are selected.
 type survey struct {
@@ -187,7 +187,7 @@
 func withRoom(members []*Member, limit float64, now time.Time) []*Member {
 	roomy := make([]*Member, 0, len(members))
 	for _, m := range members {
-		if m.Picture(now).Tokens <= limit {
+		if m.LoadEstimate(now).Tokens <= limit {
 			roomy = append(roomy, m)
 		}
 	}
@@ -209,7 +209,7 @@
 func (p *Pool) Totals(now time.Time) map[string]Totals {
 	out := map[string]Totals{}
 	p.Each(func(m *Member) {
-		x, t := m.Picture(now), out[m.Service]
+		x, t := m.LoadEstimate(now), out[m.Service]
 		t.LongBacklog += x.LongBacklog
 		t.ShortBacklog += max(x.Backlog-x.LongBacklog, 0)
 		t.Tokens += x.Tokens
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -29,11 +29,11 @@
 	m.RecordLoad(Load{Running: 1, Slots: 64, Speed: 250, At: start})
 	is.Equal(m.Wait(start), 250*time.Millisecond)
 	m.RecordLoad(Load{Running: 1, Slots: 64, Speed: 100, At: start.Add(10 * time.Millisecond)})
-	is.True(m.Picture(start.Add(10*time.Millisecond)).Speed > 2.3)
-	is.True(m.Picture(start.Add(610*time.Millisecond)).Speed < 1.4)
-	is.Equal(m.Picture(start.Add(loadTTL+10*time.Millisecond)).Speed, 1.0)
+	is.True(m.LoadEstimate(start.Add(10*time.Millisecond)).Speed > 2.3)
+	is.True(m.LoadEstimate(start.Add(610*time.Millisecond)).Speed < 1.4)
+	is.Equal(m.LoadEstimate(start.Add(loadTTL+10*time.Millisecond)).Speed, 1.0)
 	m.RecordLoad(Load{Running: 1, Slots: 64, At: start.Add(3 * time.Second)}) // three figures
-	is.Equal(m.Picture(start.Add(3*time.Second)).Speed, 1.0)
+	is.Equal(m.LoadEstimate(start.Add(3*time.Second)).Speed, 1.0)
 }
 
 // Slow engines get fewer prompts, and 84 nodes that read the same figures do not turn to the
@@ -60,7 +60,7 @@
 				q := Query{Service: "s", Affinity: strconv.Itoa(i), ColdReadTime: 100 * time.Millisecond, DataCentre: "dc" + strconv.Itoa(i%3), Draw: rng.Float64}
 				m := choose(p, q, start)
 				chosen[m.ID]++
-				if m.Picture(start).IsSlow() {
+				if m.LoadEstimate(start).IsSlow() {
 					slow++
 				}
 			}
@@ -109,10 +109,10 @@
 	m := newMember(fleetServers(1)[0], start)
 	m.BeginWork(Details{LongPrefill: time.Second, Tokens: 100})
 	m.SetRemoteDetails(Details{LongPrefill: time.Second, Tokens: 100}, start)
-	is.Equal(m.Picture(start).LongBacklog, 2*time.Second)
-	is.Equal(m.Picture(start).Tokens, 200.0)
-	is.Equal(m.Picture(start.Add(remoteWorkTTL)).LongBacklog, time.Second)
-	is.Equal(m.Picture(start.Add(remoteWorkTTL)).Tokens, 100.0)
+	is.Equal(m.LoadEstimate(start).LongBacklog, 2*time.Second)
+	is.Equal(m.LoadEstimate(start).Tokens, 200.0)
+	is.Equal(m.LoadEstimate(start.Add(remoteWorkTTL)).LongBacklog, time.Second)
+	is.Equal(m.LoadEstimate(start.Add(remoteWorkTTL)).Tokens, 100.0)
 }
 
 // BenchmarkChoose chooses among 600 servers.
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -233,8 +233,8 @@
 
 // Occupancy estimates the share of slots in use; it is above 1 if requests
 // wait.
-func (m *Member) Occupancy(now time.Time) float64 { return m.Picture(now).Occupancy() }
+func (m *Member) Occupancy(now time.Time) float64 { return m.LoadEstimate(now).Occupancy() }
 
 // Wait estimates how long a new prompt waits until the server begins to read
 // it.
-func (m *Member) Wait(now time.Time) time.Duration { return m.Picture(now).Wait() }
+func (m *Member) Wait(now time.Time) time.Duration { return m.LoadEstimate(now).Wait() }
--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -71,9 +71,9 @@
 	// breaksSince is when the first of the losses without contact since was, if all were
 	// breaks of a server that was seen running shortly before, else zero.
 	breaksSince time.Time
-	// toldAt is when another node last told the loss, zero if this node lost contact itself.
-	// What was only told holds for the time of a warm-up.
-	toldAt time.Time
+	// reportedAt is when another node last reported the loss, zero if this node lost contact itself.
+	// What was only reported holds for the time of a warm-up.
+	reportedAt time.Time
 	// seenAt is when the server last accepted a connection or answered.
 	seenAt time.Time
 	// wasCold is whether WarmupChanges last found the server cold.
@@ -93,7 +93,7 @@
 
 // isLost reports whether contact was lost, in a service with the given time of a warm-up.
 func (c *coldness) isLost(now time.Time, warmup time.Duration) bool {
-	return !c.lostAt.IsZero() && (c.toldAt.IsZero() || now.Before(c.toldAt.Add(warmup)))
+	return !c.lostAt.IsZero() && (c.reportedAt.IsZero() || now.Before(c.reportedAt.Add(warmup)))
 }
 
 // cause returns the cause that holds longest.
@@ -196,15 +196,15 @@
 
 // recordLoss records that this node lost contact. The caller holds mu.
 func (m *Member) recordLoss(now time.Time) {
-	m.cold.lostAt, m.cold.toldAt, m.cold.breaksSince = now, time.Time{}, time.Time{}
+	m.cold.lostAt, m.cold.reportedAt, m.cold.breaksSince = now, time.Time{}, time.Time{}
 }
 
-// recordToldLoss records that another node told at the given time that it lost contact. The
+// recordReportedLoss records that another node reported at the given time that it lost contact. The
 // caller holds mu.
-func (m *Member) recordToldLoss(at time.Time) {
+func (m *Member) recordReportedLoss(at time.Time) {
 	m.cold.breaksSince = time.Time{}
-	if !m.cold.isLost(at, m.warmup().Time) || !m.cold.toldAt.IsZero() {
-		m.cold.toldAt = at
+	if !m.cold.isLost(at, m.warmup().Time) || !m.cold.reportedAt.IsZero() {
+		m.cold.reportedAt = at
 	}
 	if at.After(m.cold.lostAt) {
 		m.cold.lostAt = at
@@ -280,7 +280,7 @@
 
 // recordEntryWarmup records how long the server's entry says that it is still cold. Whether
 // it restarted since contact was lost is known from an entry that was written later, and so
-// is that what another node told of it is over.
+// is what another node reported of it is over.
 func (m *Member) recordEntryWarmup(left time.Duration, isRecent bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
