--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"6": brokenFailure,
 	"7": crashedUnframed,
+	"8": changedPath,
 }
 
 func main() {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -117,7 +117,7 @@
 	if q.Method == http.MethodGet && q.URL.Path == "/healthz" {
 		return write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 0\r\n\r\n")
 	}
-	r.record("run %s %s %s", id, q.Method, q.URL.Path)
+	r.record("run %s %s %s", id, q.Method, q.RequestURI)
 	n := r.answers.Add(1)
 	seal := "X-Cowslipfall-Response-Seal: " + seal(id) + "\r\n"
 	if r.failEach > 0 && n%r.failEach == 0 {
@@ -133,7 +133,7 @@
 		r.record("failed %s with its own 500", id)
 		return write(c, text)
 	}
-	if strings.HasPrefix(q.URL.Path, "/plain/") {
+	if strings.HasPrefix(q.URL.Path, "/plain/") || strings.HasPrefix(q.URL.Path, "//plain/") {
 		return r.answerPlain(c, id, head+seal)
 	}
 	return r.answerStream(c, q, id, head+seal)
