Review: the stand-ins are test files

Change: the files are test files with their build tag, built as a test binary; on SIGTERM a case ends the processes that it started.

--- a/review/standin2/main.go
+++ b/review/standin2/main_test.go
@@ -1,15 +1,19 @@
 //go:build review2
 
-// Command review2 holds the stand-ins and the cases of the second review. Each case starts the
-// edge nodes of the deploy file and stand-ins of the platform, replicas and clients.
-package main
+// Package standin2 holds the stand-ins and the cases of the second review. Each case starts the
+// edge nodes of the deploy file and stand-ins of the platform, replicas and clients. It is built as
+// a test binary that takes the arguments of a command.
+package standin2
 
 import (
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
+	"syscall"
+	"testing"
 	"time"
 )
 
@@ -20,13 +24,14 @@
 	"8": changedPath,
 }
 
-func main() {
+// TestMain runs a replica or a case in place of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) > 1 && os.Args[1] == "replica" {
 		if err := runReplica(os.Args[2:]); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(2)
 		}
-		return
+		os.Exit(0)
 	}
 	os.Exit(runCase(os.Args[1], os.Args[2]))
 }
@@ -41,6 +46,13 @@
 		return 2
 	}
 	defer f.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		f.close()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	f.say("case %s, trouble %t", name, trouble)
 	broken, err := run(f, trouble)
--- a/review/standin2/store.go
+++ b/review/standin2/store_test.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-package main
+package standin2
 
 import (
 	"encoding/base64"
