--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -184,10 +184,13 @@
 }
 
 // send sends the request, waits for the header of the answer and records the
-// attempt's duration.
+// attempt's duration and whether its server may have run the request.
 func (x *exchange) send(ctx context.Context, a *attempt, lastEvent string) (result, error) {
 	began := time.Now()
 	res, err := x.roundTrip(ctx, a, lastEvent)
+	if res != resultNotRun {
+		x.mayHaveRun = true
+	}
 	x.f.opts.Metrics.AttemptTime.WithLabelValues(x.req.Route.Kind.String(), res.String()).Observe(time.Since(began).Seconds())
 	return res, err
 }
@@ -257,8 +260,6 @@
 		x.recordFailure(a)
 		return resultNotRun, err
 	}
-	x.mayHaveRun = true
-	x.runs++
 	if errors.Is(err, context.Canceled) || errors.Is(err, errQuarantined) || errors.Is(err, ErrRelayLost) {
 		return resultUnknown, err
 	}
@@ -275,14 +276,10 @@
 	// On a kept connection an answer without the request's ID may be a late copy of
 	// an earlier one.
 	if echo := h.Get(x.f.opts.Headers.RequestID); echo != x.req.ID {
-		x.mayHaveRun = true
-		x.runs++
 		x.recordFailure(a)
 		return resultUnknown, errors.Errorf("answer belongs to request %q", echo)
 	}
 	if a.resp.StatusCode < http.StatusOK || a.resp.ProtoMajor != 1 {
-		x.mayHaveRun = true
-		x.runs++
 		x.recordFailure(a)
 		return resultUnknown, errors.Errorf("server sent %s %d in place of a final answer", a.resp.Proto, a.resp.StatusCode)
 	}
@@ -298,12 +295,9 @@
 	case promisesNoRun(a.resp.StatusCode):
 		// Forwarded to the caller, this status would promise that the request
 		// did not run, which the server did not state.
-		x.mayHaveRun = true
-		x.runs++
 		x.observe(a, true)
 		return resultUnknown, errors.Errorf("server answered %d without stating that the request did not run", a.resp.StatusCode)
 	}
-	x.runs++
 	return resultAnswered, nil
 }
 
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -168,7 +168,7 @@
 // that no server may have run is told so.
 func (x *exchange) refuseQuarantined() {
 	r := quarantineRefusal
-	if x.mayHaveRun || x.runs > 0 {
+	if x.mayHaveRun {
 		r.status = http.StatusBadGateway
 	}
 	x.refuse(r)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -66,16 +66,14 @@
 	f   *Forwarder
 	w   http.ResponseWriter
 	req *Request
-	// tried lists the servers that the request was sent to. runs counts the
-	// attempts that may have run it.
+	// tried lists the servers that the request was sent to.
 	tried []*pool.Member
 	// current is the attempt that was sent last. It may have ended.
 	current *attempt
-	runs    int
 	sends   int
 	steps   []step
-	// mayHaveRun is set once an attempt ended without a promise that the
-	// request did not run.
+	// mayHaveRun is set once a server may have run the request. It follows from the result
+	// of send, whichever way the answer's body then ends.
 	mayHaveRun bool
 	// crashProbe is closed when it is known whether the last server crashed. It is nil if
 	// no answer broke off.
@@ -240,7 +238,7 @@
 		x.refuseCancelled(ctx)
 	case x.f.isQuarantined(x.req):
 		x.refuseQuarantined()
-	case !x.mayHaveRun && x.runs == 0:
+	case !x.mayHaveRun:
 		retryAfter = max(retryAfter, x.f.opts.Pool.ShortestBackoff(x.req.Service, time.Now()))
 		if x.permitAfter > 0 {
 			retryAfter, detail = x.permitAfter, "servers limit their requests: "+detail
@@ -261,7 +259,7 @@
 // only its sending side, so it is told whether the request may have run.
 func (x *exchange) refuseCancelled(ctx context.Context) {
 	r := refusal{status: http.StatusBadGateway, reason: "request was cancelled", detail: "caller left: " + cancelCause(ctx).Error()}
-	if !x.mayHaveRun && x.runs == 0 {
+	if !x.mayHaveRun {
 		r.status = http.StatusServiceUnavailable
 	}
 	x.refuse(r)
@@ -272,16 +270,19 @@
 func (x *exchange) refuseStopping(detail string) {
 	r := stoppingRefusal
 	r.detail = r.reason + ": " + detail
-	if x.mayHaveRun || x.runs > 0 {
+	if x.mayHaveRun {
 		r.status, r.retryAfter = http.StatusBadGateway, 0
 	}
 	x.refuse(r)
 }
 
+// maySendAgain reports whether one more run of the request is allowed.
+func (x *exchange) maySendAgain() bool { return x.req.Route.IsRepeatable() || !x.mayHaveRun }
+
 // reserveRetry reports whether another server may be tried, and takes the retry
 // from the budget.
 func (x *exchange) reserveRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || x.sends >= x.req.Route.MaxAttempts {
+	if !x.maySendAgain() || ctx.Err() != nil || x.sends >= x.req.Route.MaxAttempts {
 		return false
 	}
 	keep := int32(0)
@@ -321,7 +322,7 @@
 		return
 	}
 	ran := "no"
-	if x.mayHaveRun || x.runs > 0 {
+	if x.mayHaveRun {
 		ran = "maybe"
 	}
 	fields := []zap.Field{zap.String("request", x.req.ID), zap.String("route", x.req.Route.Name), zap.String("service", x.req.Service),
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -94,6 +94,7 @@
 		Version: 3,
 		Routes: []route.Route{
 			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: route.Stream, Resumable: true, MaxAttempts: 3, Timeout: 20 * time.Second, Target: 2 * time.Second, MaxPause: 2 * time.Second, Models: []string{"small", "large"}, Sticky: true, Backends: []route.Backend{{Service: "s", Weight: 1}}},
+			{Name: "story", Host: "h", Prefix: "/story/", Kind: route.Stream, MaxAttempts: 3, Timeout: 20 * time.Second, Target: 2 * time.Second, MaxPause: 2 * time.Second, Models: []string{"small", "large"}, Sticky: true, Backends: []route.Backend{{Service: "s", Weight: 1}}},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.NonIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: 100 * time.Millisecond, Backends: []route.Backend{{Service: "s", Weight: 1}}},
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: route.Idempotent, MaxAttempts: 2, Timeout: time.Second, Target: 100 * time.Millisecond, Backends: []route.Backend{{Service: "s", Weight: 1}}},
 		},
--- a/internal/forward/permit.go
+++ b/internal/forward/permit.go
@@ -94,7 +94,7 @@
 		}
 		x.permitAfter = reply.RetryAfter
 		next := max(reply.Next, minHoldOff)
-		if !x.mayHaveRun && x.runs == 0 || ctx.Err() != nil || now.Add(next).After(end) {
+		if !x.mayHaveRun || ctx.Err() != nil || now.Add(next).After(end) {
 			// The caller can be told that the request has not run, and when to return.
 			return nil, true
 		}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -44,9 +44,6 @@
 		}
 		x.addStep(a, err.Error())
 		cause, retryAfter = err.Error(), fullServersRetryAfter
-		if res == resultUnknown && !x.req.Route.IsRepeatable() {
-			break
-		}
 		if ctx.Err() != nil || x.hasTooManyConnectFailures() {
 			break
 		}
@@ -92,7 +89,6 @@
 		}
 		return resultAnswered, body, nil
 	}
-	x.mayHaveRun = true
 	if !errors.Is(err, ErrRelayLost) {
 		x.recordFailure(a)
 		x.observe(a, true)
--- a/internal/forward/silent.go
+++ b/internal/forward/silent.go
@@ -15,7 +15,7 @@
 func (x *exchange) returnToSilentServer(ctx context.Context, s *streamState) (bool, error) {
 	now := time.Now()
 	m := s.silent
-	if m == nil || ctx.Err() != nil || x.f.isQuarantined(x.req) || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.takeReserved(0) {
+	if m == nil || !x.maySendAgain() || ctx.Err() != nil || x.f.isQuarantined(x.req) || !m.IsAvailable(now) || m.Limit() != permit.NoLimit || !x.takeReserved(0) {
 		return false, nil
 	}
 	limit := m.PermitRate(now)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -85,7 +85,7 @@
 			x.addStep(a, err.Error())
 			cause, retryAfter = err.Error(), fullServersRetryAfter
 		}
-		if ctx.Err() != nil || x.hasTooManyConnectFailures() || s.isUnnumbered.Load() || !x.req.Route.IsRepeatable() && x.mayHaveRun {
+		if ctx.Err() != nil || x.hasTooManyConnectFailures() || s.isUnnumbered.Load() {
 			break
 		}
 	}
@@ -317,7 +317,6 @@
 		x.outcome = "answered"
 		return true, nil
 	}
-	x.mayHaveRun = true
 	cause := context.Cause(ctx)
 	isServersFault := cause == nil && !errors.Is(err, ErrRelayLost)
 	if isServersFault || errors.Is(cause, errStalled) {
