--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -198,18 +198,25 @@
 	return &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: err.Error()}
 }
 
-// readRefusal reads a backend server's refusal and returns it as an error.
+// readRefusal reads a backend server's refusal and returns it as an error. Only a kind that
+// the server states promises that the request did not run; a status alone does not.
 func readRefusal(resp *http.Response) *Error {
 	defer resp.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxFrameBytes))
+	message := string(text)
+	if err != nil {
+		message += " (broke off: " + err.Error() + ")"
+	}
 	kind := Kind(resp.Header.Get(HeaderErrorKind))
 	switch {
 	case kind == KindBusy || kind == KindDraining || kind == KindNotLoaded || kind == KindFenced:
-		return &Error{Kind: kind, Ran: outcome.RanNo, Message: string(text)}
+		return &Error{Kind: kind, Ran: outcome.RanNo, Message: message}
 	case resp.StatusCode >= http.StatusInternalServerError:
-		return &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: resp.Status + ": " + string(text)}
+		return &Error{Kind: KindBroken, Ran: outcome.RanMaybe, Message: resp.Status + ": " + message}
+	case kind == KindRejected:
+		return &Error{Kind: kind, Ran: outcome.RanNo, Message: resp.Status + ": " + message}
 	default:
-		return &Error{Kind: KindRejected, Ran: outcome.RanNo, Message: resp.Status + ": " + string(text)}
+		return &Error{Kind: KindRejected, Ran: outcome.RanMaybe, Message: resp.Status + ": " + message}
 	}
 }
 
