--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -19,6 +19,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/loop"
 	"github.com/cowslipfall/cowslipfall/internal/probe"
+	"github.com/cowslipfall/cowslipfall/internal/tcp"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -152,7 +153,7 @@
 	if node.RelaysInFrames {
 		preface = framedRelayPreface
 	}
-	conn, err := forward.TCPFrom(ctx, r.source, node.Inner)
+	conn, err := tcp.Dialer{LocalAddr: r.source}.Dial(ctx, "tcp", node.Inner)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial relay")
 	}
@@ -212,9 +213,9 @@
 // backend server until their connections have ended.
 func (r *relay) carry(conn net.Conn, splice func(peer, server net.Conn, stillServes func() bool)) {
 	defer conn.Close()
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if c, ok := conn.(*net.TCPConn); ok {
 		// A node that loses power closes nothing, and its server would go on working.
-		if err := forward.DetectUnresponsivePeer(tcp); err != nil {
+		if err := tcp.DetectUnresponsivePeer(c); err != nil {
 			r.node.options.Log.Warn("loss of a relayed node is noticed late", telemetry.ErrorField(err))
 		}
 	}
@@ -341,8 +342,8 @@
 // setLinger sets how long a close waits for data that was not acknowledged, in seconds: 0 drops
 // it and resets the connection, a negative number returns to the kernel's default.
 func setLinger(c net.Conn, seconds int) {
-	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
-		_ = tcp.SetLinger(seconds)
+	if l, ok := c.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(seconds)
 	}
 }
 
--- a/internal/edge/relay_entrance_test.go
+++ b/internal/edge/relay_entrance_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cowslipfall/cowslipfall/internal/forward"
 	"github.com/cowslipfall/cowslipfall/internal/gossip"
+	"github.com/cowslipfall/cowslipfall/internal/tcp"
 )
 
 // relayFrom sends the preface and an address from a local address, and returns the line that
@@ -22,7 +22,7 @@
 func relayFrom(t *testing.T, source, inner, address string) (net.Conn, string) {
 	t.Helper()
 	is := is.New(t)
-	conn, err := forward.TCPFrom(t.Context(), &net.TCPAddr{IP: net.ParseIP(source)}, inner)
+	conn, err := tcp.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}.Dial(t.Context(), "tcp", inner)
 	is.NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
@@ -216,7 +216,7 @@
 	l, err := net.Listen("tcp", "127.0.1.1:0")
 	is.NoErr(err)
 	defer l.Close()
-	asking, err := forward.TCPFrom(t.Context(), &net.TCPAddr{IP: net.ParseIP("127.0.1.2")}, l.Addr().String())
+	asking, err := tcp.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.1.2")}}.Dial(t.Context(), "tcp", l.Addr().String())
 	is.NoErr(err)
 	defer asking.Close()
 	carried, err := l.Accept()
--- a/internal/edge/relay_frames.go
+++ b/internal/edge/relay_frames.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"github.com/cowslipfall/cowslipfall/internal/forward"
+	"github.com/cowslipfall/cowslipfall/internal/tcp"
 )
 
 // A framed relay passes on what a backend server sends in frames: a length of two bytes, big
@@ -101,7 +102,7 @@
 // lostIfEnded turns the end or loss of a relay's connection into ErrRelayLost. A timeout that
 // the reader has set, and its own close, pass unchanged.
 func lostIfEnded(err error) error {
-	if err == nil || forward.IsLocalEnd(err) {
+	if err == nil || tcp.IsLocalEnd(err) {
 		return err
 	}
 	return forward.ErrRelayLost
--- a/internal/forward/tcp_conn.go
+++ b/internal/tcp/conn.go
@@ -1,4 +1,4 @@
-package forward
+package tcp
 
 import (
 	"io"
@@ -11,17 +11,17 @@
 	"github.com/pkg/errors"
 )
 
-// tcpConn is a TCP connection whose reader also learns of an error that a write has met.
+// conn is a TCP connection whose reader also learns of an error that a write has met.
 // Linux reports a reset once per socket: after a write that returned it, the next read reports
 // a regular end, which would make an answer without a length look whole.
-type tcpConn struct {
+type conn struct {
 	net.Conn
 	mu       sync.Mutex // held while a write is under way
 	writeErr error      // guarded by mu; the loss of the connection that a write has met
 }
 
 // Write implements net.Conn.
-func (c *tcpConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
@@ -32,7 +32,7 @@
 }
 
 // Read implements net.Conn.
-func (c *tcpConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
 		// A write under way may be the one that met the reset. After the end of the answer
@@ -48,7 +48,7 @@
 }
 
 // CloseWrite ends the sending half of the connection.
-func (c *tcpConn) CloseWrite() error {
+func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -57,7 +57,7 @@
 
 // SetLinger sets the time in seconds for which a close waits for unacknowledged data, as
 // net.TCPConn does.
-func (c *tcpConn) SetLinger(seconds int) error {
+func (c *conn) SetLinger(seconds int) error {
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return l.SetLinger(seconds)
 	}
--- a/internal/forward/tcp_conn_test.go
+++ b/internal/tcp/conn_test.go
@@ -1,4 +1,4 @@
-package forward
+package tcp
 
 import (
 	"io"
@@ -9,20 +9,20 @@
 	"github.com/matryer/is"
 )
 
-// connect returns both ends of a connection that TCP has opened.
-func connect(t *testing.T) (conn, server net.Conn) {
+// connect returns both ends of a connection that a dialer has opened.
+func connect(t *testing.T) (client, server net.Conn) {
 	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
-	conn, err = TCP(t.Context(), "tcp", l.Addr().String())
+	client, err = Dialer{Timeout: time.Second}.Dial(t.Context(), "tcp", l.Addr().String())
 	is.NoErr(err)
-	t.Cleanup(func() { _ = conn.Close() })
+	t.Cleanup(func() { _ = client.Close() })
 	server, err = l.Accept()
 	is.NoErr(err)
 	t.Cleanup(func() { _ = server.Close() })
-	return conn, server
+	return client, server
 }
 
 // Guards against a reset that a write has met first, and that the next read then reports as a
