--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipfall/cowslipfall/internal/outcome"
 	"github.com/cowslipfall/cowslipfall/internal/permit"
 	"github.com/cowslipfall/cowslipfall/internal/probe"
+	"github.com/cowslipfall/cowslipfall/internal/tcp"
 	"github.com/cowslipfall/cowslipfall/internal/telemetry"
 )
 
@@ -56,6 +57,8 @@
 	maxIdlePerHost   = 64
 )
 
+var dialer = tcp.Dialer{Timeout: connectTimeout}
+
 // HTTPDialer implements Dialer with HTTP clients that share one connection pool.
 // Calls that must not be repeated, and calls to servers that do not identify their
 // answers, each use a new connection instead. It is safe for concurrent use.
@@ -68,10 +71,9 @@
 
 // NewHTTPDialer returns a dialer without open connections.
 func NewHTTPDialer() *HTTPDialer {
-	dial := &net.Dialer{Timeout: connectTimeout}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial.DialContext(ctx, network, address)
+			conn, err := dialer.Dial(ctx, network, address)
 			if err != nil {
 				return nil, &Error{Kind: KindConnect, Ran: outcome.RanNo, Message: err.Error()}
 			}
@@ -182,7 +184,7 @@
 	if len(body) > maxReplyBytes {
 		return nil, errors.Errorf("the answer is larger than %d bytes", maxReplyBytes)
 	}
-	if !probe.IsFramed(resp) && !probe.StillServes(ctx, strings.TrimPrefix(c.base, "http://"), new(net.Dialer).DialContext, nil) {
+	if !probe.IsFramed(resp) && !probe.StillServes(ctx, strings.TrimPrefix(c.base, "http://"), dialer.Dial, nil) {
 		return nil, errors.New("the server ended with its connection, so that its answer may be cut")
 	}
 	return body, nil
--- a/internal/backend/misbehaving_test.go
+++ b/internal/backend/misbehaving_test.go
@@ -164,6 +164,10 @@
 		is.Equal(asError(err).Ran, outcome.RanMaybe)
 		_, err = NewHTTPDialer().Engine(address).Generate(t.Context(), GenerateRequest{Attempt: "a"})
 		is.Equal(asError(err).Ran, outcome.RanMaybe)
+		_, err = NewHTTPDialer().Service(address).Load(t.Context())
+		is.True(err != nil)
+		err = NewHTTPDialer().Engine(address).ImportKV(t.Context(), "a", []byte("cache"))
+		is.Equal(asError(err).Ran, outcome.RanMaybe)
 	}
 }
 
--- a/internal/forward/misbehaving_stream_test.go
+++ b/internal/forward/misbehaving_stream_test.go
@@ -104,6 +104,7 @@
 	{"head cut", "HTTP/1.1 200 OK\r\nT-Id: ID\r\nContent-Ty", false},
 	{"no answer", "", false},
 	{"101", "HTTP/1.1 101 X\r\nT-Id: ID\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\ndata: oops\n\n", false},
+	{"000", "HTTP/1.1 000 X\r\nT-Id: ID\r\nContent-Type: text/event-stream\r\nContent-Length: 24\r\n\r\nid: 3\ndata: piece 3\n\nid:", false},
 	{"099", "HTTP/1.1 099 X\r\nT-Id: ID\r\nContent-Length: 4\r\n\r\noops", false},
 	{"103, then closed", "HTTP/1.1 103 X\r\nT-Id: ID\r\n\r\n", false},
 }
--- a/internal/forward/run_once_test.go
+++ b/internal/forward/run_once_test.go
@@ -42,7 +42,9 @@
 		defer b.net.mu.Unlock()
 		_ = b.net.listeners[server].Close()
 	}},
-	{name: "relay lost", end: func(*harness, string, net.Conn) {}, prepare: (*harness).relayAndLose},
+	{name: "relay lost", end: func(*harness, string, net.Conn) {}, prepare: func(b *harness) {
+		b.relayThrough(func(c net.Conn) net.Conn { return lostRelayConn{c} })
+	}},
 	{name: "too long", end: func(_ *harness, _ string, c net.Conn) {
 		for range maxPlainBody>>20 + 1 {
 			_, _ = io.WriteString(c, strings.Repeat("x", 1<<20))
@@ -63,12 +65,15 @@
 	return n, err
 }
 
-// relayAndLose lets connections to servers lead through another node, which is lost.
-func (b *harness) relayAndLose() {
+// relayThrough lets all connections to servers lead through another node, which changes them.
+func (b *harness) relayThrough(change func(net.Conn) net.Conn) {
 	b.f.links.direct = func(context.Context, string, string) (net.Conn, error) { return nil, errRefused }
 	b.f.links.relay = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := b.net.dial(ctx, network, address)
-		return lostRelayConn{c}, err
+		if err != nil {
+			return nil, err
+		}
+		return change(c), nil
 	}
 }
 
@@ -106,15 +111,20 @@
 			}
 		}
 		for _, faulty := range faultyAnswers {
-			t.Run(path+"/"+faulty.name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is, b := is.New(t), newHarness(t)
-					b.scriptedServers(raw(faulty.raw, faulty.isReset))
-					got := b.sendRaw(http.MethodPost, path, "HTTP/1.1", chatLines)
-					is.Equal(len(b.receivedRequests()), 1)
-					is.Equal(got.status, http.StatusBadGateway)
+			for _, isRelayed := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/relayed=%t", path, faulty.name, isRelayed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is, b := is.New(t), newHarness(t)
+						b.scriptedServers(raw(faulty.raw, faulty.isReset))
+						if isRelayed {
+							b.relayThrough(func(c net.Conn) net.Conn { return c })
+						}
+						got := b.sendRaw(http.MethodPost, path, "HTTP/1.1", chatLines)
+						is.Equal(len(b.receivedRequests()), 1)
+						is.Equal(got.status, http.StatusBadGateway)
+					})
 				})
-			})
+			}
 		}
 	}
 }
--- a/internal/infra/client.go
+++ b/internal/infra/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cowslipfall/cowslipfall/internal/tcp"
 )
 
 // Paths of the platform's HTTP API.
@@ -55,7 +57,7 @@
 // NewClient returns a client of the platform at the URL base, such as
 // "http://10.0.0.1:7000". Each call takes at most timeout.
 func NewClient(base string, timeout time.Duration) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}}
+	return &Client{base: base, http: &http.Client{Timeout: timeout, Transport: &http.Transport{DialContext: tcp.Dialer{}.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}}
 }
 
 // call sends one request and decodes the reply into out, unless out is nil.
