--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -184,7 +184,7 @@
 	if len(body) > maxReplyBytes {
 		return nil, errors.Errorf("the answer is larger than %d bytes", maxReplyBytes)
 	}
-	if !probe.IsFramed(resp) && !probe.StillServes(ctx, strings.TrimPrefix(c.base, "http://"), dialer.Dial, nil) {
+	if !probe.IsFramed(resp) && !probe.StillServes(ctx, strings.TrimPrefix(c.base, "http://"), dialer.Dial) {
 		return nil, errors.New("the server ended with its connection, so that its answer may be cut")
 	}
 	return body, nil
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -244,7 +244,7 @@
 	r.count("carried")
 	_, _ = answer.WriteString(relayAccepted + "\n")
 	if answer.Flush() == nil && conn.SetDeadline(time.Time{}) == nil {
-		splice(conn, server, func() bool { return probe.StillServes(context.Background(), address, probe.Dial(r.dial), nil) })
+		splice(conn, server, func() bool { return probe.StillServes(context.Background(), address, probe.Dial(r.dial)) })
 	}
 }
 
--- a/internal/forward/end_of_answer.go
+++ b/internal/forward/end_of_answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +18,7 @@
 	if probe.IsFramed(a.resp) || a.isRelayed.Load() {
 		return nil
 	}
-	hasProgress := func(since time.Time) bool { return a.member.LastProgress().After(since) }
-	if !probe.StillServes(ctx, a.member.Address, probe.Dial(x.f.links.direct), hasProgress) {
+	if !probe.StillServes(ctx, a.member.Address, probe.Dial(x.f.links.direct)) || x.f.opts.Pool.IsReplaced(a.member) {
 		return errServerEnded
 	}
 	return nil
--- a/internal/forward/end_of_answer_test.go
+++ b/internal/forward/end_of_answer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -87,3 +88,79 @@
 		}
 	}
 }
+
+// Guards against a cut answer that looks whole because events of its server are read after its
+// end: a node that was suspended reads late what the server sent before it crashed.
+func TestEventsThatAreReadLateDoNotVouchForTheirServer(t *testing.T) {
+	for _, path := range []string{"/chat/1", "/read/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			is, b := is.New(t), newHarness(t)
+			late := make(chan struct{})
+			requests := map[string]int{} // by server
+			serve := func(id string) func(net.Conn, *http.Request) {
+				return func(conn net.Conn, r *http.Request) {
+					b.mu.Lock()
+					requests[id]++
+					n := requests[id]
+					b.mu.Unlock()
+					switch {
+					case id != "x":
+						writeUnframed(conn, r, unframedEvents, "whole")
+					case n == 1: // its events go on after the listener is gone
+						<-late
+						writeStreamHeader(conn, r, 99)
+						writeEvents(conn, 1, 20, 5*time.Millisecond)
+						writeLastChunk(conn)
+					default:
+						writeUnframed(conn, r, 3, "who")
+						b.net.mu.Lock()
+						_ = b.net.listeners[id].Close()
+						b.net.mu.Unlock()
+						close(late)
+					}
+				}
+			}
+			b.server("x", serve("x"))
+			other := make(chan string, 1)
+			go func() {
+				_, body, _ := b.send(t.Context(), http.MethodPost, "/chat/2", chatHeaders)
+				other <- body
+			}()
+			time.Sleep(10 * time.Millisecond)
+			done := make(chan string, 1)
+			go func() {
+				_, body, _ := b.send(t.Context(), http.MethodPost, path, chatHeaders)
+				done <- body
+			}()
+			time.Sleep(5 * time.Millisecond)
+			b.server("y", serve("y"))
+			body := <-done
+			is.True(body == "whole" || strings.Count(body, "id: ") == unframedEvents)
+			<-other
+		})
+	}
+}
+
+// Guards against a cut answer that looks whole because its server was replaced by another one,
+// or another incarnation, that accepts connections at the same address.
+func TestServerAtTheSameAddressDoesNotVouchForTheOneBefore(t *testing.T) {
+	for _, path := range []string{"/chat/1", "/read/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			is, b := is.New(t), newHarness(t)
+			isFirst := true
+			b.server("x", func(conn net.Conn, r *http.Request) {
+				if !isFirst {
+					writeUnframed(conn, r, unframedEvents, "whole")
+					return
+				}
+				isFirst = false
+				writeUnframed(conn, r, 3, "who")
+				b.servers[0].Started++
+				b.pool.Update(b.servers, time.Now())
+			})
+			_, body, err := b.send(t.Context(), http.MethodPost, path, chatHeaders)
+			is.NoErr(err)
+			is.True(body == "whole" || strings.Count(body, "id: ") == unframedEvents)
+		})
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -111,6 +111,19 @@
 	return false
 }
 
+// IsReplaced reports whether another server, or another incarnation, is listed at the address
+// of m.
+func (p *Pool) IsReplaced(m *Member) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, other := range p.members {
+		if other.Address == m.Address && other != m {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns the servers of a service, sorted by ID. The caller must not
 // modify the slice.
 func (p *Pool) Members(service string) []*Member {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -48,10 +48,9 @@
 // StillServes reports whether a server that has just ended a connection regularly accepts
 // others: the kernel closes the connections of a process that ends as regularly as the process
 // itself, but its port refuses connections from then on. A server that neither accepts nor
-// refuses counts as serving, as its queue may be full. No probe is made if hasProgress reports
-// that the server has sent something else since; it may be nil.
-func StillServes(ctx context.Context, address string, dial Dial, hasProgress func(since time.Time) bool) bool {
-	ended := time.Now()
+// refuses counts as serving, as its queue may be full. What is read from the server's other
+// connections meanwhile shows nothing, as it may have been sent before this end.
+func StillServes(ctx context.Context, address string, dial Dial) bool {
 	loop.Sleep(ctx, endDelay)
-	return hasProgress != nil && hasProgress(ended) || AcceptsOrIsSilent(address, dial)
+	return AcceptsOrIsSilent(address, dial)
 }
