--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -252,6 +252,9 @@
 	if !ok {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route matches"}
 	}
+	if !canForward(requestURI(r)) {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "path has characters that must be percent-encoded"}
+	}
 	org, ok := table.Authorise(rt, r.Header.Get(f.opts.Headers.Key))
 	if !ok {
 		return nil, &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -187,6 +187,11 @@
 	if strings.HasPrefix(r.RequestURI, "/") {
 		return r.RequestURI
 	}
+	if _, rest, ok := strings.Cut(r.RequestURI, "://"); ok {
+		if i := strings.IndexByte(rest, '/'); i >= 0 && !strings.Contains(rest[:i], "?") {
+			return rest[i:]
+		}
+	}
 	return r.URL.RequestURI()
 }
 
