--- a/internal/forward/end_of_answer_test.go
+++ b/internal/forward/end_of_answer_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cowslipfall/cowslipfall/internal/pool"
 )
 
 const unframedEvents = 8
@@ -164,3 +166,18 @@
 		})
 	}
 }
+
+// Guards against answers without a length that count as cut because the entry of the server
+// that had their server's address before is still listed.
+func TestEntryOfAnEndedServerDoesNotBreakAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, b := is.New(t), newHarness(t)
+		b.server("x", func(conn net.Conn, r *http.Request) { writeUnframed(conn, r, unframedEvents, "whole") })
+		b.servers[0].Started = 2
+		b.servers = append(b.servers, pool.Server{ID: "before", Address: "x", Service: "s", DataCentre: "a", Draining: true, Started: 1})
+		b.pool.Update(b.servers, time.Now())
+		_, body, err := b.send(t.Context(), http.MethodPost, "/once/1", nil)
+		is.NoErr(err)
+		is.Equal(body, "whole")
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -111,13 +111,13 @@
 	return false
 }
 
-// IsReplaced reports whether another server, or another incarnation, is listed at the address
-// of m.
+// IsReplaced reports whether a server that started later than m is listed at its address. The
+// entry of one that has ended without a word stays for a while.
 func (p *Pool) IsReplaced(m *Member) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, other := range p.members {
-		if other.Address == m.Address && other != m {
+		if other.Address == m.Address && other.Started > m.Started {
 			return true
 		}
 	}
