--- a/internal/infra/early_answer_test.go
+++ b/internal/infra/early_answer_test.go
@@ -14,13 +14,13 @@
 	"github.com/matryer/is"
 )
 
-// Guards against an object that counts as stored though the platform reset the connection
-// while the object was being written, after the part of an answer without a length.
-func TestObjectIsNotStoredIfItsUploadIsReset(t *testing.T) {
-	is := is.New(t)
+// serveRaw starts a platform that answers the first request of each connection by calling
+// handle, which has the request's head but not yet its body.
+func serveRaw(t *testing.T, handle func(*net.TCPConn, *http.Request)) *Client {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -29,16 +29,23 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					handle(conn.(*net.TCPConn), r)
 				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nsto")
-				time.Sleep(rand.N(3 * time.Millisecond))
-				_ = conn.(*net.TCPConn).SetLinger(0)
 			}()
 		}
 	}()
-	client, object := NewClient("http://"+l.Addr().String(), 5*time.Second), make([]byte, 6<<20)
+	return NewClient("http://"+l.Addr().String(), 5*time.Second)
+}
+
+// Guards against an object that counts as stored though the platform reset the connection
+// while the object was being written, after the part of an answer without a length.
+func TestObjectIsNotStoredIfItsUploadIsReset(t *testing.T) {
+	client, object := serveRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nsto")
+		time.Sleep(rand.N(3 * time.Millisecond))
+		_ = conn.SetLinger(0)
+	}), make([]byte, 6<<20)
 	var mu sync.Mutex
 	var workers sync.WaitGroup
 	stored := 0
@@ -54,31 +61,18 @@
 		})
 	}
 	workers.Wait()
-	is.Equal(stored, 0)
+	is.New(t).Equal(stored, 0)
 }
 
 // Guards against a status that is no final answer and counts as one of the platform.
 func TestOnlyFinalStatusIsAnAnswer(t *testing.T) {
 	for _, status := range []string{"000", "099", "101"} {
 		is := is.New(t)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		is.NoErr(err)
-		defer l.Close()
-		go func() {
-			for {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
-				_ = conn.Close()
-			}
-		}()
-		client := NewClient("http://"+l.Addr().String(), 5*time.Second)
-		_, err = client.GetObject(t.Context(), "o")
+		client := serveRaw(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
+		})
+		_, err := client.GetObject(t.Context(), "o")
 		is.True(errors.Is(err, ErrUnavailable))
 		_, err = client.Commit(t.Context(), Op{Key: "k"})
 		is.True(errors.Is(err, ErrUnavailable))
