--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -84,8 +84,8 @@
 	}
 	ok, err := n.options.Store.Write(ctx, t.Status, t.RolloutPrefix+d.service, d.expected, raw)
 	n.reader.countCall("status", outcomeOf(err))
-	n.options.Log.Info("roll-out status written", zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
-		zap.Uint64("expected", d.expected.Version), zap.Bool("stored", ok), telemetry.ErrorField(err), zap.Int64("late_ms", d.overdue.Milliseconds()))
+	n.options.Log.Info("roll-out status written", append(d.analysis, zap.String("service", d.service), zap.String("to", d.status.To), zap.Int("state", int(d.status.State)),
+		zap.Uint64("expected", d.expected.Version), zap.Bool("stored", ok), telemetry.ErrorField(err), zap.Int64("late_ms", d.overdue.Milliseconds()))...)
 	// The row's version is read back from the store: an answer may be lost after the write
 	// was done.
 	n.reloadStatuses(ctx, t.Status)
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -33,6 +33,7 @@
 	// hasFailedAnalysis is set once the new version failed the analysis, failedAt is when.
 	hasFailedAnalysis bool
 	failedAt          time.Time
+	evidence          float64 // against the new version, of the last analysis
 	// loggedShare is the last share of sessions that was logged.
 	loggedShare float64
 }
@@ -77,6 +78,12 @@
 	return float64(now.Sub(r.startedAt)) / float64(max(r.order.Duration, time.Second))
 }
 
+// analysisFields returns what the last analysis was based on, for a log line.
+func (r *serviceRollout) analysisFields() []zap.Field {
+	totals := r.analyzer.overall.totals
+	return []zap.Field{zap.Float64("evidence", r.evidence), zap.Any("old", totals.Old), zap.Any("new", totals.New)}
+}
+
 // rollouts chooses the version of a service that answers a session, analyzes new
 // versions, and reports to the operator. It is safe for concurrent use.
 type rollouts struct {
@@ -269,10 +276,9 @@
 	if ro == nil || ro.orderRevision != order || ro.hasFailedAnalysis || ro.state() != RolloutRunning {
 		return false
 	}
-	evidence := ro.analyzer.evaluate(totals)
-	ro.hasFailedAnalysis = failsAnalysis(evidence, ro.progress(now))
-	fields := []zap.Field{zap.String("service", service), zap.String("version", ro.order.To), zap.Float64("evidence", evidence), zap.Any("old", ro.analyzer.overall.totals.Old),
-		zap.Any("new", ro.analyzer.overall.totals.New), zap.Float64("elapsed", ro.progress(now))}
+	ro.evidence = ro.analyzer.evaluate(totals)
+	ro.hasFailedAnalysis = failsAnalysis(ro.evidence, ro.progress(now))
+	fields := append(ro.analysisFields(), zap.String("service", service), zap.String("version", ro.order.To), zap.Float64("elapsed", ro.progress(now)))
 	if ro.hasFailedAnalysis {
 		ro.failedAt = now
 		r.log.Warn("version failed analysis", append(fields, zap.Any("routes", totals))...)
@@ -303,6 +309,7 @@
 	// remaining is the time from when it was due to the end of the roll-out's time.
 	overdue   time.Duration
 	remaining time.Duration
+	analysis  []zap.Field
 }
 
 // pendingStatuses lists the statuses that are to be written.
@@ -321,7 +328,7 @@
 // pendingStatus returns the status of a roll-out that is to be written, and false if there
 // is none. The caller holds mu.
 func (r *rollouts) pendingStatus(service string, ro *serviceRollout, now time.Time) (pendingStatus, bool) {
-	d := pendingStatus{service: service, status: RolloutStatus{State: RolloutRunning, To: ro.order.To}, expected: ro.statusRevision}
+	d := pendingStatus{service: service, status: RolloutStatus{State: RolloutRunning, To: ro.order.To}, expected: ro.statusRevision, analysis: ro.analysisFields()}
 	if ro.order.To == "" || ro.orderRevision.Era < ro.statusRevision.Era {
 		// The status follows once the restored store has the order.
 		return d, false
