--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -254,3 +254,26 @@
 		}
 	}
 }
+
+// Guards against a bad version that is taken for good because its first answers are not
+// weighed: at few answers a second they are all that a short roll-out sees.
+func TestFirstAnswersOfNewVersionAreWeighed(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after int // answers of the version in place before and after those of the new one
+	}{{"after the baseline", 50, minBlockOld}, {"before the baseline", 1, 50}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			test := SequentialTest{Margin: 0.02}
+			for range c.before {
+				test.Add(Counts{Good: 1}, Counts{})
+			}
+			test.Add(Counts{}, Counts{Bad: 2})
+			for range c.after {
+				test.Add(Counts{Good: 1}, Counts{})
+			}
+			t.Logf("evidence %.1f", test.Evidence())
+			is.True(test.Evidence() > 5) // 1 is none
+		})
+	}
+}
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -67,11 +67,16 @@
 // not compared with outcomes of the new version.
 func (t *SequentialTest) AddBaseline(old Counts) { t.baseline = t.baseline.Plus(old) }
 
-// Add adds the outcomes of both versions since the last call. A block stays open
-// until both versions have answered, since answers of one alone are no evidence.
-// Only the number of outcomes closes a block, never whether they are good: this
-// keeps the bound valid.
+// Add adds the outcomes of both versions since the last call. Outcomes of the version in
+// place fill the baseline first; those of the new version wait for it. A block stays open
+// until both versions have answered, since answers of one alone are no evidence. Only the
+// number of outcomes decides where they count, never whether they are good: this keeps the
+// bound valid.
 func (t *SequentialTest) Add(old, next Counts) {
+	if t.baseline.Total() < minBaseline {
+		t.AddBaseline(old)
+		old = Counts{}
+	}
 	t.openBlock = block{t.openBlock.Old.Plus(old), t.openBlock.Next.Plus(next)}
 	if t.openBlock.Next.Total() == 0 || t.openBlock.Old.Total() < minBlockOld {
 		return
@@ -81,13 +86,10 @@
 }
 
 // close adds a block's evidence and adds its old outcomes to the baseline.
-// Without a baseline of minBaseline outcomes the block gives no evidence.
 func (t *SequentialTest) close(old, next Counts) {
-	if t.baseline.Total() >= minBaseline && next.Total() > 0 {
-		base := clampRate(max(t.baseline.smoothedRate(priorRate), t.Margin+2*rateMargin))
-		for i, effect := range effects {
-			t.logWealth[i] += blockEvidence(old, next, base, clampRate(base-t.Margin-effect), t.Margin)
-		}
+	base := clampRate(max(t.baseline.smoothedRate(priorRate), t.Margin+2*rateMargin))
+	for i, effect := range effects {
+		t.logWealth[i] += blockEvidence(old, next, base, clampRate(base-t.Margin-effect), t.Margin)
 	}
 	t.baseline = t.baseline.Plus(old)
 }
