--- a/internal/edge/analyzer_test.go
+++ b/internal/edge/analyzer_test.go
@@ -156,6 +156,26 @@
 	is.Equal(completed, 0)
 }
 
+// Guards against a bad version that is completed because a short roll-out shows too few of
+// its answers: half of them fail.
+func TestBadVersionOfShortRolloutIsReverted(t *testing.T) {
+	const runs = 1000
+	is, completed := is.New(t), 0
+	for seed := range uint64(runs) {
+		s := &simulation{
+			rates: []float64{11, 11, 11}, failed: 0.005, slow: 0.02, newFailed: constantRate(0.5), newSlow: constantRate(0.02),
+			random: rand.New(rand.NewPCG(seed, 10)), duration: 10 * time.Second,
+		}
+		result := s.run(t)
+		is.True(float64(result.exposed) <= exposureBound*float64(result.requests)+exposureAllowance)
+		if !result.reverted {
+			completed++
+		}
+	}
+	t.Logf("%d of %d completed", completed, runs)
+	is.Equal(completed, 0)
+}
+
 // Guards against good versions that are reverted: at most one of 16 roll-outs,
 // whatever the failure ratio of the old version.
 func TestGoodVersionIsRarelyReverted(t *testing.T) {
@@ -163,11 +183,15 @@
 	for _, c := range []struct {
 		name         string
 		failed, slow float64
-	}{{"sound", 0.005, 0.01}, {"some fail", 0.05, 0.02}, {"loaded", 0.02, 0.15}} {
+		duration     time.Duration
+	}{
+		{"sound", 0.005, 0.01, simulatedDuration}, {"some fail", 0.05, 0.02, simulatedDuration}, {"loaded", 0.02, 0.15, simulatedDuration},
+		{"short, sound", 0.005, 0.01, 10 * time.Second}, {"short, some fail", 0.05, 0.02, 10 * time.Second}, {"short, loaded", 0.02, 0.15, 10 * time.Second},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			is, reverted := is.New(t), 0
 			for seed := range uint64(runs) {
-				s := &simulation{rates: []float64{13, 16, 14}, failed: c.failed, slow: c.slow, newFailed: constantRate(c.failed), newSlow: constantRate(c.slow), random: rand.New(rand.NewPCG(seed, 8))}
+				s := &simulation{rates: []float64{13, 16, 14}, failed: c.failed, slow: c.slow, newFailed: constantRate(c.failed), newSlow: constantRate(c.slow), random: rand.New(rand.NewPCG(seed, 8)), duration: c.duration}
 				if s.run(t).reverted {
 					reverted++
 				}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -211,7 +211,7 @@
 		r.mu.Unlock()
 		return forward.Choice{}
 	}
-	to, state, share, isPastHalf := ro.order.To, ro.state(), r.share(ro, now), ro.progress(now) >= 0.5
+	to, state, share, isPastHalf := ro.order.To, ro.state(), r.share(ro, now), ro.progress(now) >= moveStart
 	r.mu.Unlock()
 	switch {
 	case state == RolloutCompleted:
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -27,6 +27,14 @@
 	minCompletionLead   = 1200 * time.Millisecond
 	// stageWidthRatio is how long each later stage lasts, as a part of the bound.
 	stageWidthRatio = 0.15
+	// minStageTime is the least time of a later stage. The answers of a shorter one are
+	// published and analyzed only after it has ended.
+	minStageTime = 400 * time.Millisecond
+	// moveStart is the part of a roll-out's time from which sessions in progress move to
+	// the new version, and wideCanaryStart the part from which the canary of a short
+	// roll-out is wider: nodes do not agree exactly on when the roll-out began.
+	moveStart       = 0.5
+	wideCanaryStart = 0.55
 	// minCanaryRatio is the least share of the canary as a part of the bound.
 	minCanaryRatio = 0.2
 )
@@ -39,7 +47,8 @@
 // version may get. A version that fails only under full load shows it late, so the
 // shares are such that the bound holds even if no analysis detects it: the canary,
 // which lasts longest and detects nearly all bad versions, gets what the later stages
-// leave.
+// leave. A roll-out too short for later stages has a wider canary instead, which gets as
+// many requests as they would.
 func newSchedule(exposure float64, duration time.Duration) schedule {
 	if exposure <= 0 {
 		exposure = defaultExposure
@@ -54,7 +63,14 @@
 		s.stages = append(s.stages, stage{firstStart + width*float64(i), share})
 		budget -= share * width
 	}
-	s.canary = min(max(budget/max(firstStart, 0.5), minCanaryRatio*exposure), maxCanaryShare)
+	s.canary = min(max(budget/max(firstStart, moveStart), minCanaryRatio*exposure), maxCanaryShare)
+	if time.Duration(width*float64(duration)) < minStageTime && firstStart > wideCanaryStart {
+		requests := s.canary * (firstStart - wideCanaryStart)
+		for _, x := range s.stages {
+			requests += x.share * width
+		}
+		s.stages = []stage{{wideCanaryStart, requests / (s.completeFrom - wideCanaryStart)}}
+	}
 	return s
 }
 
--- a/internal/edge/schedule_test.go
+++ b/internal/edge/schedule_test.go
@@ -15,7 +15,7 @@
 	for _, c := range []struct {
 		exposure, allowance float64 // the allowance as a share of the requests
 		duration            time.Duration
-	}{{0.15, 0, 24 * time.Second}, {0.15, 0.02, 16 * time.Second}, {0.0975, 0.003, 24 * time.Second}, {0.3, 0, time.Hour}} {
+	}{{0.15, 0, 24 * time.Second}, {0.15, 0.02, 16 * time.Second}, {0.15, 0.032, 10 * time.Second}, {0.0975, 0.003, 24 * time.Second}, {0.3, 0, time.Hour}} {
 		s := newSchedule(c.exposure, c.duration)
 		total := 0.0
 		for i := range steps {
