--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -47,6 +47,12 @@
 	outageAge = 2500 * time.Millisecond
 	// idlePause is how often a standby checks whether it must read.
 	idlePause = 60 * time.Millisecond
+	// maxStandInPause bounds the random pause of a standby that reads in place of the reader
+	// between two watches of the configuration. handOverLead is by how much the state of
+	// another node must be newer for the standby to stop. The pauses let standbys that began
+	// at the same moment drift apart until all but one see a newer state.
+	maxStandInPause = 2 * standbyStep
+	handOverLead    = 250 * time.Millisecond
 )
 
 // followedTable is a table of the store with the arguments of follow.
@@ -82,6 +88,9 @@
 	// may have expired meanwhile.
 	lastOutage time.Time // guarded by mu
 	hasFailed  bool      // guarded by mu; the last call of this node failed
+	// standInAt is when this node last got an answer while it reads in place of the
+	// designated reader, else the zero time.
+	standInAt time.Time // guarded by mu
 }
 
 func newReader(store gossip.Store, rows *gossip.Map, m *telemetry.ForwardMetrics, rank func(gossip.Row) uint64, turn func() int, log *zap.Logger) *reader {
@@ -111,7 +120,7 @@
 // shouldRead reports whether this node is to read the store.
 func (r *reader) shouldRead() bool {
 	turn := r.turn()
-	if turn == 0 {
+	if turn == 0 || r.isStandingIn() {
 		return true
 	}
 	r.mu.Lock()
@@ -123,6 +132,22 @@
 	return r.age() > staleAfter+time.Duration(min(turn, 5))*standbyStep
 }
 
+// isStandingIn reports whether this node reads in place of the designated reader. It stops
+// once another node's state is newer, as that node reads.
+func (r *reader) isStandingIn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.standInAt.IsZero() {
+		return false
+	}
+	if lead := r.currentAt.Sub(r.standInAt); lead > handOverLead {
+		r.standInAt = time.Time{}
+		r.log.Info("another node reads the store again", zap.Int64("lead_ms", lead.Milliseconds()))
+		return false
+	}
+	return true
+}
+
 // sinceOutage returns how long ago the last outage of the store ended. A store that
 // only this node cannot reach counts as available: its updates come from other nodes.
 func (r *reader) sinceOutage() time.Duration {
@@ -144,25 +169,36 @@
 	}
 }
 
-// recordSuccess records a successful call; tracksAge is as in follow.
+// recordSuccess records a successful call; tracksAge is as in follow. A standby whose state
+// was stale goes on reading: the other tables have to be read as well.
 func (r *reader) recordSuccess(tracksAge bool) {
+	isStandby, wasStandingIn := r.turn() != 0, r.isStandingIn()
 	r.mu.Lock()
-	wasFailing := r.hasFailed
+	wasFailing, wasStale := r.hasFailed, !r.currentAt.IsZero() && time.Since(r.currentAt) > staleAfter
 	r.hasFailed = false
 	if tracksAge {
-		r.currentAt = time.Now()
+		r.currentAt, r.standInAt = time.Now(), time.Time{}
+		if isStandby && (wasStandingIn || wasStale) {
+			r.standInAt = r.currentAt
+		}
 	}
 	r.mu.Unlock()
 	if wasFailing {
 		r.log.Info("store regained")
 	}
+	if tracksAge && isStandby && wasStale && !wasStandingIn {
+		r.log.Info("reading the store in place of the designated reader")
+	}
 }
 
-// recordFailure records a failed call.
-func (r *reader) recordFailure(table string, err error) {
+// recordFailure records a failed call; tracksAge is as in follow.
+func (r *reader) recordFailure(table string, tracksAge bool, err error) {
 	r.mu.Lock()
 	wasFailing := r.hasFailed
 	r.hasFailed = true
+	if tracksAge {
+		r.standInAt = time.Time{}
+	}
 	r.mu.Unlock()
 	if !wasFailing {
 		r.log.Warn("store lost", zap.String("table", table), telemetry.ErrorField(err), zap.Int64("age_ms", r.age().Milliseconds()))
@@ -179,9 +215,13 @@
 			loop.Sleep(ctx, idlePause)
 			continue
 		}
+		wait := wait
+		if tracksAge && r.turn() != 0 && !r.isStandingIn() {
+			wait = 0 // an answer at once tells the other standbys that they need not read
+		}
 		if err := r.syncTable(ctx, table, wait); err != nil {
 			if ctx.Err() == nil {
-				r.recordFailure(table, err)
+				r.recordFailure(table, tracksAge, err)
 			}
 			failures++
 			loop.Sleep(ctx, backoff(failures, r.turn() == 0, rand.Float64()))
@@ -189,6 +229,9 @@
 		}
 		failures = 0
 		r.recordSuccess(tracksAge)
+		if tracksAge && r.isStandingIn() {
+			loop.Sleep(ctx, time.Duration(rand.Float64()*float64(maxStandInPause)))
+		}
 		loop.Sleep(ctx, pause)
 	}
 }
