--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -91,10 +91,12 @@
 	// standInAt is when this node last got an answer while it reads in place of the
 	// designated reader, else the zero time.
 	standInAt time.Time // guarded by mu
+	// watches end the open watches of the tables that do not show the store's age.
+	watches map[string]context.CancelFunc // guarded by mu; by table
 }
 
 func newReader(store gossip.Store, rows *gossip.Map, m *telemetry.ForwardMetrics, rank func(gossip.Row) uint64, turn func() int, log *zap.Logger) *reader {
-	return &reader{store: store, rows: rows, log: log, rank: rank, turn: turn, startedAt: time.Now(), countCall: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
+	return &reader{store: store, rows: rows, log: log, rank: rank, turn: turn, startedAt: time.Now(), watches: map[string]context.CancelFunc{}, countCall: func(use, result string) { m.StoreCalls.WithLabelValues(use, result).Inc() }}
 }
 
 // age returns how long ago the cached store state was last known to be current.
@@ -191,13 +193,18 @@
 	}
 }
 
-// recordFailure records a failed call; tracksAge is as in follow.
+// recordFailure records a failed call. The first failure of the table that tracksAge ends
+// the open watches of the others: a store that turns a node away may leave them unanswered
+// until long after it serves the node again.
 func (r *reader) recordFailure(table string, tracksAge bool, err error) {
 	r.mu.Lock()
 	wasFailing := r.hasFailed
 	r.hasFailed = true
 	if tracksAge {
 		r.standInAt = time.Time{}
+		for _, end := range r.watches {
+			end()
+		}
 	}
 	r.mu.Unlock()
 	if !wasFailing {
@@ -215,11 +222,9 @@
 			loop.Sleep(ctx, idlePause)
 			continue
 		}
-		wait := wait
-		if tracksAge && r.turn() != 0 && !r.isStandingIn() {
-			wait = 0 // an answer at once tells the other standbys that they need not read
-		}
-		if err := r.syncTable(ctx, table, wait); err != nil {
+		if hasEnded, err := r.call(ctx, table, wait, tracksAge); hasEnded {
+			continue
+		} else if err != nil {
 			if ctx.Err() == nil {
 				r.recordFailure(table, tracksAge, err)
 			}
@@ -236,6 +241,28 @@
 	}
 }
 
+// call brings a table up to date once. hasEnded is set if the call was ended because the
+// store was lost.
+func (r *reader) call(ctx context.Context, table string, wait time.Duration, tracksAge bool) (hasEnded bool, err error) {
+	if tracksAge {
+		if r.turn() != 0 && !r.isStandingIn() {
+			wait = 0 // an answer at once tells the other standbys that they need not read
+		}
+		return false, r.syncTable(ctx, table, wait)
+	}
+	callCtx, end := context.WithCancel(ctx)
+	defer end()
+	r.mu.Lock()
+	hasEnded = r.hasFailed
+	r.watches[table] = end
+	r.mu.Unlock()
+	if hasEnded {
+		return true, nil
+	}
+	err = r.syncTable(callCtx, table, wait)
+	return err != nil && callCtx.Err() != nil && ctx.Err() == nil, err
+}
+
 // backoff returns the wait after a number of failed calls in a row. random is a number
 // within 0 to 1.
 func backoff(failures int, isReader bool, random float64) time.Duration {
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -111,6 +111,28 @@
 	})
 }
 
+// Guards against servers that get requests for seconds after they announced that they leave:
+// the reader's watch of the servers' table stayed open, unanswered, long after the store
+// served the reader again.
+func TestReaderWatchesAnewOnceStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newSilentStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		r := followTestTables(ctx, store, 0)
+		time.Sleep(time.Second)
+		store.isSilent.Store(true)
+		time.Sleep(3 * time.Second)
+		store.isSilent.Store(false)
+		time.Sleep(2 * time.Second)
+		store.writeServer("late")
+		time.Sleep(time.Second)
+		is.True(r.hasServer("late"))
+	})
+}
+
 // Guards against calls of the store by many standbys for as long as the reader is turned
 // away: one of them reads, and none once the reader does.
 func TestOneStandbyReadsInPlaceOfReader(t *testing.T) {
