--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -30,9 +30,9 @@
 	// 69 nodes made 477 watches within two seconds.
 	systemPause = 700 * time.Millisecond
 	// staleAfter is the age of the cached store state at which a node that is not the
-	// reader reads the store itself. It leaves half of the two seconds in which a
-	// configuration must be in force.
-	staleAfter = 1300 * time.Millisecond
+	// reader reads the store itself. The last of the standbys begins half a second later and
+	// needs a part of what is left of the two seconds in which a change must be in force.
+	staleAfter = 1200 * time.Millisecond
 	// standbyStep staggers the standbys: the first in line begins first.
 	standbyStep = 120 * time.Millisecond
 	// firstRetryPause is the backoff after a first failed call. It doubles with each
