--- a/internal/edge/analyzer_test.go
+++ b/internal/edge/analyzer_test.go
@@ -41,7 +41,7 @@
 func (s *simulation) run(t *testing.T) simulationResult {
 	t.Helper()
 	duration := cmp.Or(s.duration, simulatedDuration)
-	r := newRollouts(testSchema{}, newSessions(nil, versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, zap.NewNop())
+	r := newRollouts(testSchema{}, newSessions(nil, versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, func() bool { return true }, zap.NewNop())
 	ro := r.ensureRollout("x")
 	ro.order, ro.startedAt = RolloutOrder{Service: "x", To: "v2", Duration: duration}, startTime
 	seen := map[string]comparison{}
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -34,7 +34,7 @@
 	s := n.settings.Load()
 	state := nodeState{
 		Node: s.Node, Inner: n.innerAddress, Callers: s.Callers, DataCentre: s.DataCentre, Ready: n.isReady(), Stopping: n.stopping.Load(), GrantsPermits: true,
-		Relays: true, RelaysInFrames: true, CutOff: n.isCutOff(),
+		Relays: true, RelaysInFrames: true, WidensCanary: true, CutOff: n.isCutOff(),
 		Weight: math.Sqrt(max(s.Processor, 0.01) * max(s.Bandwidth, 1)),
 	}
 	n.members.setSelf(state)
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -74,6 +74,9 @@
 	CutOff bool `json:"cut_off,omitempty"`
 	// RelaysInFrames is set by nodes that also say how a relayed connection ended.
 	RelaysInFrames bool `json:"relay_frames,omitempty"`
+	// WidensCanary is set by nodes whose short roll-outs have a wider canary in place of
+	// later stages.
+	WidensCanary bool `json:"wide_canary,omitempty"`
 	// Weight is the share of callers that the node can carry.
 	Weight float64 `json:"weight"`
 }
@@ -282,6 +285,13 @@
 	return m.liveLocked()
 }
 
+// widenCanaries reports whether all live nodes set WidensCanary.
+func (m *members) widenCanaries() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !slices.ContainsFunc(m.liveLocked(), func(s nodeState) bool { return !s.WidensCanary })
+}
+
 // count returns the number of live nodes, this one included.
 func (m *members) count() int {
 	m.mu.Lock()
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -34,6 +34,9 @@
 	hasFailedAnalysis bool
 	failedAt          time.Time
 	evidence          float64 // against the new version, of the last analysis
+	// mayWiden is set if the canary of a short roll-out is wider in the second half,
+	// isPlanned once that was decided.
+	mayWiden, isPlanned bool
 	// loggedShare is the last share of sessions that was logged.
 	loggedShare float64
 }
@@ -95,10 +98,13 @@
 	byService  map[string]*serviceRollout // guarded by mu; by service
 	starts     map[string]rolloutStart    // guarded by mu; by service
 	localTally *tally                     // answers that this node saw
+	// canWiden reports whether all nodes widen the canary of a short roll-out. Its locks
+	// follow mu.
+	canWiden func() bool
 }
 
-func newRollouts(schema Schema, s *sessions, settings func() *Settings, log *zap.Logger) *rollouts {
-	return &rollouts{schema: schema, sessions: s, settings: settings, log: log, byService: map[string]*serviceRollout{}, starts: map[string]rolloutStart{}, localTally: newTally()}
+func newRollouts(schema Schema, s *sessions, settings func() *Settings, canWiden func() bool, log *zap.Logger) *rollouts {
+	return &rollouts{schema: schema, sessions: s, settings: settings, canWiden: canWiden, log: log, byService: map[string]*serviceRollout{}, starts: map[string]rolloutStart{}, localTally: newTally()}
 }
 
 // apply applies new orders and statuses.
@@ -291,12 +297,18 @@
 
 // schedule returns the schedule of a roll-out under the settings in force.
 func (r *rollouts) schedule(ro *serviceRollout) schedule {
-	return newSchedule(r.settings().ExposureRatio, ro.order.Duration)
+	return newSchedule(r.settings().ExposureRatio, ro.order.Duration, ro.mayWiden)
 }
 
-// share returns the share of sessions that the new version gets.
+// share returns the share of sessions that the new version gets. The caller holds mu.
 func (r *rollouts) share(ro *serviceRollout, now time.Time) float64 {
-	return r.schedule(ro).share(ro.progress(now))
+	elapsed := ro.progress(now)
+	if elapsed >= moveStart && !ro.isPlanned {
+		// Beside nodes of an earlier release, sessions would change their version with each
+		// node that serves them.
+		ro.mayWiden, ro.isPlanned = r.canWiden(), true
+	}
+	return r.schedule(ro).share(elapsed)
 }
 
 // pendingStatus is a status that is to be written if its row still has the expected
--- a/internal/edge/rollouts_test.go
+++ b/internal/edge/rollouts_test.go
@@ -15,7 +15,7 @@
 func newTestRollouts(t *testing.T) (*rollouts, *sessions) {
 	t.Helper()
 	s := newSessions(gossip.NewMap(nil), versionCounter(), zap.NewNop())
-	r := newRollouts(testSchema{}, s, func() *Settings { return &Settings{SessionLife: 5 * time.Second, ExposureRatio: 0.15} }, zap.NewNop())
+	r := newRollouts(testSchema{}, s, func() *Settings { return &Settings{SessionLife: 5 * time.Second, ExposureRatio: 0.15} }, func() bool { return true }, zap.NewNop())
 	return r, s
 }
 
@@ -38,7 +38,9 @@
 }
 
 // canarySession returns a session that the canary of the test's roll-outs gets.
-func canarySession() string { return sessionBelow(newSchedule(exposureBound, 20*time.Second).canary) }
+func canarySession() string {
+	return sessionBelow(newSchedule(exposureBound, 20*time.Second, true).canary)
+}
 
 // In the first half of a roll-out a session in progress keeps its version, and a new
 // one in the canary's share moves. Later all sessions move, and none moves back.
@@ -51,7 +53,7 @@
 	is.Equal(r.Pick("x", session, startTime.Add(time.Second)), forward.Choice{Except: "v2"})
 	is.Equal(r.Pick("x", session, startTime.Add(7*time.Second)).Prefer, "v2") // the session had ended
 	r.Observe("x", "v2", forward.Observation{Session: session}, startTime.Add(7*time.Second))
-	is.Equal(r.Pick("x", session, startTime.Add(9*time.Second)), forward.Choice{Prefer: "v2", Share: newSchedule(exposureBound, 20*time.Second).canary})
+	is.Equal(r.Pick("x", session, startTime.Add(9*time.Second)), forward.Choice{Prefer: "v2", Share: newSchedule(exposureBound, 20*time.Second, true).canary})
 	others := 0
 	for i := range 1000 {
 		if r.Pick("x", "o"+strconv.Itoa(i), startTime.Add(9*time.Second)).Prefer == "v2" {
@@ -189,3 +191,30 @@
 	newer.applyStoredStarts(time.Hour+12*time.Second, restarted)
 	is.Equal(newer.ensureRollout("x").progress(restarted), 0.0)
 }
+
+// Guards against sessions that change their version with each node that serves them: nodes
+// of an earlier release do not widen the canary of a short roll-out.
+func TestCanaryIsWidenedByAllNodesOrNone(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other nodeState
+		share float64
+	}{
+		{"same release", nodeState{Node: "n2", Inner: "n2", DataCentre: "a", WidensCanary: true}, newSchedule(exposureBound, 10*time.Second, true).share(0.6)},
+		{"earlier release", nodeState{Node: "n2", Inner: "n2", DataCentre: "a"}, newSchedule(exposureBound, 10*time.Second, true).canary},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMembers(zap.NewNop())
+			m.setSelf(nodeState{Node: "n1", Inner: "n1", DataCentre: "a", WidensCanary: true})
+			m.heartbeats["n2"] = receivedHeartbeat{nodeState: c.other, receivedAt: time.Now()}
+			r := newRollouts(testSchema{}, newSessions(gossip.NewMap(nil), versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, m.widenCanaries, zap.NewNop())
+			ro := r.ensureRollout("x")
+			ro.order, ro.startedAt = RolloutOrder{Service: "x", To: "v2", Duration: 10 * time.Second}, startTime
+			is.Equal(r.share(ro, startTime.Add(6*time.Second)), c.share)
+			m.heartbeats["n2"] = receivedHeartbeat{nodeState: nodeState{Node: "n2", Inner: "n2", DataCentre: "a", WidensCanary: true}, receivedAt: time.Now()}
+			m.cachedLive = nil
+			is.Equal(r.share(ro, startTime.Add(6*time.Second)), c.share) // for as long as it lasts
+		})
+	}
+}
--- a/internal/edge/schedule.go
+++ b/internal/edge/schedule.go
@@ -47,9 +47,9 @@
 // version may get. A version that fails only under full load shows it late, so the
 // shares are such that the bound holds even if no analysis detects it: the canary,
 // which lasts longest and detects nearly all bad versions, gets what the later stages
-// leave. A roll-out too short for later stages has a wider canary instead, which gets as
-// many requests as they would.
-func newSchedule(exposure float64, duration time.Duration) schedule {
+// leave. If mayWiden is set, a roll-out too short for later stages has a wider canary
+// instead, which gets as many requests as they would.
+func newSchedule(exposure float64, duration time.Duration, mayWiden bool) schedule {
 	if exposure <= 0 {
 		exposure = defaultExposure
 	}
@@ -64,7 +64,7 @@
 		budget -= share * width
 	}
 	s.canary = min(max(budget/max(firstStart, moveStart), minCanaryRatio*exposure), maxCanaryShare)
-	if time.Duration(width*float64(duration)) < minStageTime && firstStart > wideCanaryStart {
+	if mayWiden && time.Duration(width*float64(duration)) < minStageTime && firstStart > wideCanaryStart {
 		requests := s.canary * (firstStart - wideCanaryStart)
 		for _, x := range s.stages {
 			requests += x.share * width
--- a/internal/edge/schedule_test.go
+++ b/internal/edge/schedule_test.go
@@ -16,7 +16,7 @@
 		exposure, allowance float64 // the allowance as a share of the requests
 		duration            time.Duration
 	}{{0.15, 0, 24 * time.Second}, {0.15, 0.02, 16 * time.Second}, {0.15, 0.032, 10 * time.Second}, {0.0975, 0.003, 24 * time.Second}, {0.3, 0, time.Hour}} {
-		s := newSchedule(c.exposure, c.duration)
+		s := newSchedule(c.exposure, c.duration, true)
 		total := 0.0
 		for i := range steps {
 			if at := float64(i) / steps; at >= s.completeFrom {
@@ -33,6 +33,6 @@
 // The status must be due early enough for a second node to write it.
 func TestShortRolloutLeavesTimeToComplete(t *testing.T) {
 	is := is.New(t)
-	s := newSchedule(0.15, 10*time.Second)
+	s := newSchedule(0.15, 10*time.Second, true)
 	is.True(time.Duration((1-s.completeFrom)*float64(10*time.Second)) >= minCompletionLead-time.Millisecond)
 }
