--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -218,7 +218,12 @@
 	failures := 0
 	for ctx.Err() == nil {
 		// Only the operator's table probes whether the store is back.
-		if !r.shouldRead() || (!tracksAge && r.isFailing()) {
+		if !r.shouldRead() {
+			failures = 0 // those of an outage that others have ended
+			loop.Sleep(ctx, idlePause)
+			continue
+		}
+		if !tracksAge && r.isFailing() {
 			loop.Sleep(ctx, idlePause)
 			continue
 		}
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -133,6 +133,29 @@
 	})
 }
 
+// Guards against configurations that come into force late: a standby whose calls had failed
+// in an outage long ago waited up to two seconds after its next failed call.
+func TestStandbyForgetsFailuresOfAnEarlierOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{down: true}
+		r := newReader(store, gossip.NewMap(nil), telemetry.NewForwardMetrics(), unranked, func() int { return 1 }, zap.NewNop())
+		r.observeAge(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		go r.follow(ctx, "o", operatorWait, 0, true)
+		time.Sleep(10 * time.Second)
+		for range 50 {
+			r.observeAge(0) // another node reads the store
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := store.calls.Load()
+		time.Sleep(staleAfter + standbyStep + idlePause + firstRetryPause)
+		is.True(store.calls.Load() >= before+2)
+	})
+}
+
 // Guards against calls of the store by many standbys for as long as the reader is turned
 // away: one of them reads, and none once the reader does.
 func TestOneStandbyReadsInPlaceOfReader(t *testing.T) {
