--- a/internal/edge/analyzer_test.go
+++ b/internal/edge/analyzer_test.go
@@ -41,7 +41,8 @@
 func (s *simulation) run(t *testing.T) simulationResult {
 	t.Helper()
 	duration := cmp.Or(s.duration, simulatedDuration)
-	r := newRollouts(testSchema{}, newSessions(nil, versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, func() bool { return true }, zap.NewNop())
+	r := newRollouts(testSchema{}, newSessions(nil, versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, zap.NewNop())
+	r.setAllWiden(true)
 	ro := r.ensureRollout("x")
 	ro.order, ro.startedAt = RolloutOrder{Service: "x", To: "v2", Duration: duration}, startTime
 	seen := map[string]comparison{}
--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -36,6 +36,7 @@
 	if clock, ok := n.options.Store.Clock(); ok {
 		n.rollouts.applyStoredStarts(clock, now)
 	}
+	n.rollouts.setAllWiden(n.members.widenCanaries())
 	n.evidence.publish(n.rollouts, n.members.count(), now)
 	for service, order := range n.rollouts.running() {
 		n.rollouts.evaluate(service, order, n.evidence.totals(service, order), now)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -113,7 +113,7 @@
 	n.prefixes = prefix.New()
 	n.servers = newServers(o.Schema, n.pool, n.rows, n.reader.sinceOutage, o.Log)
 	n.sessions = newSessions(n.rows, n.nextVersion, o.Log)
-	n.rollouts = newRollouts(o.Schema, n.sessions, n.settings.Load, n.members.widenCanaries, o.Log)
+	n.rollouts = newRollouts(o.Schema, n.sessions, n.settings.Load, o.Log)
 	n.evidence = &evidence{nodeKey: n.rowKey, rows: n.rows, nextVersion: n.nextVersion, log: o.Log, countsByKey: map[string]rolloutCounts{}}
 	n.suspects = &suspects{Suspects: dispatch.NewSuspectsWithLimit(crashesToRefuse), nodeKey: n.rowKey, rows: n.rows, log: o.Log, nextVersion: n.nextVersion, isHub: n.isHub, onQuarantine: func() { n.forwarder.CancelQuarantined() }}
 	n.drainNotices = &drainNotices{pool: n.pool, rows: n.rows, nextVersion: n.nextVersion, log: o.Log}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -98,13 +98,12 @@
 	byService  map[string]*serviceRollout // guarded by mu; by service
 	starts     map[string]rolloutStart    // guarded by mu; by service
 	localTally *tally                     // answers that this node saw
-	// canWiden reports whether all nodes widen the canary of a short roll-out. Its locks
-	// follow mu.
-	canWiden func() bool
+	// allWiden is set while all nodes widen the canary of a short roll-out.
+	allWiden bool // guarded by mu
 }
 
-func newRollouts(schema Schema, s *sessions, settings func() *Settings, canWiden func() bool, log *zap.Logger) *rollouts {
-	return &rollouts{schema: schema, sessions: s, settings: settings, canWiden: canWiden, log: log, byService: map[string]*serviceRollout{}, starts: map[string]rolloutStart{}, localTally: newTally()}
+func newRollouts(schema Schema, s *sessions, settings func() *Settings, log *zap.Logger) *rollouts {
+	return &rollouts{schema: schema, sessions: s, settings: settings, log: log, byService: map[string]*serviceRollout{}, starts: map[string]rolloutStart{}, localTally: newTally()}
 }
 
 // apply applies new orders and statuses.
@@ -300,13 +299,20 @@
 	return newSchedule(r.settings().ExposureRatio, ro.order.Duration, ro.mayWiden)
 }
 
+// setAllWiden sets whether all nodes widen the canary of a short roll-out.
+func (r *rollouts) setAllWiden(allWiden bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.allWiden = allWiden
+}
+
 // share returns the share of sessions that the new version gets. The caller holds mu.
 func (r *rollouts) share(ro *serviceRollout, now time.Time) float64 {
 	elapsed := ro.progress(now)
 	if elapsed >= moveStart && !ro.isPlanned {
 		// Beside nodes of an earlier release, sessions would change their version with each
 		// node that serves them.
-		ro.mayWiden, ro.isPlanned = r.canWiden(), true
+		ro.mayWiden, ro.isPlanned = r.allWiden, true
 	}
 	return r.schedule(ro).share(elapsed)
 }
--- a/internal/edge/rollouts_test.go
+++ b/internal/edge/rollouts_test.go
@@ -15,7 +15,8 @@
 func newTestRollouts(t *testing.T) (*rollouts, *sessions) {
 	t.Helper()
 	s := newSessions(gossip.NewMap(nil), versionCounter(), zap.NewNop())
-	r := newRollouts(testSchema{}, s, func() *Settings { return &Settings{SessionLife: 5 * time.Second, ExposureRatio: 0.15} }, func() bool { return true }, zap.NewNop())
+	r := newRollouts(testSchema{}, s, func() *Settings { return &Settings{SessionLife: 5 * time.Second, ExposureRatio: 0.15} }, zap.NewNop())
+	r.setAllWiden(true)
 	return r, s
 }
 
@@ -208,12 +209,14 @@
 			m := newMembers(zap.NewNop())
 			m.setSelf(nodeState{Node: "n1", Inner: "n1", DataCentre: "a", WidensCanary: true})
 			m.heartbeats["n2"] = receivedHeartbeat{nodeState: c.other, receivedAt: time.Now()}
-			r := newRollouts(testSchema{}, newSessions(gossip.NewMap(nil), versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, m.widenCanaries, zap.NewNop())
+			r := newRollouts(testSchema{}, newSessions(gossip.NewMap(nil), versionCounter(), zap.NewNop()), func() *Settings { return &Settings{ExposureRatio: exposureBound} }, zap.NewNop())
+			r.setAllWiden(m.widenCanaries())
 			ro := r.ensureRollout("x")
 			ro.order, ro.startedAt = RolloutOrder{Service: "x", To: "v2", Duration: 10 * time.Second}, startTime
 			is.Equal(r.share(ro, startTime.Add(6*time.Second)), c.share)
 			m.heartbeats["n2"] = receivedHeartbeat{nodeState: nodeState{Node: "n2", Inner: "n2", DataCentre: "a", WidensCanary: true}, receivedAt: time.Now()}
 			m.cachedLive = nil
+			r.setAllWiden(m.widenCanaries())
 			is.Equal(r.share(ro, startTime.Add(6*time.Second)), c.share) // for as long as it lasts
 		})
 	}
